--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Every tool is pinned here or in go.mod; nothing is taken from the machine but
+# Go, make and a POSIX shell.
+LINT_VERSION := v2.15.0
+TOOLS := $(CURDIR)/.tools
+LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
+
+.PHONY: build test lint fmt demo bench slopes generate tools
+
+build:
+	go build -trimpath -o bin/celeryport ./cmd/celeryport
+
+test:
+	go test -race ./...
+
+$(LINT):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	mv $(TOOLS)/golangci-lint $(LINT)
+
+tools: $(LINT)
+
+lint: $(LINT)
+	$(LINT) fmt --diff
+	$(LINT) run ./...
+
+fmt: $(LINT)
+	$(LINT) fmt
+
+demo: build
+	sh ./examples/demo/run.sh
+
+bench: build
+	bin/celeryport bench
+
+slopes: build
+	bin/celeryport slopes
+
+# The generated code is committed; this is only needed after a change of the
+# .proto file, and needs protoc (Debian: protobuf-compiler).
+generate:
+	mkdir -p $(TOOLS)
+	cd tools/protogo && go build -o $(TOOLS)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	cd tools/twirp && go build -o $(TOOLS)/protoc-gen-twirp github.com/twitchtv/twirp/protoc-gen-twirp
+	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative rpc/control.proto
--- /dev/null
+++ b/cli/commands.go
@@ -0,0 +1,25 @@
+package cli
+
+import (
+	"io"
+
+	urfave "github.com/urfave/cli/v3"
+)
+
+// commands lists the commands; each has a file of its own.
+func commands(stdout, stderr io.Writer) []*urfave.Command {
+	return []*urfave.Command{
+		serveCommand(stdout, stderr),
+		settingsCommand(stdout, stderr),
+		reportCommand(stdout, stderr),
+		burnCommand(stdout, stderr),
+		addressesCommand(stdout, stderr),
+		instancesCommand(stdout, stderr),
+		upstreamsCommand(stdout, stderr),
+		orderCommand(stdout, stderr),
+		loadCommand(stdout, stderr),
+		standinCommand(stdout, stderr),
+		benchCommand(stdout, stderr),
+		slopesCommand(stdout, stderr),
+	}
+}
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,26 @@
+// Package quota divides fleet-wide limits and shares between the instances
+// without a message per request: instances state their demand with each
+// heartbeat and get grants that lapse by themselves.
+package quota
+
+import "time"
+
+// Demand is what one instance saw of one organisation since its last statement.
+type Demand struct {
+	Organisation    string  `json:"organisation"`
+	TokensPerSecond float64 `json:"tokens_per_second"` // offered, admitted or not
+	InFlight        int     `json:"in_flight"`         // requests admitted and not finished
+	InFlightTokens  int     `json:"in_flight_tokens"`  // prompt tokens admitted and not finished
+	Waiting         int     `json:"waiting"`           // requests queued
+}
+
+// Grant is one instance's part of an organisation's limits, and what the whole
+// fleet holds for it. Zero limits mean no limit.
+type Grant struct {
+	Organisation        string        `json:"organisation"`
+	TokensPerSecond     float64       `json:"tokens_per_second"`
+	InFlight            int           `json:"in_flight"`
+	FleetInFlightTokens int           `json:"fleet_in_flight_tokens"`
+	FleetDemand         float64       `json:"fleet_demand"` // tokens a second offered over all instances
+	Lease               time.Duration `json:"lease"`        // valid for so long after the demand was sent
+}
--- /dev/null
+++ b/settings/process.go
@@ -0,0 +1,41 @@
+package settings
+
+import "time"
+
+// Process is the checked content of one process settings file.
+type Process struct {
+	Name             string // unique in the fleet
+	AvailabilityZone string
+	Region           string
+	Listen           string   // traffic address, host:port, callers and upstreams connect here
+	Advertise        string   // traffic address given to callers; Listen if empty
+	ControlListen    string   // control address, host:port, instances connect here
+	ControlAdvertise string   // ControlListen if empty
+	DataFolder       string   // required for a voter
+	Voter            bool     // takes part in the control group
+	Voters           []Member // the control group at first start
+	InstanceKey      string   // shared by the instances
+	OperatorKeys     []string
+	UpstreamKeys     []string // accepted from upstreams that announce themselves
+	EngineKey        string   // sent to upstreams
+	Tree             string   // path of a tree applied if no tree was ever accepted; empty: none
+	LogLevel         string
+	MaxConnections   int
+	ReadTimeout      time.Duration // of a caller's whole request
+	DrainTimeout     time.Duration // bound of a graceful shutdown
+	Pools            Pools
+}
+
+// Member names one voter of the control group.
+type Member struct {
+	ID      string // never reused: a voter that lost its disk gets a new one
+	Address string // control address
+}
+
+// Pools are the sizes of the worker pools; the length classes have pools of
+// their own, so that long streams never hold the workers of short ones.
+type Pools struct {
+	Short   int
+	Long    int
+	Service int
+}
--- /dev/null
+++ b/verdict/error.go
@@ -0,0 +1,61 @@
+package verdict
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Error ends a request. It carries the verdict, the reason and, where it makes
+// sense to ask again, the time after which to do so.
+type Error struct {
+	Verdict    Verdict
+	Reason     Reason
+	Message    string
+	RetryAfter time.Duration // zero: asking again does not help, or nothing is known
+	cause      error
+}
+
+// New returns an Error without a cause.
+func New(v Verdict, r Reason, format string, args ...any) *Error {
+	return &Error{Verdict: v, Reason: r, Message: fmt.Sprintf(format, args...)}
+}
+
+// Refuse returns an Error that says that the request was not run.
+func Refuse(r Reason, retryAfter time.Duration, format string, args ...any) *Error {
+	e := New(NotRun, r, format, args...)
+	e.RetryAfter = retryAfter
+	return e
+}
+
+// Wrap returns an Error around cause.
+func Wrap(cause error, v Verdict, r Reason, format string, args ...any) *Error {
+	e := New(v, r, format, args...)
+	e.cause = cause
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.cause == nil {
+		return fmt.Sprintf("%s (%s): %s", e.Reason, e.Verdict, e.Message)
+	}
+	return fmt.Sprintf("%s (%s): %s: %v", e.Reason, e.Verdict, e.Message, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// From finds the Error inside err. An error that carries no verdict becomes an
+// internal fault with the careful verdict MayHaveRun; nil stays nil.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var found *Error
+	if errors.As(err, &found) {
+		return found
+	}
+	return Wrap(err, MayHaveRun, ReasonInternal, "unexpected failure")
+}
--- /dev/null
+++ b/verdict/reason.go
@@ -0,0 +1,60 @@
+package verdict
+
+import "net/http"
+
+// Reason is the machine-readable cause of a refusal or failure. It is the
+// "type" field of the JSON error and a bounded metric label.
+type Reason string
+
+// The reasons that the system gives.
+const (
+	ReasonBadRequest    Reason = "bad-request"    // malformed body or header
+	ReasonUnauthorized  Reason = "unauthorised"   // unknown or missing key
+	ReasonNotFound      Reason = "not-found"      // unknown path, model or service
+	ReasonBodyTooLarge  Reason = "body-too-large" // above the limit of the settings
+	ReasonTooLong       Reason = "too-long"       // no engine and no span of engines can hold the prompt
+	ReasonDeadline      Reason = "deadline"       // cannot be answered in time
+	ReasonShare         Reason = "share"          // above its organisation's share while the fleet is full
+	ReasonLimit         Reason = "limit"          // above a limit of its organisation or class
+	ReasonQueueFull     Reason = "queue-full"     // the queue of its class is full
+	ReasonNoUpstream    Reason = "no-upstream"    // no fresh upstream serves the model or service
+	ReasonDraining      Reason = "draining"       // this instance is shutting down
+	ReasonNoLease       Reason = "no-lease"       // this instance has no valid lease on its settings
+	ReasonNoQuorum      Reason = "no-quorum"      // no majority of voters could be reached
+	ReasonDuplicate     Reason = "duplicate"      // same idempotency key as an earlier request
+	ReasonKeyExpired    Reason = "key-expired"    // idempotency key older than its lifetime
+	ReasonUpstream      Reason = "upstream"       // upstream failed or broke its protocol
+	ReasonTimeout       Reason = "timeout"        // the deadline passed while it ran
+	ReasonCallerLeft    Reason = "caller-left"    // the caller closed its connection
+	ReasonRetryBudget   Reason = "retry-budget"   // the organisation's retry budget is spent
+	ReasonInternal      Reason = "internal"       // a fault of the system itself
+	ReasonConflict      Reason = "conflict"       // an operator's order lost against another
+	ReasonNotLeader     Reason = "not-leader"     // asked of an instance that does not lead the control group
+	ReasonStorageFailed Reason = "storage-failed" // the data folder refused a write or a sync
+)
+
+// Status returns the HTTP status code that goes with the reason.
+func (r Reason) Status() int {
+	switch r {
+	case ReasonBadRequest:
+		return http.StatusBadRequest
+	case ReasonUnauthorized:
+		return http.StatusUnauthorized
+	case ReasonNotFound:
+		return http.StatusNotFound
+	case ReasonBodyTooLarge, ReasonTooLong:
+		return http.StatusRequestEntityTooLarge
+	case ReasonShare, ReasonLimit, ReasonQueueFull, ReasonRetryBudget:
+		return http.StatusTooManyRequests
+	case ReasonDuplicate, ReasonKeyExpired, ReasonConflict:
+		return http.StatusConflict
+	case ReasonUpstream:
+		return http.StatusBadGateway
+	case ReasonTimeout:
+		return http.StatusGatewayTimeout
+	case ReasonInternal:
+		return http.StatusInternalServerError
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
