Add the registry of upstreams

An instance keeps, per upstream name, the highest incarnation and of it the highest sequence, so that crossed, doubled and late announcements change nothing. Leaving is final for an incarnation.

Tried without the mechanism: with the sequence check removed, the tables 'an older sequence does not take leaving back' and 'an old copy does not renew freshness' fail.

--- /dev/null
+++ b/upstream/registry.go
@@ -0,0 +1,179 @@
+package upstream
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Relayed is an announcement that another instance heard. Age is how long ago
+// it was heard when the relaying message was received, the time on the way
+// included, so that relaying never makes an upstream look fresher than it is.
+type Relayed struct {
+	Announcement Announcement  `json:"announcement"`
+	Age          time.Duration `json:"age"`
+}
+
+// Registry is an instance's knowledge of the upstreams. It is pure and not safe
+// for concurrent use.
+//
+// Invariants, whatever order announcements arrive in: of one name the highest
+// incarnation is kept, and of one incarnation the highest sequence; an
+// incarnation that announced that it leaves never gets new work again.
+type Registry struct {
+	freshFor time.Duration
+	forget   time.Duration
+	version  uint64
+	records  map[string]*record
+}
+
+// record is what is known of one upstream.
+type record struct {
+	announcement Announcement
+	heardAt      time.Time
+	version      uint64 // of the registry when it changed last
+	cache        cacheView
+}
+
+// forgetFactor times the freshness limit is how long a silent upstream is still
+// listed, so that operators see it and a late announcement finds its sequence.
+const forgetFactor = 200
+
+// NewRegistry returns an empty registry; an upstream that was not heard for
+// longer than freshFor is silent.
+func NewRegistry(freshFor time.Duration) *Registry {
+	return &Registry{freshFor: freshFor, forget: forgetFactor * freshFor, records: map[string]*record{}}
+}
+
+// SetFreshFor changes the freshness limit.
+func (r *Registry) SetFreshFor(freshFor time.Duration) {
+	r.freshFor = freshFor
+	r.forget = forgetFactor * freshFor
+}
+
+// Hear takes an announcement that the upstream made to this instance and
+// reports whether it was news.
+func (r *Registry) Hear(now time.Time, a Announcement) bool {
+	return r.HearRelayed(now, Relayed{Announcement: a})
+}
+
+// HearRelayed takes an announcement that another instance heard and reports
+// whether it was news.
+func (r *Registry) HearRelayed(now time.Time, relayed Relayed) bool {
+	a := relayed.Announcement
+	heardAt := now.Add(-max(0, relayed.Age))
+	known := r.records[a.Name]
+	if known == nil || a.Incarnation > known.announcement.Incarnation {
+		r.records[a.Name] = r.newRecord(a, heardAt)
+		return true
+	}
+	if a.Incarnation < known.announcement.Incarnation {
+		return false
+	}
+	return r.renew(known, a, heardAt)
+}
+
+func (r *Registry) newRecord(a Announcement, heardAt time.Time) *record {
+	rec := &record{heardAt: heardAt, version: r.nextVersion()}
+	rec.cache.apply(a.CacheEvents)
+	rec.announcement = withoutEvents(a)
+	return rec
+}
+
+// renew takes a further announcement of a known incarnation. The same sequence
+// heard by two ways may still prove that the upstream lived later than known.
+func (r *Registry) renew(rec *record, a Announcement, heardAt time.Time) bool {
+	if a.Sequence < rec.announcement.Sequence {
+		return false
+	}
+	if a.Sequence == rec.announcement.Sequence {
+		return r.keepLaterHearing(rec, heardAt)
+	}
+	// A sequence can only grow, so a leaving upstream stays leaving even if a
+	// faulty one takes it back: callers were told that nothing new comes.
+	a.Leaving = a.Leaving || rec.announcement.Leaving
+	rec.cache.apply(a.CacheEvents)
+	rec.announcement = withoutEvents(a)
+	rec.heardAt = later(rec.heardAt, heardAt)
+	rec.version = r.nextVersion()
+	return true
+}
+
+func (r *Registry) keepLaterHearing(rec *record, heardAt time.Time) bool {
+	if !heardAt.After(rec.heardAt) {
+		return false
+	}
+	rec.heardAt = heardAt
+	return false
+}
+
+func (r *Registry) nextVersion() uint64 {
+	r.version++
+	return r.version
+}
+
+// Expire forgets upstreams that were silent for very long.
+func (r *Registry) Expire(now time.Time) {
+	for name, rec := range r.records {
+		if now.Sub(rec.heardAt) > r.forget {
+			delete(r.records, name)
+			r.nextVersion()
+		}
+	}
+}
+
+// Version grows with every change of content.
+func (r *Registry) Version() uint64 { return r.version }
+
+// ChangesSince returns the announcements that changed after the version, to be
+// relayed, and the version to ask from next time. Cache events are left out:
+// they only steer preference, and each instance hears those of its own
+// upstreams.
+func (r *Registry) ChangesSince(now time.Time, version uint64) ([]Relayed, uint64) {
+	var changes []Relayed
+	for _, rec := range r.records {
+		if rec.version > version {
+			changes = append(changes, Relayed{Announcement: rec.announcement, Age: now.Sub(rec.heardAt)})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Relayed) int {
+		return strings.Compare(a.Announcement.Name, b.Announcement.Name)
+	})
+	return changes, r.version
+}
+
+// Snapshot returns the present view, ordered by name.
+func (r *Registry) Snapshot(now time.Time) *Snapshot {
+	upstreams := make([]Upstream, 0, len(r.records))
+	for _, rec := range r.records {
+		upstreams = append(upstreams, rec.view(now, r.freshFor))
+	}
+	slices.SortFunc(upstreams, func(a, b Upstream) int {
+		return strings.Compare(a.Announcement.Name, b.Announcement.Name)
+	})
+	return NewSnapshot(r.version, now, upstreams)
+}
+
+func (rec *record) view(now time.Time, freshFor time.Duration) Upstream {
+	u := Upstream{
+		Announcement: rec.announcement,
+		HeardAt:      rec.heardAt,
+		FreshUntil:   rec.heardAt.Add(freshFor),
+		LoadAt:       rec.heardAt.Add(-rec.announcement.Load.Age),
+		Prefixes:     rec.cache.view(),
+	}
+	u.State = u.StateAt(now)
+	return u
+}
+
+func withoutEvents(a Announcement) Announcement {
+	a.CacheEvents = nil
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/upstream/registry_test.go
@@ -0,0 +1,155 @@
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const testFreshFor = 3 * time.Second
+
+var testStart = time.Unix(1_700_000_000, 0)
+
+func stateOf(t *testing.T, r *Registry, now time.Time, name string) State {
+	t.Helper()
+	for _, u := range r.Snapshot(now).Upstreams {
+		if u.Announcement.Name == name {
+			return u.State
+		}
+	}
+	t.Fatalf("upstream %q is not listed", name)
+	return Fresh
+}
+
+func TestRegistryFollowsAnUpstream(t *testing.T) {
+	// An upstream's messages cross on the network, it restarts at the same
+	// address, or it falls silent. If the registry took an old message for a new
+	// one, callers' requests would go to an upstream that has left or died.
+	type step struct {
+		after    time.Duration
+		announce Announcement
+		age      time.Duration
+		want     State
+		sequence uint64
+	}
+	at := func(incarnation, sequence uint64, leaving bool) Announcement {
+		return Announcement{Name: "e1", Incarnation: incarnation, Sequence: sequence, Leaving: leaving}
+	}
+	tests := map[string][]step{
+		"an older sequence does not take leaving back": {
+			{0, at(1, 1, false), 0, Fresh, 1},
+			{time.Second, at(1, 3, true), 0, Leaving, 3},
+			{0, at(1, 2, false), 0, Leaving, 3},
+		},
+		"a newer sequence does not take leaving back": {
+			{0, at(1, 1, true), 0, Leaving, 1},
+			{0, at(1, 2, false), 0, Leaving, 2},
+		},
+		"a restart at the same address is a new upstream": {
+			{0, at(1, 9, true), 0, Leaving, 9},
+			{0, at(2, 1, false), 0, Fresh, 1},
+			{0, at(1, 10, true), 0, Fresh, 1},
+		},
+		"a relayed announcement is as old as it is": {
+			{0, at(1, 1, false), testFreshFor + time.Second, Silent, 1},
+			{0, at(1, 2, false), time.Second, Fresh, 2},
+		},
+		"an old copy does not renew freshness": {
+			{0, at(1, 2, false), 0, Fresh, 2},
+			{testFreshFor + time.Second, at(1, 1, false), 0, Silent, 2},
+		},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := NewRegistry(testFreshFor)
+			now := testStart
+			for i, s := range steps {
+				now = now.Add(s.after)
+				r.HearRelayed(now, Relayed{Announcement: s.announce, Age: s.age})
+				if got := stateOf(t, r, now, "e1"); got != s.want {
+					t.Fatalf("step %d: state %v, want %v", i, got, s.want)
+				}
+				if got := r.Snapshot(now).Upstreams[0].Announcement.Sequence; got != s.sequence {
+					t.Fatalf("step %d: sequence %d, want %d", i, got, s.sequence)
+				}
+			}
+		})
+	}
+}
+
+func TestSnapshotGrowsStaleByItself(t *testing.T) {
+	// The control goroutine of an instance hangs, so that no newer snapshot is
+	// published. Without a limit inside the snapshot, requests would go on to an
+	// upstream that left long ago and fail there.
+	r := NewRegistry(testFreshFor)
+	r.Hear(testStart, Announcement{Name: "e1", Incarnation: 1, Sequence: 1})
+	u := r.Snapshot(testStart).Upstreams[0]
+	if u.StateAt(testStart.Add(testFreshFor)) != Fresh {
+		t.Error("silent before the freshness limit")
+	}
+	if u.StateAt(testStart.Add(testFreshFor+1)) != Silent {
+		t.Error("fresh after the freshness limit")
+	}
+}
+
+func TestRegistriesAgreeWhateverTheOrder(t *testing.T) {
+	// Announcements reach two instances by different ways, doubled and in
+	// different orders. If the order mattered, one instance would go on to use
+	// an upstream that the other knows to have left.
+	rapid.Check(t, func(t *rapid.T) {
+		sent := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Announcement {
+			return Announcement{
+				Name:        "e1",
+				Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+				Sequence:    rapid.Uint64Range(1, 5).Draw(t, "sequence"),
+			}
+		}), 1, 12).Draw(t, "announcements")
+		for i := range sent {
+			sent[i].Leaving = sent[i].Sequence >= 4
+		}
+		first, second := NewRegistry(testFreshFor), NewRegistry(testFreshFor)
+		for _, a := range sent {
+			first.Hear(testStart, a)
+		}
+		for _, a := range rapid.Permutation(sent).Draw(t, "permutation") {
+			second.Hear(testStart, a)
+			second.Hear(testStart, a)
+		}
+		a, b := first.Snapshot(testStart).Upstreams[0], second.Snapshot(testStart).Upstreams[0]
+		if a.Announcement.Incarnation != b.Announcement.Incarnation ||
+			a.Announcement.Sequence != b.Announcement.Sequence || a.State != b.State {
+			t.Fatalf("orders differ: %+v and %+v", a, b)
+		}
+	})
+}
+
+func TestCacheViewIsBounded(t *testing.T) {
+	// A faulty engine publishes new prefixes for ever. Without a bound each
+	// instance would grow until it is killed, with every request it holds.
+	r := NewRegistry(testFreshFor)
+	for i := uint64(1); i <= 3*maxPrefixes; i++ {
+		r.Hear(testStart, Announcement{
+			Name: "e1", Incarnation: 1, Sequence: i,
+			CacheEvents: []CacheEvent{{Sequence: i, PrefixHash: i, Tokens: 10}},
+		})
+	}
+	prefixes := r.Snapshot(testStart).Upstreams[0].Prefixes
+	if len(prefixes.tokens) != maxPrefixes {
+		t.Fatalf("%d prefixes kept, want %d", len(prefixes.tokens), maxPrefixes)
+	}
+	if prefixes.Tokens(3*maxPrefixes) != 10 {
+		t.Error("the newest prefix is missing")
+	}
+}
+
+func TestChangesSinceReturnsOnlyNews(t *testing.T) {
+	r := NewRegistry(testFreshFor)
+	r.Hear(testStart, Announcement{Name: "e1", Incarnation: 1, Sequence: 1})
+	_, seen := r.ChangesSince(testStart, 0)
+	r.Hear(testStart, Announcement{Name: "e2", Incarnation: 1, Sequence: 1})
+	changes, _ := r.ChangesSince(testStart.Add(time.Second), seen)
+	if len(changes) != 1 || changes[0].Announcement.Name != "e2" || changes[0].Age != time.Second {
+		t.Fatalf("changes: %+v", changes)
+	}
+}
--- a/upstream/snapshot.go
+++ b/upstream/snapshot.go
@@ -20,10 +20,37 @@
 	Announcement Announcement
 	State        State
 	HeardAt      time.Time // when its newest announcement reached an instance, corrected for relaying
+	FreshUntil   time.Time // it gets no new work after this, even if the snapshot grows old
 	LoadAt       time.Time // when its load was measured
 	Prefixes     *Prefixes // known content of its prefix cache, never nil, read-only
 }
 
+// StateAt returns the state at a later time than that of the snapshot: an
+// instance whose control goroutine hangs must not go on to send work to an
+// upstream that it no longer hears.
+func (u *Upstream) StateAt(now time.Time) State {
+	switch {
+	case u.Announcement.Leaving:
+		return Leaving
+	case now.After(u.FreshUntil):
+		return Silent
+	default:
+		return Fresh
+	}
+}
+
+// String returns the wire form.
+func (s State) String() string {
+	switch s {
+	case Fresh:
+		return "fresh"
+	case Silent:
+		return "silent"
+	default:
+		return "leaving"
+	}
+}
+
 // Snapshot is an immutable view of all known upstreams, ordered by name, so
 // that every instance with equal knowledge computes equal choices.
 type Snapshot struct {
