Add the client towards upstreams

Each call dials its own connection, so a pooled connection that has silently died cannot swallow a call, and nothing below repeats a call. A stream is checked frame by frame: request, attempt, offset, and at the end length and checksum of the whole answer; after a rerun on another engine the text that the caller has seen must come again. Only a failed dial, the upstream's own mark, or its refusal before the first token proves that a call was not run.

--- /dev/null
+++ b/upstream/client/control.go
@@ -0,0 +1,85 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"celeryport/upstream/wire"
+)
+
+// maxControlAnswer bounds the answer to a control call in bytes.
+const maxControlAnswer = 8 << 20
+
+// ErrTooLarge says that an upstream's answer is longer than allowed.
+var ErrTooLarge = errors.New("answer is too large")
+
+// Cancel ends a request on an engine. It is idempotent; the caller repeats it
+// until it succeeds or the engine's incarnation is gone.
+func (c *Client) Cancel(ctx context.Context, address string, request wire.CancelRequest) (wire.CancelResponse, error) {
+	var response wire.CancelResponse
+	err := c.callJSON(ctx, http.MethodPost, address, wire.PathCancel, &request, &response)
+	return response, err
+}
+
+// Reserve reserves, renews or frees the memory of one part of a span.
+func (c *Client) Reserve(ctx context.Context, address string, request *wire.ReserveRequest) (wire.ReserveResponse, error) {
+	var response wire.ReserveResponse
+	err := c.callJSON(ctx, http.MethodPost, address, wire.PathReserve, request, &response)
+	return response, err
+}
+
+// Holdings lists what holds memory on an engine.
+func (c *Client) Holdings(ctx context.Context, address string) (wire.Holdings, error) {
+	var holdings wire.Holdings
+	err := c.callJSON(ctx, http.MethodGet, address, wire.PathHoldings, nil, &holdings)
+	return holdings, err
+}
+
+// callJSON makes one bounded call whose effect is idempotent.
+func (c *Client) callJSON(ctx context.Context, method, address, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timing.Control)
+	defer cancel()
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	c.prepare(request, method, address, path)
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "encode")
+		}
+		request.SetBodyRaw(encoded)
+	}
+	e, failed := c.open(ctx, address, request, c.timing.Control)
+	if failed != nil {
+		return failed
+	}
+	defer e.close()
+	if status := e.response.StatusCode(); status != http.StatusOK {
+		return errors.Newf("upstream %s answered %s with status %d", address, path, status)
+	}
+	content, err := readBounded(e.response.BodyStream(), maxControlAnswer)
+	if err != nil {
+		return errors.Wrapf(err, "read the answer of upstream %s", address)
+	}
+	return errors.Wrapf(json.Unmarshal(content, answer), "decode the answer of upstream %s", address)
+}
+
+// readBounded reads all of r, up to limit bytes.
+func readBounded(r io.Reader, limit int) ([]byte, error) {
+	if r == nil {
+		return nil, nil
+	}
+	content, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(content) > limit {
+		return nil, ErrTooLarge
+	}
+	return content, nil
+}
--- /dev/null
+++ b/upstream/client/receiver_test.go
@@ -0,0 +1,71 @@
+package client
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/upstream/wire"
+)
+
+func acceptAll(r *Receiver, list []wire.Frame) (string, error) {
+	var text strings.Builder
+	for i := range list {
+		part, err := r.Accept(&list[i])
+		text.WriteString(part)
+		if err != nil {
+			return text.String(), err
+		}
+	}
+	return text.String(), nil
+}
+
+func TestReceiverGoesOnAfterABreak(t *testing.T) {
+	// A stream breaks after the caller has seen two tokens. What follows must be
+	// the rest of the same answer and nothing else; a caller who got a doubled or
+	// a missing word, or the tail of a different answer, could not tell.
+	words := []string{"one ", "two ", "three ", "four"}
+	seen := frames("r1", 1, words...)[:2]
+	tests := map[string]struct {
+		offset int
+		frames []wire.Frame
+		text   string
+		err    error
+	}{
+		"resumed by offset":           {2, frames("r1", 2, words...)[2:], "three four", nil},
+		"rerun with the same text":    {0, frames("r1", 2, words...), "three four", nil},
+		"rerun with larger frames":    {0, merged("r1", 2, words...), "three four", nil},
+		"rerun with another text":     {0, frames("r1", 2, "one ", "zwei ", "drei"), "", ErrDiverged},
+		"rerun that is shorter":       {0, frames("r1", 2, "one "), "", ErrChecksum},
+		"late frame of attempt one":   {2, frames("r1", 1, words...)[2:], "", ErrForeignFrame},
+		"resumed at the wrong offset": {2, frames("r1", 2, words...)[1:], "", ErrWrongOffset},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := NewReceiver("r1")
+			r.Expect(1, 0)
+			if _, err := acceptAll(r, seen); err != nil {
+				t.Fatal(err)
+			}
+			r.Expect(2, test.offset)
+			text, err := acceptAll(r, test.frames)
+			if text != test.text || !errors.Is(err, test.err) {
+				t.Fatalf("got %q and %v", text, err)
+			}
+			if r.Complete() != (test.err == nil) {
+				t.Fatalf("complete is %v", r.Complete())
+			}
+		})
+	}
+}
+
+// merged is a whole answer with all tokens in one frame.
+func merged(request string, attempt uint32, words ...string) []wire.Frame {
+	list := frames(request, attempt, words...)
+	final := list[len(list)-1]
+	return []wire.Frame{
+		{Request: request, Attempt: attempt, Text: strings.Join(words, ""), Tokens: len(words)},
+		final,
+	}
+}
--- /dev/null
+++ b/upstream/client/service.go
@@ -0,0 +1,80 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"celeryport/upstream/wire"
+	"celeryport/verdict"
+)
+
+// ServiceCall is one call of a plain service.
+type ServiceCall struct {
+	Address     string
+	Incarnation uint64
+	Request     string
+	Attempt     uint32
+	Method      string
+	Path        string // with the query
+	ContentType string
+	Body        []byte
+	Remaining   time.Duration
+	Key         string
+	MaxAnswer   int // bytes
+}
+
+// ServiceAnswer is the whole answer of a plain service.
+type ServiceAnswer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Service sends the call and reads the whole answer. Silence is bounded by the
+// remaining time, since a plain service sends no heartbeats.
+func (c *Client) Service(ctx context.Context, call *ServiceCall) (*ServiceAnswer, *verdict.Error) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	c.prepareService(request, call)
+	e, failed := c.open(ctx, call.Address, request, call.Remaining)
+	if failed != nil {
+		return nil, failed
+	}
+	defer e.close()
+	if len(e.response.Header.Peek(wire.HeaderRefused)) > 0 {
+		return nil, refusal(e, call.Address)
+	}
+	if id := string(e.response.Header.Peek(wire.HeaderRequestID)); id != "" && id != call.Request {
+		return nil, verdict.Wrap(ErrForeignFrame, verdict.MayHaveRun, verdict.ReasonUpstream,
+			"upstream %s answered request %s", call.Address, id)
+	}
+	body, err := readBounded(e.response.BodyStream(), call.MaxAnswer)
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonUpstream, "answer of upstream %s broke off", call.Address)
+	}
+	return &ServiceAnswer{
+		Status:      e.response.StatusCode(),
+		ContentType: string(e.response.Header.ContentType()),
+		Body:        body,
+	}, nil
+}
+
+func (c *Client) prepareService(request *fasthttp.Request, call *ServiceCall) {
+	method := call.Method
+	if method == "" {
+		method = http.MethodPost
+	}
+	c.prepare(request, method, call.Address, call.Path)
+	if call.ContentType != "" {
+		request.Header.SetContentType(call.ContentType)
+	}
+	request.SetBodyRaw(call.Body)
+	request.Header.Set(wire.HeaderRequestID, call.Request)
+	request.Header.Set(wire.HeaderAttempt, strconv.FormatUint(uint64(call.Attempt), 10))
+	request.Header.Set(wire.HeaderIncarnation, strconv.FormatUint(call.Incarnation, 10))
+	c.setTiming(request, call.Remaining, call.Key)
+}
