Parse and check the settings tree and the process settings

All faults of a file are collected, and a file with a fault gives no settings at all.

Additive change to settings.Fleet: DefaultClass, for callers that name no class. Values of keys are never repeated in a fault.

--- /dev/null
+++ b/settings/collector.go
@@ -0,0 +1,26 @@
+package settings
+
+// collector gathers the faults of one file, so that an operator sees all of
+// them at once.
+type collector struct {
+	file   string
+	faults Faults
+}
+
+func (c *collector) add(section, key, problem, allowed string) {
+	c.faults = append(c.faults, Fault{
+		File:    c.file,
+		Section: section,
+		Key:     key,
+		Problem: problem,
+		Allowed: allowed,
+	})
+}
+
+// err returns the faults, or an untyped nil if there are none.
+func (c *collector) err() error {
+	if len(c.faults) == 0 {
+		return nil
+	}
+	return c.faults
+}
--- /dev/null
+++ b/settings/schema_fleet.go
@@ -0,0 +1,45 @@
+package settings
+
+import "time"
+
+const (
+	leastBody        = kilo
+	mostBody         = giga
+	leastKeyLifetime = time.Minute
+	mostKeyLifetime  = 30 * 24 * time.Hour
+	leastFresh       = 500 * time.Millisecond
+	mostFresh        = time.Minute
+	mostKeepSeconds  = 3600
+	leastInterval    = 10 * time.Millisecond
+)
+
+var fleetSchema = schema[Fleet]{
+	kind:  "fleet",
+	title: "[fleet]",
+	help:  "Settings that are not of one branch.",
+	fields: []field[Fleet]{
+		key("default_class", branchName(), "", func(f *Fleet) *string { return &f.DefaultClass },
+			"Class of requests that name none; left out: such requests are refused."),
+		key("body_limit", size(leastBody, mostBody), "64MB", func(f *Fleet) *int64 { return &f.BodyLimit },
+			"Largest body of a caller's request."),
+		key("key_lifetime", duration(leastKeyLifetime, mostKeyLifetime), "24h",
+			func(f *Fleet) *time.Duration { return &f.KeyLifetime },
+			"Lifetime of an idempotency key."),
+		key("order_lifetime", duration(leastKeyLifetime, mostKeyLifetime), "24h",
+			func(f *Fleet) *time.Duration { return &f.OrderLifetime },
+			"How long the id of an operator's order is remembered."),
+		key("keep_seconds", integer(1, mostKeepSeconds), "10", func(f *Fleet) *int { return &f.KeepSeconds },
+			"How long callers may keep an address list, in seconds."),
+		key("fresh_for", duration(leastFresh, mostFresh), "3s", func(f *Fleet) *time.Duration { return &f.FreshFor },
+			"An upstream that is silent for longer gets no new work."),
+		key("connection_idle", duration(leastInterval, mostFresh), "1s",
+			func(f *Fleet) *time.Duration { return &f.ConnectionIdle },
+			"Idle age from which a connection is probed before a call that may not be repeated."),
+		key("stream_heartbeat", duration(leastInterval, mostFresh), "500ms",
+			func(f *Fleet) *time.Duration { return &f.StreamHeartbeat },
+			"Interval of heartbeats on an upstream stream."),
+		key("stream_silence", duration(leastInterval, mostFresh), "2s",
+			func(f *Fleet) *time.Duration { return &f.StreamSilence },
+			"Silence after which a stream counts as dead; more than two heartbeats."),
+	},
+}
--- /dev/null
+++ b/settings/schema_rule.go
@@ -0,0 +1,31 @@
+package settings
+
+import "time"
+
+var ruleSchema = schema[Rule]{
+	kind:  "rule",
+	title: "[rule], [rule.NAME], [rule.NAME.NAME]",
+	help: "Rules override the settings of a class and an organisation for the requests that match both selectors. " +
+		"A selector matches the branch that it names and all its descendants. Of several matching rules " +
+		"exactly one applies: the one with the deeper organisation, then with the deeper class, then the later one in the file. " +
+		"Each branch inherits selectors and overrides from its parent. A section that only serves as parent of others is a rule too.",
+	fields: []field[Rule]{
+		key("organisation", branchName(), "", func(r *Rule) *string { return &r.Organisation },
+			"Organisation that the rule is for, with its descendants; left out: all."),
+		key("class", branchName(), "", func(r *Rule) *string { return &r.Class },
+			"Class that the rule is for, with its descendants; left out: all."),
+		key("admit", optional(boolean()), "", func(r *Rule) **bool { return &r.Admit },
+			"Whether matching requests are admitted at all."),
+		key("priority", optional(integer(-mostPriority, mostPriority)), "", func(r *Rule) **int { return &r.Priority },
+			"Engine priority of matching requests."),
+		key("deadline", optional(duration(leastDeadline, mostDeadline)), "",
+			func(r *Rule) **time.Duration { return &r.Deadline },
+			"Deadline of matching requests."),
+		key("tokens_per_second", rate(mostRate), "0", func(r *Rule) *float64 { return &r.Limits.TokensPerSecond },
+			"Replaces the organisation's limit for matching requests; 0: does not."),
+		key("in_flight", count(0, mostCount), "0", func(r *Rule) *int { return &r.Limits.InFlight },
+			"Replaces the organisation's limit for matching requests; 0: does not."),
+		key("prompt_tokens", count(0, mostTokens), "0", func(r *Rule) *int { return &r.Limits.PromptTokens },
+			"Replaces the organisation's limit for matching requests; 0: does not."),
+	},
+}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -17,6 +17,7 @@
 	Models        []Model
 	Services      []Service
 	Fleet         Fleet
+	callers       []caller // the keys of all organisations
 }
 
 // Organisation is one branch of the organisation tree. Name is its dotted path
@@ -99,6 +100,7 @@
 
 // Fleet holds the settings that are not of one branch.
 type Fleet struct {
+	DefaultClass    string        // class of requests that name none, empty: such requests are refused
 	BodyLimit       int64         // bytes of a caller's body
 	KeyLifetime     time.Duration // lifetime of an idempotency key
 	OrderLifetime   time.Duration // how long an operator's order id is remembered
