--- /dev/null
+++ b/entry/announce.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"celeryport/membership"
+	"celeryport/settings"
+	"celeryport/upstream"
+	"celeryport/upstream/wire"
+	"celeryport/verdict"
+)
+
+const (
+	maxAnnouncement   = 256 << 10 // bytes
+	furtherAddresses  = 3         // named in the answer to an announcement
+	maxNameBytes      = 128
+	maxAnnouncedItems = 256 // targets or adapters
+)
+
+// announce serves POST /v1/announce for upstreams.
+func (s *Server) announce(ctx *fasthttp.RequestCtx, _ string) {
+	if !settings.MatchKey(bearer(ctx), s.options.Process.UpstreamKeys) {
+		writeError(ctx, verdict.Refuse(verdict.ReasonUnauthorized, 0, "unknown upstream key"), nil)
+		return
+	}
+	raw, giveBack, err := s.readBody(ctx, maxAnnouncement)
+	if err != nil {
+		writeError(ctx, err, nil)
+		return
+	}
+	defer giveBack()
+	announcement, err := parseAnnouncement(raw)
+	if err != nil {
+		writeError(ctx, err, nil)
+		return
+	}
+	s.options.Plane.Announce(*announcement)
+	writeJSON(ctx, wire.AnnounceResponse{Addresses: s.announceTo()})
+}
+
+// parseAnnouncement checks what comes from outside before it reaches every
+// instance.
+func parseAnnouncement(raw []byte) (*upstream.Announcement, *verdict.Error) {
+	var a upstream.Announcement
+	if err := json.Unmarshal(raw, &a); err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, "the body is no announcement")
+	}
+	switch {
+	case a.Name == "" || len(a.Name) > maxNameBytes:
+		return nil, badAnnouncement("name")
+	case a.Address == "" || len(a.Address) > maxNameBytes:
+		return nil, badAnnouncement("address")
+	case a.Incarnation == 0 || a.Sequence == 0:
+		return nil, badAnnouncement("incarnation and sequence")
+	case len(a.Targets) == 0 || len(a.Targets) > maxAnnouncedItems || len(a.Adapters) > maxAnnouncedItems:
+		return nil, badAnnouncement("targets")
+	case a.Kind == upstream.Engine && a.MemoryTokens <= 0:
+		return nil, badAnnouncement("memory_tokens")
+	case a.Load.PrefillRate < 0 || a.Load.Age < 0 || a.Load.QueuedPrefill < 0 || a.Load.HeldTokens < 0:
+		return nil, badAnnouncement("load")
+	}
+	return &a, nil
+}
+
+func badAnnouncement(field string) *verdict.Error {
+	return verdict.Refuse(verdict.ReasonBadRequest, 0, "%s missing or out of range", field)
+}
+
+// announceTo names some live instances, this one first.
+func (s *Server) announceTo() []string {
+	addresses := []string{*s.address.Load()}
+	for _, i := range s.options.Plane.View().Instances {
+		if i.State == membership.Live && i.Address != addresses[0] && len(addresses) < furtherAddresses {
+			addresses = append(addresses, i.Address)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/entry/bodies.go
@@ -0,0 +1,72 @@
+package entry
+
+// completionBody is the JSON body of POST /v1/completions. Fields that it does
+// not know are ignored, as callers' libraries send many.
+type completionBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// serviceBody is a call of a plain service.
+type serviceBody struct {
+	method      string
+	path        string // with the query, as the service sees it
+	contentType string
+	body        []byte
+}
+
+// completionAnswer is the JSON answer to a completion that is not streamed.
+type completionAnswer struct {
+	ID         string             `json:"id"`
+	Object     string             `json:"object"`
+	Model      string             `json:"model"`
+	Choices    []completionChoice `json:"choices"`
+	Usage      *usage             `json:"usage,omitempty"`
+	Celeryport *statement         `json:"celeryport,omitempty"`
+}
+
+type completionChoice struct {
+	Text         string  `json:"text"`
+	Index        int     `json:"index"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// statement is what the last event of a stream says of its request.
+type statement struct {
+	RequestID string `json:"request_id"`
+	Verdict   string `json:"verdict"`
+}
+
+// errorAnswer is the JSON body of every refusal and failure.
+type errorAnswer struct {
+	Error     errorBody `json:"error"`
+	Addresses []address `json:"addresses,omitempty"` // where to go instead
+}
+
+type errorBody struct {
+	Type         string `json:"type"`
+	Message      string `json:"message"`
+	Verdict      string `json:"verdict"`
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+}
+
+// addressesAnswer is the JSON body of GET /v1/addresses.
+type addressesAnswer struct {
+	Addresses   []address `json:"addresses"`
+	KeepSeconds int       `json:"keep_seconds"`
+}
+
+type address struct {
+	Address          string `json:"address"`
+	AvailabilityZone string `json:"availability_zone"`
+}
+
+const objectCompletion = "text_completion"
--- /dev/null
+++ b/entry/completions.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"celeryport/request"
+	"celeryport/verdict"
+)
+
+const (
+	defaultOutputTokens = 256
+	maxOutputTokens     = 32 << 10
+)
+
+// completions serves POST /v1/completions.
+func (s *Server) completions(ctx *fasthttp.RequestCtx, id string) {
+	a, err := s.admit(ctx, id, request.Prompt)
+	if err != nil {
+		s.refuse(ctx, a, err)
+		return
+	}
+	raw, giveBack, err := s.readBody(ctx, a.tree.Fleet.BodyLimit)
+	if err != nil {
+		s.refuse(ctx, a, err)
+		return
+	}
+	body, err := a.completion(raw)
+	if err != nil {
+		giveBack()
+		s.refuse(ctx, a, err)
+		return
+	}
+	e := newExchange(a.request)
+	e.prompt = body
+	e.giveBack = giveBack
+	s.serve(ctx, e, body.Stream)
+}
+
+// completion parses the body and completes the request by it.
+func (a *arrival) completion(raw []byte) (*completionBody, *verdict.Error) {
+	body := &completionBody{MaxTokens: defaultOutputTokens}
+	if err := json.Unmarshal(raw, body); err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, "the body is no JSON object of a completion")
+	}
+	if body.Prompt == "" || body.MaxTokens < 1 || body.MaxTokens > maxOutputTokens {
+		return nil, verdict.Refuse(verdict.ReasonBadRequest, 0, "a prompt and 1 to %d max_tokens are needed", maxOutputTokens)
+	}
+	if _, known := a.tree.Model(body.Model); !known {
+		return nil, verdict.Refuse(verdict.ReasonNotFound, 0, "there is no model %q", body.Model)
+	}
+	r := a.request
+	r.Target = body.Model
+	r.OutputTokens = body.MaxTokens
+	r.PromptTokens = request.EstimateTokens(len(body.Prompt))
+	r.PrefixHash, r.PrefixTokens = request.Prefix(body.Prompt)
+	r.Long = a.tree.Length(r.PromptTokens).Long
+	if limit := a.resolved.Limits.PromptTokens; limit > 0 && r.PromptTokens > limit {
+		return nil, verdict.Refuse(verdict.ReasonTooLong, 0, "the prompt has about %d tokens, %d are allowed", r.PromptTokens, limit)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"celeryport/request"
+)
+
+// serve runs an admitted exchange and writes its answer.
+func (s *Server) serve(ctx *fasthttp.RequestCtx, e *exchange, stream bool) {
+	s.watch.add(e, ctx.Conn())
+	s.driver.offer(e)
+	if stream {
+		s.serveStream(ctx, e)
+		return
+	}
+	defer e.giveBack()
+	defer s.watch.remove(e)
+	var text []byte
+	for {
+		more, ended := e.take(nil)
+		text = append(text, more...)
+		if ended {
+			s.writeResult(ctx, e, text)
+			return
+		}
+	}
+}
+
+// writeResult writes the one answer of an exchange that is not streamed.
+func (s *Server) writeResult(ctx *fasthttp.RequestCtx, e *exchange, text []byte) {
+	outcome := e.outcome()
+	if outcome.err != nil {
+		writeError(ctx, outcome.err, nil)
+		return
+	}
+	ctx.Response.Header.Set(headerVerdict, outcome.verdict().String())
+	if e.request.Kind == request.ServiceCall {
+		writeService(ctx, &outcome)
+		return
+	}
+	finish := finishStop
+	writeJSON(ctx, completionAnswer{
+		ID:      e.request.ID,
+		Object:  objectCompletion,
+		Model:   e.request.Target,
+		Choices: []completionChoice{{Text: string(text), FinishReason: &finish}},
+		Usage:   usageOf(e.request, &outcome),
+	})
+}
+
+func writeService(ctx *fasthttp.RequestCtx, outcome *result) {
+	if outcome.service == nil {
+		ctx.SetBody(outcome.stored)
+		return
+	}
+	ctx.SetStatusCode(outcome.service.Status)
+	ctx.SetContentType(outcome.service.ContentType)
+	ctx.SetBody(outcome.service.Body)
+}
+
+const finishStop = "stop"
+
+func usageOf(r *request.Request, outcome *result) *usage {
+	return &usage{
+		PromptTokens:     r.PromptTokens,
+		CompletionTokens: outcome.answerTokens,
+		TotalTokens:      r.PromptTokens + outcome.answerTokens,
+	}
+}
--- /dev/null
+++ b/entry/services.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"celeryport/request"
+	"celeryport/verdict"
+)
+
+// services serves calls of plain services: /v1/services/NAME/...
+func (s *Server) services(ctx *fasthttp.RequestCtx, id string) {
+	a, err := s.admit(ctx, id, request.ServiceCall)
+	if err == nil {
+		err = a.service(ctx)
+	}
+	if err != nil {
+		s.refuse(ctx, a, err)
+		return
+	}
+	raw, giveBack, err := s.readBody(ctx, a.tree.Fleet.BodyLimit)
+	if err != nil {
+		s.refuse(ctx, a, err)
+		return
+	}
+	e := newExchange(a.request)
+	e.giveBack = giveBack
+	e.call = &serviceBody{
+		method:      string(ctx.Method()),
+		path:        string(ctx.RequestURI()),
+		contentType: string(ctx.Request.Header.ContentType()),
+		body:        raw,
+	}
+	s.serve(ctx, e, false)
+}
+
+// service completes the request by the service that its path names.
+func (a *arrival) service(ctx *fasthttp.RequestCtx) *verdict.Error {
+	name, _, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), pathServices), "/")
+	service, known := a.tree.Service(name)
+	if !known {
+		return verdict.Refuse(verdict.ReasonNotFound, 0, "there is no service %q", name)
+	}
+	a.request.Target = service.Name
+	a.request.NoRepeat = a.request.NoRepeat || service.NoRepeat
+	a.bound(service.Deadline)
+	return nil
+}
--- a/upstream/client/generate.go
+++ b/upstream/client/generate.go
@@ -17,7 +17,8 @@
 	Request     string
 	Attempt     uint32
 	Priority    int
-	Offset      int // answer tokens already received
+	Resume      bool // pick up the stream of this attempt; an engine that does not have it refuses
+	Offset      int  // answer tokens already received, for a resume
 	Remaining   time.Duration
 	Key         string
 	Body        wire.GenerateRequest
@@ -36,7 +37,9 @@
 	h.Set(wire.HeaderRequestID, call.Request)
 	h.Set(wire.HeaderAttempt, strconv.FormatUint(uint64(call.Attempt), 10))
 	h.Set(wire.HeaderPriority, strconv.Itoa(call.Priority))
-	h.Set(wire.HeaderOffset, strconv.Itoa(call.Offset))
+	if call.Resume {
+		h.Set(wire.HeaderOffset, strconv.Itoa(call.Offset))
+	}
 	h.Set(wire.HeaderIncarnation, strconv.FormatUint(call.Incarnation, 10))
 	c.setTiming(request, call.Remaining, call.Key)
 	return nil
--- a/upstream/client/stream.go
+++ b/upstream/client/stream.go
@@ -87,8 +87,15 @@
 	return verdict.Wrap(cause, verdict.MayHaveRun, verdict.ReasonUpstream, "answer of upstream %s broke off", s.address)
 }
 
+// errViolation marks that an upstream broke the protocol.
+var errViolation = errors.New("protocol violation")
+
+// IsViolation reports whether a stream ended because the upstream broke the
+// protocol, so that picking it up again would only repeat that.
+func IsViolation(err error) bool { return errors.Is(err, errViolation) }
+
 func (s *Stream) violation(cause error) error {
-	return verdict.Wrap(cause, verdict.MayHaveRun, verdict.ReasonUpstream, "upstream %s broke the protocol", s.address)
+	return verdict.Wrap(errors.Mark(cause, errViolation), verdict.MayHaveRun, verdict.ReasonUpstream, "upstream %s broke the protocol", s.address)
 }
 
 func (s *Stream) gaveUp(frame *wire.Frame) error {
