--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -67,6 +67,7 @@
 	Request   *request.Request
 	Attempt   uint32
 	Placement Placement      // Send and Cancel
+	Priority  int            // Send: priority on the engine, set from class and length
 	Err       *verdict.Error // Refuse
 }
 
@@ -82,7 +83,7 @@
 	Name        string
 	Incarnation uint64
 	Address     string
-	Tokens      int // memory to reserve there
+	Tokens      int // memory to reserve there; 0 in a placement of one part, which needs no reservation
 	Lead        bool
 }
 
--- /dev/null
+++ b/dispatch/finish.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"time"
+
+	"celeryport/verdict"
+)
+
+// FirstToken implements Dispatcher.
+func (s *Scheduler) FirstToken(now time.Time, id string) {
+	s.begin()
+	j := s.jobs[id]
+	if j == nil || j.phase != running {
+		return
+	}
+	send := j.lead()
+	if node := send.Node(); node != nil {
+		node.FirstToken(send)
+		node.Health.FirstToken(now.Sub(j.sentAt), j.predicted)
+	}
+	s.pumpTarget(now, j.lane.target)
+}
+
+// Finish implements Dispatcher.
+func (s *Scheduler) Finish(now time.Time, id string, outcome Outcome) {
+	s.begin()
+	j := s.jobs[id]
+	if j == nil || j.phase != running {
+		return
+	}
+	target := j.lane.target
+	if outcome.Err == nil {
+		s.succeeded(now, j, &outcome)
+	} else {
+		s.failed(now, j, &outcome)
+	}
+	s.pumpTarget(now, target)
+}
+
+func (s *Scheduler) pumpTarget(now time.Time, target string) {
+	for _, lane := range s.lanesOf(target).byKind {
+		s.pumpLane(now, lane)
+	}
+}
+
+func (s *Scheduler) succeeded(now time.Time, j *job, outcome *Outcome) {
+	j.lead().Node().Health.Success()
+	j.account.Budget.Success()
+	unused := j.request.OutputTokens - outcome.AnswerTokens + outcome.CachedTokens
+	j.account.Usage.Add(now, -float64(max(0, unused)))
+	probe := j.probe
+	s.endSends(j)
+	s.forget(j)
+	if probe {
+		s.table.Rebuild(now)
+	}
+}
+
+// failed retries the request if that is safe and paid for, else gives it up.
+func (s *Scheduler) failed(now time.Time, j *job, outcome *Outcome) {
+	s.blame(now, j, outcome.Err)
+	spread := len(j.span) > 0
+	s.endSends(j)
+	if outcome.Err.Verdict == verdict.NotRun {
+		j.account.Usage.Add(now, -j.charged)
+	}
+	err := s.mayRetry(now, j, outcome, spread)
+	if err != nil {
+		s.giveUp(now, j, err)
+		return
+	}
+	s.backOff(now, j)
+}
+
+// blame counts a failure against the node that computed the answer.
+func (s *Scheduler) blame(now time.Time, j *job, err *verdict.Error) {
+	node := j.lead().Node()
+	j.avoid = node
+	ejected := false
+	switch err.Reason {
+	case verdict.ReasonCallerLeft, verdict.ReasonDraining, verdict.ReasonQueueFull:
+		return
+	case verdict.ReasonTimeout:
+		ejected = node.Health.Failure(now)
+	default:
+		if err.Verdict == verdict.NotRun && len(j.span) == 0 {
+			ejected = node.Health.Unreachable(now)
+		} else if len(j.span) == 0 {
+			ejected = node.Health.Failure(now)
+		}
+	}
+	if ejected {
+		s.table.Rebuild(now)
+	}
+}
+
+func (s *Scheduler) endSends(j *job) {
+	if j.send.Node() != nil {
+		j.send.Node().End(&j.send)
+	}
+	for _, send := range j.span {
+		send.Node().End(send)
+	}
+	j.span = j.span[:0]
+	j.probe = false
+}
+
+// giveUp ends a job with a refusal.
+func (s *Scheduler) giveUp(now time.Time, j *job, err *verdict.Error) {
+	r := j.request
+	if j.phase == waiting {
+		s.dequeue(j)
+	}
+	_ = now
+	s.forget(j)
+	s.refuse(r, err)
+}
+
+// forget ends a job that is in no queue and has no sends.
+func (s *Scheduler) forget(j *job) {
+	a := j.account
+	a.InFlight--
+	a.InFlightTokens -= j.request.PromptTokens
+	s.deadlines.remove(j)
+	s.removeBackoff(j)
+	delete(s.jobs, j.request.ID)
+	s.release(j)
+}
+
+// Withdraw implements Dispatcher.
+func (s *Scheduler) Withdraw(now time.Time, id string) {
+	s.begin()
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	switch j.phase {
+	case running:
+		s.cancel(j)
+		s.endSends(j)
+	case waiting:
+		s.dequeue(j)
+	default:
+	}
+	target := j.lane.target
+	s.forget(j)
+	s.pumpTarget(now, target)
+}
+
+func (s *Scheduler) cancel(j *job) {
+	s.actions = append(s.actions, Action{Kind: Cancel, Request: j.request, Attempt: j.request.Attempt, Placement: j.placement})
+}
--- /dev/null
+++ b/dispatch/offer.go
@@ -0,0 +1,150 @@
+package dispatch
+
+import (
+	"time"
+
+	"celeryport/admission"
+	"celeryport/request"
+	"celeryport/routing"
+	"celeryport/verdict"
+)
+
+// announceInterval is when a target without upstreams may have one again.
+const announceInterval = time.Second
+
+// Offer implements Dispatcher.
+func (s *Scheduler) Offer(now time.Time, r *request.Request) {
+	s.begin()
+	account := s.account(r.Organisation)
+	account.Offered(now, r.Tokens())
+	lanes := s.lanesOf(r.Target)
+	lanes.offered(now, r)
+	pool := s.table.Pool(r.Target)
+	if err := s.admit(now, r, account, pool); err != nil {
+		s.refuse(r, err)
+		return
+	}
+	j := s.newJob(r, account)
+	j.lane = lanes.byKind[laneFor(r, pool)]
+	j.ticket.Span = j.lane.kind == spanLane
+	if err := s.inTime(now, j, pool); err != nil {
+		s.release(j)
+		s.refuse(r, err)
+		return
+	}
+	s.accept(now, j)
+	s.enqueue(j)
+	s.pumpLane(now, j.lane)
+	s.checkQueued(now, j)
+}
+
+func (l *lanes) offered(now time.Time, r *request.Request) {
+	if r.Long {
+		l.long.Add(now, float64(r.PromptTokens))
+	} else {
+		l.short.Add(now, float64(r.PromptTokens))
+	}
+}
+
+// laneFor says which lane a request belongs to.
+func laneFor(r *request.Request, pool *routing.Pool) laneKind {
+	switch {
+	case r.Kind == request.Prompt && r.Tokens() > pool.Largest():
+		return spanLane
+	case r.Long:
+		return longLane
+	default:
+		return shortLane
+	}
+}
+
+// admit checks what does not depend on the queues.
+func (s *Scheduler) admit(now time.Time, r *request.Request, a *admission.Account, pool *routing.Pool) *verdict.Error {
+	if pool == nil || pool.Size() == 0 {
+		return verdict.Refuse(verdict.ReasonNoUpstream, announceInterval, "no fresh upstream serves %s", r.Target)
+	}
+	if err := s.holdable(r, pool); err != nil {
+		return err
+	}
+	if within, after := a.Within(now, r.Tokens()); !within {
+		return verdict.Refuse(verdict.ReasonLimit, after, "%s is at its limit", a.Name)
+	}
+	return nil
+}
+
+// holdable refuses what no engine and no span of engines can ever hold.
+func (s *Scheduler) holdable(r *request.Request, pool *routing.Pool) *verdict.Error {
+	if r.Kind != request.Prompt || r.Tokens() <= pool.Largest() {
+		return nil
+	}
+	if spans, known := s.spans[r.Target]; known && !spans {
+		return verdict.Refuse(verdict.ReasonTooLong, 0, "%d tokens are more than one engine of %s holds", r.Tokens(), r.Target)
+	}
+	if r.Tokens() > pool.SpanLimit() {
+		return verdict.Refuse(verdict.ReasonTooLong, 0, "%d tokens are more than all engines of %s hold", r.Tokens(), r.Target)
+	}
+	return nil
+}
+
+// accept counts an admitted request.
+func (s *Scheduler) accept(now time.Time, j *job) {
+	s.jobs[j.request.ID] = j
+	s.deadlines.push(j)
+	a := j.account
+	a.Charge(now, j.tokens())
+	a.InFlight++
+	a.InFlightTokens += j.request.PromptTokens
+}
+
+// enqueue puts the job at its place.
+func (s *Scheduler) enqueue(j *job) {
+	j.phase = waiting
+	j.ticket.Request = j.request
+	j.ticket.Account = j.account
+	j.ticket.Order = admission.Order(j.request)
+	j.ticket.Value = j
+	j.class.waiting++
+	j.lane.queue.Push(&j.ticket)
+}
+
+func (s *Scheduler) dequeue(j *job) {
+	j.class.waiting--
+	j.lane.queue.Remove(&j.ticket)
+}
+
+// checkQueued refuses a new request that had to wait while the queue of its
+// class is full.
+func (s *Scheduler) checkQueued(now time.Time, j *job) {
+	if j.phase != waiting || j.request == nil {
+		return
+	}
+	limit := j.class.queueLimit
+	if limit == 0 {
+		limit = s.config.DefaultQueueLimit
+	}
+	if j.class.waiting <= limit {
+		return
+	}
+	after := s.wait(now, j)
+	s.giveUp(now, j, verdict.Refuse(verdict.ReasonQueueFull, max(s.config.Step, after), "%d requests of class %s wait", limit, j.class.name))
+}
+
+func (s *Scheduler) newJob(r *request.Request, a *admission.Account) *job {
+	var j *job
+	if last := len(s.spare) - 1; last >= 0 {
+		j = s.spare[last]
+		s.spare = s.spare[:last]
+	} else {
+		j = &job{}
+	}
+	j.request = r
+	j.account = a
+	j.class = s.class(r.Class)
+	return j
+}
+
+func (s *Scheduler) release(j *job) {
+	span := j.span[:0]
+	*j = job{span: span, phase: finished}
+	s.spare = append(s.spare, j)
+}
--- /dev/null
+++ b/dispatch/predict.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"time"
+
+	"celeryport/request"
+	"celeryport/routing"
+	"celeryport/verdict"
+)
+
+// service predicts the time of the request on an idle upstream, from the send
+// to the end of the answer.
+func (s *Scheduler) service(r *request.Request, pool *routing.Pool) time.Duration {
+	if r.Kind == request.ServiceCall {
+		return s.config.Network
+	}
+	rate := pool.MeanRate()
+	decode := float64(r.OutputTokens) / pool.DecodeRate()
+	prefill := float64(r.PromptTokens) / rate
+	return 2*s.config.Network + time.Duration((prefill+decode)*float64(time.Second))
+}
+
+// wait predicts how long a request of this account and lane waits in the queue.
+// Under fair sharing an organisation waits for its own backlog at its own share
+// of the capacity, or, if that is shorter, for everybody's backlog at all of it.
+func (s *Scheduler) wait(now time.Time, j *job) time.Duration {
+	lane := j.lane
+	if lane.kind == shortLane && lane.queue.Len() == 0 {
+		return 0
+	}
+	pool := s.table.Pool(lane.target)
+	if pool == nil || pool.Rate() == 0 {
+		return announceInterval
+	}
+	rate := pool.Rate()
+	if lane.kind != shortLane {
+		rate *= max(minLongCapacity, 1-s.shortLoad(now, lane.target, pool))
+	}
+	all, weight := 0.0, 0.0
+	for _, a := range s.ordered {
+		waiting := float64(a.FleetWaitingTokens(now))
+		if waiting > 0 || a == j.account {
+			all += waiting
+			weight += a.Weight
+		}
+	}
+	own := float64(j.account.FleetWaitingTokens(now)) * weight / max(j.account.Weight, 1e-6)
+	return time.Duration(min(all, own) / rate * float64(time.Second))
+}
+
+// minLongCapacity is the part of the capacity that long requests get at least.
+const minLongCapacity = 0.1
+
+// shortLoad is the part of the pool's capacity that short requests take.
+func (s *Scheduler) shortLoad(now time.Time, target string, pool *routing.Pool) float64 {
+	return s.lanesOf(target).short.PerSecond(now) / pool.Rate()
+}
+
+// inTime refuses at once what can't be answered by its deadline.
+func (s *Scheduler) inTime(now time.Time, j *job, pool *routing.Pool) *verdict.Error {
+	r := j.request
+	wait := s.wait(now, j)
+	need := wait + s.service(r, pool) + s.config.Margin
+	remaining := r.Remaining(now)
+	if need <= remaining {
+		return nil
+	}
+	after := min(wait, need-remaining)
+	return verdict.Refuse(verdict.ReasonDeadline, after, "needs %v, has %v", need.Round(time.Millisecond), remaining.Round(time.Millisecond))
+}
--- /dev/null
+++ b/dispatch/tick.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"time"
+
+	"celeryport/verdict"
+)
+
+// Tick implements Dispatcher.
+func (s *Scheduler) Tick(now time.Time) {
+	s.begin()
+	s.expire(now)
+	s.resume(now)
+	if now.Sub(s.lastStep) >= s.config.Step {
+		s.lastStep = now
+		s.dropHopeless(now)
+		s.readmit(now)
+	}
+	s.pump(now)
+}
+
+// expire gives every request whose deadline has passed its final answer.
+func (s *Scheduler) expire(now time.Time) {
+	for j := s.deadlines.due(now); j != nil; j = s.deadlines.due(now) {
+		err := verdict.Refuse(verdict.ReasonDeadline, s.config.Step, "the deadline passed in the queue")
+		if j.phase == running {
+			err = verdict.New(verdict.MayHaveRun, verdict.ReasonTimeout, "the deadline passed while it ran")
+			s.cancel(j)
+			s.endSends(j)
+		}
+		s.giveUp(now, j, err)
+	}
+}
+
+// dropHopeless refuses waiting requests that can't be answered in time any more,
+// even if they were sent now.
+func (s *Scheduler) dropHopeless(now time.Time) {
+	for _, l := range s.targets {
+		for _, lane := range l.byKind {
+			s.dropFrom(now, lane)
+		}
+	}
+}
+
+func (s *Scheduler) dropFrom(now time.Time, lane *laneQueue) {
+	pool := s.table.Pool(lane.target)
+	if pool == nil || lane.queue.Len() == 0 {
+		return
+	}
+	s.heads = lane.queue.All(s.heads[:0])
+	for _, t := range s.heads {
+		j := t.Value.(*job)
+		need := s.service(j.request, pool) + s.config.Margin
+		if need <= j.request.Remaining(now) {
+			continue
+		}
+		after := max(s.config.Step, s.wait(now, j))
+		s.giveUp(now, j, verdict.Refuse(verdict.ReasonDeadline, after, "can't be answered in time any more"))
+	}
+}
+
+// readmit lets ejected nodes whose time is over take a probe.
+func (s *Scheduler) readmit(now time.Time) {
+	for _, l := range s.targets {
+		pool := s.table.Pool(l.byKind[0].target)
+		if pool == nil {
+			continue
+		}
+		if next := pool.NextProbe(); !next.IsZero() && !now.Before(next) {
+			s.table.Rebuild(now)
+			return
+		}
+	}
+}
+
+// NextTick implements Dispatcher.
+func (s *Scheduler) NextTick(now time.Time) time.Time {
+	next := now.Add(time.Second)
+	if s.anyWaiting() {
+		next = now.Add(s.config.Step)
+	}
+	if j := s.deadlines.first(); j != nil {
+		next = earlier(next, j.request.Deadline)
+	}
+	for _, j := range s.backoffs {
+		next = earlier(next, j.resumesAt)
+	}
+	return next
+}
+
+func (s *Scheduler) anyWaiting() bool {
+	for _, l := range s.targets {
+		for _, lane := range l.byKind {
+			if lane.queue.Len() > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/quota/allocate.go
@@ -0,0 +1,118 @@
+package quota
+
+import (
+	"sort"
+	"time"
+)
+
+// DefaultLease is how long a grant holds after its demand was sent. It spans
+// several heartbeats, so that one lost exchange changes nothing.
+const DefaultLease = 3 * time.Second
+
+// Allocate divides the limits between the instances. The sum of what all
+// instances may act on never exceeds a limit, also while answers are under way
+// or lost: a part that one instance may still use is never given to another, so
+// a part is first taken back (a smaller grant), and given away only in a later
+// call, when the holder's statement no longer has it. The caller keeps the
+// grants of each instance as Outstanding until a newer statement confirms them
+// or their lease has run out.
+func Allocate(limits []Limit, statements []Statement) []InstanceGrants {
+	out := make([]InstanceGrants, len(statements))
+	for i := range statements {
+		out[i].Instance = statements[i].Instance
+	}
+	for _, o := range organisations(limits, statements) {
+		o.grant(out)
+	}
+	return out
+}
+
+// organisation gathers what the statements say of one organisation.
+type organisation struct {
+	limit   Limit
+	demands []Demand // one for each instance
+	held    []Grant  // what each instance may act on
+}
+
+func organisations(limits []Limit, statements []Statement) []*organisation {
+	byName := map[string]*organisation{}
+	get := func(name string) *organisation {
+		o := byName[name]
+		if o == nil {
+			o = &organisation{limit: Limit{Organisation: name}}
+			o.demands = make([]Demand, len(statements))
+			o.held = make([]Grant, len(statements))
+			byName[name] = o
+		}
+		return o
+	}
+	for _, l := range limits {
+		get(l.Organisation).limit = l
+	}
+	for i := range statements {
+		for _, d := range statements[i].Demands {
+			o := get(d.Organisation)
+			o.demands[i] = d
+			o.held[i].raise(d.GrantedInFlight, d.GrantedTokensPerSecond)
+		}
+		for _, g := range statements[i].Outstanding {
+			get(g.Organisation).held[i].raise(g.InFlight, g.TokensPerSecond)
+		}
+	}
+	all := make([]*organisation, 0, len(byName))
+	for _, o := range byName {
+		all = append(all, o)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		return all[i].limit.Organisation < all[j].limit.Organisation
+	})
+	return all
+}
+
+func (g *Grant) raise(inFlight int, rate float64) {
+	g.InFlight = max(g.InFlight, inFlight)
+	g.TokensPerSecond = max(g.TokensPerSecond, rate)
+}
+
+func (o *organisation) grant(out []InstanceGrants) {
+	total := Grant{Organisation: o.limit.Organisation, Lease: DefaultLease}
+	for _, d := range o.demands {
+		total.FleetInFlightTokens += d.InFlightTokens
+		total.FleetDemand += d.TokensPerSecond
+		total.FleetUsage += d.Usage
+		total.FleetWaitingTokens += d.WaitingTokens
+		total.FleetSpanTokens += d.SpanTokens
+	}
+	rates := o.rates()
+	slots := o.slots()
+	for i := range out {
+		g := total
+		g.TokensPerSecond = rates[i]
+		g.InFlight = slots[i]
+		out[i].Grants = append(out[i].Grants, g)
+	}
+}
+
+// rates divides the limit on tokens a second by demand.
+func (o *organisation) rates() []float64 {
+	want := make([]float64, len(o.demands))
+	held := make([]float64, len(o.demands))
+	for i, d := range o.demands {
+		want[i] = d.TokensPerSecond
+		held[i] = o.held[i].TokensPerSecond
+	}
+	return divide(o.limit.TokensPerSecond, want, held)
+}
+
+// slots divides the limit on requests in flight. What an instance already has
+// in flight counts as wanted, for it can't be taken back.
+func (o *organisation) slots() []int {
+	want := make([]float64, len(o.demands))
+	held := make([]float64, len(o.demands))
+	for i, d := range o.demands {
+		want[i] = float64(d.InFlight + d.Waiting)
+		held[i] = float64(max(o.held[i].InFlight, d.InFlight))
+	}
+	parts := divide(float64(o.limit.InFlight), want, held)
+	return whole(parts, o.limit.InFlight)
+}
--- /dev/null
+++ b/quota/divide.go
@@ -0,0 +1,92 @@
+package quota
+
+import "math"
+
+// divide gives each instance its max-min fair part of the limit by what it
+// wants, and an equal part of what nobody wants, so that the first request at a
+// quiet instance need not wait for a heartbeat. An instance gets more than it
+// holds only out of what no instance holds.
+func divide(limit float64, want, held []float64) []float64 {
+	parts := make([]float64, len(want))
+	if limit <= 0 || len(want) == 0 {
+		return parts
+	}
+	target := waterFill(limit, want)
+	spare := limit - sum(target)
+	for i := range target {
+		target[i] += spare / float64(len(target))
+	}
+	free := max(0, limit-sum(held))
+	missing := 0.0
+	for i := range target {
+		missing += max(0, target[i]-held[i])
+	}
+	for i := range target {
+		parts[i] = min(target[i], held[i])
+		if missing > 0 {
+			parts[i] += max(0, target[i]-held[i]) * min(1, free/missing)
+		}
+	}
+	return parts
+}
+
+// waterFill returns the max-min fair division of the limit: nobody gets more
+// than it wants, and who gets less than it wants gets as much as any other.
+func waterFill(limit float64, want []float64) []float64 {
+	parts := make([]float64, len(want))
+	left := limit
+	for left > limit*1e-9 {
+		open := 0
+		for i := range want {
+			if parts[i] < want[i] {
+				open++
+			}
+		}
+		if open == 0 {
+			break
+		}
+		each := left / float64(open)
+		for i := range want {
+			add := min(each, want[i]-parts[i])
+			if add > 0 {
+				parts[i] += add
+				left -= add
+			}
+		}
+	}
+	return parts
+}
+
+// whole rounds the parts down and gives the left-over units to the largest
+// remainders, as long as the sum stays within the limit.
+func whole(parts []float64, limit int) []int {
+	const slack = 1e-6
+	units := make([]int, len(parts))
+	left := min(limit, int(math.Floor(sum(parts)+slack)))
+	for i, p := range parts {
+		units[i] = int(math.Floor(p + slack))
+		left -= units[i]
+	}
+	for ; left > 0; left-- {
+		best := -1
+		for i, p := range parts {
+			remainder := p - float64(units[i])
+			if remainder > slack && (best < 0 || remainder > parts[best]-float64(units[best])) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		units[best]++
+	}
+	return units
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -12,10 +12,19 @@
 	InFlight        int     `json:"in_flight"`         // requests admitted and not finished
 	InFlightTokens  int     `json:"in_flight_tokens"`  // prompt tokens admitted and not finished
 	Waiting         int     `json:"waiting"`           // requests queued
+
+	Usage         float64 `json:"usage,omitempty"`          // tokens sent to upstreams, decayed, see admission.Usage
+	WaitingTokens int     `json:"waiting_tokens,omitempty"` // prompt tokens of the requests queued
+	SpanTokens    int     `json:"span_tokens,omitempty"`    // of these, of prompts that need a span
+
+	// Granted limits that this instance still acts on. They keep an allocator
+	// that has just started from granting the same part twice.
+	GrantedInFlight        int     `json:"granted_in_flight,omitempty"`
+	GrantedTokensPerSecond float64 `json:"granted_tokens_per_second,omitempty"`
 }
 
 // Grant is one instance's part of an organisation's limits, and what the whole
-// fleet holds for it. Zero limits mean no limit.
+// fleet holds for it. Limits apply only where Limited is set for them.
 type Grant struct {
 	Organisation        string        `json:"organisation"`
 	TokensPerSecond     float64       `json:"tokens_per_second"`
@@ -23,4 +32,8 @@
 	FleetInFlightTokens int           `json:"fleet_in_flight_tokens"`
 	FleetDemand         float64       `json:"fleet_demand"` // tokens a second offered over all instances
 	Lease               time.Duration `json:"lease"`        // valid for so long after the demand was sent
+
+	FleetUsage         float64 `json:"fleet_usage,omitempty"`          // sum of the instances' Usage
+	FleetWaitingTokens int     `json:"fleet_waiting_tokens,omitempty"` // sum of WaitingTokens
+	FleetSpanTokens    int     `json:"fleet_span_tokens,omitempty"`    // sum of SpanTokens
 }
--- /dev/null
+++ b/routing/ring.go
@@ -0,0 +1,86 @@
+package routing
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ringPoints is the number of points of each node on the ring; more points
+// spread the prefixes more evenly.
+const ringPoints = 16
+
+// ring is a consistent hash ring: a prefix has the same home node on every
+// instance with the same view, and a node that comes or goes moves only its own
+// part of the prefixes.
+type ring struct {
+	points []ringPoint
+	names  []string // of the nodes that it was built of
+}
+
+type ringPoint struct {
+	hash uint64
+	node *Node
+}
+
+// build rebuilds the ring if the nodes changed.
+func (r *ring) build(nodes []*Node) {
+	if r.same(nodes) {
+		return
+	}
+	r.points = r.points[:0]
+	r.names = r.names[:0]
+	for _, n := range nodes {
+		r.names = append(r.names, n.Name)
+		h := xxhash.Sum64String(n.Name)
+		for i := range ringPoints {
+			r.points = append(r.points, ringPoint{mix(h + uint64(i)), n})
+		}
+	}
+	sort.Slice(r.points, func(i, j int) bool { return r.points[i].hash < r.points[j].hash })
+}
+
+func (r *ring) same(nodes []*Node) bool {
+	if len(nodes) != len(r.names) {
+		return false
+	}
+	for i, n := range nodes {
+		if r.names[i] != n.Name || r.points == nil {
+			return false
+		}
+	}
+	// A restarted upstream keeps its name but is another node.
+	for _, p := range r.points {
+		if p.node.seen != nodes[0].seen {
+			return false
+		}
+	}
+	return true
+}
+
+// home returns the node of a prefix.
+func (r *ring) home(hash uint64) *Node {
+	if len(r.points) == 0 {
+		return nil
+	}
+	key := mix(hash)
+	low, high := 0, len(r.points)
+	for low < high {
+		middle := int(uint(low+high) >> 1)
+		if r.points[middle].hash < key {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return r.points[low%len(r.points)].node
+}
+
+// mix is the finaliser of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
