--- a/dispatch/class.go
+++ b/dispatch/class.go
@@ -1,6 +1,5 @@
 package dispatch
 
-
 // class is what the scheduler keeps of one class of work.
 type class struct {
 	name       string
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -16,10 +16,10 @@
 	ring   ring
 	lane   lane
 
-	rate       float64 // sum of the prefill rates of open
-	largest    int     // most memory of one node of all
-	memory     int     // sum of the memory of all
-	next       time.Time // when the next ejected node is due for a probe
+	rate    float64   // sum of the prefill rates of open
+	largest int       // most memory of one node of all
+	memory  int       // sum of the memory of all
+	next    time.Time // when the next ejected node is due for a probe
 }
 
 // ejectFraction is the part of a pool that may be ejected at one time. Without
