Test the lapse of a lease during a long decode

Cause: breaking by hand the limit of a stretch by the next lapse made no test fail. Change: a test of it; it then saw the first token after 1m41s instead of 5s.

--- a/standin/enginemodel/engine_test.go
+++ b/standin/enginemodel/engine_test.go
@@ -241,6 +241,19 @@
 	}
 }
 
+// The same death while another stream decodes for a long time: the engine skips
+// over that stream's tokens and must still notice the lapse in between.
+func TestReservationLapsesDuringLongDecode(t *testing.T) {
+	e := New(smallConfig(), epoch)
+	_ = e.Submit(epoch, Job{ID: "long", PromptTokens: 100, OutputTokens: 5000})
+	e.Reserve(epoch, "span", "dead", 50_000, 5*time.Second)
+	_ = e.Submit(epoch, Job{ID: "a", PromptTokens: 20_000, OutputTokens: 1})
+	first, _ := finishTimes(e)
+	if first["a"] < 5*time.Second || first["a"] > 7*time.Second {
+		t.Errorf("first token after %v", first["a"])
+	}
+}
+
 func TestReservationBecomesMemoryOfItsLead(t *testing.T) {
 	e := New(smallConfig(), epoch)
 	e.Reserve(epoch, "span", "o", 50_000, time.Minute)
