Check settings files on the command line and give examples of both deployments

settings check takes both kinds of files and prints every fault; settings hash-key gives the form in which a key stands in a tree. 27 broken files name what has to be found in each. The table found that an empty file passed as a good tree: the checks over the whole tree were left out when there was no section, meant only for a text that is no INI at all.

A wrong flag of a subcommand ended with code 1 instead of 2, since urfave/cli does not hand OnUsageError down; run.go now sets it on every command.

--- a/cli/run.go
+++ b/cli/run.go
@@ -42,10 +42,8 @@
 		Commands:  commands(stdout, stderr),
 		ExitErrHandler: func(context.Context, *urfave.Command, error) {
 		},
-		OnUsageError: func(_ context.Context, _ *urfave.Command, err error, _ bool) error {
-			return &ExitError{Code: ExitUsage, Err: err}
-		},
 	}
+	reportUsage(app)
 	err := app.Run(ctx, args)
 	if err == nil {
 		return ExitDone
@@ -57,3 +55,15 @@
 	}
 	return ExitFailed
 }
+
+// reportUsage gives bad usage of the command, and of all below it, the exit code
+// of bad usage. The library doesn't hand OnUsageError down: without this, a
+// wrong flag of a subcommand would look like a failed run.
+func reportUsage(command *urfave.Command) {
+	command.OnUsageError = func(_ context.Context, _ *urfave.Command, err error, _ bool) error {
+		return &ExitError{Code: ExitUsage, Err: err}
+	}
+	for _, sub := range command.Commands {
+		reportUsage(sub)
+	}
+}
--- a/cli/settings.go
+++ b/cli/settings.go
@@ -6,7 +6,15 @@
 	urfave "github.com/urfave/cli/v3"
 )
 
-// settingsCommand is not there yet.
-func settingsCommand(_, _ io.Writer) *urfave.Command {
-	return &urfave.Command{Name: "settings"}
+// settingsCommand groups the commands on settings files and on the tree in
+// force.
+func settingsCommand(stdout, stderr io.Writer) *urfave.Command {
+	return &urfave.Command{
+		Name:  "settings",
+		Usage: "check, apply and show settings",
+		Commands: []*urfave.Command{
+			settingsCheckCommand(stdout, stderr),
+			settingsHashKeyCommand(stdout, stderr),
+		},
+	}
 }
--- /dev/null
+++ b/settings/broken_test.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+// brokenFiles names, for each file under testdata/broken, the faults that have
+// to be found: section, key, and a part of the problem.
+var brokenFiles = map[string][][3]string{
+	"unknown-key":           {{"organisation.atelier", "wieght", "unknown key"}},
+	"unknown-section":       {{"organization.atelier", "", "unknown section"}},
+	"bad-duration":          {{"class.counter", "deadline", `"30 seconds"`}},
+	"size-without-unit":     {{"fleet", "body_limit", `"64"`}},
+	"fraction-out-of-range": {{"class.counter", "in_time_goal", `"99.9"`}},
+	"not-a-number":          {{"organisation.atelier", "weight", `"NaN"`}},
+	"missing-parent":        {{"organisation.atelier.siracusa.ortigia", "", "[organisation.atelier.siracusa] is missing"}},
+	"duplicate-section":     {{"organisation.atelier", "", "given twice"}},
+	"duplicate-key":         {{"organisation.atelier", "weight", "given twice"}},
+	"rule-selector":         {{"rule.night", "organisation", "selector matches nothing"}},
+	"shared-caller-key":     {{"organisation.archivio", "key_sha256", "already that of organisation atelier"}},
+	"plain-caller-key":      {{"organisation.atelier", "key_sha256", "does not fit"}},
+	"no-length":             {{"length", "", "no length class covers"}},
+	"length-too-small":      {{"organisation.atelier", "prompt_tokens", "no length class covers"}},
+	"class-not-there":       {{"organisation.atelier", "classes", `no class "ledger"`}},
+	"short-stream-silence":  {{"fleet", "stream_silence", "two heartbeats"}},
+	"outside-a-section":     {{"DEFAULT", "", "unknown section"}},
+	"not-ini":               {{"", "", "not an INI file"}},
+	"empty":                 {{"organisation", "", "no organisation"}, {"class", "", "no class"}, {"length", "", "no length"}},
+	"several":               {{"organisation.atelier", "weight", `"0"`}, {"organisation.atelier", "admit", `"yes"`}, {"class.counter", "priority", `"high"`}},
+
+	"process-voter-without-folder": {{"process", "data_folder", "needs a data folder"}},
+	"process-bad-address":          {{"listen", "address", `"127.0.0.1"`}},
+	"process-even-voters":          {{"voters", "", "even number"}},
+	"process-short-key":            {{"keys", "operators", "does not fit"}},
+	"process-missing-key-file":     {{"keys", "instance", "can't be read"}},
+	"process-missing-section":      {{"listen", "address", "missing"}, {"control", "address", "missing"}},
+	"process-unknown-key":          {{"process", "availability_zoen", "unknown key"}},
+}
+
+// An operator who mistypes a file wants every fault at once, each with its place
+// and what is allowed there, and nothing of the file in force.
+func TestEveryBrokenFileNamesItsFaults(t *testing.T) {
+	files, err := filepath.Glob("testdata/broken/*.ini")
+	if err != nil || len(files) != len(brokenFiles) {
+		t.Fatalf("%d files, %d expected, %v", len(files), len(brokenFiles), err)
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".ini")
+		t.Run(name, func(t *testing.T) {
+			compareFaults(t, checkBroken(t, file), brokenFiles[name])
+		})
+	}
+}
+
+func checkBroken(t *testing.T, file string) Faults {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kind, err := Check(file, text)
+	if isProcess := strings.Contains(file, "process-"); isProcess != (kind == KindProcess) {
+		t.Errorf("taken for a %s file", kind)
+	}
+	var faults Faults
+	if !errors.As(err, &faults) {
+		t.Fatalf("no faults: %v", err)
+	}
+	for _, secret := range []string{"geheim", "this-is-a-plain-secret-key"} {
+		if strings.Contains(faults.Error(), secret) {
+			t.Errorf("a key is repeated in %v", faults)
+		}
+	}
+	return faults
+}
+
+func compareFaults(t *testing.T, got Faults, want [][3]string) {
+	t.Helper()
+	if len(got) != len(want) {
+		t.Fatalf("%d faults instead of %d:\n%v", len(got), len(want), got)
+	}
+	for i, w := range want {
+		g := got[i]
+		if g.Section != w[0] || g.Key != w[1] || !strings.Contains(g.Problem, w[2]) || g.Allowed == "" || g.File == "" {
+			t.Errorf("got %+v, want %v", g, w)
+		}
+	}
+}
+
+func TestExamplesAreGood(t *testing.T) {
+	files, err := filepath.Glob("../examples/*/*.ini")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no examples: %v", err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Check(file, text); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestCallersKeysOfTheExamplesBelongToTheirOrganisations(t *testing.T) {
+	for _, deployment := range []string{"aretusa", "brazos"} {
+		folder := filepath.Join("..", "examples", deployment)
+		text, _ := os.ReadFile(filepath.Join(folder, "tree.ini"))
+		tree, err := ParseTree("tree.ini", text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		keys, _ := os.ReadFile(filepath.Join(folder, "callers.keys"))
+		lines := strings.Fields(string(keys))
+		if len(lines) != len(tree.Organisations) {
+			t.Errorf("%s: %d keys for %d organisations", deployment, len(lines), len(tree.Organisations))
+		}
+		for _, line := range lines {
+			organisation, key, _ := strings.Cut(line, "=")
+			if got, ok := tree.Authenticate(key); !ok || got != organisation {
+				t.Errorf("%s: the key of %s is that of %q", deployment, organisation, got)
+			}
+		}
+	}
+}
--- a/settings/parse_process.go
+++ b/settings/parse_process.go
@@ -15,9 +15,9 @@
 // to the folder of file.
 func ParseProcess(file string, text []byte) (*Process, error) {
 	faults := &collector{file: file}
-	sections := readSections(text, faults)
+	sections, ok := readSections(text, faults)
 	p := decodeProcess(sections, faults)
-	if len(sections) > 0 {
+	if ok {
 		checkProcess(p, faults)
 	}
 	if err := faults.err(); err != nil {
--- a/settings/parse_tree.go
+++ b/settings/parse_tree.go
@@ -9,11 +9,11 @@
 // everything that is wrong; file only names the text in them.
 func ParseTree(file string, text []byte) (*Tree, error) {
 	faults := &collector{file: file}
-	sections := readSections(text, faults)
+	sections, ok := readSections(text, faults)
 	checkKinds(sections, faults)
 	tree := decodeTree(sections, faults)
 	tree.Text = append([]byte(nil), text...)
-	if len(sections) > 0 {
+	if ok {
 		checkTree(tree, faults)
 	}
 	if err := faults.err(); err != nil {
--- a/settings/source.go
+++ b/settings/source.go
@@ -69,14 +69,13 @@
 }
 
 // readSections parses the INI text. Syntax errors, duplicate sections and keys
-// outside a section are faults.
-func readSections(content []byte, faults *collector) []section {
+// outside a section are faults. It is not ok if the text is no INI file at all.
+func readSections(content []byte, faults *collector) (sections []section, ok bool) {
 	file, err := ini.LoadSources(loadOptions(), content)
 	if err != nil {
 		faults.add("", "", "not an INI file: "+err.Error(), "[section] headers and key = value lines")
-		return nil
+		return nil, false
 	}
-	var sections []section
 	seen := map[string]bool{}
 	for _, s := range file.Sections() {
 		read := readKeys(s)
@@ -90,7 +89,7 @@
 		seen[s.Name()] = true
 		sections = append(sections, read)
 	}
-	return sections
+	return sections, true
 }
 
 func readKeys(s *ini.Section) section {
