--- a/cli/settings.go
+++ b/cli/settings.go
@@ -15,6 +15,7 @@
 		Commands: []*urfave.Command{
 			settingsCheckCommand(stdout, stderr),
 			settingsHashKeyCommand(stdout, stderr),
+			settingsDocumentCommand(stdout, stderr),
 		},
 	}
 }
--- /dev/null
+++ b/cli/settings_document.go
@@ -0,0 +1,23 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	urfave "github.com/urfave/cli/v3"
+
+	"celeryport/settings"
+)
+
+// settingsDocumentCommand prints docs/SETTINGS.md.
+func settingsDocumentCommand(stdout, _ io.Writer) *urfave.Command {
+	return &urfave.Command{
+		Name:  "document",
+		Usage: "print the page of all settings",
+		Action: func(context.Context, *urfave.Command) error {
+			_, err := fmt.Fprint(stdout, settings.Document())
+			return err
+		},
+	}
+}
