--- a/entry/read_body.go
+++ b/entry/read_body.go
@@ -1,8 +1,8 @@
 package entry
 
 import (
-	"time"
 	"io"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
