--- a/entry/admit.go
+++ b/entry/admit.go
@@ -108,5 +108,5 @@
 		elsewhere = s.others()
 	}
 	writeError(ctx, err, elsewhere)
-	ctx.SetConnectionClose() // an unread body may follow
+	linger(ctx)
 }
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -127,7 +127,7 @@
 		d.send(w)
 	case dispatch.Refuse:
 		if w.exchange != nil {
-			d.end(w.exchange, result{err: w.action.Err})
+			d.end(w.exchange, result{err: w.exchange.withOwnVerdict(w.action.Err)})
 		}
 	case dispatch.Cancel:
 		d.sender.cancel(w.action)
@@ -209,10 +209,12 @@
 	})
 }
 
-// ended does what follows every final answer, once.
+// ended does what goes with every final answer, once. It is counted before the
+// caller can see it, so that a report never lacks what a caller holds in hand.
 func (d *driver) ended(e *exchange) {
-	d.sender.settle(e)
 	record(d.options.Recorder, e.request, e.outcome())
+	e.publish()
+	d.sender.settle(e)
 }
 
 func (d *driver) forget(e *exchange) {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -31,6 +31,7 @@
 	text       []byte
 	firstToken time.Time
 	ended      bool
+	published  bool
 	result     result
 	wake       chan struct{} // holds one signal: text was added or the exchange ended
 }
@@ -84,10 +85,9 @@
 	e.signal()
 }
 
-// end gives the exchange its final answer and reports whether this call did so.
-// The verdict of a failure is corrected to what is known here: an exchange with
-// bytes in flight never claims that it was not run, and one that never sent any
-// never claims that it may have.
+// end fixes the final answer and reports whether this call did so; publish must
+// follow.
+// An exchange with bytes in flight never claims that it was not run.
 func (e *exchange) end(now time.Time, r result) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -100,10 +100,17 @@
 	r.err = e.corrected(r.err)
 	e.result = r
 	e.cancel()
-	e.signal()
 	return true
 }
 
+// publish hands the final answer to the handler.
+func (e *exchange) publish() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.published = true
+	e.signal()
+}
+
 func (e *exchange) corrected(err *verdict.Error) *verdict.Error {
 	if err == nil || e.sends == 0 || err.Verdict != verdict.NotRun {
 		return err
@@ -137,6 +144,20 @@
 	return verdict.New(verdict.NotRun, reason, "%s", message)
 }
 
+// withOwnVerdict replaces the verdict of the dispatcher, which counts a request
+// as sent from its decision on, by what is known here: while its claim was asked
+// for, or no worker was free, no byte has left.
+func (e *exchange) withOwnVerdict(err *verdict.Error) *verdict.Error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.sends > 0 || err.Verdict != verdict.MayHaveRun {
+		return err
+	}
+	own := *err
+	own.Verdict = verdict.NotRun
+	return &own
+}
+
 // setClaimed notes that this exchange holds the claim on its key, and reports
 // false if it has ended already.
 func (e *exchange) setClaimed() bool {
@@ -182,7 +203,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	text, e.text = e.text, nil
-	return text, e.ended
+	return text, e.published
 }
 
 // outcome is the final answer; valid once take has reported the end.
