--- /dev/null
+++ b/consensus/confighistory.go
@@ -0,0 +1,77 @@
+package consensus
+
+// configHistory holds the configurations of the log. The newest is in force as
+// soon as its entry is in the log, committed or not; when the entry is replaced
+// by another leader, the one before is in force again.
+type configHistory struct {
+	base    Configuration // of the snapshot, or none
+	changes []configChange
+}
+
+type configChange struct {
+	index  uint64
+	config Configuration
+}
+
+// current returns the configuration in force.
+func (h *configHistory) current() *Configuration {
+	if len(h.changes) == 0 {
+		return &h.base
+	}
+	return &h.changes[len(h.changes)-1].config
+}
+
+// lastIndex returns the index of the newest change, zero when the log has none.
+func (h *configHistory) lastIndex() uint64 {
+	if len(h.changes) == 0 {
+		return 0
+	}
+	return h.changes[len(h.changes)-1].index
+}
+
+// at returns the configuration in force at a log index.
+func (h *configHistory) at(index uint64) Configuration {
+	found := h.base
+	for _, c := range h.changes {
+		if c.index > index {
+			break
+		}
+		found = c.config
+	}
+	return found
+}
+
+// record notes the changes among new entries of the log.
+func (h *configHistory) record(entries []Entry) error {
+	for _, e := range entries {
+		if e.Kind != Reconfiguration {
+			continue
+		}
+		config, err := DecodeConfiguration(e.Data)
+		if err != nil {
+			return err
+		}
+		h.changes = append(h.changes, configChange{e.Index, config})
+	}
+	return nil
+}
+
+// truncate forgets the changes from an index on.
+func (h *configHistory) truncate(from uint64) {
+	for len(h.changes) > 0 && h.lastIndex() >= from {
+		h.changes = h.changes[:len(h.changes)-1]
+	}
+}
+
+// compact folds the changes up to an index into the base.
+func (h *configHistory) compact(index uint64) {
+	h.base = h.at(index)
+	for len(h.changes) > 0 && h.changes[0].index <= index {
+		h.changes = h.changes[1:]
+	}
+}
+
+// reset starts again from the configuration of a snapshot.
+func (h *configHistory) reset(base Configuration) {
+	*h = configHistory{base: base}
+}
--- /dev/null
+++ b/consensus/errors.go
@@ -0,0 +1,78 @@
+package consensus
+
+import (
+	"fmt"
+
+	"celeryport/verdict"
+)
+
+// NotLeaderError refuses a call that only the leader serves. Nothing was done.
+type NotLeaderError struct {
+	Leader ID // as far as this node knows; empty when unknown
+}
+
+// Error implements error.
+func (e *NotLeaderError) Error() string {
+	if e.Leader == "" {
+		return "not the leader, and no leader is known"
+	}
+	return fmt.Sprintf("not the leader; the leader is %s", e.Leader)
+}
+
+// Unwrap gives the verdict: not run.
+func (e *NotLeaderError) Unwrap() error {
+	return verdict.Refuse(verdict.ReasonNotLeader, 0, "%s", e.Error())
+}
+
+// OutcomeUnknownError ends a proposal that was appended to the log of a leader
+// which then lost its place. The entry may yet be committed by the next leader,
+// so nobody may report it as not run or propose it again under another name.
+type OutcomeUnknownError struct {
+	Index, Term uint64
+}
+
+// Error implements error.
+func (e *OutcomeUnknownError) Error() string {
+	return fmt.Sprintf("the leader changed before entry %d of term %d was known to be committed", e.Index, e.Term)
+}
+
+// Unwrap gives the verdict: may have run.
+func (e *OutcomeUnknownError) Unwrap() error {
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonNotLeader, "%s", e.Error())
+}
+
+// RefusedError refuses a call on the leader. Nothing was done.
+type RefusedError struct {
+	Cause Refusal
+}
+
+// Refusal is the cause of a RefusedError.
+type Refusal string
+
+// The causes for which a leader refuses.
+const (
+	RefusedTooLarge     Refusal = "the proposal is larger than an entry may be"
+	RefusedBusy         Refusal = "too many entries wait to be committed"
+	RefusedTransfer     Refusal = "the leadership is being handed over"
+	RefusedTermStart    Refusal = "no entry of this term is committed yet"
+	RefusedPending      Refusal = "an earlier change of the configuration is not committed yet"
+	RefusedTooMany      Refusal = "a change may add or remove one voter only"
+	RefusedNotLearner   Refusal = "a new voter must be a learner first"
+	RefusedBehind       Refusal = "the learner does not hold every committed entry yet"
+	RefusedSelf         Refusal = "the leader cannot remove itself; transfer the leadership first"
+	RefusedUnsafe       Refusal = "the remaining voters would have no majority that is up to date and reachable"
+	RefusedNoTarget     Refusal = "the target is no voter, or is the leader"
+	RefusedMalformed    Refusal = "the configuration is malformed"
+	RefusedNoSuchIndex  Refusal = "the index is not applied, or is behind the snapshot"
+	RefusedInconsistent Refusal = "the snapshot does not agree with the log"
+)
+
+// Error implements error.
+func (e *RefusedError) Error() string { return string(e.Cause) }
+
+// Unwrap gives the verdict: not run.
+func (e *RefusedError) Unwrap() error {
+	return verdict.Refuse(verdict.ReasonConflict, 0, "%s", e.Error())
+}
+
+func refuse(cause Refusal) error { return &RefusedError{cause} }
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -26,8 +26,8 @@
 	Proposal EntryKind = iota
 	// Empty entries are the first of each leader's term.
 	Empty
-	// Config entries carry an encoded Configuration.
-	Config
+	// Reconfiguration entries carry an encoded Configuration.
+	Reconfiguration
 )
 
 // Configuration is the set of members in force from its log index on.
@@ -85,6 +85,7 @@
 	Entries  []Entry     `json:"entries,omitempty"`
 	Commit   uint64      `json:"commit"`
 	Reject   bool        `json:"reject,omitempty"`
+	Force    bool        `json:"force,omitempty"` // vote asked for by the leader, which has given up its lease
 	Hint     uint64      `json:"hint,omitempty"`  // where to continue after a rejected append
 	Round    uint64      `json:"round,omitempty"` // heartbeat round, echoed, for leases and reads
 	Snapshot *Snapshot   `json:"snapshot,omitempty"`
--- /dev/null
+++ b/consensus/progress.go
@@ -0,0 +1,58 @@
+package consensus
+
+import "time"
+
+type progressState uint8
+
+const (
+	// streaming sends entries without waiting for answers.
+	streaming progressState = iota
+	// probing looks for the last equal entry, one message at a time.
+	probing
+	// snapshotting waits for a snapshot to be installed.
+	snapshotting
+)
+
+// windowEntries bounds the entries that are on their way to one member.
+const windowEntries = 1024
+
+// progress is what the leader knows of one other member.
+type progress struct {
+	state        progressState
+	match        uint64    // last index known to be synced there
+	next         uint64    // next index to send
+	round        uint64    // last heartbeat round that it confirmed
+	confirmedAt  time.Time // when that round was sent
+	snapshotSent time.Time
+	snapshot     uint64 // index of the snapshot on its way
+}
+
+func (p *progress) paused() bool {
+	return p.state != streaming || p.next > p.match+windowEntries
+}
+
+// matched notes that the member holds the log up to an index, and reports
+// whether that is news.
+func (p *progress) matched(index uint64) bool {
+	news := index > p.match
+	p.match = max(p.match, index)
+	p.next = max(p.next, p.match+1)
+	switch {
+	case p.state == probing && index+1 >= p.next:
+		p.state = streaming
+	case p.state == snapshotting && p.match >= p.snapshot:
+		p.state = streaming
+	}
+	return news
+}
+
+// rejected notes that the member lacks the entry at an index, and reports
+// whether the leader should probe again. A late rejection changes nothing.
+func (p *progress) rejected(index, hint uint64) bool {
+	if p.state == snapshotting || index <= p.match || index >= p.next {
+		return false
+	}
+	p.next = max(p.match+1, min(index, hint+1))
+	p.state = probing
+	return true
+}
--- /dev/null
+++ b/consensus/propose.go
@@ -0,0 +1,39 @@
+package consensus
+
+import "time"
+
+const (
+	// MaxProposal is the largest data of one proposal, in bytes.
+	MaxProposal = 4 << 20
+	// maxUncommitted bounds the entries that a leader without a majority piles up
+	// before it steps down.
+	maxUncommitted = 4096
+)
+
+// Propose appends data to the log and returns where. The proposal is accepted
+// once an entry with this index and term is among the committed ones; see
+// Proposals for what becomes of the others. Errors mean that nothing was done.
+func (n *Node) Propose(now time.Time, data []byte) (index, term uint64, err error) {
+	n.start(now)
+	if err := n.mayPropose(); err != nil {
+		return 0, 0, err
+	}
+	if len(data) > MaxProposal {
+		return 0, 0, refuse(RefusedTooLarge)
+	}
+	e := n.appendOwn(Entry{Kind: Proposal, Data: data})
+	n.sendNew()
+	return e.Index, e.Term, nil
+}
+
+func (n *Node) mayPropose() error {
+	switch {
+	case n.role != Leader:
+		return &NotLeaderError{Leader: n.leader}
+	case n.lead.transfer.to != "":
+		return refuse(RefusedTransfer)
+	case n.log.last().index-n.log.commit >= maxUncommitted:
+		return refuse(RefusedBusy)
+	}
+	return nil
+}
