--- a/consensus/network_test.go
+++ b/consensus/network_test.go
@@ -148,11 +148,10 @@
 		d.HardState = *b.HardState
 	}
 	if len(b.Entries) > 0 {
-		keep := d.Entries
-		for len(keep) > 0 && keep[len(keep)-1].Index >= b.Entries[0].Index {
-			keep = keep[:len(keep)-1]
+		for len(d.Entries) > 0 && d.Entries[len(d.Entries)-1].Index >= b.Entries[0].Index {
+			d.Entries = d.Entries[:len(d.Entries)-1]
 		}
-		d.Entries = append(slices.Clone(keep), b.Entries...)
+		d.Entries = append(d.Entries, b.Entries...)
 	}
 	if b.Snapshot != nil {
 		d.Snapshot = *b.Snapshot
--- /dev/null
+++ b/wal/crash_test.go
@@ -0,0 +1,119 @@
+package wal
+
+import (
+	"flag"
+	"os"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"celeryport/consensus"
+)
+
+// TestMain fixes the seed, so that a run of the tests is the same every time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261202")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// model is what a voter may rely on: what calls that returned have stored.
+type model struct {
+	t     *rapid.T
+	disk  *memFS
+	log   *Log
+	acked consensus.Storage
+	voter consensus.ID
+}
+
+// The machine loses power, or the process is killed, between any two changes of
+// the disk, many times over. A voter must find what it stored last, or that plus
+// the one call that had not returned.
+func TestCrashesLoseNothingThatWasStored(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{t: t, disk: newMemFS(rapid.Uint64().Draw(t, "seed"))}
+		m.reopen(m.acked)
+		for range rapid.IntRange(1, 40).Draw(t, "calls") {
+			if rapid.IntRange(0, 3).Draw(t, "crash") == 0 {
+				m.disk.steps = rapid.IntRange(0, 8).Draw(t, "steps")
+			}
+			next := m.call()
+			if m.log.Failed() == nil {
+				m.acked = next
+				m.disk.steps = -1
+				continue
+			}
+			if rapid.Bool().Draw(t, "power") {
+				m.disk.powerFailure()
+			}
+			m.disk.restart()
+			m.reopen(next)
+		}
+	})
+}
+
+// reopen starts again and checks that the state is what was acknowledged, or
+// with the interrupted call.
+func (m *model) reopen(interrupted consensus.Storage) {
+	o, _ := options(200)
+	l, state, err := Open(folder, "ortigia", m.disk, o)
+	if err != nil {
+		m.t.Fatalf("open after a crash: %v", err)
+	}
+	if m.voter != "" && state.Identity.Voter != m.voter {
+		m.t.Fatalf("voter %s came back as %s", m.voter, state.Identity.Voter)
+	}
+	found := state.Storage
+	if !same(found, m.acked) && !same(found, interrupted) {
+		m.t.Fatalf("found\n%+v\nstored\n%+v\nor with the interrupted call\n%+v", found, m.acked, interrupted)
+	}
+	m.log, m.acked, m.voter = l, clone(found), state.Identity.Voter
+}
+
+// call does one random write and returns the state after it.
+func (m *model) call() consensus.Storage {
+	next := clone(m.acked)
+	last := next.Snapshot.Index + uint64(len(next.Entries))
+	kind := rapid.IntRange(0, 4).Draw(m.t, "call")
+	switch {
+	case kind == 0 && last > 0: // a snapshot of its own
+		next.Snapshot = consensus.Snapshot{Index: last, Term: termAt(next, last), Configuration: voters("v1"), Data: []byte("{}")}
+		next.Entries = nil
+		_ = m.log.SaveSnapshot(next.Snapshot)
+		return next
+	case kind == 1: // a snapshot from the leader, of another history than this log's tail
+		ahead := uint64(rapid.IntRange(1, len(next.Entries)+2).Draw(m.t, "ahead"))
+		next.Snapshot = consensus.Snapshot{Index: next.Snapshot.Index + ahead, Term: next.HardState.Term + 1, Configuration: voters("v2")}
+		next.Entries = nil
+		_ = m.log.SaveSnapshot(next.Snapshot)
+		return next
+	}
+	// New entries, from some index behind the snapshot on.
+	from := last + 1 - uint64(rapid.IntRange(0, min(2, len(next.Entries))).Draw(m.t, "replaced"))
+	next.HardState.Term++
+	added := entries(from, from+uint64(rapid.IntRange(0, 3).Draw(m.t, "count")), next.HardState.Term)
+	next.Entries = append(next.Entries[:from-next.Snapshot.Index-1], added...)
+	_ = m.log.Append(&next.HardState, added)
+	return next
+}
+
+func termAt(s consensus.Storage, index uint64) uint64 {
+	if index == s.Snapshot.Index {
+		return s.Snapshot.Term
+	}
+	return s.Entries[index-s.Snapshot.Index-1].Term
+}
+
+func clone(s consensus.Storage) consensus.Storage {
+	s.Entries = append([]consensus.Entry(nil), s.Entries...)
+	return s
+}
+
+func same(a, b consensus.Storage) bool {
+	if len(a.Entries) == 0 && len(b.Entries) == 0 {
+		a.Entries, b.Entries = nil, nil
+	}
+	return reflect.DeepEqual(a, b)
+}
--- /dev/null
+++ b/wal/frame.go
@@ -0,0 +1,102 @@
+package wal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+)
+
+// A segment file starts with segmentMagic, a random marker and the CRC-32C of
+// both. Then come frames:
+//
+//	marker (4 bytes) | length (4) | CRC-32C of marker, length and content (4) | content
+//
+// One call of Append writes one frame and syncs it before the next. So a bad
+// frame at the end of the newest file was never acknowledged, while a bad frame
+// with a good one behind it was.
+const (
+	segmentMagic = "cptlog01"
+	markerSize   = 4
+	headerSize   = len(segmentMagic) + markerSize + 4
+	frameHead    = markerSize + 8
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+type marker [markerSize]byte
+
+// segmentHeader returns the start of a segment file.
+func segmentHeader(m marker) []byte {
+	header := append([]byte(segmentMagic), m[:]...)
+	return binary.LittleEndian.AppendUint32(header, crc32.Checksum(header, castagnoli))
+}
+
+// readHeader returns the marker of a segment file. A wrong one would make all
+// frames unreadable and the whole file look like a torn write, so it is checked.
+func readHeader(data []byte) (m marker, ok bool) {
+	if len(data) < headerSize {
+		return m, false
+	}
+	copy(m[:], data[len(segmentMagic):])
+	return m, bytes.Equal(data[:headerSize], segmentHeader(m))
+}
+
+// appendFrame appends the frame of a content that holds records.
+func appendFrame(to []byte, m marker, content []byte) []byte {
+	start := len(to)
+	to = append(to, m[:]...)
+	to = binary.LittleEndian.AppendUint32(to, uint32(len(content)))
+	sum := crc32.Checksum(to[start:], castagnoli)
+	sum = crc32.Update(sum, castagnoli, content)
+	to = binary.LittleEndian.AppendUint32(to, sum)
+	return append(to, content...)
+}
+
+// readFrame returns the content of the frame at the start of data.
+func readFrame(data []byte, m marker) (content []byte, ok bool) {
+	if len(data) < frameHead || !bytes.Equal(data[:markerSize], m[:]) {
+		return nil, false
+	}
+	length := int64(binary.LittleEndian.Uint32(data[markerSize:]))
+	if length > int64(len(data)-frameHead) {
+		return nil, false
+	}
+	content = data[frameHead : int64(frameHead)+length]
+	sum := crc32.Checksum(data[:markerSize+4], castagnoli)
+	sum = crc32.Update(sum, castagnoli, content)
+	return content, sum == binary.LittleEndian.Uint32(data[markerSize+4:])
+}
+
+// frameBehind reports whether a good frame starts anywhere in data.
+func frameBehind(data []byte, m marker) bool {
+	for {
+		i := bytes.Index(data, m[:])
+		if i < 0 {
+			return false
+		}
+		if _, ok := readFrame(data[i:], m); ok {
+			return true
+		}
+		data = data[i+1:]
+	}
+}
+
+// appendRecord appends one record to the content of a frame.
+func appendRecord(to, record []byte) []byte {
+	to = binary.AppendUvarint(to, uint64(len(record)))
+	return append(to, record...)
+}
+
+// splitRecords returns the records of a frame's content.
+func splitRecords(content []byte) ([][]byte, bool) {
+	var records [][]byte
+	for len(content) > 0 {
+		length, n := binary.Uvarint(content)
+		if n <= 0 || length > uint64(len(content)-n) {
+			return nil, false
+		}
+		records = append(records, content[n:n+int(length)])
+		content = content[n+int(length):]
+	}
+	return records, true
+}
--- /dev/null
+++ b/wal/records.go
@@ -0,0 +1,170 @@
+package wal
+
+import (
+	"crypto/rand"
+	"io"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"celeryport/event"
+)
+
+// lockFile is locked as long as a process uses the folder.
+const lockFile = "lock"
+
+// DefaultSegmentBytes is the size from which on a new file is begun.
+const DefaultSegmentBytes = 16 << 20
+
+// Options set up a record log.
+type Options struct {
+	Logger       logrus.FieldLogger // required
+	Random       io.Reader          // nil: crypto/rand
+	SegmentBytes int64              // zero: DefaultSegmentBytes
+}
+
+// Records is a log of opaque records in a folder of its own. It is not safe for
+// concurrent use.
+type Records struct {
+	folder  string
+	fs      FS
+	options Options
+	lock    io.Closer
+	current segment
+	marker  marker
+	file    File
+	size    int64
+	failed  *FailedError
+}
+
+// OpenRecords locks the folder and returns every record that was appended
+// since the last Rewrite, in order. It cuts off a torn last write and refuses
+// damage with a DamagedError.
+func OpenRecords(folder string, fs FS, options Options) (*Records, [][]byte, error) {
+	if options.Random == nil {
+		options.Random = rand.Reader
+	}
+	if options.SegmentBytes == 0 {
+		options.SegmentBytes = DefaultSegmentBytes
+	}
+	if err := fs.MakeFolder(folder); err != nil {
+		return nil, nil, errors.Wrap(err, "data folder")
+	}
+	lock, err := fs.Lock(filepath.Join(folder, lockFile))
+	if err != nil {
+		return nil, nil, &LockedError{folder, err}
+	}
+	r := &Records{folder: folder, fs: fs, options: options, lock: lock}
+	records, err := r.load()
+	if err != nil {
+		return nil, nil, errors.CombineErrors(err, lock.Close())
+	}
+	return r, records, nil
+}
+
+// Append writes records in one frame and returns when they are synced.
+func (r *Records) Append(records ...[]byte) error {
+	if r.failed != nil {
+		return r.failed
+	}
+	if r.size >= r.options.SegmentBytes {
+		if err := r.begin(segment{r.current.number + 1, false}, nil); err != nil {
+			return r.fail(err)
+		}
+	}
+	frame := appendFrame(nil, r.marker, joinRecords(records))
+	if err := writeSynced(r.file, frame); err != nil {
+		return r.fail(err)
+	}
+	r.size += int64(len(frame))
+	return nil
+}
+
+// Rewrite replaces the whole log by the given records.
+func (r *Records) Rewrite(records [][]byte) error {
+	if r.failed != nil {
+		return r.failed
+	}
+	next := segment{r.current.number + 1, true}
+	if err := r.begin(next, records); err != nil {
+		return r.fail(err)
+	}
+	return r.removeBefore(next)
+}
+
+// Size returns the bytes of the newest file.
+func (r *Records) Size() int64 { return r.size }
+
+// Close releases the folder.
+func (r *Records) Close() error {
+	var err error
+	if r.file != nil {
+		err = r.file.Close()
+	}
+	return errors.CombineErrors(err, r.lock.Close())
+}
+
+// fail refuses every later call and logs why.
+func (r *Records) fail(cause error) error {
+	r.failed = &FailedError{r.folder, cause}
+	eventFailed.Log(r.options.Logger, event.Fields{"folder": r.folder, "error": cause.Error()})
+	return r.failed
+}
+
+// begin goes on in a new file that starts with the given records. The file and
+// its name last before anything more in it is acknowledged.
+func (r *Records) begin(s segment, records [][]byte) error {
+	var m marker
+	if _, err := io.ReadFull(r.options.Random, m[:]); err != nil {
+		return err
+	}
+	data := segmentHeader(m)
+	if len(records) > 0 {
+		data = appendFrame(data, m, joinRecords(records))
+	}
+	if err := WriteFileAtomic(r.fs, r.path(s), data); err != nil {
+		return err
+	}
+	old := r.file
+	f, err := r.fs.Append(r.path(s))
+	if err != nil {
+		return err
+	}
+	r.file, r.current, r.marker, r.size = f, s, m, int64(len(data))
+	if old == nil {
+		return nil
+	}
+	return old.Close()
+}
+
+// removeBefore removes files that a checkpoint replaced. A failure leaves files
+// that the next start ignores and removes.
+func (r *Records) removeBefore(keep segment) error {
+	names, err := r.fs.ReadFolder(r.folder)
+	if err != nil {
+		return r.fail(err)
+	}
+	for _, name := range names {
+		s, ok := parseSegment(name)
+		stale := ok && s.number < keep.number || strings.HasSuffix(name, temporarySuffix)
+		if !stale {
+			continue
+		}
+		if err := r.fs.Remove(filepath.Join(r.folder, name)); err != nil {
+			return r.fail(err)
+		}
+	}
+	return nil
+}
+
+func (r *Records) path(s segment) string { return filepath.Join(r.folder, s.name()) }
+
+func joinRecords(records [][]byte) []byte {
+	var content []byte
+	for _, record := range records {
+		content = appendRecord(content, record)
+	}
+	return content
+}
