--- /dev/null
+++ b/control/state/machine.go
@@ -0,0 +1,156 @@
+package state
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxHistory is how many past revisions are described for operators who lost a
+// conflict.
+const maxHistory = 2_000
+
+// Machine is the replicated state. It is not safe for concurrent use.
+type Machine struct {
+	content content
+}
+
+// content is what a snapshot holds.
+type content struct {
+	Applied uint64     `json:"applied"` // log index of the last applied entry
+	Clock   time.Time  `json:"clock"`   // latest stamp of any command; never goes back
+	Current Revision   `json:"current"`
+	Text    []byte     `json:"text"`
+	History []Revision `json:"history"` // oldest first, Current included
+	Orders  orderBook  `json:"orders"`
+	Issuer  Issuer     `json:"issuer"`
+}
+
+// New returns the empty state.
+func New() *Machine { return &Machine{} }
+
+// Applied returns the log index of the last applied entry.
+func (m *Machine) Applied() uint64 { return m.content.Applied }
+
+// Current returns the accepted revision; its number is 0 before the first.
+func (m *Machine) Current() Revision { return m.content.Current }
+
+// Text returns the accepted settings text. The caller must not change it.
+func (m *Machine) Text() []byte { return m.content.Text }
+
+// Issuer returns the present issuer of engine orders.
+func (m *Machine) Issuer() Issuer { return m.content.Issuer }
+
+// History returns the newest revisions, oldest first, at most limit.
+func (m *Machine) History(limit int) []Revision {
+	from := max(0, len(m.content.History)-limit)
+	return append([]Revision(nil), m.content.History[from:]...)
+}
+
+// Lookup returns the first outcome of an order id that is remembered.
+func (m *Machine) Lookup(orderID string) (Outcome, bool) {
+	o, found := m.content.Orders.find(orderID)
+	return o.Outcome, found
+}
+
+// Skip notes an entry that carries no command.
+func (m *Machine) Skip(index uint64) { m.content.Applied = max(m.content.Applied, index) }
+
+// Apply executes one committed command. An entry that was applied already is
+// ignored: after a restart the log may replay entries that a snapshot holds.
+// An error means that this voter can't follow the log and must stop.
+func (m *Machine) Apply(index, term uint64, data []byte) (Outcome, error) {
+	if index <= m.content.Applied {
+		return Outcome{}, nil
+	}
+	command, err := decodeCommand(data)
+	if err != nil {
+		return Outcome{}, errors.Wrapf(err, "log entry %d", index)
+	}
+	m.content.Applied = index
+	m.advanceClock(command)
+	if command.Issuer != nil {
+		m.takeIssuer(index, term, command.Issuer)
+		return Outcome{}, nil
+	}
+	return m.apply(index, command.Apply), nil
+}
+
+// advanceClock moves the replicated clock and forgets old order ids. A leader
+// whose wall clock is behind never moves it back.
+func (m *Machine) advanceClock(c *Command) {
+	if c.At.After(m.content.Clock) {
+		m.content.Clock = c.At
+	}
+	if c.Lifetime > 0 {
+		m.content.Orders.forget(m.content.Clock.Add(-c.Lifetime), m.content.Current.Number)
+	}
+}
+
+func (m *Machine) takeIssuer(index, term uint64, take *TakeIssuer) {
+	m.content.Issuer = Issuer{
+		Holder:      take.Holder,
+		Incarnation: take.Incarnation,
+		Fence:       Fence{Term: term, Index: index},
+	}
+}
+
+// apply decides one order: a known id gets its first outcome, an id that may be
+// forgotten is not run, and of all others only one with the accepted revision as
+// its base wins.
+func (m *Machine) apply(index uint64, a *Apply) Outcome {
+	digest := Digest(a.Text)
+	if first, found := m.content.Orders.find(a.OrderID); found {
+		return m.repeat(first, a, digest)
+	}
+	if m.content.Orders.mayBeForgotten(a.Base) {
+		return Outcome{Kind: Forgotten, Current: m.content.Current.Number}
+	}
+	outcome := m.decide(index, a, digest)
+	m.content.Orders.remember(order{
+		ID: a.OrderID, Base: a.Base, Digest: digest, At: m.content.Clock, Outcome: outcome,
+	})
+	return outcome
+}
+
+func (m *Machine) repeat(first order, a *Apply, digest string) Outcome {
+	if first.Digest != digest || first.Base != a.Base {
+		return Outcome{Kind: Reused, Current: m.content.Current.Number}
+	}
+	return first.Outcome
+}
+
+func (m *Machine) decide(index uint64, a *Apply, digest string) Outcome {
+	if a.Base != m.content.Current.Number {
+		winner := m.successor(a.Base)
+		return Outcome{Kind: Conflict, Current: m.content.Current.Number, Winner: &winner}
+	}
+	m.content.Current = Revision{
+		Number: index, Base: a.Base, OrderID: a.OrderID, At: m.content.Clock, Digest: digest,
+	}
+	m.content.Text = append([]byte(nil), a.Text...)
+	m.content.History = append(m.content.History, m.content.Current)
+	if excess := len(m.content.History) - maxHistory; excess > 0 {
+		m.content.History = append([]Revision(nil), m.content.History[excess:]...)
+	}
+	return Outcome{Kind: Accepted, Revision: index, Current: index}
+}
+
+// successor returns the revision that was built on base, or the accepted one
+// when that is no longer described.
+func (m *Machine) successor(base uint64) Revision {
+	for _, r := range m.content.History {
+		if r.Base == base {
+			return r
+		}
+	}
+	return m.content.Current
+}
+
+// Digest returns the hexadecimal SHA-256 of a settings text.
+func Digest(text []byte) string {
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:])
+}
