--- /dev/null
+++ b/rpc/errors.go
@@ -0,0 +1,77 @@
+package rpc
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	"celeryport/verdict"
+)
+
+// The metadata of a twirp error that carries a verdict.
+const (
+	metaVerdict = "verdict"
+	metaReason  = "reason"
+	metaRetry   = "retry_after_ms"
+)
+
+// ToTwirp turns an error of a handler into one that keeps its verdict on the
+// way to the caller.
+func ToTwirp(err error) error {
+	found := verdict.From(err)
+	if found == nil {
+		return nil
+	}
+	return twirp.NewError(twirp.Unavailable, found.Error()).
+		WithMeta(metaVerdict, found.Verdict.String()).
+		WithMeta(metaReason, string(found.Reason)).
+		WithMeta(metaRetry, strconv.FormatInt(found.RetryAfter.Milliseconds(), 10))
+}
+
+// FromTwirp turns the error of a call into one with a verdict: that of the
+// remote handler if it sent one, NotRun if no connection was made, and the
+// careful one otherwise, since the request may have arrived and only its answer
+// been lost.
+func FromTwirp(err error) error {
+	if err == nil {
+		return nil
+	}
+	if remote, ok := fromMeta(err); ok {
+		return remote
+	}
+	if refusedKey(err) {
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonUnauthorized, "the instance does not accept the key")
+	}
+	if notSent(err) {
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonNoQuorum, "no connection to the instance")
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonInternal, "the answer of the instance was lost")
+}
+
+func fromMeta(err error) (*verdict.Error, bool) {
+	var remote twirp.Error
+	if !errors.As(err, &remote) || remote.Meta(metaReason) == "" {
+		return nil, false
+	}
+	v := verdict.Parse(remote.Meta(metaVerdict))
+	found := verdict.New(v, verdict.Reason(remote.Meta(metaReason)), "%s", remote.Msg())
+	if ms, convErr := strconv.ParseInt(remote.Meta(metaRetry), 10, 64); convErr == nil {
+		found.RetryAfter = time.Duration(ms) * time.Millisecond
+	}
+	return found, true
+}
+
+// notSent reports whether the call failed before a connection was there, so
+// that no byte of it can have arrived.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func refusedKey(err error) bool {
+	var remote twirp.Error
+	return errors.As(err, &remote) && remote.Code() == twirp.Unauthenticated
+}
