--- /dev/null
+++ b/order/caller.go
@@ -0,0 +1,86 @@
+package order
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"celeryport/upstream/wire"
+)
+
+// maxAnswer bounds the answer of an engine in bytes.
+const maxAnswer = 1 << 20
+
+// caller makes the calls to engines.
+type caller struct {
+	client  *fasthttp.Client
+	key     string
+	timeout time.Duration
+}
+
+// newCaller returns a caller that sends each request once. fasthttp repeats a
+// request by itself when the peer closes the connection before it answers; an
+// order would then be executed twice, and the second time perhaps after another
+// issuer has taken over.
+func newCaller(key string, timeout time.Duration, dial func(address string) (net.Conn, error)) *caller {
+	return &caller{
+		key:     key,
+		timeout: timeout,
+		client: &fasthttp.Client{
+			Dial:                          dial,
+			MaxIdemponentCallAttempts:     1,
+			RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			ReadTimeout:                   timeout,
+			WriteTimeout:                  timeout,
+			MaxResponseBodySize:           maxAnswer,
+			NoDefaultUserAgentHeader:      true,
+			DisableHeaderNamesNormalizing: false,
+		},
+	}
+}
+
+// read reads an engine's state back.
+func (c *caller) read(address string) (*wire.EngineState, error) {
+	var state wire.EngineState
+	if err := c.call(http.MethodGet, address, wire.PathState, nil, &state); err != nil {
+		return nil, err
+	}
+	return &state, nil
+}
+
+// order sends one order.
+func (c *caller) order(address string, o *wire.Order) (*wire.OrderResponse, error) {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode an order")
+	}
+	var response wire.OrderResponse
+	if err := c.call(http.MethodPost, address, wire.PathOrder, body, &response); err != nil {
+		return nil, err
+	}
+	return &response, nil
+}
+
+// call sends a request over a connection of its own. A refusal with status 409
+// has the same body as an accepted order.
+func (c *caller) call(method, address, path string, body []byte, answer any) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + path)
+	request.Header.SetMethod(method)
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	request.SetBody(body)
+	request.SetConnectionClose()
+	if err := c.client.DoTimeout(request, response, c.timeout); err != nil {
+		return errors.Wrap(err, "call an engine")
+	}
+	if status := response.StatusCode(); status != http.StatusOK && status != http.StatusConflict {
+		return errors.Newf("the engine answered with status %d", status)
+	}
+	return errors.Wrap(json.Unmarshal(response.Body(), answer), "decode the answer of an engine")
+}
