--- a/cli/commands.go
+++ b/cli/commands.go
@@ -17,6 +17,7 @@
 		instancesCommand(stdout, stderr),
 		upstreamsCommand(stdout, stderr),
 		orderCommand(stdout, stderr),
+		voterCommand(stdout, stderr),
 		loadCommand(stdout, stderr),
 		standinCommand(stdout, stderr),
 		benchCommand(stdout, stderr),
--- a/cli/settings.go
+++ b/cli/settings.go
@@ -14,8 +14,9 @@
 		Usage: "check, apply and show settings",
 		Commands: []*urfave.Command{
 			settingsCheckCommand(stdout, stderr),
+			settingsApplyCommand(stdout, stderr),
+			settingsShowCommand(stdout, stderr),
 			settingsHashKeyCommand(stdout, stderr),
-			settingsDocumentCommand(stdout, stderr),
 		},
 	}
 }
--- /dev/null
+++ b/cli/settings_apply.go
@@ -0,0 +1,172 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	urfave "github.com/urfave/cli/v3"
+
+	"celeryport/control"
+	"celeryport/control/state"
+	"celeryport/settings"
+)
+
+const (
+	flagFile    = "file"
+	flagBase    = "base"
+	flagOrderID = "order-id"
+	flagWait    = "wait"
+)
+
+// settingsApplyCommand replaces the settings tree of a fleet.
+func settingsApplyCommand(stdout, stderr io.Writer) *urfave.Command {
+	return &urfave.Command{
+		Name:  "apply",
+		Usage: "replace the settings tree; of two orders with one base only one wins",
+		Flags: operatorFlags(
+			&urfave.StringFlag{Name: flagFile, Usage: "file with the settings tree", Required: true},
+			&urfave.Uint64Flag{Name: flagBase, Usage: "revision that the file builds on; without it the accepted one, read first"},
+			&urfave.StringFlag{Name: flagOrderID, Usage: "id of the order; give the same one to send an order again"},
+			&urfave.DurationFlag{Name: flagWait, Usage: "wait so long for the revision to be in force everywhere"},
+		),
+		Action: func(ctx context.Context, c *urfave.Command) error {
+			a := applier{stdout: stdout, stderr: stderr, output: c.String(outputName), wait: c.Duration(flagWait)}
+			return a.run(ctx, c)
+		},
+	}
+}
+
+// applier runs one settings apply.
+type applier struct {
+	stdout, stderr io.Writer
+	output         string
+	wait           time.Duration
+	operator       *operator
+}
+
+// applied is the result in JSON.
+type applied struct {
+	OrderID string        `json:"order_id"`
+	Base    uint64        `json:"base"`
+	Outcome state.Outcome `json:"outcome"`
+	InForce bool          `json:"in_force"` // everywhere, as far as --wait waited
+}
+
+func (a *applier) run(ctx context.Context, c *urfave.Command) error {
+	text, err := os.ReadFile(c.String(flagFile))
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Err: err}
+	}
+	if _, err := settings.ParseTree(c.String(flagFile), text); err != nil {
+		return &ExitError{Code: ExitUsage, Err: err}
+	}
+	if a.operator, err = newOperator(c); err != nil {
+		return err
+	}
+	request := control.ApplyRequest{OrderID: c.String(flagOrderID), File: c.String(flagFile), Text: text}
+	if request.Base, err = a.base(ctx, c); err != nil {
+		return err
+	}
+	if request.OrderID == "" {
+		if request.OrderID, err = newOrderID(); err != nil {
+			return err
+		}
+		fmt.Fprintf(a.stderr, "order %s on base %d\n", request.OrderID, request.Base)
+	}
+	result := applied{OrderID: request.OrderID, Base: request.Base}
+	if err := a.operator.ask(ctx, control.CommandApply, request, &result.Outcome); err != nil {
+		return err
+	}
+	return a.report(ctx, result)
+}
+
+// newOrderID draws an id that carries its time, so that operators can tell old
+// orders in listings.
+func newOrderID() (string, error) {
+	id, err := uuid.NewV7()
+	return id.String(), errors.Wrap(err, "draw an order id")
+}
+
+func (a *applier) base(ctx context.Context, c *urfave.Command) (uint64, error) {
+	if c.IsSet(flagBase) {
+		return c.Uint64(flagBase), nil
+	}
+	if c.IsSet(flagOrderID) {
+		// A resent order must build on the base of its first sending.
+		return 0, &ExitError{Code: ExitUsage, Err: errors.Newf("--%s needs --%s", flagOrderID, flagBase)}
+	}
+	var status control.SettingsStatus
+	err := a.operator.ask(ctx, control.CommandShow, nil, &status)
+	return status.Accepted.Number, readOnly(err)
+}
+
+func (a *applier) report(ctx context.Context, result applied) error {
+	if result.Outcome.Kind == state.Accepted && a.wait > 0 {
+		result.InForce = a.inForce(ctx, result.Outcome.Revision)
+	}
+	if err := a.print(&result); err != nil {
+		return err
+	}
+	outcome := result.Outcome
+	switch outcome.Kind {
+	case state.Accepted:
+		return nil
+	case state.Conflict:
+		return &ExitError{Code: ExitConflict, Err: errors.Newf(
+			"conflict: another operator's order %s already made revision %d from base %d; accepted now: %d",
+			outcome.Winner.OrderID, outcome.Winner.Number, outcome.Winner.Base, outcome.Current)}
+	case state.Reused:
+		return &ExitError{Code: ExitUsage, Err: errors.Newf("order id %s was used for another order", result.OrderID)}
+	default:
+		return &ExitError{Code: ExitUnknown, Err: errors.Newf(
+			"orders as old as this one are forgotten: it was not run now, and what came of its first sending is unknown; accepted now: %d",
+			outcome.Current)}
+	}
+}
+
+// inForce waits until the revision, or a newer one, is in force everywhere.
+func (a *applier) inForce(ctx context.Context, revision uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, a.wait)
+	defer cancel()
+	for {
+		var status control.SettingsStatus
+		if a.operator.ask(ctx, control.CommandShow, nil, &status) == nil && status.InForce >= revision {
+			return true
+		}
+		if !sleep(ctx, askPause) {
+			return false
+		}
+	}
+}
+
+func (a *applier) print(result *applied) error {
+	if a.output == outputJSON {
+		return writeJSON(a.stdout, result)
+	}
+	if result.Outcome.Kind != state.Accepted {
+		return nil
+	}
+	fmt.Fprintf(a.stdout, "accepted as revision %d\n", result.Outcome.Revision)
+	switch {
+	case result.InForce:
+		fmt.Fprintln(a.stdout, "in force everywhere")
+	case a.wait > 0:
+		fmt.Fprintln(a.stdout, "not yet in force everywhere; see settings show")
+	}
+	return nil
+}
+
+// readOnly turns an unknown outcome of a command that changes nothing into a
+// plain failure.
+func readOnly(err error) error {
+	var exit *ExitError
+	if errors.As(err, &exit) && exit.Code == ExitUnknown {
+		return &ExitError{Code: ExitFailed, Err: exit.Err}
+	}
+	return err
+}
--- /dev/null
+++ b/control/consensuscall.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"celeryport/consensus"
+	"celeryport/rpc"
+)
+
+// Consensus implements rpc.Control. The answer says only that the messages were
+// queued: consensus answers by messages of its own.
+func (s *service) Consensus(ctx context.Context, in *rpc.ConsensusRequest) (*rpc.ConsensusResponse, error) {
+	messages := make([]consensus.Message, 0, len(in.Messages))
+	for _, data := range in.Messages {
+		m, err := consensus.DecodeMessage(data)
+		if err != nil {
+			return nil, twirp.InvalidArgumentError("messages", err.Error())
+		}
+		messages = append(messages, m)
+	}
+	err := s.node.post(ctx, func(now time.Time) { s.node.core.receive(now, in.Address, messages) })
+	if err != nil {
+		return nil, rpc.ToTwirp(err)
+	}
+	return &rpc.ConsensusResponse{}, nil
+}
+
+// receive gives messages to consensus, on an instance that takes part in it.
+func (c *core) receive(now time.Time, address string, messages []consensus.Message) {
+	if c.group == nil || c.group.node == nil {
+		return
+	}
+	for i := range messages {
+		c.group.senders[messages[i].From] = address
+		if err := c.group.node.Step(now, messages[i]); err != nil {
+			c.group.fail(err)
+			return
+		}
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -63,3 +63,9 @@
 	State   ClaimState
 	Outcome claim.Outcome // on Lost
 }
+
+// Node implements both.
+var (
+	_ Plane      = (*Node)(nil)
+	_ Operations = (*Node)(nil)
+)
--- /dev/null
+++ b/control/core.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"celeryport/consensus"
+	"celeryport/event"
+	"celeryport/membership"
+	"celeryport/quota"
+	"celeryport/upstream"
+)
+
+// core is the control state of an instance. Only the control goroutine touches
+// it.
+type core struct {
+	node      *Node
+	log       logrus.FieldLogger
+	timing    Timing
+	self      membership.Instance
+	accepted  bool // a leader took a statement of this incarnation
+	defunct   bool // another process took over the name
+	installed installed
+	lease     lease
+	members   memberList
+	heard     *upstream.Registry // heard directly, to be told to the leader
+	known     *upstream.Registry // everything that is known
+	grants    []quota.Grant
+	demand    []quota.Demand
+	position  syncPosition
+	voters    []consensus.Member
+	nextVoter int     // which voter to ask next when no leader is known
+	group     *group  // nil on an instance without a log
+	leader    *leader // nil unless this voter leads
+	views     viewState
+}
+
+// syncPosition is what this instance and a leader know of each other.
+type syncPosition struct {
+	epoch     string
+	leader    string // control address
+	members   uint64
+	upstreams uint64
+	heardUpTo uint64 // version of heard that the leader has
+}
+
+func newCore(n *Node) (*core, error) {
+	process := n.opts.Process
+	c := &core{
+		node:      n,
+		log:       n.log,
+		timing:    n.opts.Timing,
+		installed: installed{folder: dataFolder{process.DataFolder, n.opts.FS}, parse: n.opts.Parse},
+		members:   newMemberList(),
+	}
+	if err := c.openFolder(); err != nil {
+		return nil, err
+	}
+	c.self = membership.Instance{
+		Name:             process.Name,
+		Address:          n.opts.trafficAddress(),
+		ControlAddress:   n.opts.controlAddress(),
+		AvailabilityZone: process.AvailabilityZone,
+		Region:           process.Region,
+		Voter:            process.Voter,
+		Revision:         c.installed.revision(),
+	}
+	if err := c.renewIncarnation(0); err != nil {
+		return nil, err
+	}
+	c.heard = upstream.NewRegistry(c.freshFor())
+	c.known = upstream.NewRegistry(c.freshFor())
+	return c, nil
+}
+
+// step does what is due and returns when to come back.
+func (c *core) step(now time.Time) (time.Time, error) {
+	next := now.Add(maxWait)
+	if c.group != nil {
+		due, err := c.group.step(now)
+		if err != nil {
+			return next, err
+		}
+		next = earlier(next, due)
+	}
+	c.followLeadership(now)
+	if c.leader != nil {
+		next = earlier(next, c.leader.step(now))
+	}
+	c.noteLease(now)
+	return earlier(next, c.publishIfDue(now)), nil
+}
+
+// noteLease logs when the lease was gained or lost.
+func (c *core) noteLease(now time.Time) {
+	switch c.lease.change(now) {
+	case leaseGained:
+		eventLeaseGained.Log(c.log, event.Fields{"revision": c.installed.revision()})
+	case leaseLost:
+		eventLeaseLost.Log(c.log, event.Fields{"revision": c.installed.revision()})
+		c.views.dirty()
+	}
+}
+
+// hear takes an announcement that an upstream made to this instance.
+func (c *core) hear(now time.Time, a upstream.Announcement) {
+	news := c.heard.Hear(now, a)
+	c.known.Hear(now, a)
+	if !news {
+		return
+	}
+	c.noteUpstream(a)
+	if a.Leaving {
+		c.node.kickSync()
+	}
+}
+
+// noteUpstream has the next view contain the upstream's news: at once when it
+// leaves, and within a moment otherwise.
+func (c *core) noteUpstream(a upstream.Announcement) {
+	if a.Leaving {
+		c.views.dirty()
+		return
+	}
+	c.views.stale()
+}
+
+// drain takes this instance out of the addresses that callers get.
+func (c *core) drain(now time.Time) {
+	c.self.State = membership.Draining
+	c.views.dirty()
+	if c.group != nil {
+		c.group.handOver(now)
+	}
+}
+
+func (c *core) freshFor() time.Duration {
+	if c.installed.tree == nil || c.installed.tree.Fleet.FreshFor == 0 {
+		return defaultFreshFor
+	}
+	return c.installed.tree.Fleet.FreshFor
+}
+
+// defaultFreshFor holds until the first settings are installed.
+const defaultFreshFor = 3 * time.Second
+
+func (c *core) close() {
+	if c.group != nil {
+		c.group.close()
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/control/datafolder.go
@@ -0,0 +1,44 @@
+package control
+
+import (
+	"path/filepath"
+
+	"github.com/sirupsen/logrus"
+
+	"celeryport/consensus"
+	"celeryport/wal"
+)
+
+// The content of the data folder.
+const (
+	logFolder       = "log"
+	foundingFile    = "founding"
+	installedFile   = "installed"
+	incarnationFile = "incarnation"
+)
+
+// dataFolder keeps the files of an instance; each write is synced before it
+// returns. A folder with an empty path keeps nothing.
+type dataFolder struct {
+	path string
+	fs   wal.FS
+}
+
+// write replaces a file whole.
+func (d dataFolder) write(name string, data []byte) error {
+	if d.path == "" {
+		return nil
+	}
+	return wal.WriteChecked(d.fs, filepath.Join(d.path, name), data)
+}
+
+// read returns a file's content; the error is fs.ErrNotExist if there is none.
+func (d dataFolder) read(name string) ([]byte, error) {
+	return wal.ReadChecked(d.fs, filepath.Join(d.path, name))
+}
+
+// openLog opens the log of a voter and locks it against a second process.
+func (d dataFolder) openLog(instance string, log logrus.FieldLogger) (*wal.Log, consensus.Storage, error) {
+	opened, found, err := wal.Open(filepath.Join(d.path, logFolder), instance, d.fs, wal.Options{Logger: log})
+	return opened, found.Storage, err
+}
--- /dev/null
+++ b/control/events.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"celeryport/event"
+)
+
+var (
+	eventStarted = event.Define(3000, logrus.InfoLevel, "control started",
+		"The control side of the instance runs. Fields: name, incarnation, address, voter.")
+	eventInstalled = event.Define(3001, logrus.InfoLevel, "settings installed",
+		"The instance installed a newer revision of the settings tree and admits by it.")
+	eventInstallFailed = event.Define(3002, logrus.ErrorLevel, "settings not installed",
+		"The instance could not install an accepted revision and stops admitting when its lease lapses. Free the disk or upgrade the instance.")
+	eventLeaseLost = event.Define(3003, logrus.WarnLevel, "lease lapsed",
+		"The instance got no confirmation from a majority of the voters in time and admits nothing until it does. Check the network to the voters.")
+	eventLeaseGained = event.Define(3004, logrus.InfoLevel, "lease held",
+		"The instance holds a lease on its settings and admits requests.")
+	eventSuperseded = event.Define(3005, logrus.ErrorLevel, "another process runs under this name",
+		"A newer process with the same name took over; this one admits nothing any more. Give each instance a name of its own.")
+	eventInForce = event.Define(3006, logrus.InfoLevel, "settings in force",
+		"Every instance that can admit has confirmed the revision, or its lease has lapsed.")
+	eventLeading = event.Define(3010, logrus.InfoLevel, "leads the control group",
+		"This voter was elected and has the whole log.")
+	eventFollowing = event.Define(3011, logrus.InfoLevel, "no longer leads the control group",
+		"Another voter leads now, or this one lost the majority.")
+	eventStorageFailed = event.Define(3012, logrus.ErrorLevel, "data folder failed",
+		"A write or sync of the log failed. The voter stops taking part at once, since it could not keep a promise; repair or replace the disk and restart.")
+	eventNotMember = event.Define(3013, logrus.WarnLevel, "voter is not a member of the control group",
+		"The data folder is new and the control group was founded without it, for instance after the loss of a disk. Make it a member with: celeryport voter replace.")
+	eventFounded = event.Define(3014, logrus.InfoLevel, "control group founded",
+		"All voters of the settings were present with new data folders and form the control group.")
+	eventFounding = event.Define(3015, logrus.InfoLevel, "waits for the other voters",
+		"The control group is founded once all voters of the settings answer.")
+	eventApplied = event.Define(3016, logrus.InfoLevel, "settings accepted",
+		"An operator's tree was accepted as a new revision. Fields: revision, base, order.")
+	eventVoterChange = event.Define(3017, logrus.InfoLevel, "voters changed",
+		"The set of voters or learners changed. Fields: voters, learners.")
+	eventServeFailed = event.Define(3020, logrus.ErrorLevel, "control address failed",
+		"The control address can't be served; the instance stops.")
+)
--- /dev/null
+++ b/control/fleet_test.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"celeryport/control/state"
+	"celeryport/settings"
+	"celeryport/verdict"
+)
+
+// fleet is a set of nodes on loopback in one process.
+type fleet struct {
+	t       *testing.T
+	voters  []settings.Member
+	members []*testNode
+	timing  Timing
+}
+
+// testNode is one node that can be stopped and started again.
+type testNode struct {
+	node    *Node
+	process settings.Process
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+const testInstanceKey, testOperatorKey = "instance-key", "operator-key"
+
+// testTree is a tree whose text differs for each n.
+func testTree(n int) []byte {
+	return fmt.Appendf(nil, "[organisation.aretusa]\nweight = %d\n[class.counter]\ndeadline = 5s\n[length.any]\nup_to = 2M\n", n+1)
+}
+
+// newFleet starts the first voters instances as voters and the others without
+// a data folder, and waits until all hold a lease.
+func newFleet(t *testing.T, voters, others int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, timing: testTiming()}
+	var listeners []net.Listener
+	for i := range voters + others {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, listener)
+		if i < voters {
+			f.voters = append(f.voters, settings.Member{ID: fmt.Sprintf("i%d", i), Address: listener.Addr().String()})
+		}
+	}
+	for i, listener := range listeners {
+		f.add(i, i < voters, listener)
+	}
+	return f
+}
+
+func testTiming() Timing {
+	timing := DefaultTiming()
+	timing.Membership.Lease = 1500 * time.Millisecond
+	timing.Membership.Margin = 200 * time.Millisecond
+	return timing
+}
+
+// add starts one more instance.
+func (f *fleet) add(number int, voter bool, listener net.Listener) *testNode {
+	f.t.Helper()
+	process := settings.Process{
+		Name:             fmt.Sprintf("i%d", number),
+		AvailabilityZone: "sala-ortigia",
+		Listen:           fmt.Sprintf("127.0.0.1:%d", 10000+number),
+		ControlListen:    listener.Addr().String(),
+		Voter:            voter,
+		Voters:           f.voters,
+		InstanceKey:      testInstanceKey,
+		OperatorKeys:     []string{testOperatorKey},
+	}
+	if voter {
+		process.DataFolder = f.t.TempDir()
+	}
+	n := &testNode{process: process}
+	f.members = append(f.members, n)
+	f.start(n, listener)
+	f.t.Cleanup(n.halt)
+	return n
+}
+
+// start runs the node; a nil listener listens on its address again.
+func (f *fleet) start(n *testNode, listener net.Listener) {
+	f.t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	if testing.Verbose() {
+		log.SetOutput(f.t.Output())
+		log.SetLevel(logrus.DebugLevel)
+	}
+	node, err := New(Options{
+		Process: &n.process, Log: log.WithField("at", n.process.Name), Listener: listener, Timing: f.timing,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.node, n.stop, n.ended = node, cancel, make(chan error, 1)
+	go func() { n.ended <- node.Run(ctx) }()
+}
+
+// halt stops the node and waits for its end.
+func (n *testNode) halt() {
+	if n.stop == nil {
+		return
+	}
+	n.stop()
+	<-n.ended
+	n.stop = nil
+}
+
+// await waits for a condition that the fleet reaches by its own events.
+func (f *fleet) await(what string, condition func() bool) {
+	f.t.Helper()
+	deadline := time.NewTimer(30 * time.Second)
+	defer deadline.Stop()
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for !condition() {
+		select {
+		case <-deadline.C:
+			f.t.Fatalf("never: %s", what)
+		case <-tick.C:
+		}
+	}
+}
+
+// ask sends an operator's command to the running nodes in turn until one of
+// them answers.
+func (f *fleet) ask(command string, request, response any) {
+	f.t.Helper()
+	body, err := json.Marshal(request)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.await(command+" answered", func() bool {
+		for _, m := range f.members {
+			if m.stop == nil {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			answer, err := m.node.Ask(ctx, m.process.ControlListen, command, body)
+			cancel()
+			if err == nil {
+				return json.Unmarshal(answer, response) == nil
+			}
+			if verdict.From(err).Reason == verdict.ReasonBadRequest {
+				f.t.Fatal(err)
+			}
+		}
+		return false
+	})
+}
+
+// apply sends one order and returns its outcome.
+func (f *fleet) apply(base uint64, id string, text []byte) state.Outcome {
+	f.t.Helper()
+	var outcome state.Outcome
+	f.ask(CommandApply, ApplyRequest{Base: base, OrderID: id, Text: text}, &outcome)
+	return outcome
+}
+
+// awaitInstalled waits until every running node admits by the revision.
+func (f *fleet) awaitInstalled(revision uint64) {
+	f.t.Helper()
+	f.await(fmt.Sprintf("revision %d everywhere", revision), func() bool {
+		for _, m := range f.members {
+			if m.stop == nil {
+				continue
+			}
+			v := m.node.View()
+			if v.Tree == nil || v.Tree.Revision != revision || !time.Now().Before(v.LeaseUntil) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/control/group.go
@@ -0,0 +1,246 @@
+package control
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/consensus"
+	"celeryport/control/state"
+	"celeryport/event"
+	"celeryport/verdict"
+	"celeryport/wal"
+)
+
+// group is a voter's part in the control group: it drives consensus, keeps its
+// log on disk and feeds the state machine. Only the control goroutine touches
+// it.
+type group struct {
+	core        *core
+	id          consensus.ID
+	log         *wal.Log
+	stored      consensus.Storage // read at start, for consensus
+	node        *consensus.Node   // nil until the group is founded, and after the disk failed
+	machine     *state.Machine
+	founding    *consensus.Configuration
+	proposals   proposals
+	peers       map[consensus.ID]*peer
+	senders     map[consensus.ID]string // address that each sender gave of itself
+	appliedTerm uint64                  // term of the last applied entry
+	compacted   uint64                  // index of the last snapshot
+	failed      error                   // why the voter stopped
+}
+
+// farAway is when to come back for something that nothing is scheduled for.
+const farAway = time.Hour
+
+// start begins to take part. A voter that is not in the initial configuration
+// knows none, and waits until a leader reaches it.
+func (g *group) start(initial consensus.Configuration) error {
+	if err := g.machine.Restore(g.stored.Snapshot.Data); err != nil {
+		return err
+	}
+	g.machine.Skip(g.stored.Snapshot.Index)
+	g.compacted = g.stored.Snapshot.Index
+	g.appliedTerm = g.stored.Snapshot.Term
+	node, err := consensus.New(consensus.Config{
+		ID:       g.id,
+		Timing:   g.core.timing.Consensus,
+		Initial:  initial,
+		Rand:     g.core.node.opts.Random,
+		Trailing: g.core.timing.Compact,
+	}, g.stored)
+	if err != nil {
+		return errors.Wrap(err, "start consensus")
+	}
+	g.node = node
+	g.stored = consensus.Storage{}
+	return nil
+}
+
+// step lets time pass and does all that has come up.
+func (g *group) step(now time.Time) (time.Time, error) {
+	if g.node == nil {
+		return now.Add(farAway), nil
+	}
+	if !now.Before(g.node.NextTick()) {
+		g.node.Tick(now)
+	}
+	for g.node != nil && g.node.HasReady() {
+		if err := g.process(); err != nil {
+			return now, err
+		}
+	}
+	if g.node == nil {
+		return now.Add(farAway), nil
+	}
+	g.compactIfDue()
+	return g.node.NextTick(), nil
+}
+
+// process handles one batch in the order that consensus demands: sync, send,
+// apply.
+func (g *group) process() error {
+	batch := g.node.Ready()
+	if err := g.store(&batch); err != nil {
+		g.fail(err)
+		return nil
+	}
+	g.sendAll(batch.Messages)
+	if err := g.install(batch.Snapshot); err != nil {
+		return err
+	}
+	for i := range batch.Committed {
+		if err := g.apply(&batch.Committed[i]); err != nil {
+			return err
+		}
+	}
+	g.node.Advance()
+	return nil
+}
+
+// fail ends this voter's part after a write or sync failed. Nothing that it
+// promised since the last good sync may be counted on, and after a failed sync
+// a second one can report success without having written anything: so it must
+// never try again. The instance itself goes on with another voter as its leader.
+func (g *group) fail(err error) {
+	eventStorageFailed.Log(g.core.log, event.Fields{"error": err, "folder": g.core.installed.folder.path})
+	g.failed = err
+	g.node = nil
+	g.proposals.abandon(verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonStorageFailed, "the log could not be written"))
+}
+
+// install replaces the state by a snapshot from the leader.
+func (g *group) install(s *consensus.Snapshot) error {
+	if s == nil {
+		return nil
+	}
+	if err := g.machine.Restore(s.Data); err != nil {
+		return err
+	}
+	g.machine.Skip(s.Index)
+	g.appliedTerm = s.Term
+	g.compacted = s.Index
+	g.proposals.overtaken(s.Index)
+	return nil
+}
+
+// apply executes one committed entry.
+func (g *group) apply(e *consensus.Entry) error {
+	g.appliedTerm = e.Term
+	if e.Kind != consensus.Proposal {
+		g.machine.Skip(e.Index)
+		g.noteVoters(e)
+		return nil
+	}
+	outcome, err := g.machine.Apply(e.Index, e.Term, e.Data)
+	if err != nil {
+		return err
+	}
+	if outcome.Kind == state.Accepted && outcome.Revision == e.Index {
+		current := g.machine.Current()
+		eventApplied.Log(g.core.log, event.Fields{
+			"revision": outcome.Revision, "base": current.Base, "order": current.OrderID,
+		})
+	}
+	g.proposals.committed(e.Index, e.Term, outcome)
+	return nil
+}
+
+func (g *group) noteVoters(e *consensus.Entry) {
+	if e.Kind != consensus.Reconfiguration {
+		return
+	}
+	c := g.node.Status().Configuration
+	eventVoterChange.Log(g.core.log, event.Fields{"voters": c.Voters, "learners": c.Learners})
+}
+
+// compactIfDue replaces old entries by a snapshot, so that the log stays small
+// and a voter that missed hundreds of changes catches up in one transfer.
+func (g *group) compactIfDue() {
+	applied := g.machine.Applied()
+	if applied < g.compacted+g.core.timing.Compact {
+		return
+	}
+	if err := g.compact(applied); err != nil {
+		g.fail(err)
+	}
+}
+
+func (g *group) compact(index uint64) error {
+	data, err := g.machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	snapshot, err := g.node.SnapshotAt(index, data)
+	if err != nil {
+		return err
+	}
+	if err := g.log.SaveSnapshot(snapshot); err != nil {
+		return err
+	}
+	g.compacted = index
+	return g.node.Compact(snapshot)
+}
+
+// leads reports whether this voter leads and has applied an entry of its own
+// term, and which term that is.
+func (g *group) leads() (bool, uint64) {
+	if g.node == nil {
+		return false, 0
+	}
+	s := g.node.Status()
+	return s.Role == consensus.Leader && g.appliedTerm == s.Term, s.Term
+}
+
+// leaseValid reports whether no other leader can have been elected by now.
+func (g *group) leaseValid(now time.Time) bool { return g.node != nil && g.node.HasLease(now) }
+
+// voters returns the voters of the configuration in force.
+func (g *group) voters() []consensus.Member {
+	if g.node == nil {
+		return nil
+	}
+	return g.node.Status().Configuration.Voters
+}
+
+// leaderAddress returns the control address of the leader, if known.
+func (g *group) leaderAddress() string {
+	if g.node == nil {
+		return ""
+	}
+	s := g.node.Status()
+	for _, m := range s.Configuration.Voters {
+		if m.ID == s.Leader {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// handOver gives the leadership to the voter that has most of the log, before
+// this instance leaves.
+func (g *group) handOver(now time.Time) {
+	if g.node == nil {
+		return
+	}
+	s := g.node.Status()
+	best := consensus.PeerStatus{}
+	for _, p := range s.Peers {
+		if p.Voter && p.Match >= best.Match {
+			best = p
+		}
+	}
+	if s.Role == consensus.Leader && best.ID != "" {
+		_ = g.node.TransferLeadership(now, best.ID) // refused: the others elect after this one is gone
+	}
+}
+
+func (g *group) close() {
+	for _, p := range g.peers {
+		p.close()
+	}
+	if err := g.log.Close(); err != nil {
+		eventStorageFailed.Log(g.core.log, event.Fields{"error": err})
+	}
+}
--- /dev/null
+++ b/control/installed.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"encoding/json"
+	"io/fs"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/settings"
+)
+
+// installed is the revision that this instance admits by. With a data folder it
+// is synced before it is used, so that a restart never goes back to a lower one.
+type installed struct {
+	folder dataFolder
+	parse  func(file string, text []byte) (*settings.Tree, error)
+	tree   *settings.Tree
+}
+
+// installedRecord is the content of the file.
+type installedRecord struct {
+	Revision uint64 `json:"revision"`
+	Text     []byte `json:"text"`
+}
+
+// revision returns the number of the installed revision, 0 if none.
+func (i *installed) revision() uint64 {
+	if i.tree == nil {
+		return 0
+	}
+	return i.tree.Revision
+}
+
+// load reads what was installed before the restart.
+func (i *installed) load() error {
+	if i.folder.path == "" {
+		return nil
+	}
+	data, err := i.folder.read(installedFile)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read the installed settings")
+	}
+	var record installedRecord
+	if err := json.Unmarshal(data, &record); err != nil {
+		return errors.Wrap(err, "the installed settings are damaged")
+	}
+	return i.take(record.Revision, record.Text)
+}
+
+// install makes a newer revision the installed one. A revision that is not
+// newer is ignored: an old answer that arrives late must not revert the
+// settings.
+func (i *installed) install(revision uint64, text []byte) error {
+	if revision <= i.revision() {
+		return nil
+	}
+	tree, err := i.parsed(revision, text)
+	if err != nil {
+		return err
+	}
+	if err := i.keep(revision, text); err != nil {
+		return err
+	}
+	i.tree = tree
+	return nil
+}
+
+func (i *installed) take(revision uint64, text []byte) error {
+	tree, err := i.parsed(revision, text)
+	if err != nil {
+		return err
+	}
+	i.tree = tree
+	return nil
+}
+
+func (i *installed) parsed(revision uint64, text []byte) (*settings.Tree, error) {
+	tree, err := i.parse("accepted settings", text)
+	if err != nil {
+		return nil, errors.Wrapf(err, "revision %d", revision)
+	}
+	tree.Revision = revision
+	return tree, nil
+}
+
+func (i *installed) keep(revision uint64, text []byte) error {
+	data, err := json.Marshal(installedRecord{Revision: revision, Text: text})
+	if err != nil {
+		return errors.Wrap(err, "encode the installed settings")
+	}
+	return i.folder.write(installedFile, data)
+}
--- /dev/null
+++ b/control/leader.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"celeryport/consensus"
+	"celeryport/event"
+	"celeryport/membership"
+	"celeryport/quota"
+	"celeryport/upstream"
+)
+
+// leader is what a voter keeps only while it leads: the instances, the syncs
+// that it holds, and how far the accepted settings are in force.
+type leader struct {
+	core        *core
+	epoch       string
+	term        uint64
+	since       time.Time
+	table       *membership.Table
+	polls       []poll
+	demands     map[string]instanceDemand
+	inForce     uint64 // newest revision known to be in force
+	ids         map[string]consensus.ID
+	issuerAsked bool
+	issuerAt    time.Time // when this leader became the issuer
+	urgent      uint64    // version of the known upstreams at the last news that can't wait
+}
+
+// instanceDemand is the last statement of one instance.
+type instanceDemand struct {
+	demand []quota.Demand
+	at     time.Time
+}
+
+// poll is a sync whose answer is held until there is news.
+type poll struct {
+	request *syncRequest
+	due     time.Time
+	reply   chan<- *syncResponse
+}
+
+func newLeader(now time.Time, c *core, term uint64) *leader {
+	return &leader{
+		core:    c,
+		epoch:   fmt.Sprintf("%s/%d/%d", c.self.Name, c.self.Incarnation, term),
+		term:    term,
+		since:   now,
+		table:   membership.NewTable(now, c.timing.Membership),
+		demands: map[string]instanceDemand{},
+		ids:     map[string]consensus.ID{},
+	}
+}
+
+// followLeadership starts and ends the leader's part with the role of the voter.
+// A new leader counts as one only when it has applied an entry of its own term:
+// before that it may not know of changes that were accepted under the former.
+func (c *core) followLeadership(now time.Time) {
+	leads, term := false, uint64(0)
+	if c.group != nil {
+		leads, term = c.group.leads()
+	}
+	if c.leader != nil && (!leads || c.leader.term != term) {
+		eventFollowing.Log(c.log, event.Fields{"term": c.leader.term})
+		c.leader.dismiss()
+		c.leader = nil
+	}
+	if c.leader == nil && leads {
+		eventLeading.Log(c.log, event.Fields{"term": term})
+		c.leader = newLeader(now, c, term)
+		c.position.leader = c.self.ControlAddress
+	}
+}
+
+// dismiss answers the held syncs when this voter leads no more.
+func (l *leader) dismiss() {
+	l.core.node.issuer.Store(nil)
+	for _, p := range l.polls {
+		p.reply <- &syncResponse{Redirect: true}
+	}
+	l.polls = nil
+}
+
+// accept takes in a sync and answers it or holds it.
+func (l *leader) accept(now time.Time, request *syncRequest, reply chan<- *syncResponse) {
+	if l.table.Heard(now, request.Instance) == membership.Stale {
+		reply <- &syncResponse{Superseded: l.table.Incarnation(request.Instance.Name)}
+		return
+	}
+	l.ids[request.Instance.Name] = request.VoterID
+	l.demands[request.Instance.Name] = instanceDemand{demand: request.Demand, at: now}
+	for _, relayed := range request.Heard {
+		l.relay(now, relayed)
+	}
+	wait := time.Duration(request.WaitMs) * time.Millisecond
+	l.polls = append(l.polls, poll{request: request, due: now.Add(min(wait, l.core.timing.Sync)), reply: reply})
+}
+
+// relay notes an announcement that another instance heard.
+func (l *leader) relay(now time.Time, relayed upstream.Relayed) {
+	if !l.core.known.HearRelayed(now, relayed) {
+		return
+	}
+	l.core.noteUpstream(relayed.Announcement)
+	if relayed.Announcement.Leaving {
+		l.urgent = l.core.known.Version()
+	}
+}
+
+// step answers what is due and returns when to come back.
+func (l *leader) step(now time.Time) time.Time {
+	l.table.Expire(now)
+	l.noteInForce(now)
+	l.keepIssuer(now)
+	next := now.Add(maxWait)
+	held := l.polls[:0]
+	for _, p := range l.polls {
+		if now.Before(p.due) && !l.hasNews(p.request) {
+			held = append(held, p)
+			next = earlier(next, p.due)
+			continue
+		}
+		p.reply <- l.answer(now, p.request)
+	}
+	clear(l.polls[len(held):])
+	l.polls = held
+	return next
+}
+
+// hasNews reports whether an instance must learn something at once.
+func (l *leader) hasNews(r *syncRequest) bool {
+	return r.Epoch != l.epoch ||
+		r.Instance.Revision < l.core.group.machine.Current().Number ||
+		r.Members < l.table.Revision() ||
+		r.Upstreams < l.urgent
+}
+
+// answer builds the answer to a sync, with a lease when this leader's own lease
+// shows that no other leader can have been elected meanwhile.
+func (l *leader) answer(now time.Time, r *syncRequest) *syncResponse {
+	members, upstreams := r.Members, r.Upstreams
+	if r.Epoch != l.epoch {
+		members, upstreams = 0, 0
+	}
+	group := l.core.group
+	response := &syncResponse{
+		Leader:    l.core.self.ControlAddress,
+		Epoch:     l.epoch,
+		Revision:  group.machine.Current().Number,
+		Members:   l.table.Changed(members),
+		MembersAt: l.table.Revision(),
+		HeardUpTo: r.HeardUpTo,
+		Voters:    group.voters(),
+	}
+	response.Upstreams, response.UpstreamAt = l.core.known.ChangesSince(now, upstreams)
+	if r.Instance.Revision < response.Revision {
+		response.Text = group.machine.Text()
+	}
+	if group.leaseValid(now) && r.Instance.State != membership.Gone {
+		response.LeaseMs = l.core.timing.Membership.Lease.Milliseconds()
+		l.table.Granted(now, r.Instance.Name)
+	}
+	response.Grants = l.grants(now, r.Instance.Name)
+	return response
+}
+
+// noteInForce logs the moment when a revision is in force everywhere.
+func (l *leader) noteInForce(now time.Time) {
+	current := l.core.group.machine.Current().Number
+	if current <= l.inForce || !l.table.InForce(now, current) {
+		return
+	}
+	l.inForce = current
+	eventInForce.Log(l.core.log, event.Fields{"revision": current})
+}
--- /dev/null
+++ b/control/node.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"celeryport/clock"
+	"celeryport/order"
+	"celeryport/rpc"
+	"celeryport/upstream"
+	"celeryport/verdict"
+)
+
+// Node is the control side of one instance. It implements Plane and
+// Operations. One goroutine, started by Run, owns the core with all control
+// state; the others hand it tasks and read published views.
+type Node struct {
+	opts     Options
+	log      logrus.FieldLogger
+	clock    clock.Clock
+	clients  *rpc.Clients
+	handlers map[string]Handler
+	view     atomic.Pointer[View]
+	issuer   atomic.Pointer[order.Issuer] // nil unless this instance issues engine orders
+	orders   *order.Driver
+	kick     chan struct{}
+	tasks    chan task
+	stopped  chan struct{} // closed when the control goroutine has ended
+	core     *core         // owned by the control goroutine
+}
+
+// task is work for the control goroutine.
+type task func(now time.Time)
+
+// taskQueue bounds the tasks that wait for the control goroutine; above it the
+// senders wait, so that a stalled disk slows them and costs no memory.
+const taskQueue = 1024
+
+// errStopped ends calls on a node that does not run any more.
+var errStopped = verdict.Refuse(verdict.ReasonDraining, 0, "control has stopped")
+
+// New prepares a node: it opens the data folder and loads what was installed
+// before. Run starts it.
+func New(opts Options) (*Node, error) {
+	if opts.Process == nil || opts.Log == nil {
+		return nil, errors.New("control needs process settings and a log")
+	}
+	n := &Node{
+		opts:     opts.withDefaults(),
+		log:      opts.Log,
+		handlers: map[string]Handler{},
+		tasks:    make(chan task, taskQueue),
+		stopped:  make(chan struct{}),
+		kick:     make(chan struct{}, 1),
+	}
+	n.clock = n.opts.Clock
+	n.clients = rpc.NewClients(opts.Process.InstanceKey, opts.Dial)
+	core, err := newCore(n)
+	if err != nil {
+		return nil, err
+	}
+	n.core = core
+	n.orders = n.newOrders()
+	n.core.publish(n.clock.Now())
+	n.registerCommands()
+	return n, nil
+}
+
+// View implements Plane.
+func (n *Node) View() *View { return n.view.Load() }
+
+// Announce implements Plane. It does not wait: while the control goroutine is
+// stalled an announcement is dropped, and the next one comes within a second.
+func (n *Node) Announce(a upstream.Announcement) {
+	select {
+	case n.tasks <- func(now time.Time) { n.core.hear(now, a) }:
+	default:
+	}
+}
+
+// Handle implements Operations.
+func (n *Node) Handle(command string, h Handler) { n.handlers[command] = h }
+
+// Traffic returns the counters of the calls that this node made to others.
+func (n *Node) Traffic() *rpc.Stats { return n.clients.Stats() }
+
+// Drain implements Plane: it tells the leader, waits until the leader knows, and
+// then hands over the leadership if this instance holds it.
+func (n *Node) Drain(ctx context.Context) error {
+	if err := n.do(ctx, func(now time.Time) { n.core.drain(now) }); err != nil {
+		return err
+	}
+	return n.syncOnce(ctx, 0)
+}
+
+// do runs a task on the control goroutine and waits for its end.
+func (n *Node) do(ctx context.Context, t task) error {
+	done := make(chan struct{})
+	wrapped := func(now time.Time) {
+		defer close(done)
+		t(now)
+	}
+	if err := n.post(ctx, wrapped); err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-n.stopped:
+		return errStopped
+	}
+}
+
+// post hands a task to the control goroutine without waiting for its end.
+func (n *Node) post(ctx context.Context, t task) error {
+	select {
+	case n.tasks <- t:
+		return nil
+	case <-n.stopped:
+		return errStopped
+	case <-ctx.Done():
+		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.ReasonTimeout, "control is busy")
+	}
+}
--- /dev/null
+++ b/control/openfolder.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"celeryport/consensus"
+	"celeryport/control/state"
+)
+
+// openFolder reads what this instance kept and, on a voter, opens the log.
+func (c *core) openFolder() error {
+	folder := c.installed.folder
+	if folder.path == "" {
+		if c.node.opts.Process.Voter {
+			return errors.New("a voter needs a data folder")
+		}
+		return nil
+	}
+	if err := folder.fs.MakeFolder(folder.path); err != nil {
+		return errors.Wrap(err, "make the data folder")
+	}
+	if !c.node.opts.Process.Voter {
+		return c.installed.load()
+	}
+	if err := c.openGroup(folder); err != nil {
+		return err
+	}
+	return c.installed.load()
+}
+
+// openGroup opens the log of a voter and starts consensus at once when the
+// folder has taken part before.
+func (c *core) openGroup(folder dataFolder) error {
+	log, stored, err := folder.openLog(c.node.opts.Process.Name, c.log)
+	if err != nil {
+		return err
+	}
+	founding, err := loadFounding(folder)
+	if err != nil {
+		return errors.CombineErrors(err, log.Close())
+	}
+	c.group = &group{
+		core:     c,
+		id:       log.Identity().Voter,
+		log:      log,
+		stored:   stored,
+		machine:  state.New(),
+		founding: founding,
+		peers:    map[consensus.ID]*peer{},
+		senders:  map[consensus.ID]string{},
+	}
+	if founding != nil {
+		return c.group.start(*founding)
+	}
+	if hasLog(&stored) || !c.node.namedAsVoter() {
+		return c.group.start(consensus.Configuration{})
+	}
+	return nil
+}
+
+func hasLog(s *consensus.Storage) bool {
+	return s.HardState.Term > 0 || s.Snapshot.Index > 0 || len(s.Entries) > 0
+}
+
+// namedAsVoter reports whether the process settings name this instance among the
+// first voters.
+func (n *Node) namedAsVoter() bool {
+	for _, voter := range n.opts.Process.Voters {
+		if voter.Address == n.opts.controlAddress() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/control/options.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"celeryport/clock"
+	"celeryport/consensus"
+	"celeryport/ledger"
+	"celeryport/membership"
+	"celeryport/rpc"
+	"celeryport/settings"
+	"celeryport/wal"
+)
+
+// Options configure a Node. Process and Log must be set.
+type Options struct {
+	Process  *settings.Process
+	Log      logrus.FieldLogger
+	Clock    clock.Clock                                            // nil: the machine's
+	Listener net.Listener                                           // nil: listen on Process.ControlListen
+	Dial     rpc.Dial                                               // nil: TCP
+	Ledger   ledger.Store                                           // nil: copies are refused
+	Random   *rand.Rand                                             // nil: seeded from the machine
+	Parse    func(file string, text []byte) (*settings.Tree, error) // nil: settings.ParseTree
+	FS       wal.FS                                                 // nil: the machine's; tests make it fail
+	Timing   Timing                                                 // zero: DefaultTiming
+}
+
+// Timing holds the intervals of control.
+type Timing struct {
+	Consensus  consensus.Timing
+	Membership membership.Timing
+	Sync       time.Duration // longest hold of a sync by the leader, and so the interval of heartbeats
+	Call       time.Duration // timeout of one call between instances, above Sync
+	Retry      time.Duration // pause after a failed sync
+	Compact    uint64        // applied entries between two snapshots of the log
+}
+
+// DefaultTiming returns the intervals in production. A change is in force within
+// Membership.Lease plus Margin of its commit even when an instance is cut off.
+func DefaultTiming() Timing {
+	return Timing{
+		Consensus: consensus.Timing{
+			Heartbeat:   150 * time.Millisecond,
+			ElectionMin: 1200 * time.Millisecond,
+			Lease:       time.Second,
+		},
+		Membership: membership.Timing{
+			Lease:  3 * time.Second,
+			Margin: 500 * time.Millisecond,
+			Kept:   24 * time.Hour,
+		},
+		Sync:    500 * time.Millisecond,
+		Call:    2 * time.Second,
+		Retry:   100 * time.Millisecond,
+		Compact: 1000,
+	}
+}
+
+// withDefaults fills what was left out.
+func (o Options) withDefaults() Options {
+	if o.Clock == nil {
+		o.Clock = clock.Real{}
+	}
+	if o.Random == nil {
+		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if o.FS == nil {
+		o.FS = wal.OS{}
+	}
+	if o.Parse == nil {
+		o.Parse = settings.ParseTree
+	}
+	if o.Timing == (Timing{}) {
+		o.Timing = DefaultTiming()
+	}
+	return o
+}
+
+// controlAddress is where other instances reach this one.
+func (o *Options) controlAddress() string {
+	if o.Process.ControlAdvertise != "" {
+		return o.Process.ControlAdvertise
+	}
+	return o.Process.ControlListen
+}
+
+// trafficAddress is what callers are given.
+func (o *Options) trafficAddress() string {
+	if o.Process.Advertise != "" {
+		return o.Process.Advertise
+	}
+	return o.Process.Listen
+}
--- /dev/null
+++ b/control/peer.go
@@ -0,0 +1,123 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"celeryport/consensus"
+	"celeryport/rpc"
+)
+
+// peerQueue bounds the messages that wait for one peer. Consensus repeats what
+// is lost, so the newest are dropped when it is full.
+const peerQueue = 256
+
+// peer sends consensus messages to one other member. What gathers while a call
+// is under way goes out in the next one.
+type peer struct {
+	address string
+	own     string // address of this instance, for the answers
+	clients *rpc.Clients
+	timeout time.Duration
+	queue   chan []byte
+	cancel  context.CancelFunc
+}
+
+func newPeer(address, own string, clients *rpc.Clients, timeout time.Duration) *peer {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &peer{
+		address: address,
+		own:     own,
+		clients: clients,
+		timeout: timeout,
+		queue:   make(chan []byte, peerQueue),
+		cancel:  cancel,
+	}
+	go p.run(ctx)
+	return p
+}
+
+// send queues a message without waiting.
+func (p *peer) send(message []byte) {
+	select {
+	case p.queue <- message:
+	default:
+	}
+}
+
+func (p *peer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-p.queue:
+			p.call(ctx, p.gather(first))
+		}
+	}
+}
+
+func (p *peer) gather(first []byte) [][]byte {
+	messages := [][]byte{first}
+	for range len(p.queue) {
+		messages = append(messages, <-p.queue)
+	}
+	return messages
+}
+
+// call loses the messages when it fails; the protocol allows for that.
+func (p *peer) call(ctx context.Context, messages [][]byte) {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	_, _ = p.clients.At(p.address).Consensus(ctx, &rpc.ConsensusRequest{Messages: messages, Address: p.own})
+}
+
+func (p *peer) close() { p.cancel() }
+
+// sendAll hands the messages to the peers, after the sync that they promise.
+func (g *group) sendAll(messages []consensus.Message) {
+	if len(messages) == 0 {
+		return
+	}
+	addresses := map[consensus.ID]string{}
+	configuration := g.node.Status().Configuration
+	for _, m := range configuration.Members() {
+		addresses[m.ID] = m.Address
+	}
+	for i := range messages {
+		g.send(addresses, &messages[i])
+	}
+}
+
+func (g *group) send(addresses map[consensus.ID]string, m *consensus.Message) {
+	p := g.peerFor(m.To, addresses[m.To])
+	if p == nil {
+		return
+	}
+	data, err := consensus.EncodeMessage(m)
+	if err != nil {
+		return // plain data: cannot fail
+	}
+	p.send(data)
+}
+
+// peerFor returns the sender to a member. One that the configuration does not
+// name, for instance the leader of a new learner, is reached at the address
+// where its messages said it is.
+func (g *group) peerFor(id consensus.ID, address string) *peer {
+	if address == "" {
+		address = g.senders[id]
+	}
+	known, found := g.peers[id]
+	if found && (address == "" || known.address == address) {
+		return known
+	}
+	if found {
+		known.close()
+	}
+	if address == "" {
+		return nil
+	}
+	p := newPeer(address, g.core.self.ControlAddress, g.core.node.clients, g.core.timing.Consensus.ElectionMin)
+	g.peers[id] = p
+	return p
+}
--- /dev/null
+++ b/control/run.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"celeryport/event"
+	"celeryport/rpc"
+)
+
+const (
+	shutdownTimeout = 2 * time.Second
+	leaveTimeout    = time.Second
+	leaveAttempts   = 2 // the second after a redirection
+	headerTimeout   = 5 * time.Second
+	idleTimeout     = time.Minute
+	maxHeaderBytes  = 16 << 10
+	maxWait         = time.Second // longest sleep of the control goroutine
+)
+
+// Run serves the control address and drives the node until ctx ends, or until
+// the data folder of a voter fails.
+func (n *Node) Run(outer context.Context) error {
+	listener, err := n.listen()
+	if err != nil {
+		return err
+	}
+	inner, end := context.WithCancel(context.WithoutCancel(outer))
+	defer end()
+	group, ctx := errgroup.WithContext(inner)
+	server := n.server()
+	group.Go(func() error { return n.serve(server, listener) })
+	group.Go(func() error { return n.loop(ctx) })
+	group.Go(func() error { return n.runFounding(ctx) })
+	group.Go(func() error { return n.runSync(ctx) })
+	group.Go(func() error { return n.orders.Run(ctx) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-outer.Done():
+			n.leave(ctx)
+		}
+		end()
+		return n.shutdown(server)
+	})
+	eventStarted.Log(n.log, event.Fields{
+		"name":        n.opts.Process.Name,
+		"incarnation": n.core.self.Incarnation,
+		"address":     listener.Addr().String(),
+		"voter":       n.opts.Process.Voter,
+	})
+	err = group.Wait()
+	n.clients.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (n *Node) listen() (net.Listener, error) {
+	if n.opts.Listener != nil {
+		return n.opts.Listener, nil
+	}
+	listener, err := net.Listen("tcp", n.opts.Process.ControlListen)
+	return listener, errors.Wrap(err, "listen on the control address")
+}
+
+func (n *Node) server() *http.Server {
+	keys := rpc.Keys{Instance: n.opts.Process.InstanceKey, Operators: n.opts.Process.OperatorKeys}
+	return &http.Server{
+		Handler:           rpc.Authenticate(keys, rpc.NewControlServer(&service{node: n})),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func (n *Node) serve(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	eventServeFailed.Log(n.log, event.Fields{"error": err})
+	return errors.Wrap(err, "serve the control address")
+}
+
+// shutdown ends the open calls. Long polls are held by the leader at most for
+// Timing.Sync, so that the bound is seldom reached.
+func (n *Node) shutdown(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		return server.Close()
+	}
+	return nil
+}
+
+// leave tells the leader that this instance admits nothing any more, so that
+// nobody waits for its lease. If the message is lost, the lease lapses.
+func (n *Node) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if n.do(ctx, func(time.Time) { n.core.goodbye() }) != nil {
+		return
+	}
+	for range leaveAttempts {
+		if n.syncOnce(ctx, 0) == nil {
+			return
+		}
+	}
+}
+
+// loop is the control goroutine: the only one that touches the core.
+func (n *Node) loop(ctx context.Context) error {
+	defer close(n.stopped)
+	defer n.core.close()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case t := <-n.tasks:
+			t(n.clock.Now())
+			n.drainTasks()
+		case <-timer.C:
+		}
+		next, err := n.core.step(n.clock.Now())
+		if err != nil {
+			return err
+		}
+		timer.Reset(min(maxWait, max(0, next.Sub(n.clock.Now()))))
+	}
+}
+
+// drainTasks runs what else waits, so that one sync of the log covers it all.
+func (n *Node) drainTasks() {
+	for range len(n.tasks) {
+		t := <-n.tasks
+		t(n.clock.Now())
+	}
+}
--- /dev/null
+++ b/control/service.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	"celeryport/rpc"
+	"celeryport/verdict"
+)
+
+// service answers the calls at the control address. Its methods run on the
+// goroutines of the HTTP server and hand the work to the control goroutine.
+type service struct {
+	node *Node
+}
+
+// Sync implements rpc.Control.
+func (s *service) Sync(ctx context.Context, in *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	var request syncRequest
+	if err := json.Unmarshal(in.State, &request); err != nil {
+		return nil, twirp.InvalidArgumentError("state", err.Error())
+	}
+	response, err := s.node.handleSync(ctx, &request)
+	if err != nil {
+		return nil, rpc.ToTwirp(err)
+	}
+	state, err := json.Marshal(response)
+	if err != nil {
+		return nil, rpc.ToTwirp(errors.Wrap(err, "encode a sync"))
+	}
+	return &rpc.SyncResponse{State: state}, nil
+}
+
+// handleSync hands a sync to the control goroutine and waits for the answer.
+func (n *Node) handleSync(ctx context.Context, request *syncRequest) (*syncResponse, error) {
+	reply := make(chan *syncResponse, 1)
+	if err := n.post(ctx, func(now time.Time) { n.core.acceptSync(now, request, reply) }); err != nil {
+		return nil, err
+	}
+	select {
+	case response := <-reply:
+		return response, nil
+	case <-n.stopped:
+		return nil, errStopped
+	case <-ctx.Done():
+		return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.ReasonTimeout, "sync")
+	}
+}
+
+// acceptSync gives a sync to the leader's part, or names the leader.
+func (c *core) acceptSync(now time.Time, request *syncRequest, reply chan<- *syncResponse) {
+	c.followLeadership(now)
+	if c.leader != nil {
+		c.leader.accept(now, request, reply)
+		return
+	}
+	reply <- &syncResponse{Redirect: true, Leader: c.leaderAddress()}
+}
+
+// leaderAddress is where this instance believes the leader to be.
+func (c *core) leaderAddress() string {
+	if c.group != nil {
+		return c.group.leaderAddress()
+	}
+	return c.position.leader
+}
+
+// CopyLedger implements rpc.Control.
+func (s *service) CopyLedger(_ context.Context, in *rpc.LedgerRequest) (*rpc.LedgerResponse, error) {
+	store := s.node.opts.Ledger
+	if store == nil {
+		return nil, rpc.ToTwirp(verdict.Refuse(verdict.ReasonNotFound, 0, "this instance keeps no ledger"))
+	}
+	position, err := store.Merge(in.Copy)
+	if err != nil {
+		return nil, rpc.ToTwirp(verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonStorageFailed, "merge a ledger copy"))
+	}
+	return &rpc.LedgerResponse{Stored: position}, nil
+}
+
+// Operate implements rpc.Control.
+func (s *service) Operate(ctx context.Context, in *rpc.OperateRequest) (*rpc.OperateResponse, error) {
+	handler, found := s.node.handlers[in.Command]
+	if !found {
+		return nil, rpc.ToTwirp(verdict.Refuse(verdict.ReasonNotFound, 0, "unknown command %q", in.Command))
+	}
+	body, err := handler(ctx, in.Body)
+	if err != nil {
+		return nil, rpc.ToTwirp(err)
+	}
+	return &rpc.OperateResponse{Body: body}, nil
+}
--- /dev/null
+++ b/control/showsettings.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"celeryport/control/state"
+	"celeryport/membership"
+)
+
+// SettingsStatus answers CommandShow.
+type SettingsStatus struct {
+	Accepted    state.Revision        `json:"accepted"`
+	InForce     uint64                `json:"in_force"` // newest revision that is in force everywhere, 0 if none is known
+	Outstanding []membership.Instance `json:"outstanding"`
+	Settling    bool                  `json:"settling"` // a new leader still waits for leases that the former one granted
+	Text        []byte                `json:"text"`
+	History     []state.Revision      `json:"history"`
+}
+
+// shownHistory is how many past revisions an answer lists.
+const shownHistory = 20
+
+// showSettings is the handler of CommandShow.
+func (n *Node) showSettings(ctx context.Context, _ []byte) ([]byte, error) {
+	var status SettingsStatus
+	err := n.asLeader(ctx, func(now time.Time, l *leader) {
+		machine := l.core.group.machine
+		l.noteInForce(now)
+		status = SettingsStatus{
+			Accepted:    machine.Current(),
+			InForce:     l.inForce,
+			Outstanding: l.table.Outstanding(machine.Current().Number),
+			Settling:    !l.table.Settled(now),
+			Text:        machine.Text(),
+			History:     machine.History(shownHistory),
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return encode(status)
+}
--- /dev/null
+++ b/control/synctake.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"time"
+
+	"celeryport/event"
+	"celeryport/membership"
+)
+
+// syncFailed forgets a leader that did not answer.
+func (c *core) syncFailed(target string) {
+	if c.position.leader == target {
+		c.position.leader = ""
+	}
+}
+
+// takeSync takes in an answer. The lease is renewed last: it covers the revision
+// in this answer, so it counts only once that is installed.
+func (c *core) takeSync(now, sentAt time.Time, target string, r *syncResponse) error {
+	if r.Redirect {
+		c.position.leader = r.Leader
+		if r.Leader == "" || r.Leader == target {
+			c.position.leader = ""
+			return errNoVoter
+		}
+		return nil
+	}
+	if r.Superseded > 0 {
+		return c.superseded(r.Superseded)
+	}
+	c.accepted = true
+	c.takeEpoch(r.Epoch, target)
+	c.takeDeltas(now, r)
+	if err := c.takeRevision(r); err != nil {
+		return err
+	}
+	if r.LeaseMs > 0 && c.installed.revision() >= r.Revision && c.self.State != membership.Gone {
+		c.lease.renew(sentAt, time.Duration(r.LeaseMs)*time.Millisecond)
+	}
+	c.views.dirty()
+	return nil
+}
+
+// superseded handles the answer that a higher incarnation of this name is known.
+// A process that was never taken drew its incarnation from a clock that went
+// back, and draws a higher one. A process that was taken before has a successor,
+// and must not admit beside it.
+func (c *core) superseded(known uint64) error {
+	if !c.accepted {
+		return c.renewIncarnation(known)
+	}
+	if !c.defunct {
+		eventSuperseded.Log(c.log, event.Fields{"name": c.self.Name, "incarnation": known})
+	}
+	c.defunct = true
+	c.lease.drop()
+	c.views.dirty()
+	return nil
+}
+
+// takeEpoch starts from the beginning with another leader, whose positions mean
+// something else.
+func (c *core) takeEpoch(epoch, target string) {
+	if c.position.epoch != epoch {
+		c.position = syncPosition{epoch: epoch}
+	}
+	c.position.leader = target
+}
+
+func (c *core) takeDeltas(now time.Time, r *syncResponse) {
+	c.position.members = max(c.position.members, r.MembersAt)
+	c.position.upstreams = max(c.position.upstreams, r.UpstreamAt)
+	c.position.heardUpTo = max(c.position.heardUpTo, r.HeardUpTo)
+	c.members.merge(r.Members)
+	for _, relayed := range r.Upstreams {
+		if c.known.HearRelayed(now, relayed) {
+			c.noteUpstream(relayed.Announcement)
+		}
+	}
+	if len(r.Voters) > 0 {
+		c.voters = r.Voters
+	}
+	c.grants = r.Grants
+}
+
+func (c *core) takeRevision(r *syncResponse) error {
+	if len(r.Text) == 0 || r.Revision <= c.installed.revision() {
+		return nil
+	}
+	if err := c.installed.install(r.Revision, r.Text); err != nil {
+		eventInstallFailed.Log(c.log, event.Fields{"revision": r.Revision, "error": err})
+		return err
+	}
+	eventInstalled.Log(c.log, event.Fields{"revision": r.Revision})
+	c.heard.SetFreshFor(c.freshFor())
+	c.known.SetFreshFor(c.freshFor())
+	c.node.kickSync() // confirm at once
+	return nil
+}
+
+// goodbye states that this instance admits nothing any more.
+func (c *core) goodbye() {
+	c.self.State = membership.Gone
+	c.lease.drop()
+	c.views.dirty()
+}
--- /dev/null
+++ b/control/syncwire.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"celeryport/consensus"
+	"celeryport/membership"
+	"celeryport/quota"
+	"celeryport/upstream"
+)
+
+// syncRequest is an instance's heartbeat to the leader. The positions are of
+// the leader named by Epoch; another leader starts from the beginning.
+type syncRequest struct {
+	Instance  membership.Instance `json:"instance"`
+	VoterID   consensus.ID        `json:"voter_id,omitempty"` // of an instance with a log
+	Epoch     string              `json:"epoch,omitempty"`
+	Members   uint64              `json:"members,omitempty"`   // table revision that is known
+	Upstreams uint64              `json:"upstreams,omitempty"` // registry version that is known
+	Heard     []upstream.Relayed  `json:"heard,omitempty"`     // heard directly, not yet confirmed by the leader
+	HeardUpTo uint64              `json:"heard_up_to,omitempty"`
+	Demand    []quota.Demand      `json:"demand,omitempty"`
+	WaitMs    int64               `json:"wait_ms,omitempty"` // the leader may hold the answer for so long
+}
+
+// syncResponse answers a syncRequest.
+type syncResponse struct {
+	Leader     string                `json:"leader,omitempty"`   // control address of the leader, if known
+	Redirect   bool                  `json:"redirect,omitempty"` // this voter does not lead; nothing else is set
+	Superseded uint64                `json:"superseded,omitempty"`
+	Epoch      string                `json:"epoch,omitempty"`
+	LeaseMs    int64                 `json:"lease_ms,omitempty"` // 0: no lease
+	Revision   uint64                `json:"revision,omitempty"`
+	Text       []byte                `json:"text,omitempty"` // when the instance has an older revision
+	Members    []membership.Instance `json:"member_delta,omitempty"`
+	MembersAt  uint64                `json:"members_at,omitempty"`
+	Upstreams  []upstream.Relayed    `json:"upstream_delta,omitempty"`
+	UpstreamAt uint64                `json:"upstreams_at,omitempty"`
+	HeardUpTo  uint64                `json:"heard_up_to,omitempty"`
+	Grants     []quota.Grant         `json:"grants,omitempty"`
+	Voters     []consensus.Member    `json:"voters,omitempty"`
+}
--- /dev/null
+++ b/control/voters.go
@@ -0,0 +1,210 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/consensus"
+	"celeryport/verdict"
+)
+
+// VotersStatus answers CommandVoterList and CommandVoterReplace.
+type VotersStatus struct {
+	Leader     consensus.ID  `json:"leader"`
+	Term       uint64        `json:"term"`
+	Commit     uint64        `json:"commit"`
+	Voters     []VoterStatus `json:"voters"`
+	LeaseValid bool          `json:"lease_valid"`
+}
+
+// VoterStatus is one member of the control group as the leader sees it.
+type VoterStatus struct {
+	ID       consensus.ID `json:"id"`
+	Address  string       `json:"address"`
+	Instance string       `json:"instance,omitempty"` // name of the instance, when it is known
+	Learner  bool         `json:"learner"`
+	Match    uint64       `json:"match"` // last log index known to be synced there
+}
+
+// listVoters is the handler of CommandVoterList.
+func (n *Node) listVoters(ctx context.Context, _ []byte) ([]byte, error) {
+	var status VotersStatus
+	err := n.asLeader(ctx, func(now time.Time, l *leader) { status = l.votersStatus(now) })
+	if err != nil {
+		return nil, err
+	}
+	return encode(status)
+}
+
+func (l *leader) votersStatus(now time.Time) VotersStatus {
+	s := l.core.group.node.Status()
+	status := VotersStatus{Leader: s.ID, Term: s.Term, Commit: s.Commit, LeaseValid: l.core.group.leaseValid(now)}
+	match := map[consensus.ID]uint64{s.ID: s.Last}
+	for _, p := range s.Peers {
+		match[p.ID] = p.Match
+	}
+	for _, m := range s.Configuration.Members() {
+		status.Voters = append(status.Voters, VoterStatus{
+			ID: m.ID, Address: m.Address, Instance: l.instanceOf(m.ID),
+			Learner: s.Configuration.Learner(m.ID), Match: match[m.ID],
+		})
+	}
+	return status
+}
+
+func (l *leader) instanceOf(id consensus.ID) string {
+	for name, known := range l.ids {
+		if known == id {
+			return name
+		}
+	}
+	return ""
+}
+
+// ReplaceRequest asks for the replacement of one voter. Old is the ID of the
+// voter to remove, empty to add one only; New is the name of an instance with
+// voter = true and a data folder that is no member yet, empty to remove only.
+type ReplaceRequest struct {
+	Old consensus.ID `json:"old"`
+	New string       `json:"new"`
+}
+
+// replaceStep is what must be done next of a replacement.
+type replaceStep uint8
+
+const (
+	replaceDone replaceStep = iota
+	replaceAddLearner
+	replacePromote
+	replaceRemove
+	replaceHandOver
+)
+
+// replaceVoter is the handler of CommandVoterReplace. It does one step after the
+// other: the new voter copies the log as a learner, becomes a voter only when it
+// holds every committed entry on its disk, and the old one leaves only after
+// that. Each step looks at the configuration that is in force, so a resent
+// command goes on where the first one stopped.
+func (n *Node) replaceVoter(ctx context.Context, body []byte) ([]byte, error) {
+	request, err := decode[ReplaceRequest](body)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		var status VotersStatus
+		var step replaceStep
+		var refused error
+		err := n.asLeader(ctx, func(now time.Time, l *leader) {
+			step, refused = l.replace(now, request)
+			status = l.votersStatus(now)
+		})
+		if err != nil {
+			return nil, err
+		}
+		if refused != nil && !passing(refused) {
+			return nil, refused
+		}
+		if step == replaceDone && refused == nil {
+			return encode(status)
+		}
+		if !n.pause(ctx, n.opts.Timing.Retry) {
+			return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonTimeout,
+				"the replacement goes on step by step; send the command again to continue")
+		}
+	}
+}
+
+// passing reports whether a refusal ends by itself: a change that is not
+// committed yet, or a learner that still copies the log.
+func passing(err error) bool {
+	var refused *consensus.RefusedError
+	if !errors.As(err, &refused) {
+		return false
+	}
+	switch refused.Cause {
+	case consensus.RefusedPending, consensus.RefusedBehind, consensus.RefusedTermStart,
+		consensus.RefusedTransfer, consensus.RefusedBusy, consensus.RefusedUnsafe:
+		return true
+	default:
+		return false
+	}
+}
+
+// replace does the next step of a replacement.
+func (l *leader) replace(now time.Time, request *ReplaceRequest) (replaceStep, error) {
+	next := l.core.group.node.Status().Configuration
+	added, err := l.newMember(request)
+	if err != nil {
+		return replaceDone, err
+	}
+	step := nextReplaceStep(&next, request, added.ID, l.core.group.id)
+	switch step {
+	case replaceAddLearner:
+		next.Learners = append(append([]consensus.Member(nil), next.Learners...), added)
+	case replacePromote:
+		next.Learners = without(next.Learners, added.ID)
+		next.Voters = append(append([]consensus.Member(nil), next.Voters...), added)
+	case replaceRemove:
+		next.Voters = without(next.Voters, request.Old)
+		next.Learners = without(next.Learners, request.Old)
+	case replaceHandOver:
+		l.core.group.handOver(now)
+		return step, errNotLeader
+	default:
+		return step, l.pending()
+	}
+	return step, l.core.group.node.ProposeConfig(now, next)
+}
+
+// pending keeps a replacement waiting until its last step is committed.
+func (l *leader) pending() error {
+	if l.core.group.node.Status().ConfigPending {
+		return &consensus.RefusedError{Cause: consensus.RefusedPending}
+	}
+	return nil
+}
+
+// nextReplaceStep compares the configuration with what is wished.
+func nextReplaceStep(c *consensus.Configuration, r *ReplaceRequest, added, leader consensus.ID) replaceStep {
+	switch {
+	case added != "" && !c.Voter(added) && !c.Learner(added):
+		return replaceAddLearner
+	case added != "" && !c.Voter(added):
+		return replacePromote
+	case r.Old == leader && c.Voter(leader):
+		return replaceHandOver
+	case r.Old != "" && (c.Voter(r.Old) || c.Learner(r.Old)):
+		return replaceRemove
+	default:
+		return replaceDone
+	}
+}
+
+// newMember finds the instance that shall become a voter.
+func (l *leader) newMember(request *ReplaceRequest) (consensus.Member, error) {
+	if request.New == "" {
+		return consensus.Member{}, nil
+	}
+	id := l.ids[request.New]
+	instance, found := l.table.Find(request.New)
+	if !found || id == "" {
+		return consensus.Member{}, verdict.Refuse(verdict.ReasonBadRequest, 0,
+			"no live instance %q with voter = true and a data folder is known", request.New)
+	}
+	if id == request.Old {
+		return consensus.Member{}, verdict.Refuse(verdict.ReasonBadRequest, 0, "voter %s can't replace itself", id)
+	}
+	return consensus.Member{ID: id, Address: instance.ControlAddress}, nil
+}
+
+func without(members []consensus.Member, id consensus.ID) []consensus.Member {
+	var kept []consensus.Member
+	for _, m := range members {
+		if m.ID != id {
+			kept = append(kept, m)
+		}
+	}
+	return kept
+}
