--- a/control/control.go
+++ b/control/control.go
@@ -17,13 +17,14 @@
 // View is what the traffic side sees of the control state. It is immutable and
 // replaced whole.
 type View struct {
-	Tree       *settings.Tree // installed revision, nil before the first
-	LeaseUntil time.Time      // this instance may admit until then, on its own monotonic clock
-	Instances  []membership.Instance
-	Upstreams  *upstream.Snapshot
-	Grants     []quota.Grant
-	Leader     string
-	HasQuorum  bool // a majority of the voters was reached lately
+	Incarnation uint64         // of this instance; settled by the time LeaseUntil is first set
+	Tree        *settings.Tree // installed revision, nil before the first
+	LeaseUntil  time.Time      // this instance may admit until then, on its own monotonic clock
+	Instances   []membership.Instance
+	Upstreams   *upstream.Snapshot
+	Grants      []quota.Grant
+	Leader      string
+	HasQuorum   bool // a majority of the voters was reached lately
 }
 
 // Plane is the interface through which the traffic side uses control.
--- a/control/publish.go
+++ b/control/publish.go
@@ -36,13 +36,14 @@
 	c.views = viewState{at: now}
 	c.known.Expire(now)
 	view := &View{
-		Tree:       c.installed.tree,
-		LeaseUntil: c.lease.until,
-		Instances:  c.members.list(),
-		Upstreams:  c.known.Snapshot(now),
-		Grants:     c.grants,
-		Leader:     c.position.leader,
-		HasQuorum:  c.lease.valid(now),
+		Incarnation: c.self.Incarnation,
+		Tree:        c.installed.tree,
+		LeaseUntil:  c.lease.until,
+		Instances:   c.members.list(),
+		Upstreams:   c.known.Snapshot(now),
+		Grants:      c.grants,
+		Leader:      c.position.leader,
+		HasQuorum:   c.lease.valid(now),
 	}
 	c.node.view.Store(view)
 }
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -157,7 +157,8 @@
 	}
 	b.plane = &fakePlane{claims: func(claim.Key) control.ClaimResult { return control.ClaimResult{State: control.Won} }}
 	b.plane.view = control.View{
-		Tree: tree, LeaseUntil: time.Now().Add(time.Hour), Upstreams: b.addUpstreams(upstreams),
+		Incarnation: 1,
+		Tree:        tree, LeaseUntil: time.Now().Add(time.Hour), Upstreams: b.addUpstreams(upstreams),
 		Instances: []membership.Instance{
 			{Name: "a", Incarnation: 1, Address: "addr-a", AvailabilityZone: "z1"},
 			{Name: "b", Incarnation: 1, Address: "addr-b", AvailabilityZone: "z2"},
@@ -171,9 +172,9 @@
 			MaxConnections: 100, ReadTimeout: 5 * time.Second,
 			Pools: settings.Pools{Short: 16, Long: 4, Service: 8},
 		},
-		Incarnation: 1, Plane: b.plane, Recorder: b.counts, Log: log, Clock: clock.Real{},
+		Plane: b.plane, Recorder: b.counts, Log: log, Clock: clock.Real{},
 		Dispatcher: dispatch.New(dispatch.Config{}, rand.New(rand.NewPCG(1, 2))),
-		Client:     client.New(b.dial, "", OwnerOf("a", 1), client.DefaultTiming),
+		Client:     client.New(b.dial, "", func() string { return OwnerOf("a", 1) }, client.DefaultTiming),
 	})
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/instance/options.go
@@ -0,0 +1,17 @@
+package instance
+
+import (
+	"net"
+
+	"github.com/sirupsen/logrus"
+
+	"celeryport/settings"
+)
+
+// Options are what an instance is run from.
+type Options struct {
+	Process *settings.Process
+	Log     logrus.FieldLogger
+	Traffic net.Listener // nil: listen on Process.Listen
+	Control net.Listener // nil: listen on Process.ControlListen
+}
--- a/upstream/client/client.go
+++ b/upstream/client/client.go
@@ -30,13 +30,13 @@
 // Client calls upstreams on behalf of one incarnation of an entry instance.
 type Client struct {
 	dial   Dialer
-	key    string // bearer key for upstreams that check who calls
-	owner  string // instance/incarnation
+	key    string        // bearer key for upstreams that check who calls
+	owner  func() string // instance/incarnation
 	timing Timing
 }
 
 // New returns a client. A nil dialer means TCP.
-func New(dial Dialer, key, owner string, timing Timing) *Client {
+func New(dial Dialer, key string, owner func() string, timing Timing) *Client {
 	if dial == nil {
 		dial = DialTCP
 	}
@@ -44,4 +44,4 @@
 }
 
 // Owner names the instance and incarnation in whose name the client calls.
-func (c *Client) Owner() string { return c.owner }
+func (c *Client) Owner() string { return c.owner() }
--- a/upstream/client/generate.go
+++ b/upstream/client/generate.go
@@ -50,7 +50,7 @@
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + address + path)
 	request.Header.SetContentType(contentTypeJSON)
-	request.Header.Set(wire.HeaderOwner, c.owner)
+	request.Header.Set(wire.HeaderOwner, c.owner())
 	request.SetConnectionClose()
 	if c.key != "" {
 		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.key)
--- a/upstream/client/generate_test.go
+++ b/upstream/client/generate_test.go
@@ -155,7 +155,7 @@
 }
 
 func TestRefusedConnectionWasNotRun(t *testing.T) {
-	c := New(func(context.Context, string) (net.Conn, error) { return nil, io.ErrClosedPipe }, "", "a/1", DefaultTiming)
+	c := New(func(context.Context, string) (net.Conn, error) { return nil, io.ErrClosedPipe }, "", owner, DefaultTiming)
 	_, err := generate(t.Context(), c, NewReceiver("r1"))
 	if verdict.From(err).Verdict != verdict.NotRun {
 		t.Fatalf("got %v", err)
--- a/upstream/client/peer_test.go
+++ b/upstream/client/peer_test.go
@@ -57,7 +57,7 @@
 }
 
 func (p *peer) client() *Client {
-	return New(func(context.Context, string) (net.Conn, error) { return p.listener.Dial() }, "", "a/1", DefaultTiming)
+	return New(func(context.Context, string) (net.Conn, error) { return p.listener.Dial() }, "", owner, DefaultTiming)
 }
 
 const streamHeader = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -99,3 +99,5 @@
 
 // hang keeps the connection open, silently, until the client closes it.
 func hang(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
+
+func owner() string { return "a/1" }
