--- /dev/null
+++ b/ledger/latency.go
@@ -0,0 +1,94 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Latency are the quantiles of one kind of latency. Quantiles of quantiles mean
+// nothing: the histograms of all instances are merged, then read.
+type Latency struct {
+	Organisation string        `json:"organisation,omitempty"`
+	Class        string        `json:"class,omitempty"`
+	Length       Length        `json:"length"`
+	Measure      Measure       `json:"measure"`
+	Count        int64         `json:"count"`
+	P50          time.Duration `json:"p50_ns"`
+	P95          time.Duration `json:"p95_ns"`
+	P99          time.Duration `json:"p99_ns"`
+}
+
+// Measure names a latency.
+type Measure string
+
+// The latencies of a report.
+const (
+	FirstToken Measure = "first token"
+	TokenGap   Measure = "token gap"
+	Total      Measure = "service call"
+)
+
+var measures = map[FieldKind]Measure{
+	KindFirstToken: FirstToken,
+	KindTokenGap:   TokenGap,
+	KindTotal:      Total,
+}
+
+// The histograms hold microseconds up to a day. Three digits are finer than the
+// bins that are put in, so they add no error of their own.
+const (
+	histogramLowest  = 1
+	histogramHighest = int64(24 * time.Hour / time.Microsecond)
+	histogramDigits  = 3
+)
+
+// latencies reads the quantiles of all latencies in the counters, by kind and
+// length.
+func (c *Counters) latencies() []Latency {
+	var all []Latency
+	var histogram *hdrhistogram.Histogram
+	var present Field
+	flush := func() {
+		if histogram != nil {
+			all = append(all, quantiles(present, histogram))
+		}
+	}
+	for i, f := range c.Fields {
+		if !f.isBin() {
+			continue
+		}
+		if head := f &^ binMask; histogram == nil || head != present {
+			flush()
+			present, histogram = head, newHistogram()
+		}
+		record(histogram, f, c.Values[i])
+	}
+	flush()
+	return all
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)
+}
+
+func record(h *hdrhistogram.Histogram, f Field, n uint64) {
+	value := min(max(binMiddle(f.bin()), histogramLowest), histogramHighest)
+	if err := h.RecordValues(value, int64(n)); err != nil {
+		panic("ledger: a value within the bounds of a histogram was refused: " + err.Error())
+	}
+}
+
+func quantiles(head Field, h *hdrhistogram.Histogram) Latency {
+	at := func(percent float64) time.Duration {
+		return time.Duration(h.ValueAtQuantile(percent)) * time.Microsecond
+	}
+	return Latency{
+		Length:  head.Length(),
+		Measure: measures[head.Kind()],
+		Count:   h.TotalCount(),
+		P50:     at(50),
+		P95:     at(95),
+		P99:     at(99),
+	}
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -28,4 +28,9 @@
 	Total        time.Duration // from arrival to the end of the answer
 	TokenGap     time.Duration // mean time between tokens
 	InTime       bool          // before its deadline
+
+	// IdleFirstToken is what the time to the first token would have been on an
+	// idle engine: tokens to prefill over the engine's prefill rate. It is what
+	// the slowdown objective compares with; 0: not known.
+	IdleFirstToken time.Duration
 }
--- /dev/null
+++ b/ledger/names.go
@@ -0,0 +1,72 @@
+package ledger
+
+import (
+	"celeryport/request"
+	"celeryport/settings"
+)
+
+// Other stands for every name that the settings don't hold. Callers choose what
+// they send; without this, made-up names would grow the counters, the copies
+// and the metrics without bound.
+const Other = "other"
+
+// Names collapses names that the settings don't hold.
+type Names struct {
+	organisations map[string]bool
+	classes       map[string]settings.Objectives
+	targets       map[target]bool
+}
+
+type target struct {
+	kind request.Kind
+	name string
+}
+
+// NewNames returns the names of a settings tree.
+func NewNames(tree *settings.Tree) *Names {
+	n := &Names{
+		organisations: map[string]bool{},
+		classes:       map[string]settings.Objectives{},
+		targets:       map[target]bool{},
+	}
+	for _, o := range tree.Organisations {
+		n.organisations[o.Name] = true
+	}
+	for _, c := range tree.Classes {
+		n.classes[c.Name] = c.Objectives
+	}
+	for _, m := range tree.Models {
+		n.targets[target{request.Prompt, m.Name}] = true
+	}
+	for _, s := range tree.Services {
+		n.targets[target{request.ServiceCall, s.Name}] = true
+	}
+	return n
+}
+
+// Series returns the series that a request counts for. Without names everything
+// is Other.
+func (n *Names) Series(r *request.Request) Series {
+	s := Series{Organisation: Other, Class: Other, Kind: r.Kind, Target: Other}
+	if n == nil {
+		return s
+	}
+	if n.organisations[r.Organisation] {
+		s.Organisation = r.Organisation
+	}
+	if _, known := n.classes[r.Class]; known {
+		s.Class = r.Class
+	}
+	if n.targets[target{r.Kind, r.Target}] {
+		s.Target = r.Target
+	}
+	return s
+}
+
+// objectives returns those of a class.
+func (n *Names) objectives(class string) settings.Objectives {
+	if n == nil {
+		return settings.Objectives{}
+	}
+	return n.classes[class]
+}
