--- a/cli/standin.go
+++ b/cli/standin.go
@@ -17,13 +17,14 @@
 )
 
 // standinCommand runs a stand-in upstream.
-func standinCommand(_, stderr io.Writer) *urfave.Command {
+func standinCommand(stdout, stderr io.Writer) *urfave.Command {
 	return &urfave.Command{
 		Name:  "standin",
 		Usage: "run a stand-in of an upstream, for tests and demonstrations",
 		Commands: []*urfave.Command{
 			standinEngineCommand(stderr),
 			standinServiceCommand(stderr),
+			portsCommand(stdout),
 		},
 	}
 }
--- a/instance/run.go
+++ b/instance/run.go
@@ -14,6 +14,7 @@
 	"celeryport/dispatch"
 	"celeryport/entry"
 	"celeryport/event"
+	"celeryport/ledger"
 	"celeryport/upstream/client"
 )
 
@@ -25,12 +26,12 @@
 // Run runs an instance until stop ends, then shuts it down gracefully. cut bounds
 // the shutdown besides the drain timeout of the settings: when it ends, what is
 // in flight is cut off.
-func Run(stop, cut context.Context, options Options) error {
+func Run(stop, cut context.Context, options Options) (err error) {
 	books, err := openBooks(&options)
 	if err != nil {
 		return err
 	}
-	defer books.close()
+	defer func() { err = errors.CombineErrors(err, books.close()) }()
 	node, err := control.New(control.Options{
 		Process:  options.Process,
 		Log:      options.Log,
@@ -40,7 +41,6 @@
 	if err != nil {
 		return errors.Wrap(err, "control")
 	}
-	books.register(node)
 	running, end := context.WithCancel(context.Background())
 	defer end()
 	group, ctx := errgroup.WithContext(running)
@@ -77,7 +77,7 @@
 	copying, stopCopying := context.WithCancel(ctx)
 	group.Go(func() error { return errors.Wrap(server.Serve(listener), "serve callers") })
 	group.Go(func() error { return stateDemands(copying, node, server) })
-	group.Go(func() error { return books.copyUntil(copying, node, account) })
+	group.Go(func() error { return newCopier(options, node, account).run(copying) })
 	group.Go(func() error {
 		defer stopCopying()
 		return shutDown(ctx, stop, cut, options, server)
@@ -103,7 +103,7 @@
 	}
 }
 
-func newServer(options *Options, node *control.Node, books *books, account account) (*entry.Server, error) {
+func newServer(options *Options, node *control.Node, books *books, account *ledger.Account) (*entry.Server, error) {
 	owner := func() string { return entry.OwnerOf(options.Process.Name, node.View().Incarnation) }
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	server, err := entry.New(entry.Options{
