Add the load tool

Cause: a run of the system is worth nothing without a caller that checks every answer and tells a lost request from a failed one.

A prompt takes 8 KB of memory whatever its length. Only work that was not run is sent again, or a call under the same Idempotency-Key.

Ruled out: fasthttp's HostClient. It merges a refused connection with one that broke after sending, and only the first allows another try; each exchange here has a connection of its own and no retry code at all.

--- a/cli/standin_engine.go
+++ b/cli/standin_engine.go
@@ -23,7 +23,7 @@
 		Name:  "engine",
 		Usage: "run a stand-in of a model engine",
 		Flags: append(standinFlags(),
-			&urfave.StringSliceFlag{Name: flagModel, Usage: "models that it has loaded", Value: []string{"sarto"}},
+			&urfave.StringSliceFlag{Name: flagModel, Usage: "models that it has loaded", Value: []string{"modello-sarto"}},
 			&urfave.FloatFlag{Name: "time-scale", Usage: "run so many times faster than a real engine", Value: 1},
 			&urfave.IntFlag{Name: "memory-tokens", Usage: "KV memory in tokens", Value: d.MemoryTokens},
 			&urfave.FloatFlag{Name: "prefill-rate", Usage: "prompt tokens a second", Value: d.PrefillRate},
--- /dev/null
+++ b/load/bucket.go
@@ -0,0 +1,27 @@
+package load
+
+// bucket is a range of prompt lengths in tokens.
+type bucket struct {
+	name string
+	most int // inclusive; 0: no limit
+}
+
+// bucketsFor returns the length buckets for engines with so much memory.
+func bucketsFor(engineMemory int) []bucket {
+	return []bucket{
+		{"1-4k", 4000},
+		{"4-16k", 16_000},
+		{"16-100k", 100_000},
+		{"100-400k", engineMemory},
+		{"over one engine", 0},
+	}
+}
+
+func bucketOf(buckets []bucket, tokens int) int {
+	for i, b := range buckets {
+		if tokens <= b.most || b.most == 0 {
+			return i
+		}
+	}
+	return len(buckets) - 1
+}
