Resume only what the engine still has

A resume names the attempt that it picks up, by the offset header. The stand-in ran an attempt anew that it no longer knew; a prompt that may not be repeated would have run twice.

--- a/standin/generate.go
+++ b/standin/generate.go
@@ -93,6 +93,10 @@
 		e.answerComplete(ctx, wanted)
 		return
 	}
+	if c.resume && !e.scheduler.has(c.request) {
+		e.refuseGenerate(ctx, c, body, fasthttp.StatusConflict, "no such stream to resume")
+		return
+	}
 	st, reader, err := e.scheduler.attach(now, wanted, job)
 	if err != nil {
 		e.rejectGenerate(ctx, c, body, err)
--- a/standin/respond.go
+++ b/standin/respond.go
@@ -52,6 +52,7 @@
 	attempt   uint32
 	owner     string
 	priority  int
+	resume    bool // only pick up a stream that is here
 	offset    int
 	limited   bool          // remaining is given
 	remaining time.Duration // until the deadline
@@ -74,6 +75,7 @@
 		return n
 	}
 	c.attempt = uint32(number(wire.HeaderAttempt, 32))
+	c.resume = len(header.Peek(wire.HeaderOffset)) > 0
 	c.offset = int(number(wire.HeaderOffset, 32))
 	c.limited = len(header.Peek(wire.HeaderRemainingMs)) > 0
 	c.remaining = time.Duration(number(wire.HeaderRemainingMs, 40)) * time.Millisecond
