--- a/cli/load.go
+++ b/cli/load.go
@@ -16,9 +16,6 @@
 	"celeryport/load"
 )
 
-// outputJSON is the value of --output for machines.
-const outputJSON = "json"
-
 const defaultLoadDuration = 30 * time.Second
 
 // errPromiseBroken ends a run of load in which a promise to callers was broken.
