--- a/examples/demo/run.sh
+++ b/examples/demo/run.sh
@@ -139,3 +139,38 @@
 wait_for 15 upstreams_fresh
 operator instances
 operator upstreams
+
+say "sending prompts of a thousand to a million tokens and fabric holds"
+"$celeryport" load --mix aretusa --to "$(traffic_of ortigia-1)" --to "$(traffic_of borgata-1)" --to "$(traffic_of neapolis-1)" \
+	--keys "$aretusa/callers.keys" --model modello-sarto --service cassa-bottega \
+	--rate 20 --duration 15s --seed 7 --counts-from "$(cat "$work/cassa.address")" \
+	--counts-key-file "$aretusa/keys/engine.key" >"$work/load.out" 2>"$work/load.err" &
+load=$!
+running="$running $load"
+
+sleep 5
+say "killing the entry instance borgata-2 and engine-2"
+kill -KILL "$(pid_of borgata-2)" "$(pid_of engine-2)"
+forget borgata-2
+forget engine-2
+
+outcome=0
+wait "$load" || outcome=$?
+cat "$work/load.out"
+[ "$outcome" -eq 0 ] || { tail -n 20 "$work/load.err"; say "the load tool found a broken promise (exit $outcome)" >&2; exit 1; }
+
+say "what the reports say"
+operator settings show
+operator report
+operator burn
+
+say "stopping everything gracefully"
+for i in ortigia-1 ortigia-2 borgata-1 neapolis-1 engine-1 engine-3 engine-4 cassa; do
+	kill -TERM "$(pid_of "$i")"
+done
+for i in engine-1 engine-3 engine-4 cassa ortigia-1 ortigia-2 borgata-1 neapolis-1; do
+	wait "$(pid_of "$i")" || { say "$i ended with exit $?" >&2; tail -n 5 "$work/$i.log" >&2; exit 1; }
+	forget "$i"
+done
+
+grep '^total: ' "$work/load.out" | sed 's/^total: /demo: /'
