--- a/cli/commands.go
+++ b/cli/commands.go
@@ -22,5 +22,6 @@
 		standinCommand(stdout, stderr),
 		benchCommand(stdout, stderr),
 		slopesCommand(stdout, stderr),
+		eventsCommand(stdout),
 	}
 }
