Bound callers' connections, bodies and silence

Writes are now limited by progress. Connections over the limit get a refusal with a verdict instead of fasthttp's plain text. An X-Celeryport-No-Repeat that is neither true nor false is refused, since taking it for false could run a call twice.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -67,15 +67,40 @@
 	r := a.request
 	r.Class = resolved.Class
 	r.Priority = resolved.Priority
-	r.Key = string(ctx.Request.Header.Peek(headerKey))
-	r.NoRepeat = resolved.NoRepeat || string(ctx.Request.Header.Peek(headerNoRepeat)) == "true"
+	r.NoRepeat = resolved.NoRepeat
 	r.Deadline = r.Arrival.Add(resolved.Deadline)
 	if !resolved.Admit {
 		return verdict.Refuse(verdict.ReasonLimit, 0, "the settings admit no request of %s in class %s", r.Organisation, r.Class)
 	}
+	if err := a.mark(ctx); err != nil {
+		return err
+	}
 	return a.shorten(ctx)
 }
 
+// maxKeyBytes bounds an idempotency key, which every voter keeps.
+const maxKeyBytes = 256
+
+// mark reads how the caller wants repeats to be treated. A value that is not
+// understood is refused: taking it for "may be repeated" could run a call twice.
+func (a *arrival) mark(ctx *fasthttp.RequestCtx) *verdict.Error {
+	r := a.request
+	r.Key = string(ctx.Request.Header.Peek(headerKey))
+	if len(r.Key) > maxKeyBytes {
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "%s is longer than %d bytes", headerKey, maxKeyBytes)
+	}
+	header := string(ctx.Request.Header.Peek(headerNoRepeat))
+	if header == "" {
+		return nil
+	}
+	noRepeat, err := strconv.ParseBool(header)
+	if err != nil {
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "%s must be true or false", headerNoRepeat)
+	}
+	r.NoRepeat = r.NoRepeat || noRepeat
+	return nil
+}
+
 // shorten applies the caller's own deadline where it is the earlier one.
 func (a *arrival) shorten(ctx *fasthttp.RequestCtx) *verdict.Error {
 	header := string(ctx.Request.Header.Peek(headerDeadlineMs))
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -32,6 +32,8 @@
 )
 
 const (
+	testConnections = 20
+
 	testKey  = "key-of-the-tests"
 	testTree = `
 [organisation]
@@ -43,6 +45,8 @@
 deadline = 10s
 [class.counter]
 priority = 100
+[class.audit]
+deadline = 10m
 [class.hold]
 no_repeat = true
 [length.short]
@@ -169,7 +173,7 @@
 	b.server, err = New(Options{
 		Process: &settings.Process{
 			Name: "a", AvailabilityZone: "z1", Advertise: "addr-a", UpstreamKeys: []string{"up"},
-			MaxConnections: 100, ReadTimeout: 5 * time.Second,
+			MaxConnections: testConnections, ReadTimeout: 5 * time.Second,
 			Pools: settings.Pools{Short: 16, Long: 4, Service: 8},
 		},
 		Plane: b.plane, Recorder: b.counts, Log: log, Clock: clock.Real{},
--- a/entry/linger.go
+++ b/entry/linger.go
@@ -39,5 +39,8 @@
 	if answer.Write(w) != nil || w.Flush() != nil {
 		return
 	}
-	_, _ = io.CopyN(io.Discard, conn, lingerBytes)
+	discard(conn)
 }
+
+// discard reads what a caller still sends, within bounds.
+func discard(conn net.Conn) { _, _ = io.CopyN(io.Discard, conn, lingerBytes) }
--- a/entry/server.go
+++ b/entry/server.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	readBufferSize  = 16 << 10 // bytes, bounds the header of a request
-	idleTimeout     = 75 * time.Second
-	writeTimeout    = 30 * time.Second // without progress towards a caller
-	streamThreshold = 64 << 10         // bytes of a body that are read before the handler runs
+	readBufferSize = 16 << 10 // bytes, bounds the header of a request
+	idleTimeout    = 75 * time.Second
+	// The listener bounds the connections; fasthttp's own bound, which answers
+	// without a verdict, is kept out of reach.
+	spareConnections = 64
+	streamThreshold  = 64 << 10 // bytes of a body that are read before the handler runs
 )
 
 // Server serves callers and upstreams on the traffic address of an instance.
@@ -50,9 +52,8 @@
 		MaxRequestBodySize:            streamThreshold,
 		ReadBufferSize:                readBufferSize,
 		ReadTimeout:                   options.Process.ReadTimeout,
-		WriteTimeout:                  writeTimeout,
 		IdleTimeout:                   idleTimeout,
-		Concurrency:                   options.Process.MaxConnections,
+		Concurrency:                   options.Process.MaxConnections + spareConnections,
 		NoDefaultDate:                 true,
 		NoDefaultContentType:          true,
 		DisableHeaderNamesNormalizing: false,
@@ -69,7 +70,7 @@
 	s.driver.start()
 	go s.sweeper.run()
 	s.watch.start(func(e *exchange) { s.driver.abandon(e, verdict.ReasonCallerLeft, "the caller left") })
-	return s.http.Serve(listener)
+	return s.http.Serve(newCallerListener(listener, s.options.Process.MaxConnections))
 }
 
 // quietLogger drops fasthttp's own lines, which are not numbered and hold
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -202,6 +202,8 @@
 		"unknown class":     {call{path: pathCompletions, headers: map[string]string{headerClass: "x"}, body: "{}"}, nil, 400, "bad-request"},
 		"unknown service":   {call{path: "/v1/services/x/y", body: "{}"}, nil, 404, "not-found"},
 		"bad deadline":      {call{path: pathCompletions, headers: map[string]string{headerDeadlineMs: "-1"}, body: "{}"}, nil, 400, "bad-request"},
+		"unclear no-repeat": {call{path: pathCompletions, headers: map[string]string{headerNoRepeat: "yes"}, body: "{}"}, nil, 400, "bad-request"},
+		"endless key":       {call{path: pathCompletions, headers: map[string]string{headerKey: strings.Repeat("k", 300)}, body: "{}"}, nil, 400, "bad-request"},
 		"body too large":    {big, nil, 413, "body-too-large"},
 		"unknown path":      {call{path: "/v2/x", body: "{}"}, nil, 404, "not-found"},
 		"lease has lapsed":  {completion("p", false), func(b *bench) { b.plane.view.LeaseUntil = time.Now().Add(-1) }, 503, "no-lease"},
