Prove leases, resends and the replacement of voters under failure

Nodes on loopback, cut off silently or crashed. Found by the tests and mended: an instance that reaches only a deposed leader got answers without a lease for ever and never asked another voter; a replacement sent before the new instance's first sync was refused instead of waiting for it.

--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -22,6 +22,7 @@
 	voters  []settings.Member
 	members []*testNode
 	timing  Timing
+	network network
 }
 
 // testNode is one node that can be stopped and started again.
@@ -42,8 +43,14 @@
 // newFleet starts the first voters instances as voters and the others without
 // a data folder, and waits until all hold a lease.
 func newFleet(t *testing.T, voters, others int) *fleet {
+	t.Helper()
+	return newFleetWith(t, voters, others, func(*Timing) {})
+}
+
+func newFleetWith(t *testing.T, voters, others int, change func(*Timing)) *fleet {
 	t.Helper()
 	f := &fleet{t: t, timing: testTiming()}
+	change(&f.timing)
 	var listeners []net.Listener
 	for i := range voters + others {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -102,6 +109,7 @@
 	}
 	node, err := New(Options{
 		Process: &n.process, Log: log.WithField("at", n.process.Name), Listener: listener, Timing: f.timing,
+		Dial: f.network.dialFrom(n.process.ControlListen),
 	})
 	if err != nil {
 		f.t.Fatal(err)
@@ -172,19 +180,54 @@
 	return outcome
 }
 
-// awaitInstalled waits until every running node admits by the revision.
-func (f *fleet) awaitInstalled(revision uint64) {
+// leader waits for a node that leads and is not cut off.
+func (f *fleet) leader() *testNode {
 	f.t.Helper()
-	f.await(fmt.Sprintf("revision %d everywhere", revision), func() bool {
+	var found *testNode
+	f.await("a leader", func() bool {
 		for _, m := range f.members {
-			if m.stop == nil {
-				continue
-			}
-			v := m.node.View()
-			if v.Tree == nil || v.Tree.Revision != revision || !time.Now().Before(v.LeaseUntil) {
-				return false
+			if m.stop != nil && m.node.issuer.Load() != nil && time.Now().Before(m.node.issuer.Load().Until) {
+				found = m
+				return true
 			}
 		}
-		return true
+		return false
+	})
+	return found
+}
+
+// crash ends a node without a word to the others.
+func (f *fleet) crash(n *testNode) {
+	f.network.cut(n.process.ControlListen)
+	n.halt()
+	f.network.heal(n.process.ControlListen)
+}
+
+// awaitInstalled waits until every running node admits by the revision.
+func (f *fleet) awaitInstalled(revision uint64) {
+	f.t.Helper()
+	for _, m := range f.members {
+		if m.stop != nil {
+			f.awaitOne(m, revision)
+		}
+	}
+}
+
+// awaitInForce waits until the leader says that the revision is in force.
+func (f *fleet) awaitInForce(revision uint64) {
+	f.t.Helper()
+	f.await(fmt.Sprintf("revision %d in force", revision), func() bool {
+		var status SettingsStatus
+		f.ask(CommandShow, nil, &status)
+		return status.InForce >= revision
+	})
+}
+
+// awaitOne waits until a node admits by the revision.
+func (f *fleet) awaitOne(m *testNode, revision uint64) {
+	f.t.Helper()
+	f.await(fmt.Sprintf("revision %d at %s", revision, m.process.Name), func() bool {
+		v := m.node.View()
+		return v.Tree != nil && v.Tree.Revision == revision && time.Now().Before(v.LeaseUntil)
 	})
 }
--- a/control/synctake.go
+++ b/control/synctake.go
@@ -37,6 +37,11 @@
 	if r.LeaseMs > 0 && c.installed.revision() >= r.Revision && c.self.State != membership.Gone {
 		c.lease.renew(sentAt, time.Duration(r.LeaseMs)*time.Millisecond)
 	}
+	if r.LeaseMs == 0 {
+		// It takes itself for the leader but can't reach a majority: another voter
+		// may know a newer one.
+		c.position.leader = ""
+	}
 	c.views.dirty()
 	return nil
 }
--- a/control/voters.go
+++ b/control/voters.go
@@ -110,15 +110,22 @@
 			return encode(status)
 		}
 		if !n.pause(ctx, n.opts.Timing.Retry) {
+			if errors.Is(refused, errNoCandidate) {
+				return nil, refused
+			}
 			return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonTimeout,
 				"the replacement goes on step by step; send the command again to continue")
 		}
 	}
 }
 
-// passing reports whether a refusal ends by itself: a change that is not
-// committed yet, or a learner that still copies the log.
+// passing reports whether a refusal ends by itself: an instance that just
+// starts, a change that is not committed yet, or a learner that still copies the
+// log.
 func passing(err error) bool {
+	if errors.Is(err, errNoCandidate) {
+		return true
+	}
 	var refused *consensus.RefusedError
 	if !errors.As(err, &refused) {
 		return false
@@ -182,6 +189,11 @@
 	}
 }
 
+// errNoCandidate says that the instance did not sync yet, or is no voter by its
+// settings.
+var errNoCandidate = verdict.Refuse(verdict.ReasonNotLeader, 0,
+	"no live instance of this name with voter = true and a data folder is known")
+
 // newMember finds the instance that shall become a voter.
 func (l *leader) newMember(request *ReplaceRequest) (consensus.Member, error) {
 	if request.New == "" {
@@ -190,8 +202,7 @@
 	id := l.ids[request.New]
 	instance, found := l.table.Find(request.New)
 	if !found || id == "" {
-		return consensus.Member{}, verdict.Refuse(verdict.ReasonBadRequest, 0,
-			"no live instance %q with voter = true and a data folder is known", request.New)
+		return consensus.Member{}, errNoCandidate
 	}
 	if id == request.Old {
 		return consensus.Member{}, verdict.Refuse(verdict.ReasonBadRequest, 0, "voter %s can't replace itself", id)
