Copy accounts to the voters and answer reports on any instance

Package accounting joins the ledger to control: a Copier sends every voter what changed since the position that it returned, and a Reporter asks all instances for their own account and voters for their books. An instance that does not answer is named in the report and its counters are those of its last copy.

ledger can't import control, which imports it, hence the package of its own. cli: operatorFlags is split, since report and burn have other forms of output.

--- /dev/null
+++ b/accounting/copier.go
@@ -0,0 +1,156 @@
+package accounting
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"celeryport/clock"
+	"celeryport/control"
+	"celeryport/event"
+	"celeryport/ledger"
+	"celeryport/rpc"
+)
+
+// The intervals of the copies. What an instance counted after its last copy is
+// unknown when it is killed.
+const (
+	DefaultInterval = 2 * time.Second
+	copyTimeout     = 3 * time.Second
+)
+
+// CopierOptions set up a Copier. Log, Account, Clients and View must be set.
+type CopierOptions struct {
+	Log      logrus.FieldLogger
+	Account  ledger.Source
+	Clients  *rpc.Clients
+	View     func() *control.View
+	Interval time.Duration // zero: DefaultInterval
+	Clock    clock.Clock   // nil: the machine's
+}
+
+// Copier copies the account of this instance to every voter.
+type Copier struct {
+	opts CopierOptions
+
+	mu        sync.Mutex
+	positions map[string][]byte // what each voter has, by control address
+	failing   map[string]bool
+}
+
+// NewCopier returns a copier that has copied nothing yet.
+func NewCopier(opts CopierOptions) *Copier {
+	if opts.Interval == 0 {
+		opts.Interval = DefaultInterval
+	}
+	if opts.Clock == nil {
+		opts.Clock = clock.Real{}
+	}
+	return &Copier{opts: opts, positions: map[string][]byte{}, failing: map[string]bool{}}
+}
+
+// Run copies until the context ends. Flush makes the last copy afterwards.
+func (c *Copier) Run(ctx context.Context) {
+	ticker := time.NewTicker(c.opts.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.Flush(ctx)
+		}
+	}
+}
+
+// Flush copies to all voters once, and returns how many of them have everything.
+func (c *Copier) Flush(ctx context.Context) int {
+	voters := c.voters()
+	stored := make([]bool, len(voters))
+	var group sync.WaitGroup
+	for i, address := range voters {
+		group.Go(func() { stored[i] = c.copyTo(ctx, address) })
+	}
+	group.Wait()
+	n := 0
+	for _, ok := range stored {
+		if ok {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Copier) voters() []string {
+	view := c.opts.View()
+	if view == nil {
+		return nil
+	}
+	var addresses []string
+	for _, instance := range view.Instances {
+		if instance.Voter {
+			addresses = append(addresses, instance.ControlAddress)
+		}
+	}
+	return addresses
+}
+
+// exchanges is how many copies bring a voter up to date: if it lacks what came
+// before the first one, its answer says so, and the second starts from there.
+const exchanges = 2
+
+func (c *Copier) copyTo(ctx context.Context, address string) bool {
+	for range exchanges {
+		encoded, upTo, err := c.opts.Account.Copy(c.opts.Clock.Now(), c.position(address))
+		if err == nil {
+			err = c.send(ctx, address, encoded)
+		}
+		c.note(address, err)
+		if err != nil {
+			return false
+		}
+		if bytes.Compare(c.position(address), upTo) >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Copier) send(ctx context.Context, address string, encoded []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	response, err := c.opts.Clients.At(address).CopyLedger(ctx, &rpc.LedgerRequest{Copy: encoded})
+	if err != nil {
+		return rpc.FromTwirp(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.positions[address] = response.Stored
+	return nil
+}
+
+func (c *Copier) position(address string) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.positions[address]
+}
+
+// note logs when copies to a voter begin to fail and when they succeed again,
+// not every one between.
+func (c *Copier) note(address string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	failed := err != nil
+	if failed == c.failing[address] {
+		return
+	}
+	c.failing[address] = failed
+	if failed {
+		copyFailed.Log(c.opts.Log, event.Fields{"voter": address, "error": err.Error()})
+		return
+	}
+	copyResumed.Log(c.opts.Log, event.Fields{"voter": address})
+}
--- /dev/null
+++ b/accounting/gather.go
@@ -0,0 +1,118 @@
+package accounting
+
+import (
+	"context"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"celeryport/event"
+	"celeryport/ledger"
+	"celeryport/membership"
+)
+
+// dumpsAtOnce bounds the instances that a report asks at the same time.
+const dumpsAtOnce = 16
+
+// knowledge is what all instances together know.
+type knowledge struct {
+	state  *ledger.State
+	live   map[ledger.ID]bool
+	listed []ledger.ID
+}
+
+// dumpAnswer is the JSON answer of the dump command. A report asks the other
+// instances by it; what does not answer in time shows as unknown, not as zero.
+type dumpAnswer struct {
+	Own  []byte `json:"own"`
+	Book []byte `json:"book,omitempty"`
+}
+
+// gather asks this and all other instances that are not known to be gone.
+func (r *Reporter) gather(ctx context.Context) knowledge {
+	listed, addresses := r.listed()
+	var mu sync.Mutex
+	var dumps []*ledger.Dump
+	var group errgroup.Group
+	group.SetLimit(dumpsAtOnce)
+	for _, address := range addresses {
+		group.Go(func() error {
+			dump, err := r.ask(ctx, address)
+			if err != nil {
+				dumpFailed.Log(r.opts.Log, event.Fields{"instance": address, "error": err.Error()})
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			dumps = append(dumps, dump)
+			return nil
+		})
+	}
+	_ = group.Wait() // the functions return no error
+	live := ledger.LiveOf(dumps)
+	return knowledge{state: ledger.Combine(dumps), live: live, listed: listed}
+}
+
+// listed returns the instances that the control group lists, and the control
+// addresses to ask, this instance's own among them.
+func (r *Reporter) listed() (ids []ledger.ID, addresses []string) {
+	addresses = []string{r.opts.Address}
+	view := r.opts.View()
+	if view == nil {
+		return nil, addresses
+	}
+	for _, instance := range view.Instances {
+		ids = append(ids, ledger.ID{Instance: instance.Name, Incarnation: instance.Incarnation})
+		if instance.State != membership.Gone && instance.ControlAddress != r.opts.Address {
+			addresses = append(addresses, instance.ControlAddress)
+		}
+	}
+	return ids, addresses
+}
+
+func (r *Reporter) ask(ctx context.Context, address string) (*ledger.Dump, error) {
+	if address == r.opts.Address {
+		return r.ownDump()
+	}
+	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
+	defer cancel()
+	body, err := r.opts.Operations.Ask(ctx, address, commandDump, nil)
+	if err != nil {
+		return nil, err
+	}
+	var answer dumpAnswer
+	if err := decodeBody(body, &answer); err != nil {
+		return nil, err
+	}
+	return ledger.DecodeDump(answer.Own, answer.Book)
+}
+
+// ownDump goes through the encoding too: a report changes the state that it
+// combines, which must not be the book itself.
+func (r *Reporter) ownDump() (*ledger.Dump, error) {
+	answer, err := r.dump()
+	if err != nil {
+		return nil, err
+	}
+	return ledger.DecodeDump(answer.Own, answer.Book)
+}
+
+func (r *Reporter) dump() (*dumpAnswer, error) {
+	own, err := ledger.EncodeAccount(r.opts.Account.Take(r.opts.Clock.Now(), 0))
+	if err != nil {
+		return nil, err
+	}
+	answer := &dumpAnswer{Own: own}
+	if r.opts.Book != nil {
+		answer.Book, err = r.opts.Book.Encoded()
+	}
+	return answer, err
+}
+
+func (r *Reporter) handleDump(context.Context, []byte) ([]byte, error) {
+	answer, err := r.dump()
+	if err != nil {
+		return nil, err
+	}
+	return encodeBody(answer)
+}
--- /dev/null
+++ b/accounting/reporter.go
@@ -0,0 +1,90 @@
+package accounting
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"celeryport/clock"
+	"celeryport/control"
+	"celeryport/ledger"
+	"celeryport/verdict"
+)
+
+// The commands that a Reporter answers.
+const (
+	CommandReport = "report"
+	CommandBurn   = "burn"
+	commandDump   = "ledger-dump"
+)
+
+// ReporterOptions set up a Reporter. Log, Operations, View, Account and Address
+// must be set.
+type ReporterOptions struct {
+	Log        logrus.FieldLogger
+	Operations control.Operations
+	View       func() *control.View
+	Account    *ledger.Account
+	Book       *ledger.Book // nil on an instance that is no voter
+	Address    string       // this instance's own control address
+	Clock      clock.Clock  // nil: the machine's
+}
+
+// Reporter answers operators' reports on any instance: it asks all of them for
+// what they know and merges it.
+type Reporter struct {
+	opts ReporterOptions
+}
+
+// NewReporter returns a reporter and registers its commands, which has to be
+// before the instance starts.
+func NewReporter(opts ReporterOptions) *Reporter {
+	if opts.Clock == nil {
+		opts.Clock = clock.Real{}
+	}
+	r := &Reporter{opts: opts}
+	opts.Operations.Handle(CommandReport, r.handleReport)
+	opts.Operations.Handle(commandDump, r.handleDump)
+	return r
+}
+
+// Report makes a report over all instances.
+func (r *Reporter) Report(ctx context.Context, query ledger.Query) *ledger.Report {
+	known := r.gather(ctx)
+	return ledger.NewReport(ledger.ReportInput{
+		Query:  query,
+		Now:    r.opts.Clock.Now(),
+		State:  known.state,
+		Live:   known.live,
+		Listed: known.listed,
+	})
+}
+
+func (r *Reporter) handleReport(ctx context.Context, body []byte) ([]byte, error) {
+	var query ledger.Query
+	if err := decodeBody(body, &query); err != nil {
+		return nil, err
+	}
+	return encodeBody(r.Report(ctx, query))
+}
+
+func decodeBody(body []byte, into any) error {
+	if len(body) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, "malformed command")
+	}
+	return nil
+}
+
+func encodeBody(answer any) ([]byte, error) {
+	body, err := json.Marshal(answer)
+	return body, errors.Wrap(err, "encoding an answer")
+}
+
+// dumpTimeout bounds how long a report waits for an instance.
+const dumpTimeout = 2 * time.Second
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -30,11 +30,15 @@
 
 // operatorFlags returns the common flags and those of one command.
 func operatorFlags(own ...urfave.Flag) []urfave.Flag {
+	return connectFlags(append([]urfave.Flag{outputFlag(outputTable, outputJSON)}, own...)...)
+}
+
+// connectFlags is operatorFlags for a command with other forms of output.
+func connectFlags(own ...urfave.Flag) []urfave.Flag {
 	return append([]urfave.Flag{
 		&urfave.StringSliceFlag{Name: flagTo, Usage: "control addresses to try in turn, separated by commas", Required: true},
 		&urfave.StringFlag{Name: flagKeyFile, Usage: "file with the operator key; without it $" + keyVariable},
 		&urfave.DurationFlag{Name: flagTimeout, Usage: "how long to go on trying", Value: defaultTimeout},
-		outputFlag(outputTable, outputJSON),
 	}, own...)
 }
 
--- a/ledger/account_copy.go
+++ b/ledger/account_copy.go
@@ -8,18 +8,21 @@
 // Source is what control copies to the voters: for each voter it keeps the
 // position that the voter returned last, and hands it in for the next copy.
 type Source interface {
-	// Copy returns the encoded copy of what changed since a position; an empty
-	// position stands for a voter that has nothing.
-	Copy(now time.Time, position []byte) ([]byte, error)
+	// Copy returns the encoded copy of what changed since a position, and the
+	// position of a voter that took it in; an empty position stands for a voter
+	// that has nothing. Positions of one account compare as byte strings.
+	Copy(now time.Time, position []byte) (encoded, upTo []byte, err error)
 }
 
 // Copy implements Source.
-func (a *Account) Copy(now time.Time, position []byte) ([]byte, error) {
-	p := decodePosition(position)
+func (a *Account) Copy(now time.Time, from []byte) (encoded, upTo []byte, err error) {
+	p := decodePosition(from)
 	if p.incarnation != a.id.Incarnation {
 		p.sequence = 0
 	}
-	return encode(a.Take(now, p.sequence))
+	c := a.Take(now, p.sequence)
+	encoded, err = encode(c)
+	return encoded, position{incarnation: a.id.Incarnation, sequence: c.To}.encode(), err
 }
 
 // Take returns what changed after a sequence number, in a fixed order.
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -34,7 +34,7 @@
 
 func copyTo(t *testing.T, a *Account, book *Book, position []byte, at time.Time) []byte {
 	t.Helper()
-	encoded, err := a.Copy(at, position)
+	encoded, _, err := a.Copy(at, position)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -139,7 +139,7 @@
 	position := copyTo(t, account, book, nil, testStart)
 	full = true
 	serveMany(account, 1, 1)
-	encoded, err := account.Copy(testStart, position)
+	encoded, _, err := account.Copy(testStart, position)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -125,7 +125,7 @@
 func (m *fleetModel) send(t *rapid.T) {
 	i := rapid.IntRange(0, modelInstances-1).Draw(t, "instance")
 	v := rapid.IntRange(0, modelVoters-1).Draw(t, "voter")
-	encoded, err := m.accounts[i].Copy(m.now, m.positions[v][i].encode())
+	encoded, _, err := m.accounts[i].Copy(m.now, m.positions[v][i].encode())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -157,7 +157,7 @@
 	v := rapid.IntRange(0, modelVoters-1).Draw(t, "voter")
 	a := m.accounts[i]
 	for range 2 {
-		encoded, err := a.Copy(m.now, m.positions[v][i].encode())
+		encoded, _, err := a.Copy(m.now, m.positions[v][i].encode())
 		if err != nil {
 			t.Fatal(err)
 		}
