--- a/cli/settings.go
+++ b/cli/settings.go
@@ -17,6 +17,7 @@
 			settingsApplyCommand(stdout, stderr),
 			settingsShowCommand(stdout, stderr),
 			settingsHashKeyCommand(stdout, stderr),
+			settingsDocumentCommand(stdout, stderr),
 		},
 	}
 }
