--- a/ledger/field.go
+++ b/ledger/field.go
@@ -1,6 +1,10 @@
 package ledger
 
-import "celeryport/verdict"
+import (
+	"time"
+
+	"celeryport/verdict"
+)
 
 // Field names one counter of a series. Every counter only grows, so that two
 // states of one incarnation merge by taking the greater value of each field.
@@ -74,6 +78,9 @@
 // Length returns the length bucket of a latency.
 func (f Field) Length() Length { return Length(f.detail()) }
 
+// Value returns the middle of the bin of a latency.
+func (f Field) Value() time.Duration { return time.Duration(binMiddle(f.bin())) * time.Microsecond }
+
 // isBin reports whether the counter is one bin of a latency.
 func (f Field) isBin() bool { return f.Kind() >= KindFirstToken && f.Kind() <= KindTotal }
 
--- /dev/null
+++ b/metrics/metric.go
@@ -0,0 +1,71 @@
+package metrics
+
+import "github.com/prometheus/client_golang/prometheus"
+
+const namespace = "celeryport"
+
+// The labels.
+const (
+	labelOrganisation = "organisation"
+	labelClass        = "class"
+	labelReason       = "reason"
+	labelVerdict      = "verdict"
+	labelLength       = "length"
+	labelState        = "state"
+)
+
+// metric is one metric of this package.
+type metric struct {
+	name   string
+	help   string
+	kind   prometheus.ValueType
+	labels []string
+	desc   *prometheus.Desc
+}
+
+// all lists the metrics in the order of their definition, for docs/METRICS.md.
+var all []*metric
+
+func define(kind prometheus.ValueType, subsystem, name, help string, labels ...string) *metric {
+	m := &metric{
+		name:   prometheus.BuildFQName(namespace, subsystem, name),
+		help:   help,
+		kind:   kind,
+		labels: labels,
+	}
+	m.desc = prometheus.NewDesc(m.name, help, labels, nil)
+	all = append(all, m)
+	return m
+}
+
+func counter(subsystem, name, help string, labels ...string) *metric {
+	return define(prometheus.CounterValue, subsystem, name, help, labels...)
+}
+
+func gauge(subsystem, name, help string, labels ...string) *metric {
+	return define(prometheus.GaugeValue, subsystem, name, help, labels...)
+}
+
+// histogram is defined without a value type of its own.
+func histogram(subsystem, name, help string, labels ...string) *metric {
+	return define(prometheus.UntypedValue, subsystem, name, help, labels...)
+}
+
+func (m *metric) send(to chan<- prometheus.Metric, value float64, labels ...string) {
+	to <- prometheus.MustNewConstMetric(m.desc, m.kind, value, labels...)
+}
+
+func (m *metric) sendHistogram(to chan<- prometheus.Metric, h *buckets, labels ...string) {
+	to <- prometheus.MustNewConstHistogram(m.desc, h.count, h.sum, h.cumulative, labels...)
+}
+
+// kindName is the Prometheus type of the metric.
+func (m *metric) kindName() string {
+	switch m.kind {
+	case prometheus.CounterValue:
+		return "counter"
+	case prometheus.GaugeValue:
+		return "gauge"
+	}
+	return "histogram"
+}
