Measure the burn of the objectives, and join reports, burn and metrics to an instance

Refusals that lie with the caller or with a limit of its organisation leave the budget alone. celeryport burn prints a table with bars, JSON or a page; GET /burn gives the page to operators (bearer token, or the key as a browser's password). Charts are inline drawings by gonum plot.

instance: its own copier is replaced by accounting.Copier (both did the same; this one exchanges twice when a voter says that it lacks something and logs the first failure only); reports, burn and metrics are wired. Commands have to be registered before the node runs, while the incarnation is known only afterwards: the reporter gets the account late. The account follows the tree in force at each request instead of being told once a second, so that requests of a new organisation never count as other.

settings: goals end below 1, which would leave no budget to divide by.

--- a/accounting/gather.go
+++ b/accounting/gather.go
@@ -24,7 +24,7 @@
 // dumpAnswer is the JSON answer of the dump command. A report asks the other
 // instances by it; what does not answer in time shows as unknown, not as zero.
 type dumpAnswer struct {
-	Own  []byte `json:"own"`
+	Own  []byte `json:"own,omitempty"`
 	Book []byte `json:"book,omitempty"`
 }
 
@@ -98,12 +98,12 @@
 }
 
 func (r *Reporter) dump() (*dumpAnswer, error) {
-	own, err := ledger.EncodeAccount(r.opts.Account.Take(r.opts.Clock.Now(), 0))
-	if err != nil {
-		return nil, err
+	answer := &dumpAnswer{}
+	var err error
+	if account := r.account.Load(); account != nil {
+		answer.Own, err = ledger.EncodeAccount(account.Take(r.opts.Clock.Now(), 0))
 	}
-	answer := &dumpAnswer{Own: own}
-	if r.opts.Book != nil {
+	if err == nil && r.opts.Book != nil {
 		answer.Book, err = r.opts.Book.Encoded()
 	}
 	return answer, err
--- a/accounting/reporter.go
+++ b/accounting/reporter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,13 +22,12 @@
 	commandDump   = "ledger-dump"
 )
 
-// ReporterOptions set up a Reporter. Log, Operations, View, Account and Address
-// must be set.
+// ReporterOptions set up a Reporter. Log, Operations, View and Address must be
+// set.
 type ReporterOptions struct {
 	Log        logrus.FieldLogger
 	Operations control.Operations
 	View       func() *control.View
-	Account    *ledger.Account
 	Book       *ledger.Book // nil on an instance that is no voter
 	Address    string       // this instance's own control address
 	Clock      clock.Clock  // nil: the machine's
@@ -36,9 +36,14 @@
 // Reporter answers operators' reports on any instance: it asks all of them for
 // what they know and merges it.
 type Reporter struct {
-	opts ReporterOptions
+	opts    ReporterOptions
+	account atomic.Pointer[ledger.Account]
 }
 
+// Count gives the reporter the account of this incarnation. Commands have to be
+// registered before the instance starts, its incarnation is known only later.
+func (r *Reporter) Count(account *ledger.Account) { r.account.Store(account) }
+
 // NewReporter returns a reporter and registers its commands, which has to be
 // before the instance starts.
 func NewReporter(opts ReporterOptions) *Reporter {
@@ -47,6 +52,7 @@
 	}
 	r := &Reporter{opts: opts}
 	opts.Operations.Handle(CommandReport, r.handleReport)
+	opts.Operations.Handle(CommandBurn, r.handleBurn)
 	opts.Operations.Handle(commandDump, r.handleDump)
 	return r
 }
--- /dev/null
+++ b/burn/burner.go
@@ -0,0 +1,44 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// shownBurners bounds the burners that are listed.
+const shownBurners = 5
+
+// burners lists who and what missed the objective, the most first.
+func burners(o *objective, series byClass) []Burner {
+	type key struct{ organisation, cause string }
+	bad := map[key]uint64{}
+	var sum uint64
+	for i := range series[o.class] {
+		s := &series[o.class][i]
+		for n, f := range s.Counters.Fields {
+			if _, isBad := o.kind.counts(f); isBad {
+				bad[key{s.Series.Organisation, causeOf(f)}] += s.Counters.Values[n]
+				sum += s.Counters.Values[n]
+			}
+		}
+	}
+	all := make([]Burner, 0, len(bad))
+	for k, n := range bad {
+		all = append(all, Burner{Organisation: k.organisation, Cause: k.cause, Bad: n, Share: float64(n) / float64(sum)})
+	}
+	slices.SortFunc(all, compareBurners)
+	return all[:min(len(all), shownBurners)]
+}
+
+// compareBurners orders by what they burn, the most first, and then by name, so
+// that equal input gives an equal table.
+func compareBurners(a, b Burner) int {
+	if c := cmp.Compare(b.Bad, a.Bad); c != 0 {
+		return c
+	}
+	if c := strings.Compare(a.Organisation, b.Organisation); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Cause, b.Cause)
+}
--- /dev/null
+++ b/burn/chart.go
@@ -0,0 +1,71 @@
+package burn
+
+import (
+	"bytes"
+	"html/template"
+	"math"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	chartWidth  = vg.Length(420) // points
+	chartHeight = vg.Length(150)
+	lineWidth   = vg.Length(1.5)
+	dash        = vg.Length(3)
+)
+
+// chart draws the burn rate by the hour, with a line at 1, the rate that spends
+// the budget exactly within its period.
+func (o *Objective) chart() (template.HTML, error) {
+	p := plot.New()
+	p.Y.Label.Text = "burn rate"
+	p.Y.Min = 0
+	p.X.Tick.Marker = plot.TimeTicks{Format: "01-02\n15:04"}
+	if err := o.addLines(p); err != nil {
+		return "", err
+	}
+	canvas := vgsvg.New(chartWidth, chartHeight)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", errors.Wrap(err, "drawing a chart")
+	}
+	return inline(b.String()), nil
+}
+
+func (o *Objective) addLines(p *plot.Plot) error {
+	rates := make(plotter.XYs, 0, len(o.History))
+	for _, point := range o.History {
+		rates = append(rates, plotter.XY{X: float64(point.At.Unix()), Y: point.Rate})
+	}
+	if len(rates) == 0 {
+		return nil
+	}
+	line, err := plotter.NewLine(rates)
+	if err != nil {
+		return errors.Wrap(err, "drawing a line")
+	}
+	line.StepStyle = plotter.PostStep
+	line.Width = lineWidth
+	steady := plotter.NewFunction(func(float64) float64 { return 1 })
+	steady.Dashes = []vg.Length{dash, dash}
+	p.Add(line, steady)
+	p.Y.Max = math.Max(p.Y.Max, 1)
+	return nil
+}
+
+// inline cuts off what stands before the svg element: a declaration of XML is
+// not allowed inside HTML. The drawing holds numbers and fixed words only.
+func inline(svg string) template.HTML {
+	if i := strings.Index(svg, "<svg"); i > 0 {
+		svg = svg[i:]
+	}
+	return template.HTML(svg)
+}
--- /dev/null
+++ b/burn/html.go
@@ -0,0 +1,64 @@
+package burn
+
+import (
+	_ "embed"
+	"html/template"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("burn").Funcs(template.FuncMap{
+	"percent": percent,
+	"window":  shortWindow,
+	"bar":     func(fraction float64) float64 { return min(1, max(0, fraction)) * 100 },
+}).Parse(pageText))
+
+// pageData is what the page shows.
+type pageData struct {
+	Table      *Table
+	At         string
+	Windows    []string
+	Objectives []pageObjective
+}
+
+type pageObjective struct {
+	*Objective
+	Title  string
+	Lasts  string
+	Action string
+	Rates  []string
+	Chart  template.HTML
+}
+
+// WriteHTML writes a page that needs nothing from the network: charts are inline
+// drawings, and there are no scripts.
+func (t *Table) WriteHTML(w io.Writer) error {
+	data := pageData{Table: t, At: t.At.UTC().Format(timeForm)}
+	for _, window := range windows {
+		data.Windows = append(data.Windows, shortWindow(window))
+	}
+	for i := range t.Objectives {
+		o, err := newPageObjective(&t.Objectives[i])
+		if err != nil {
+			return err
+		}
+		data.Objectives = append(data.Objectives, o)
+	}
+	return errors.Wrap(page.Execute(w, data), "writing the burn page")
+}
+
+func newPageObjective(o *Objective) (pageObjective, error) {
+	p := pageObjective{Objective: o, Title: o.title(), Lasts: o.lasts(), Action: o.action()}
+	for i := range o.Rates {
+		p.Rates = append(p.Rates, o.Rates[i].text())
+	}
+	var err error
+	if o.Total > 0 {
+		p.Chart, err = o.chart()
+	}
+	return p, err
+}
--- /dev/null
+++ b/burn/text.go
@@ -0,0 +1,140 @@
+package burn
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	barWidth = 10
+	padding  = 2
+	timeForm = "2006-01-02 15:04:05 MST"
+)
+
+// WriteText writes the table for a terminal.
+func (t *Table) WriteText(w io.Writer) error {
+	out := tabwriter.NewWriter(w, 0, 0, padding, ' ', 0)
+	lines := []string{"burn at " + t.At.UTC().Format(timeForm), "", heading()}
+	for i := range t.Objectives {
+		lines = append(lines, t.Objectives[i].line())
+	}
+	lines = append(lines, "")
+	lines = append(lines, t.burnerLines()...)
+	lines = append(lines, t.notes()...)
+	_, err := fmt.Fprintln(out, strings.Join(lines, "\n"))
+	return errors.CombineErrors(err, out.Flush())
+}
+
+func heading() string {
+	cells := []string{"CLASS", "OBJECTIVE", "GOAL", "TOTAL", "MISSED", "BUDGET LEFT", "LASTS"}
+	for _, window := range windows {
+		cells = append(cells, shortWindow(window))
+	}
+	return strings.Join(append(cells, "ACTION"), "\t")
+}
+
+func (o *Objective) line() string {
+	cells := []string{
+		o.Class, o.title(), percent(o.Goal), fmt.Sprint(o.Total), fmt.Sprint(o.Bad),
+		bar(o.BudgetLeft) + " " + percent(o.BudgetLeft), o.lasts(),
+	}
+	for _, r := range o.Rates {
+		cells = append(cells, r.text())
+	}
+	return strings.Join(append(cells, o.action()), "\t")
+}
+
+func (o *Objective) title() string {
+	if o.Bound == "" {
+		return string(o.Kind)
+	}
+	return string(o.Kind) + " " + o.Bound
+}
+
+// text shows a rate; without any request there is none.
+func (r *Rate) text() string {
+	if r.Total == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", r.Rate)
+}
+
+func (o *Objective) lasts() string {
+	switch {
+	case o.Total == 0:
+		return "-"
+	case o.DaysLeft == nil:
+		return "for ever"
+	case *o.DaysLeft == 0:
+		return "spent"
+	}
+	return fmt.Sprintf("%.1f days", *o.DaysLeft)
+}
+
+// action is the most urgent one that is called for.
+func (o *Objective) action() string {
+	action := ""
+	for _, a := range o.Alerts {
+		if action != Page {
+			action = a.Action
+		}
+	}
+	return action
+}
+
+func (t *Table) burnerLines() []string {
+	var lines []string
+	for i := range t.Objectives {
+		o := &t.Objectives[i]
+		for _, b := range o.Burners {
+			lines = append(lines, strings.Join([]string{
+				o.Class, string(o.Kind), b.Organisation, b.Cause, fmt.Sprint(b.Bad), bar(b.Share) + " " + percent(b.Share),
+			}, "\t"))
+		}
+	}
+	if len(lines) == 0 {
+		return []string{"nothing missed an objective in the last " + shortWindow(burnersWindow)}
+	}
+	head := []string{
+		"what burned in the last " + shortWindow(burnersWindow),
+		strings.Join([]string{"CLASS", "OBJECTIVE", "ORGANISATION", "CAUSE", "MISSED", "SHARE"}, "\t"),
+	}
+	return append(head, lines...)
+}
+
+func (t *Table) notes() []string {
+	var notes []string
+	if t.Unplaced > 0 {
+		notes = append(notes, fmt.Sprintf("not in any window: %d requests that were learned too late to place in time", t.Unplaced))
+	}
+	if t.UnknownInstances > 0 {
+		notes = append(notes, fmt.Sprintf("instances of which the end is unknown: %d, see celeryport report", t.UnknownInstances))
+	}
+	return notes
+}
+
+// bar draws a fraction; more than all and less than nothing are cut off.
+func bar(fraction float64) string {
+	full := int(min(1, max(0, fraction))*barWidth + 0.5)
+	return "[" + strings.Repeat("#", full) + strings.Repeat(".", barWidth-full) + "]"
+}
+
+func percent(fraction float64) string {
+	return strings.TrimSuffix(strings.TrimRight(fmt.Sprintf("%.3f", fraction*100), "0"), ".") + "%"
+}
+
+func shortWindow(d time.Duration) string {
+	const day = hoursPerDay * time.Hour
+	switch {
+	case d >= day:
+		return fmt.Sprintf("%dd", d/day)
+	case d >= time.Hour:
+		return fmt.Sprintf("%dh", d/time.Hour)
+	}
+	return fmt.Sprintf("%dm", d/time.Minute)
+}
--- a/cli/burn.go
+++ b/cli/burn.go
@@ -1,12 +1,41 @@
 package cli
 
 import (
+	"context"
 	"io"
 
 	urfave "github.com/urfave/cli/v3"
+
+	"celeryport/accounting"
+	"celeryport/burn"
 )
 
-// burnCommand is not there yet.
-func burnCommand(_, _ io.Writer) *urfave.Command {
-	return &urfave.Command{Name: "burn"}
+// burnCommand prints how the error budgets burn.
+func burnCommand(stdout, _ io.Writer) *urfave.Command {
+	return &urfave.Command{
+		Name:  "burn",
+		Usage: "report how fast the error budgets of the classes burn, and who and what burns them",
+		Flags: connectFlags(outputFlag(outputTable, outputJSON, outputHTML)),
+		Action: func(ctx context.Context, c *urfave.Command) error {
+			o, err := newOperator(c)
+			if err != nil {
+				return err
+			}
+			var table burn.Table
+			if err := o.ask(ctx, accounting.CommandBurn, nil, &table); err != nil {
+				return readOnly(err)
+			}
+			return printBurn(stdout, &table, c.String(outputName))
+		},
+	}
+}
+
+func printBurn(stdout io.Writer, table *burn.Table, form string) error {
+	switch form {
+	case outputJSON:
+		return table.WriteJSON(stdout)
+	case outputHTML:
+		return table.WriteHTML(stdout)
+	}
+	return table.WriteText(stdout)
 }
--- a/instance/books.go
+++ b/instance/books.go
@@ -6,7 +6,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/accounting"
+	"celeryport/control"
 	"celeryport/ledger"
+	"celeryport/settings"
 	"celeryport/wal"
 )
 
@@ -17,6 +20,7 @@
 type books struct {
 	options *Options
 	book    *ledger.Book // nil on an instance that is no voter
+	reports *accounting.Reporter
 }
 
 func openBooks(options *Options) (*books, error) {
@@ -41,10 +45,25 @@
 	return b.book
 }
 
+// answerReports registers the operators' reports, which has to be before the
+// node runs.
+func (b *books) answerReports(node *control.Node) {
+	b.reports = accounting.NewReporter(accounting.ReporterOptions{
+		Log:        b.options.Log,
+		Operations: node,
+		View:       node.View,
+		Book:       b.book,
+		Address:    b.options.Process.ControlAdvertise,
+	})
+}
+
 // open starts the account of this incarnation.
-func (b *books) open(incarnation uint64) *ledger.Account {
-	id := ledger.ID{Instance: b.options.Process.Name, Incarnation: incarnation}
-	return ledger.NewAccount(id, time.Now(), b.options.Log)
+func (b *books) open(node *control.Node) *ledger.Account {
+	id := ledger.ID{Instance: b.options.Process.Name, Incarnation: node.View().Incarnation}
+	account := ledger.NewAccount(id, time.Now(), b.options.Log)
+	account.Follow(func() *settings.Tree { return node.View().Tree })
+	b.reports.Count(account)
+	return account
 }
 
 func (b *books) close() error {
--- a/instance/run.go
+++ b/instance/run.go
@@ -15,6 +15,7 @@
 	"celeryport/entry"
 	"celeryport/event"
 	"celeryport/ledger"
+	"celeryport/metrics"
 	"celeryport/upstream/client"
 )
 
@@ -41,6 +42,7 @@
 	if err != nil {
 		return errors.Wrap(err, "control")
 	}
+	books.answerReports(node)
 	running, end := context.WithCancel(context.Background())
 	defer end()
 	group, ctx := errgroup.WithContext(running)
@@ -63,7 +65,7 @@
 	if !awaitLease(ctx, stop, node) {
 		return ctx.Err()
 	}
-	account := books.open(node.View().Incarnation)
+	account := books.open(node)
 	server, err := newServer(options, node, books, account)
 	if err != nil {
 		return err
@@ -77,7 +79,7 @@
 	copying, stopCopying := context.WithCancel(ctx)
 	group.Go(func() error { return errors.Wrap(server.Serve(listener), "serve callers") })
 	group.Go(func() error { return stateDemands(copying, node, server) })
-	group.Go(func() error { return newCopier(options, node, account).run(copying) })
+	group.Go(func() error { return copyCounters(copying, options, node, account) })
 	group.Go(func() error {
 		defer stopCopying()
 		return shutDown(ctx, stop, cut, options, server)
@@ -112,6 +114,8 @@
 		Dispatcher: dispatch.New(dispatch.Config{}, random),
 		Recorder:   account,
 		Client:     client.New(nil, options.Process.EngineKey, owner, client.DefaultTiming),
+		Metrics:    metrics.Handler(metrics.NewRegistry(account, node.View, clock.Real{})),
+		Burn:       books.reports.BurnHandler(options.Process.OperatorKeys),
 		Log:        options.Log,
 		Clock:      clock.Real{},
 	})
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -24,6 +24,7 @@
 	started time.Time
 	log     logrus.FieldLogger
 	names   atomic.Pointer[Names]
+	tree    func() *settings.Tree // nil: only Configure
 	seed    maphash.Seed
 
 	// epoch numbers the copies: whatever changes is marked with the present
@@ -51,13 +52,33 @@
 // flight go on counting for the series in which they were received.
 func (a *Account) Configure(tree *settings.Tree) { a.names.Store(NewNames(tree)) }
 
+// Follow makes the account look at the tree in force at each request, so that
+// no request of a new organisation counts as Other. It is called before the
+// first request.
+func (a *Account) Follow(tree func() *settings.Tree) { a.tree = tree }
+
+// present returns the names of the tree in force.
+func (a *Account) present() *Names {
+	names := a.names.Load()
+	if a.tree == nil {
+		return names
+	}
+	tree := a.tree()
+	if tree == nil || (names != nil && names.tree == tree) {
+		return names
+	}
+	names = NewNames(tree)
+	a.names.Store(names)
+	return names
+}
+
 // Close says that nothing more will be counted: a copy taken afterwards is the
 // last one, and nothing of this incarnation is unknown.
 func (a *Account) Close() { a.closed.Store(true) }
 
 // Received implements Recorder.
 func (a *Account) Received(r *request.Request) {
-	s := a.tracked(a.names.Load().Series(r))
+	s := a.tracked(a.present().Series(r))
 	if !a.openShard(r.ID).put(r.ID, s) {
 		a.misuse(r, "received twice")
 		return
@@ -71,7 +92,7 @@
 	if s == nil {
 		return
 	}
-	objectives := a.names.Load().objectives(s.name.Class)
+	objectives := a.present().objectives(s.name.Class)
 	s.update(&a.epoch, func(t *trackedSeries) { t.addServed(r, served, objectives) })
 }
 
--- a/ledger/names.go
+++ b/ledger/names.go
@@ -12,6 +12,7 @@
 
 // Names collapses names that the settings don't hold.
 type Names struct {
+	tree          *settings.Tree
 	organisations map[string]bool
 	classes       map[string]settings.Objectives
 	targets       map[target]bool
@@ -25,6 +26,7 @@
 // NewNames returns the names of a settings tree.
 func NewNames(tree *settings.Tree) *Names {
 	n := &Names{
+		tree:          tree,
 		organisations: map[string]bool{},
 		classes:       map[string]settings.Objectives{},
 		targets:       map[target]bool{},
--- a/settings/schema_class.go
+++ b/settings/schema_class.go
@@ -10,6 +10,7 @@
 	mostSlowdown  = 1000
 	leastWindow   = time.Hour
 	mostWindow    = 90 * 24 * time.Hour
+	highestGoal   = 0.99999 // a goal of 1 leaves no error budget to burn
 )
 
 var classSchema = schema[Class]{
@@ -28,13 +29,13 @@
 		key("first_token", duration(time.Millisecond, mostDeadline), "1s",
 			func(c *Class) *time.Duration { return &c.Objectives.FirstToken },
 			"Objective: bound of the time to the first token of short prompts."),
-		key("first_token_goal", number(0, 1), "0.95",
+		key("first_token_goal", number(0, highestGoal), "0.95",
 			func(c *Class) *float64 { return &c.Objectives.FirstTokenGoal },
 			"Objective: fraction of answers to short prompts within first_token."),
-		key("in_time_goal", number(0, 1), "0.999",
+		key("in_time_goal", number(0, highestGoal), "0.999",
 			func(c *Class) *float64 { return &c.Objectives.InTimeGoal },
 			"Objective: fraction of admitted requests that are answered before their deadline."),
-		key("served_goal", number(0, 1), "0.99",
+		key("served_goal", number(0, highestGoal), "0.99",
 			func(c *Class) *float64 { return &c.Objectives.ServedGoal },
 			"Objective: fraction of received requests that are served."),
 		key("slowdown_bound", number(1, mostSlowdown), "3",
