--- a/admission/account.go
+++ b/admission/account.go
@@ -25,6 +25,7 @@
 
 	limits  limits
 	offered Rate
+	mix     MixRate
 	fleet   fleetView
 }
 
@@ -33,6 +34,7 @@
 	until         time.Time
 	waitingTokens int
 	spanTokens    int
+	mix           quota.Mix
 }
 
 // NewAccount returns the account of an organisation that nothing is known of.
@@ -54,8 +56,8 @@
 // gets what the others leave.
 const minWeight = 1e-6
 
-// FleetWaitingTokens is the estimate of the organisation's queued prompt tokens
-// over all instances.
+// FleetWaitingTokens is the estimate of the organisation's queued long prompts,
+// in tokens, over all instances.
 func (a *Account) FleetWaitingTokens(now time.Time) int {
 	if now.After(a.fleet.until) {
 		return a.WaitingTokens
@@ -71,6 +73,17 @@
 	return a.SpanTokens + a.fleet.spanTokens
 }
 
+// Prompted counts the tokens of an offered prompt in the mix.
+func (a *Account) Prompted(now time.Time, tokens quota.Mix) { a.mix.Add(now, tokens) }
+
+// Mix is the offered mix over the whole fleet, as far as is known.
+func (a *Account) Mix(now time.Time) quota.Mix {
+	if now.After(a.fleet.until) {
+		return a.mix.At(now)
+	}
+	return a.fleet.mix
+}
+
 // Granted installs a grant. Its lease started when the demand was sent.
 func (a *Account) Granted(now time.Time, g quota.Grant) {
 	a.limits.granted(now, g)
@@ -80,6 +93,7 @@
 		until:         now.Add(g.Lease),
 		waitingTokens: max(0, g.FleetWaitingTokens-a.WaitingTokens),
 		spanTokens:    max(0, g.FleetSpanTokens-a.SpanTokens),
+		mix:           g.FleetMix,
 	}
 }
 
@@ -96,6 +110,7 @@
 		Usage:                  a.Usage.stated,
 		WaitingTokens:          a.WaitingTokens,
 		SpanTokens:             a.SpanTokens,
+		Mix:                    a.mix.At(now),
 		GrantedInFlight:        a.limits.heldInFlight(now),
 		GrantedTokensPerSecond: a.limits.heldRate(now),
 	}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -37,7 +37,9 @@
 	q.tokens += t.Request.PromptTokens
 	a := t.Account
 	a.Waiting++
-	a.WaitingTokens += t.Request.PromptTokens
+	if t.Request.Long {
+		a.WaitingTokens += t.Request.PromptTokens
+	}
 	if t.Span {
 		a.SpanTokens += t.Request.PromptTokens
 	}
@@ -54,7 +56,9 @@
 	q.tokens -= t.Request.PromptTokens
 	a := t.Account
 	a.Waiting--
-	a.WaitingTokens -= t.Request.PromptTokens
+	if t.Request.Long {
+		a.WaitingTokens -= t.Request.PromptTokens
+	}
 	if t.Span {
 		a.SpanTokens -= t.Request.PromptTokens
 	}
--- /dev/null
+++ b/bench/record.go
@@ -0,0 +1,46 @@
+package bench
+
+import (
+	"time"
+
+	"celeryport/request"
+	"celeryport/verdict"
+)
+
+// life is what became of one request.
+type life struct {
+	request  *request.Request
+	arrived  time.Duration
+	first    time.Duration // 0: no token came
+	finished time.Duration // 0: not
+	refused  time.Duration // 0: not
+	err      *verdict.Error
+}
+
+// record follows all requests of a run.
+type record struct {
+	lives map[string]*life
+	order []*life
+}
+
+func newRecord() *record { return &record{lives: map[string]*life{}} }
+
+func (r *record) arrived(now time.Duration, q *request.Request) {
+	l := &life{request: q, arrived: now}
+	r.lives[q.ID] = l
+	r.order = append(r.order, l)
+}
+
+func (r *record) firstToken(now time.Duration, q *request.Request) {
+	if l := r.lives[q.ID]; l.first == 0 {
+		l.first = now
+	}
+}
+
+func (r *record) finished(now time.Duration, q *request.Request) { r.lives[q.ID].finished = now }
+
+func (r *record) refused(now time.Duration, q *request.Request, err *verdict.Error) {
+	l := r.lives[q.ID]
+	l.refused = now
+	l.err = err
+}
--- /dev/null
+++ b/bench/run.go
@@ -0,0 +1,89 @@
+package bench
+
+import (
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Options choose what is measured.
+type Options struct {
+	Filter  string // rows whose name contains it; empty: all
+	Seeds   int
+	Workers int // rows measured at one time
+}
+
+// The limits of the options.
+const (
+	defaultSeeds = 3
+	maxWorkers   = 6
+)
+
+func (o Options) withDefaults() Options {
+	if o.Seeds <= 0 {
+		o.Seeds = defaultSeeds
+	}
+	if o.Workers <= 0 {
+		o.Workers = min(maxWorkers, runtime.NumCPU())
+	}
+	return o
+}
+
+// Measured is one row with the results of both policies, one for each seed.
+type Measured struct {
+	Row        string    `json:"row"`
+	Celeryport []*Result `json:"celeryport"`
+	Naive      []*Result `json:"naive"`
+
+	row Row
+}
+
+// Run measures the rows.
+func Run(options Options) []*Measured {
+	options = options.withDefaults()
+	var measured []*Measured
+	for _, row := range Rows() {
+		if !strings.Contains(row.Name(), options.Filter) {
+			continue
+		}
+		measured = append(measured, &Measured{
+			Row: row.Name(), row: row,
+			Celeryport: make([]*Result, options.Seeds), Naive: make([]*Result, options.Seeds),
+		})
+	}
+	runAll(options, measured)
+	return measured
+}
+
+// runAll plays every run on a few goroutines. Each run has its own state, so the
+// order in which they end changes nothing.
+func runAll(options Options, measured []*Measured) {
+	work := make(chan func())
+	var workers sync.WaitGroup
+	for range options.Workers {
+		workers.Go(func() {
+			for run := range work {
+				run()
+			}
+		})
+	}
+	for _, m := range measured {
+		for seed := range options.Seeds {
+			work <- func() { m.Celeryport[seed] = m.row.run(Celeryport, uint64(seed+1)) }
+			work <- func() { m.Naive[seed] = m.row.run(Naive, uint64(seed+1)) }
+		}
+	}
+	close(work)
+	workers.Wait()
+}
+
+// median of what a function reads from each seed's result.
+func median(results []*Result, read func(*Result) float64) float64 {
+	values := make([]float64, len(results))
+	for i, r := range results {
+		values[i] = read(r)
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -1,12 +1,62 @@
 package cli
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 
+	"github.com/cockroachdb/errors"
 	urfave "github.com/urfave/cli/v3"
+
+	"celeryport/bench"
 )
 
-// benchCommand is not there yet.
-func benchCommand(_, _ io.Writer) *urfave.Command {
-	return &urfave.Command{Name: "bench"}
+// benchCommand measures the decisions on a virtual clock.
+func benchCommand(stdout, _ io.Writer) *urfave.Command {
+	return &urfave.Command{
+		Name:  "bench",
+		Usage: "measure admission, routing and queueing beside the naive baseline, on a virtual clock",
+		Flags: []urfave.Flag{
+			&urfave.StringFlag{Name: "row", Usage: "only rows whose name contains `TEXT`, such as aretusa/80% or engine-dies"},
+			&urfave.IntFlag{Name: "seeds", Value: 3, Usage: "runs of each row"},
+			&urfave.StringFlag{Name: "output", Value: "table", Usage: "table or json"},
+			&urfave.BoolFlag{Name: "list", Usage: "print the names of the rows"},
+		},
+		Action: func(_ context.Context, c *urfave.Command) error {
+			if c.Bool("list") {
+				return listRows(stdout)
+			}
+			return runBench(stdout, c)
+		},
+	}
+}
+
+func listRows(stdout io.Writer) error {
+	for _, row := range bench.Rows() {
+		fmt.Fprintln(stdout, row.Name())
+	}
+	return nil
+}
+
+// benchReport is the JSON output.
+type benchReport struct {
+	Rows []*bench.Measured `json:"rows"`
+	Bars []bench.Bar       `json:"bars"`
+}
+
+func runBench(stdout io.Writer, c *urfave.Command) error {
+	format := c.String("output")
+	if format != "table" && format != "json" {
+		return &ExitError{Code: ExitUsage, Err: errors.Newf("--output %q: table or json", format)}
+	}
+	measured := bench.Run(bench.Options{Filter: c.String("row"), Seeds: c.Int("seeds")})
+	if len(measured) == 0 {
+		return &ExitError{Code: ExitUsage, Err: errors.Newf("no row is called %q; see --list", c.String("row"))}
+	}
+	if format == "json" {
+		return json.NewEncoder(stdout).Encode(benchReport{Rows: measured, Bars: bench.Bars(measured)})
+	}
+	bench.WriteTable(stdout, measured)
+	return nil
 }
--- a/dispatch/lane_queue.go
+++ b/dispatch/lane_queue.go
@@ -1,9 +1,8 @@
 package dispatch
 
 import (
-	"time"
-
 	"celeryport/admission"
+	"celeryport/quota"
 )
 
 // laneQueue holds the waiting requests of one lane of one target. Lanes keep
@@ -13,6 +12,7 @@
 	kind   laneKind
 	target string
 	queue  *admission.Queue
+	sent   admission.Rate // prompt tokens a second sent from here
 }
 
 // laneKind is the kind of a lane.
@@ -28,8 +28,8 @@
 // lanes are the queues of one target, and the measured mix of its requests.
 type lanes struct {
 	byKind [laneKinds]*laneQueue
-	short  admission.Rate // tokens offered a second
-	long   admission.Rate
+	mix    admission.MixRate // offered to this instance
+	load   quota.Mix         // of the fleet, as parts of the pool's capacity
 }
 
 func newLanes(target string) *lanes {
@@ -39,12 +39,3 @@
 	}
 	return l
 }
-
-// longShare is the part of the offered tokens that is of long requests.
-func (l *lanes) longShare(now time.Time) float64 {
-	short, long := l.short.PerSecond(now), l.long.PerSecond(now)
-	if short+long == 0 {
-		return 0
-	}
-	return long / (short + long)
-}
--- /dev/null
+++ b/dispatch/lane_size.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"time"
+
+	"celeryport/quota"
+)
+
+// sizeLanes sets the long lane of each pool from the load of the whole fleet, so
+// that the lanes of all instances are equal but for the delay of the grants. The
+// part of each target in that load is this instance's own measurement.
+func (s *Scheduler) sizeLanes(now time.Time) {
+	var fleet quota.Mix
+	waiting := 0
+	for _, a := range s.ordered {
+		fleet = fleet.Plus(a.Mix(now))
+		waiting += a.FleetWaitingTokens(now)
+	}
+	var own quota.Mix
+	for _, l := range s.targets {
+		own = own.Plus(l.mix.At(now))
+	}
+	for target, l := range s.lanes {
+		pool := s.table.Pool(target)
+		if pool == nil || pool.Rate() == 0 {
+			continue
+		}
+		mine := l.mix.At(now)
+		l.load = quota.Mix{
+			Small:  fleet.Small * part(mine.Small, own.Small) / pool.Rate(),
+			Middle: fleet.Middle * part(mine.Middle, own.Middle) / pool.Rate(),
+			Long:   fleet.Long * part(mine.Long, own.Long) / pool.Rate(),
+		}
+		pool.SizeLane(l.load, waiting)
+	}
+}
+
+func part(one, all float64) float64 {
+	if all <= 0 {
+		return 0
+	}
+	return one / all
+}
--- a/dispatch/offer.go
+++ b/dispatch/offer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryport/admission"
+	"celeryport/quota"
 	"celeryport/request"
 	"celeryport/routing"
 	"celeryport/verdict"
@@ -18,7 +19,7 @@
 	account := s.account(r.Organisation)
 	account.Offered(now, r.Tokens())
 	lanes := s.lanesOf(r.Target)
-	lanes.offered(now, r)
+	lanes.offered(now, r, account)
 	pool := s.table.Pool(r.Target)
 	if err := s.admit(now, r, account, pool); err != nil {
 		s.refuse(r, err)
@@ -38,11 +39,24 @@
 	s.checkQueued(now, j)
 }
 
-func (l *lanes) offered(now time.Time, r *request.Request) {
-	if r.Long {
-		l.long.Add(now, float64(r.PromptTokens))
-	} else {
-		l.short.Add(now, float64(r.PromptTokens))
+func (l *lanes) offered(now time.Time, r *request.Request, a *admission.Account) {
+	if r.Kind != request.Prompt {
+		return
+	}
+	tokens := mixOf(r)
+	a.Prompted(now, tokens)
+	l.mix.Add(now, tokens)
+}
+
+func mixOf(r *request.Request) quota.Mix {
+	tokens := float64(r.PromptTokens)
+	switch {
+	case r.Long:
+		return quota.Mix{Long: tokens}
+	case routing.Small(r.PromptTokens):
+		return quota.Mix{Small: tokens}
+	default:
+		return quota.Mix{Middle: tokens}
 	}
 }
 
--- a/dispatch/predict.go
+++ b/dispatch/predict.go
@@ -25,17 +25,14 @@
 // of the capacity, or, if that is shorter, for everybody's backlog at all of it.
 func (s *Scheduler) wait(now time.Time, j *job) time.Duration {
 	lane := j.lane
-	if lane.kind == shortLane && lane.queue.Len() == 0 {
-		return 0
+	if lane.kind == shortLane {
+		return s.shortWait(now, lane)
 	}
 	pool := s.table.Pool(lane.target)
 	if pool == nil || pool.Rate() == 0 {
 		return announceInterval
 	}
-	rate := pool.Rate()
-	if lane.kind != shortLane {
-		rate *= max(minLongCapacity, 1-s.shortLoad(now, lane.target, pool))
-	}
+	rate := pool.Rate() * max(minLongCapacity, 1-s.lanesOf(lane.target).load.Small-s.lanesOf(lane.target).load.Middle)
 	all, weight := 0.0, 0.0
 	for _, a := range s.ordered {
 		waiting := float64(a.FleetWaitingTokens(now))
@@ -48,14 +45,18 @@
 	return time.Duration(min(all, own) / rate * float64(time.Second))
 }
 
+// shortWait is the time in which as much as waits here was sent lately.
+func (s *Scheduler) shortWait(now time.Time, lane *laneQueue) time.Duration {
+	if lane.queue.Len() == 0 {
+		return 0
+	}
+	rate := max(lane.sent.PerSecond(now), 1)
+	return time.Duration(float64(lane.queue.Tokens()) / rate * float64(time.Second))
+}
+
 // minLongCapacity is the part of the capacity that long requests get at least.
 const minLongCapacity = 0.1
 
-// shortLoad is the part of the pool's capacity that short requests take.
-func (s *Scheduler) shortLoad(now time.Time, target string, pool *routing.Pool) float64 {
-	return s.lanesOf(target).short.PerSecond(now) / pool.Rate()
-}
-
 // inTime refuses at once what can't be answered by its deadline.
 func (s *Scheduler) inTime(now time.Time, j *job, pool *routing.Pool) *verdict.Error {
 	r := j.request
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -123,6 +123,7 @@
 	j.predicted = firstToken
 	j.charged = float64(j.tokens())
 	j.account.Usage.Add(now, j.charged)
+	j.lane.sent.Add(now, float64(j.request.PromptTokens))
 	s.actions = append(s.actions, Action{
 		Kind:      Send,
 		Request:   j.request,
@@ -132,15 +133,20 @@
 	})
 }
 
-// shortPriority lifts every short request above every long one on the engine.
-const shortPriority = 1000
+// lengthPriority lifts every short request above every long one on the engine,
+// and every small one above both.
+const lengthPriority = 1000
 
-// enginePriority is the priority on the engine. A long prompt gives way at the
-// next iteration to any short one, whatever their classes are: it loses
-// milliseconds, while the short one would lose seconds.
+// enginePriority is the priority on the engine: length first, then class. A long
+// prompt gives way at the next iteration to any short one, whatever their
+// classes are: it loses milliseconds, while the short one would lose seconds.
 func enginePriority(r *request.Request) int {
-	if r.Long {
+	switch {
+	case r.Long:
 		return r.Priority
+	case routing.Small(r.PromptTokens):
+		return r.Priority + 2*lengthPriority
+	default:
+		return r.Priority + lengthPriority
 	}
-	return r.Priority + shortPriority
 }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -77,15 +77,15 @@
 	s.pump(now)
 }
 
+// SetPeers says which of the live instances this one is, by their order of name,
+// and how many there are. Without it small prompts are spread at random.
+func (s *Scheduler) SetPeers(rank, peers int) { s.table.SetPeers(rank, peers) }
+
 // Observe implements Dispatcher.
 func (s *Scheduler) Observe(now time.Time, view *upstream.Snapshot) {
 	s.begin()
 	s.table.Observe(now, view)
-	for target, l := range s.lanes {
-		if pool := s.table.Pool(target); pool != nil {
-			pool.SetLongShare(l.longShare(now))
-		}
-	}
+	s.sizeLanes(now)
 	s.pump(now)
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -14,9 +14,11 @@
 	Waiting         int     `json:"waiting"`           // requests queued
 
 	Usage         float64 `json:"usage,omitempty"`          // tokens sent to upstreams, decayed, see admission.Usage
-	WaitingTokens int     `json:"waiting_tokens,omitempty"` // prompt tokens of the requests queued
+	WaitingTokens int     `json:"waiting_tokens,omitempty"` // prompt tokens of the long requests queued
 	SpanTokens    int     `json:"span_tokens,omitempty"`    // of these, of prompts that need a span
 
+	Mix Mix `json:"mix"` // prompt tokens a second offered, over a minute
+
 	// Granted limits that this instance still acts on. They keep an allocator
 	// that has just started from granting the same part twice.
 	GrantedInFlight        int     `json:"granted_in_flight,omitempty"`
@@ -36,4 +38,5 @@
 	FleetUsage         float64 `json:"fleet_usage,omitempty"`          // sum of the instances' Usage
 	FleetWaitingTokens int     `json:"fleet_waiting_tokens,omitempty"` // sum of WaitingTokens
 	FleetSpanTokens    int     `json:"fleet_span_tokens,omitempty"`    // sum of SpanTokens
+	FleetMix           Mix     `json:"fleet_mix"`                      // sum of Mix
 }
--- a/routing/ask.go
+++ b/routing/ask.go
@@ -34,7 +34,7 @@
 	if a.Long {
 		wait += long
 	} else {
-		wait += min(long, iterationTokens)
+		wait += interference(n, long)
 	}
 	c.Wait = seconds(wait / n.report.rate)
 	c.Prefill = seconds(own / n.report.rate)
@@ -42,6 +42,24 @@
 	return c
 }
 
+// longHeadroom is the part of a node's memory that a long prompt leaves to short
+// ones. A short prompt that finds the memory full waits until a long answer ends,
+// seconds later, whatever its priority is. A prompt that needs the headroom
+// itself gets it when the node is empty.
+const longHeadroom = 0.15
+
+// interference is what long prompts on the node cost a short one: the iteration
+// under way, and a share in the next ones. A node of the lane counts as busy
+// with one even if its last report, seconds old, says otherwise: another
+// instance has filled it since, and the short prompts would all find that out
+// at the same time.
+func interference(n *Node, long float64) float64 {
+	if n.inLane {
+		return iterationTokens
+	}
+	return min(long, iterationTokens)
+}
+
 func (a *Ask) cached(n *Node) int {
 	if a.PrefixHash == 0 {
 		return 0
@@ -57,5 +75,12 @@
 	if a.InFlight > 0 && n.inFlight >= a.InFlight || n.Slots > 0 && n.inFlight >= n.Slots {
 		return false
 	}
-	return n.MemoryTokens == 0 || a.Memory <= n.Free()
+	if n.MemoryTokens == 0 {
+		return true
+	}
+	room := n.Free()
+	if a.Long {
+		room -= min(int(longHeadroom*float64(n.MemoryTokens)), n.MemoryTokens-a.Memory)
+	}
+	return a.Memory <= room
 }
--- a/routing/choose_long.go
+++ b/routing/choose_long.go
@@ -10,24 +10,17 @@
 // costs little and a collision costs much.
 const longCandidates = 4
 
-// ChooseLong returns a node of the long lane, or one outside it if that has
-// next to nothing to do: the lane spills into idle capacity.
+// ChooseLong returns a node of the long lane, or of the whole pool while there
+// is no lane.
 func (p *Pool) ChooseLong(now time.Time, random *rand.Rand, a *Ask) (Choice, bool) {
-	best, found := p.drawLong(now, random, a, p.lane.order[:p.lane.size])
-	if found && best.Wait <= idleWait {
-		return best, true
-	}
-	other, idle := p.drawLong(now, random, a, p.lane.order[p.lane.size:])
-	if idle && other.Wait <= idleWait && (!found || other.score < best.score) {
-		return other, true
+	nodes := p.lane.inside()
+	if len(nodes) == 0 {
+		nodes = p.open
 	}
-	return best, found
+	return drawLong(now, random, a, nodes)
 }
 
-// idleWait is the queued prefill up to which a node counts as idle.
-const idleWait = 100 * time.Millisecond
-
-func (p *Pool) drawLong(now time.Time, random *rand.Rand, a *Ask, nodes []*Node) (Choice, bool) {
+func drawLong(now time.Time, random *rand.Rand, a *Ask, nodes []*Node) (Choice, bool) {
 	var best Choice
 	if len(nodes) == 0 {
 		return best, false
--- a/routing/lane.go
+++ b/routing/lane.go
@@ -4,6 +4,8 @@
 	"math"
 	"sort"
 
+	"celeryport/quota"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -11,10 +13,13 @@
 // view has the same order (rendezvous hashing), so the lanes of instances that
 // measure different shares of long tokens are prefixes of one another.
 type lane struct {
-	order []*Node
-	keys  map[*Node]uint64
-	share float64 // of the tokens that are of long prompts
-	size  int     // nodes of order that form the lane
+	order   []*Node
+	keys    map[*Node]uint64
+	load    quota.Mix // as parts of the pool's capacity
+	backlog float64   // long prompts that wait, in seconds of one node
+	size    int       // nodes of order that form the lane
+	rank    int       // of this instance among the live ones
+	peers   int       // live instances, 0: unknown
 }
 
 func (l *lane) build(target string, nodes []*Node) {
@@ -31,9 +36,26 @@
 	l.resize()
 }
 
-// SetLongShare sizes the lane by the measured share of long tokens.
-func (p *Pool) SetLongShare(share float64) {
-	p.lane.share = share
+// The utilisations that the two sides of a pool are sized for. Long prompts wait
+// for the lane in the instances, so it may be nearly full; the other side keeps
+// room, because a small prompt should meet nobody there.
+const (
+	laneTarget  = 0.95
+	smallTarget = 0.35
+)
+
+// backlogPerNode is how many seconds of waiting prefill bring one more node into
+// the lane. The lane spills into idle capacity in this way, by a signal that all
+// instances share, and not by each one's own look at idle nodes: those looks
+// are seconds old, and a long prompt on a node that the others hold for free of
+// long ones slows their small prompts.
+const backlogPerNode = 8.0
+
+// SizeLane sizes the lane by measured loads, as parts of the pool's capacity,
+// and by the long tokens that wait on all instances.
+func (p *Pool) SizeLane(load quota.Mix, waiting int) {
+	p.lane.load = load
+	p.lane.backlog = float64(waiting) / p.MeanRate()
 	p.lane.resize()
 }
 
@@ -42,6 +64,39 @@
 
 func (l *lane) resize() {
 	n := len(l.order)
-	size := int(math.Ceil(l.share * float64(n)))
-	l.size = min(max(size, min(1, n)), n)
+	l.size = l.wanted(n)
+	for i, node := range l.order {
+		node.inLane = i < l.size
+	}
 }
+
+// wanted is the number of n nodes that the lane should have. Without long
+// prompts there is nothing to keep apart.
+func (l *lane) wanted(n int) int {
+	if l.load.Long < minLongLoad && l.backlog == 0 {
+		return 0
+	}
+	load := l.load.Long + l.load.Middle
+	size := int(math.Ceil(load/laneTarget*float64(n)) + l.backlog/backlogPerNode)
+	kept := int(math.Ceil(l.load.Small / smallTarget * float64(n)))
+	return min(max(size, 1), max(n-kept, 1), n)
+}
+
+// minLongLoad is the load of long prompts below which there is no lane.
+const minLongLoad = 0.01
+
+// own is the node outside the lane that this instance prefers for small prompts.
+// The instances are spread evenly over these nodes, so that one which gets to
+// its node meets mostly requests that it knows of, its own: reports are too old
+// to tell of the others' small prompts, which take a tenth of a second.
+func (l *lane) own() *Node {
+	outside := l.outside()
+	if l.peers == 0 || len(outside) == 0 {
+		return nil
+	}
+	return outside[l.rank*len(outside)/l.peers]
+}
+
+// lane and clear are the two sides of a pool.
+func (l *lane) inside() []*Node  { return l.order[:l.size] }
+func (l *lane) outside() []*Node { return l.order[l.size:] }
--- a/routing/node.go
+++ b/routing/node.go
@@ -26,6 +26,7 @@
 	heardAt  time.Time
 	targets  []string
 	seen     uint64 // view revision in which it was present last
+	inLane   bool   // of the long lane of its pool
 
 	inFlight int
 	sends    []*Send // in flight, in no order
--- a/routing/ring.go
+++ b/routing/ring.go
@@ -58,8 +58,13 @@
 	return true
 }
 
-// home returns the node of a prefix.
-func (r *ring) home(hash uint64) *Node {
+// homeSteps bounds the walk to a home on the wanted side of the lane.
+const homeSteps = 4 * ringPoints
+
+// home returns the node of a prefix: the first one on the ring that is inside
+// the long lane, or outside it. A lane that grows by one node moves only the
+// prefixes of that node.
+func (r *ring) home(hash uint64, inLane bool) *Node {
 	if len(r.points) == 0 {
 		return nil
 	}
@@ -73,7 +78,12 @@
 			high = middle
 		}
 	}
-	return r.points[low%len(r.points)].node
+	for i := range min(homeSteps, len(r.points)) {
+		if n := r.points[(low+i)%len(r.points)].node; n.inLane == inLane {
+			return n
+		}
+	}
+	return nil
 }
 
 // mix is the finaliser of splitmix64.
--- a/routing/span.go
+++ b/routing/span.go
@@ -54,6 +54,10 @@
 	return best
 }
 
+func byRoom(nodes []*Node) {
+	sort.SliceStable(nodes, func(i, j int) bool { return spanRoom(nodes[i]) > spanRoom(nodes[j]) })
+}
+
 func spanRoom(n *Node) int {
 	return n.Free() - int(spanHeadroom*float64(n.MemoryTokens))
 }
@@ -63,7 +67,9 @@
 // of all instances look for memory at the same place and leave the rest alone.
 func (p *Pool) spanNodes(_ time.Time, tokens int) []*Node {
 	nodes := append([]*Node(nil), p.lane.order...)
-	sort.SliceStable(nodes, func(i, j int) bool { return spanRoom(nodes[i]) > spanRoom(nodes[j]) })
+	inside := min(len(nodes), max(p.lane.size, tokens/max(1, p.largest)+2))
+	byRoom(nodes[:inside])
+	byRoom(nodes[inside:])
 	room := 0
 	for i, n := range nodes {
 		room += max(0, spanRoom(n))
--- a/routing/table.go
+++ b/routing/table.go
@@ -12,6 +12,8 @@
 	nodes map[nodeKey]*Node
 	pools map[string]*Pool
 	seen  uint64
+	rank  int
+	peers int
 }
 
 type nodeKey struct {
@@ -51,6 +53,14 @@
 	}
 }
 
+// SetPeers says which of the live instances this one is.
+func (t *Table) SetPeers(rank, peers int) {
+	t.rank, t.peers = rank, peers
+	for _, p := range t.pools {
+		p.lane.rank, p.lane.peers = rank, peers
+	}
+}
+
 // Pool returns the nodes that serve a target, or nil.
 func (t *Table) Pool(target string) *Pool { return t.pools[target] }
 
@@ -58,6 +68,7 @@
 	p := t.pools[target]
 	if p == nil {
 		p = newPool(target)
+		p.lane.rank, p.lane.peers = t.rank, t.peers
 		t.pools[target] = p
 	}
 	return p
