Let the in-memory connections of the tests keep their write deadline

The tests' connections now keep the deadline, and the test fails as it should without the mechanism.

--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { b.serving <- b.server.Serve(b.callers) }()
+	go func() { b.serving <- b.server.Serve(deadlineListener{b.callers}) }()
 	return b
 }
 
