--- a/entry/serve.go
+++ b/entry/serve.go
@@ -6,8 +6,11 @@
 	"celeryport/request"
 )
 
-// serve runs an admitted exchange and writes its answer.
+// serve runs an admitted exchange and writes its answer. It is counted as
+// received only now that its model or service is known, since that is what it is
+// counted under.
 func (s *Server) serve(ctx *fasthttp.RequestCtx, e *exchange, stream bool) {
+	s.options.Recorder.Received(e.request)
 	s.watch.add(e, ctx.Conn())
 	s.driver.offer(e)
 	if stream {
