Read all copies from a book's log, and count requests by their target

Cause of an empty report after a restart of every process, seen with three real processes: copies without a change are not written, but moved the position on in memory, so the next written copy seemed to have a gap before it when the log was read, and everything after it was left out. Reading the log takes such copies in: each applied when it was written.

Cause of every model and service showing as other: entry counted a request as received before its body named the target. It is counted now when it is refused or offered to the dispatcher (entry/admit.go, serve.go). Entry also gives IdleFirstToken, from the rates that the engines report, for the slowdown objective.

An instance that the control group takes for gone is reported as dead, not as not reached.

--- a/accounting/gather.go
+++ b/accounting/gather.go
@@ -18,7 +18,7 @@
 type knowledge struct {
 	state  *ledger.State
 	live   map[ledger.ID]bool
-	listed []ledger.ID
+	listed map[ledger.ID]bool // true: alive for the control group
 }
 
 // dumpAnswer is the JSON answer of the dump command. A report asks the other
@@ -55,19 +55,21 @@
 
 // listed returns the instances that the control group lists, and the control
 // addresses to ask, this instance's own among them.
-func (r *Reporter) listed() (ids []ledger.ID, addresses []string) {
+func (r *Reporter) listed() (listed map[ledger.ID]bool, addresses []string) {
+	listed = map[ledger.ID]bool{}
 	addresses = []string{r.opts.Address}
 	view := r.opts.View()
 	if view == nil {
-		return nil, addresses
+		return listed, addresses
 	}
 	for _, instance := range view.Instances {
-		ids = append(ids, ledger.ID{Instance: instance.Name, Incarnation: instance.Incarnation})
-		if instance.State != membership.Gone && instance.ControlAddress != r.opts.Address {
+		alive := instance.State != membership.Gone
+		listed[ledger.ID{Instance: instance.Name, Incarnation: instance.Incarnation}] = alive
+		if alive && instance.ControlAddress != r.opts.Address {
 			addresses = append(addresses, instance.ControlAddress)
 		}
 	}
-	return ids, addresses
+	return listed, addresses
 }
 
 func (r *Reporter) ask(ctx context.Context, address string) (*ledger.Dump, error) {
--- a/entry/admit.go
+++ b/entry/admit.go
@@ -27,16 +27,14 @@
 }
 
 // admit checks everything that needs no body: this instance's own state, the
-// caller's key and the class. The returned request is counted as received in
-// any case, also together with an error.
+// caller's key and the class. The returned request is not yet counted as
+// received: reports count it by its target, which the body may name.
 func (s *Server) admit(ctx *fasthttp.RequestCtx, id string, kind request.Kind) (*arrival, *verdict.Error) {
 	now := s.options.Clock.Now()
 	a := &arrival{request: &request.Request{
 		ID: id, Kind: kind, Organisation: unknown, Class: unknown, Arrival: now, Deadline: now,
 	}}
-	err := s.admitTo(ctx, a)
-	s.options.Recorder.Received(a.request)
-	return a, err
+	return a, s.admitTo(ctx, a)
 }
 
 func (s *Server) admitTo(ctx *fasthttp.RequestCtx, a *arrival) *verdict.Error {
@@ -127,6 +125,7 @@
 
 // refuse answers a request that never reached the dispatcher.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, a *arrival, err *verdict.Error) {
+	s.options.Recorder.Received(a.request)
 	s.options.Recorder.Refused(a.request, err.Reason)
 	var elsewhere []address
 	if err.Reason == verdict.ReasonDraining || err.Reason == verdict.ReasonNoLease {
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -7,6 +7,7 @@
 
 	"celeryport/control"
 	"celeryport/dispatch"
+	"celeryport/upstream"
 	"celeryport/verdict"
 )
 
@@ -212,11 +213,18 @@
 // ended does what goes with every final answer, once. It is counted before the
 // caller can see it, so that a report never lacks what a caller holds in hand.
 func (d *driver) ended(e *exchange) {
-	record(d.options.Recorder, e.request, e.outcome())
+	record(d.options.Recorder, e.request, e.outcome(), d.upstreams())
 	e.publish()
 	d.sender.settle(e)
 }
 
+func (d *driver) upstreams() *upstream.Snapshot {
+	if view := d.options.Plane.View(); view != nil {
+		return view.Upstreams
+	}
+	return nil
+}
+
 func (d *driver) forget(e *exchange) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/entry/record.go
+++ b/entry/record.go
@@ -5,14 +5,15 @@
 
 	"celeryport/ledger"
 	"celeryport/request"
+	"celeryport/upstream"
 	"celeryport/verdict"
 )
 
 // record counts the final answer of a request.
-func record(recorder ledger.Recorder, r *request.Request, outcome result) {
+func record(recorder ledger.Recorder, r *request.Request, outcome result, view *upstream.Snapshot) {
 	switch {
 	case outcome.err == nil:
-		recorder.Served(r, served(r, outcome))
+		recorder.Served(r, served(r, outcome, view))
 	case outcome.err.Verdict == verdict.NotRun:
 		recorder.Refused(r, outcome.err.Reason)
 	default:
@@ -20,13 +21,15 @@
 	}
 }
 
-func served(r *request.Request, outcome result) ledger.Served {
+func served(r *request.Request, outcome result, view *upstream.Snapshot) ledger.Served {
 	s := ledger.Served{
 		PromptTokens: r.PromptTokens,
 		AnswerTokens: outcome.answerTokens,
 		CachedTokens: outcome.cachedTokens,
 		Total:        outcome.endedAt.Sub(r.Arrival),
 		InTime:       !outcome.endedAt.After(r.Deadline),
+
+		IdleFirstToken: idleFirstToken(view, r, outcome.cachedTokens),
 	}
 	if !outcome.firstToken.IsZero() {
 		s.FirstToken = outcome.firstToken.Sub(r.Arrival)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -8,6 +8,7 @@
 
 // serve runs an admitted exchange and writes its answer.
 func (s *Server) serve(ctx *fasthttp.RequestCtx, e *exchange, stream bool) {
+	s.options.Recorder.Received(e.request)
 	s.watch.add(e, ctx.Conn())
 	s.driver.offer(e)
 	if stream {
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -60,9 +60,11 @@
 	var position []byte
 	total := 0
 	for round := range 5 {
+		at := testStart.Add(time.Duration(round) * time.Second)
+		position = copyTo(t, account, book, position, at) // nothing has changed
 		serveMany(account, total, 10)
 		total += 10
-		position = copyTo(t, account, book, position, testStart.Add(time.Duration(round)*time.Second))
+		position = copyTo(t, account, book, position, at)
 		if err := book.Close(); err != nil {
 			t.Fatal(err)
 		}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -47,12 +47,21 @@
 		if err != nil {
 			return nil, err
 		}
-		state.Apply(c)
+		replayCopy(state, c)
 		return state, nil
 	}
 	return nil, errUnknownRecord
 }
 
+// replayCopy takes a copy in even if there seems to be a gap before it: copies
+// without any change are not in the log, so the numbers of the others do not
+// follow on each other. Each of them applied when it was written.
+func replayCopy(state *State, c *Copy) {
+	if c.To > state.sequence(c.ID) {
+		state.take(c)
+	}
+}
+
 // decodeState reads an encoded State; the encoding leaves empty maps out.
 func decodeState(encoded []byte) (*State, error) {
 	state := NewState()
--- a/ledger/report.go
+++ b/ledger/report.go
@@ -73,7 +73,7 @@
 // The reasons of an UnknownEnd.
 const (
 	EndDead       = "dead"        // ended without its last copy
-	EndNotReached = "not reached" // listed as an instance, but did not answer
+	EndNotReached = "not reached" // alive for the control group, but did not answer
 )
 
 // Unplaced are requests that are in the counts over everything, but can't be
--- a/ledger/report_input.go
+++ b/ledger/report_input.go
@@ -11,8 +11,8 @@
 	// is in flight. What any other had in flight is unknown.
 	Live map[ID]bool
 	// Listed are the instances that the control group lists, whether they
-	// answered or not.
-	Listed []ID
+	// answered or not; true: it takes them for alive.
+	Listed map[ID]bool
 }
 
 // LiveOf returns the incarnations that answered with their own account.
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -53,9 +53,14 @@
 // is known now. A copy with a gap before it is not taken: its counters would not
 // belong to one moment, and the equation of a series might not hold.
 func (s *State) Apply(c *Copy) uint64 {
-	if !s.Applies(c) {
-		return s.sequence(c.ID)
+	if s.Applies(c) {
+		s.take(c)
 	}
+	return s.sequence(c.ID)
+}
+
+// take takes a copy in that is known to apply.
+func (s *State) take(c *Copy) {
 	known := s.incarnation(c)
 	lump := Lump{From: known.At, At: c.At}
 	for i := range c.Series {
@@ -65,7 +70,6 @@
 	known.Sequence = c.To
 	known.At = c.At
 	known.Final = c.Final
-	return known.Sequence
 }
 
 func (s *State) sequence(id ID) uint64 {
--- a/ledger/unknown.go
+++ b/ledger/unknown.go
@@ -19,9 +19,9 @@
 			Reason:      in.endReason(id),
 		})
 	}
-	for _, id := range in.Listed {
+	for id := range in.Listed {
 		if !in.Live[id] && in.State.Incarnations[id] == nil {
-			ends = append(ends, UnknownEnd{Instance: id.Instance, Incarnation: id.Incarnation, Reason: EndNotReached})
+			ends = append(ends, UnknownEnd{Instance: id.Instance, Incarnation: id.Incarnation, Reason: in.endReason(id)})
 		}
 	}
 	slices.SortFunc(ends, func(a, b UnknownEnd) int {
@@ -48,7 +48,7 @@
 }
 
 func (in *ReportInput) endReason(id ID) string {
-	if slices.Contains(in.Listed, id) {
+	if in.Listed[id] {
 		return EndNotReached
 	}
 	return EndDead
