--- a/entry/admit.go
+++ b/entry/admit.go
@@ -27,24 +27,14 @@
 }
 
 // admit checks everything that needs no body: this instance's own state, the
-<<<<<<< HEAD
-// caller's key and the class. The arrival is returned also together with an
-// error, to be counted.
-=======
 // caller's key and the class. The returned request is not yet counted as
 // received: reports count it by its target, which the body may name.
->>>>>>> ledger
 func (s *Server) admit(ctx *fasthttp.RequestCtx, id string, kind request.Kind) (*arrival, *verdict.Error) {
 	now := s.options.Clock.Now()
 	a := &arrival{request: &request.Request{
 		ID: id, Kind: kind, Organisation: unknown, Class: unknown, Arrival: now, Deadline: now,
 	}}
-<<<<<<< HEAD
-	err := s.admitTo(ctx, a)
-	return a, err
-=======
 	return a, s.admitTo(ctx, a)
->>>>>>> ledger
 }
 
 func (s *Server) admitTo(ctx *fasthttp.RequestCtx, a *arrival) *verdict.Error {
