Avoid only addresses that take nothing

Cause: in a demonstration run holds were refused for lack of a quorum at every instance; each refusal marked its address as failed, so the same organisation's prompts lost their zone preference and two calls ended at an instance that was killed. Ruled out: the killed instance alone, since one refused connection avoids its address.

Change: only a refused or broken connection, draining and a missing lease make a caller avoid an address; other refusals just go to the next one. The table's last line begins with "total:", as the demonstration reads it.

--- a/load/caller.go
+++ b/load/caller.go
@@ -17,9 +17,13 @@
 	tryPause    = 100 * time.Millisecond
 )
 
-// reasonDeadline is the one refusal with 503 that holds for the whole fleet, so
-// that another instance need not be asked.
-const reasonDeadline = string(verdict.ReasonDeadline)
+const (
+	// reasonDeadline is the one refusal with 503 that holds for the whole fleet,
+	// so that another instance need not be asked.
+	reasonDeadline = string(verdict.ReasonDeadline)
+	reasonDraining = string(verdict.ReasonDraining)
+	reasonNoLease  = string(verdict.ReasonNoLease)
+)
 
 // caller makes the requests of all organisations as their callers would.
 type caller struct {
@@ -76,6 +80,11 @@
 	return o.Result == Refused && o.Status == fasthttp.StatusServiceUnavailable && o.Reason != reasonDeadline
 }
 
+// takesNothing reports whether the address refuses all work for now.
+func takesNothing(o *Outcome) bool {
+	return o.Result == Refused && (o.Reason == reasonDraining || o.Reason == reasonNoLease)
+}
+
 // unfinished reports whether the connection ended without saying how the call
 // ended.
 func unfinished(o *Outcome) bool {
@@ -118,7 +127,7 @@
 		Verdict:   verdict.Parse(string(e.response.Header.Peek(headerVerdict))),
 	}
 	c.read(e, w, due, &o)
-	if notRunHere(&o) {
+	if takesNothing(&o) {
 		book.failed(address)
 	}
 	return o
--- a/load/table.go
+++ b/load/table.go
@@ -24,7 +24,7 @@
 	if r.CountsError != "" {
 		fmt.Fprintf(to, "doubled calls are unknown: %s\n", r.CountsError)
 	}
-	_, err := fmt.Fprintf(to, "load: %s\n", r.Summary())
+	_, err := fmt.Fprintf(to, "total: %s\n", r.Summary())
 	return err
 }
 
