--- a/standin/control_handlers.go
+++ b/standin/control_handlers.go
@@ -75,7 +75,7 @@
 }
 
 // holdings translates what the model holds. A request is named by its present
-// attempt and owner, which a resume may have changed.
+// attempt, which a resume may have changed.
 func (s *scheduler) holdings(now time.Time) []wire.Holding {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,7 +91,6 @@
 		one.Request, one.Attempt = splitJobID(h.ID)
 		if st := s.jobs[h.ID]; st != nil && h.Kind == enginemodel.HeldByRequest {
 			one.Attempt = st.attempt
-			one.Owner = st.owner
 		}
 		held = append(held, one)
 	}
--- a/standin/enginemodel/engine.go
+++ b/standin/enginemodel/engine.go
@@ -101,6 +101,14 @@
 	return count
 }
 
+// Adopt gives the job with the id to another owner.
+func (e *Engine) Adopt(now time.Time, id, owner string) {
+	e.begin(now)
+	if t := e.tasks[id]; t != nil {
+		t.Owner = owner
+	}
+}
+
 // Advance brings the engine to now and returns all events up to it, in order.
 // The slice is valid until the next call of any method.
 func (e *Engine) Advance(now time.Time) []Event {
--- a/standin/scheduler.go
+++ b/standin/scheduler.go
@@ -58,7 +58,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if present := s.streams[wanted.request]; present != nil {
-		return s.resume(present, wanted)
+		return s.resume(now, present, wanted)
 	}
 	if err := s.model.Submit(s.scale.model(now), job); err != nil {
 		return nil, 0, err
@@ -73,7 +73,7 @@
 	return wanted, wanted.reader, nil
 }
 
-func (s *scheduler) resume(present, wanted *stream) (*stream, uint64, error) {
+func (s *scheduler) resume(now time.Time, present, wanted *stream) (*stream, uint64, error) {
 	if wanted.attempt < present.attempt {
 		return nil, 0, errStale
 	}
@@ -82,6 +82,8 @@
 	}
 	present.attempt = wanted.attempt
 	present.owner = wanted.owner
+	// The sweep of a dead owner must not end what another one has taken over.
+	s.model.Adopt(s.scale.model(now), present.job, wanted.owner)
 	present.deadline = wanted.deadline
 	present.reader++
 	present.unreadFrom = time.Time{}
