Make calls twice at once in the load tool

Cause: callers that lose patience send the same key again while the first call is under way, by another instance; the load tool never did, so a run said nothing about claims that race.

--- a/cli/load.go
+++ b/cli/load.go
@@ -42,6 +42,7 @@
 			&urfave.DurationFlag{Name: "grace", Usage: "a request without an end so long after its deadline is lost", Value: load.DefaultGrace},
 			&urfave.IntFlag{Name: "most-in-flight", Usage: "above it requests are not sent but counted as unsent", Value: load.DefaultMostInFlight},
 			&urfave.IntFlag{Name: "engine-memory", Usage: "memory of one engine in tokens, for the table", Value: load.DefaultEngineMemory},
+			&urfave.IntFlag{Name: "resend-one-in", Usage: "make one in so many calls with a key twice at once; 0: none"},
 			&urfave.StringSliceFlag{Name: "counts-from", Usage: "stand-in services to ask what they executed"},
 			&urfave.StringFlag{Name: "counts-key-file", Usage: "file with the key for asking them"},
 			&urfave.StringFlag{Name: "output", Usage: "table or json", Value: "table"},
@@ -110,6 +111,7 @@
 		Grace:            c.Duration("grace"),
 		MostInFlight:     c.Int("most-in-flight"),
 		EngineMemory:     c.Int("engine-memory"),
+		ResendOneIn:      c.Int("resend-one-in"),
 		CountsFrom:       c.StringSlice("counts-from"),
 		CountsKey:        countsKey,
 	}, nil
--- a/load/caller.go
+++ b/load/caller.go
@@ -33,6 +33,7 @@
 	books         map[string]*addressBook
 	deadlineScale float64
 	grace         time.Duration
+	resendOneIn   int // calls with a key; 0: none
 }
 
 // deadline is the time that the work has.
@@ -40,9 +41,22 @@
 	return time.Duration(float64(w.Class.Deadline) * c.deadlineScale)
 }
 
-// do makes one request and follows it to its end. It sends again only what was
-// not run, and a call with an idempotency key under the same key.
+// do makes one request and follows it to its end. One in a number of calls with
+// an idempotency key is made twice at the same time, as by a caller that lost
+// patience; what both were told counts as one outcome.
 func (c *caller) do(ctx context.Context, w *Work, due time.Time) Outcome {
+	if w.Key == "" || c.resendOneIn <= 0 || w.Number%c.resendOneIn != 0 {
+		return c.follow(ctx, w, due)
+	}
+	other := make(chan Outcome, 1)
+	go func() { other <- c.follow(ctx, w, due) }()
+	first := c.follow(ctx, w, due)
+	return joined(first, <-other)
+}
+
+// follow makes one request and follows it to its end. It sends again only what
+// was not run, and a call with an idempotency key under the same key.
+func (c *caller) follow(ctx context.Context, w *Work, due time.Time) Outcome {
 	until := due.Add(c.deadline(w))
 	unknown := false
 	resends := 0
--- a/load/entry_test.go
+++ b/load/entry_test.go
@@ -100,8 +100,26 @@
 	f.counts.Keys[key]++
 }
 
+// executeOnce executes a key that was not executed before and reports whether
+// it did.
+func (f *fakeEntry) executeOnce(key string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.counts.Keys[key] > 0 {
+		return false
+	}
+	f.counts.Keys[key]++
+	return true
+}
+
 // runAgainst runs a few requests of one class against the instances.
 func runAgainst(t *testing.T, f fleet, class string, requests int) *Report {
+	t.Helper()
+	return runWith(t, f, class, requests, func(*Options) {})
+}
+
+// runWith is runAgainst with changed options.
+func runWith(t *testing.T, f fleet, class string, requests int, change func(*Options)) *Report {
 	t.Helper()
 	var report *Report
 	synctest.Test(t, func(t *testing.T) {
@@ -128,10 +146,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		report, err = Run(context.Background(), Options{
+		options := Options{
 			Mix: mix, Keys: Keys{"bottega": "key", "atelier": "key"}, To: []string{"a"}, Rate: 10, Requests: requests,
 			CountsFrom: addresses[len(addresses)-1:], Dial: f.dial(listeners),
-		})
+		}
+		change(&options)
+		report, err = Run(context.Background(), options)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/load/outcome.go
+++ b/load/outcome.go
@@ -42,3 +42,31 @@
 	Tries      int
 	Detail     string // of Crossed
 }
+
+// rank orders results by what they mean for a call that was made twice at once:
+// a broken promise to either caller counts, then what is known to have run. Only
+// what both were refused was refused.
+func (r Result) rank() int {
+	switch r {
+	case Crossed:
+		return 4
+	case Lost:
+		return 3
+	case Served:
+		return 2
+	case Failed:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// joined joins the outcomes of a call that was made twice at once.
+func joined(a, b Outcome) Outcome {
+	kept := a
+	if b.Result.rank() > a.Result.rank() {
+		kept = b
+	}
+	kept.Tries = a.Tries + b.Tries
+	return kept
+}
--- a/load/run.go
+++ b/load/run.go
@@ -56,6 +56,7 @@
 		books:         map[string]*addressBook{},
 		deadlineScale: o.DeadlineScale,
 		grace:         o.Grace,
+		resendOneIn:   o.ResendOneIn,
 	}
 	for organisation, key := range o.Keys {
 		c.books[organisation] = newAddressBook(x, o.To, key, o.AvailabilityZone)
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -147,22 +147,17 @@
 			answerCall(ctx, key)
 		}, 0, 0, 0, 5, 0, 0},
 		{"runs it, breaks, and knows the key when it comes again", func(ctx *fasthttp.RequestCtx, f *fakeEntry, key string) {
-			f.mu.Lock()
-			known := f.counts.Keys[key] > 0
-			f.mu.Unlock()
-			if known {
+			if !f.executeOnce(key) {
 				answerError(ctx, 409, "duplicate", "may-have-run")
 				return
 			}
-			f.execute(key)
 			ctx.Conn().Close()
 		}, 0, 0, 5, 0, 0, 0},
 		{"runs it, breaks, and refuses what comes again", func(ctx *fasthttp.RequestCtx, f *fakeEntry, key string) {
-			if f.counts.Keys[key] > 0 {
+			if !f.executeOnce(key) {
 				answerError(ctx, 429, "limit", "not-run")
 				return
 			}
-			f.execute(key)
 			ctx.Conn().Close()
 		}, 0, 0, 5, 0, 0, 0},
 	} {
@@ -179,6 +174,38 @@
 	}
 }
 
+// A caller loses patience and makes its call again while the first is under way.
+// An instance that does not know the key runs both; one that does tells the
+// second at once, and what only one of the two was refused is not "not run".
+func TestRunMakesCallsTwiceAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		known   func(ctx *fasthttp.RequestCtx, key string)
+		served  int
+		doubled int
+	}{
+		{"runs both", nil, 5, 5},
+		{"tells the second", func(ctx *fasthttp.RequestCtx, _ string) { answerError(ctx, 409, "duplicate", "may-have-run") }, 5, 0},
+		{"refuses the second", func(ctx *fasthttp.RequestCtx, _ string) { answerError(ctx, 429, "limit", "not-run") }, 5, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			report := runWith(t, fleet{"a": {call: func(ctx *fasthttp.RequestCtx, f *fakeEntry, key string) {
+				switch {
+				case test.known == nil:
+					f.execute(key)
+				case !f.executeOnce(key):
+					test.known(ctx, key)
+					return
+				}
+				answerCall(ctx, key)
+			}}}, "hold", 5, func(o *Options) { o.ResendOneIn = 1 })
+			if report.All.Served != test.served || report.Doubled != test.doubled || report.Untrue != 0 || report.Tries != 10 {
+				t.Errorf("%s, %d untrue, %d tries", report.Summary(), report.Untrue, report.Tries)
+			}
+		})
+	}
+}
+
 // The services cannot be asked what they executed. That must not look like
 // "0 doubled".
 func TestRunFailsWhenExecutionsAreUnknown(t *testing.T) {
