--- /dev/null
+++ b/standin/engine_leave_test.go
@@ -0,0 +1,98 @@
+package standin_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/request"
+	"celeryport/standin"
+	"celeryport/standin/answer"
+	"celeryport/upstream/client"
+	"celeryport/verdict"
+)
+
+// An engine restarts at the same address. A call that was meant for the old
+// process would run on the new one while its instance counts it as lost.
+func TestEngineRefusesCallsForAnotherIncarnation(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(nil)
+		call := b.call("r1", 1000, 5)
+		b.engine.Close()
+		time.Sleep(time.Second)
+		b.engine = startEngine(b.network, "engine", nil)
+		defer b.engine.Close()
+		_, err := b.read(client.NewReceiver("r1"), call)
+		if err == nil || verdict.From(err).Verdict != verdict.NotRun {
+			t.Errorf("%v", err)
+		}
+	})
+}
+
+// Engines that lose their place announce it; what they answer meanwhile must be
+// whole, and new work must go elsewhere.
+func TestEngineLeavesGracefully(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(func(o *standin.EngineOptions) {
+			o.Announce = []string{"entry-1"}
+			o.LeaveWait = 3 * time.Second
+		})
+		first := startInstance(t, b.network, "entry-1", upstreamKey, "entry-2")
+		defer first.server.Shutdown()
+		second := startInstance(t, b.network, "entry-2", upstreamKey)
+		defer second.server.Shutdown()
+		time.Sleep(3500 * time.Millisecond)
+		if a, count := second.last(); count < 2 || a.Address != "engine" || a.Leaving || a.MemoryTokens != 400_000 {
+			t.Fatalf("an instance that an answer named heard %d: %+v", count, a)
+		}
+		whole := make(chan error, 1)
+		go func() {
+			text, err := b.read(client.NewReceiver("r1"), b.call("r1", 200_000, 50))
+			whole <- errors.CombineErrors(err, answer.Check(prompt(200_000), 50, text))
+		}()
+		time.Sleep(time.Second)
+		left := make(chan error, 1)
+		go func() { left <- b.engine.Shutdown(context.Background()) }()
+		time.Sleep(time.Second)
+		if a, _ := first.last(); !a.Leaving {
+			t.Error("it does not announce that it leaves")
+		}
+		if _, err := b.read(client.NewReceiver("r2"), b.call("r2", 1000, 5)); err == nil || verdict.From(err).Verdict != verdict.NotRun {
+			t.Errorf("new work while leaving: %v", err)
+		}
+		if err := <-whole; err != nil {
+			t.Errorf("the work under way: %v", err)
+		}
+		if err := <-left; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestEngineReportsLoadAndCacheLate(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(func(o *standin.EngineOptions) { o.Announce = []string{"entry-1"} })
+		defer b.engine.Close()
+		entry := startInstance(t, b.network, "entry-1", upstreamKey)
+		defer entry.server.Shutdown()
+		go b.read(client.NewReceiver("r1"), b.call("r1", 200_000, 50))
+		time.Sleep(4100 * time.Millisecond)
+		if a, _ := entry.last(); a.Load.QueuedPrefill == 0 || a.Load.Age < 500*time.Millisecond {
+			t.Errorf("load %+v", a.Load)
+		}
+		time.Sleep(16 * time.Second)
+		hash, tokens := request.Prefix(prompt(200_000))
+		entry.mu.Lock()
+		defer entry.mu.Unlock()
+		for _, a := range entry.heard {
+			for _, e := range a.CacheEvents {
+				if e.PrefixHash == hash && e.Tokens == tokens {
+					return
+				}
+			}
+		}
+		t.Error("no cache event of the prompt's prefix")
+	})
+}
--- /dev/null
+++ b/standin/engine_resume_test.go
@@ -0,0 +1,111 @@
+package standin_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"celeryport/standin"
+	"celeryport/standin/answer"
+	"celeryport/upstream/client"
+	"celeryport/upstream/wire"
+	"celeryport/verdict"
+)
+
+// A connection goes silent or breaks while the engine answers; the entry
+// instance dials again and asks for the rest. A caller would otherwise see the
+// text doubled, with a hole, or would wait for a second prefill.
+func TestEngineResumesByOffset(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault standin.Fault
+		pause time.Duration
+		gone  bool // the engine has given the stream up and must not run it again
+	}{
+		{"broken", standin.FaultCloseShort, 0, false},
+		{"silent while new connections work", standin.FaultSilent, 0, false},
+		{"after the resume window the stream is gone", standin.FaultCloseShort, time.Minute, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				b := newBench(nil)
+				defer b.engine.Close()
+				b.engine.Faults().Set(standin.FaultSwitch{Fault: test.fault, Times: 1})
+				r := client.NewReceiver("r1")
+				call := b.call("r1", 100_000, 400)
+				begun, err := b.read(r, call)
+				if err == nil || r.Offset() == 0 {
+					t.Fatalf("the fault did not strike: offset %d, %v", r.Offset(), err)
+				}
+				time.Sleep(test.pause)
+				call.Resume, call.Offset = true, r.Offset()
+				start := time.Now()
+				rest, err := b.read(r, call)
+				if test.gone {
+					if verdict.From(err).Verdict != verdict.NotRun {
+						t.Fatalf("a lost stream was not refused: %v", err)
+					}
+					return
+				}
+				if err != nil || answer.Check(prompt(100_000), 400, begun+rest) != nil {
+					t.Fatalf("%d and %d bytes, %v", len(begun), len(rest), err)
+				}
+				if took := time.Since(start); took > 5*time.Second {
+					t.Errorf("the resumed part took %v", took)
+				}
+			})
+		})
+	}
+}
+
+// An entry instance dies while an engine works for it. Nobody cancels, and the
+// memory would be gone for good.
+func TestEngineMemoryComesBackAfterItsReaderDied(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(nil)
+		defer b.engine.Close()
+		go b.read(client.NewReceiver("r1"), b.call("r1", 300_000, 50))
+		time.Sleep(time.Second)
+		if len(b.engine.Holdings().Held) != 1 {
+			t.Fatal("the request does not run")
+		}
+		b.network.cut()
+		time.Sleep(4*standin.DefaultHeartbeat + standin.DefaultResumeWindow)
+		if held := b.engine.Holdings().Held; len(held) != 0 {
+			t.Errorf("still held: %+v", held)
+		}
+	})
+}
+
+func TestEngineCancels(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		b := newBench(nil)
+		defer b.engine.Close()
+		ended := make(chan error, 1)
+		go func() {
+			_, err := b.read(client.NewReceiver("r1"), b.call("r1", 300_000, 50))
+			ended <- err
+		}()
+		time.Sleep(time.Second)
+		for _, step := range []struct {
+			cancel wire.CancelRequest
+			want   int
+		}{
+			{wire.CancelRequest{Request: "r1", Attempt: 0, Owner: owner}, 0}, // an earlier attempt, come late
+			{wire.CancelRequest{Request: "r1", Attempt: 1, Owner: "entry-2/1"}, 0},
+			{wire.CancelRequest{Request: "r1", Attempt: 1, Owner: owner}, 1},
+			{wire.CancelRequest{Request: "r1", Attempt: 1, Owner: owner}, 0},
+		} {
+			got, err := b.client.Cancel(context.Background(), "engine", step.cancel)
+			if err != nil || got.Cancelled != step.want {
+				t.Errorf("%+v: %+v, %v", step.cancel, got, err)
+			}
+		}
+		if err := <-ended; err == nil {
+			t.Error("a cancelled answer looks whole")
+		}
+		if held := b.engine.Holdings().Held; len(held) != 0 {
+			t.Errorf("still held: %+v", held)
+		}
+	})
+}
