--- a/load/caller.go
+++ b/load/caller.go
@@ -17,9 +17,13 @@
 	tryPause    = 100 * time.Millisecond
 )
 
-// reasonDeadline is the one refusal with 503 that holds for the whole fleet, so
-// that another instance need not be asked.
-const reasonDeadline = string(verdict.ReasonDeadline)
+const (
+	// reasonDeadline is the one refusal with 503 that holds for the whole fleet,
+	// so that another instance need not be asked.
+	reasonDeadline = string(verdict.ReasonDeadline)
+	reasonDraining = string(verdict.ReasonDraining)
+	reasonNoLease  = string(verdict.ReasonNoLease)
+)
 
 // caller makes the requests of all organisations as their callers would.
 type caller struct {
@@ -29,6 +33,7 @@
 	books         map[string]*addressBook
 	deadlineScale float64
 	grace         time.Duration
+	resendOneIn   int // calls with a key; 0: none
 }
 
 // deadline is the time that the work has.
@@ -36,9 +41,22 @@
 	return time.Duration(float64(w.Class.Deadline) * c.deadlineScale)
 }
 
-// do makes one request and follows it to its end. It sends again only what was
-// not run, and a call with an idempotency key under the same key.
+// do makes one request and follows it to its end. One in a number of calls with
+// an idempotency key is made twice at the same time, as by a caller that lost
+// patience; what both were told counts as one outcome.
 func (c *caller) do(ctx context.Context, w *Work, due time.Time) Outcome {
+	if w.Key == "" || c.resendOneIn <= 0 || w.Number%c.resendOneIn != 0 {
+		return c.follow(ctx, w, due)
+	}
+	other := make(chan Outcome, 1)
+	go func() { other <- c.follow(ctx, w, due) }()
+	first := c.follow(ctx, w, due)
+	return joined(first, <-other)
+}
+
+// follow makes one request and follows it to its end. It sends again only what
+// was not run, and a call with an idempotency key under the same key.
+func (c *caller) follow(ctx context.Context, w *Work, due time.Time) Outcome {
 	until := due.Add(c.deadline(w))
 	unknown := false
 	resends := 0
@@ -76,6 +94,11 @@
 	return o.Result == Refused && o.Status == fasthttp.StatusServiceUnavailable && o.Reason != reasonDeadline
 }
 
+// takesNothing reports whether the address refuses all work for now.
+func takesNothing(o *Outcome) bool {
+	return o.Result == Refused && (o.Reason == reasonDraining || o.Reason == reasonNoLease)
+}
+
 // unfinished reports whether the connection ended without saying how the call
 // ended.
 func unfinished(o *Outcome) bool {
@@ -118,7 +141,7 @@
 		Verdict:   verdict.Parse(string(e.response.Header.Peek(headerVerdict))),
 	}
 	c.read(e, w, due, &o)
-	if notRunHere(&o) {
+	if takesNothing(&o) {
 		book.failed(address)
 	}
 	return o
