--- a/accounting/burn.go
+++ b/accounting/burn.go
@@ -30,7 +30,7 @@
 	}
 	known := r.gather(ctx)
 	now := r.opts.Clock.Now()
-	report := ledger.NewReport(ledger.ReportInput{Now: now, State: known.state, Live: known.live, Listed: known.listed})
+	report := ledger.NewReport(known.input(ledger.Query{}, now))
 	return burn.Compute(burn.Input{Now: now, Tree: view.Tree, State: known.state, Unknown: len(report.Unknown)}), nil
 }
 
--- a/accounting/copier.go
+++ b/accounting/copier.go
@@ -52,7 +52,9 @@
 	return &Copier{opts: opts, positions: map[string][]byte{}, failing: map[string]bool{}}
 }
 
-// Run copies until the context ends. Flush makes the last copy afterwards.
+// Run copies until the context ends. Flush makes the first copy before the first
+// request, so that the voters know of this incarnation, and the last one
+// afterwards.
 func (c *Copier) Run(ctx context.Context) {
 	ticker := time.NewTicker(c.opts.Interval)
 	defer ticker.Stop()
--- a/accounting/gather.go
+++ b/accounting/gather.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -19,6 +22,19 @@
 	state  *ledger.State
 	live   map[ledger.ID]bool
 	listed map[ledger.ID]bool // true: alive for the control group
+
+	missingBooks []string // voters that did not answer
+}
+
+func (k *knowledge) input(query ledger.Query, now time.Time) ledger.ReportInput {
+	return ledger.ReportInput{
+		Query:        query,
+		Now:          now,
+		State:        k.state,
+		Live:         k.live,
+		Listed:       k.listed,
+		MissingBooks: k.missingBooks,
+	}
 }
 
 // dumpAnswer is the JSON answer of the dump command. A report asks the other
@@ -31,6 +47,7 @@
 // gather asks this and all other instances that are not known to be gone.
 func (r *Reporter) gather(ctx context.Context) knowledge {
 	listed, addresses := r.listed()
+	books := r.voters()
 	var mu sync.Mutex
 	var dumps []*ledger.Dump
 	var group errgroup.Group
@@ -45,12 +62,33 @@
 			mu.Lock()
 			defer mu.Unlock()
 			dumps = append(dumps, dump)
+			if dump.Book != nil {
+				delete(books, address)
+			}
 			return nil
 		})
 	}
 	_ = group.Wait() // the functions return no error
 	live := ledger.LiveOf(dumps)
-	return knowledge{state: ledger.Combine(dumps), live: live, listed: listed}
+	return knowledge{
+		state:        ledger.Combine(dumps),
+		live:         live,
+		listed:       listed,
+		missingBooks: slices.Sorted(maps.Values(books)),
+	}
+}
+
+// voters returns the names of the voters by control address.
+func (r *Reporter) voters() map[string]string {
+	voters := map[string]string{}
+	if view := r.opts.View(); view != nil {
+		for _, instance := range view.Instances {
+			if instance.Voter {
+				voters[instance.ControlAddress] = instance.Name
+			}
+		}
+	}
+	return voters
 }
 
 // listed returns the instances that the control group lists, and the control
--- a/accounting/reporter.go
+++ b/accounting/reporter.go
@@ -60,13 +60,7 @@
 // Report makes a report over all instances.
 func (r *Reporter) Report(ctx context.Context, query ledger.Query) *ledger.Report {
 	known := r.gather(ctx)
-	return ledger.NewReport(ledger.ReportInput{
-		Query:  query,
-		Now:    r.opts.Clock.Now(),
-		State:  known.state,
-		Live:   known.live,
-		Listed: known.listed,
-	})
+	return ledger.NewReport(known.input(query, r.opts.Clock.Now()))
 }
 
 func (r *Reporter) handleReport(ctx context.Context, body []byte) ([]byte, error) {
--- a/instance/run.go
+++ b/instance/run.go
@@ -70,6 +70,7 @@
 	if err != nil {
 		return err
 	}
+	copier := newCopier(ctx, options, node, account)
 	listener, err := listenTraffic(options)
 	if err != nil {
 		return err
@@ -79,7 +80,7 @@
 	copying, stopCopying := context.WithCancel(ctx)
 	group.Go(func() error { return errors.Wrap(server.Serve(listener), "serve callers") })
 	group.Go(func() error { return stateDemands(copying, node, server) })
-	group.Go(func() error { return copyCounters(copying, options, node, account) })
+	group.Go(func() error { return copyCounters(copying, copier, account) })
 	group.Go(func() error {
 		defer stopCopying()
 		return shutDown(ctx, stop, cut, options, server)
--- a/ledger/account_shard.go
+++ b/ledger/account_shard.go
@@ -115,12 +115,17 @@
 	t.add(plainField(KindCachedTokens), uint64(max(0, s.CachedTokens)))
 }
 
+// leastIdle is the least time to the first token that a slowdown is measured
+// against. Below it the network and the callers' own distance are most of the
+// time, and a cached prompt would count as slowed down on an idle fleet.
+const leastIdle = 25 * time.Millisecond
+
 func (t *trackedSeries) addObjectives(s Served, o settings.Objectives) {
 	if o.FirstToken > 0 {
 		t.addEither(s.FirstToken <= o.FirstToken, KindFirstTokenMet, KindFirstTokenMissed)
 	}
 	if o.SlowdownBound > 0 && s.IdleFirstToken > 0 {
-		bound := time.Duration(o.SlowdownBound * float64(s.IdleFirstToken))
+		bound := time.Duration(o.SlowdownBound * float64(max(s.IdleFirstToken, leastIdle)))
 		t.addEither(s.FirstToken <= bound, KindSlowdownMet, KindSlowdownMissed)
 	}
 }
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -63,9 +63,12 @@
 }
 
 // keep syncs a copy. One that changes nothing but the time is not worth a sync:
-// after a restart the voter asks for it again.
+// after a restart the voter asks for it again. The first of an incarnation is
+// kept in any case: if the instance is killed before the next one, the report
+// would otherwise not even say that it existed.
 func (b *Book) keep(c *Copy, encodedCopy []byte) error {
-	if !b.state.Applies(c) || (len(c.Series) == 0 && !c.Final) {
+	isNew := b.state.Incarnations[c.ID] == nil
+	if !b.state.Applies(c) || (len(c.Series) == 0 && !c.Final && !isNew) {
 		return nil
 	}
 	record := copyRecord(encodedCopy)
--- a/ledger/report.go
+++ b/ledger/report.go
@@ -24,6 +24,9 @@
 	Latencies    []Latency    `json:"latencies"`
 	Unknown      []UnknownEnd `json:"unknown"`
 	Unplaced     []Unplaced   `json:"unplaced,omitempty"`
+	// MissingBooks are voters that did not answer. What ended instances copied to
+	// none but them is not in the report.
+	MissingBooks []string `json:"missing_books,omitempty"`
 }
 
 // Row is what one organisation, class or target got, or a combination of them.
--- a/ledger/report_input.go
+++ b/ledger/report_input.go
@@ -13,6 +13,8 @@
 	// Listed are the instances that the control group lists, whether they
 	// answered or not; true: it takes them for alive.
 	Listed map[ID]bool
+	// MissingBooks are voters that did not answer.
+	MissingBooks []string
 }
 
 // LiveOf returns the incarnations that answered with their own account.
--- a/ledger/report_make.go
+++ b/ledger/report_make.go
@@ -8,7 +8,7 @@
 // NewReport makes a report. It is a pure function of its input.
 func NewReport(in ReportInput) *Report {
 	totals := collect(&in)
-	report := &Report{At: in.Now}
+	report := &Report{At: in.Now, MissingBooks: in.MissingBooks}
 	latencies := totals
 	if !in.Query.Since.IsZero() {
 		latencies = restrict(&in, totals, report)
--- a/ledger/report_table.go
+++ b/ledger/report_table.go
@@ -33,6 +33,10 @@
 	p.latencies(r.Latencies)
 	p.unknown(r.Unknown)
 	p.unplaced(r.Unplaced)
+	if len(r.MissingBooks) > 0 {
+		p.line("voters that did not answer: %s; what only they know of ended instances is missing",
+			strings.Join(r.MissingBooks, ", "))
+	}
 	return p.finish()
 }
 
