--- a/instance/run.go
+++ b/instance/run.go
@@ -81,6 +81,10 @@
 	group.Go(func() error { return errors.Wrap(server.Serve(listener), "serve callers") })
 	group.Go(func() error { return stateDemands(copying, node, server) })
 	group.Go(func() error { return copyCounters(copying, copier, account) })
+	group.Go(func() error {
+		books.reports.KeepBook(copying)
+		return nil
+	})
 	group.Go(func() error {
 		defer stopCopying()
 		return shutDown(ctx, stop, cut, options, server)
--- a/ledger/events.go
+++ b/ledger/events.go
@@ -15,3 +15,6 @@
 
 var bookRewritten = event.Define(4002, logrus.InfoLevel, "ledger log replaced by its state",
 	"The log of copied counters had grown and was replaced by the counters themselves. Nothing needs to be done.")
+
+var bookJoined = event.Define(4003, logrus.InfoLevel, "ledger joined with those of other voters",
+	"This voter had lost its disk or was away, and took over what the other voters know of instances that have ended. Nothing needs to be done.")
