Refuse hopeless requests in their step and share the fleet over all instances

Causes: the prediction took the mean of the reported rates, which a node that leads a span doubles; it took the decode rate of idle nodes; and a request in its backoff was not looked at. Spans were tried up to 164 times, because the next long prompt always took the memory that the last one left. Each instance shared fairly only between the requests that waited in itself.

Now the rates are medians, a long prompt counts the iterations of a full node and the measured lateness of first tokens of its lane, and backoffs are checked in each step. While spans wait, the first nodes of the lane are kept clear of long prompts, and a node that refused a part is not asked again before its next report. An organisation that is ahead over the fleet leaves the next place to one that waits in another instance. Usage is remembered for minutes, since one giant prompt is two minutes of a small organisation's share. A refusal after an attempt that may have run says so.

--- a/admission/account.go
+++ b/admission/account.go
@@ -84,6 +84,18 @@
 	return a.fleet.mix
 }
 
+// FleetWaitsElsewhere says whether requests of the organisation wait in other
+// instances, for a span or for the long lane.
+func (a *Account) FleetWaitsElsewhere(now time.Time, span bool) bool {
+	if now.After(a.fleet.until) {
+		return false
+	}
+	if span {
+		return a.fleet.spanTokens > 0
+	}
+	return a.fleet.waitingTokens > a.fleet.spanTokens
+}
+
 // Granted installs a grant. Its lease started when the demand was sent.
 func (a *Account) Granted(now time.Time, g quota.Grant) {
 	a.limits.granted(now, g)
--- a/admission/usage.go
+++ b/admission/usage.go
@@ -9,10 +9,10 @@
 )
 
 // usageHalfLife is the time in which past usage loses half of its weight in the
-// order of organisations. It is longer than the largest prompt takes, so that
-// one such prompt is paid back, and short enough that an organisation which
-// returns after minutes of silence has no claim to the whole fleet.
-const usageHalfLife = time.Minute
+// order of organisations. One giant prompt is minutes of a small organisation's
+// share, so a shorter memory forgets it before it is paid back; with a longer one
+// an organisation that returns after a silence has a claim to the whole fleet.
+const usageHalfLife = 5 * time.Minute
 
 // decay is the factor by which usage shrinks in the given time.
 func decay(elapsed time.Duration) float64 {
--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -17,6 +17,7 @@
 	if node := send.Node(); node != nil {
 		node.FirstToken(send)
 		node.Health.FirstToken(now.Sub(j.sentAt), j.predicted)
+		j.lane.learn(now.Sub(j.sentAt) - j.predicted)
 	}
 	s.pumpTarget(now, j.lane.target)
 }
@@ -60,9 +61,14 @@
 func (s *Scheduler) failed(now time.Time, j *job, outcome *Outcome) {
 	s.blame(now, j, outcome.Err)
 	spread := len(j.span) > 0
+	if spread && outcome.Err.Verdict == verdict.NotRun {
+		denySpan(j)
+	}
 	s.endSends(j)
 	if outcome.Err.Verdict == verdict.NotRun {
 		j.account.Usage.Add(now, -j.charged)
+	} else {
+		j.mayHaveRun = true
 	}
 	err := s.mayRetry(now, j, outcome, spread)
 	if err != nil {
@@ -94,6 +100,13 @@
 	}
 }
 
+// denySpan notes that some node of the span did not grant its part.
+func denySpan(j *job) {
+	for _, send := range j.span {
+		send.Node().Deny()
+	}
+}
+
 func (s *Scheduler) endSends(j *job) {
 	if j.send.Node() != nil {
 		j.send.Node().End(&j.send)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -6,6 +6,7 @@
 	"celeryport/admission"
 	"celeryport/request"
 	"celeryport/routing"
+	"celeryport/verdict"
 )
 
 // phase is where a job stands.
@@ -36,7 +37,18 @@
 	charged   float64   // tokens that were counted as usage
 	attempts  int
 	probe     bool
-	position  int // in the heap of deadlines, from 1
+	// An earlier send may have run. A later refusal must say so: the caller of
+	// a request that was sent twice may not be told that it was not run.
+	mayHaveRun bool
+	position   int // in the heap of deadlines, from 1
+}
+
+// worst is the verdict over all sends, given that of the last one.
+func (j *job) worst(last verdict.Verdict) verdict.Verdict {
+	if last == verdict.NotRun && j.mayHaveRun {
+		return verdict.MayHaveRun
+	}
+	return last
 }
 
 func (j *job) tokens() int { return j.request.Tokens() }
--- a/dispatch/lane_queue.go
+++ b/dispatch/lane_queue.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"celeryport/admission"
 	"celeryport/quota"
 )
@@ -12,9 +14,18 @@
 	kind   laneKind
 	target string
 	queue  *admission.Queue
+	late   time.Duration  // smoothed time by which first tokens came after their prediction
 	sent   admission.Rate // prompt tokens a second sent from here
 }
 
+// lateGain is the weight of the newest sample.
+const lateGain = 0.1
+
+// learn takes the time by which a first token came after its prediction.
+func (l *laneQueue) learn(late time.Duration) {
+	l.late += time.Duration(lateGain * float64(max(0, late)-l.late))
+}
+
 // laneKind is the kind of a lane.
 type laneKind uint8
 
--- a/dispatch/lane_size.go
+++ b/dispatch/lane_size.go
@@ -11,10 +11,11 @@
 // part of each target in that load is this instance's own measurement.
 func (s *Scheduler) sizeLanes(now time.Time) {
 	var fleet quota.Mix
-	waiting := 0
+	waiting, spans := 0, 0
 	for _, a := range s.ordered {
 		fleet = fleet.Plus(a.Mix(now))
 		waiting += a.FleetWaitingTokens(now)
+		spans += a.FleetSpanTokens(now)
 	}
 	var own quota.Mix
 	for _, l := range s.targets {
@@ -31,7 +32,7 @@
 			Middle: fleet.Middle * part(mine.Middle, own.Middle) / pool.Rate(),
 			Long:   fleet.Long * part(mine.Long, own.Long) / pool.Rate(),
 		}
-		pool.SizeLane(l.load, waiting)
+		pool.SizeLane(l.load, waiting, spans)
 	}
 }
 
--- a/dispatch/predict.go
+++ b/dispatch/predict.go
@@ -8,16 +8,20 @@
 	"celeryport/verdict"
 )
 
-// service predicts the time of the request on an idle upstream, from the send
-// to the end of the answer.
-func (s *Scheduler) service(r *request.Request, pool *routing.Pool) time.Duration {
+// service predicts the time of the request from the send to the end of the
+// answer, on an upstream that has as much else to do as they all have.
+func (s *Scheduler) service(j *job, pool *routing.Pool) time.Duration {
+	r := j.request
 	if r.Kind == request.ServiceCall {
 		return s.config.Network
 	}
-	rate := pool.MeanRate()
-	decode := float64(r.OutputTokens) / pool.DecodeRate()
-	prefill := float64(r.PromptTokens) / rate
-	return 2*s.config.Network + time.Duration((prefill+decode)*float64(time.Second))
+	rate, decode := pool.NodeRate(), pool.DecodeRate()
+	if r.Long {
+		rate *= pool.LaneFree()
+		decode = min(decode, pool.BusyDecodeRate())
+	}
+	seconds := float64(r.PromptTokens)/rate + float64(r.OutputTokens)/decode
+	return 2*s.config.Network + j.lane.late + time.Duration(seconds*float64(time.Second))
 }
 
 // wait predicts how long a request of this account and lane waits in the queue.
@@ -61,7 +65,7 @@
 func (s *Scheduler) inTime(now time.Time, j *job, pool *routing.Pool) *verdict.Error {
 	r := j.request
 	wait := s.wait(now, j)
-	need := wait + s.service(r, pool) + s.config.Margin
+	need := wait + s.service(j, pool) + s.config.Margin
 	remaining := r.Remaining(now)
 	if need <= remaining {
 		return nil
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -29,15 +29,16 @@
 	}
 	for lane.queue.Len() > 0 {
 		s.heads = lane.queue.Heads(now, s.heads[:0])
-		if !s.sendOne(now, pool, s.heads) {
+		if !s.sendOne(now, pool, lane, s.heads) {
 			return
 		}
 	}
 }
 
-func (s *Scheduler) sendOne(now time.Time, pool *routing.Pool, heads []*admission.Ticket) bool {
+func (s *Scheduler) sendOne(now time.Time, pool *routing.Pool, lane *laneQueue, heads []*admission.Ticket) bool {
+	least, waits := s.leastWaitingShare(now, lane)
 	for i, t := range heads {
-		if i == headsTried {
+		if i == headsTried || heldBack(now, t, least, waits) {
 			return false
 		}
 		if s.place(now, pool, t.Value.(*job)) {
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -14,7 +14,7 @@
 	if !repeatable(j, outcome) {
 		return err
 	}
-	if j.request.Remaining(now) <= s.config.Margin {
+	if s.hopeless(now, j) {
 		return err
 	}
 	// A span that did not get its memory cost the fleet nothing.
@@ -22,7 +22,7 @@
 		return nil
 	}
 	if !j.account.Budget.Spend() {
-		return exhausted(err)
+		return exhausted(j, err)
 	}
 	return nil
 }
@@ -38,8 +38,8 @@
 	return !outcome.Delivered || outcome.Resumable
 }
 
-func exhausted(err *verdict.Error) *verdict.Error {
-	refusal := verdict.Wrap(err, err.Verdict, verdict.ReasonRetryBudget, "too many failures to try again")
+func exhausted(j *job, err *verdict.Error) *verdict.Error {
+	refusal := verdict.Wrap(err, j.worst(err.Verdict), verdict.ReasonRetryBudget, "too many failures to try again")
 	refusal.RetryAfter = time.Second
 	return refusal
 }
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -24,39 +24,62 @@
 	for j := s.deadlines.due(now); j != nil; j = s.deadlines.due(now) {
 		err := verdict.Refuse(verdict.ReasonDeadline, s.config.Step, "the deadline passed in the queue")
 		if j.phase == running {
-			err = verdict.New(verdict.MayHaveRun, verdict.ReasonTimeout, "the deadline passed while it ran")
 			s.cancel(j)
 			s.endSends(j)
+			j.mayHaveRun = true
+		}
+		if j.mayHaveRun {
+			err = verdict.New(verdict.MayHaveRun, verdict.ReasonTimeout, "the deadline passed after it was sent")
 		}
 		s.giveUp(now, j, err)
 	}
 }
 
-// dropHopeless refuses waiting requests that can't be answered in time any more,
-// even if they were sent now.
+// dropHopeless refuses requests that wait, in a queue or for their backoff, and
+// can't be answered in time any more.
 func (s *Scheduler) dropHopeless(now time.Time) {
 	for _, l := range s.targets {
 		for _, lane := range l.byKind {
 			s.dropFrom(now, lane)
 		}
 	}
+	s.dropDelayed(now)
 }
 
 func (s *Scheduler) dropFrom(now time.Time, lane *laneQueue) {
-	pool := s.table.Pool(lane.target)
-	if pool == nil || lane.queue.Len() == 0 {
+	if lane.queue.Len() == 0 {
 		return
 	}
 	s.heads = lane.queue.All(s.heads[:0])
 	for _, t := range s.heads {
-		j := t.Value.(*job)
-		need := s.service(j.request, pool) + s.config.Margin
-		if need <= j.request.Remaining(now) {
-			continue
-		}
-		after := max(s.config.Step, s.wait(now, j))
-		s.giveUp(now, j, verdict.Refuse(verdict.ReasonDeadline, after, "can't be answered in time any more"))
+		s.dropIfHopeless(now, t.Value.(*job))
+	}
+}
+
+func (s *Scheduler) dropDelayed(now time.Time) {
+	for i := len(s.backoffs) - 1; i >= 0; i-- {
+		s.dropIfHopeless(now, s.backoffs[i])
+	}
+}
+
+func (s *Scheduler) dropIfHopeless(now time.Time, j *job) {
+	if !s.hopeless(now, j) {
+		return
+	}
+	after := max(s.config.Step, s.wait(now, j))
+	err := verdict.Refuse(verdict.ReasonDeadline, after, "can't be answered in time any more")
+	err.Verdict = j.worst(err.Verdict)
+	s.giveUp(now, j, err)
+}
+
+// hopeless says that the request can't be answered in time even if it is sent
+// now.
+func (s *Scheduler) hopeless(now time.Time, j *job) bool {
+	need := s.config.Margin
+	if pool := s.table.Pool(j.lane.target); pool != nil {
+		need += s.service(j, pool)
 	}
+	return need > j.request.Remaining(now)
 }
 
 // readmit lets ejected nodes whose time is over take a probe.
--- a/routing/choose_long.go
+++ b/routing/choose_long.go
@@ -13,8 +13,8 @@
 // ChooseLong returns a node of the long lane, or of the whole pool while there
 // is no lane.
 func (p *Pool) ChooseLong(now time.Time, random *rand.Rand, a *Ask) (Choice, bool) {
-	nodes := p.lane.inside()
-	if len(nodes) == 0 {
+	nodes := p.lane.open()
+	if p.lane.size == 0 {
 		nodes = p.open
 	}
 	return drawLong(now, random, a, nodes)
--- a/routing/lane.go
+++ b/routing/lane.go
@@ -17,6 +17,7 @@
 	keys    map[*Node]uint64
 	load    quota.Mix // as parts of the pool's capacity
 	backlog float64   // long prompts that wait, in seconds of one node
+	cleared int       // nodes of the lane that take no long prompts, for waiting spans
 	size    int       // nodes of order that form the lane
 	rank    int       // of this instance among the live ones
 	peers   int       // live instances, 0: unknown
@@ -53,10 +54,27 @@
 
 // SizeLane sizes the lane by measured loads, as parts of the pool's capacity,
 // and by the long tokens that wait on all instances.
-func (p *Pool) SizeLane(load quota.Mix, waiting int) {
+func (p *Pool) SizeLane(load quota.Mix, waiting, spans int) {
 	p.lane.load = load
-	p.lane.backlog = float64(waiting) / p.MeanRate()
+	p.lane.backlog = float64(waiting) / p.NodeRate()
 	p.lane.resize()
+	p.lane.clearFor(spans, p.largest)
+}
+
+// clearedPart is the largest part of the lane that is cleared for spans.
+const clearedPart = 0.6
+
+// clearFor keeps long prompts away from the first nodes of the lane while spans
+// wait for memory. Spans need the memory of whole nodes at one time, and without
+// this the next long prompt always takes what the last one left: the span would
+// try and fail until its deadline.
+func (l *lane) clearFor(tokens, memory int) {
+	l.cleared = 0
+	if tokens == 0 || memory == 0 {
+		return
+	}
+	needed := int(math.Ceil(float64(tokens) / (float64(memory) * (1 - spanHeadroom))))
+	l.cleared = min(needed, int(clearedPart*float64(l.size)))
 }
 
 // LaneSize is the number of nodes in the long lane.
@@ -97,6 +115,8 @@
 	return outside[l.rank*len(outside)/l.peers]
 }
 
-// lane and clear are the two sides of a pool.
+// inside and outside are the two sides of a pool; open is what long prompts may
+// use of the inside.
 func (l *lane) inside() []*Node  { return l.order[:l.size] }
+func (l *lane) open() []*Node    { return l.order[l.cleared:l.size] }
 func (l *lane) outside() []*Node { return l.order[l.size:] }
--- a/routing/node.go
+++ b/routing/node.go
@@ -27,6 +27,7 @@
 	targets  []string
 	seen     uint64 // view revision in which it was present last
 	inLane   bool   // of the long lane of its pool
+	denied   bool   // refused a part of a span since its last report
 
 	inFlight int
 	sends    []*Send // in flight, in no order
@@ -74,6 +75,10 @@
 // State is the freshness of the node in the last view.
 func (n *Node) State() upstream.State { return n.state }
 
+// Deny notes that the node may have refused a part of a span, so that its report
+// is wrong about its memory. It is not asked again before the next report.
+func (n *Node) Deny() { n.denied = true }
+
 // Begin accounts for a send to the node.
 func (n *Node) Begin(s *Send) {
 	s.node = n
@@ -149,6 +154,7 @@
 		return
 	}
 	n.report = newReport(&a.Load, u.LoadAt)
+	n.denied = false
 	for _, s := range n.sends {
 		if s.newer && !s.At.After(u.LoadAt) {
 			n.newer.add(s, -1)
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"celeryport/upstream"
@@ -16,10 +17,13 @@
 	ring   ring
 	lane   lane
 
-	rate    float64   // sum of the prefill rates of open
-	largest int       // most memory of one node of all
-	memory  int       // sum of the memory of all
-	next    time.Time // when the next ejected node is due for a probe
+	sorted     []float64
+	nodeRate   float64
+	decodeRate float64
+	rate       float64   // sum of the prefill rates of open
+	largest    int       // most memory of one node of all
+	memory     int       // sum of the memory of all
+	next       time.Time // when the next ejected node is due for a probe
 }
 
 // ejectFraction is the part of a pool that may be ejected at one time. Without
@@ -40,7 +44,7 @@
 func (p *Pool) build(now time.Time) {
 	p.open = p.open[:0]
 	p.probes = p.probes[:0]
-	p.rate, p.largest, p.memory = 0, 0, 0
+	p.largest, p.memory = 0, 0
 	p.next = time.Time{}
 	canEject := int(ejectFraction * float64(len(p.all)))
 	for _, n := range p.all {
@@ -56,8 +60,8 @@
 			continue
 		}
 		p.open = append(p.open, n)
-		p.rate += n.Rate()
 	}
+	p.measure()
 	p.ring.build(p.open)
 	p.lane.build(p.Target, p.open)
 }
@@ -74,20 +78,51 @@
 // Rate is the sum of the measured prefill rates, tokens a second.
 func (p *Pool) Rate() float64 { return p.rate }
 
-// MeanRate is the mean prefill rate of one node.
-func (p *Pool) MeanRate() float64 {
-	if len(p.open) == 0 {
-		return defaultPrefillRate
+// NodeRate is the median of the nodes' prefill rates: neither a slow node nor
+// one that leads a span tells what the others do.
+func (p *Pool) NodeRate() float64 { return p.nodeRate }
+
+// DecodeRate is the median rate of one stream.
+func (p *Pool) DecodeRate() float64 { return p.decodeRate }
+
+// LaneFree is the part of a lane node's prefill that short prompts leave to long
+// ones.
+func (p *Pool) LaneFree() float64 {
+	if p.lane.size == 0 {
+		return 1
 	}
-	return p.rate / float64(len(p.open))
+	taken := p.lane.load.Middle * float64(len(p.open)) / float64(p.lane.size)
+	return max(minLaneFree, 1-taken)
 }
 
-// DecodeRate is the rate of one stream on the first node.
-func (p *Pool) DecodeRate() float64 {
+// minLaneFree bounds how pessimistic the prediction gets.
+const minLaneFree = 0.25
+
+// BusyDecodeRate is the rate of one stream on a node whose every iteration
+// carries a full chunk of prefill, as on a lane node under load.
+func (p *Pool) BusyDecodeRate() float64 { return p.nodeRate / iterationTokens }
+
+func (p *Pool) measure() {
+	p.nodeRate, p.decodeRate = defaultPrefillRate, defaultDecodeRate
+	p.rate = 0
 	if len(p.open) == 0 {
-		return defaultDecodeRate
+		return
+	}
+	p.sorted = p.sorted[:0]
+	for _, n := range p.open {
+		p.sorted = append(p.sorted, n.report.rate)
+	}
+	slices.Sort(p.sorted)
+	p.nodeRate = p.sorted[len(p.sorted)/2]
+	for _, rate := range p.sorted {
+		p.rate += min(rate, p.nodeRate)
+	}
+	p.sorted = p.sorted[:0]
+	for _, n := range p.open {
+		p.sorted = append(p.sorted, n.report.decodeRate)
 	}
-	return p.open[0].DecodeRate()
+	slices.Sort(p.sorted)
+	p.decodeRate = p.sorted[len(p.sorted)/2]
 }
 
 // Largest is the most memory that one node has.
--- a/routing/span.go
+++ b/routing/span.go
@@ -59,6 +59,9 @@
 }
 
 func spanRoom(n *Node) int {
+	if n.denied {
+		return 0
+	}
 	return n.Free() - int(spanHeadroom*float64(n.MemoryTokens))
 }
 
