Claim keys by write-once votes that outlive voter changes

A claimant counts votes of one epoch (one set of voters) only. A voter that enters an epoch stops voting in the earlier ones and votes again after it has copied the votes of enough previous voters to share one with each of their majorities; conflicting votes block the key. Holder carries an Attempt, so that a late release of an earlier attempt can't free a later one.

Ways weighed for voter changes: abstaining for one key lifetime alone is not enough, because a voter that is cut off together with an instance may not have heard of the change when the lifetime ends; so it is used only after a disaster (Epoch.Reset), when no previous voter runs any more. A voter clock that never goes back was tried and dropped: one jump ahead would have refused every key until the real time caught up; the voter notes up to which time it forgot instead.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -17,6 +17,7 @@
 	Instance    string `json:"instance"`
 	Incarnation uint64 `json:"incarnation"`
 	Request     string `json:"request"`
+	Attempt     uint32 `json:"attempt,omitempty"` // grows with each retry after split votes
 }
 
 // OutcomeKind tells what is known of a claimed request.
--- /dev/null
+++ b/claim/epoch_test.go
@@ -0,0 +1,130 @@
+package claim
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// winAt lets a claimant win with the votes of some voters only.
+func (w *network) winAt(key string, ids ...string) *caller {
+	w.t.Helper()
+	c := w.claim(key)
+	w.wire = slices.DeleteFunc(w.wire, func(m Message) bool { return !slices.Contains(ids, string(m.To)) })
+	for len(w.wire) > 0 {
+		w.deliver(0, false)
+	}
+	w.expect(c, Won)
+	return c
+}
+
+// d copies the votes of b before b has heard of the new epoch. After that, b
+// votes once more in the old one, where a claim is won that d knows nothing of.
+func TestOnlyVotersOfTheNewEpochAreCopied(t *testing.T) {
+	w := newNetwork(t, 21, "a", "b", "c")
+	w.change("c", "d")
+	w.enterAll(w.host("c"))
+	w.crash(w.host("a"))
+	d := w.addHost("d")
+	w.run(2 * time.Second)
+	w.start(w.host("a"))
+	old := w.claimAt("hold", w.epochs[0], 10*time.Second)
+	w.run(time.Second)
+	w.expect(old, Won)
+	if d.voter.Status().Complete {
+		t.Fatal("d took b's votes while b still voted in the old epoch")
+	}
+	second := w.claim("hold")
+	w.run(time.Second)
+	if second.sent {
+		t.Fatal("sent twice")
+	}
+}
+
+// The voters change twice in quick succession. d and e have entered both epochs
+// but know none of the old claims yet when f copies from them.
+func TestIncompleteVotersAreNotCopied(t *testing.T) {
+	w := newNetwork(t, 22, "a", "b", "c")
+	w.winAt("hold", "a", "b")
+	for _, id := range []string{"a", "b", "c"} {
+		w.crash(w.hosts[slices.Index([]string{"a", "b", "c"}, id)])
+	}
+	w.change("c", "d", "e")
+	w.change("f")
+	w.addHost("d")
+	w.addHost("e")
+	f := &host{id: "f"} // joined by a snapshot: it hears of the last epoch only
+	w.hosts = append(w.hosts, f)
+	w.start(f)
+	f.voter.Enter(w.now, w.newest())
+	w.pump(f)
+	w.run(2 * time.Second)
+	second := w.claim("hold")
+	w.run(time.Second)
+	if second.sent || f.voter.Status().Complete {
+		t.Fatal("f votes without knowing the claims of the first epoch")
+	}
+	for _, h := range w.hosts[:3] {
+		w.start(h)
+		w.enterAll(h)
+	}
+	w.run(5 * time.Second)
+	if !f.voter.Status().Complete {
+		t.Fatal("f does not vote although everyone answers")
+	}
+	third := w.claim("hold")
+	w.run(time.Second)
+	w.expect(third, Lost)
+}
+
+// One holder won at a and b while c's vote belongs to another, who then gives up.
+// A voter that copied both must not take the key as free when the loser
+// releases it.
+func TestConflictingVotesBlockTheKey(t *testing.T) {
+	w := newNetwork(t, 23, "a", "b", "c")
+	w.winAt("hold", "a", "b")
+	loser := w.claim("hold")
+	w.wire = slices.DeleteFunc(w.wire, func(m Message) bool { return m.To != "c" })
+	for len(w.wire) > 0 && w.wire[0].To == "c" {
+		w.deliver(0, false)
+	}
+	w.wire = nil
+	loser.frozen = true
+	w.crash(w.host("b"))
+	w.change("c", "d")
+	w.enterAll(w.host("a"))
+	w.enterAll(w.host("c"))
+	w.addHost("d")
+	w.run(2 * time.Second)
+	loser.frozen = false
+	w.run(15 * time.Second)
+	next := w.claim("hold")
+	w.run(2 * time.Second)
+	w.expect(next, Lost)
+	fresh := w.claim("fresh")
+	w.run(time.Second)
+	w.expect(fresh, Won)
+}
+
+// The clock of a runs ahead, so it has dropped the vote of a key that is still
+// fresh for the others. d, whose clock is right, copies from a.
+func TestForgottenKeysAreCopiedToo(t *testing.T) {
+	w := newNetwork(t, 24, "a", "b", "c")
+	key := keyMadeAt(w.now)
+	w.winAt(key, "a", "b")
+	w.host("a").skew = testLifetime
+	w.now = w.now.Add(testLifetime / 2)
+	w.tick()
+	w.crash(w.host("b"))
+	w.change("a", "c", "d")
+	w.enterAll(w.host("a"))
+	w.enterAll(w.host("c"))
+	w.addHost("d")
+	w.run(2 * time.Second)
+	if !w.host("d").voter.Status().Complete {
+		t.Fatal("d does not vote")
+	}
+	second := w.claim(key)
+	w.run(2 * time.Second)
+	w.expect(second, Expired)
+}
--- a/wal/crash_test.go
+++ b/wal/crash_test.go
@@ -16,6 +16,7 @@
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "20261202")
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.shrinktime", "3s")
 	os.Exit(m.Run())
 }
 
