--- a/entry/admit.go
+++ b/entry/admit.go
@@ -27,16 +27,14 @@
 }
 
 // admit checks everything that needs no body: this instance's own state, the
-// caller's key and the class. The returned request is counted as received in
-// any case, also together with an error.
+// caller's key and the class. The returned request is not yet counted as
+// received: reports count it by its target, which the body may name.
 func (s *Server) admit(ctx *fasthttp.RequestCtx, id string, kind request.Kind) (*arrival, *verdict.Error) {
 	now := s.options.Clock.Now()
 	a := &arrival{request: &request.Request{
 		ID: id, Kind: kind, Organisation: unknown, Class: unknown, Arrival: now, Deadline: now,
 	}}
-	err := s.admitTo(ctx, a)
-	s.options.Recorder.Received(a.request)
-	return a, err
+	return a, s.admitTo(ctx, a)
 }
 
 func (s *Server) admitTo(ctx *fasthttp.RequestCtx, a *arrival) *verdict.Error {
@@ -67,15 +65,40 @@
 	r := a.request
 	r.Class = resolved.Class
 	r.Priority = resolved.Priority
-	r.Key = string(ctx.Request.Header.Peek(headerKey))
-	r.NoRepeat = resolved.NoRepeat || string(ctx.Request.Header.Peek(headerNoRepeat)) == "true"
+	r.NoRepeat = resolved.NoRepeat
 	r.Deadline = r.Arrival.Add(resolved.Deadline)
 	if !resolved.Admit {
 		return verdict.Refuse(verdict.ReasonLimit, 0, "the settings admit no request of %s in class %s", r.Organisation, r.Class)
 	}
+	if err := a.mark(ctx); err != nil {
+		return err
+	}
 	return a.shorten(ctx)
 }
 
+// maxKeyBytes bounds an idempotency key, which every voter keeps.
+const maxKeyBytes = 256
+
+// mark reads how the caller wants repeats to be treated. A value that is not
+// understood is refused: taking it for "may be repeated" could run a call twice.
+func (a *arrival) mark(ctx *fasthttp.RequestCtx) *verdict.Error {
+	r := a.request
+	r.Key = string(ctx.Request.Header.Peek(headerKey))
+	if len(r.Key) > maxKeyBytes {
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "%s is longer than %d bytes", headerKey, maxKeyBytes)
+	}
+	header := string(ctx.Request.Header.Peek(headerNoRepeat))
+	if header == "" {
+		return nil
+	}
+	noRepeat, err := strconv.ParseBool(header)
+	if err != nil {
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "%s must be true or false", headerNoRepeat)
+	}
+	r.NoRepeat = r.NoRepeat || noRepeat
+	return nil
+}
+
 // shorten applies the caller's own deadline where it is the earlier one.
 func (a *arrival) shorten(ctx *fasthttp.RequestCtx) *verdict.Error {
 	header := string(ctx.Request.Header.Peek(headerDeadlineMs))
@@ -102,6 +125,7 @@
 
 // refuse answers a request that never reached the dispatcher.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, a *arrival, err *verdict.Error) {
+	s.options.Recorder.Received(a.request)
 	s.options.Recorder.Refused(a.request, err.Reason)
 	var elsewhere []address
 	if err.Reason == verdict.ReasonDraining || err.Reason == verdict.ReasonNoLease {
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -34,7 +34,7 @@
 
 func copyTo(t *testing.T, a *Account, book *Book, position []byte, at time.Time) []byte {
 	t.Helper()
-	encoded, err := a.Copy(at, position)
+	encoded, _, err := a.Copy(at, position)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,9 +60,11 @@
 	var position []byte
 	total := 0
 	for round := range 5 {
+		at := testStart.Add(time.Duration(round) * time.Second)
+		position = copyTo(t, account, book, position, at) // nothing has changed
 		serveMany(account, total, 10)
 		total += 10
-		position = copyTo(t, account, book, position, testStart.Add(time.Duration(round)*time.Second))
+		position = copyTo(t, account, book, position, at)
 		if err := book.Close(); err != nil {
 			t.Fatal(err)
 		}
@@ -139,7 +141,7 @@
 	position := copyTo(t, account, book, nil, testStart)
 	full = true
 	serveMany(account, 1, 1)
-	encoded, err := account.Copy(testStart, position)
+	encoded, _, err := account.Copy(testStart, position)
 	if err != nil {
 		t.Fatal(err)
 	}
