Let voters vote on claims, divide limits and apply the first tree

Each voter keeps its votes in a log of its own and one goroutine owns them: what arrives while a sync is under way shares the next one. The voters of claims follow the committed configuration as epochs in the replicated state, so a voter that comes in copies the votes first. Claimants count votes in the instance that asks; their messages go out side by side, so a silent voter delays nobody.

A first version remembered only the last grants that it had handed to an instance; answers that overtake each other then gave the same part twice, so all that may still arrive are kept.

The tree named in the process settings is proposed while no tree was ever accepted.

The test of claims over a replacement passes by two mechanisms at once: epochs that name the voters before, and a replacement that enters the first epoch as a stranger.

--- a/control/claims.go
+++ b/control/claims.go
@@ -2,22 +2,152 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
 
 	"celeryport/claim"
+	"celeryport/consensus"
 	"celeryport/rpc"
 	"celeryport/verdict"
 )
 
-// Claim implements Plane. Voters keep no votes yet, so nothing can be won and a
-// request that may not be repeated is refused.
-func (n *Node) Claim(context.Context, claim.Key, claim.Holder) ClaimResult {
-	return ClaimResult{State: NoMajority}
+const (
+	claimResend   = 250 * time.Millisecond
+	claimBackoff  = 20 * time.Millisecond
+	claimDeadline = 2 * time.Second // when the caller's context has none
+	claimKept     = time.Hour       // how long a claim that was won waits for its outcome
+)
+
+// claimGroup is the set of voters on claims and where to reach them.
+type claimGroup struct {
+	epoch     claim.Epoch
+	addresses map[consensus.ID]string
+}
+
+// wonClaims remembers the claims that were won until their outcome is known.
+type wonClaims struct {
+	mu    sync.Mutex
+	won   map[claim.Holder]*claimDriver
+	swept time.Time
+}
+
+// put remembers a claim, and forgets those whose outcome never came: their key
+// stays claimed at the voters, which is the safe end.
+func (w *wonClaims) put(now time.Time, h claim.Holder, d *claimDriver) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.won == nil {
+		w.won = map[claim.Holder]*claimDriver{}
+	}
+	w.won[h] = d
+	if now.Sub(w.swept) < claimKept/2 {
+		return
+	}
+	w.swept = now
+	for holder, old := range w.won {
+		if now.Sub(old.startedAt) > claimKept {
+			delete(w.won, holder)
+		}
+	}
+}
+
+func (w *wonClaims) take(h claim.Holder) *claimDriver {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	d := w.won[h]
+	delete(w.won, h)
+	return d
+}
+
+// Claim implements Plane. The result Won holds until the deadline of ctx.
+func (n *Node) Claim(ctx context.Context, key claim.Key, holder claim.Holder) ClaimResult {
+	group := n.claimGroup.Load()
+	if group == nil || group.epoch.Number == 0 {
+		return ClaimResult{State: NoMajority}
+	}
+	now := n.clock.Now()
+	d := &claimDriver{node: n, group: group, startedAt: now, answers: make(chan claim.Message, claimQueue)}
+	d.claimant = claim.NewClaimant(claim.Request{
+		Instance: consensus.ID(n.opts.Process.Name),
+		Key:      key,
+		Holder:   holder,
+		Epoch:    group.epoch,
+		Deadline: claimUntil(ctx, now),
+		Resend:   claimResend,
+		Backoff:  claimBackoff,
+		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	result := d.run(ctx)
+	if result.State == Won {
+		n.wonClaims.put(now, holder, d)
+	}
+	return result
+}
+
+func claimUntil(ctx context.Context, now time.Time) time.Time {
+	if deadline, found := ctx.Deadline(); found {
+		return deadline
+	}
+	return now.Add(claimDeadline)
+}
+
+// Settle implements Plane. It goes on in the background until the voters have
+// confirmed or the attempts are used up.
+func (n *Node) Settle(_ claim.Key, holder claim.Holder, outcome claim.Outcome) {
+	if d := n.wonClaims.take(holder); d != nil {
+		go d.settle(outcome)
+	}
 }
 
-// Settle implements Plane.
-func (n *Node) Settle(claim.Key, claim.Holder, claim.Outcome) {}
+// carryClaim brings a message to a voter, this instance's own included, and
+// returns the answers.
+func (n *Node) carryClaim(ctx context.Context, m claim.Message) ([]claim.Message, error) {
+	if n.claimVoter != nil && n.core.group.id == m.To {
+		return n.claimVoter.ask(ctx, m)
+	}
+	group := n.claimGroup.Load()
+	if group == nil || group.addresses[m.To] == "" {
+		return nil, errNoVoterHere
+	}
+	data, err := claim.EncodeMessage(&m)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.opts.Timing.Call)
+	defer cancel()
+	response, err := n.clients.At(group.addresses[m.To]).Claim(ctx, &rpc.ClaimRequest{Message: data})
+	if err != nil {
+		return nil, rpc.FromTwirp(err)
+	}
+	if len(response.Message) == 0 {
+		return nil, nil
+	}
+	answer, err := claim.DecodeMessage(response.Message)
+	return []claim.Message{answer}, err
+}
 
 // Claim implements rpc.Control.
-func (s *service) Claim(context.Context, *rpc.ClaimRequest) (*rpc.ClaimResponse, error) {
-	return nil, rpc.ToTwirp(verdict.Refuse(verdict.ReasonNoQuorum, 0, "this voter keeps no votes"))
+func (s *service) Claim(ctx context.Context, in *rpc.ClaimRequest) (*rpc.ClaimResponse, error) {
+	if s.node.claimVoter == nil {
+		return nil, rpc.ToTwirp(errNoVoterHere)
+	}
+	m, err := claim.DecodeMessage(in.Message)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("message", err.Error())
+	}
+	answers, err := s.node.claimVoter.ask(ctx, m)
+	if err != nil {
+		return nil, rpc.ToTwirp(verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonNoQuorum, "vote"))
+	}
+	if len(answers) == 0 {
+		return &rpc.ClaimResponse{}, nil
+	}
+	data, err := claim.EncodeMessage(&answers[0])
+	if err != nil {
+		return nil, rpc.ToTwirp(err)
+	}
+	return &rpc.ClaimResponse{Message: data}, nil
 }
--- /dev/null
+++ b/control/claimvoter.go
@@ -0,0 +1,250 @@
+package control
+
+import (
+	"context"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/claim"
+	"celeryport/consensus"
+	"celeryport/event"
+	"celeryport/verdict"
+	"celeryport/wal"
+)
+
+const (
+	claimsFolder  = "claims"
+	claimQueue    = 1024
+	claimTick     = time.Second
+	compactClaims = 16 << 20 // bytes of the vote log from which on it is rewritten
+)
+
+// claimVoter keeps the votes of this instance. One goroutine owns it; what
+// arrives while a sync is under way shares the next one, so that the cost of a
+// sync is divided by the load.
+type claimVoter struct {
+	node     *Node
+	voter    *claim.Voter
+	records  *wal.Records
+	requests chan claimRequest
+	epochs   chan claim.Epoch
+	rewrite  int64       // size from which on the log is rewritten
+	votes    atomic.Bool // whether it votes, as last logged
+}
+
+// claimRequest is one message and where its answers go.
+type claimRequest struct {
+	message claim.Message
+	reply   chan<- claimReply
+}
+
+type claimReply struct {
+	messages []claim.Message
+	err      error
+}
+
+// openClaims opens the votes of a voter.
+func openClaims(n *Node, folder dataFolder, id consensus.ID) (*claimVoter, error) {
+	records, raw, err := wal.OpenRecords(filepath.Join(folder.path, claimsFolder), folder.fs, wal.Options{Logger: n.log})
+	if err != nil {
+		return nil, errors.Wrap(err, "open the votes")
+	}
+	decoded := make([]claim.Record, 0, len(raw))
+	for _, data := range raw {
+		record, err := claim.DecodeRecord(data)
+		if err != nil {
+			return nil, errors.CombineErrors(err, records.Close())
+		}
+		decoded = append(decoded, record)
+	}
+	voter, err := claim.NewVoter(claim.DefaultVoterConfig(id), decoded)
+	if err != nil {
+		return nil, errors.CombineErrors(err, records.Close())
+	}
+	return &claimVoter{
+		node: n, voter: voter, records: records, rewrite: compactClaims,
+		requests: make(chan claimRequest, claimQueue), epochs: make(chan claim.Epoch, claimQueue),
+	}, nil
+}
+
+// run owns the voter until ctx ends or a sync fails.
+func (v *claimVoter) run(ctx context.Context) error {
+	ticker := time.NewTicker(claimTick)
+	defer ticker.Stop()
+	for {
+		var batch []claimRequest
+		select {
+		case <-ctx.Done():
+			return errors.CombineErrors(ctx.Err(), v.records.Close())
+		case first := <-v.requests:
+			batch = v.gather(first)
+		case e := <-v.epochs:
+			v.voter.Enter(v.node.clock.Now(), e)
+		case <-ticker.C:
+			v.voter.Tick(v.node.clock.Now())
+		}
+		if err := v.process(ctx, batch); err != nil {
+			return v.fail(ctx, err)
+		}
+	}
+}
+
+func (v *claimVoter) gather(first claimRequest) []claimRequest {
+	batch := []claimRequest{first}
+	for range len(v.requests) {
+		batch = append(batch, <-v.requests)
+	}
+	return batch
+}
+
+// process steps a batch, syncs what it changed in one write and only then
+// answers: a vote that was answered and lost in a crash could be given again.
+func (v *claimVoter) process(ctx context.Context, batch []claimRequest) error {
+	now := v.node.clock.Now()
+	own := v.voter.Ready()
+	records := own.Records
+	answers := make([]claimReply, len(batch))
+	for i := range batch {
+		v.voter.Step(now, batch[i].message)
+		ready := v.voter.Ready()
+		records = append(records, ready.Records...)
+		answers[i].messages, own.Messages = v.divide(&batch[i], ready.Messages, own.Messages)
+	}
+	if err := v.sync(records); err != nil {
+		for i := range batch {
+			batch[i].reply <- claimReply{err: errVoterFailed}
+		}
+		return err
+	}
+	for i := range batch {
+		batch[i].reply <- answers[i]
+	}
+	for i := range own.Messages {
+		go v.send(ctx, own.Messages[i])
+	}
+	v.noteState()
+	return nil
+}
+
+// divide separates the answers to a request from messages to other voters.
+func (v *claimVoter) divide(r *claimRequest, messages, others []claim.Message) (answers, rest []claim.Message) {
+	for _, m := range messages {
+		if m.To == r.message.From && m.Kind == r.message.Kind+1 {
+			answers = append(answers, m)
+			continue
+		}
+		others = append(others, m)
+	}
+	return answers, others
+}
+
+func (v *claimVoter) sync(records []claim.Record) error {
+	if len(records) == 0 {
+		return nil
+	}
+	encoded, err := encodeRecords(records)
+	if err != nil {
+		return err
+	}
+	if err := v.records.Append(encoded...); err != nil {
+		return err
+	}
+	if v.records.Size() < v.rewrite {
+		return nil
+	}
+	whole, err := encodeRecords(v.voter.Records())
+	if err != nil {
+		return err
+	}
+	if err := v.records.Rewrite(whole); err != nil {
+		return err
+	}
+	v.rewrite = compactClaims + 2*v.records.Size()
+	return nil
+}
+
+func encodeRecords(records []claim.Record) ([][]byte, error) {
+	encoded := make([][]byte, 0, len(records))
+	for _, r := range records {
+		data, err := claim.EncodeRecord(r)
+		if err != nil {
+			return nil, err
+		}
+		encoded = append(encoded, data)
+	}
+	return encoded, nil
+}
+
+// send carries a message to another voter and brings its answer back.
+func (v *claimVoter) send(ctx context.Context, m claim.Message) {
+	answers, err := v.node.carryClaim(ctx, m)
+	if err != nil {
+		return // asked again with the next tick
+	}
+	for _, answer := range answers {
+		select {
+		case v.requests <- claimRequest{message: answer, reply: make(chan claimReply, 1)}:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// noteState logs when the voter begins or ceases to vote.
+func (v *claimVoter) noteState() {
+	status := v.voter.Status()
+	if v.votes.Swap(status.Complete) == status.Complete {
+		return
+	}
+	fields := event.Fields{"epoch": status.Epoch, "votes": status.Votes}
+	if status.Complete {
+		claim.EventVotes.Log(v.node.log, fields)
+		return
+	}
+	claim.EventAbstains.Log(v.node.log, fields)
+}
+
+var errVoterFailed = verdict.Refuse(verdict.ReasonStorageFailed, 0, "this voter can't keep votes any more")
+
+// fail refuses everything from now on. A vote that could not be synced may not
+// be given, and none that was given may be forgotten.
+func (v *claimVoter) fail(ctx context.Context, cause error) error {
+	eventStorageFailed.Log(v.node.log, event.Fields{"error": cause, "folder": claimsFolder})
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.CombineErrors(ctx.Err(), v.records.Close())
+		case r := <-v.requests:
+			r.reply <- claimReply{err: errVoterFailed}
+		case <-v.epochs:
+		}
+	}
+}
+
+// ask hands a message to the voter and waits for its answers.
+func (v *claimVoter) ask(ctx context.Context, m claim.Message) ([]claim.Message, error) {
+	reply := make(chan claimReply, 1)
+	select {
+	case v.requests <- claimRequest{message: m, reply: reply}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case r := <-reply:
+		return r.messages, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// enter tells the voter of an epoch. The epochs that don't fit are told again
+// after the next restart or change; meanwhile the voter abstains.
+func (v *claimVoter) enter(e claim.Epoch) {
+	select {
+	case v.epochs <- e:
+	default:
+	}
+}
--- a/control/core.go
+++ b/control/core.go
@@ -15,25 +15,26 @@
 // core is the control state of an instance. Only the control goroutine touches
 // it.
 type core struct {
-	node      *Node
-	log       logrus.FieldLogger
-	timing    Timing
-	self      membership.Instance
-	accepted  bool // a leader took a statement of this incarnation
-	defunct   bool // another process took over the name
-	installed installed
-	lease     lease
-	members   memberList
-	heard     *upstream.Registry // heard directly, to be told to the leader
-	known     *upstream.Registry // everything that is known
-	grants    []quota.Grant
-	demand    []quota.Demand
-	position  syncPosition
-	voters    []consensus.Member
-	nextVoter int     // which voter to ask next when no leader is known
-	group     *group  // nil on an instance without a log
-	leader    *leader // nil unless this voter leads
-	views     viewState
+	node        *Node
+	log         logrus.FieldLogger
+	timing      Timing
+	self        membership.Instance
+	accepted    bool // a leader took a statement of this incarnation
+	defunct     bool // another process took over the name
+	installed   installed
+	lease       lease
+	members     memberList
+	heard       *upstream.Registry // heard directly, to be told to the leader
+	known       *upstream.Registry // everything that is known
+	grants      []quota.Grant
+	initialTree []byte // for a group that never accepted one
+	demand      []quota.Demand
+	position    syncPosition
+	voters      []consensus.Member
+	nextVoter   int     // which voter to ask next when no leader is known
+	group       *group  // nil on an instance without a log
+	leader      *leader // nil unless this voter leads
+	views       viewState
 }
 
 // syncPosition is what this instance and a leader know of each other.
@@ -42,6 +43,7 @@
 	leader    string // control address
 	members   uint64
 	upstreams uint64
+	grants    uint64 // round of the grants that are acted on
 	heardUpTo uint64 // version of heard that the leader has
 }
 
@@ -54,6 +56,9 @@
 		installed: installed{folder: dataFolder{process.DataFolder, n.opts.FS}, parse: n.opts.Parse},
 		members:   newMemberList(),
 	}
+	if err := c.readInitialTree(); err != nil {
+		return nil, err
+	}
 	if err := c.openFolder(); err != nil {
 		return nil, err
 	}
--- a/control/group.go
+++ b/control/group.go
@@ -41,6 +41,7 @@
 		return err
 	}
 	g.machine.Skip(g.stored.Snapshot.Index)
+	g.core.node.claimVoter.enter(g.machine.Epoch())
 	g.compacted = g.stored.Snapshot.Index
 	g.appliedTerm = g.stored.Snapshot.Term
 	node, err := consensus.New(consensus.Config{
@@ -119,6 +120,7 @@
 		return err
 	}
 	g.machine.Skip(s.Index)
+	g.core.node.claimVoter.enter(g.machine.Epoch())
 	g.appliedTerm = s.Term
 	g.compacted = s.Index
 	g.proposals.overtaken(s.Index)
@@ -128,9 +130,11 @@
 // apply executes one committed entry.
 func (g *group) apply(e *consensus.Entry) error {
 	g.appliedTerm = e.Term
-	if e.Kind != consensus.Proposal {
+	switch e.Kind {
+	case consensus.Reconfiguration:
+		return g.reconfigure(e)
+	case consensus.Empty:
 		g.machine.Skip(e.Index)
-		g.noteVoters(e)
 		return nil
 	}
 	outcome, err := g.machine.Apply(e.Index, e.Term, e.Data)
@@ -147,12 +151,16 @@
 	return nil
 }
 
-func (g *group) noteVoters(e *consensus.Entry) {
-	if e.Kind != consensus.Reconfiguration {
-		return
+// reconfigure notes a committed change of the members.
+func (g *group) reconfigure(e *consensus.Entry) error {
+	c, err := consensus.DecodeConfiguration(e.Data)
+	if err != nil {
+		return err
 	}
-	c := g.node.Status().Configuration
 	eventVoterChange.Log(g.core.log, event.Fields{"voters": c.Voters, "learners": c.Learners})
+	g.machine.Configure(e.Index, c)
+	g.core.node.claimVoter.enter(g.machine.Epoch())
+	return nil
 }
 
 // compactIfDue replaces old entries by a snapshot, so that the log stays small
--- /dev/null
+++ b/control/initialtree.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/control/state"
+)
+
+// initialOrderID is the order id of the tree of the process settings.
+const initialOrderID = "initial"
+
+// readInitialTree reads the tree that the process settings name for a group that
+// never accepted one. A faulty one stops the start: nothing is applied half.
+func (c *core) readInitialTree() error {
+	path := c.node.opts.Process.Tree
+	if path == "" || !c.node.opts.Process.Voter {
+		return nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read the first settings tree")
+	}
+	if _, err := c.node.opts.Parse(path, text); err != nil {
+		return err
+	}
+	c.initialTree = text
+	return nil
+}
+
+// applyInitialTree proposes that tree once, while no tree was ever accepted. Its
+// base is 0, so it loses against any operator's order that came before it.
+func (l *leader) applyInitialTree(now time.Time) {
+	if l.initialAsked || l.core.initialTree == nil || l.core.group.machine.Current().Number > 0 {
+		return
+	}
+	l.initialAsked = true
+	command := state.Command{
+		At:       now.Round(0).UTC(),
+		Lifetime: l.core.orderLifetime(),
+		Apply:    &state.Apply{OrderID: initialOrderID, Text: l.core.initialTree},
+	}
+	l.core.group.propose(now, &command, make(chan proposalResult, 1))
+}
--- a/control/leader.go
+++ b/control/leader.go
@@ -7,31 +7,25 @@
 	"celeryport/consensus"
 	"celeryport/event"
 	"celeryport/membership"
-	"celeryport/quota"
 	"celeryport/upstream"
 )
 
 // leader is what a voter keeps only while it leads: the instances, the syncs
 // that it holds, and how far the accepted settings are in force.
 type leader struct {
-	core        *core
-	epoch       string
-	term        uint64
-	since       time.Time
-	table       *membership.Table
-	polls       []poll
-	demands     map[string]instanceDemand
-	inForce     uint64 // newest revision known to be in force
-	ids         map[string]consensus.ID
-	issuerAsked bool
-	issuerAt    time.Time // when this leader became the issuer
-	urgent      uint64    // version of the known upstreams at the last news that can't wait
-}
-
-// instanceDemand is the last statement of one instance.
-type instanceDemand struct {
-	demand []quota.Demand
-	at     time.Time
+	core         *core
+	epoch        string
+	term         uint64
+	since        time.Time
+	table        *membership.Table
+	polls        []poll
+	allocation   *allocation
+	inForce      uint64 // newest revision known to be in force
+	ids          map[string]consensus.ID
+	initialAsked bool
+	issuerAsked  bool
+	issuerAt     time.Time // when this leader became the issuer
+	urgent       uint64    // version of the known upstreams at the last news that can't wait
 }
 
 // poll is a sync whose answer is held until there is news.
@@ -43,13 +37,13 @@
 
 func newLeader(now time.Time, c *core, term uint64) *leader {
 	return &leader{
-		core:    c,
-		epoch:   fmt.Sprintf("%s/%d/%d", c.self.Name, c.self.Incarnation, term),
-		term:    term,
-		since:   now,
-		table:   membership.NewTable(now, c.timing.Membership),
-		demands: map[string]instanceDemand{},
-		ids:     map[string]consensus.ID{},
+		core:       c,
+		epoch:      fmt.Sprintf("%s/%d/%d", c.self.Name, c.self.Incarnation, term),
+		term:       term,
+		since:      now,
+		table:      membership.NewTable(now, c.timing.Membership),
+		allocation: newAllocation(c.timing.Membership.Lease + c.timing.Membership.Margin),
+		ids:        map[string]consensus.ID{},
 	}
 }
 
@@ -89,7 +83,7 @@
 		return
 	}
 	l.ids[request.Instance.Name] = request.VoterID
-	l.demands[request.Instance.Name] = instanceDemand{demand: request.Demand, at: now}
+	l.allocation.state(now, request.Instance.Name, request.Demand, request.Grants)
 	for _, relayed := range request.Heard {
 		l.relay(now, relayed)
 	}
@@ -113,6 +107,7 @@
 	l.table.Expire(now)
 	l.noteInForce(now)
 	l.keepIssuer(now)
+	l.applyInitialTree(now)
 	next := now.Add(maxWait)
 	held := l.polls[:0]
 	for _, p := range l.polls {
@@ -152,6 +147,7 @@
 		MembersAt: l.table.Revision(),
 		HeardUpTo: r.HeardUpTo,
 		Voters:    group.voters(),
+		Claims:    group.machine.Epoch(),
 	}
 	response.Upstreams, response.UpstreamAt = l.core.known.ChangesSince(now, upstreams)
 	if r.Instance.Revision < response.Revision {
@@ -161,7 +157,7 @@
 		response.LeaseMs = l.core.timing.Membership.Lease.Milliseconds()
 		l.table.Granted(now, r.Instance.Name)
 	}
-	response.Grants = l.grants(now, r.Instance.Name)
+	response.Grants, response.GrantsAt = l.grants(now, r.Instance.Name)
 	return response
 }
 
--- a/control/node.go
+++ b/control/node.go
@@ -19,18 +19,21 @@
 // Operations. One goroutine, started by Run, owns the core with all control
 // state; the others hand it tasks and read published views.
 type Node struct {
-	opts     Options
-	log      logrus.FieldLogger
-	clock    clock.Clock
-	clients  *rpc.Clients
-	handlers map[string]Handler
-	view     atomic.Pointer[View]
-	issuer   atomic.Pointer[order.Issuer] // nil unless this instance issues engine orders
-	orders   *order.Driver
-	kick     chan struct{}
-	tasks    chan task
-	stopped  chan struct{} // closed when the control goroutine has ended
-	core     *core         // owned by the control goroutine
+	opts       Options
+	log        logrus.FieldLogger
+	clock      clock.Clock
+	clients    *rpc.Clients
+	handlers   map[string]Handler
+	view       atomic.Pointer[View]
+	issuer     atomic.Pointer[order.Issuer] // nil unless this instance issues engine orders
+	orders     *order.Driver
+	claimVoter *claimVoter // nil on an instance that is no voter
+	claimGroup atomic.Pointer[claimGroup]
+	wonClaims  wonClaims
+	kick       chan struct{}
+	tasks      chan task
+	stopped    chan struct{} // closed when the control goroutine has ended
+	core       *core         // owned by the control goroutine
 }
 
 // task is work for the control goroutine.
--- a/control/openfolder.go
+++ b/control/openfolder.go
@@ -35,6 +35,9 @@
 	if err != nil {
 		return err
 	}
+	if c.node.claimVoter, err = openClaims(c.node, folder, log.Identity().Voter); err != nil {
+		return errors.CombineErrors(err, log.Close())
+	}
 	founding, err := loadFounding(folder)
 	if err != nil {
 		return errors.CombineErrors(err, log.Close())
--- a/control/run.go
+++ b/control/run.go
@@ -37,6 +37,9 @@
 	group.Go(func() error { return n.serve(server, listener) })
 	group.Go(func() error { return n.loop(ctx) })
 	group.Go(func() error { return n.runFounding(ctx) })
+	if n.claimVoter != nil {
+		group.Go(func() error { return n.claimVoter.run(ctx) })
+	}
 	group.Go(func() error { return n.runSync(ctx) })
 	group.Go(func() error { return n.orders.Run(ctx) })
 	group.Go(func() error {
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"celeryport/claim"
 )
 
 // maxHistory is how many past revisions are described for operators who lost a
@@ -19,13 +21,14 @@
 
 // content is what a snapshot holds.
 type content struct {
-	Applied uint64     `json:"applied"` // log index of the last applied entry
-	Clock   time.Time  `json:"clock"`   // latest stamp of any command; never goes back
-	Current Revision   `json:"current"`
-	Text    []byte     `json:"text"`
-	History []Revision `json:"history"` // oldest first, Current included
-	Orders  orderBook  `json:"orders"`
-	Issuer  Issuer     `json:"issuer"`
+	Applied uint64      `json:"applied"` // log index of the last applied entry
+	Clock   time.Time   `json:"clock"`   // latest stamp of any command; never goes back
+	Current Revision    `json:"current"`
+	Text    []byte      `json:"text"`
+	History []Revision  `json:"history"` // oldest first, Current included
+	Orders  orderBook   `json:"orders"`
+	Issuer  Issuer      `json:"issuer"`
+	Epoch   claim.Epoch `json:"epoch"`
 }
 
 // New returns the empty state.
--- a/control/synctake.go
+++ b/control/synctake.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"celeryport/consensus"
 	"celeryport/event"
 	"celeryport/membership"
 )
@@ -84,8 +85,33 @@
 	}
 	if len(r.Voters) > 0 {
 		c.voters = r.Voters
+		c.takeClaims(r)
+	}
+	c.takeGrants(r)
+}
+
+// takeGrants replaces the grants, unless an answer that was held meanwhile
+// brings older ones. A new leader gives none at first; those of its predecessor
+// lapse by themselves.
+func (c *core) takeGrants(r *syncResponse) {
+	if r.GrantsAt == 0 || r.GrantsAt < c.position.grants {
+		return
 	}
 	c.grants = r.Grants
+	c.position.grants = r.GrantsAt
+}
+
+// takeClaims publishes who votes on claims.
+func (c *core) takeClaims(r *syncResponse) {
+	known := c.node.claimGroup.Load()
+	if known != nil && known.epoch.Number >= r.Claims.Number {
+		return
+	}
+	addresses := map[consensus.ID]string{}
+	for _, m := range r.Voters {
+		addresses[m.ID] = m.Address
+	}
+	c.node.claimGroup.Store(&claimGroup{epoch: r.Claims, addresses: addresses})
 }
 
 func (c *core) takeRevision(r *syncResponse) error {
--- a/control/synctarget.go
+++ b/control/synctarget.go
@@ -18,6 +18,7 @@
 		Heard:     heard,
 		HeardUpTo: heardUpTo,
 		Demand:    c.demand,
+		Grants:    c.position.grants,
 		WaitMs:    wait.Milliseconds(),
 	}
 	if c.group != nil {
--- a/control/syncwire.go
+++ b/control/syncwire.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"celeryport/claim"
 	"celeryport/consensus"
 	"celeryport/membership"
 	"celeryport/quota"
@@ -18,6 +19,7 @@
 	Heard     []upstream.Relayed  `json:"heard,omitempty"`     // heard directly, not yet confirmed by the leader
 	HeardUpTo uint64              `json:"heard_up_to,omitempty"`
 	Demand    []quota.Demand      `json:"demand,omitempty"`
+	Grants    uint64              `json:"grants,omitempty"`  // round of the leader's grants that it acts on
 	WaitMs    int64               `json:"wait_ms,omitempty"` // the leader may hold the answer for so long
 }
 
@@ -36,5 +38,7 @@
 	UpstreamAt uint64                `json:"upstreams_at,omitempty"`
 	HeardUpTo  uint64                `json:"heard_up_to,omitempty"`
 	Grants     []quota.Grant         `json:"grants,omitempty"`
+	GrantsAt   uint64                `json:"grants_at,omitempty"`
 	Voters     []consensus.Member    `json:"voters,omitempty"`
+	Claims     claim.Epoch           `json:"claims,omitzero"` // who votes on claims
 }
