--- a/burn/html.go
+++ b/burn/html.go
@@ -13,7 +13,7 @@
 
 var page = template.Must(template.New("burn").Funcs(template.FuncMap{
 	"percent": percent,
-	"window":  shortWindow,
+	"rounded": rounded,
 	"bar":     func(fraction float64) float64 { return min(1, max(0, fraction)) * 100 },
 }).Parse(pageText))
 
@@ -41,8 +41,8 @@
 	for _, window := range windows {
 		data.Windows = append(data.Windows, shortWindow(window))
 	}
-	for i := range t.Objectives {
-		o, err := newPageObjective(&t.Objectives[i])
+	for _, shown := range t.shown() {
+		o, err := newPageObjective(shown)
 		if err != nil {
 			return err
 		}
@@ -57,8 +57,6 @@
 		p.Rates = append(p.Rates, o.Rates[i].text())
 	}
 	var err error
-	if o.Total > 0 {
-		p.Chart, err = o.chart()
-	}
+	p.Chart, err = o.chart()
 	return p, err
 }
--- a/burn/text.go
+++ b/burn/text.go
@@ -20,8 +20,8 @@
 func (t *Table) WriteText(w io.Writer) error {
 	out := tabwriter.NewWriter(w, 0, 0, padding, ' ', 0)
 	lines := []string{"burn at " + t.At.UTC().Format(timeForm), "", heading()}
-	for i := range t.Objectives {
-		lines = append(lines, t.Objectives[i].line())
+	for _, o := range t.shown() {
+		lines = append(lines, o.line())
 	}
 	lines = append(lines, "")
 	lines = append(lines, t.burnerLines()...)
@@ -30,6 +30,18 @@
 	return errors.CombineErrors(err, out.Flush())
 }
 
+// shown are the objectives that any request was about; a class of service calls
+// has no first tokens.
+func (t *Table) shown() []*Objective {
+	var shown []*Objective
+	for i := range t.Objectives {
+		if t.Objectives[i].Total > 0 {
+			shown = append(shown, &t.Objectives[i])
+		}
+	}
+	return shown
+}
+
 func heading() string {
 	cells := []string{"CLASS", "OBJECTIVE", "GOAL", "TOTAL", "MISSED", "BUDGET LEFT", "LASTS"}
 	for _, window := range windows {
@@ -41,7 +53,7 @@
 func (o *Objective) line() string {
 	cells := []string{
 		o.Class, o.title(), percent(o.Goal), fmt.Sprint(o.Total), fmt.Sprint(o.Bad),
-		bar(o.BudgetLeft) + " " + percent(o.BudgetLeft), o.lasts(),
+		bar(o.BudgetLeft) + " " + rounded(o.BudgetLeft), o.lasts(),
 	}
 	for _, r := range o.Rates {
 		cells = append(cells, r.text())
@@ -66,8 +78,6 @@
 
 func (o *Objective) lasts() string {
 	switch {
-	case o.Total == 0:
-		return "-"
 	case o.DaysLeft == nil:
 		return "for ever"
 	case *o.DaysLeft == 0:
@@ -93,7 +103,7 @@
 		o := &t.Objectives[i]
 		for _, b := range o.Burners {
 			lines = append(lines, strings.Join([]string{
-				o.Class, string(o.Kind), b.Organisation, b.Cause, fmt.Sprint(b.Bad), bar(b.Share) + " " + percent(b.Share),
+				o.Class, string(o.Kind), b.Organisation, b.Cause, fmt.Sprint(b.Bad), bar(b.Share) + " " + rounded(b.Share),
 			}, "\t"))
 		}
 	}
@@ -109,6 +119,9 @@
 
 func (t *Table) notes() []string {
 	var notes []string
+	if hidden := len(t.Objectives) - len(t.shown()); hidden > 0 {
+		notes = append(notes, fmt.Sprintf("objectives without any request, left out: %d", hidden))
+	}
 	if t.Unplaced > 0 {
 		notes = append(notes, fmt.Sprintf("not in any window: %d requests that were learned too late to place in time", t.Unplaced))
 	}
@@ -128,6 +141,9 @@
 	return strings.TrimSuffix(strings.TrimRight(fmt.Sprintf("%.3f", fraction*100), "0"), ".") + "%"
 }
 
+// rounded is a percentage without decimals, for what is not a goal.
+func rounded(fraction float64) string { return fmt.Sprintf("%.0f%%", fraction*100) }
+
 func shortWindow(d time.Duration) string {
 	const day = hoursPerDay * time.Hour
 	switch {
