Bound the books over time, and keep wrong clocks out of them

Latencies of an incarnation are dropped a week after its last copy, its counts after 92 days; the report says so. Without a bound a voter's memory and log grow with every restart of any instance. The time of a copy that is more than a minute off gives way to the voter's own: a clock that runs a year ahead would have made everything else look old enough to be dropped. Without that the test shows an instance as unknown since 2027.

--- a/accounting/fleet_test.go
+++ b/accounting/fleet_test.go
@@ -123,7 +123,7 @@
 	i.incarnation++
 	i.handlers = map[string]control.Handler{}
 	if i.voter {
-		book, err := ledger.OpenBook(i.folder, wal.OS{}, i.fleet.log)
+		book, err := ledger.OpenBook(i.folder, wal.OS{}, i.fleet.log, i.fleet)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/accounting/gather.go
+++ b/accounting/gather.go
@@ -124,7 +124,7 @@
 	if err := decodeBody(body, &answer); err != nil {
 		return nil, err
 	}
-	return ledger.DecodeDump(answer.Own, answer.Book)
+	return ledger.DecodeDump(r.opts.Clock.Now(), answer.Own, answer.Book)
 }
 
 // ownDump goes through the encoding too: a report changes the state that it
@@ -134,7 +134,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return ledger.DecodeDump(answer.Own, answer.Book)
+	return ledger.DecodeDump(r.opts.Clock.Now(), answer.Own, answer.Book)
 }
 
 func (r *Reporter) dump() (*dumpAnswer, error) {
--- a/instance/books.go
+++ b/instance/books.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/accounting"
+	"celeryport/clock"
 	"celeryport/control"
 	"celeryport/ledger"
 	"celeryport/settings"
@@ -29,7 +30,7 @@
 		return b, nil
 	}
 	folder := filepath.Join(options.Process.DataFolder, ledgerFolder)
-	book, err := ledger.OpenBook(folder, wal.OS{}, options.Log)
+	book, err := ledger.OpenBook(folder, wal.OS{}, options.Log, clock.Real{})
 	if err != nil {
 		return nil, errors.Wrap(err, "ledger")
 	}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"celeryport/clock"
 	"celeryport/event"
 	"celeryport/wal"
 )
@@ -20,7 +21,8 @@
 // Book keeps the accounts of all instances on a voter. It implements Store and
 // is safe for concurrent use.
 type Book struct {
-	log logrus.FieldLogger
+	log   logrus.FieldLogger
+	clock clock.Clock
 
 	mu        sync.Mutex
 	state     *State
@@ -30,7 +32,7 @@
 }
 
 // OpenBook opens the book in a folder of its own under the data folder.
-func OpenBook(folder string, fs wal.FS, log logrus.FieldLogger) (*Book, error) {
+func OpenBook(folder string, fs wal.FS, log logrus.FieldLogger, c clock.Clock) (*Book, error) {
 	records, content, err := wal.OpenRecords(folder, fs, wal.Options{Logger: log})
 	if err != nil {
 		return nil, errors.Wrap(err, "opening the ledger")
@@ -40,7 +42,7 @@
 		return nil, errors.CombineErrors(errors.Wrap(err, "reading the ledger"), records.Close())
 	}
 	bookOpened.Log(log, event.Fields{"folder": folder, "incarnations": len(state.Incarnations)})
-	return &Book{log: log, state: state, records: records}, nil
+	return &Book{log: log, clock: c, state: state, records: records}, nil
 }
 
 // Merge implements Store. The copy is synced before it is applied: the instance
@@ -50,6 +52,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if encodedCopy, err = b.corrected(c, encodedCopy); err != nil {
+		return nil, err
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err := b.keep(c, encodedCopy); err != nil {
@@ -62,6 +67,16 @@
 	return position{incarnation: c.ID.Incarnation, sequence: sequence}.encode(), nil
 }
 
+// corrected returns the copy as it is to be written, with a time that fits.
+func (b *Book) corrected(c *Copy, encodedCopy []byte) ([]byte, error) {
+	sentAt := c.At
+	if !c.correctClock(b.clock.Now()) {
+		return encodedCopy, nil
+	}
+	clockDiffers.Log(b.log, event.Fields{"instance": c.ID.Instance, "its_time": sentAt, "time": c.At})
+	return encode(c)
+}
+
 // keep syncs a copy. One that changes nothing but the time is not worth a sync:
 // after a restart the voter asks for it again. The first of an incarnation is
 // kept in any case: if the instance is killed before the next one, the report
@@ -85,6 +100,7 @@
 	if b.appended < max(rewriteLeast, rewriteFactor*b.rewritten) {
 		return nil
 	}
+	b.state.Trim(b.clock.Now())
 	record, err := stateRecord(b.state)
 	if err != nil {
 		return err
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -12,9 +12,14 @@
 	"celeryport/wal"
 )
 
+// fixedClock implements clock.Clock.
+type fixedClock struct{ now time.Time }
+
+func (c fixedClock) Now() time.Time { return c.now }
+
 func openBook(t *testing.T, folder string, fs wal.FS) *Book {
 	t.Helper()
-	book, err := OpenBook(folder, fs, silent())
+	book, err := OpenBook(folder, fs, silent(), fixedClock{testStart})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/ledger/dump.go
+++ b/ledger/dump.go
@@ -26,6 +26,7 @@
 
 // absorb takes in what another book knows better.
 func (s *State) absorb(other *State) {
+	s.noteDropped(other.DroppedUpTo)
 	for _, c := range other.Copies() {
 		s.Apply(c)
 	}
--- a/ledger/events.go
+++ b/ledger/events.go
@@ -18,3 +18,6 @@
 
 var bookJoined = event.Define(4003, logrus.InfoLevel, "ledger joined with those of other voters",
 	"This voter had lost its disk or was away, and took over what the other voters know of instances that have ended. Nothing needs to be done.")
+
+var clockDiffers = event.Define(4004, logrus.WarnLevel, "clock of an instance differs",
+	"The clock of an instance is more than a minute from that of this voter, whose time was taken for the instance's counters. Set the clocks by a common source.")
--- a/ledger/report.go
+++ b/ledger/report.go
@@ -27,6 +27,9 @@
 	// MissingBooks are voters that did not answer. What ended instances copied to
 	// none but them is not in the report.
 	MissingBooks []string `json:"missing_books,omitempty"`
+	// DroppedUpTo is set in a report over everything that lacks incarnations which
+	// ended up to then.
+	DroppedUpTo time.Time `json:"dropped_up_to,omitzero"`
 }
 
 // Row is what one organisation, class or target got, or a combination of them.
--- a/ledger/report_make.go
+++ b/ledger/report_make.go
@@ -5,12 +5,16 @@
 	"time"
 )
 
-// NewReport makes a report. It is a pure function of its input.
+// NewReport makes a report. It is a pure function of its input, of which it trims
+// the state.
 func NewReport(in ReportInput) *Report {
+	in.State.Trim(in.Now)
 	totals := collect(&in)
 	report := &Report{At: in.Now, MissingBooks: in.MissingBooks}
 	latencies := totals
-	if !in.Query.Since.IsZero() {
+	if in.Query.Since.IsZero() {
+		report.DroppedUpTo = in.State.DroppedUpTo
+	} else {
 		latencies = restrict(&in, totals, report)
 	}
 	fillRows(report, totals)
--- a/ledger/report_table.go
+++ b/ledger/report_table.go
@@ -33,6 +33,9 @@
 	p.latencies(r.Latencies)
 	p.unknown(r.Unknown)
 	p.unplaced(r.Unplaced)
+	if !r.DroppedUpTo.IsZero() {
+		p.line("dropped for their age: instances that ended up to %s", r.DroppedUpTo.UTC().Format(timeForm))
+	}
 	if len(r.MissingBooks) > 0 {
 		p.line("voters that did not answer: %s; what only they know of ended instances is missing",
 			strings.Join(r.MissingBooks, ", "))
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -35,6 +35,7 @@
 	Incarnations map[ID]*Incarnation
 	Windows      *Windows
 	Lumps        []Lump
+	DroppedUpTo  time.Time // newest end of an incarnation that was dropped for its age, zero: none
 }
 
 // NewState returns an empty state.
