Prove shutdown, kills and resent keys with real processes

Three fleets on loopback: SIGTERM under load ends with no failed request and exit 0; SIGKILL of an instance and an engine doubles nothing and leaves no memory held on the engines that live; 200 callers resend 50 keys through all instances while the leading voter and an entry instance are killed and the service closes ten connections after reading, and no key runs twice.

--- /dev/null
+++ b/cli/traffic_process_test.go
@@ -0,0 +1,264 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"celeryport/load"
+	"celeryport/settings"
+	"celeryport/standin"
+	"celeryport/standin/answer"
+	"celeryport/upstream/wire"
+)
+
+const (
+	callerKey    = "process-caller-key"
+	resentKeys   = 50
+	resendsEach  = 4 // callers a key, at the same time
+	resendTries  = 12
+	keepAddress  = 1 // seconds
+	processModel = "sarto"
+	processTree  = `[organisation]
+[organisation.bottega]
+key_sha256 = %s
+[class]
+deadline = 20s
+[class.counter]
+priority = 100
+[class.hold]
+no_repeat = true
+[class.pattern]
+[length.short]
+up_to = 16k
+[length.long]
+up_to = 2M
+long = true
+[model.sarto]
+[service.cassa]
+[fleet]
+default_class = counter
+keep_seconds = %d
+`
+)
+
+// trafficFleet is a processFleet that serves callers: engines, a service and a
+// tree in force.
+type trafficFleet struct {
+	*processFleet
+	engines  []*exec.Cmd
+	services string // address
+}
+
+func startTrafficFleet(t *testing.T, voters, others int, serviceFlags ...string) *trafficFleet {
+	t.Helper()
+	f := &trafficFleet{processFleet: startProcessFleet(t, voters, others)}
+	tree := f.file("tree.ini", fmt.Sprintf(processTree, settings.HashKey(callerKey), keepAddress))
+	if out, code := f.run("settings", "apply", "--to", strings.Join(f.control, ","), "--file", tree,
+		"--base", "0", "--order-id", "first", "--timeout", "30s"); code != ExitDone {
+		t.Fatalf("settings apply: exit %d: %s", code, out)
+	}
+	f.file("callers.keys", "bottega="+callerKey+"\n")
+	for i := range 3 {
+		f.engines = append(f.engines, f.upstream(fmt.Sprintf("engine-%d", i), "engine", "--model", processModel, "--time-scale", "20"))
+	}
+	f.upstream("cassa-1", "service", append([]string{"--service", "cassa"}, serviceFlags...)...)
+	f.services = f.addressOf("cassa-1")
+	f.await("four fresh upstreams at every instance", func() bool {
+		for _, address := range f.control {
+			out, _ := f.run("upstreams", "--to", address)
+			if strings.Count(out, " fresh ") < 4 {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+// upstream starts a stand-in that announces itself to all instances.
+func (f *trafficFleet) upstream(name, kind string, flags ...string) *exec.Cmd {
+	f.t.Helper()
+	args := []string{
+		"standin", kind, "--name", name, "--address-file", f.addressFile(name),
+		"--upstream-key-file", filepath.Join(f.folder, "instance.key"),
+	}
+	for _, address := range f.traffic {
+		args = append(args, "--announce", address)
+	}
+	command := f.background(append(args, flags...)...)
+	f.await(name+" listens", func() bool { return f.addressOf(name) != "" })
+	return command
+}
+
+func (f *trafficFleet) addressFile(name string) string {
+	return filepath.Join(f.folder, name+".address")
+}
+
+func (f *trafficFleet) addressOf(name string) string {
+	text, err := os.ReadFile(f.addressFile(name))
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(text))
+}
+
+// load runs the load tool; during is called once requests have ended.
+func (f *trafficFleet) load(requests int, during func()) load.Report {
+	f.t.Helper()
+	var out bytes.Buffer
+	progress, shown := io.Pipe()
+	command := exec.Command(f.binary, "load", "--mix", "aretusa", "--class", "counter", "--class", "pattern", "--class", "hold",
+		"--to", strings.Join(f.traffic, ","), "--keys", filepath.Join(f.folder, "callers.keys"),
+		"--model", processModel, "--service", "cassa", "--rate", "60", "--requests", fmt.Sprint(requests),
+		"--counts-from", f.services, "--output", "json")
+	command.Stdout, command.Stderr = &out, shown
+	if err := command.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = command.Process.Kill() })
+	if _, err := progress.Read(make([]byte, 1)); err != nil {
+		f.t.Fatal(err)
+	}
+	go func() { _, _ = io.Copy(io.Discard, progress) }()
+	during()
+	failed := command.Wait()
+	_ = shown.Close()
+	var report load.Report
+	if err := json.Unmarshal(out.Bytes(), &report); err != nil {
+		f.t.Fatalf("load: %v: %s", failed, out.String())
+	}
+	if failed != nil {
+		f.t.Errorf("load found a broken promise: %v: %s", failed, out.String())
+	}
+	return report
+}
+
+func TestGracefulShutdownUnderLoadCutsOffNothing(t *testing.T) {
+	// An operator restarts an instance while callers send. Whoever is cut off has
+	// a client waiting at the counter, or a cabinet that stays locked.
+	t.Parallel()
+	f := startTrafficFleet(t, 1, 2)
+	leaving := f.processes[2]
+	report := f.load(300, func() {
+		if err := leaving.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if report.All.Failed > 0 || report.All.Served == 0 {
+		t.Errorf("%d failed, %d served: %+v", report.All.Failed, report.All.Served, report.Causes)
+	}
+	if err := leaving.Wait(); err != nil {
+		t.Errorf("the instance that left: %v", err)
+	}
+	f.processes[2] = nil
+}
+
+func TestKilledProcessesDoubleNothingAndHoldNoMemory(t *testing.T) {
+	// An instance and an engine are killed under load. Callers whose answers broke
+	// off must be told so truly, nothing may run twice that must not, and the
+	// engines that live must not keep memory for an instance that is gone.
+	t.Parallel()
+	f := startTrafficFleet(t, 1, 2)
+	report := f.load(300, func() {
+		f.kill(2)
+		_ = f.engines[0].Process.Kill()
+	})
+	if report.All.Served == 0 {
+		t.Errorf("nothing was served: %+v", report.Causes)
+	}
+	f.await("no memory held on the engines that live", func() bool {
+		return f.held("engine-1")+f.held("engine-2") == 0
+	})
+}
+
+// held is the number of holdings on an engine.
+func (f *trafficFleet) held(engine string) int {
+	f.t.Helper()
+	response, err := http.Get("http://" + f.addressOf(engine) + wire.PathHoldings)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var holdings wire.Holdings
+	if err := json.NewDecoder(response.Body).Decode(&holdings); err != nil {
+		f.t.Fatal(err)
+	}
+	return len(holdings.Held)
+}
+
+func TestResentKeysRunOnceWhileProcessesDie(t *testing.T) {
+	// Callers lose answers and send their holds again, through other instances, at
+	// the same time, while a voter and an entry instance are killed and the service
+	// closes connections after reading. A hold that runs twice cuts a bolt twice.
+	t.Parallel()
+	f := startTrafficFleet(t, 3, 2, "--fault", string(standin.FaultCloseAfterRead)+":10")
+	var callers sync.WaitGroup
+	for i := range resentKeys * resendsEach {
+		callers.Go(func() { f.resend(fmt.Sprintf("key-%d", i%resentKeys), uint64(i)) })
+	}
+	f.kill(f.leader())
+	f.kill(4)
+	callers.Wait()
+	ran := 0
+	for key, count := range f.counts().Keys {
+		if count > 1 {
+			t.Errorf("%s ran %d times", key, count)
+		}
+		ran++
+	}
+	if ran < resentKeys/2 {
+		t.Errorf("only %d of %d keys ran: the test saw too little", ran, resentKeys)
+	}
+}
+
+// resend sends a hold until its outcome is known, as a caller who lost answers.
+func (f *trafficFleet) resend(key string, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for range resendTries {
+		address := f.traffic[random.IntN(len(f.traffic))]
+		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/services/cassa/hold", strings.NewReader(key))
+		if err != nil {
+			panic(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+callerKey)
+		request.Header.Set("X-Celeryport-Class", "hold")
+		request.Header.Set("Idempotency-Key", key)
+		response, err := client.Do(request)
+		if err != nil {
+			continue // refused or broken: the caller cannot tell, and sends again
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+}
+
+// counts asks the service how often it executed each key.
+func (f *trafficFleet) counts() answer.Counts {
+	f.t.Helper()
+	response, err := http.Get("http://" + f.services + "/counts")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var counts answer.Counts
+	if err := json.NewDecoder(response.Body).Decode(&counts); err != nil {
+		f.t.Fatal(err)
+	}
+	return counts
+}
--- a/cli/voters_process_test.go
+++ b/cli/voters_process_test.go
@@ -1,129 +1,18 @@
 package cli
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	"celeryport/control"
 	"celeryport/control/state"
 	"celeryport/rpc"
 )
 
-// The fleet of TestVotersAsProcesses.
-const (
-	processVoters  = 5
-	missedChanges  = 500
-	processTimeout = 60 * time.Second
-	instanceKey    = "process-instance-key"
-	operatorSecret = "process-operator-key"
-)
-
-// processFleet is a set of real processes of the product on loopback.
-type processFleet struct {
-	t         *testing.T
-	binary    string
-	folder    string
-	control   []string
-	processes []*exec.Cmd
-}
-
-// run executes the binary and returns its output and exit code.
-func (f *processFleet) run(args ...string) (string, int) {
-	f.t.Helper()
-	ctx, cancel := context.WithTimeout(f.t.Context(), processTimeout)
-	defer cancel()
-	command := exec.CommandContext(ctx, f.binary, args...)
-	command.Env = append(os.Environ(), keyVariable+"="+operatorSecret)
-	var out bytes.Buffer
-	command.Stdout, command.Stderr = &out, &out
-	err := command.Run()
-	if command.ProcessState == nil {
-		f.t.Fatal(err)
-	}
-	return out.String(), command.ProcessState.ExitCode()
-}
-
-func (f *processFleet) file(name, text string) string {
-	f.t.Helper()
-	path := filepath.Join(f.folder, name)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		f.t.Fatal(err)
-	}
-	return path
-}
-
-// start begins process i and ends it with the test.
-func (f *processFleet) start(i int) {
-	f.t.Helper()
-	command := exec.Command(f.binary, "serve", "--settings", filepath.Join(f.folder, fmt.Sprintf("v%d.ini", i)))
-	if err := command.Start(); err != nil {
-		f.t.Fatal(err)
-	}
-	f.processes[i] = command
-	f.t.Cleanup(func() { f.kill(i) })
-}
-
-// kill ends process i at once, without a chance to say goodbye.
-func (f *processFleet) kill(i int) {
-	if f.processes[i] == nil {
-		return
-	}
-	_ = f.processes[i].Process.Kill()
-	_ = f.processes[i].Wait()
-	f.processes[i] = nil
-}
-
-func startProcessFleet(t *testing.T) *processFleet {
-	t.Helper()
-	f := &processFleet{t: t, folder: t.TempDir(), processes: make([]*exec.Cmd, processVoters)}
-	f.binary = filepath.Join(f.folder, "celeryport")
-	if out, err := exec.Command("go", "build", "-o", f.binary, "celeryport/cmd/celeryport").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	var ports bytes.Buffer
-	if err := printFreeAddresses(&ports, 2*processVoters); err != nil {
-		t.Fatal(err)
-	}
-	addresses := strings.Fields(ports.String())
-	f.control = addresses[:processVoters]
-	voters := ""
-	for i, address := range f.control {
-		voters += fmt.Sprintf("v%d = %s\n", i, address)
-	}
-	f.file("instance.key", instanceKey)
-	f.file("operator.key", operatorSecret)
-	for i := range processVoters {
-		f.file(fmt.Sprintf("v%d.ini", i), fmt.Sprintf(`[process]
-name = v%d
-availability_zone = waco-hall
-region = central-tx
-voter = true
-data_folder = %s
-[listen]
-address = %s
-[control]
-address = %s
-[voters]
-%s[keys]
-instance = file:instance.key
-operators = file:operator.key
-upstreams = file:instance.key
-engine = file:instance.key
-`, i, filepath.Join(f.folder, fmt.Sprintf("data%d", i)), addresses[processVoters+i], f.control[i], voters))
-	}
-	for i := range processVoters {
-		f.start(i)
-	}
-	return f
-}
+// missedChanges go by while a voter is down.
+const missedChanges = 500
 
 // settings returns what the fleet says of its settings.
 func (f *processFleet) settings() control.SettingsStatus {
@@ -192,8 +81,7 @@
 // awaitAgreement waits until every running process has confirmed the revision.
 func (f *processFleet) awaitAgreement(revision uint64) {
 	f.t.Helper()
-	deadline := time.Now().Add(processTimeout)
-	for time.Now().Before(deadline) {
+	f.await(fmt.Sprintf("revision %d in force everywhere", revision), func() bool {
 		var status control.InstancesStatus
 		out, code := f.run("instances", "--to", strings.Join(f.control, ","), "--output", "json", "--timeout", "30s")
 		if code != ExitDone || json.Unmarshal([]byte(out), &status) != nil {
@@ -205,11 +93,8 @@
 				agreed++
 			}
 		}
-		if agreed == processVoters && f.settings().InForce == revision {
-			return
-		}
-	}
-	f.t.Fatalf("revision %d was never in force everywhere", revision)
+		return agreed == len(f.processes) && f.settings().InForce == revision
+	})
 }
 
 func TestVotersAsProcesses(t *testing.T) {
@@ -217,7 +102,8 @@
 	// change the settings; two come back when 500 changes have gone by. Operators
 	// must find every accepted change in force everywhere, and an order whose
 	// answer was lost must get its first outcome.
-	f := startProcessFleet(t)
+	t.Parallel()
+	f := startProcessFleet(t, 5, 0)
 	first, code := f.apply(0, "first", 1)
 	if code != ExitDone {
 		t.Fatalf("first apply: exit %d, %+v", code, first)
