--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -142,6 +143,8 @@
 	mu       sync.Mutex
 	calls    []string // paths, cancels and holdings left out
 	cancels  []wire.CancelRequest
+	deaf     int            // so many cancels are read and not answered
+	held     []wire.Holding // listed, less what was cancelled
 }
 
 // script answers one call on a connection.
@@ -261,12 +264,14 @@
 	case wire.PathCancel:
 		var c wire.CancelRequest
 		_ = json.Unmarshal(r.Body(), &c)
+		if f.cancel(c) {
+			answerJSON(conn, wire.CancelResponse{Cancelled: 1})
+		}
+	case wire.PathHoldings:
 		f.mu.Lock()
-		f.cancels = append(f.cancels, c)
+		held := append([]wire.Holding(nil), f.held...)
 		f.mu.Unlock()
-		answerJSON(conn, wire.CancelResponse{Cancelled: 1})
-	case wire.PathHoldings:
-		answerJSON(conn, wire.Holdings{Incarnation: 1})
+		answerJSON(conn, wire.Holdings{Incarnation: 1, Held: held})
 	default:
 		f.mu.Lock()
 		f.calls = append(f.calls, path)
@@ -275,6 +280,21 @@
 	}
 }
 
+// cancel takes a cancel and reports whether it is answered.
+func (f *fakeUpstream) cancel(c wire.CancelRequest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancels = append(f.cancels, c)
+	if f.deaf > 0 {
+		f.deaf--
+		return false
+	}
+	f.held = slices.DeleteFunc(f.held, func(h wire.Holding) bool {
+		return h.Request == c.Request && h.Owner == c.Owner
+	})
+	return true
+}
+
 func (f *fakeUpstream) counted() (calls, cancels int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
