--- a/consensus/raft.go
+++ b/consensus/raft.go
@@ -141,7 +141,7 @@
 		return
 	}
 	n.resetElection(now)
-	if n.configs.current().Voter(n.id) && !now.Before(n.refuseUntil) && n.received == nil {
+	if n.configs.current().Voter(n.id) && !now.Before(n.refuseUntil) {
 		n.campaign(now, ballotPreVote)
 	}
 }
--- a/wal/crash_test.go
+++ b/wal/crash_test.go
@@ -11,12 +11,13 @@
 	"celeryport/consensus"
 )
 
-// TestMain fixes the seed, so that a run of the tests is the same every time.
+// TestMain fixes the seed, so that a run of the tests is the same every time; the
+// flags of rapid still change it.
 func TestMain(m *testing.M) {
-	flag.Parse()
 	_ = flag.Set("rapid.seed", "20261202")
 	_ = flag.Set("rapid.nofailfile", "true")
 	_ = flag.Set("rapid.shrinktime", "3s")
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
