--- a/cli/commands.go
+++ b/cli/commands.go
@@ -17,9 +17,11 @@
 		instancesCommand(stdout, stderr),
 		upstreamsCommand(stdout, stderr),
 		orderCommand(stdout, stderr),
+		voterCommand(stdout, stderr),
 		loadCommand(stdout, stderr),
 		standinCommand(stdout, stderr),
 		benchCommand(stdout, stderr),
 		slopesCommand(stdout, stderr),
+		eventsCommand(stdout),
 	}
 }
--- /dev/null
+++ b/routing/choose_long.go
@@ -0,0 +1,45 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// longCandidates is how many lane nodes are compared for a long prompt. Long
+// prompts are few and each occupies its node for seconds, so a closer look
+// costs little and a collision costs much.
+const longCandidates = 4
+
+// ChooseLong returns a node of the long lane, or of the whole pool while there
+// is no lane.
+func (p *Pool) ChooseLong(now time.Time, random *rand.Rand, a *Ask) (Choice, bool) {
+	nodes := p.lane.open()
+	if p.lane.size == 0 {
+		nodes = p.open
+	}
+	return drawLong(now, random, a, nodes)
+}
+
+func drawLong(now time.Time, random *rand.Rand, a *Ask, nodes []*Node) (Choice, bool) {
+	var best Choice
+	if len(nodes) == 0 {
+		return best, false
+	}
+	start := random.IntN(len(nodes))
+	drawn := 0
+	for i := range min(len(nodes), 2*maxAttempts) {
+		n := nodes[(start+i)%len(nodes)]
+		if !a.fits(n) {
+			continue
+		}
+		c := a.Consider(now, n)
+		if best.Node == nil || c.score < best.score {
+			best = c
+		}
+		drawn++
+		if drawn == longCandidates {
+			break
+		}
+	}
+	return best, best.Node != nil
+}
