Tell soon that no majority votes, and name refusals by their reason

A claim without a majority waited for the caller's own deadline, which may be minutes away; now it ends after eight rounds of asking (two seconds at the driver's resend time), as not run. With the bound taken out, TestNoMajorityIsToldSoon still finds the claim asking after a second.

Every refusal of the leader carried the reason "conflict", which tells an operator that another one won. A handover or a change that is still pending now says when to ask again instead.

--- a/claim/cases_test.go
+++ b/claim/cases_test.go
@@ -84,6 +84,22 @@
 	w.expect(third, Split)
 }
 
+// Two of three voters are gone. The caller must hear soon, and not at its own
+// far deadline, that nothing was run.
+func TestNoMajorityIsToldSoon(t *testing.T) {
+	w := newNetwork(t, 12, "a", "b", "c")
+	w.crash(w.host("b"))
+	w.crash(w.host("c"))
+	c := w.claimAt("hold", w.newest(), time.Hour)
+	w.run(time.Second)
+	w.expect(c, NoMajority)
+	w.start(w.host("b"))
+	w.run(time.Second)
+	again := w.claim("hold")
+	w.run(time.Second)
+	w.expect(again, Won)
+}
+
 // A claimant's process is frozen with the last vote on its way, and wakes after
 // its deadline. Its caller was told long ago that the request failed, and may
 // have sent it again under another key.
--- a/claim/claimant.go
+++ b/claim/claimant.go
@@ -58,11 +58,17 @@
 	state   State
 	outcome Outcome
 	answers map[consensus.ID]Message
+	asked   int // rounds of requests so far
 	resend  time.Time
 	retryAt time.Time // of the next attempt; zero: none planned
 	settle  settlement
 }
 
+// maxRounds bounds how often voters are asked. Without a majority the caller
+// hears after so many times Resend that nothing ran, and may try elsewhere; its
+// own deadline may be minutes away.
+const maxRounds = 8
+
 // NewClaimant returns a claimant that has sent nothing yet.
 func NewClaimant(r Request) *Claimant {
 	return &Claimant{request: r, answers: map[consensus.ID]Message{}}
@@ -150,6 +156,9 @@
 		// for it would block the key for everyone.
 		return c.retryLater(now)
 	}
+	if c.asked >= maxRounds {
+		return c.timeout(now)
+	}
 	return c.ask(now)
 }
 
@@ -188,6 +197,7 @@
 
 // ask requests the votes of all voters that have not granted theirs.
 func (c *Claimant) ask(now time.Time) []Message {
+	c.asked++
 	c.resend = now.Add(c.request.Resend)
 	var messages []Message
 	for _, id := range c.request.Epoch.Voters {
--- a/consensus/errors.go
+++ b/consensus/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"celeryport/verdict"
 )
@@ -72,7 +73,28 @@
 
 // Unwrap gives the verdict: not run.
 func (e *RefusedError) Unwrap() error {
-	return verdict.Refuse(verdict.ReasonConflict, 0, "%s", e.Error())
+	reason, after := e.Cause.reason()
+	return verdict.Refuse(reason, after, "%s", e.Error())
+}
+
+// refusedRetry is when to ask again after a refusal that passes by itself.
+const refusedRetry = time.Second
+
+// reason tells what passes by itself from what the caller must change. None is a
+// conflict: that would say that another operator won.
+func (r Refusal) reason() (verdict.Reason, time.Duration) {
+	switch r {
+	case RefusedTooLarge:
+		return verdict.ReasonBodyTooLarge, 0
+	case RefusedBusy:
+		return verdict.ReasonQueueFull, refusedRetry
+	case RefusedTransfer, RefusedTermStart:
+		return verdict.ReasonNotLeader, refusedRetry
+	case RefusedPending, RefusedBehind, RefusedUnsafe:
+		return verdict.ReasonNoQuorum, refusedRetry
+	default:
+		return verdict.ReasonBadRequest, 0
+	}
 }
 
 func refuse(cause Refusal) error { return &RefusedError{cause} }
