--- a/ledger/copy.go
+++ b/ledger/copy.go
@@ -1,8 +1,6 @@
 package ledger
 
 import (
-	"bytes"
-	"encoding/gob"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,21 +28,6 @@
 // errMalformed is returned for a copy that no account can have made.
 var errMalformed = errors.New("malformed copy of a ledger")
 
-func encode(v any) ([]byte, error) {
-	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(v); err != nil {
-		return nil, errors.Wrap(err, "encoding ledger counters")
-	}
-	return b.Bytes(), nil
-}
-
-func decode(encoded []byte, v any) error {
-	if err := gob.NewDecoder(bytes.NewReader(encoded)).Decode(v); err != nil {
-		return errors.Wrap(err, "decoding ledger counters")
-	}
-	return nil
-}
-
 func decodeCopy(encoded []byte) (*Copy, error) {
 	var c Copy
 	if err := decode(encoded, &c); err != nil {
