Refuse prompts above their organisation's limit by the reason for limits of the settings

too-long says that no engine and no span can hold the prompt, and burns the budget of its class; a limit that operators set must not. The status stays 413.

--- a/entry/completions.go
+++ b/entry/completions.go
@@ -57,7 +57,7 @@
 	r.PrefixHash, r.PrefixTokens = request.Prefix(body.Prompt)
 	r.Long = a.tree.Length(r.PromptTokens).Long
 	if limit := a.resolved.Limits.PromptTokens; limit > 0 && r.PromptTokens > limit {
-		return nil, verdict.Refuse(verdict.ReasonTooLong, 0, "the prompt has about %d tokens, %d are allowed", r.PromptTokens, limit)
+		return nil, verdict.Refuse(verdict.ReasonBodyTooLarge, 0, "the prompt has about %d tokens, %d are allowed", r.PromptTokens, limit)
 	}
 	return body, nil
 }
