Check the system's reports against what its callers were told

Cause: a report that books a request twice after a restart, or under another end, looks as good as a true one; the naive way, to trust the counters that the answers came from, can't find it. The callers know.

Change: load counts what each organisation and class was told, and "load compare RUN REPORT" holds a report against it. What a caller was not told may be booked under any end; too much always fails; too little proves nothing while the end of an instance is unknown.

--- a/cli/load.go
+++ b/cli/load.go
@@ -24,11 +24,12 @@
 // loadCommand sends a mix of requests and judges the answers.
 func loadCommand(stdout, stderr io.Writer) *urfave.Command {
 	return &urfave.Command{
-		Name:  "load",
-		Usage: "send the requests of a deployment's callers and check every answer",
+		Name:     "load",
+		Usage:    "send the requests of a deployment's callers and check every answer",
+		Commands: []*urfave.Command{loadCompareCommand(stdout)},
 		Flags: []urfave.Flag{
-			&urfave.StringSliceFlag{Name: "to", Usage: "entry instances that the callers know at first", Required: true},
-			&urfave.StringFlag{Name: "keys", Usage: "file of lines ORGANISATION=KEY", Required: true},
+			&urfave.StringSliceFlag{Name: "to", Usage: "entry instances that the callers know at first"},
+			&urfave.StringFlag{Name: "keys", Usage: "file of lines ORGANISATION=KEY"},
 			&urfave.StringFlag{Name: "mix", Usage: "aretusa or brazos", Value: "aretusa"},
 			&urfave.StringSliceFlag{Name: "class", Usage: "only these classes of the mix"},
 			&urfave.StringFlag{Name: flagModel, Usage: "model to ask instead of the mix's own"},
@@ -83,6 +84,10 @@
 }
 
 func loadOptions(c *urfave.Command) (load.Options, error) {
+	// Not marked as required, since "load compare" needs neither.
+	if len(c.StringSlice("to")) == 0 || c.String("keys") == "" {
+		return load.Options{}, usageError("--to and --keys are required")
+	}
 	mix, err := loadMix(c)
 	if err != nil {
 		return load.Options{}, &ExitError{Code: ExitUsage, Err: err}
--- a/load/caller.go
+++ b/load/caller.go
@@ -34,6 +34,7 @@
 	deadlineScale float64
 	grace         time.Duration
 	resendOneIn   int // calls with a key; 0: none
+	tried         func(w *Work, o *Outcome)
 }
 
 // deadline is the time that the work has.
@@ -62,6 +63,7 @@
 	resends := 0
 	for tries := 1; ; tries++ {
 		o := c.try(ctx, w, due, until)
+		c.tried(w, &o)
 		o.Tries = tries
 		o.Took = time.Since(due)
 		unknown = unknown || o.Result == Failed && o.Verdict == verdict.MayHaveRun
--- a/load/report.go
+++ b/load/report.go
@@ -41,20 +41,21 @@
 
 // Report is the result of a run.
 type Report struct {
-	Mix         string  `json:"mix"`
-	Seed        uint64  `json:"seed"`
-	Rate        float64 `json:"rate"`
-	Seconds     float64 `json:"seconds"`
-	All         Line    `json:"all"`
-	Doubled     int     `json:"doubled"`
-	Untrue      int     `json:"untrue"`  // ran although their callers were told "not run"
-	Counted     bool    `json:"counted"` // the services were asked what they executed
-	CountsError string  `json:"counts_error,omitempty"`
-	Tries       int     `json:"tries"`
-	Unsent      int     `json:"unsent"` // the tool's own limit of requests in flight
-	Lengths     []Line  `json:"lengths"`
-	Classes     []Line  `json:"classes"`
-	Causes      []Cause `json:"causes"`
+	Mix         string    `json:"mix"`
+	Seed        uint64    `json:"seed"`
+	Rate        float64   `json:"rate"`
+	Seconds     float64   `json:"seconds"`
+	All         Line      `json:"all"`
+	Doubled     int       `json:"doubled"`
+	Untrue      int       `json:"untrue"`  // ran although their callers were told "not run"
+	Counted     bool      `json:"counted"` // the services were asked what they executed
+	CountsError string    `json:"counts_error,omitempty"`
+	Tries       int       `json:"tries"`
+	Unsent      int       `json:"unsent"` // the tool's own limit of requests in flight
+	Lengths     []Line    `json:"lengths"`
+	Classes     []Line    `json:"classes"`
+	Causes      []Cause   `json:"causes"`
+	Accounts    []Account `json:"accounts"`
 }
 
 // Bad reports whether a promise to callers was broken, or could not be checked
@@ -73,13 +74,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := &Report{
-		Mix:     o.Mix.Name,
-		Seed:    o.Seed,
-		Rate:    o.Rate,
-		Seconds: took.Seconds(),
-		All:     t.all.line(),
-		Tries:   t.tries,
-		Unsent:  t.unsent,
+		Mix:      o.Mix.Name,
+		Seed:     o.Seed,
+		Rate:     o.Rate,
+		Seconds:  took.Seconds(),
+		All:      t.all.line(),
+		Tries:    t.tries,
+		Unsent:   t.unsent,
+		Accounts: t.told.list(),
 	}
 	for _, g := range t.lengths {
 		r.Lengths = append(r.Lengths, g.line())
--- a/load/run.go
+++ b/load/run.go
@@ -40,14 +40,15 @@
 		return nil, errors.Wrap(err, "start the pool")
 	}
 	defer pool.Release()
-	r := &run{options: o, caller: newCaller(&o), tally: newTally(&mix, o.EngineMemory), pool: pool, started: time.Now()}
+	t := newTally(&mix, o.EngineMemory)
+	r := &run{options: o, caller: newCaller(&o, t.addTry), tally: t, pool: pool, started: time.Now()}
 	if err := r.offer(ctx); err != nil {
 		return nil, err
 	}
 	return r.report(context.WithoutCancel(ctx)), nil
 }
 
-func newCaller(o *Options) *caller {
+func newCaller(o *Options, tried func(*Work, *Outcome)) *caller {
 	x := &exchanger{dial: o.Dial}
 	c := &caller{
 		exchanger:     x,
@@ -57,6 +58,7 @@
 		deadlineScale: o.DeadlineScale,
 		grace:         o.Grace,
 		resendOneIn:   o.ResendOneIn,
+		tried:         tried,
 	}
 	for organisation, key := range o.Keys {
 		c.books[organisation] = newAddressBook(x, o.To, key, o.AvailabilityZone)
--- a/load/tally.go
+++ b/load/tally.go
@@ -75,6 +75,7 @@
 	order   []string // class names in the order of the mix
 	causes  map[cause]int
 	calls   []sent
+	told    accounts
 	offered int
 	tries   int
 	unsent  int
@@ -87,6 +88,7 @@
 		buckets: bucketsFor(engineMemory),
 		classes: map[string]*group{},
 		causes:  map[cause]int{},
+		told:    accounts{},
 		example: map[cause]string{},
 	}
 	for _, b := range t.buckets {
@@ -122,6 +124,13 @@
 	}
 }
 
+// addTry counts what one try was told.
+func (t *tally) addTry(w *Work, o *Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.told.add(w, o)
+}
+
 func (t *tally) addUnsent() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
