Notice in the stand-in that a connection is lost silently

Cause: a connection of which the other end lost track takes writes into the kernel's buffer for many minutes; the engine's heartbeats never fail, and the memory stays held until the request's deadline.

Change: TCP_USER_TIMEOUT of 5 s on accepted connections, as the client has on those it dials. Ruled out: failing Accept when the option can't be set; a connection that ended at once would end the server.

That the kernel acts on it can't be shown on loopback without changing the machine, and is not shown.

--- a/standin/listener.go
+++ b/standin/listener.go
@@ -23,12 +23,23 @@
 	return &trackedListener{Listener: ln, open: map[*trackedConn]struct{}{}}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. A connection that ended before it could be set
+// up is skipped; an error here would end the server.
 func (l *trackedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if limitUnacknowledged(conn) != nil {
+			_ = conn.Close()
+			continue
+		}
+		return l.track(conn)
 	}
+}
+
+func (l *trackedListener) track(conn net.Conn) (net.Conn, error) {
 	tracked := &trackedConn{Conn: conn, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
