Keep a delivered answer for the resume window

Cause: the stand-in forgot an answer as soon as its final frame was written. When the connection broke with that frame on its way, the resume was refused and the caller lost an answer that is complete. Between the look-up and the submission of a resume the stream could also end, and the prompt ran twice.

Change: the answer stays for the resume window, its memory being free already; whether a resume finds its stream is decided under the lock. The special case of a resume after the last token is gone.

Broken by hand, each seen failing: forgetting at once (409 for the resume), submitting a resume whose stream is gone.

--- a/standin/answer_writer.go
+++ b/standin/answer_writer.go
@@ -156,7 +156,7 @@
 	if w.fault == FaultTwice {
 		_ = w.sendAgain(final)
 	}
-	w.scheduler.delivered(w.stream, w.reader)
+	w.scheduler.delivered(time.Now(), w.stream, w.reader)
 	return nil
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -93,9 +93,9 @@
 }
 
 // noteEnd writes the journal.
-func (e *Engine) noteEnd(s *stream) {
-	if s.ended != EndedWhole {
-		eventCancelled.Log(e.options.Log, logrus.Fields{"request": s.request, "attempt": s.attempt, "ended": s.ended})
+func (e *Engine) noteEnd(s *stream, how Ending) {
+	if how != EndedWhole {
+		eventCancelled.Log(e.options.Log, logrus.Fields{"request": s.request, "attempt": s.attempt, "ended": how})
 	}
 	e.journal.write(&Entry{
 		At:           time.Now(),
@@ -106,7 +106,7 @@
 		Target:       s.model,
 		PromptTokens: s.promptTokens,
 		AnswerTokens: s.ready,
-		Ended:        s.ended,
+		Ended:        how,
 	})
 }
 
--- a/standin/engine_resume_test.go
+++ b/standin/engine_resume_test.go
@@ -109,3 +109,47 @@
 		}
 	})
 }
+
+// The connection breaks when the last frame is on its way: the engine believes
+// that the answer was read, the instance does not have it. If the engine had
+// forgotten it, the caller would lose an answer that is complete, or the prompt
+// would run a second time.
+func TestEngineKeepsDeliveredAnswers(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		after time.Duration
+		kept  bool
+	}{
+		{"at once", 0, true},
+		{"after the resume window", 2 * standin.DefaultResumeWindow, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				journal := &lockedBuffer{}
+				b := newBench(func(o *standin.EngineOptions) { o.Journal = journal })
+				defer b.engine.Close()
+				call := b.call("r1", 100_000, 20)
+				if _, err := b.read(client.NewReceiver("r1"), call); err != nil {
+					t.Fatal(err)
+				}
+				if held := b.engine.Holdings().Held; len(held) != 0 {
+					t.Errorf("held after the end: %+v", held)
+				}
+				time.Sleep(test.after)
+				start := time.Now()
+				call.Resume = true
+				text, err := b.read(client.NewReceiver("r1"), call)
+				if kept := err == nil && answer.Check(prompt(100_000), 20, text) == nil; kept != test.kept {
+					t.Errorf("kept %v: %q, %v", kept, text, err)
+				}
+				if took := time.Since(start); took > time.Second {
+					t.Errorf("it ran again for %v", took)
+				}
+				time.Sleep(2 * standin.DefaultResumeWindow)
+				if test.kept && journal.endings(t)["r1"] != standin.EndedWhole {
+					t.Error("the journal has no whole answer")
+				}
+			})
+		})
+	}
+}
--- a/standin/generate.go
+++ b/standin/generate.go
@@ -89,14 +89,6 @@
 			return
 		}
 	}
-	if c.offset == body.MaxTokens && !e.scheduler.has(c.request) {
-		e.answerComplete(ctx, wanted)
-		return
-	}
-	if c.resume && !e.scheduler.has(c.request) {
-		e.refuseGenerate(ctx, c, body, fasthttp.StatusConflict, "no such stream to resume")
-		return
-	}
 	st, reader, err := e.scheduler.attach(now, wanted, job)
 	if err != nil {
 		e.rejectGenerate(ctx, c, body, err)
@@ -114,6 +106,8 @@
 	switch {
 	case errors.Is(err, errStale), errors.Is(err, errMismatch), errors.Is(err, enginemodel.ErrDuplicate):
 		fail(ctx, fasthttp.StatusConflict, err.Error())
+	case errors.Is(err, errGone):
+		e.refuseGenerate(ctx, c, body, fasthttp.StatusConflict, err.Error())
 	case errors.Is(err, enginemodel.ErrTooLarge):
 		e.refuseGenerate(ctx, c, body, fasthttp.StatusRequestEntityTooLarge, err.Error())
 	default:
@@ -149,15 +143,6 @@
 	}
 }
 
-// answerComplete ends a resume after the last token: only the final frame was
-// missing.
-func (e *Engine) answerComplete(ctx *fasthttp.RequestCtx, s *stream) {
-	s.finished = true
-	s.ready = s.maxTokens
-	s.changed = make(chan struct{})
-	e.stream(ctx, s, 0, &s.call, "")
-}
-
 // stream answers with frames until the answer ends.
 func (e *Engine) stream(ctx *fasthttp.RequestCtx, st *stream, reader uint64, c *call, fault Fault) {
 	w := &answerWriter{
--- a/standin/scheduler.go
+++ b/standin/scheduler.go
@@ -17,8 +17,8 @@
 type scheduler struct {
 	scale        timeScale
 	resumeWindow time.Duration
-	ended        func(*stream) // told once of each stream, with the lock held
-	readerLost   func(*stream) // told of each lost reader, with the lock held
+	ended        func(*stream, Ending) // told once of each stream, with the lock held
+	readerLost   func(*stream)         // told of each lost reader, with the lock held
 
 	mu      sync.Mutex
 	model   *enginemodel.Engine
@@ -31,9 +31,10 @@
 var (
 	errStale    = errors.New("a later attempt of the request is on the engine")
 	errMismatch = errors.New("the request on the engine has another prompt")
+	errGone     = errors.New("no such stream to resume")
 )
 
-func newScheduler(o *EngineOptions, now time.Time, ended, readerLost func(*stream)) *scheduler {
+func newScheduler(o *EngineOptions, now time.Time, ended func(*stream, Ending), readerLost func(*stream)) *scheduler {
 	scale := newTimeScale(now, o.TimeScale)
 	return &scheduler{
 		scale:        scale,
@@ -58,7 +59,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if present := s.streams[wanted.request]; present != nil {
-		return s.resume(now, present, wanted)
+		return s.takeOver(now, present, wanted)
+	}
+	// Decided under the lock: a resume that finds its stream ended a moment ago
+	// must not run the request a second time.
+	if wanted.resume {
+		return nil, 0, errGone
 	}
 	if err := s.model.Submit(s.scale.model(now), job); err != nil {
 		return nil, 0, err
@@ -73,7 +79,7 @@
 	return wanted, wanted.reader, nil
 }
 
-func (s *scheduler) resume(now time.Time, present, wanted *stream) (*stream, uint64, error) {
+func (s *scheduler) takeOver(now time.Time, present, wanted *stream) (*stream, uint64, error) {
 	if wanted.attempt < present.attempt {
 		return nil, 0, errStale
 	}
@@ -117,12 +123,20 @@
 	}
 }
 
-// delivered says that the reader sent the final frame.
-func (s *scheduler) delivered(st *stream, reader uint64) {
+// delivered says that the reader sent the final frame. Whether the frame arrived
+// is not known, so the answer stays for the resume window; its memory in the model
+// is free already.
+func (s *scheduler) delivered(now time.Time, st *stream, reader uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if st.ended == "" && st.reader == reader {
-		s.end(st, EndedWhole)
+	if st.ended != "" || st.reader != reader {
+		return
+	}
+	st.unreadFrom = now
+	s.poke()
+	if !st.delivered {
+		st.delivered = true
+		s.ended(st, EndedWhole)
 	}
 }
 
@@ -171,7 +185,9 @@
 	delete(s.streams, st.request)
 	delete(s.jobs, st.job)
 	st.broadcast()
-	s.ended(st)
+	if !st.delivered {
+		s.ended(st, how)
+	}
 }
 
 // reserve reserves, renews or frees a part of a span.
@@ -196,11 +212,16 @@
 	return load, s.model.CacheEvents(at)
 }
 
-// busy reports whether any request has not ended.
+// busy reports whether any answer was not delivered.
 func (s *scheduler) busy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.streams) > 0
+	for _, st := range s.streams {
+		if !st.delivered {
+			return true
+		}
+	}
+	return false
 }
 
 // freeze stops or restarts the engine.
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -17,10 +17,11 @@
 	maxTokens    int
 	deadline     time.Time // zero: none
 
-	ready    int // answer tokens that the engine has made
-	cached   int
-	finished bool   // all tokens are made, the memory is free
-	ended    Ending // empty while it lives
+	ready     int // answer tokens that the engine has made
+	cached    int
+	finished  bool   // all tokens are made, the memory is free
+	delivered bool   // the final frame was sent to a reader
+	ended     Ending // empty while it can be read
 
 	reader     uint64    // number of the present reader; an older one has lost its place
 	unreadFrom time.Time // when the reader was lost, zero while there is one
