Show work that began twice, also on upstreams that were killed

Cause: a killed engine forgets what it executed, so no count asked of the living can show that a prompt which must not be repeated ran on it and then on another one.

Change: journals say when an execution begins; "standin executions" names the keys that began more than once over any journals; "load --no-repeat-one-in" marks prompts as not to be repeated.

Cause, in package entry and not changed here: a stream that broke is picked up on the same engine; that the engine can't be reached, or refuses the resume, is a proof about the resume only, but becomes the verdict of the whole send (not-run), so that the request is sent to another engine.

--- a/cli/load.go
+++ b/cli/load.go
@@ -44,6 +44,7 @@
 			&urfave.IntFlag{Name: "most-in-flight", Usage: "above it requests are not sent but counted as unsent", Value: load.DefaultMostInFlight},
 			&urfave.IntFlag{Name: "engine-memory", Usage: "memory of one engine in tokens, for the table", Value: load.DefaultEngineMemory},
 			&urfave.IntFlag{Name: "resend-one-in", Usage: "make one in so many calls with a key twice at once; 0: none"},
+			&urfave.IntFlag{Name: "no-repeat-one-in", Usage: "mark one in so many prompts as not to be repeated; 0: none"},
 			&urfave.StringSliceFlag{Name: "counts-from", Usage: "stand-in services to ask what they executed"},
 			&urfave.StringFlag{Name: "counts-key-file", Usage: "file with the key for asking them"},
 			&urfave.StringFlag{Name: "output", Usage: "table or json", Value: "table"},
@@ -117,6 +118,7 @@
 		MostInFlight:     c.Int("most-in-flight"),
 		EngineMemory:     c.Int("engine-memory"),
 		ResendOneIn:      c.Int("resend-one-in"),
+		NoRepeatOneIn:    c.Int("no-repeat-one-in"),
 		CountsFrom:       c.StringSlice("counts-from"),
 		CountsKey:        countsKey,
 	}, nil
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -25,6 +25,7 @@
 			standinEngineCommand(stderr),
 			standinServiceCommand(stderr),
 			portsCommand(stdout),
+			standinExecutionsCommand(stdout),
 		},
 	}
 }
--- a/load/generator.go
+++ b/load/generator.go
@@ -23,6 +23,8 @@
 	total  int // sum of the class weights
 	number int
 	after  time.Duration
+
+	noRepeatOneIn int // prompts; 0: none
 }
 
 func newGenerator(mix Mix, rate float64, seed uint64) *generator {
@@ -47,6 +49,9 @@
 	}
 	if class.Prompt != nil {
 		g.fillPrompt(w, class.Prompt)
+		if g.noRepeatOneIn > 0 && w.Number%g.noRepeatOneIn == 0 {
+			return w, w.addKey()
+		}
 		return w, nil
 	}
 	return w, g.fillCall(w, class.Call)
@@ -90,6 +95,11 @@
 	if !shape.NoRepeat {
 		return nil
 	}
+	return w.addKey()
+}
+
+// addKey makes the work one that must not be repeated. Its key tells the time.
+func (w *Work) addKey() error {
 	key, err := uuid.NewV7()
 	if err != nil {
 		return errors.Wrap(err, "make a key")
--- a/load/options.go
+++ b/load/options.go
@@ -22,6 +22,7 @@
 	MostInFlight     int           // above it requests are not sent and counted as unsent
 	EngineMemory     int           // tokens, bounds the last but one length bucket
 	ResendOneIn      int           // one in so many calls with a key is made twice at once; 0: none
+	NoRepeatOneIn    int           // one in so many prompts must not be repeated; 0: none
 	CountsFrom       []string      // services to ask what they executed
 	CountsKey        string        // key for asking them
 	Progress         io.Writer     // one line a second; may be nil
--- a/load/run.go
+++ b/load/run.go
@@ -75,6 +75,7 @@
 	defer stop()
 	defer r.pending.Wait()
 	g := newGenerator(r.options.Mix, r.options.Rate, r.options.Seed)
+	g.noRepeatOneIn = r.options.NoRepeatOneIn
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -206,6 +207,23 @@
 	}
 }
 
+func TestRunMarksPromptsThatMustNotRepeat(t *testing.T) {
+	var marked, keys atomic.Int64
+	f := fleet{"a": {prompt: func(ctx *fasthttp.RequestCtx, f *fakeEntry, c *asked) {
+		if string(ctx.Request.Header.Peek(headerNoRepeat)) == "true" {
+			marked.Add(1)
+		}
+		if len(ctx.Request.Header.Peek(headerKey)) > 0 {
+			keys.Add(1)
+		}
+		answerText(ctx, c, c.right())
+	}}}
+	report := runWith(t, f, "counter", 9, func(o *Options) { o.NoRepeatOneIn = 3 })
+	if report.All.Served != 9 || marked.Load() != 3 || keys.Load() != 3 {
+		t.Errorf("%s, %d marked, %d keys", report.Summary(), marked.Load(), keys.Load())
+	}
+}
+
 // The services cannot be asked what they executed. That must not look like
 // "0 doubled".
 func TestRunFailsWhenExecutionsAreUnknown(t *testing.T) {
--- a/standin/control_test.go
+++ b/standin/control_test.go
@@ -133,6 +133,9 @@
 		if err := json.Unmarshal(line, &entry); err != nil {
 			t.Fatal(err)
 		}
+		if entry.Ended == standin.Begun {
+			continue
+		}
 		if ended[entry.Request] != "" {
 			t.Errorf("%s ended twice", entry.Request)
 		}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -94,7 +94,7 @@
 
 // noteEnd writes the journal.
 func (e *Engine) noteEnd(s *stream, how Ending) {
-	if how != EndedWhole {
+	if how != EndedWhole && how != Begun {
 		eventCancelled.Log(e.options.Log, logrus.Fields{"request": s.request, "attempt": s.attempt, "ended": how})
 	}
 	e.journal.write(&Entry{
--- a/standin/journal.go
+++ b/standin/journal.go
@@ -9,11 +9,12 @@
 	"github.com/sirupsen/logrus"
 )
 
-// Ending says how an execution ended.
+// Ending says how an execution ended, or that it began.
 type Ending string
 
 // The endings in a journal.
 const (
+	Begun          Ending = "begun"     // it runs from now on; if no other line follows, the process died
 	EndedWhole     Ending = "whole"     // the final frame or the answer was sent
 	EndedCancelled Ending = "cancelled" // a cancel ended it
 	EndedDeadline  Ending = "deadline"  // its remaining time was over
@@ -23,8 +24,9 @@
 	EndedRefused   Ending = "refused"   // it was not executed
 )
 
-// Entry is one line of a journal: one execution or refusal. A comparison of
-// these lines with a report tells whether the report is true.
+// Entry is one line of a journal: the beginning or the end of one execution, or a
+// refusal. A comparison of these lines with a report tells whether the report is
+// true, and keys that begin more than once were doubled, whatever died meanwhile.
 type Entry struct {
 	At           time.Time `json:"at"`
 	Upstream     string    `json:"upstream"`
--- a/standin/scheduler.go
+++ b/standin/scheduler.go
@@ -17,7 +17,7 @@
 type scheduler struct {
 	scale        timeScale
 	resumeWindow time.Duration
-	ended        func(*stream, Ending) // told once of each stream, with the lock held
+	ended        func(*stream, Ending) // told of each stream's beginning and, once, of its end, with the lock held
 	readerLost   func(*stream)         // told of each lost reader, with the lock held
 
 	mu      sync.Mutex
@@ -75,6 +75,7 @@
 	wanted.changed = make(chan struct{})
 	s.streams[wanted.request] = wanted
 	s.jobs[job.ID] = wanted
+	s.ended(wanted, Begun)
 	s.poke()
 	return wanted, wanted.reader, nil
 }
--- a/standin/service.go
+++ b/standin/service.go
@@ -105,6 +105,7 @@
 		Digest:  answer.CallDigest(ctx.PostBody()),
 	})
 	if fresh {
+		s.note(c, Begun, "")
 		s.note(c, EndedWhole, "")
 	}
 	if !s.pause(s.options.Latency) {
