Start a task whose memory is reserved past one that does not fit

An engine with 400,000 tokens held a reservation of 274,436 for a span; the span's leading part waited on it behind a prompt that did not fit beside the reservation, and the owner renewed its lease: 0 running, 2 waiting, 757,848 tokens queued, for more than 30 s, until the deadline of 20 minutes would have ended it.

Change: a task that has all its memory reserved starts at once, in order; it takes nothing from those ahead. The model's invariant, that nothing which could start waits on an idle engine, now holds with reservations too.

--- a/standin/enginemodel/memory.go
+++ b/standin/enginemodel/memory.go
@@ -14,19 +14,49 @@
 // admit lets waiting tasks into the batch in order. A task that does not fit
 // holds back all behind it: smaller ones that slip past would starve it.
 func (e *Engine) admit() {
-	for len(e.waiting) > 0 && len(e.prefilling)+len(e.decoding) < e.config.MaxRunning {
+	e.admitReserved()
+	for len(e.waiting) > 0 && e.hasSlot() {
 		t := e.waiting[0]
 		if t.memory() > e.free()+e.reservedFor(t) {
 			return
 		}
-		e.waiting.takeFirst()
-		e.reserved.remove(func(r *reservation) bool { return r.reserves(t) })
-		e.held += t.memory()
-		e.cache.shrink(e.now, e.free())
-		e.insertPrefilling(t)
+		e.start(t)
 	}
 }
 
+// admitReserved lets in, in order, the tasks that have all their memory reserved.
+// They take nothing from those ahead of them. If they had to wait behind a task
+// that does not fit, and that task waited for the memory which they hold reserved,
+// neither would ever start, and the engine would stand still.
+func (e *Engine) admitReserved() {
+	for len(e.waiting) > 0 && len(e.reserved.list) > 0 && e.hasSlot() {
+		var first *task
+		for _, t := range e.waiting {
+			if e.reservedFor(t) >= t.memory() && (first == nil || t.before(first)) {
+				first = t
+			}
+		}
+		if first == nil {
+			return
+		}
+		e.start(first)
+	}
+}
+
+func (e *Engine) hasSlot() bool {
+	return len(e.prefilling)+len(e.decoding) < e.config.MaxRunning
+}
+
+// start moves a waiting task into the batch and turns its reservation into its
+// memory.
+func (e *Engine) start(t *task) {
+	e.waiting.remove(t)
+	e.reserved.remove(func(r *reservation) bool { return r.reserves(t) })
+	e.held += t.memory()
+	e.cache.shrink(e.now, e.free())
+	e.insertPrefilling(t)
+}
+
 // reserves reports whether the reservation was made for the task.
 func (r *reservation) reserves(t *task) bool {
 	return r.kind == HeldByReservation && r.id == t.ID && r.owner == t.Owner
--- a/standin/enginemodel/waiting.go
+++ b/standin/enginemodel/waiting.go
@@ -37,6 +37,4 @@
 
 func (w *waiting) add(t *task) { heap.Push(w, t) }
 
-func (w *waiting) takeFirst() { heap.Pop(w) }
-
 func (w *waiting) remove(t *task) { heap.Remove(w, t.index) }
