--- a/entry/byte_budget.go
+++ b/entry/byte_budget.go
@@ -2,10 +2,12 @@
 
 import "sync/atomic"
 
-// maxBodyBytes bounds the callers' bodies that one instance holds at a time.
+// maxBodyBytes bounds the callers' bodies that one instance holds at a time. A
+// prompt is held up to three times: as it came, decoded, and encoded for the
+// engine.
 // Instances are small: without the bound some hundred prompts of a million
 // tokens would end the process, and with it every request that it holds.
-const maxBodyBytes = 512 << 20
+const maxBodyBytes = 256 << 20
 
 // byteBudget counts bytes that are held.
 type byteBudget struct {
