--- a/claim/cases_test.go
+++ b/claim/cases_test.go
@@ -232,14 +232,14 @@
 		if h.voter.Status().Votes != 0 {
 			t.Fatalf("%s still holds the vote", h.id)
 		}
-		h.voter.cfg.Lifetime = 10 * testLifetime
+		h.voter.SetLifetime(10 * testLifetime)
 		h.disk = h.voter.Records()
 		if h.id == "b" {
 			h.skew = -2 * testLifetime
 		}
 		w.crash(h)
 		w.start(h)
-		h.voter.cfg.Lifetime = 10 * testLifetime
+		h.voter.SetLifetime(10 * testLifetime)
 	}
 	resent := w.claim(key)
 	w.run(time.Second)
@@ -283,7 +283,7 @@
 	w.run(11 * time.Second)
 	w.expect(third, NoMajority)
 	w.expect(again, Lost)
-	if s := w.host("a").voter.Status(); s.Votes != 2 || s.AnswerBytes > 4 {
+	if s := w.host("a").voter.Status(); !s.Full || s.Votes != 2 || s.AnswerBytes > 4 {
 		t.Fatalf("the voter holds %+v", s)
 	}
 }
--- a/claim/table.go
+++ b/claim/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"time"
+	"unique"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -42,6 +43,9 @@
 		t.parts[b] = make(map[Key]*Vote)
 	}
 	t.remove(v.Key)
+	// A few names stand in all votes; each message brought its own copy.
+	v.Key.Organisation = unique.Make(v.Key.Organisation).Value()
+	v.Holder.Instance = unique.Make(v.Holder.Instance).Value()
 	t.parts[b][v.Key] = &v
 	t.count++
 	t.answerBytes += len(v.Outcome.Answer)
--- a/claim/voter.go
+++ b/claim/voter.go
@@ -17,12 +17,12 @@
 	MaxAnswerBytes int           // beyond, outcomes are stored without their answer
 }
 
-// The defaults keep a voter's memory under about 64 MB.
+// The defaults keep a voter's memory under about 64 MB, at some 290 bytes a vote.
 const (
 	DefaultLifetime       = 24 * time.Hour
 	DefaultMaxAhead       = 5 * time.Minute
-	DefaultMaxVotes       = 100_000
-	DefaultMaxAnswerBytes = 32 << 20
+	DefaultMaxVotes       = 150_000
+	DefaultMaxAnswerBytes = 16 << 20
 )
 
 // DefaultVoterConfig returns the defaults for a voter.
@@ -115,6 +115,15 @@
 	v.finishReset(now)
 }
 
+// SetLifetime changes the lifetime of keys. When it is raised, keys whose votes
+// were dropped under the shorter one stay refused. Lowering it makes opaque keys
+// new that were promised to be remembered for longer.
+func (v *Voter) SetLifetime(lifetime time.Duration) {
+	if lifetime > 0 {
+		v.cfg.Lifetime = lifetime
+	}
+}
+
 // forget notes that votes of keys made before a time may be gone.
 func (v *Voter) forget(before time.Time) {
 	if before.After(v.state.Forgotten) {
@@ -151,11 +160,15 @@
 	Complete    bool // it votes; otherwise it still copies, or does not belong to the epoch
 	Votes       int
 	AnswerBytes int
+	Full        bool // it abstains from new keys
 }
 
 // Status returns the present state.
 func (v *Voter) Status() VoterStatus {
-	return VoterStatus{Epoch: v.epoch().Number, Complete: v.mayVote(), Votes: v.table.count, AnswerBytes: v.table.answerBytes}
+	return VoterStatus{
+		Epoch: v.epoch().Number, Complete: v.mayVote(),
+		Votes: v.table.count, AnswerBytes: v.table.answerBytes, Full: v.table.count >= v.cfg.MaxVotes,
+	}
 }
 
 func (v *Voter) store(vote Vote) {
--- a/control/claimvoter.go
+++ b/control/claimvoter.go
@@ -33,6 +33,7 @@
 	epochs   chan claim.Epoch
 	rewrite  int64       // size from which on the log is rewritten
 	votes    atomic.Bool // whether it votes, as last logged
+	full     bool        // whether it is full, as last logged
 }
 
 // claimRequest is one message and where its answers go.
@@ -84,6 +85,7 @@
 		case e := <-v.epochs:
 			v.voter.Enter(v.node.clock.Now(), e)
 		case <-ticker.C:
+			v.takeLifetime()
 			v.voter.Tick(v.node.clock.Now())
 		}
 		if err := v.process(ctx, batch); err != nil {
@@ -193,20 +195,6 @@
 	}
 }
 
-// noteState logs when the voter begins or ceases to vote.
-func (v *claimVoter) noteState() {
-	status := v.voter.Status()
-	if v.votes.Swap(status.Complete) == status.Complete {
-		return
-	}
-	fields := event.Fields{"epoch": status.Epoch, "votes": status.Votes}
-	if status.Complete {
-		claim.EventVotes.Log(v.node.log, fields)
-		return
-	}
-	claim.EventAbstains.Log(v.node.log, fields)
-}
-
 var errVoterFailed = verdict.Refuse(verdict.ReasonStorageFailed, 0, "this voter can't keep votes any more")
 
 // fail refuses everything from now on. A vote that could not be synced may not
