Bound what a leader holds for changes that don't get through

A leader without a majority took up to 4,096 proposals of 4 MiB, and a member that takes in slowly could be sent 1,024 of them: gigabytes in a process that may use 128 MB. Now at most 16 MiB of uncommitted proposals are taken (more are refused, not run), and about 4 MiB are on their way to one member. With either bound, the count of committed bytes, or the reset after a confirmation taken out, TestLargeChangesAreBounded fails.

--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -9,6 +9,7 @@
 	rounds      rounds
 	lease       lease
 	termStart   uint64 // index of the Empty entry of this term
+	uncommitted int    // bytes of this term's proposals that are not committed
 	reads       []pendingRead
 	transfer    transfer
 }
@@ -145,6 +146,11 @@
 	if term, ok := n.log.termAt(index); !ok || term != n.term {
 		return false
 	}
+	for _, e := range n.log.between(max(n.log.commit, n.lead.termStart), index) {
+		if e.Kind == Proposal {
+			n.lead.uncommitted -= len(e.Data)
+		}
+	}
 	n.log.commit = index
 	return true
 }
--- a/consensus/propose.go
+++ b/consensus/propose.go
@@ -5,9 +5,11 @@
 const (
 	// MaxProposal is the largest data of one proposal, in bytes.
 	MaxProposal = 4 << 20
-	// maxUncommitted bounds the entries that a leader without a majority piles up
-	// before it steps down.
-	maxUncommitted = 4096
+	// maxUncommitted and maxUncommittedBytes bound what a leader without a
+	// majority piles up in memory before it steps down. One proposal is taken
+	// whatever its size.
+	maxUncommitted      = 4096
+	maxUncommittedBytes = 16 << 20
 )
 
 // Propose appends data to the log and returns where. The proposal is accepted
@@ -21,6 +23,10 @@
 	if len(data) > MaxProposal {
 		return 0, 0, refuse(RefusedTooLarge)
 	}
+	if n.lead.uncommitted > 0 && n.lead.uncommitted+len(data) > maxUncommittedBytes {
+		return 0, 0, refuse(RefusedBusy)
+	}
+	n.lead.uncommitted += len(data)
 	e := n.appendOwn(Entry{Kind: Proposal, Data: data})
 	n.sendNew()
 	return e.Index, e.Term, nil
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -34,6 +34,9 @@
 		Entries: entries, Commit: n.log.commit, Round: n.lead.rounds.last(),
 	})
 	p.next += uint64(len(entries))
+	for i := range entries {
+		p.sent += len(entries[i].Data)
+	}
 }
 
 // sendKeepAlive keeps a peer from campaigning while it takes in a snapshot. The
--- /dev/null
+++ b/consensus/replicate_test.go
@@ -0,0 +1,140 @@
+package consensus
+
+import (
+	"testing"
+)
+
+// Entries are replaced by a new leader while the disk still writes them. Taken
+// as synced, the replacement would never reach the disk.
+func TestEntriesReplacedDuringASyncAreSyncedAgain(t *testing.T) {
+	b := newBench(t, 2)
+	old := []Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}, {Index: 4, Term: 2}}
+	b.step(Message{Kind: AppendRequest, From: "v2", Term: 2, Index: 1, LogTerm: 1, Entries: old})
+	b.node.Ready()
+	b.step(Message{Kind: AppendRequest, From: "v3", Term: 3, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 3}}})
+	b.node.Advance()
+	batch := b.node.Ready()
+	if len(batch.Entries) != 1 || batch.Entries[0].Term != 3 {
+		t.Fatalf("to sync: %+v", batch.Entries)
+	}
+	b.node.Advance()
+	b.step(Message{Kind: AppendRequest, From: "v3", Term: 3, Index: 2, LogTerm: 3, Entries: []Entry{{Index: 3, Term: 3}}})
+	if batch = b.node.Ready(); len(batch.Entries) != 1 || batch.Entries[0].Index != 3 {
+		t.Fatalf("to sync: %+v", batch.Entries)
+	}
+}
+
+// A change of the voters that was never committed is replaced by another leader.
+// The old voters must be in force again, or majorities would be miscounted.
+func TestReplacedConfigurationIsUndone(t *testing.T) {
+	b := newBench(t, 2)
+	next := Configuration{Voters: threeVoters.Voters[:2]}
+	change := Entry{Index: 2, Term: 2, Kind: Reconfiguration, Data: next.encode()}
+	b.step(Message{Kind: AppendRequest, From: "v2", Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{change}})
+	if got := len(b.node.Status().Configuration.Voters); got != 2 {
+		t.Fatalf("%d voters after the change", got)
+	}
+	b.step(Message{Kind: AppendRequest, From: "v3", Term: 3, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 3}}})
+	if got := len(b.node.Status().Configuration.Voters); got != 3 {
+		t.Fatalf("%d voters after the change was replaced", got)
+	}
+}
+
+// A read arrives just after a heartbeat left. Confirmations of that heartbeat do
+// not prove that the leader still led when the read came.
+func TestReadNeedsARoundThatBeganAfterIt(t *testing.T) {
+	b := newBench(t, 3)
+	b.lead()
+	b.step(Message{Kind: AppendResponse, From: "v2", Term: 4, Index: 2, Round: 1})
+	b.settle()
+	b.now = b.now.Add(b.node.timing.Heartbeat)
+	b.node.Tick(b.now)
+	b.settle()
+	if err := b.node.ReadIndex(b.now, 7); err != nil {
+		t.Fatal(err)
+	}
+	b.step(Message{Kind: AppendResponse, From: "v2", Term: 4, Index: 2, Round: 2})
+	if batch := b.settle(); len(batch.ReadStates) > 0 {
+		t.Fatal("answered by a round of before the read")
+	}
+	b.step(Message{Kind: AppendResponse, From: "v2", Term: 4, Index: 2, Round: 3})
+	if batch := b.settle(); len(batch.ReadStates) != 1 || batch.ReadStates[0].Context != 7 {
+		t.Fatalf("answers %+v", batch.ReadStates)
+	}
+}
+
+// A rejection comes late, after the member has confirmed more.
+func TestLateRejectionChangesNothing(t *testing.T) {
+	p := progress{match: 10, next: 20}
+	for _, index := range []uint64{5, 10, 20, 1 << 60} {
+		if p.rejected(index, 3) || p.next != 20 || p.state != streaming {
+			t.Fatalf("rejection at %d left %+v", index, p)
+		}
+	}
+	if !p.rejected(15, 3) || p.next != 11 || p.state != probing {
+		t.Fatalf("a good rejection left %+v", p)
+	}
+}
+
+// A voter was the leader of a small part of the group and has a thousand entries
+// that nobody else has. One round trip for each would take minutes.
+func TestConflictHintSkipsAWholeTerm(t *testing.T) {
+	l := entryLog{commit: 3}
+	for i := uint64(1); i <= 1000; i++ {
+		l.append(Entry{Index: i, Term: 1 + min(i/10, 1)})
+	}
+	for want, p := range map[uint64]position{
+		9:    {500, 3},
+		1000: {2000, 3},
+		3:    {8, 3},
+	} {
+		if got := l.conflictHint(p); got != want {
+			t.Errorf("hint for %+v is %d, want %d", p, got, want)
+		}
+	}
+	b := newBench(t, 3, 2, 2, 2)
+	b.step(Message{Kind: AppendRequest, From: "v2", Term: 3, Index: 4, LogTerm: 3})
+	if m := b.settle().Messages[0]; !m.Reject || m.Index != 4 || m.Hint != 1 {
+		t.Errorf("answer %+v", m)
+	}
+}
+
+// A leader that can't commit, or a follower that takes in slowly, is sent large
+// changes without end. The leader's memory would grow with them.
+func TestLargeChangesAreBounded(t *testing.T) {
+	b := newBench(t, 3)
+	b.lead()
+	b.step(Message{Kind: AppendResponse, From: "v2", Term: 4, Index: 2, Round: 1})
+	b.settle()
+	large := make([]byte, 1<<20)
+	taken, onTheWay := 0, map[ID]int{}
+	for range 40 {
+		if _, _, err := b.node.Propose(b.now, large); err == nil {
+			taken++
+		}
+		for _, m := range b.settle().Messages {
+			for _, e := range m.Entries {
+				onTheWay[m.To] += len(e.Data)
+			}
+		}
+	}
+	if taken != maxUncommittedBytes/len(large) {
+		t.Fatalf("%d large changes were taken", taken)
+	}
+	for id, bytes := range onTheWay {
+		if bytes > windowBytes+len(large) {
+			t.Fatalf("%d bytes are on the way to %s", bytes, id)
+		}
+	}
+	b.step(Message{Kind: AppendResponse, From: "v2", Term: 4, Index: 18})
+	if _, _, err := b.node.Propose(b.now, large); err != nil {
+		t.Fatalf("refused after all was committed: %v", err)
+	}
+	sent := false
+	for _, m := range b.settle().Messages {
+		sent = sent || m.To == "v2" && len(m.Entries) > 0
+	}
+	if !sent {
+		t.Fatal("nothing more is sent after the confirmation")
+	}
+}
