Give every fleet setting an effect, or take it out

connection_idle and stream_heartbeat had none: each call to an upstream has a connection of its own, and heartbeats are the upstreams' part of the protocol. stream_silence had none either and holds now; it may not be shorter than three heartbeats. The broken file that named two heartbeats now shows a setting below the limit and one that is gone.

--- a/entry/limits_test.go
+++ b/entry/limits_test.go
@@ -119,3 +119,20 @@
 		}
 	})
 }
+
+func TestSilenceOfTheSettingsHolds(t *testing.T) {
+	// An operator shortens stream_silence since the network between two zones
+	// loses connections. If the setting had no effect, callers would go on to wait
+	// for the default.
+	warm(t)
+	inBubble(t, map[string]script{"e1": hangs}, func(t *testing.T, b *bench) {
+		b.plane.view.Tree.Fleet.StreamSilence = 1500 * time.Millisecond
+		c := completion("p", false)
+		c.headers = map[string]string{headerDeadlineMs: "9000", headerNoRepeat: "true"}
+		got := b.do(c)
+		want := (maxResumes + 1) * 1500 * time.Millisecond
+		if got.verdict != "may-have-run" || got.took < want || got.took > want+100*time.Millisecond {
+			t.Errorf("got %s after %v, want about %v", got.verdict, got.took, want)
+		}
+	})
+}
--- a/entry/send_prompt.go
+++ b/entry/send_prompt.go
@@ -59,6 +59,7 @@
 		Resume:      resume,
 		Offset:      offset,
 		Remaining:   e.request.Remaining(s.options.Clock.Now()),
+		Silence:     s.streamSilence(),
 		Key:         e.request.Key,
 		Body: wire.GenerateRequest{
 			Model:     e.request.Target,
@@ -69,6 +70,14 @@
 	}
 }
 
+// streamSilence is the settings' limit, 0 if there are none.
+func (s *sender) streamSilence() time.Duration {
+	if view := s.options.Plane.View(); view != nil && view.Tree != nil {
+		return view.Tree.Fleet.StreamSilence
+	}
+	return 0
+}
+
 // stream runs one connection to its end. Nil means that the answer is whole.
 func (s *sender) stream(e *exchange, _ *dispatch.Action, call *client.GenerateCall) error {
 	stream, failed := s.options.Client.Generate(e.ctx, call, e.receiver)
--- a/settings/broken_test.go
+++ b/settings/broken_test.go
@@ -27,7 +27,7 @@
 	"no-length":             {{"length", "", "no length class covers"}},
 	"length-too-small":      {{"organisation.atelier", "prompt_tokens", "no length class covers"}},
 	"class-not-there":       {{"organisation.atelier", "classes", `no class "ledger"`}},
-	"short-stream-silence":  {{"fleet", "stream_silence", "two heartbeats"}},
+	"short-stream-silence":  {{"fleet", "connection_idle", "unknown key"}, {"fleet", "stream_silence", `"1s"`}},
 	"outside-a-section":     {{"DEFAULT", "", "unknown section"}},
 	"not-ini":               {{"", "", "not an INI file"}},
 	"empty":                 {{"organisation", "", "no organisation"}, {"class", "", "no class"}, {"length", "", "no length"}},
--- a/settings/check_tree.go
+++ b/settings/check_tree.go
@@ -113,17 +113,9 @@
 	}
 }
 
-// leastHeartbeats is how many heartbeats must be missed before a stream counts
-// as dead; fewer, and one late packet would cut a healthy stream.
-const leastHeartbeats = 2
-
 func checkFleet(tree *Tree, faults *collector) {
 	f := tree.Fleet
 	if f.DefaultClass != "" && tree.class(f.DefaultClass) == nil {
 		faults.add(fleetSchema.kind, "default_class", "there is no class "+quote(f.DefaultClass), "names of [class.NAME] sections")
 	}
-	if f.StreamSilence < leastHeartbeats*f.StreamHeartbeat {
-		faults.add(fleetSchema.kind, "stream_silence", "shorter than two heartbeats",
-			(leastHeartbeats*f.StreamHeartbeat).String()+" or more, or a shorter stream_heartbeat")
-	}
 }
--- a/settings/schema_fleet.go
+++ b/settings/schema_fleet.go
@@ -10,7 +10,7 @@
 	leastFresh       = 500 * time.Millisecond
 	mostFresh        = time.Minute
 	mostKeepSeconds  = 3600
-	leastInterval    = 10 * time.Millisecond
+	leastSilence     = 1500 * time.Millisecond // three heartbeats: one late packet must not cut a healthy stream
 )
 
 var fleetSchema = schema[Fleet]{
@@ -32,14 +32,8 @@
 			"How long callers may keep an address list, in seconds."),
 		key("fresh_for", duration(leastFresh, mostFresh), "3s", func(f *Fleet) *time.Duration { return &f.FreshFor },
 			"An upstream that is silent for longer gets no new work."),
-		key("connection_idle", duration(leastInterval, mostFresh), "1s",
-			func(f *Fleet) *time.Duration { return &f.ConnectionIdle },
-			"Idle age from which a connection is probed before a call that may not be repeated."),
-		key("stream_heartbeat", duration(leastInterval, mostFresh), "500ms",
-			func(f *Fleet) *time.Duration { return &f.StreamHeartbeat },
-			"Interval of heartbeats on an upstream stream."),
-		key("stream_silence", duration(leastInterval, mostFresh), "2s",
+		key("stream_silence", duration(leastSilence, mostFresh), "3s",
 			func(f *Fleet) *time.Duration { return &f.StreamSilence },
-			"Silence after which a stream counts as dead; more than two heartbeats."),
+			"Silence after which a stream counts as dead. Upstreams send heartbeats every 500ms."),
 	},
 }
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -100,15 +100,13 @@
 
 // Fleet holds the settings that are not of one branch.
 type Fleet struct {
-	DefaultClass    string        // class of requests that name none, empty: such requests are refused
-	BodyLimit       int64         // bytes of a caller's body
-	KeyLifetime     time.Duration // lifetime of an idempotency key
-	OrderLifetime   time.Duration // how long an operator's order id is remembered
-	KeepSeconds     int           // how long callers may keep an address list
-	FreshFor        time.Duration // an upstream that is silent for longer gets no new work
-	ConnectionIdle  time.Duration // idle age from which a connection is probed before a call that may not be repeated
-	StreamHeartbeat time.Duration // interval of heartbeats on an upstream stream
-	StreamSilence   time.Duration // silence after which a stream counts as dead
+	DefaultClass  string        // class of requests that name none, empty: such requests are refused
+	BodyLimit     int64         // bytes of a caller's body
+	KeyLifetime   time.Duration // lifetime of an idempotency key
+	OrderLifetime time.Duration // how long an operator's order id is remembered
+	KeepSeconds   int           // how long callers may keep an address list
+	FreshFor      time.Duration // an upstream that is silent for longer gets no new work
+	StreamSilence time.Duration // silence after which a stream counts as dead
 }
 
 // Resolved is what applies to one request: its class and organisation with the
--- a/upstream/client/generate.go
+++ b/upstream/client/generate.go
@@ -20,6 +20,7 @@
 	Resume      bool // pick up the stream of this attempt; an engine that does not have it refuses
 	Offset      int  // answer tokens already received, for a resume
 	Remaining   time.Duration
+	Silence     time.Duration // the stream is dead after so long without a frame; 0: that of the client's timing
 	Key         string
 	Body        wire.GenerateRequest
 }
--- a/upstream/client/stream.go
+++ b/upstream/client/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -33,7 +34,7 @@
 	if err := c.prepareGenerate(request, call); err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonInternal, "cannot encode the request")
 	}
-	e, failed := c.open(ctx, call.Address, request, c.timing.Silence)
+	e, failed := c.open(ctx, call.Address, request, cmp.Or(call.Silence, c.timing.Silence))
 	if failed != nil {
 		return nil, failed
 	}
