--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -32,6 +32,8 @@
 )
 
 const (
+	testConnections = 20
+
 	testKey  = "key-of-the-tests"
 	testTree = `
 [organisation]
@@ -43,6 +45,8 @@
 deadline = 10s
 [class.counter]
 priority = 100
+[class.audit]
+deadline = 10m
 [class.hold]
 no_repeat = true
 [length.short]
@@ -146,6 +150,12 @@
 // newBench starts a server before the scripted upstreams: names that start with
 // e are engines of sarto, the others upstreams of the service cassa.
 func newBench(t *testing.T, upstreams map[string]script) *bench {
+	t.Helper()
+	return newBenchWith(t, upstreams, dispatch.New(dispatch.Config{}, rand.New(rand.NewPCG(1, 2))))
+}
+
+// newBenchWith is newBench with another dispatcher.
+func newBenchWith(t *testing.T, upstreams map[string]script, dispatcher dispatch.Dispatcher) *bench {
 	t.Helper()
 	tree, err := settings.ParseTree("tree.ini", []byte(testTree+settings.HashKey(testKey)+testTreeRest))
 	if err != nil {
@@ -169,17 +179,17 @@
 	b.server, err = New(Options{
 		Process: &settings.Process{
 			Name: "a", AvailabilityZone: "z1", Advertise: "addr-a", UpstreamKeys: []string{"up"},
-			MaxConnections: 100, ReadTimeout: 5 * time.Second,
+			MaxConnections: testConnections, ReadTimeout: 5 * time.Second,
 			Pools: settings.Pools{Short: 16, Long: 4, Service: 8},
 		},
 		Plane: b.plane, Recorder: b.counts, Log: log, Clock: clock.Real{},
-		Dispatcher: dispatch.New(dispatch.Config{}, rand.New(rand.NewPCG(1, 2))),
+		Dispatcher: dispatcher,
 		Client:     client.New(b.dial, "", func() string { return OwnerOf("a", 1) }, client.DefaultTiming),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { b.serving <- b.server.Serve(b.callers) }()
+	go func() { b.serving <- b.server.Serve(deadlineListener{b.callers}) }()
 	return b
 }
 
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -12,9 +12,14 @@
 	"celeryport/wal"
 )
 
+// fixedClock implements clock.Clock.
+type fixedClock struct{ now time.Time }
+
+func (c fixedClock) Now() time.Time { return c.now }
+
 func openBook(t *testing.T, folder string, fs wal.FS) *Book {
 	t.Helper()
-	book, err := OpenBook(folder, fs, silent())
+	book, err := OpenBook(folder, fs, silent(), fixedClock{testStart})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,7 +39,7 @@
 
 func copyTo(t *testing.T, a *Account, book *Book, position []byte, at time.Time) []byte {
 	t.Helper()
-	encoded, err := a.Copy(at, position)
+	encoded, _, err := a.Copy(at, position)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,9 +65,11 @@
 	var position []byte
 	total := 0
 	for round := range 5 {
+		at := testStart.Add(time.Duration(round) * time.Second)
+		position = copyTo(t, account, book, position, at) // nothing has changed
 		serveMany(account, total, 10)
 		total += 10
-		position = copyTo(t, account, book, position, testStart.Add(time.Duration(round)*time.Second))
+		position = copyTo(t, account, book, position, at)
 		if err := book.Close(); err != nil {
 			t.Fatal(err)
 		}
@@ -139,7 +146,7 @@
 	position := copyTo(t, account, book, nil, testStart)
 	full = true
 	serveMany(account, 1, 1)
-	encoded, err := account.Copy(testStart, position)
+	encoded, _, err := account.Copy(testStart, position)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/ledger/report.go
+++ b/ledger/report.go
@@ -24,6 +24,12 @@
 	Latencies    []Latency    `json:"latencies"`
 	Unknown      []UnknownEnd `json:"unknown"`
 	Unplaced     []Unplaced   `json:"unplaced,omitempty"`
+	// MissingBooks are voters that did not answer. What ended instances copied to
+	// none but them is not in the report.
+	MissingBooks []string `json:"missing_books,omitempty"`
+	// DroppedUpTo is set in a report over everything that lacks incarnations which
+	// ended up to then.
+	DroppedUpTo time.Time `json:"dropped_up_to,omitzero"`
 }
 
 // Row is what one organisation, class or target got, or a combination of them.
@@ -73,7 +79,7 @@
 // The reasons of an UnknownEnd.
 const (
 	EndDead       = "dead"        // ended without its last copy
-	EndNotReached = "not reached" // listed as an instance, but did not answer
+	EndNotReached = "not reached" // alive for the control group, but did not answer
 )
 
 // Unplaced are requests that are in the counts over everything, but can't be
