--- a/bench/engine.go
+++ b/bench/engine.go
@@ -21,6 +21,7 @@
 	down        bool
 	jobs        map[string]*flight // by engine job id
 	wakeAt      time.Duration      // planned wake, -1: none
+	overbooked  string             // the first job that can't be held here
 }
 
 // noWake says that no wake is planned.
@@ -71,6 +72,9 @@
 
 // submit gives the engine a job of a flight; false means that it refused.
 func (h *host) submit(f *flight, job enginemodel.Job) bool {
+	if held := max(job.MemoryTokens, 1); job.MemoryTokens == 0 && job.PromptTokens+job.OutputTokens > h.config.MemoryTokens || held > h.config.MemoryTokens {
+		h.overbooked = job.ID
+	}
 	if h.down || h.engine.Submit(h.world.time(), job) != nil {
 		return false
 	}
--- a/bench/flight.go
+++ b/bench/flight.go
@@ -158,6 +158,9 @@
 }
 
 func (f *flight) finished(e enginemodel.Event) {
+	if f.instance.down {
+		return
+	}
 	if len(f.parts) > 1 {
 		f.free()
 	}
--- a/bench/instance.go
+++ b/bench/instance.go
@@ -123,6 +123,16 @@
 	i.act()
 }
 
+// vanish ends the instance without a word: its machine is gone, and so are the
+// packets that would close its connections.
+func (i *instance) vanish() {
+	i.down = true
+	for _, f := range i.flights {
+		f.over = true
+	}
+	i.flights = map[string]*flight{}
+}
+
 // die ends the instance. Its callers' requests are lost with it, and the engines
 // notice the closed connections.
 func (i *instance) die() {
--- a/bench/record.go
+++ b/bench/record.go
@@ -15,6 +15,7 @@
 	finished time.Duration // 0: not
 	refused  time.Duration // 0: not
 	err      *verdict.Error
+	ends     int // final answers
 }
 
 // record follows all requests of a run.
@@ -37,10 +38,15 @@
 	}
 }
 
-func (r *record) finished(now time.Duration, q *request.Request) { r.lives[q.ID].finished = now }
+func (r *record) finished(now time.Duration, q *request.Request) {
+	l := r.lives[q.ID]
+	l.finished = now
+	l.ends++
+}
 
 func (r *record) refused(now time.Duration, q *request.Request, err *verdict.Error) {
 	l := r.lives[q.ID]
 	l.refused = now
+	l.ends++
 	l.err = err
 }
--- a/bench/row.go
+++ b/bench/row.go
@@ -56,7 +56,7 @@
 // requests alone, without the fault.
 func (r *Row) run(policy Policy, seed uint64) *Result {
 	trace := newTrace(&r.Site, r.Load, r.length(), seed)
-	result := r.play(policy, seed, append(trace, r.Fault.extra(&r.Site, seed)...), r.Fault)
+	result := r.play(policy, seed, append(trace, r.Fault.extra(&r.Site, seed, faultPeriod)...), r.Fault)
 	alone := r.play(policy, seed, shortOnly(trace), NoFault)
 	result.Alone = alone.Short
 	result.AloneFirstToken = alone.FirstToken
@@ -72,7 +72,7 @@
 
 func (r *Row) play(policy Policy, seed uint64, trace []arrival, fault Fault) *Result {
 	w := newWorld(&r.Site, policy, seed, fault.config())
-	fault.plan(w)
+	fault.plan(w, faultPeriod)
 	w.run(trace, r.length())
 	return w.record.result(&r.Site)
 }
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -10,6 +10,9 @@
 	ShortWindow time.Duration
 	// LongWindow is the same for long requests.
 	LongWindow time.Duration
+	// AgedWindow is the same for long requests that have waited for a quarter of
+	// their time.
+	AgedWindow time.Duration
 	// Step is the interval at which waiting requests are looked at again.
 	Step time.Duration
 	// BackoffBase and BackoffMax bound the wait before a retry.
@@ -29,6 +32,7 @@
 func (c Config) withDefaults() Config {
 	c.ShortWindow = orDefault(c.ShortWindow, 500*time.Millisecond)
 	c.LongWindow = orDefault(c.LongWindow, 500*time.Millisecond)
+	c.AgedWindow = orDefault(c.AgedWindow, 5*time.Second)
 	c.Step = orDefault(c.Step, 100*time.Millisecond)
 	c.BackoffBase = orDefault(c.BackoffBase, 50*time.Millisecond)
 	c.BackoffMax = orDefault(c.BackoffMax, 2*time.Second)
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -88,16 +88,25 @@
 		}
 	}
 	if j.lane.kind == longLane {
-		choice, found := pool.ChooseLong(now, s.random, a)
-		return choice, found && choice.Wait <= s.config.LongWindow
+		choice, found := pool.ChooseLong(now, s.random, a, aged(now, j.request))
+		return choice, found && choice.Wait <= s.longWindow(now, j.request)
 	}
 	choice, found := pool.Choose(now, s.random, a)
 	return choice, found && choice.Wait <= s.config.ShortWindow
 }
 
+// longWindow is the queued prefill behind which a long request is sent. An aged
+// one goes before most of it.
+func (s *Scheduler) longWindow(now time.Time, r *request.Request) time.Duration {
+	if aged(now, r) {
+		return s.config.AgedWindow
+	}
+	return s.config.LongWindow
+}
+
 func (s *Scheduler) placeSpan(now time.Time, pool *routing.Pool, j *job) bool {
 	parts, choice, found := pool.ChooseSpan(now, j.tokens())
-	if !found || choice.Wait > s.config.LongWindow {
+	if !found || choice.Wait > s.longWindow(now, j.request) {
 		return false
 	}
 	s.dequeue(j)
@@ -130,7 +139,7 @@
 		Request:   j.request,
 		Attempt:   j.request.Attempt,
 		Placement: j.placement,
-		Priority:  enginePriority(j.request),
+		Priority:  enginePriority(now, j.request),
 	})
 }
 
@@ -138,11 +147,24 @@
 // and every small one above both.
 const lengthPriority = 1000
 
+// agedPart is the part of its time after which a waiting long request counts as
+// aged.
+const agedPart = 0.25
+
+// aged says that a long request has waited so long that it must get on. Without
+// it a flood of short requests, which are always before it on the engines, would
+// hold it until its deadline.
+func aged(now time.Time, r *request.Request) bool {
+	return r.Long && now.Sub(r.Arrival) > time.Duration(agedPart*float64(r.Deadline.Sub(r.Arrival)))
+}
+
 // enginePriority is the priority on the engine: length first, then class. A long
 // prompt gives way at the next iteration to any short one, whatever their
 // classes are: it loses milliseconds, while the short one would lose seconds.
-func enginePriority(r *request.Request) int {
+func enginePriority(now time.Time, r *request.Request) int {
 	switch {
+	case aged(now, r):
+		return r.Priority + lengthPriority
 	case r.Long:
 		return r.Priority
 	case routing.Small(r.PromptTokens):
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -41,8 +41,10 @@
 	}
 }
 
+func rand1() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
 func newTestScheduler(engineCount int) *Scheduler {
-	s := New(Config{}, rand.New(rand.NewPCG(1, 2)))
+	s := New(Config{}, rand1())
 	s.Observe(epoch, engines(epoch, engineCount))
 	return s
 }
--- a/routing/ask.go
+++ b/routing/ask.go
@@ -25,6 +25,10 @@
 // FirstToken is the predicted time to the first token.
 func (c *Choice) FirstToken() time.Duration { return c.Wait + c.Prefill }
 
+// avoidPenalty, in seconds, keeps a retry away from the node that failed it, but
+// for a pool without another one.
+const avoidPenalty = 10
+
 // Consider predicts how the node would serve the request.
 func (a *Ask) Consider(now time.Time, n *Node) Choice {
 	short, long := n.ahead(now)
@@ -39,6 +43,9 @@
 	c.Wait = seconds(wait / n.report.rate)
 	c.Prefill = seconds(own / n.report.rate)
 	c.score = (wait + own) / n.report.rate / n.Health.weight()
+	if n == a.Avoid {
+		c.score += avoidPenalty
+	}
 	return c
 }
 
@@ -69,9 +76,6 @@
 
 // fits says whether the node can take the request now.
 func (a *Ask) fits(n *Node) bool {
-	if n == a.Avoid {
-		return false
-	}
 	if a.InFlight > 0 && n.inFlight >= a.InFlight || n.Slots > 0 && n.inFlight >= n.Slots {
 		return false
 	}
--- a/routing/choose_long.go
+++ b/routing/choose_long.go
@@ -11,10 +11,10 @@
 const longCandidates = 4
 
 // ChooseLong returns a node of the long lane, or of the whole pool while there
-// is no lane.
-func (p *Pool) ChooseLong(now time.Time, random *rand.Rand, a *Ask) (Choice, bool) {
+// is no lane, or for an aged request.
+func (p *Pool) ChooseLong(now time.Time, random *rand.Rand, a *Ask, aged bool) (Choice, bool) {
 	nodes := p.lane.open()
-	if p.lane.size == 0 {
+	if p.lane.size == 0 || aged && p.crowded() {
 		nodes = p.open
 	}
 	return drawLong(now, random, a, nodes)
@@ -43,3 +43,13 @@
 	}
 	return best, best.Node != nil
 }
+
+// crowded says that short prompts alone fill the lane: then an aged long prompt
+// has as little chance there as anywhere, and may go to any node.
+func (p *Pool) crowded() bool {
+	return p.lane.load.Small+p.lane.load.Middle > crowdedLoad
+}
+
+// crowdedLoad is the load of short prompts from which the lane gives long ones no
+// room of their own.
+const crowdedLoad = 0.7
--- a/routing/span.go
+++ b/routing/span.go
@@ -75,6 +75,9 @@
 	return n.Free() - int(spanHeadroom*float64(n.MemoryTokens))
 }
 
+// leastPart is the smallest part of a node's memory that is worth taking.
+const leastPart = 0.1
+
 // spanNodes returns the fewest nodes that together have room, ordered by name.
 // Nodes early in the order of the lane come first among equals, so that spans
 // of all instances look for memory at the same place and leave the rest alone.
@@ -84,10 +87,15 @@
 	byRoom(nodes[:inside])
 	byRoom(nodes[inside:])
 	room := 0
-	for i, n := range nodes {
-		room += max(0, spanRoom(n))
+	chosen := nodes[:0]
+	for _, n := range nodes {
+		free := spanRoom(n)
+		if free < int(leastPart*float64(n.MemoryTokens)) {
+			continue
+		}
+		room += free
+		chosen = append(chosen, n)
 		if room >= tokens {
-			chosen := nodes[:i+1]
 			sort.Slice(chosen, func(i, j int) bool { return chosen[i].Name < chosen[j].Name })
 			return chosen
 		}
