End a run of the bench when all requests have ended

Most of a short run was the wait for the longest deadline with nothing to do. A run now ends when every request has its final answer and all leases have run out.

--- a/bench/record.go
+++ b/bench/record.go
@@ -21,6 +21,7 @@
 // record follows all requests of a run.
 type record struct {
 	lives map[string]*life
+	open  int // requests without a final answer
 	order []*life
 }
 
@@ -30,6 +31,15 @@
 	l := &life{request: q, arrived: now}
 	r.lives[q.ID] = l
 	r.order = append(r.order, l)
+	r.open++
+}
+
+// end counts a final answer.
+func (r *record) end(l *life) {
+	l.ends++
+	if l.ends == 1 {
+		r.open--
+	}
 }
 
 func (r *record) firstToken(now time.Duration, q *request.Request) {
@@ -41,12 +51,12 @@
 func (r *record) finished(now time.Duration, q *request.Request) {
 	l := r.lives[q.ID]
 	l.finished = now
-	l.ends++
+	r.end(l)
 }
 
 func (r *record) refused(now time.Duration, q *request.Request, err *verdict.Error) {
 	l := r.lives[q.ID]
 	l.refused = now
-	l.ends++
+	r.end(l)
 	l.err = err
 }
--- a/bench/world.go
+++ b/bench/world.go
@@ -30,6 +30,7 @@
 	order     []*host
 	instances []*instance
 	record    *record
+	settledAt time.Duration // when the last request ended
 }
 
 // Policy names what is measured.
@@ -82,10 +83,9 @@
 		r := a.request
 		w.events.plan(a.at, func() { w.arrive(a, &r) })
 	}
-	end := length + drain
 	for {
 		at, some := w.events.next()
-		if !some || at > end {
+		if !some || at > length+drain || w.settled(length) {
 			return
 		}
 		w.now = max(w.now, at)
@@ -93,6 +93,16 @@
 	}
 }
 
+// settled says that every request has its final answer and that leases which
+// nobody renews have run out.
+func (w *world) settled(length time.Duration) bool {
+	if w.now <= length || w.record.open > 0 {
+		w.settledAt = w.now
+		return false
+	}
+	return w.now > w.settledAt+2*spanLease
+}
+
 func (w *world) arrive(a *arrival, r *request.Request) {
 	i := w.instances[a.instance]
 	if i.down {
