--- a/routing/span.go
+++ b/routing/span.go
@@ -42,18 +42,28 @@
 	return parts, a.Consider(now, parts[lead].Node), left == 0
 }
 
-// leadOf is the part whose node has the least to prefill.
+// leadOf is the part whose node prefills the prompt: the one with the least to
+// do in the long lane. A node outside the lane has less to do than any inside,
+// but there the prompt would meet the small ones for most of a minute.
 func leadOf(now time.Time, parts []Part) int {
-	best, least := 0, 0.0
+	best, least := -1, 0.0
 	for i := range parts {
-		short, long := parts[i].Node.ahead(now)
-		if i == 0 || short+long < least {
-			best, least = i, short+long
+		n := parts[i].Node
+		short, long := n.ahead(now)
+		work := short + long
+		if !n.inLane {
+			work += outsidePenalty
+		}
+		if best < 0 || work < least {
+			best, least = i, work
 		}
 	}
 	return best
 }
 
+// outsidePenalty is more tokens than ever wait on a node.
+const outsidePenalty = 1e9
+
 func byRoom(nodes []*Node) {
 	sort.SliceStable(nodes, func(i, j int) bool { return spanRoom(nodes[i]) > spanRoom(nodes[j]) })
 }
@@ -65,6 +75,9 @@
 	return n.Free() - int(spanHeadroom*float64(n.MemoryTokens))
 }
 
+// leastPart is the smallest part of a node's memory that is worth taking.
+const leastPart = 0.1
+
 // spanNodes returns the fewest nodes that together have room, ordered by name.
 // Nodes early in the order of the lane come first among equals, so that spans
 // of all instances look for memory at the same place and leave the rest alone.
@@ -74,10 +87,15 @@
 	byRoom(nodes[:inside])
 	byRoom(nodes[inside:])
 	room := 0
-	for i, n := range nodes {
-		room += max(0, spanRoom(n))
+	chosen := nodes[:0]
+	for _, n := range nodes {
+		free := spanRoom(n)
+		if free < int(leastPart*float64(n.MemoryTokens)) {
+			continue
+		}
+		room += free
+		chosen = append(chosen, n)
 		if room >= tokens {
-			chosen := nodes[:i+1]
 			sort.Slice(chosen, func(i, j int) bool { return chosen[i].Name < chosen[j].Name })
 			return chosen
 		}
