--- a/cli/slopes.go
+++ b/cli/slopes.go
@@ -66,6 +66,8 @@
 	fmt.Fprintf(out, "a change: %.0f bytes, %.2f calls, %.2f ms of processor for each instance\n",
 		c.BytesEach, c.CallsEach, millisecondsPerSecond*c.CPUEach)
 	fmt.Fprintf(out, "new leader ms p50 %.0f max %.0f\n", r.Elections.P50, r.Elections.Max)
+	fmt.Fprintf(out, "majority lost: the last instance stops after ms p50 %.0f max %.0f; back: all admit after p50 %.0f max %.0f\n",
+		r.Outages.StopMs.P50, r.Outages.StopMs.Max, r.Outages.ResumeMs.P50, r.Outages.ResumeMs.Max)
 	for _, k := range r.Claims {
 		fmt.Fprintf(out, "%d callers: %.0f claims/s, ms p50 %.1f p99 %.1f, %.0f bytes each\n",
 			k.Concurrent, k.PerSecond, k.LatencyMs.P50, k.LatencyMs.P99, k.BytesEach)
--- a/control/core.go
+++ b/control/core.go
@@ -16,28 +16,29 @@
 // core is the control state of an instance. Only the control goroutine touches
 // it.
 type core struct {
-	node        *Node
-	log         logrus.FieldLogger
-	timing      Timing
-	self        membership.Instance
-	accepted    bool // a leader took a statement of this incarnation
-	defunct     bool // another process took over the name
-	installed   installed
-	lease       lease
-	members     memberList
-	heard       *upstream.Registry // heard directly, to be told to the leader
-	known       *upstream.Registry // everything that is known
-	out         outbox             // what was heard, for the leader
-	received    *relay.Receiver    // from the leader
-	grants      []quota.Grant
-	initialTree []byte // for a group that never accepted one
-	demand      []quota.Demand
-	position    syncPosition
-	voters      []consensus.Member
-	nextVoter   int     // which voter to ask next when no leader is known
-	group       *group  // nil on an instance without a log
-	leader      *leader // nil unless this voter leads
-	views       viewState
+	node           *Node
+	log            logrus.FieldLogger
+	timing         Timing
+	self           membership.Instance
+	accepted       bool // a leader took a statement of this incarnation
+	defunct        bool // another process took over the name
+	installed      installed
+	failedRevision uint64 // that could not be installed
+	lease          lease
+	members        memberList
+	heard          *upstream.Registry // heard directly, to be told to the leader
+	known          *upstream.Registry // everything that is known
+	out            outbox             // what was heard, for the leader
+	received       *relay.Receiver    // from the leader
+	grants         []quota.Grant
+	initialTree    []byte // for a group that never accepted one
+	demand         []quota.Demand
+	position       syncPosition
+	voters         []consensus.Member
+	nextVoter      int     // which voter to ask next when no leader is known
+	group          *group  // nil on an instance without a log
+	leader         *leader // nil unless this voter leads
+	views          viewState
 }
 
 // syncPosition is what this instance and a leader know of each other.
--- /dev/null
+++ b/control/disk_test.go
@@ -0,0 +1,71 @@
+package control
+
+import (
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"celeryport/control/state"
+	"celeryport/wal"
+)
+
+// fullDisk is a file system that fails from a moment on.
+type fullDisk struct {
+	wal.OS
+	full atomic.Bool
+}
+
+func (d *fullDisk) Append(name string) (wal.File, error) { return d.wrap(d.OS.Append(name)) }
+func (d *fullDisk) Create(name string) (wal.File, error) { return d.wrap(d.OS.Create(name)) }
+
+func (d *fullDisk) wrap(f wal.File, err error) (wal.File, error) {
+	if err == nil && d.full.Load() {
+		return nil, syscall.ENOSPC
+	}
+	return &fullFile{f, d}, err
+}
+
+type fullFile struct {
+	wal.File
+	disk *fullDisk
+}
+
+func (f *fullFile) Sync() error {
+	if f.disk.full.Load() {
+		return syscall.ENOSPC
+	}
+	return f.File.Sync()
+}
+
+func TestVoterWithAFullDiskIsNotCounted(t *testing.T) {
+	// The leader's disk fills up. If it went on without syncing, a change could
+	// count as accepted that only one voter remembers. It must stop taking part,
+	// and the others go on; the operator's change is accepted by them.
+	t.Parallel()
+	f := newFleet(t, 3, 0)
+	first := f.apply(0, "a", testTree(1))
+	f.awaitInstalled(first.Revision)
+	old := f.leader()
+	old.disk.full.Store(true)
+	second := f.apply(first.Revision, "b", testTree(2))
+	if second.Kind != state.Accepted {
+		t.Fatalf("order with one full disk: %+v", second)
+	}
+	if now := f.leader(); now == old {
+		t.Fatal("the voter with the full disk leads")
+	}
+	var failed error
+	if err := old.node.do(t.Context(), func(time.Time) { failed = old.node.core.group.failed }); err != nil || failed == nil {
+		t.Fatalf("the voter did not stop: %v, %v", failed, err)
+	}
+	for _, m := range f.members {
+		if m != old {
+			f.awaitOne(m, second.Revision)
+		}
+	}
+	f.awaitInForce(second.Revision)
+	if v := old.node.View(); v.Tree.Revision >= second.Revision {
+		t.Fatal("settings were installed that are not on the disk")
+	}
+}
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -29,6 +29,7 @@
 type testNode struct {
 	node    *Node
 	process settings.Process
+	disk    *fullDisk
 	stop    context.CancelFunc
 	ended   chan error
 }
@@ -91,7 +92,7 @@
 	if voter {
 		process.DataFolder = f.t.TempDir()
 	}
-	n := &testNode{process: process}
+	n := &testNode{process: process, disk: &fullDisk{}}
 	f.members = append(f.members, n)
 	f.start(n, listener)
 	f.t.Cleanup(n.halt)
@@ -108,7 +109,7 @@
 		log.SetLevel(logrus.DebugLevel)
 	}
 	node, err := New(Options{
-		Process: &n.process, Log: log.WithField("at", n.process.Name), Listener: listener, Timing: f.timing,
+		Process: &n.process, Log: log.WithField("at", n.process.Name), Listener: listener, Timing: f.timing, FS: n.disk,
 		Dial: f.network.dialFrom(n.process.ControlListen),
 	})
 	if err != nil {
--- a/control/leader.go
+++ b/control/leader.go
@@ -28,6 +28,7 @@
 	inboxes      map[string]inbox // by instance
 	leaving      bool             // an upstream leaves, which can't wait
 	urgent       uint64           // last batch that could not wait
+	confirmed    confirmations
 }
 
 // poll is a sync whose answer is held until there is news.
@@ -154,7 +155,8 @@
 	if r.Instance.Revision < response.Revision {
 		response.Text = group.machine.Text()
 	}
-	if group.leaseValid(now) && r.Instance.State != membership.Gone {
+	l.confirmed.note(now, response.Revision)
+	if group.leaseValid(now) && r.Instance.State != membership.Gone && l.confirmed.lately(now, r.Instance.Revision) {
 		response.LeaseMs = l.core.timing.Membership.Lease.Milliseconds()
 		l.table.Granted(now, r.Instance.Name)
 	}
--- /dev/null
+++ b/control/race_test.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"celeryport/control/state"
+	"celeryport/verdict"
+)
+
+// operatorAt sends one order through one node, and again until it knows the
+// outcome, as the command line does.
+func (f *fleet) operatorAt(ctx context.Context, at int, request ApplyRequest) (state.Outcome, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return state.Outcome{}, err
+	}
+	for {
+		n := f.members[at%len(f.members)]
+		at++
+		call, cancel := context.WithTimeout(ctx, time.Second)
+		answer, err := n.node.Ask(call, n.process.ControlListen, CommandApply, body)
+		cancel()
+		if err == nil {
+			var outcome state.Outcome
+			return outcome, json.Unmarshal(answer, &outcome)
+		}
+		if ctx.Err() != nil || verdict.From(err).Reason == verdict.ReasonBadRequest {
+			return state.Outcome{}, err
+		}
+	}
+}
+
+func TestRacingOperators(t *testing.T) {
+	// Four operators look at the same revision and change it at once, through
+	// different instances, and send their orders again whenever an answer is lost;
+	// meanwhile the leader is cut off. Of each base exactly one may win, and the
+	// losers must be shown the winner.
+	t.Parallel()
+	const operators, rounds = 4, 6
+	f := newFleet(t, 3, 1)
+	base := f.apply(0, "first", testTree(0)).Revision
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	for round := range rounds {
+		var mu sync.Mutex
+		won := map[string]uint64{}
+		winners := map[string]bool{}
+		var group errgroup.Group
+		for operator := range operators {
+			group.Go(func() error {
+				id := fmt.Sprintf("%d-%d", round, operator)
+				outcome, err := f.operatorAt(ctx, operator, ApplyRequest{Base: base, OrderID: id, Text: testTree(10*round + operator)})
+				if err != nil {
+					return err
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if outcome.Kind == state.Accepted {
+					won[id] = outcome.Revision
+				} else {
+					winners[outcome.Winner.OrderID] = true
+				}
+				return nil
+			})
+		}
+		if round%2 == 1 {
+			leader := f.leader()
+			f.network.cut(leader.process.ControlListen)
+			defer f.network.heal(leader.process.ControlListen)
+		}
+		if err := group.Wait(); err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range f.members {
+			f.network.heal(m.process.ControlListen)
+		}
+		if len(won) != 1 || len(winners) != 1 {
+			t.Fatalf("round %d: won %v, shown as winners %v", round, won, winners)
+		}
+		for id, revision := range won {
+			if !winners[id] {
+				t.Fatalf("round %d: %s won, the losers saw %v", round, id, winners)
+			}
+			base = revision
+		}
+	}
+}
--- a/control/synctake.go
+++ b/control/synctake.go
@@ -39,7 +39,7 @@
 	if r.LeaseMs > 0 && c.installed.revision() >= r.Revision && c.self.State != membership.Gone {
 		c.lease.renew(sentAt, time.Duration(r.LeaseMs)*time.Millisecond)
 	}
-	if r.LeaseMs == 0 {
+	if r.LeaseMs == 0 && len(r.Text) == 0 {
 		// It takes itself for the leader but can't reach a majority: another voter
 		// may know a newer one.
 		c.position.leader = ""
@@ -87,6 +87,14 @@
 	c.takeGrants(r)
 }
 
+// noteInstallFailed logs a revision once, however often it is tried.
+func (c *core) noteInstallFailed(revision uint64, err error) {
+	if c.failedRevision != revision {
+		eventInstallFailed.Log(c.log, event.Fields{"revision": revision, "error": err})
+	}
+	c.failedRevision = revision
+}
+
 // takeGrants replaces the grants, unless an answer that was held meanwhile
 // brings older ones. A new leader gives none at first; those of its predecessor
 // lapse by themselves.
@@ -116,7 +124,7 @@
 		return nil
 	}
 	if err := c.installed.install(r.Revision, r.Text); err != nil {
-		eventInstallFailed.Log(c.log, event.Fields{"revision": r.Revision, "error": err})
+		c.noteInstallFailed(r.Revision, err)
 		return err
 	}
 	eventInstalled.Log(c.log, event.Fields{"revision": r.Revision})
--- a/slopes/result.go
+++ b/slopes/result.go
@@ -9,6 +9,7 @@
 	Slopes    Slopes     `json:"slopes"`    // fitted to the above
 	Changes   Changes    `json:"changes"`   // settings changes, one after the other
 	Elections Quantiles  `json:"elections"` // ms from the death of a leader to the first answer of the next
+	Outages   Outages    `json:"outages"`   // the voters lose their majority
 	CatchUp   []CatchUp  `json:"catch_up"`  // a voter that missed changes
 	Claims    []Claiming `json:"claims"`    // claims at several loads
 }
@@ -68,6 +69,12 @@
 	CommitPerHour float64   `json:"commits_an_hour"` // one after the other
 }
 
+// Outages is what serving does while the voters have no majority.
+type Outages struct {
+	StopMs   Quantiles `json:"stop_ms"`   // from the loss to the moment when the last instance stops admitting
+	ResumeMs Quantiles `json:"resume_ms"` // from the start of one more voter to the moment when all admit
+}
+
 // CatchUp is how long a voter needs that comes back after missed changes.
 type CatchUp struct {
 	Changes int     `json:"changes"`
--- a/slopes/run.go
+++ b/slopes/run.go
@@ -58,6 +58,10 @@
 	if r.Elections, err = measureElections(folder); err != nil {
 		return err
 	}
+	progress("%d losses of the majority", outageCount)
+	if r.Outages, err = measureOutages(folder); err != nil {
+		return err
+	}
 	progress("claims")
 	if r.Claims, err = measureClaims(folder); err != nil {
 		return err
