--- a/cli/load.go
+++ b/cli/load.go
@@ -24,11 +24,12 @@
 // loadCommand sends a mix of requests and judges the answers.
 func loadCommand(stdout, stderr io.Writer) *urfave.Command {
 	return &urfave.Command{
-		Name:  "load",
-		Usage: "send the requests of a deployment's callers and check every answer",
+		Name:     "load",
+		Usage:    "send the requests of a deployment's callers and check every answer",
+		Commands: []*urfave.Command{loadCompareCommand(stdout)},
 		Flags: []urfave.Flag{
-			&urfave.StringSliceFlag{Name: "to", Usage: "entry instances that the callers know at first", Required: true},
-			&urfave.StringFlag{Name: "keys", Usage: "file of lines ORGANISATION=KEY", Required: true},
+			&urfave.StringSliceFlag{Name: "to", Usage: "entry instances that the callers know at first"},
+			&urfave.StringFlag{Name: "keys", Usage: "file of lines ORGANISATION=KEY"},
 			&urfave.StringFlag{Name: "mix", Usage: "aretusa or brazos", Value: "aretusa"},
 			&urfave.StringSliceFlag{Name: "class", Usage: "only these classes of the mix"},
 			&urfave.StringFlag{Name: flagModel, Usage: "model to ask instead of the mix's own"},
@@ -43,6 +44,7 @@
 			&urfave.IntFlag{Name: "most-in-flight", Usage: "above it requests are not sent but counted as unsent", Value: load.DefaultMostInFlight},
 			&urfave.IntFlag{Name: "engine-memory", Usage: "memory of one engine in tokens, for the table", Value: load.DefaultEngineMemory},
 			&urfave.IntFlag{Name: "resend-one-in", Usage: "make one in so many calls with a key twice at once; 0: none"},
+			&urfave.IntFlag{Name: "no-repeat-one-in", Usage: "mark one in so many prompts as not to be repeated; 0: none"},
 			&urfave.StringSliceFlag{Name: "counts-from", Usage: "stand-in services to ask what they executed"},
 			&urfave.StringFlag{Name: "counts-key-file", Usage: "file with the key for asking them"},
 			&urfave.StringFlag{Name: "output", Usage: "table or json", Value: "table"},
@@ -83,6 +85,10 @@
 }
 
 func loadOptions(c *urfave.Command) (load.Options, error) {
+	// Not marked as required, since "load compare" needs neither.
+	if len(c.StringSlice("to")) == 0 || c.String("keys") == "" {
+		return load.Options{}, usageError("--to and --keys are required")
+	}
 	mix, err := loadMix(c)
 	if err != nil {
 		return load.Options{}, &ExitError{Code: ExitUsage, Err: err}
@@ -112,6 +118,7 @@
 		MostInFlight:     c.Int("most-in-flight"),
 		EngineMemory:     c.Int("engine-memory"),
 		ResendOneIn:      c.Int("resend-one-in"),
+		NoRepeatOneIn:    c.Int("no-repeat-one-in"),
 		CountsFrom:       c.StringSlice("counts-from"),
 		CountsKey:        countsKey,
 	}, nil
