--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"celeryport/clock"
 	"celeryport/control/state"
 	"celeryport/settings"
 	"celeryport/verdict"
@@ -29,6 +30,8 @@
 type testNode struct {
 	node    *Node
 	process settings.Process
+	disk    *fullDisk
+	clock   clock.Clock // nil: the machine's
 	stop    context.CancelFunc
 	ended   chan error
 }
@@ -91,7 +94,7 @@
 	if voter {
 		process.DataFolder = f.t.TempDir()
 	}
-	n := &testNode{process: process}
+	n := &testNode{process: process, disk: &fullDisk{}}
 	f.members = append(f.members, n)
 	f.start(n, listener)
 	f.t.Cleanup(n.halt)
@@ -108,7 +111,7 @@
 		log.SetLevel(logrus.DebugLevel)
 	}
 	node, err := New(Options{
-		Process: &n.process, Log: log.WithField("at", n.process.Name), Listener: listener, Timing: f.timing,
+		Process: &n.process, Log: log.WithField("at", n.process.Name), Listener: listener, Timing: f.timing, FS: n.disk, Clock: n.clock,
 		Dial: f.network.dialFrom(n.process.ControlListen),
 	})
 	if err != nil {
