Read the incarnation for the start event before the control goroutine runs

The race detector found Run reading it while the control goroutine drew a new one after a clock that went back (TestRestartAfterTheClockWentBack).

--- a/control/run.go
+++ b/control/run.go
@@ -34,6 +34,12 @@
 	defer end()
 	group, ctx := errgroup.WithContext(inner)
 	server := n.server()
+	eventStarted.Log(n.log, event.Fields{
+		"name":        n.opts.Process.Name,
+		"incarnation": n.core.self.Incarnation,
+		"address":     listener.Addr().String(),
+		"voter":       n.opts.Process.Voter,
+	})
 	group.Go(func() error { return n.serve(server, listener) })
 	group.Go(func() error { return n.loop(ctx) })
 	group.Go(func() error { return n.runFounding(ctx) })
@@ -51,12 +57,6 @@
 		end()
 		return n.shutdown(server)
 	})
-	eventStarted.Log(n.log, event.Fields{
-		"name":        n.opts.Process.Name,
-		"incarnation": n.core.self.Incarnation,
-		"address":     listener.Addr().String(),
-		"voter":       n.opts.Process.Voter,
-	})
 	err = group.Wait()
 	n.clients.Close()
 	if errors.Is(err, context.Canceled) {
