Send a checksum with every text of an answer

Change: frames with text carry the checksum of the answer up to their end. A receiver that compares it shows nothing damaged; package client does not do so yet. Old receivers ignore it.

--- a/load/judge.go
+++ b/load/judge.go
@@ -122,7 +122,7 @@
 func (o *Outcome) incomplete(w *Work, text string) {
 	err := answer.CheckHash(w.Prompt.Hash(), w.Prompt.Answer, text)
 	if err != nil && !errors.Is(err, answer.ErrShort) {
-		o.cross(reasonWrongText, err.Error())
+		o.cross(reasonWrongPart, err.Error())
 	}
 }
 
--- a/load/outcome.go
+++ b/load/outcome.go
@@ -26,6 +26,7 @@
 	reasonMalformed   = "malformed"         // an answer that is not what is documented
 	reasonSilent      = "silent"
 	reasonWrongText   = "wrong-text"
+	reasonWrongPart   = "wrong-part" // shown before an explicit failure
 	reasonWrongID     = "wrong-request-id"
 	reasonWrongCall   = "wrong-call"
 )
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -47,7 +47,7 @@
 		}, Failed, "upstream"},
 		{"fails with an event after another's text", func(ctx *fasthttp.RequestCtx, _ *fakeEntry, c *asked) {
 			answerPart(ctx, "bolt", failureEvent)
-		}, Crossed, reasonWrongText},
+		}, Crossed, reasonWrongPart},
 		{"closes without an answer", func(ctx *fasthttp.RequestCtx, _ *fakeEntry, _ *asked) {
 			ctx.Conn().Close()
 		}, Failed, reasonBroken},
--- a/standin/answer_writer.go
+++ b/standin/answer_writer.go
@@ -136,7 +136,12 @@
 	if w.fault == FaultCorrupt {
 		shown = answer.Append(nil, w.stream.hash^corruption, w.sent, to)
 	}
-	frame := w.frame(&wire.Frame{Text: string(shown), Tokens: to - w.sent, Cached: v.cached})
+	frame := w.frame(&wire.Frame{
+		Text:     string(shown),
+		Tokens:   to - w.sent,
+		Cached:   v.cached,
+		Checksum: w.digest.Sum64(),
+	})
 	w.sent = to
 	return w.send(frame)
 }
--- a/upstream/wire/wire.go
+++ b/upstream/wire/wire.go
@@ -61,7 +61,7 @@
 	Cached    int    `json:"cached,omitempty"`    // prompt tokens from the prefix cache, on the first frame with text
 	Final     bool   `json:"final,omitempty"`     // the answer is complete
 	Length    int    `json:"length,omitempty"`    // on Final: bytes of the whole answer, from offset 0
-	Checksum  uint64 `json:"checksum,omitempty"`  // on Final: xxhash of the whole answer, from offset 0
+	Checksum  uint64 `json:"checksum,omitempty"`  // on Final and, if not 0, with Text: xxhash of the answer from offset 0 up to its end here
 	Error     string `json:"error,omitempty"`     // the engine gave up
 	Refused   bool   `json:"refused,omitempty"`   // with Error: nothing was run
 }
