Prove an order sent without a majority, and take the lifetime of keys from the settings

Three of five processes are killed and an order is sent; exit 1 or 4. When they are back, the same order id is accepted once and a third sending returns the same outcome. A faulty tree exits 2.

Voters remember claims for key_lifetime of the settings at their start, instead of the default. The record of slopes says how busy the machine was.

--- a/cli/voters_process_test.go
+++ b/cli/voters_process_test.go
@@ -44,10 +44,15 @@
 
 // apply sends a tree by the command line and returns its exit code.
 func (f *processFleet) apply(base uint64, id string, weight int) (applied, int) {
+	f.t.Helper()
+	return f.applyFor("30s", base, id, weight)
+}
+
+func (f *processFleet) applyFor(timeout string, base uint64, id string, weight int) (applied, int) {
 	f.t.Helper()
 	path := f.file("tree.ini", treeText(weight))
 	out, code := f.run("settings", "apply", "--to", strings.Join(f.control, ","), "--file", path,
-		"--base", fmt.Sprint(base), "--order-id", id, "--output", "json", "--timeout", "30s")
+		"--base", fmt.Sprint(base), "--order-id", id, "--output", "json", "--timeout", timeout)
 	var result applied
 	if start := strings.Index(out, "{"); start >= 0 {
 		_ = json.NewDecoder(strings.NewReader(out[start:])).Decode(&result)
@@ -127,4 +132,31 @@
 		f.start(i)
 	}
 	f.awaitAgreement(last)
+	f.loseMajority(last)
+}
+
+// loseMajority sends an order while too few voters live, and again when they are
+// back: whatever was said of the first sending, the order runs once.
+func (f *processFleet) loseMajority(base uint64) {
+	f.t.Helper()
+	for i := range len(f.processes)/2 + 1 {
+		f.kill(i)
+	}
+	if result, code := f.applyFor("3s", base, "lost", 7); code != ExitFailed && code != ExitUnknown {
+		f.t.Fatalf("order without a majority: exit %d, %+v", code, result)
+	}
+	for i := range len(f.processes)/2 + 1 {
+		f.start(i)
+	}
+	first, code := f.apply(base, "lost", 7)
+	if code != ExitDone || first.Outcome.Revision <= base {
+		f.t.Fatalf("order sent again: exit %d, %+v", code, first)
+	}
+	if again, code := f.apply(base, "lost", 7); code != ExitDone || again.Outcome != first.Outcome {
+		f.t.Fatalf("order sent a third time: exit %d, %+v, first %+v", code, again, first)
+	}
+	f.awaitAgreement(first.Outcome.Revision)
+	if _, code := f.run("settings", "apply", "--to", f.control[0], "--file", f.file("faulty.ini", "[novel]\n")); code != ExitUsage {
+		f.t.Fatalf("faulty tree: exit %d", code)
+	}
 }
--- a/control/claimvoter.go
+++ b/control/claimvoter.go
@@ -46,8 +46,9 @@
 	err      error
 }
 
-// openClaims opens the votes of a voter.
-func openClaims(n *Node, folder dataFolder, id consensus.ID) (*claimVoter, error) {
+// openClaims opens the votes of a voter. The lifetime of keys is that of the
+// settings at the start of the process; a change counts from the next start on.
+func openClaims(n *Node, folder dataFolder, id consensus.ID, lifetime time.Duration) (*claimVoter, error) {
 	records, raw, err := wal.OpenRecords(filepath.Join(folder.path, claimsFolder), folder.fs, wal.Options{Logger: n.log})
 	if err != nil {
 		return nil, errors.Wrap(err, "open the votes")
@@ -60,7 +61,9 @@
 		}
 		decoded = append(decoded, record)
 	}
-	voter, err := claim.NewVoter(claim.DefaultVoterConfig(id), decoded)
+	config := claim.DefaultVoterConfig(id)
+	config.Lifetime = lifetime
+	voter, err := claim.NewVoter(config, decoded)
 	if err != nil {
 		return nil, errors.CombineErrors(err, records.Close())
 	}
--- a/control/openfolder.go
+++ b/control/openfolder.go
@@ -1,8 +1,11 @@
 package control
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
+	"celeryport/claim"
 	"celeryport/consensus"
 	"celeryport/control/state"
 )
@@ -19,13 +22,10 @@
 	if err := folder.fs.MakeFolder(folder.path); err != nil {
 		return errors.Wrap(err, "make the data folder")
 	}
-	if !c.node.opts.Process.Voter {
-		return c.installed.load()
-	}
-	if err := c.openGroup(folder); err != nil {
+	if err := c.installed.load(); err != nil || !c.node.opts.Process.Voter {
 		return err
 	}
-	return c.installed.load()
+	return c.openGroup(folder)
 }
 
 // openGroup opens the log of a voter and starts consensus at once when the
@@ -35,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	if c.node.claimVoter, err = openClaims(c.node, folder, log.Identity().Voter); err != nil {
+	if c.node.claimVoter, err = openClaims(c.node, folder, log.Identity().Voter, c.keyLifetime()); err != nil {
 		return errors.CombineErrors(err, log.Close())
 	}
 	founding, err := loadFounding(folder)
@@ -75,3 +75,11 @@
 	}
 	return false
 }
+
+// keyLifetime is how long voters remember claims.
+func (c *core) keyLifetime() time.Duration {
+	if c.installed.tree == nil || c.installed.tree.Fleet.KeyLifetime == 0 {
+		return claim.DefaultLifetime
+	}
+	return c.installed.tree.Fleet.KeyLifetime
+}
--- a/slopes/result.go
+++ b/slopes/result.go
@@ -19,6 +19,9 @@
 	CPUs   int    `json:"cpus"`
 	Go     string `json:"go"`
 	System string `json:"system"`
+	// LoadAverage is the mean number of runnable threads of the whole machine in
+	// the minute before, so that a reader sees what else ran.
+	LoadAverage float64 `json:"load_average"`
 }
 
 // Idle is a fleet at rest over a window of time. Bytes count both directions as
--- a/slopes/run.go
+++ b/slopes/run.go
@@ -22,7 +22,7 @@
 	}
 	r := &Result{
 		Date:    time.Now().UTC().Format(time.RFC3339),
-		Machine: Machine{CPUs: runtime.NumCPU(), Go: runtime.Version(), System: runtime.GOOS + "/" + runtime.GOARCH},
+		Machine: Machine{CPUs: runtime.NumCPU(), Go: runtime.Version(), System: runtime.GOOS + "/" + runtime.GOARCH, LoadAverage: loadAverage()},
 	}
 	err = r.measure(folder, progress)
 	return r, errors.CombineErrors(err, os.RemoveAll(folder))
--- a/slopes/usage.go
+++ b/slopes/usage.go
@@ -24,6 +24,18 @@
 	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
 }
 
+// loadScale is the fixed point of the kernel's load averages.
+const loadScale = 1 << 16
+
+// loadAverage returns the machine's load average of the last minute.
+func loadAverage() float64 {
+	var s unix.Sysinfo_t
+	if unix.Sysinfo(&s) != nil {
+		return 0
+	}
+	return float64(s.Loads[0]) / loadScale
+}
+
 // heapBytes returns the live heap after a collection.
 func heapBytes() uint64 {
 	runtime.GC()
