Take instances that no leader names out of the addresses

Cause: a new leader starts with an empty table and never hears of an instance that died with its predecessor, nor of the predecessor. The others kept both as live for ever, and would have handed them out to callers. Now a leader that has led for a whole lease says so, and who it never named is gone.

Mended: a race between the log line of the start and the drawing of a new incarnation, which the race detector reported.

--- a/control/leader.go
+++ b/control/leader.go
@@ -166,6 +166,7 @@
 		Revision:  group.machine.Current().Number,
 		Members:   l.table.Changed(members),
 		MembersAt: l.table.Revision(),
+		Settled:   l.table.Settled(now),
 		HeardUpTo: p.heardUpTo,
 		HeldMs:    now.Sub(p.arrivedAt).Milliseconds(),
 	}
--- a/control/memberlist.go
+++ b/control/memberlist.go
@@ -3,41 +3,98 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"celeryport/membership"
 )
 
 // memberList is an instance's copy of the leader's membership table.
+//
+// A new leader starts with an empty table and never hears of an instance that
+// died with its predecessor, the predecessor itself included. Such an instance
+// would be handed out to callers for ever. So once the new leader has led long
+// enough to know every instance that lives, those that it never named are gone.
 type memberList struct {
-	byName map[string]membership.Instance
-	sorted []membership.Instance // nil after a change
+	byName  map[string]listed
+	sorted  []membership.Instance // nil after a change
+	settled bool                  // the present leader knows every instance
 }
 
-func newMemberList() memberList {
-	return memberList{byName: map[string]membership.Instance{}}
+// listed is one instance of the list.
+type listed struct {
+	instance  membership.Instance
+	named     bool      // by the present leader
+	goneSince time.Time // zero: not gone
 }
 
-// merge takes a delta. The list of a former leader is kept until the new one
-// has heard the instances itself, since an empty list would leave callers
-// without addresses.
-func (l *memberList) merge(delta []membership.Instance) {
+func newMemberList() memberList { return memberList{byName: map[string]listed{}} }
+
+// follow begins to learn from another leader. What the former one said is kept
+// until then, since an empty list would leave callers without addresses.
+func (l *memberList) follow() {
+	l.settled = false
+	for name, entry := range l.byName {
+		entry.named = false
+		l.byName[name] = entry
+	}
+}
+
+// merge takes a delta.
+func (l *memberList) merge(now time.Time, delta []membership.Instance) {
 	for _, i := range delta {
-		if known, found := l.byName[i.Name]; found && known.Incarnation > i.Incarnation {
-			continue
+		entry := l.byName[i.Name]
+		entry.named = true
+		if entry.instance.Incarnation <= i.Incarnation {
+			entry.set(now, i)
 		}
-		l.byName[i.Name] = i
-	}
-	if len(delta) > 0 {
+		l.byName[i.Name] = entry
 		l.sorted = nil
 	}
 }
 
+func (e *listed) set(now time.Time, i membership.Instance) {
+	e.instance = i
+	switch {
+	case i.State != membership.Gone:
+		e.goneSince = time.Time{}
+	case e.goneSince.IsZero():
+		e.goneSince = now
+	}
+}
+
+// settle takes in that the present leader knows every instance.
+func (l *memberList) settle(now time.Time) {
+	if l.settled {
+		return
+	}
+	l.settled = true
+	for name, entry := range l.byName {
+		if !entry.named {
+			gone := entry.instance
+			gone.State = membership.Gone
+			entry.set(now, gone)
+			l.byName[name] = entry
+		}
+	}
+	l.sorted = nil
+}
+
+// forget drops the instances that have been gone for long.
+func (l *memberList) forget(now time.Time, kept time.Duration) {
+	for name, entry := range l.byName {
+		if !entry.goneSince.IsZero() && now.Sub(entry.goneSince) > kept {
+			delete(l.byName, name)
+			l.sorted = nil
+		}
+	}
+}
+
 // list returns the instances by name. The slice is shared and never changed.
 func (l *memberList) list() []membership.Instance {
 	if l.sorted == nil {
 		l.sorted = make([]membership.Instance, 0, len(l.byName))
-		for _, i := range l.byName {
-			l.sorted = append(l.sorted, i)
+		for _, entry := range l.byName {
+			l.sorted = append(l.sorted, entry.instance)
 		}
 		slices.SortFunc(l.sorted, func(a, b membership.Instance) int {
 			return strings.Compare(a.Name, b.Name)
--- a/control/run.go
+++ b/control/run.go
@@ -30,6 +30,12 @@
 	if err != nil {
 		return err
 	}
+	eventStarted.Log(n.log, event.Fields{
+		"name":        n.opts.Process.Name,
+		"incarnation": n.core.self.Incarnation,
+		"address":     listener.Addr().String(),
+		"voter":       n.opts.Process.Voter,
+	})
 	inner, end := context.WithCancel(context.WithoutCancel(outer))
 	defer end()
 	group, ctx := errgroup.WithContext(inner)
@@ -51,12 +57,6 @@
 		end()
 		return n.shutdown(server)
 	})
-	eventStarted.Log(n.log, event.Fields{
-		"name":        n.opts.Process.Name,
-		"incarnation": n.core.self.Incarnation,
-		"address":     listener.Addr().String(),
-		"voter":       n.opts.Process.Voter,
-	})
 	err = group.Wait()
 	n.clients.Close()
 	if errors.Is(err, context.Canceled) {
--- a/control/synctake.go
+++ b/control/synctake.go
@@ -77,6 +77,7 @@
 	if c.position.epoch != epoch {
 		c.position = syncPosition{epoch: epoch}
 		c.received = relay.NewReceiver()
+		c.members.follow()
 	}
 	c.position.leader = target
 }
@@ -84,7 +85,10 @@
 func (c *core) takeDeltas(now, sentAt time.Time, r *syncResponse) {
 	c.position.members = max(c.position.members, r.MembersAt)
 	c.position.heardUpTo = r.HeardUpTo
-	c.members.merge(r.Members)
+	c.members.merge(now, r.Members)
+	if r.Settled {
+		c.members.settle(now)
+	}
 	c.takeUpstreams(now, sentAt, r)
 	if len(r.Voters) > 0 {
 		c.voters = r.Voters
--- a/control/syncwire.go
+++ b/control/syncwire.go
@@ -43,6 +43,7 @@
 	Revision   uint64                `json:"revision,omitempty"`
 	Text       []byte                `json:"text,omitempty"` // when the instance has an older revision
 	Members    []membership.Instance `json:"member_delta,omitempty"`
+	Settled    bool                  `json:"settled,omitempty"` // the leader knows every instance that lives
 	MembersAt  uint64                `json:"members_at,omitempty"`
 	HeldMs     int64                 `json:"held_ms,omitempty"`     // how long the leader held the sync
 	HeardUpTo  uint64                `json:"heard_up_to,omitempty"` // last batch of this instance that the leader took
