Let a refused resume prove nothing about the send before it

Found by a load with prompts that may not be repeated and the executions of the stand-ins: a prompt that was killed with its engine during the prefill began on a second engine and its caller got 200. Cause: the verdict of the last try stood for the whole send, so the refused resume (connection refused, no such stream) turned may-have-run into not-run; the scheduler then sent it elsewhere, and no cancel went out. Ruled out: the claim, which was held. The worse verdict of the tries now counts. TestRefusedResumeProvesNothing fails without it: two engines begin the prompt.

Text that was damaged on the way reached callers before the final checksum ended the answer with a failure. Engines may send a running checksum with each text; the receiver checks it before it hands the text on.

--- a/entry/send_prompt.go
+++ b/entry/send_prompt.go
@@ -24,17 +24,29 @@
 	var failed error
 	for attempt := range maxResumes + 1 {
 		resume := attempt > 0
-		failed = s.stream(e, action, s.generateCall(e, action, lead, span, resume))
-		if failed == nil {
+		err := s.stream(e, action, s.generateCall(e, action, lead, span, resume))
+		if err == nil {
 			return s.generated(e, sentAt)
 		}
-		if e.ctx.Err() != nil || !worthResuming(failed) {
+		failed = worse(failed, err)
+		if e.ctx.Err() != nil || !worthResuming(err) {
 			break
 		}
 	}
 	return s.generateFailed(e, action, sentAt, verdict.From(failed))
 }
 
+// worse returns the error that says what is known of the whole send. A resume
+// that is refused proves only that the resume was not run: the engine may have
+// begun the send before it, and died. If the refusal counted for the whole, a
+// request that may not be repeated would be sent to another engine as well.
+func worse(before, err error) error {
+	if before != nil && verdict.From(err).Verdict == verdict.NotRun {
+		return before
+	}
+	return err
+}
+
 // worthResuming reports whether a stream that ended so may be picked up: the
 // call may have run, and the engine has not broken the protocol.
 func worthResuming(err error) bool {
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -239,6 +239,39 @@
 	}
 }
 
+func TestRefusedResumeProvesNothing(t *testing.T) {
+	// An engine begins a prompt that may not be repeated and dies; the attempt to
+	// pick the stream up is refused. If the refusal counted for the whole send, a
+	// second engine would run the prompt again, or the caller be told that it was
+	// not run.
+	warm(t)
+	for name, begun := range map[string]script{
+		"died before the first token": breaks(),
+		"died in the middle":          breaks("one "),
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, map[string]script{"e1": begun, "e2": begun}, func(t *testing.T, b *bench) {
+				c := completion("p", false)
+				c.headers = map[string]string{headerNoRepeat: "true", headerKey: "k1"}
+				got := b.do(c)
+				started := 0
+				for _, p := range b.peers {
+					if calls, _ := p.counted(); calls > 0 {
+						started++
+					}
+				}
+				if started != 1 || got.verdict != "may-have-run" {
+					t.Errorf("%d engines began it, the caller was told %s", started, got.verdict)
+				}
+				synctest.Wait()
+				if len(b.plane.settled) != 0 {
+					t.Errorf("the claim was settled: %v", b.plane.settled)
+				}
+			})
+		})
+	}
+}
+
 func TestClaimThatHangsPastTheDeadline(t *testing.T) {
 	// The voters hang while they are asked for the right to send, and say yes
 	// after the caller was told that its call was not run. Sending it then would
--- a/upstream/client/receiver.go
+++ b/upstream/client/receiver.go
@@ -88,9 +88,14 @@
 		r.replayed += n
 		text = text[n:]
 	}
+	digest := r.digest
+	_, _ = digest.WriteString(text)
+	if f.Checksum != 0 && !f.Final && r.replayed == len(r.seen) && f.Checksum != digest.Sum64() {
+		return "", ErrChecksum
+	}
+	r.digest = digest
 	r.seen = append(r.seen, text...)
 	r.replayed += len(text)
-	_, _ = r.digest.WriteString(text)
 	r.length += len(text)
 	r.offset = max(r.offset, r.position)
 	return text, nil
--- a/upstream/client/receiver_test.go
+++ b/upstream/client/receiver_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"celeryport/upstream/wire"
@@ -39,6 +40,8 @@
 		"rerun with another text":     {0, frames("r1", 2, "one ", "zwei ", "drei"), "", ErrDiverged},
 		"rerun that is shorter":       {0, frames("r1", 2, "one "), "", ErrChecksum},
 		"late frame of attempt one":   {2, frames("r1", 1, words...)[2:], "", ErrForeignFrame},
+		"running checksum is right":   {2, withChecksums(frames("r1", 2, words...))[2:], "three four", nil},
+		"text damaged on the way":     {2, damaged(withChecksums(frames("r1", 2, words...)))[2:], "", ErrChecksum},
 		"resumed at the wrong offset": {2, frames("r1", 2, words...)[1:], "", ErrWrongOffset},
 	}
 	for name, test := range tests {
@@ -69,3 +72,22 @@
 		final,
 	}
 }
+
+// withChecksums adds the running checksum that an engine may send with each text.
+func withChecksums(list []wire.Frame) []wire.Frame {
+	var digest xxhash.Digest
+	digest.Reset()
+	for i := range list {
+		_, _ = digest.WriteString(list[i].Text)
+		if !list[i].Final {
+			list[i].Checksum = digest.Sum64()
+		}
+	}
+	return list
+}
+
+// damaged changes the third word.
+func damaged(list []wire.Frame) []wire.Frame {
+	list[2].Text = "THREE "
+	return list
+}
