Let claims under way go on with new voters, and end every proposal

A claim that was under way when the voters changed went on asking the old ones and was refused; the driver now follows the change (control/claimdriver.go). A release goes to the new voters too: they may have copied the vote that the old ones free, and kept the key claimed for its lifetime.

consensus.Proposals and its error are gone: control follows its proposals itself, and the two stood side by side.

--- a/claim/cases_test.go
+++ b/claim/cases_test.go
@@ -193,6 +193,25 @@
 	}
 }
 
+// The voters change while a claim is under way. It must go on with the new ones
+// and not end as if nobody could be reached.
+func TestClaimGoesOnWithTheNewVoters(t *testing.T) {
+	w := newNetwork(t, 13, "a", "b", "c")
+	w.crash(w.host("b"))
+	w.crash(w.host("c"))
+	c := w.claim("hold")
+	w.run(300 * time.Millisecond)
+	w.start(w.host("c"))
+	w.change("a", "c", "d")
+	w.addHost("d")
+	w.enterAll(w.host("a"))
+	w.enterAll(w.host("c"))
+	w.run(300 * time.Millisecond)
+	w.do(c, c.claimant.Reconfigure(w.now, w.newest()))
+	w.run(300 * time.Millisecond)
+	w.expect(c, Won)
+}
+
 // All previous voters are lost for good, and with them the votes. Keys that were
 // claimed before must not look new.
 func TestAfterADisasterVotersAbstainForALifetime(t *testing.T) {
--- a/claim/claimant.go
+++ b/claim/claimant.go
@@ -189,6 +189,8 @@
 	}
 	released := c.release()
 	c.request.Epoch = e
+	// The new voters may have copied the vote that the old ones are freeing.
+	released = append(released, c.release()...)
 	c.request.Holder.Attempt++
 	c.retryAt = time.Time{}
 	clear(c.answers)
--- a/claim/epoch_test.go
+++ b/claim/epoch_test.go
@@ -106,6 +106,42 @@
 	w.expect(fresh, Won)
 }
 
+// A claimant hears of a change of the voters while it has one vote, releases it
+// and asks the new ones. If the old vote still counted, or if the release, which
+// arrives late, freed the new ones, another holder could win too.
+func TestAttemptsOfTwoEpochsAreApart(t *testing.T) {
+	for _, lateRelease := range []bool{false, true} {
+		w := newNetwork(t, 25, "a", "b", "c")
+		x := w.claim("hold")
+		w.wire = slices.DeleteFunc(w.wire, func(m Message) bool { return m.To != "a" })
+		w.deliver(0, false)
+		w.deliver(0, false)
+		w.change("a", "c", "d")
+		w.enterAll(w.host("a"))
+		w.enterAll(w.host("c"))
+		w.addHost("d")
+		w.run(50 * time.Millisecond)
+		w.do(x, x.claimant.Reconfigure(w.now, w.newest()))
+		var late []Message
+		w.wire = slices.DeleteFunc(w.wire, func(m Message) bool {
+			if m.Kind == SettleRequest && lateRelease {
+				late = append(late, m)
+				return true
+			}
+			return m.Kind == VoteRequest && m.To != "c" && !lateRelease
+		})
+		for len(w.wire) > 0 {
+			w.deliver(0, false)
+		}
+		w.wire = late
+		y := w.claim("hold")
+		w.run(50 * time.Millisecond)
+		if x.sent == y.sent {
+			t.Fatalf("late release %v: sent by the first %v, by the second %v", lateRelease, x.sent, y.sent)
+		}
+	}
+}
+
 // The clock of a runs ahead, so it has dropped the vote of a key that is still
 // fresh for the others. d, whose clock is right, copies from a.
 func TestForgottenKeysAreCopiedToo(t *testing.T) {
--- a/consensus/errors.go
+++ b/consensus/errors.go
@@ -25,23 +25,6 @@
 	return verdict.Refuse(verdict.ReasonNotLeader, 0, "%s", e.Error())
 }
 
-// OutcomeUnknownError ends a proposal that was appended to the log of a leader
-// which then lost its place. The entry may yet be committed by the next leader,
-// so nobody may report it as not run or propose it again under another name.
-type OutcomeUnknownError struct {
-	Index, Term uint64
-}
-
-// Error implements error.
-func (e *OutcomeUnknownError) Error() string {
-	return fmt.Sprintf("the leader changed before entry %d of term %d was known to be committed", e.Index, e.Term)
-}
-
-// Unwrap gives the verdict: may have run.
-func (e *OutcomeUnknownError) Unwrap() error {
-	return verdict.New(verdict.MayHaveRun, verdict.ReasonNotLeader, "%s", e.Error())
-}
-
 // RefusedError refuses a call on the leader. Nothing was done.
 type RefusedError struct {
 	Cause Refusal
--- a/consensus/propose.go
+++ b/consensus/propose.go
@@ -13,8 +13,10 @@
 )
 
 // Propose appends data to the log and returns where. The proposal is accepted
-// once an entry with this index and term is among the committed ones; see
-// Proposals for what becomes of the others. Errors mean that nothing was done.
+// once an entry with this index and term is among the committed ones. It can
+// never be accepted once another entry is committed at its index. Until either
+// is seen its outcome is unknown, also when this node no longer leads: the next
+// leader may still commit it. Errors mean that nothing was done.
 func (n *Node) Propose(now time.Time, data []byte) (index, term uint64, err error) {
 	n.start(now)
 	if err := n.mayPropose(); err != nil {
--- a/control/claimdriver.go
+++ b/control/claimdriver.go
@@ -12,7 +12,6 @@
 // the one that settles.
 type claimDriver struct {
 	node      *Node
-	group     *claimGroup
 	claimant  *claim.Claimant
 	startedAt time.Time
 	answers   chan claim.Message
@@ -38,6 +37,7 @@
 // advance waits for an answer or for the next tick. It returns false when ctx
 // has ended and the claimant has no more to say about it.
 func (d *claimDriver) advance(ctx context.Context) bool {
+	d.followVoters(ctx)
 	timer := time.NewTimer(d.claimant.NextTick().Sub(d.node.clock.Now()))
 	defer timer.Stop()
 	select {
@@ -52,9 +52,20 @@
 	return true
 }
 
+// followVoters goes on with the new voters when they have changed; the old ones
+// no longer vote.
+func (d *claimDriver) followVoters(ctx context.Context) {
+	group := d.node.claimGroup.Load()
+	if group == nil || group.epoch.Number <= d.claimant.Epoch() {
+		return
+	}
+	d.send(ctx, d.claimant.Reconfigure(d.node.clock.Now(), group.epoch))
+}
+
 // settle tells the voters the outcome.
 func (d *claimDriver) settle(o claim.Outcome) {
 	ctx := context.Background()
+	d.followVoters(ctx)
 	d.send(ctx, d.claimant.Settle(d.node.clock.Now(), o))
 	d.drive(ctx)
 }
--- a/control/claims.go
+++ b/control/claims.go
@@ -69,7 +69,7 @@
 		return ClaimResult{State: NoMajority}
 	}
 	now := n.clock.Now()
-	d := &claimDriver{node: n, group: group, startedAt: now, answers: make(chan claim.Message, claimQueue)}
+	d := &claimDriver{node: n, startedAt: now, answers: make(chan claim.Message, claimQueue)}
 	d.claimant = claim.NewClaimant(claim.Request{
 		Instance: consensus.ID(n.opts.Process.Name),
 		Key:      key,
--- a/control/proposals.go
+++ b/control/proposals.go
@@ -30,6 +30,11 @@
 	if p.waiting == nil {
 		p.waiting = map[uint64]proposal{}
 	}
+	if old, found := p.waiting[index]; found {
+		// Of an earlier term of this leader: its place in this log is taken, but
+		// another voter may still hold the old entry and bring it through.
+		old.done <- proposalResult{err: errOvertaken}
+	}
 	p.waiting[index] = proposal{term: term, done: done}
 }
 
--- /dev/null
+++ b/control/proposals_test.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"testing"
+
+	"celeryport/control/state"
+	"celeryport/verdict"
+)
+
+// A leader loses its place with proposals under way. An operator who is told
+// "not run" of a change that a later leader accepts would send it again.
+func TestOnlyAProvedLossIsToldAsNotRun(t *testing.T) {
+	tests := []struct {
+		name    string
+		end     func(p *proposals)
+		verdict verdict.Verdict
+	}{
+		{"another entry was committed in its place", func(p *proposals) { p.committed(7, 3, state.Outcome{}) }, verdict.NotRun},
+		{"a snapshot covers it", func(p *proposals) { p.overtaken(7) }, verdict.MayHaveRun},
+		{"this leader came back and took its place", func(p *proposals) { p.add(7, 4, make(chan proposalResult, 1)) }, verdict.MayHaveRun},
+		{"the disk failed", func(p *proposals) {
+			p.abandon(verdict.New(verdict.MayHaveRun, verdict.ReasonStorageFailed, "disk"))
+		}, verdict.MayHaveRun},
+	}
+	for _, test := range tests {
+		var p proposals
+		done := make(chan proposalResult, 1)
+		p.add(7, 2, done)
+		p.committed(6, 2, state.Outcome{})
+		p.overtaken(6)
+		test.end(&p)
+		select {
+		case result := <-done:
+			if got := verdict.From(result.err); got == nil || got.Verdict != test.verdict {
+				t.Errorf("%s: ended with %v, want %v", test.name, result.err, test.verdict)
+			}
+		default:
+			t.Errorf("%s: its sender still waits", test.name)
+		}
+	}
+	var p proposals
+	done := make(chan proposalResult, 1)
+	p.add(7, 2, done)
+	p.committed(7, 2, state.Outcome{Revision: 7})
+	if result := <-done; result.err != nil || result.outcome.Revision != 7 {
+		t.Errorf("accepted: %+v", result)
+	}
+}
