Shorten the property tests and give the lease a test of its own

With 100 sequences in place of 150 the property test no longer finds a lease that is counted from the answer; TestLeaseRunsFromTheSend does, and so does a round that was never sent.

--- a/consensus/property_test.go
+++ b/consensus/property_test.go
@@ -15,7 +15,7 @@
 // flags of rapid still change it.
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "20261202")
-	_ = flag.Set("rapid.checks", "150")
+	_ = flag.Set("rapid.checks", "100")
 	_ = flag.Set("rapid.nofailfile", "true")
 	_ = flag.Set("rapid.shrinktime", "3s")
 	flag.Parse()
--- a/consensus/rules_test.go
+++ b/consensus/rules_test.go
@@ -196,3 +196,21 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// A confirmation takes long to come back. Counted from its arrival, the lease
+// would outlast the time for which the voter refuses other candidates.
+func TestLeaseRunsFromTheSend(t *testing.T) {
+	b := newBench(t, 3)
+	b.lead()
+	sent := b.now
+	b.now = b.now.Add(500 * time.Millisecond)
+	b.step(Message{Kind: AppendResponse, From: "v2", Term: 4, Index: 2, Round: 1})
+	b.settle()
+	if got, want := b.node.Status().LeaseUntil, sent.Add(b.node.timing.Lease); !got.Equal(want) {
+		t.Fatalf("lease until %v, want %v", got.Sub(sent), want.Sub(sent))
+	}
+	b.step(Message{Kind: AppendResponse, From: "v3", Term: 4, Index: 2, Round: 9})
+	if got := b.node.Status().LeaseUntil; got.After(sent.Add(b.node.timing.Lease)) {
+		t.Fatal("a round that was never sent renewed the lease")
+	}
+}
