Expose the age of the last copy of the counters

An instance whose counters reach no voter shows it by a log line only when it begins; the gauge lets an alert watch it. instance: the account, its copier and the metrics are parts of the books now.

--- a/accounting/copier.go
+++ b/accounting/copier.go
@@ -41,6 +41,7 @@
 	positions map[string][]byte // what each voter has, by control address
 	failing   map[string]bool
 	busy      map[string]bool // a copy to the voter is under way
+	storedAt  time.Time       // when a voter last had everything
 }
 
 // NewCopier returns a copier that has copied nothing yet.
@@ -53,9 +54,17 @@
 	}
 	c := &Copier{opts: opts, positions: map[string][]byte{}, failing: map[string]bool{}, busy: map[string]bool{}}
 	c.send = c.call
+	c.storedAt = opts.Clock.Now()
 	return c
 }
 
+// Age is the time since a voter last had everything that was counted.
+func (c *Copier) Age() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.opts.Clock.Now().Sub(c.storedAt)
+}
+
 // Run copies until the context ends. Flush makes the first copy before the first
 // request, so that the voters know of this incarnation, and the last one
 // afterwards.
@@ -143,7 +152,8 @@
 
 func (c *Copier) copyTo(ctx context.Context, address string) bool {
 	for range exchanges {
-		encoded, upTo, err := c.opts.Account.Copy(c.opts.Clock.Now(), c.position(address))
+		takenAt := c.opts.Clock.Now()
+		encoded, upTo, err := c.opts.Account.Copy(takenAt, c.position(address))
 		if err == nil {
 			err = c.exchange(ctx, address, encoded)
 		}
@@ -152,6 +162,7 @@
 			return false
 		}
 		if bytes.Compare(c.position(address), upTo) >= 0 {
+			c.noteStored(takenAt)
 			return true
 		}
 	}
@@ -183,6 +194,14 @@
 	return c.positions[address]
 }
 
+func (c *Copier) noteStored(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.storedAt) {
+		c.storedAt = at
+	}
+}
+
 // note logs when copies to a voter begin to fail and when they succeed again,
 // not every one between.
 func (c *Copier) note(address string, err error) {
--- a/instance/books.go
+++ b/instance/books.go
@@ -1,15 +1,19 @@
 package instance
 
 import (
+	"context"
 	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"celeryport/accounting"
 	"celeryport/clock"
 	"celeryport/control"
 	"celeryport/ledger"
+	"celeryport/metrics"
+	"celeryport/rpc"
 	"celeryport/settings"
 	"celeryport/wal"
 )
@@ -22,6 +26,8 @@
 	options *Options
 	book    *ledger.Book // nil on an instance that is no voter
 	reports *accounting.Reporter
+	account *ledger.Account // of this incarnation
+	copier  *accounting.Copier
 }
 
 func openBooks(options *Options) (*books, error) {
@@ -58,13 +64,40 @@
 	})
 }
 
-// open starts the account of this incarnation.
-func (b *books) open(node *control.Node) *ledger.Account {
+// begin starts the account of this incarnation and makes its first copy: were
+// the instance killed after its first request and before a copy, no report could
+// say that it had existed.
+func (b *books) begin(ctx context.Context, node *control.Node) {
 	id := ledger.ID{Instance: b.options.Process.Name, Incarnation: node.View().Incarnation}
-	account := ledger.NewAccount(id, time.Now(), b.options.Log)
-	account.Follow(func() *settings.Tree { return node.View().Tree })
-	b.reports.Count(account)
-	return account
+	b.account = ledger.NewAccount(id, time.Now(), b.options.Log)
+	b.account.Follow(func() *settings.Tree { return node.View().Tree })
+	b.reports.Count(b.account)
+	b.copier = accounting.NewCopier(accounting.CopierOptions{
+		Log:     b.options.Log,
+		Account: b.account,
+		Clients: rpc.NewClients(b.options.Process.InstanceKey, nil),
+		View:    node.View,
+	})
+	b.copier.Flush(ctx)
+}
+
+// copy copies the counters to the voters until ctx ends, and then once more:
+// after a graceful shutdown nothing of this incarnation is unknown.
+func (b *books) copy(ctx context.Context) error {
+	b.copier.Run(ctx)
+	b.account.Close()
+	b.copier.Flush(context.WithoutCancel(ctx))
+	return nil
+}
+
+// metrics is what this instance exposes.
+func (b *books) metrics(node *control.Node) *prometheus.Registry {
+	return metrics.NewRegistry(metrics.Sources{
+		Account: b.account,
+		View:    node.View,
+		CopyAge: b.copier.Age,
+		Clock:   clock.Real{},
+	})
 }
 
 func (b *books) close() error {
--- a/instance/run.go
+++ b/instance/run.go
@@ -14,7 +14,6 @@
 	"celeryport/dispatch"
 	"celeryport/entry"
 	"celeryport/event"
-	"celeryport/ledger"
 	"celeryport/metrics"
 	"celeryport/upstream/client"
 )
@@ -65,12 +64,11 @@
 	if !awaitLease(ctx, stop, node) {
 		return ctx.Err()
 	}
-	account := books.open(node)
-	server, err := newServer(options, node, books, account)
+	books.begin(ctx, node)
+	server, err := newServer(options, node, books)
 	if err != nil {
 		return err
 	}
-	copier := newCopier(ctx, options, node, account)
 	listener, err := listenTraffic(options)
 	if err != nil {
 		return err
@@ -80,7 +78,7 @@
 	copying, stopCopying := context.WithCancel(ctx)
 	group.Go(func() error { return errors.Wrap(server.Serve(listener), "serve callers") })
 	group.Go(func() error { return stateDemands(copying, node, server) })
-	group.Go(func() error { return copyCounters(copying, copier, account) })
+	group.Go(func() error { return books.copy(copying) })
 	group.Go(func() error {
 		books.reports.KeepBook(copying)
 		return nil
@@ -110,16 +108,16 @@
 	}
 }
 
-func newServer(options *Options, node *control.Node, books *books, account *ledger.Account) (*entry.Server, error) {
+func newServer(options *Options, node *control.Node, books *books) (*entry.Server, error) {
 	owner := func() string { return entry.OwnerOf(options.Process.Name, node.View().Incarnation) }
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	server, err := entry.New(entry.Options{
 		Process:    options.Process,
 		Plane:      node,
 		Dispatcher: dispatch.New(dispatch.Config{}, random),
-		Recorder:   account,
+		Recorder:   books.account,
 		Client:     client.New(nil, options.Process.EngineKey, owner, client.DefaultTiming),
-		Metrics:    metrics.Handler(metrics.NewRegistry(account, node.View, clock.Real{})),
+		Metrics:    metrics.Handler(books.metrics(node)),
 		Burn:       books.reports.BurnHandler(options.Process.OperatorKeys),
 		Log:        options.Log,
 		Clock:      clock.Real{},
--- /dev/null
+++ b/metrics/copies.go
@@ -0,0 +1,26 @@
+package metrics
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+var ledgerUncopied = gauge("ledger", "uncopied_seconds",
+	"Time since a voter last took this instance's counters. What is counted in this time is unknown if the instance is killed.")
+
+// Copies collects how old the last copy of the counters is.
+type Copies struct {
+	age func() time.Duration
+}
+
+// NewCopies returns a collector; age is the time since the last copy.
+func NewCopies(age func() time.Duration) *Copies { return &Copies{age: age} }
+
+// Describe implements prometheus.Collector.
+func (c *Copies) Describe(to chan<- *prometheus.Desc) { to <- ledgerUncopied.desc }
+
+// Collect implements prometheus.Collector.
+func (c *Copies) Collect(to chan<- prometheus.Metric) {
+	ledgerUncopied.send(to, c.age().Seconds())
+}
--- a/metrics/handler.go
+++ b/metrics/handler.go
@@ -1,6 +1,8 @@
 package metrics
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -12,12 +14,21 @@
 	"celeryport/ledger"
 )
 
+// Sources are what an instance exposes.
+type Sources struct {
+	Account *ledger.Account
+	View    func() *control.View
+	CopyAge func() time.Duration // since the counters were last copied to a voter
+	Clock   clock.Clock
+}
+
 // NewRegistry returns a registry of everything that an instance exposes.
-func NewRegistry(account *ledger.Account, view func() *control.View, c clock.Clock) *prometheus.Registry {
+func NewRegistry(s Sources) *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(
-		NewRequests(account, c),
-		NewControl(view, c),
+		NewRequests(s.Account, s.Clock),
+		NewControl(s.View, s.Clock),
+		NewCopies(s.CopyAge),
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
--- a/metrics/metric.go
+++ b/metrics/metric.go
@@ -23,7 +23,7 @@
 	desc   *prometheus.Desc
 }
 
-// all lists the metrics in the order of their definition, for docs/METRICS.md.
+// all lists the metrics, for docs/METRICS.md.
 var all []*metric
 
 func define(kind prometheus.ValueType, subsystem, name, help string, labels ...string) *metric {
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -108,12 +108,18 @@
 	account := newAccount(t)
 	countSome(account)
 	view := &control.View{HasQuorum: true}
-	registry := NewRegistry(account, func() *control.View { return view }, clock.Real{})
+	registry := NewRegistry(Sources{
+		Account: account,
+		View:    func() *control.View { return view },
+		CopyAge: func() time.Duration { return 3 * time.Second },
+		Clock:   clock.Real{},
+	})
 	var ctx fasthttp.RequestCtx
 	Handler(registry)(&ctx)
 	body := string(ctx.Response.Body())
 	for _, line := range []string{
 		"celeryport_control_quorum 1",
+		"celeryport_ledger_uncopied_seconds 3",
 		`celeryport_latency_first_token_seconds_bucket{class="counter",length="1-4k",le="0.94"} 6`,
 		`celeryport_latency_first_token_seconds_count{class="counter",length="1-4k"} 7`,
 		"go_goroutines",
--- a/metrics/table.go
+++ b/metrics/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -9,7 +10,8 @@
 func Table() string {
 	var b strings.Builder
 	b.WriteString("| Metric | Type | Labels | Meaning |\n|---|---|---|---|\n")
-	for _, m := range all {
+	sorted := slices.SortedFunc(slices.Values(all), func(a, b *metric) int { return strings.Compare(a.name, b.name) })
+	for _, m := range sorted {
 		fmt.Fprintf(&b, "| %s | %s | %s | %s |\n", m.name, m.kindName(), strings.Join(m.labels, ", "), m.help)
 	}
 	return b.String()
