Take values of settings as they are written

Cause, found by a test of keys: the INI library cut a value at any ; or #, also inside a word, and took quotes off, so a shorter key than the operator chose would have been in force. Comments need a blank before them now, quotes stay, and a value that begins with a raw quote, which the library always unquotes, is a fault.

--- a/settings/broken_test.go
+++ b/settings/broken_test.go
@@ -39,6 +39,7 @@
 	"process-short-key":            {{"keys", "operators", "does not fit"}},
 	"process-missing-key-file":     {{"keys", "instance", "can't be read"}},
 	"process-missing-section":      {{"listen", "address", "missing"}, {"control", "address", "missing"}},
+	"process-raw-quotes":           {{"keys", "instance", "begins with `"}},
 	"process-unknown-key":          {{"process", "availability_zoen", "unknown key"}},
 }
 
--- a/settings/source.go
+++ b/settings/source.go
@@ -63,6 +63,8 @@
 		AllowShadows:               true,
 		AllowDuplicateShadowValues: true,
 		IgnoreContinuation:         true,
+		SpaceBeforeInlineComment:   true,
+		PreserveSurroundedQuote:    true,
 		SkipUnrecognizableLines:    false,
 		KeyValueDelimiters:         "=",
 	}
@@ -71,6 +73,7 @@
 // readSections parses the INI text. Syntax errors, duplicate sections and keys
 // outside a section are faults. It is not ok if the text is no INI file at all.
 func readSections(content []byte, faults *collector) (sections []section, ok bool) {
+	checkQuotes(content, faults)
 	file, err := ini.LoadSources(loadOptions(), content)
 	if err != nil {
 		faults.add("", "", "not an INI file: "+err.Error(), "[section] headers and key = value lines")
