--- a/settings/parse_tree_test.go
+++ b/settings/parse_tree_test.go
@@ -7,6 +7,7 @@
 )
 
 const smallTree = `
+; weight = """3""" is a comment
 [organisation]
 tokens_per_second = 50k
 classes = counter, pattern
--- a/settings/quotes.go
+++ b/settings/quotes.go
@@ -16,6 +16,9 @@
 			name = strings.Trim(line, "[]")
 			continue
 		}
+		if strings.HasPrefix(line, "#") || strings.HasPrefix(line, ";") {
+			continue
+		}
 		key, value, _ := strings.Cut(line, "=")
 		for _, quote := range rawQuotes {
 			if strings.HasPrefix(strings.TrimSpace(value), quote) {
