--- a/settings/check_tree.go
+++ b/settings/check_tree.go
@@ -83,7 +83,7 @@
 			faults.add(name, "class", "selector matches nothing: there is no class "+quote(r.Class),
 				"names of [class.NAME] sections")
 		}
-		checkPromptLimit(tree, name, r.Limits.PromptTokens, faults)
+		checkPromptLimit(tree, name, r.PromptTokens, faults)
 	}
 }
 
--- a/settings/resolve.go
+++ b/settings/resolve.go
@@ -89,13 +89,7 @@
 	if rule.Deadline != nil {
 		r.Deadline = *rule.Deadline
 	}
-	if rule.Limits.TokensPerSecond != 0 {
-		r.Limits.TokensPerSecond = rule.Limits.TokensPerSecond
-	}
-	if rule.Limits.InFlight != 0 {
-		r.Limits.InFlight = rule.Limits.InFlight
-	}
-	if rule.Limits.PromptTokens != 0 {
-		r.Limits.PromptTokens = rule.Limits.PromptTokens
+	if rule.PromptTokens != 0 {
+		r.Limits.PromptTokens = rule.PromptTokens
 	}
 }
--- a/settings/schema_rule.go
+++ b/settings/schema_rule.go
@@ -21,11 +21,7 @@
 		key("deadline", optional(duration(leastDeadline, mostDeadline)), "",
 			func(r *Rule) **time.Duration { return &r.Deadline },
 			"Deadline of matching requests."),
-		key("tokens_per_second", rate(mostRate), "0", func(r *Rule) *float64 { return &r.Limits.TokensPerSecond },
-			"Replaces the organisation's limit for matching requests; 0: does not."),
-		key("in_flight", count(0, mostCount), "0", func(r *Rule) *int { return &r.Limits.InFlight },
-			"Replaces the organisation's limit for matching requests; 0: does not."),
-		key("prompt_tokens", count(0, mostTokens), "0", func(r *Rule) *int { return &r.Limits.PromptTokens },
-			"Replaces the organisation's limit for matching requests; 0: does not."),
+		key("prompt_tokens", count(0, mostTokens), "0", func(r *Rule) *int { return &r.PromptTokens },
+			"Longest prompt of matching requests, in place of the organisation's limit; 0: that limit."),
 	},
 }
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -42,7 +42,7 @@
 	Objectives Objectives
 }
 
-// Limits bound what one organisation, or one rule, may use over the fleet.
+// Limits bound what one organisation may use over the fleet.
 // Zero means no limit.
 type Limits struct {
 	TokensPerSecond float64 // prompt and answer tokens admitted a second
@@ -70,7 +70,7 @@
 	Admit        *bool
 	Priority     *int
 	Deadline     *time.Duration
-	Limits       Limits
+	PromptTokens int // longest prompt, 0: that of the organisation
 }
 
 // Length is one length class: prompts of at most UpTo estimated tokens that fit
