Ask the voters of the process settings while no control group names any

After a restart without a majority an instance knows no other, and its report showed its own book as all there is. It asks the voters of its settings then and names those that do not answer; without that the test sees no missing book.

--- a/accounting/fleet_test.go
+++ b/accounting/fleet_test.go
@@ -44,6 +44,7 @@
 	tree      *settings.Tree
 	log       logrus.FieldLogger
 	folder    func() string
+	blind     bool // no control group has named any instance
 	instances []*testInstance
 }
 
@@ -89,6 +90,9 @@
 
 func (f *testFleet) view() *control.View {
 	view := &control.View{Tree: f.tree}
+	if f.blind {
+		return view
+	}
 	for _, i := range f.instances {
 		state := membership.Live
 		if !i.up {
@@ -101,6 +105,17 @@
 	return view
 }
 
+// members are the voters as every process has them in its settings.
+func (f *testFleet) members() []settings.Member {
+	var members []settings.Member
+	for _, i := range f.instances {
+		if i.voter {
+			members = append(members, settings.Member{ID: i.name, Address: i.address()})
+		}
+	}
+	return members
+}
+
 func (f *testFleet) at(address string) *testInstance {
 	for _, i := range f.instances {
 		if i.address() == address && i.up {
@@ -137,6 +152,7 @@
 	})
 	i.reporter = NewReporter(ReporterOptions{
 		Log: i.fleet.log, Operations: i, View: i.fleet.view, Book: i.book, Address: i.address(), Clock: i.fleet,
+		Voters: i.fleet.members(),
 	})
 	i.reporter.Count(i.account)
 	i.listener = fasthttputil.NewInmemoryListener()
--- a/accounting/gather.go
+++ b/accounting/gather.go
@@ -46,8 +46,13 @@
 
 // gather asks this and all other instances that are not known to be gone.
 func (r *Reporter) gather(ctx context.Context) knowledge {
-	listed, addresses := r.listed()
 	books := r.voters()
+	listed, addresses := r.listed()
+	for address := range books {
+		if !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
 	var mu sync.Mutex
 	var dumps []*ledger.Dump
 	var group errgroup.Group
@@ -88,6 +93,12 @@
 			}
 		}
 	}
+	if len(voters) > 0 {
+		return voters
+	}
+	for _, member := range r.opts.Voters {
+		voters[member.Address] = member.ID
+	}
 	return voters
 }
 
--- a/accounting/join_test.go
+++ b/accounting/join_test.go
@@ -68,3 +68,23 @@
 		t.Errorf("%+v", report.Total)
 	}
 }
+
+// All processes restart while two of three voters stay lost, so no control group
+// names any instance. The voter that is left must not take its own book for all
+// there is, without a word of the others.
+func TestReportWithoutAControlGroupNamesTheMissingVoters(t *testing.T) {
+	f := newFleetOf(t, 3, 1)
+	countServed(f, f.instances[3], 5)
+	f.stop()
+	f.blind = true
+	f.instances[0].start(t)
+	report := f.instances[0].reporter.Report(context.Background(), ledger.Query{})
+	if len(report.MissingBooks) != 2 || report.Total.Served != 5 {
+		t.Errorf("missing %v, served %d", report.MissingBooks, report.Total.Served)
+	}
+	f.instances[1].start(t)
+	report = f.instances[0].reporter.Report(context.Background(), ledger.Query{})
+	if len(report.MissingBooks) != 1 {
+		t.Errorf("missing %v after one came back", report.MissingBooks)
+	}
+}
--- a/accounting/reporter.go
+++ b/accounting/reporter.go
@@ -12,6 +12,7 @@
 	"celeryport/clock"
 	"celeryport/control"
 	"celeryport/ledger"
+	"celeryport/settings"
 	"celeryport/verdict"
 )
 
@@ -30,7 +31,11 @@
 	View       func() *control.View
 	Book       *ledger.Book // nil on an instance that is no voter
 	Address    string       // this instance's own control address
-	Clock      clock.Clock  // nil: the machine's
+	// Voters are those of the process settings. They are asked as long as the
+	// control group has named none: without a majority a restarted instance would
+	// otherwise take its own book for all there is.
+	Voters []settings.Member
+	Clock  clock.Clock // nil: the machine's
 }
 
 // Reporter answers operators' reports on any instance: it asks all of them for
--- a/instance/books.go
+++ b/instance/books.go
@@ -61,6 +61,7 @@
 		View:       node.View,
 		Book:       b.book,
 		Address:    b.options.Process.ControlAdvertise,
+		Voters:     b.options.Process.Voters,
 	})
 }
 
