--- a/control/group.go
+++ b/control/group.go
@@ -191,59 +191,6 @@
 	return g.node.Compact(snapshot)
 }
 
-// leads reports whether this voter leads and has applied an entry of its own
-// term, and which term that is.
-func (g *group) leads() (bool, uint64) {
-	if g.node == nil {
-		return false, 0
-	}
-	s := g.node.Status()
-	return s.Role == consensus.Leader && g.appliedTerm == s.Term, s.Term
-}
-
-// leaseValid reports whether no other leader can have been elected by now.
-func (g *group) leaseValid(now time.Time) bool { return g.node != nil && g.node.HasLease(now) }
-
-// voters returns the voters of the configuration in force.
-func (g *group) voters() []consensus.Member {
-	if g.node == nil {
-		return nil
-	}
-	return g.node.Status().Configuration.Voters
-}
-
-// leaderAddress returns the control address of the leader, if known.
-func (g *group) leaderAddress() string {
-	if g.node == nil {
-		return ""
-	}
-	s := g.node.Status()
-	for _, m := range s.Configuration.Voters {
-		if m.ID == s.Leader {
-			return m.Address
-		}
-	}
-	return ""
-}
-
-// handOver gives the leadership to the voter that has most of the log, before
-// this instance leaves.
-func (g *group) handOver(now time.Time) {
-	if g.node == nil {
-		return
-	}
-	s := g.node.Status()
-	best := consensus.PeerStatus{}
-	for _, p := range s.Peers {
-		if p.Voter && p.Match >= best.Match {
-			best = p
-		}
-	}
-	if s.Role == consensus.Leader && best.ID != "" {
-		_ = g.node.TransferLeadership(now, best.ID) // refused: the others elect after this one is gone
-	}
-}
-
 func (g *group) close() {
 	for _, p := range g.peers {
 		p.close()
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -94,6 +94,7 @@
 func (answering) Consensus(context.Context, *ConsensusRequest) (*ConsensusResponse, error) {
 	return &ConsensusResponse{}, nil
 }
+
 func (answering) Claim(context.Context, *ClaimRequest) (*ClaimResponse, error) {
 	return &ClaimResponse{}, nil
 }
