--- a/control/group.go
+++ b/control/group.go
@@ -160,6 +160,7 @@
 	eventVoterChange.Log(g.core.log, event.Fields{"voters": c.Voters, "learners": c.Learners})
 	g.machine.Configure(e.Index, c)
 	g.core.node.claimVoter.enter(g.machine.Epoch())
+	g.dropPeers(&c)
 	return nil
 }
 
--- a/control/peer.go
+++ b/control/peer.go
@@ -73,6 +73,17 @@
 
 func (p *peer) close() { p.cancel() }
 
+// dropPeers ends the senders to those that are no members any more.
+func (g *group) dropPeers(c *consensus.Configuration) {
+	for id, p := range g.peers {
+		if !c.Voter(id) && !c.Learner(id) {
+			p.close()
+			delete(g.peers, id)
+			delete(g.senders, id)
+		}
+	}
+}
+
 // sendAll hands the messages to the peers, after the sync that they promise.
 func (g *group) sendAll(messages []consensus.Message) {
 	if len(messages) == 0 {
--- a/control/voters.go
+++ b/control/voters.go
@@ -110,7 +110,7 @@
 			return encode(status)
 		}
 		if !n.pause(ctx, n.opts.Timing.Retry) {
-			if errors.Is(refused, errNoCandidate) {
+			if waitsForInstance(refused) {
 				return nil, refused
 			}
 			return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonTimeout,
@@ -119,11 +119,17 @@
 	}
 }
 
+// waitsForInstance reports whether nothing was done yet, for want of the new
+// instance's first sync.
+func waitsForInstance(err error) bool {
+	return errors.Is(err, errNoCandidate) || errors.Is(err, errSameFolder)
+}
+
 // passing reports whether a refusal ends by itself: an instance that just
 // starts, a change that is not committed yet, or a learner that still copies the
 // log.
 func passing(err error) bool {
-	if errors.Is(err, errNoCandidate) {
+	if waitsForInstance(err) {
 		return true
 	}
 	var refused *consensus.RefusedError
@@ -194,6 +200,12 @@
 var errNoCandidate = verdict.Refuse(verdict.ReasonNotLeader, 0,
 	"no live instance of this name with voter = true and a data folder is known")
 
+// errSameFolder says that the new voter still is the old one. It just restarted
+// with an empty folder and did not sync yet, or it has its disk and needs no
+// replacement.
+var errSameFolder = verdict.Refuse(verdict.ReasonNotLeader, 0,
+	"the instance still has the data folder of the voter that it shall replace")
+
 // newMember finds the instance that shall become a voter.
 func (l *leader) newMember(request *ReplaceRequest) (consensus.Member, error) {
 	if request.New == "" {
@@ -205,7 +217,7 @@
 		return consensus.Member{}, errNoCandidate
 	}
 	if id == request.Old {
-		return consensus.Member{}, verdict.Refuse(verdict.ReasonBadRequest, 0, "voter %s can't replace itself", id)
+		return consensus.Member{}, errSameFolder
 	}
 	return consensus.Member{ID: id, Address: instance.ControlAddress}, nil
 }
