Check that the commands in the pages exist

Every command line that a page shows is looked up in the command tree, with its flags. With a command and a flag misspelt in docs/BURN.md the test names both.

--- /dev/null
+++ b/cli/docs_test.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	urfave "github.com/urfave/cli/v3"
+)
+
+// shownCommand is a command line in a page: alone on an indented line, or inside
+// a line between backquotes.
+var shownCommand = regexp.MustCompile("(?m)(?:^    |`)(?:bin/)?celeryport ([^`\n]*)")
+
+// An operator copies a command from a page while something is on fire. One whose
+// name or flag has changed since costs the minutes that matter.
+func TestCommandsInThePagesExist(t *testing.T) {
+	pages, err := filepath.Glob("../docs/*.md")
+	if err != nil || len(pages) == 0 {
+		t.Fatalf("no pages: %v", err)
+	}
+	root := &urfave.Command{Commands: commands(io.Discard, io.Discard)}
+	found := 0
+	for _, page := range append(pages, "../README.md") {
+		text, err := os.ReadFile(page)
+		if os.IsNotExist(err) {
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		joined := strings.ReplaceAll(string(text), "\\\n", " ")
+		for _, match := range shownCommand.FindAllStringSubmatch(joined, -1) {
+			found++
+			checkShown(t, root, filepath.Base(page), strings.Fields(match[1]))
+		}
+	}
+	if found == 0 {
+		t.Error("no page shows any command")
+	}
+}
+
+func checkShown(t *testing.T, root *urfave.Command, page string, words []string) {
+	t.Helper()
+	command := root
+	for _, word := range words {
+		if name, isFlag := strings.CutPrefix(word, "--"); isFlag {
+			name, _, _ = strings.Cut(strings.TrimRight(name, ".,;:)"), "=")
+			if !hasFlag(command, name) {
+				t.Errorf("%s: celeryport %s: there is no flag --%s", page, strings.Join(words, " "), name)
+			}
+			continue
+		}
+		if sub := subcommand(command, word); sub != nil {
+			command = sub
+		}
+	}
+	if command == root {
+		t.Errorf("%s: there is no command celeryport %s", page, strings.Join(words, " "))
+	}
+}
+
+func subcommand(command *urfave.Command, name string) *urfave.Command {
+	for _, sub := range command.Commands {
+		if sub.Name == name {
+			return sub
+		}
+	}
+	return nil
+}
+
+func hasFlag(command *urfave.Command, name string) bool {
+	for _, flag := range command.Flags {
+		if slices.Contains(flag.Names(), name) {
+			return true
+		}
+	}
+	return name == "help"
+}
