Run fleets of real processes one at a time, and four packages at a time

TestVotersAsProcesses and TestReportAgainstOthersCounts failed once each while four fleets of processes and the race detector shared twelve busy cores (load 25): an instance was starved past its lease, which is what a lease is for. Their checks stay as they are; they no longer compete with one another.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	go build -trimpath -o bin/celeryport ./cmd/celeryport
 
 test:
-	go test -race ./...
+	go test -race -p 4 ./...
 
 $(LINT):
 	mkdir -p $(TOOLS)
--- a/cli/traffic_process_test.go
+++ b/cli/traffic_process_test.go
@@ -148,7 +148,6 @@
 func TestGracefulShutdownUnderLoadCutsOffNothing(t *testing.T) {
 	// An operator restarts an instance while callers send. Whoever is cut off has
 	// a client waiting at the counter, or a cabinet that stays locked.
-	t.Parallel()
 	f := startTrafficFleet(t, 1, 2)
 	leaving := f.processes[2]
 	report := f.load(300, func() {
@@ -169,7 +168,6 @@
 	// An instance and an engine are killed under load. Callers whose answers broke
 	// off must be told so truly, nothing may run twice that must not, and the
 	// engines that live must not keep memory for an instance that is gone.
-	t.Parallel()
 	f := startTrafficFleet(t, 1, 2)
 	report := f.load(300, func() {
 		f.kill(2)
@@ -202,7 +200,6 @@
 	// Callers lose answers and send their holds again, through other instances, at
 	// the same time, while a voter and an entry instance are killed and the service
 	// closes connections after reading. A hold that runs twice cuts a bolt twice.
-	t.Parallel()
 	f := startTrafficFleet(t, 3, 2, "--fault", string(standin.FaultCloseAfterRead)+":10")
 	var callers sync.WaitGroup
 	for i := range resentKeys * resendsEach {
--- a/cli/voters_process_test.go
+++ b/cli/voters_process_test.go
@@ -107,7 +107,6 @@
 	// change the settings; two come back when 500 changes have gone by. Operators
 	// must find every accepted change in force everywhere, and an order whose
 	// answer was lost must get its first outcome.
-	t.Parallel()
 	f := startProcessFleet(t, 5, 0)
 	first, code := f.apply(0, "first", 1)
 	if code != ExitDone {
