--- /dev/null
+++ b/control/relay/fuzz_test.go
@@ -0,0 +1,40 @@
+package relay
+
+import (
+	"testing"
+
+	"celeryport/upstream"
+)
+
+func FuzzReceiverTake(f *testing.F) {
+	// Another instance of a faulty or newer version sends what no sender would.
+	// The control goroutine must refuse it, not fall over with the whole instance.
+	s := NewSender()
+	for second := range 2 {
+		changes := []upstream.Relayed{{Announcement: announcement(1, second)}, {Announcement: announcement(2, second)}}
+		if err := s.Add(testStart, changes); err != nil {
+			f.Fatal(err)
+		}
+	}
+	for _, position := range []uint64{0, 1} {
+		delta, err := s.Since(testStart, position)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(delta)
+	}
+	f.Fuzz(func(t *testing.T, delta []byte) {
+		r := NewReceiver()
+		full, err := s.Since(testStart, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := r.Take(full, 0); err != nil {
+			t.Fatal(err)
+		}
+		relayed, err := r.Take(delta, 0)
+		if err != nil && relayed != nil {
+			t.Fatal("a refused delta gave upstreams")
+		}
+	})
+}
