Drain until a leader has taken it in

Cause: Drain sent one sync. A redirection counted as success, and an unknown leader as failure, so an instance that drained while the leader changed was still handed out. Seen to fail with a single sync: the test's Drain returns an error right after the leader's crash.

--- a/control/leader.go
+++ b/control/leader.go
@@ -15,7 +15,6 @@
 	core         *core
 	epoch        string
 	term         uint64
-	since        time.Time
 	table        *membership.Table
 	polls        []poll
 	allocation   *allocation
@@ -45,7 +44,6 @@
 		core:       c,
 		epoch:      fmt.Sprintf("%s/%d/%d", c.self.Name, c.self.Incarnation, term),
 		term:       term,
-		since:      now,
 		table:      membership.NewTable(now, c.timing.Membership),
 		allocation: newAllocation(c.timing.Membership.Lease + c.timing.Membership.Margin),
 		ids:        map[string]consensus.ID{},
--- a/control/node.go
+++ b/control/node.go
@@ -91,13 +91,18 @@
 // Traffic returns the counters of the calls that this node made to others.
 func (n *Node) Traffic() *rpc.Stats { return n.clients.Stats() }
 
-// Drain implements Plane: it tells the leader, waits until the leader knows, and
-// then hands over the leadership if this instance holds it.
+// Drain implements Plane: it hands over the leadership if this instance holds it,
+// and tells the leader until one has taken it in.
 func (n *Node) Drain(ctx context.Context) error {
 	if err := n.do(ctx, func(now time.Time) { n.core.drain(now) }); err != nil {
 		return err
 	}
-	return n.syncOnce(ctx, 0)
+	for {
+		err := n.syncOnce(ctx, 0)
+		if err == nil || !n.pause(ctx, n.opts.Timing.Retry) {
+			return err
+		}
+	}
 }
 
 // do runs a task on the control goroutine and waits for its end.
--- a/control/syncclient.go
+++ b/control/syncclient.go
@@ -17,7 +17,8 @@
 func (n *Node) runSync(ctx context.Context) error {
 	go n.runUrgentSync(ctx)
 	for {
-		if err := n.syncOnce(ctx, n.opts.Timing.Sync); err != nil {
+		err := n.syncOnce(ctx, n.opts.Timing.Sync)
+		if err != nil && !errors.Is(err, errAgain) {
 			if !n.pause(ctx, n.opts.Timing.Retry) {
 				return ctx.Err()
 			}
@@ -59,6 +60,10 @@
 	}
 }
 
+// errAgain ends a sync that reached nobody who took it in, but whose answer says
+// how the next one will.
+var errAgain = errors.New("the sync must be sent again")
+
 // errNoVoter ends a sync that found nobody to ask.
 var errNoVoter = errors.New("no voter answered")
 
--- a/control/synctake.go
+++ b/control/synctake.go
@@ -25,7 +25,7 @@
 			c.position.leader = ""
 			return errNoVoter
 		}
-		return nil
+		return errAgain
 	}
 	if r.Superseded > 0 {
 		c.position.stated = false
@@ -33,7 +33,7 @@
 	}
 	if r.Restate {
 		c.position.stated = false
-		return nil
+		return errAgain
 	}
 	c.accepted = true
 	c.takeEpoch(r.Epoch, target)
