Send nothing to an upstream that has been silent for too long by now

Cause: the scheduler took an upstream's state from the last view only. With the control goroutine hanging, or an instance that is cut off and gets no newer view, requests went on to an upstream that had left, without end. Ruled out: the registry, which states the time up to which each upstream is fresh. The table of nodes now keeps that time and takes nodes out by itself.

--- a/dispatch/offer.go
+++ b/dispatch/offer.go
@@ -16,6 +16,7 @@
 // Offer implements Dispatcher.
 func (s *Scheduler) Offer(now time.Time, r *request.Request) {
 	s.begin()
+	s.table.Expire(now)
 	account := s.account(r.Organisation)
 	account.Offered(now, r.Tokens())
 	lanes := s.lanesOf(r.Target)
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -23,6 +23,7 @@
 
 // pumpLane sends from one lane until the heads of its lines find no place.
 func (s *Scheduler) pumpLane(now time.Time, lane *laneQueue) {
+	s.table.Expire(now)
 	pool := s.table.Pool(lane.target)
 	if pool == nil {
 		return
--- a/routing/node.go
+++ b/routing/node.go
@@ -24,10 +24,12 @@
 	report   report
 	prefixes *upstream.Prefixes
 	heardAt  time.Time
-	targets  []string
-	seen     uint64 // view revision in which it was present last
-	inLane   bool   // of the long lane of its pool
-	denied   bool   // refused a part of a span since its last report
+	// freshUntil is when it turns silent even if no newer view comes; zero: never.
+	freshUntil time.Time
+	targets    []string
+	seen       uint64 // view revision in which it was present last
+	inLane     bool   // of the long lane of its pool
+	denied     bool   // refused a part of a span since its last report
 
 	inFlight int
 	sends    []*Send // in flight, in no order
@@ -150,6 +152,7 @@
 	n.prefixes = u.Prefixes
 	n.targets = a.Targets
 	n.heardAt = u.HeardAt
+	n.freshUntil = u.FreshUntil
 	if !u.LoadAt.After(n.report.at) {
 		return
 	}
--- a/routing/table.go
+++ b/routing/table.go
@@ -14,6 +14,8 @@
 	seen  uint64
 	rank  int
 	peers int
+	// staleAt is when the next node turns silent by the present view.
+	staleAt time.Time
 }
 
 type nodeKey struct {
@@ -43,6 +45,7 @@
 		}
 	}
 	t.forget()
+	t.staleAt = t.nextStale()
 	t.Rebuild(now)
 }
 
