Copy votes between voters one part at a time

A voter that entered an epoch asked every previous voter for all sixteen parts of its table at once. A full table has some 3 MB in each part (150,000 votes, worked out from 350 bytes of JSON a vote), so the answers of three voters would have taken more than an instance's 128 MB. Now one part of each voter is on the way. Asked for all at once again, TestVotesAreCopiedInParts finds dozens of messages on the way. Sixteen round trips in place of one; a voter change is rare.

--- a/claim/copier.go
+++ b/claim/copier.go
@@ -64,8 +64,11 @@
 		v.state.Complete = e.Number // the first epoch: nothing was claimed before
 	}
 	v.storeState()
+	before := v.copier.target.Number
 	v.copier.begin(v)
-	v.copier.ask(v)
+	if v.copier.target.Number != before {
+		v.copier.ask(v) // else it has asked already
+	}
 }
 
 func (v *Voter) storeState() {
@@ -91,27 +94,32 @@
 	}
 }
 
-// ask requests the parts that are missing from every voter that may have them.
+// ask requests a part that is missing from every voter that may have it. It is
+// called again from time to time, because messages get lost.
 func (c *copier) ask(v *Voter) {
 	if c.target.Number == 0 {
 		return
 	}
 	for _, id := range c.sources(v) {
-		if _, done := c.finished[id]; id == v.cfg.ID || done {
-			continue
-		}
-		for b := range buckets {
-			if p := c.from[id]; p == nil && b > 0 || p != nil && p.got[b] {
-				continue // the first part tells whether the voter can help
-			}
-			v.messages = append(v.messages, Message{
-				Kind: CopyRequest, From: v.cfg.ID, To: id, Epoch: c.target.Number, Bucket: b,
-			})
+		if _, done := c.finished[id]; id != v.cfg.ID && !done {
+			c.askNext(v, id)
 		}
 	}
 	c.decide(v)
 }
 
+// askNext requests one part of a voter's votes. One at a time: a full table has
+// some three megabytes in each, and all at once would take a voter's memory.
+func (c *copier) askNext(v *Voter, id consensus.ID) {
+	bucket := 0
+	if p := c.from[id]; p != nil {
+		bucket = slices.Index(p.got[:], false)
+	}
+	v.messages = append(v.messages, Message{
+		Kind: CopyRequest, From: v.cfg.ID, To: id, Epoch: c.target.Number, Bucket: bucket,
+	})
+}
+
 // sources returns the previous voters, and those of the newest epoch, which may
 // be complete already.
 func (c *copier) sources(v *Voter) []consensus.ID {
@@ -142,8 +150,7 @@
 		return // it does not know the earlier epochs itself yet
 	}
 	p := c.from[m.From]
-	first := p == nil
-	if first {
+	if p == nil {
 		p = &parts{complete: m.Complete}
 		c.from[m.From] = p
 	}
@@ -157,13 +164,11 @@
 	for _, vote := range m.Votes {
 		v.adopt(now, vote)
 	}
-	if p.count == buckets {
-		c.finished[m.From] = p.complete
-	}
-	if first {
-		c.ask(v)
+	if p.count < buckets {
+		c.askNext(v, m.From)
 		return
 	}
+	c.finished[m.From] = p.complete
 	c.decide(v)
 }
 
--- a/claim/epoch_test.go
+++ b/claim/epoch_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -164,3 +165,34 @@
 	w.run(2 * time.Second)
 	w.expect(second, Expired)
 }
+
+// A new voter copies from voters with full tables. Asked for everything at once,
+// they would send hundreds of megabytes to an instance that has 128.
+func TestVotesAreCopiedInParts(t *testing.T) {
+	w := newNetwork(t, 26, "a", "b", "c")
+	for i := range 200 {
+		w.claim(fmt.Sprint("k", i))
+	}
+	w.run(time.Second)
+	w.change("a", "b", "c", "d")
+	for _, h := range w.hosts {
+		w.enterAll(h)
+	}
+	w.run(5 * time.Second)
+	w.wire = nil
+	d := w.addHost("d")
+	for len(w.wire) > 0 {
+		largest, open := 0, 0
+		for _, m := range w.wire {
+			largest = max(largest, len(m.Votes))
+			open++
+		}
+		if open > 3+2 || largest > 60 { // of three voters, and what is left of the first epoch
+			t.Fatalf("%d messages on the way, with up to %d votes", open, largest)
+		}
+		w.deliver(0, false)
+	}
+	if !d.voter.Status().Complete || d.voter.Status().Votes != 200 {
+		t.Fatalf("copied: %+v", d.voter.Status())
+	}
+}
