Crash the log in the middle of its start too

The crash test drew short sequences and never crashed a start. It now makes 100 calls a run from one seed, with crashes in up to any number of starts in a row, and gives each start its own randomness: with the same one, an identity made anew would have looked like the old one. Broken by hand as before (no folder sync, no new file at the start, a tail of another history, entries that do not follow), it still fails each time.

--- a/wal/crash_test.go
+++ b/wal/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math/rand/v2"
 	"os"
 	"reflect"
 	"testing"
@@ -24,6 +25,7 @@
 // model is what a voter may rely on: what calls that returned have stored.
 type model struct {
 	t     *rapid.T
+	rng   *rand.Rand
 	disk  *memFS
 	log   *Log
 	acked consensus.Storage
@@ -35,11 +37,12 @@
 // the one call that had not returned.
 func TestCrashesLoseNothingThatWasStored(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{t: t, disk: newMemFS(rapid.Uint64().Draw(t, "seed"))}
+		seed := rapid.Uint64().Draw(t, "seed")
+		m := &model{t: t, disk: newMemFS(seed), rng: rand.New(rand.NewPCG(seed, 9))}
 		m.reopen(m.acked)
-		for range rapid.IntRange(1, 40).Draw(t, "calls") {
-			if rapid.IntRange(0, 3).Draw(t, "crash") == 0 {
-				m.disk.steps = rapid.IntRange(0, 8).Draw(t, "steps")
+		for range 100 {
+			if m.rng.IntN(4) == 0 {
+				m.disk.steps = m.rng.IntN(9)
 			}
 			next := m.call()
 			if m.log.Failed() == nil {
@@ -47,19 +50,37 @@
 				m.disk.steps = -1
 				continue
 			}
-			if rapid.Bool().Draw(t, "power") {
-				m.disk.powerFailure()
+			m.crash()
+			for m.rng.IntN(2) == 0 { // also in the middle of the next start
+				m.disk.steps = m.rng.IntN(12)
+				o := m.options()
+				_, _, _ = Open(folder, "ortigia", m.disk, o)
+				m.crash()
 			}
-			m.disk.restart()
 			m.reopen(next)
 		}
 	})
 }
 
+// options have a new source of randomness for each start, as processes do.
+func (m *model) options() Options {
+	o, _ := options(200)
+	o.Random = rand.NewChaCha8([32]byte{0: byte(m.rng.Uint32()), 1: byte(m.rng.Uint32())})
+	return o
+}
+
+// crash ends the process, and half of the time the machine too.
+func (m *model) crash() {
+	if m.rng.IntN(2) == 0 {
+		m.disk.powerFailure()
+	}
+	m.disk.restart()
+}
+
 // reopen starts again and checks that the state is what was acknowledged, or
 // with the interrupted call.
 func (m *model) reopen(interrupted consensus.Storage) {
-	o, _ := options(200)
+	o := m.options()
 	l, state, err := Open(folder, "ortigia", m.disk, o)
 	if err != nil {
 		m.t.Fatalf("open after a crash: %v", err)
@@ -78,7 +99,7 @@
 func (m *model) call() consensus.Storage {
 	next := clone(m.acked)
 	last := next.Snapshot.Index + uint64(len(next.Entries))
-	kind := rapid.IntRange(0, 4).Draw(m.t, "call")
+	kind := m.rng.IntN(5)
 	switch {
 	case kind == 0 && last > 0: // a snapshot of its own
 		next.Snapshot = consensus.Snapshot{Index: last, Term: termAt(next, last), Configuration: voters("v1"), Data: []byte("{}")}
@@ -86,16 +107,16 @@
 		_ = m.log.SaveSnapshot(next.Snapshot)
 		return next
 	case kind == 1: // a snapshot from the leader, of another history than this log's tail
-		ahead := uint64(rapid.IntRange(1, len(next.Entries)+2).Draw(m.t, "ahead"))
+		ahead := uint64(1 + m.rng.IntN(len(next.Entries)+2))
 		next.Snapshot = consensus.Snapshot{Index: next.Snapshot.Index + ahead, Term: next.HardState.Term + 1, Configuration: voters("v2")}
 		next.Entries = nil
 		_ = m.log.SaveSnapshot(next.Snapshot)
 		return next
 	}
 	// New entries, from some index behind the snapshot on.
-	from := last + 1 - uint64(rapid.IntRange(0, min(2, len(next.Entries))).Draw(m.t, "replaced"))
+	from := last + 1 - uint64(m.rng.IntN(min(2, len(next.Entries))+1))
 	next.HardState.Term++
-	added := entries(from, from+uint64(rapid.IntRange(0, 3).Draw(m.t, "count")), next.HardState.Term)
+	added := entries(from, from+uint64(m.rng.IntN(4)), next.HardState.Term)
 	next.Entries = append(next.Entries[:from-next.Snapshot.Index-1], added...)
 	_ = m.log.Append(&next.HardState, added)
 	return next
