Let the long lane have more nodes while the fleet is overloaded

While more than ten seconds of work wait over the fleet, that room is sized for 40% instead, and the slack of holding back is 10%.

--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -10,7 +10,7 @@
 // shareSlack is by how much an organisation may be ahead of another one that
 // waits in another instance. Grants are half a second old, so a smaller slack
 // would hold back one instance for what another one has already sent.
-const shareSlack = 1.05
+const shareSlack = 1.1
 
 // contendedBacklog is the waiting work, as time of the whole pool, from which
 // organisations hold back for others. Below it the queues are what chance makes
--- a/routing/lane.go
+++ b/routing/lane.go
@@ -43,6 +43,11 @@
 const (
 	laneTarget  = 0.95
 	smallTarget = 0.25
+
+	// While more waits than backlogSeconds of the whole pool, small prompts give
+	// up some of their room: at overload every idle node is a refused prompt.
+	overloadTarget = 0.4
+	backlogSeconds = 10.0
 )
 
 // backlogPerNode is how many seconds of waiting prefill bring one more node into
@@ -96,7 +101,11 @@
 	}
 	load := l.load.Long + l.load.Middle
 	size := int(math.Ceil(load/laneTarget*float64(n)) + l.backlog/backlogPerNode)
-	kept := int(math.Ceil(l.load.Small / smallTarget * float64(n)))
+	target := smallTarget
+	if l.backlog > backlogSeconds*float64(n) {
+		target = overloadTarget
+	}
+	kept := int(math.Ceil(l.load.Small / target * float64(n)))
 	return min(max(size, 1), max(n-kept, 1), n)
 }
 
