--- a/claim/cases_test.go
+++ b/claim/cases_test.go
@@ -84,6 +84,22 @@
 	w.expect(third, Split)
 }
 
+// Two of three voters are gone. The caller must hear soon, and not at its own
+// far deadline, that nothing was run.
+func TestNoMajorityIsToldSoon(t *testing.T) {
+	w := newNetwork(t, 12, "a", "b", "c")
+	w.crash(w.host("b"))
+	w.crash(w.host("c"))
+	c := w.claimAt("hold", w.newest(), time.Hour)
+	w.run(time.Second)
+	w.expect(c, NoMajority)
+	w.start(w.host("b"))
+	w.run(time.Second)
+	again := w.claim("hold")
+	w.run(time.Second)
+	w.expect(again, Won)
+}
+
 // A claimant's process is frozen with the last vote on its way, and wakes after
 // its deadline. Its caller was told long ago that the request failed, and may
 // have sent it again under another key.
@@ -216,14 +232,14 @@
 		if h.voter.Status().Votes != 0 {
 			t.Fatalf("%s still holds the vote", h.id)
 		}
-		h.voter.cfg.Lifetime = 10 * testLifetime
+		h.voter.SetLifetime(10 * testLifetime)
 		h.disk = h.voter.Records()
 		if h.id == "b" {
 			h.skew = -2 * testLifetime
 		}
 		w.crash(h)
 		w.start(h)
-		h.voter.cfg.Lifetime = 10 * testLifetime
+		h.voter.SetLifetime(10 * testLifetime)
 	}
 	resent := w.claim(key)
 	w.run(time.Second)
@@ -267,7 +283,7 @@
 	w.run(11 * time.Second)
 	w.expect(third, NoMajority)
 	w.expect(again, Lost)
-	if s := w.host("a").voter.Status(); s.Votes != 2 || s.AnswerBytes > 4 {
+	if s := w.host("a").voter.Status(); !s.Full || s.Votes != 2 || s.AnswerBytes > 4 {
 		t.Fatalf("the voter holds %+v", s)
 	}
 }
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -122,7 +123,7 @@
 
 // bench is a server with upstreams and callers, all in memory.
 type bench struct {
-	t       *testing.T
+	t       testing.TB
 	server  *Server
 	plane   *fakePlane
 	counts  *counter
@@ -142,6 +143,8 @@
 	mu       sync.Mutex
 	calls    []string // paths, cancels and holdings left out
 	cancels  []wire.CancelRequest
+	deaf     int            // so many cancels are read and not answered
+	held     []wire.Holding // listed, less what was cancelled
 }
 
 // script answers one call on a connection.
@@ -149,13 +152,13 @@
 
 // newBench starts a server before the scripted upstreams: names that start with
 // e are engines of sarto, the others upstreams of the service cassa.
-func newBench(t *testing.T, upstreams map[string]script) *bench {
+func newBench(t testing.TB, upstreams map[string]script) *bench {
 	t.Helper()
 	return newBenchWith(t, upstreams, dispatch.New(dispatch.Config{}, rand.New(rand.NewPCG(1, 2))))
 }
 
 // newBenchWith is newBench with another dispatcher.
-func newBenchWith(t *testing.T, upstreams map[string]script, dispatcher dispatch.Dispatcher) *bench {
+func newBenchWith(t testing.TB, upstreams map[string]script, dispatcher dispatch.Dispatcher) *bench {
 	t.Helper()
 	tree, err := settings.ParseTree("tree.ini", []byte(testTree+settings.HashKey(testKey)+testTreeRest))
 	if err != nil {
@@ -200,7 +203,7 @@
 		b.peers[name] = f
 		go f.run()
 		a := upstream.Announcement{
-			Name: name, Incarnation: 1, Sequence: 1, Address: name, MemoryTokens: 400_000, Slots: 16,
+			Name: name, Incarnation: 1, Sequence: 1, Address: name, MemoryTokens: 2_000_000, Slots: 16,
 			Kind: upstream.Engine, Targets: []string{"sarto"}, Load: upstream.Load{PrefillRate: 20_000},
 		}
 		if name[0] != 'e' {
@@ -261,12 +264,14 @@
 	case wire.PathCancel:
 		var c wire.CancelRequest
 		_ = json.Unmarshal(r.Body(), &c)
+		if f.cancel(c) {
+			answerJSON(conn, wire.CancelResponse{Cancelled: 1})
+		}
+	case wire.PathHoldings:
 		f.mu.Lock()
-		f.cancels = append(f.cancels, c)
+		held := append([]wire.Holding(nil), f.held...)
 		f.mu.Unlock()
-		answerJSON(conn, wire.CancelResponse{Cancelled: 1})
-	case wire.PathHoldings:
-		answerJSON(conn, wire.Holdings{Incarnation: 1})
+		answerJSON(conn, wire.Holdings{Incarnation: 1, Held: held})
 	default:
 		f.mu.Lock()
 		f.calls = append(f.calls, path)
@@ -275,6 +280,21 @@
 	}
 }
 
+// cancel takes a cancel and reports whether it is answered.
+func (f *fakeUpstream) cancel(c wire.CancelRequest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancels = append(f.cancels, c)
+	if f.deaf > 0 {
+		f.deaf--
+		return false
+	}
+	f.held = slices.DeleteFunc(f.held, func(h wire.Holding) bool {
+		return h.Request == c.Request && h.Owner == c.Owner
+	})
+	return true
+}
+
 func (f *fakeUpstream) counted() (calls, cancels int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
