Tell each instance its place among the others with the grants

The preferred node for small prompts needs the place of the instance among the live ones, which the entry server would have had to pass on. All instances get their places from one allocation instead: Grant has Rank and Peers. Evenly spread over the nodes outside the lane (nine instances on three nodes: three each).

--- a/bench/instance.go
+++ b/bench/instance.go
@@ -39,9 +39,6 @@
 }
 
 func (i *instance) start() {
-	if s, is := i.dispatcher.(*dispatch.Scheduler); is {
-		s.SetPeers(i.index, i.world.site.Instances)
-	}
 	i.dispatcher.Configure(i.world.time(), i.world.site.tree())
 	i.act()
 	i.observe()
--- a/dispatch/decision_bench_test.go
+++ b/dispatch/decision_bench_test.go
@@ -20,7 +20,6 @@
 
 func benchmarkDecision(b *testing.B, count int) {
 	s := New(Config{}, rand.New(rand.NewPCG(1, 2)))
-	s.SetPeers(3, 9)
 	now := epoch
 	loaded := func(i int, u *upstream.Upstream) {
 		u.Announcement.Load.LongPrefill = 10_000 * (i % 3)
@@ -29,7 +28,7 @@
 	s.Observe(now, engines(now, count, loaded))
 	s.Offer(now, prompt("warm", 50_000, now))
 	s.Granted(now, []quota.Grant{{
-		Organisation: "bottega", Lease: time.Hour,
+		Organisation: "bottega", Lease: time.Hour, Rank: 3, Peers: 9,
 		FleetMix: quota.Mix{Small: 100_000, Middle: 500_000, Long: float64(count) * 10_000},
 	}})
 	s.Observe(now, engines(now, count, loaded))
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -77,10 +77,6 @@
 	s.pump(now)
 }
 
-// SetPeers says which of the live instances this one is, by their order of name,
-// and how many there are. Without it small prompts are spread at random.
-func (s *Scheduler) SetPeers(rank, peers int) { s.table.SetPeers(rank, peers) }
-
 // Observe implements Dispatcher.
 func (s *Scheduler) Observe(now time.Time, view *upstream.Snapshot) {
 	s.begin()
@@ -93,6 +89,7 @@
 func (s *Scheduler) Granted(now time.Time, grants []quota.Grant) {
 	s.begin()
 	for _, g := range grants {
+		s.table.SetPeers(g.Rank, g.Peers)
 		s.account(g.Organisation).Granted(now, g)
 	}
 	s.pump(now)
--- a/quota/allocate.go
+++ b/quota/allocate.go
@@ -21,12 +21,28 @@
 	for i := range statements {
 		out[i].Instance = statements[i].Instance
 	}
+	ranks := ranksOf(statements)
 	for _, o := range organisations(limits, statements) {
-		o.grant(out)
+		o.grant(out, ranks)
 	}
 	return out
 }
 
+// ranksOf returns the place of each instance in the order of names. All instances
+// learn their places from one allocation, so they can spread evenly over nodes
+// without a message of their own.
+func ranksOf(statements []Statement) []int {
+	ranks := make([]int, len(statements))
+	for i := range statements {
+		for k := range statements {
+			if statements[k].Instance < statements[i].Instance {
+				ranks[i]++
+			}
+		}
+	}
+	return ranks
+}
+
 // organisation gathers what the statements say of one organisation.
 type organisation struct {
 	limit   Limit
@@ -74,7 +90,7 @@
 	g.TokensPerSecond = max(g.TokensPerSecond, rate)
 }
 
-func (o *organisation) grant(out []InstanceGrants) {
+func (o *organisation) grant(out []InstanceGrants, ranks []int) {
 	total := Grant{Organisation: o.limit.Organisation, Lease: DefaultLease}
 	for _, d := range o.demands {
 		total.FleetInFlightTokens += d.InFlightTokens
@@ -91,6 +107,7 @@
 		g := total
 		g.TokensPerSecond = rates[i]
 		g.InFlight = slots[i]
+		g.Rank, g.Peers = ranks[i], len(out)
 		out[i].Grants = append(out[i].Grants, g)
 	}
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -28,9 +28,11 @@
 }
 
 // Grant is one instance's part of an organisation's limits, and what the whole
-// fleet holds for it. Limits apply only where Limited is set for them.
+// fleet holds for it. Limits apply only where the settings have them.
 type Grant struct {
 	Organisation        string        `json:"organisation"`
+	Rank                int           `json:"rank"`  // of the instance among those that stated a demand, by name
+	Peers               int           `json:"peers"` // how many those are
 	TokensPerSecond     float64       `json:"tokens_per_second"`
 	InFlight            int           `json:"in_flight"`
 	FleetInFlightTokens int           `json:"fleet_in_flight_tokens"`
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -204,6 +206,19 @@
 	}
 }
 
+func TestTheInstancesSpreadEvenlyOverTheNodesForSmallPrompts(t *testing.T) {
+	owners := map[string]int{}
+	for rank := range 9 {
+		table, p := pool(10, idle)
+		table.SetPeers(rank, 9)
+		p.SizeLane(quota.Mix{Small: 0.05, Long: 0.6}, 0, 0)
+		owners[p.lane.own().Name]++
+	}
+	if len(owners) != 3 || slices.Max(slices.Collect(maps.Values(owners))) != 3 {
+		t.Fatalf("nine instances on the three nodes outside the lane: %v", owners)
+	}
+}
+
 func TestAPrefixGoesHomeUnlessItsHomeIsLoaded(t *testing.T) {
 	_, p := pool(10, idle)
 	random := rand.New(rand.NewPCG(1, 1))
--- a/routing/table.go
+++ b/routing/table.go
@@ -53,8 +53,12 @@
 	}
 }
 
-// SetPeers says which of the live instances this one is.
+// SetPeers says which of the live instances this one is. Without it small prompts
+// are spread at random.
 func (t *Table) SetPeers(rank, peers int) {
+	if t.rank == rank && t.peers == peers || rank >= peers {
+		return
+	}
 	t.rank, t.peers = rank, peers
 	for _, p := range t.pools {
 		p.lane.rank, p.lane.peers = rank, peers
