Count the calls of other instances against the limit of a plain service

The limit is on one upstream, but each instance counted only its own calls: with nine instances an upstream could get nine times its limit. The last report's running and waiting calls count now, less those that it shares with the own ones. A queue limit of zero means that none waits, as docs/SETTINGS.md has it; it was read as no setting. Both tests failed before (3 own calls beside 1 reported; the request waited).

--- a/dispatch/admit_test.go
+++ b/dispatch/admit_test.go
@@ -127,11 +127,27 @@
 	t.Fatal("no answer before the deadline")
 }
 
+// Nobody may wait in this class: its callers rather ask another fleet. The
+// engines are full, so the answer is due at once.
+func TestAQueueLimitOfZeroLetsNoneWait(t *testing.T) {
+	s := New(Config{}, rand1())
+	s.Configure(epoch, &settings.Tree{Classes: []settings.Class{{Name: "counter"}}})
+	s.Observe(epoch, engines(epoch, 2, func(_ int, u *upstream.Upstream) {
+		u.Announcement.Load.HeldTokens = testMemory
+	}))
+	s.Offer(epoch, prompt("a", 1000, epoch))
+	actions := take(s)
+	if len(actions) != 1 || actions[0].Kind != Refuse || actions[0].Err.Reason != verdict.ReasonQueueFull {
+		t.Fatalf("got %+v", actions)
+	}
+}
+
 func TestPlainServicesHaveTheirOwnLimit(t *testing.T) {
 	s := New(Config{}, rand1())
-	s.Configure(epoch, &settings.Tree{Services: []settings.Service{{Name: "gate", InFlight: 2}}})
+	s.Configure(epoch, &settings.Tree{Services: []settings.Service{{Name: "gate", InFlight: 3}}})
 	s.Observe(epoch, engines(epoch, 2, func(_ int, u *upstream.Upstream) {
 		u.Announcement.Kind, u.Announcement.Targets, u.Announcement.MemoryTokens = upstream.Service, []string{"gate"}, 0
+		u.Announcement.Load.Running = 1 // of another instance
 	}))
 	for i := range 6 {
 		r := prompt(strconv.Itoa(i), 1, epoch)
--- a/dispatch/class.go
+++ b/dispatch/class.go
@@ -4,5 +4,6 @@
 type class struct {
 	name       string
 	queueLimit int
+	configured bool // queueLimit is of the settings, where 0 means that none waits
 	waiting    int
 }
--- a/dispatch/offer.go
+++ b/dispatch/offer.go
@@ -133,7 +133,7 @@
 		return
 	}
 	limit := j.class.queueLimit
-	if limit == 0 {
+	if !j.class.configured {
 		limit = s.config.DefaultQueueLimit
 	}
 	if j.class.waiting <= limit {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -64,7 +64,8 @@
 	}
 	for i := range tree.Classes {
 		c := &tree.Classes[i]
-		s.class(c.Name).queueLimit = c.QueueLimit
+		kept := s.class(c.Name)
+		kept.queueLimit, kept.configured = c.QueueLimit, true
 	}
 	clear(s.spans)
 	for i := range tree.Models {
--- a/routing/ask.go
+++ b/routing/ask.go
@@ -9,7 +9,7 @@
 	PrefixHash   uint64
 	PrefixTokens int
 	Long         bool
-	InFlight     int   // most own calls on one plain service, 0: no limit
+	InFlight     int   // most calls on one plain service, 0: no limit
 	Avoid        *Node // the node that failed the last attempt
 }
 
@@ -76,7 +76,7 @@
 
 // fits says whether the node can take the request now.
 func (a *Ask) fits(n *Node) bool {
-	if a.InFlight > 0 && n.inFlight >= a.InFlight || n.Slots > 0 && n.inFlight >= n.Slots {
+	if a.InFlight > 0 && n.running() >= a.InFlight || n.Slots > 0 && n.running() >= n.Slots {
 		return false
 	}
 	if n.MemoryTokens == 0 {
--- a/routing/node.go
+++ b/routing/node.go
@@ -47,6 +47,7 @@
 
 // load is work of one kind of requests on an upstream.
 type load struct {
+	count  int // requests
 	short  int // prompt tokens without a first token, of short prompts
 	long   int // the same of long prompts
 	memory int // tokens held or to be held
@@ -72,6 +73,11 @@
 // InFlight is the number of own requests on the node.
 func (n *Node) InFlight() int { return n.inFlight }
 
+// running estimates the requests of all instances on the node.
+func (n *Node) running() int {
+	return max(n.report.running, n.known.count) + n.newer.count
+}
+
 // State is the freshness of the node in the last view.
 func (n *Node) State() upstream.State { return n.state }
 
@@ -119,6 +125,7 @@
 }
 
 func (l *load) add(s *Send, sign int) {
+	l.count += sign
 	l.memory += sign * s.Memory
 	if s.started {
 		return
--- a/routing/report.go
+++ b/routing/report.go
@@ -23,6 +23,7 @@
 	short      float64 // queued prefill that isn't of long prompts under way
 	long       float64
 	held       int
+	running    int
 	rate       float64
 	decodeRate float64
 }
@@ -33,6 +34,7 @@
 		short:      float64(l.QueuedPrefill - l.LongPrefill),
 		long:       float64(l.LongPrefill),
 		held:       l.HeldTokens,
+		running:    l.Running + l.Waiting,
 		rate:       l.PrefillRate,
 		decodeRate: l.DecodeRate,
 	}
