End a shutdown although an engine that died confirms no cancel

Seen: the demonstration hung for ten minutes at its end. Two of three voters had ended their traffic and never said so. Cause: a shutdown waited until every cancel was confirmed, and cancels to the engine that the demonstration kills are never confirmed; the canceller gives up after ten minutes only. Ruled out: control, which ran on. A shutdown now waits 3 s for cancels after the last request; what an engine still holds is swept by the other instances. TestShutdownDoesNotWaitForADeadEngine fails without the bound.

The kill test and the demonstration also send prompts that may not be repeated and calls that are made twice at once, and compare the journals of all stand-ins: no key may have begun twice.

--- a/cli/traffic_process_test.go
+++ b/cli/traffic_process_test.go
@@ -92,7 +92,7 @@
 	f.t.Helper()
 	args := []string{
 		"standin", kind, "--name", name, "--address-file", f.addressFile(name),
-		"--upstream-key-file", filepath.Join(f.folder, "instance.key"),
+		"--upstream-key-file", filepath.Join(f.folder, "instance.key"), "--journal", f.journal(name),
 	}
 	for _, address := range f.traffic {
 		args = append(args, "--announce", address)
@@ -102,6 +102,22 @@
 	return command
 }
 
+func (f *trafficFleet) journal(name string) string {
+	return filepath.Join(f.folder, name+".journal")
+}
+
+// noKeyBeganTwice compares the journals of all upstreams, the killed ones too.
+func (f *trafficFleet) noKeyBeganTwice() {
+	f.t.Helper()
+	journals, err := filepath.Glob(f.journal("*"))
+	if err != nil || len(journals) < 4 {
+		f.t.Fatalf("journals %v: %v", journals, err)
+	}
+	if out, code := f.run(append([]string{"standin", "executions"}, journals...)...); code != ExitDone {
+		f.t.Errorf("exit %d: %s", code, out)
+	}
+}
+
 func (f *trafficFleet) addressFile(name string) string {
 	return filepath.Join(f.folder, name+".address")
 }
@@ -122,6 +138,7 @@
 	command := exec.Command(f.binary, "load", "--mix", "aretusa", "--class", "counter", "--class", "pattern", "--class", "hold",
 		"--to", strings.Join(f.traffic, ","), "--keys", filepath.Join(f.folder, "callers.keys"),
 		"--model", processModel, "--service", "cassa", "--rate", "60", "--requests", fmt.Sprint(requests),
+		"--no-repeat-one-in", "3", "--resend-one-in", "5",
 		"--counts-from", f.services, "--output", "json")
 	command.Stdout, command.Stderr = &out, shown
 	if err := command.Start(); err != nil {
@@ -176,6 +193,8 @@
 	if report.All.Served == 0 {
 		t.Errorf("nothing was served: %+v", report.Causes)
 	}
+	t.Logf("%d served, %d refused, %d failed", report.All.Served, report.All.Refused, report.All.Failed)
+	f.noKeyBeganTwice()
 	f.await("no memory held on the engines that live", func() bool {
 		return f.held("engine-1")+f.held("engine-2") == 0
 	})
--- a/entry/canceller.go
+++ b/entry/canceller.go
@@ -150,6 +150,13 @@
 	return false
 }
 
+// abandon gives up what is not confirmed, when the instance ends.
+func (c *canceller) abandon() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.pending)
+}
+
 // left is the number of cancels that are not confirmed.
 func (c *canceller) left() int {
 	c.mu.Lock()
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -360,6 +360,31 @@
 	})
 }
 
+func TestShutdownDoesNotWaitForADeadEngine(t *testing.T) {
+	// An engine was killed in the middle of an answer, so that the cancel is never
+	// confirmed; then the instance is told to end. It would stay for ten minutes,
+	// and an operator would think that the restart hangs.
+	warm(t)
+	inBubble(t, map[string]script{"e1": breaks("one ")}, func(t *testing.T, b *bench) {
+		engine := b.peers["e1"]
+		engine.mu.Lock()
+		engine.deaf = 1 << 20
+		engine.mu.Unlock()
+		c := completion("p", false)
+		c.headers = map[string]string{headerNoRepeat: "true"}
+		b.do(c)
+		start := time.Now()
+		if err := b.server.Shutdown(t.Context()); err != nil {
+			t.Errorf("shutdown: %v", err)
+		}
+		b.stopped = true
+		keep := time.Duration(keepSeconds(b.plane.View()))*time.Second + drainMargin
+		if took := time.Since(start); took > keep+2*cancelGrace {
+			t.Errorf("the shutdown took %v", took)
+		}
+	})
+}
+
 func TestCallerWhoLeavesEndsTheWork(t *testing.T) {
 	// A client closes the shop's browser tab in the middle of an answer. Without
 	// notice the engine would go on for nobody, with memory that others need.
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -12,6 +12,10 @@
 const (
 	drainMargin  = time.Second // for lists that were handed out just before, on their way
 	idleInterval = 20 * time.Millisecond
+	// cancelGrace is how long a shutdown still tries to confirm cancels. An engine
+	// that has died confirms none; what it or a live one still holds is swept by
+	// the other instances, since this one is gone then.
+	cancelGrace = 3 * time.Second
 )
 
 // ErrCutOff says that a shutdown reached its bound with requests in flight.
@@ -42,24 +46,33 @@
 // InFlight is the number of requests without a final answer.
 func (s *Server) InFlight() int { return s.driver.inFlight() }
 
-// finishAll waits until nothing is in flight and no cancel is unconfirmed, and
-// returns the number of requests that ctx cut off.
+// finishAll waits until nothing is in flight, and for a while until no cancel is
+// unconfirmed. It returns the number of requests that ctx cut off.
 func (s *Server) finishAll(ctx context.Context) int {
+	awaitNone(ctx, s.InFlight)
+	confirming, stop := context.WithTimeout(ctx, cancelGrace)
+	defer stop()
+	awaitNone(confirming, s.sender.canceller.left)
+	return s.InFlight()
+}
+
+// awaitNone waits until count is 0 or ctx ends.
+func awaitNone(ctx context.Context, count func() int) {
 	ticker := time.NewTicker(idleInterval)
 	defer ticker.Stop()
-	for s.InFlight() > 0 || s.sender.canceller.left() > 0 {
+	for count() > 0 {
 		select {
 		case <-ctx.Done():
-			return s.InFlight()
+			return
 		case <-ticker.C:
 		}
 	}
-	return 0
 }
 
 // close closes the listener and waits until the last answers are written.
 func (s *Server) close(ctx context.Context) error {
 	err := s.http.ShutdownWithContext(ctx)
+	s.sender.canceller.abandon()
 	s.watch.close()
 	s.sweeper.close()
 	s.driver.close()
--- a/examples/demo/run.sh
+++ b/examples/demo/run.sh
@@ -127,12 +127,12 @@
 for e in 1 2 3 4; do
 	# shellcheck disable=SC2086 # the addresses hold no blanks
 	start "engine-$e" standin engine --name "engine-$e" --availability-zone sala-ortigia \
-		--model modello-sarto --time-scale 20 --address-file "$work/engine-$e.address" \
+		--model modello-sarto --time-scale 20 --address-file "$work/engine-$e.address" --journal "$work/engine-$e.journal" \
 		--upstream-key-file "$aretusa/keys/upstream.key" --engine-key-file "$aretusa/keys/engine.key" $announce
 done
 # shellcheck disable=SC2086
 start cassa standin service --name cassa-1 --availability-zone sala-borgata \
-	--service cassa-bottega --address-file "$work/cassa.address" \
+	--service cassa-bottega --address-file "$work/cassa.address" --journal "$work/cassa.journal" \
 	--upstream-key-file "$aretusa/keys/upstream.key" $announce
 
 upstreams_fresh() { [ "$(operator upstreams | grep -c fresh)" -ge 5 ]; }
@@ -143,7 +143,7 @@
 say "sending prompts of a thousand to a million tokens and fabric holds"
 "$celeryport" load --mix aretusa --to "$(traffic_of ortigia-1)" --to "$(traffic_of borgata-1)" --to "$(traffic_of neapolis-1)" \
 	--keys "$aretusa/callers.keys" --model modello-sarto --service cassa-bottega \
-	--rate 20 --duration 10s --seed 7 --counts-from "$(cat "$work/cassa.address")" \
+	--rate 20 --duration 10s --seed 7 --no-repeat-one-in 5 --resend-one-in 5 --counts-from "$(cat "$work/cassa.address")" \
 	--counts-key-file "$aretusa/keys/engine.key" >"$work/load.out" 2>"$work/load.err" &
 load=$!
 running="$running $load"
@@ -159,6 +159,8 @@
 cat "$work/load.out"
 [ "$outcome" -eq 0 ] || { tail -n 20 "$work/load.err"; say "the load tool found a broken promise (exit $outcome)" >&2; exit 1; }
 
+"$celeryport" standin executions "$work"/*.journal
+
 say "what the reports say"
 operator settings show
 operator report
