Give leases that outlast the death of a leader

Cause: with a lease of 3 s, in one of 12 deaths of the leader all leases had ended 0.5 s before the next leader renewed them, and every instance refused its callers meanwhile. An election takes up to 2.2 s as measured, the last renewal may be 0.5 s old, and a second round of votes comes on top.

Ruled out: shorter election timeouts, which a machine as busy as this one turns into needless elections. An instance that is cut off now holds up a change for 4.5 s instead of 3.5.

--- a/control/options.go
+++ b/control/options.go
@@ -50,7 +50,7 @@
 			Lease:       time.Second,
 		},
 		Membership: membership.Timing{
-			Lease:  3 * time.Second,
+			Lease:  4 * time.Second,
 			Margin: 500 * time.Millisecond,
 			Kept:   24 * time.Hour,
 		},
