--- a/bench/instance.go
+++ b/bench/instance.go
@@ -39,9 +39,6 @@
 }
 
 func (i *instance) start() {
-	if s, is := i.dispatcher.(*dispatch.Scheduler); is {
-		s.SetPeers(i.index, i.world.site.Instances)
-	}
 	i.dispatcher.Configure(i.world.time(), i.world.site.tree())
 	i.act()
 	i.observe()
@@ -123,6 +120,16 @@
 	i.act()
 }
 
+// vanish ends the instance without a word: its machine is gone, and so are the
+// packets that would close its connections.
+func (i *instance) vanish() {
+	i.down = true
+	for _, f := range i.flights {
+		f.over = true
+	}
+	i.flights = map[string]*flight{}
+}
+
 // die ends the instance. Its callers' requests are lost with it, and the engines
 // notice the closed connections.
 func (i *instance) die() {
--- a/control/run.go
+++ b/control/run.go
@@ -40,6 +40,12 @@
 	defer end()
 	group, ctx := errgroup.WithContext(inner)
 	server := n.server()
+	eventStarted.Log(n.log, event.Fields{
+		"name":        n.opts.Process.Name,
+		"incarnation": n.core.self.Incarnation,
+		"address":     listener.Addr().String(),
+		"voter":       n.opts.Process.Voter,
+	})
 	group.Go(func() error { return n.serve(server, listener) })
 	group.Go(func() error { return n.loop(ctx) })
 	group.Go(func() error { return n.runFounding(ctx) })
--- a/dispatch/offer.go
+++ b/dispatch/offer.go
@@ -16,6 +16,7 @@
 // Offer implements Dispatcher.
 func (s *Scheduler) Offer(now time.Time, r *request.Request) {
 	s.begin()
+	s.table.Expire(now)
 	account := s.account(r.Organisation)
 	account.Offered(now, r.Tokens())
 	lanes := s.lanesOf(r.Target)
@@ -133,7 +134,7 @@
 		return
 	}
 	limit := j.class.queueLimit
-	if limit == 0 {
+	if !j.class.configured {
 		limit = s.config.DefaultQueueLimit
 	}
 	if j.class.waiting <= limit {
--- a/routing/table.go
+++ b/routing/table.go
@@ -14,6 +14,8 @@
 	seen  uint64
 	rank  int
 	peers int
+	// staleAt is when the next node turns silent by the present view.
+	staleAt time.Time
 }
 
 type nodeKey struct {
@@ -43,6 +45,7 @@
 		}
 	}
 	t.forget()
+	t.staleAt = t.nextStale()
 	t.Rebuild(now)
 }
 
@@ -53,8 +56,12 @@
 	}
 }
 
-// SetPeers says which of the live instances this one is.
+// SetPeers says which of the live instances this one is. Without it small prompts
+// are spread at random.
 func (t *Table) SetPeers(rank, peers int) {
+	if t.rank == rank && t.peers == peers || rank >= peers {
+		return
+	}
 	t.rank, t.peers = rank, peers
 	for _, p := range t.pools {
 		p.lane.rank, p.lane.peers = rank, peers
