Keep audits in line while the fleet is not overloaded

Two causes: organisations were served by share at any load, so one that had just sent a giant prompt waited for all others although there was room; and a large prompt finds no memory beside another long one, so smaller ones of other organisations go before it.

While no more than ten seconds of work wait, the lanes are served in order of arrival, and nodes are cleared for large prompts that waited 15 s as they are for spans.

The test of the cleared node fails without it (later prompts on 4 of 4 nodes), that of the order as well.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -3,9 +3,9 @@
 import "time"
 
 // Queue holds the waiting requests of one lane. Between organisations the one
-// with the least usage for its weight goes first, so shares are fair on tokens
-// and an idle fleet refuses nobody; within an organisation the order of tickets
-// holds.
+// with the least usage for its weight goes first while the fleet is contended, so
+// shares are fair on tokens and an idle fleet refuses nobody; otherwise, and
+// within an organisation, the order of tickets holds.
 type Queue struct {
 	lines  map[*Account]*line
 	active []*line // lines with tickets
@@ -74,19 +74,22 @@
 	}
 }
 
-// Heads appends the first ticket of each organisation to buffer, the one with
-// the least share first.
-func (q *Queue) Heads(now time.Time, buffer []*Ticket) []*Ticket {
+// Heads appends the first ticket of each organisation to buffer: with byShare the
+// one with the least share first, else in order of arrival.
+func (q *Queue) Heads(now time.Time, byShare bool, buffer []*Ticket) []*Ticket {
 	for _, l := range q.active {
 		buffer = append(buffer, l.tickets[0])
-		for i := len(buffer) - 1; i > 0 && goesFirst(now, buffer[i], buffer[i-1]); i-- {
+		for i := len(buffer) - 1; i > 0 && goesFirst(now, byShare, buffer[i], buffer[i-1]); i-- {
 			buffer[i], buffer[i-1] = buffer[i-1], buffer[i]
 		}
 	}
 	return buffer
 }
 
-func goesFirst(now time.Time, t, o *Ticket) bool {
+func goesFirst(now time.Time, byShare bool, t, o *Ticket) bool {
+	if !byShare {
+		return t.before(o)
+	}
 	a, b := t.Account.Share(now), o.Account.Share(now)
 	if a == b {
 		return t.before(o)
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -28,7 +28,7 @@
 	for i := range 100 {
 		now := start.Add(time.Duration(i) * time.Second)
 		q.Push(ticket(a, fmt.Sprint("urgent-", i), now, 10))
-		first := q.Heads(now, nil)[0]
+		first := q.Heads(now, true, nil)[0]
 		q.Remove(first)
 		if first == audit {
 			if waited := now.Sub(start); waited > 10*AgingStep {
@@ -60,7 +60,7 @@
 		}
 		var last *Ticket
 		for q.Len() > 0 {
-			first := q.Heads(start, nil)[0]
+			first := q.Heads(start, true, nil)[0]
 			if last != nil && first.before(last) {
 				t.Fatalf("%s came after %s", first.Request.ID, last.Request.ID)
 			}
@@ -81,12 +81,15 @@
 	q.Push(ticket(large, "l", start.Add(time.Second), 0))
 	large.Usage.Add(start, 2000)
 	small.Usage.Add(start, 1000)
-	if first := q.Heads(start, nil)[0]; first.Account != large {
+	if first := q.Heads(start, true, nil)[0]; first.Account != large {
 		t.Fatalf("%s goes first, with 1000 tokens for a weight of 1 against 2000 for 3", first.Account.Name)
 	}
+	if first := q.Heads(start, false, nil)[0]; first.Account != small {
+		t.Fatal("not in order of arrival while the fleet is not contended")
+	}
 	// What other instances sent counts as well.
 	large.Granted(start, quota.Grant{FleetUsage: 9000, Lease: time.Minute})
-	if first := q.Heads(start, nil)[0]; first.Account != small {
+	if first := q.Heads(start, true, nil)[0]; first.Account != small {
 		t.Fatal("usage in other instances does not count")
 	}
 }
--- a/dispatch/admit_test.go
+++ b/dispatch/admit_test.go
@@ -142,6 +142,38 @@
 	}
 }
 
+// A large audit waits, and smaller ones keep coming that fit beside what runs.
+// Without a cleared node each of them goes before it, and its caller sees an audit
+// of the afternoon answered before that of the morning.
+func TestALargePromptThatWaitedGetsAClearedNode(t *testing.T) {
+	s := New(Config{}, rand1())
+	s.Granted(epoch, []quota.Grant{{
+		Organisation: "bottega", Lease: time.Hour, FleetMix: quota.Mix{Long: 60_000},
+	}})
+	busy := func(_ int, u *upstream.Upstream) { u.Announcement.Load.HeldTokens = 150_000 }
+	s.Observe(epoch, engines(epoch, 4, busy))
+	first := prompt("large", 300_000, epoch)
+	first.Deadline = epoch.Add(time.Hour)
+	s.Offer(epoch, first)
+	now := epoch.Add(spanPatience + time.Second)
+	s.Tick(now)
+	s.Observe(now, engines(now, 4, busy))
+	small := prompt("small", 50_000, now)
+	small.Organisation = "other"
+	taken := map[string]bool{}
+	for i := range 12 {
+		one := *small
+		one.ID = strconv.Itoa(i)
+		s.Offer(now, &one)
+	}
+	for _, a := range take(s) {
+		taken[a.Placement.Parts[0].Name] = true
+	}
+	if len(taken) == 0 || len(taken) == 4 {
+		t.Fatalf("later prompts are on %d of 4 nodes; one is to be kept clear", len(taken))
+	}
+}
+
 func TestPlainServicesHaveTheirOwnLimit(t *testing.T) {
 	s := New(Config{}, rand1())
 	s.Configure(epoch, &settings.Tree{Services: []settings.Service{{Name: "gate", InFlight: 3}}})
--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -27,6 +27,13 @@
 	return float64(waiting) > pool.Rate()*contendedBacklog.Seconds()
 }
 
+// byShare says whether the lane is served by share or in order of arrival. Short
+// requests wait only when the engines are full of them, so for them it is always
+// by share.
+func (s *Scheduler) byShare(now time.Time, lane *laneQueue, pool *routing.Pool) bool {
+	return lane.kind == shortLane || s.contended(now, pool)
+}
+
 // leastWaitingShare is the least share of the organisations whose long requests
 // wait in other instances. The queue of this instance is fair only between what
 // waits here; an organisation that is far ahead over the whole fleet must leave
--- a/dispatch/pump.go
+++ b/dispatch/pump.go
@@ -28,7 +28,7 @@
 		return
 	}
 	for lane.queue.Len() > 0 {
-		s.heads = lane.queue.Heads(now, s.heads[:0])
+		s.heads = lane.queue.Heads(now, s.byShare(now, lane, pool), s.heads[:0])
 		if !s.sendOne(now, pool, lane, s.heads) {
 			return
 		}
@@ -88,6 +88,7 @@
 		}
 	}
 	if j.lane.kind == longLane {
+		a.Overdue = overdue(now, j.request) && large(j.request, pool)
 		choice, found := pool.ChooseLong(now, s.random, a, aged(now, j.request))
 		return choice, found && choice.Wait <= s.longWindow(now, j.request)
 	}
--- a/routing/ask.go
+++ b/routing/ask.go
@@ -9,6 +9,7 @@
 	PrefixHash   uint64
 	PrefixTokens int
 	Long         bool
+	Overdue      bool  // large, and may use the nodes that were cleared
 	InFlight     int   // most calls on one plain service, 0: no limit
 	Avoid        *Node // the node that failed the last attempt
 }
--- a/routing/choose_long.go
+++ b/routing/choose_long.go
@@ -14,6 +14,9 @@
 // is no lane, or for an aged request.
 func (p *Pool) ChooseLong(now time.Time, random *rand.Rand, a *Ask, aged bool) (Choice, bool) {
 	nodes := p.lane.open()
+	if a.Overdue {
+		nodes = p.lane.inside()
+	}
 	if p.lane.size == 0 || aged && p.crowded() {
 		nodes = p.open
 	}
