--- a/claim/epoch_test.go
+++ b/claim/epoch_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -106,6 +107,42 @@
 	w.expect(fresh, Won)
 }
 
+// A claimant hears of a change of the voters while it has one vote, releases it
+// and asks the new ones. If the old vote still counted, or if the release, which
+// arrives late, freed the new ones, another holder could win too.
+func TestAttemptsOfTwoEpochsAreApart(t *testing.T) {
+	for _, lateRelease := range []bool{false, true} {
+		w := newNetwork(t, 25, "a", "b", "c")
+		x := w.claim("hold")
+		w.wire = slices.DeleteFunc(w.wire, func(m Message) bool { return m.To != "a" })
+		w.deliver(0, false)
+		w.deliver(0, false)
+		w.change("a", "c", "d")
+		w.enterAll(w.host("a"))
+		w.enterAll(w.host("c"))
+		w.addHost("d")
+		w.run(50 * time.Millisecond)
+		w.do(x, x.claimant.Reconfigure(w.now, w.newest()))
+		var late []Message
+		w.wire = slices.DeleteFunc(w.wire, func(m Message) bool {
+			if m.Kind == SettleRequest && lateRelease {
+				late = append(late, m)
+				return true
+			}
+			return m.Kind == VoteRequest && m.To != "c" && !lateRelease
+		})
+		for len(w.wire) > 0 {
+			w.deliver(0, false)
+		}
+		w.wire = late
+		y := w.claim("hold")
+		w.run(50 * time.Millisecond)
+		if x.sent == y.sent {
+			t.Fatalf("late release %v: sent by the first %v, by the second %v", lateRelease, x.sent, y.sent)
+		}
+	}
+}
+
 // The clock of a runs ahead, so it has dropped the vote of a key that is still
 // fresh for the others. d, whose clock is right, copies from a.
 func TestForgottenKeysAreCopiedToo(t *testing.T) {
@@ -128,3 +165,34 @@
 	w.run(2 * time.Second)
 	w.expect(second, Expired)
 }
+
+// A new voter copies from voters with full tables. Asked for everything at once,
+// they would send hundreds of megabytes to an instance that has 128.
+func TestVotesAreCopiedInParts(t *testing.T) {
+	w := newNetwork(t, 26, "a", "b", "c")
+	for i := range 200 {
+		w.claim(fmt.Sprint("k", i))
+	}
+	w.run(time.Second)
+	w.change("a", "b", "c", "d")
+	for _, h := range w.hosts {
+		w.enterAll(h)
+	}
+	w.run(5 * time.Second)
+	w.wire = nil
+	d := w.addHost("d")
+	for len(w.wire) > 0 {
+		largest, open := 0, 0
+		for _, m := range w.wire {
+			largest = max(largest, len(m.Votes))
+			open++
+		}
+		if open > 3+2 || largest > 60 { // of three voters, and what is left of the first epoch
+			t.Fatalf("%d messages on the way, with up to %d votes", open, largest)
+		}
+		w.deliver(0, false)
+	}
+	if !d.voter.Status().Complete || d.voter.Status().Votes != 200 {
+		t.Fatalf("copied: %+v", d.voter.Status())
+	}
+}
--- a/control/publish.go
+++ b/control/publish.go
@@ -4,7 +4,7 @@
 
 // viewInterval is the shortest time between two views that differ only in the
 // load of upstreams. Each announcement would otherwise build a whole snapshot.
-const viewInterval = 50 * time.Millisecond
+const viewInterval = 250 * time.Millisecond
 
 // viewState says whether a new view is due.
 type viewState struct {
@@ -35,6 +35,7 @@
 func (c *core) publish(now time.Time) {
 	c.views = viewState{at: now}
 	c.known.Expire(now)
+	c.members.forget(now, c.timing.Membership.Kept)
 	view := &View{
 		Incarnation: c.self.Incarnation,
 		Tree:        c.installed.tree,
--- a/slopes/run.go
+++ b/slopes/run.go
@@ -22,7 +22,7 @@
 	}
 	r := &Result{
 		Date:    time.Now().UTC().Format(time.RFC3339),
-		Machine: Machine{CPUs: runtime.NumCPU(), Go: runtime.Version(), System: runtime.GOOS + "/" + runtime.GOARCH},
+		Machine: Machine{CPUs: runtime.NumCPU(), Go: runtime.Version(), System: runtime.GOOS + "/" + runtime.GOARCH, LoadAverage: loadAverage()},
 	}
 	err = r.measure(folder, progress)
 	return r, errors.CombineErrors(err, os.RemoveAll(folder))
@@ -58,6 +58,10 @@
 	if r.Elections, err = measureElections(folder); err != nil {
 		return err
 	}
+	progress("%d losses of the majority", outageCount)
+	if r.Outages, err = measureOutages(folder); err != nil {
+		return err
+	}
 	progress("claims")
 	if r.Claims, err = measureClaims(folder); err != nil {
 		return err
