--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"celeryport/quota"
 	"celeryport/upstream"
 	"celeryport/verdict"
 )
@@ -45,7 +46,7 @@
 func randomCall(t *rapid.T, s *Scheduler, now time.Time, step int, lives map[string]*life) {
 	id := strconv.Itoa(rapid.IntRange(0, step).Draw(t, "id"))
 	l := lives[id]
-	switch rapid.IntRange(0, 6).Draw(t, "call") {
+	switch rapid.IntRange(0, 7).Draw(t, "call") {
 	case 0, 1:
 		tokens := rapid.SampledFrom([]int{500, 9000, 50_000, 300_000, 900_000}).Draw(t, "tokens")
 		id = strconv.Itoa(step)
@@ -68,11 +69,26 @@
 		s.Observe(now, engines(now, count, func(_ int, u *upstream.Upstream) {
 			u.Announcement.Load.HeldTokens = rapid.IntRange(0, testMemory).Draw(t, "held")
 		}))
+	case 6:
+		s.Granted(now, []quota.Grant{randomGrant(t)})
 	default:
 		s.Tick(now)
 	}
 }
 
+func randomGrant(t *rapid.T) quota.Grant {
+	peers := rapid.IntRange(0, 9).Draw(t, "peers")
+	tokens := rapid.IntRange(0, 3_000_000)
+	return quota.Grant{
+		Organisation: rapid.SampledFrom([]string{"bottega", "other"}).Draw(t, "organisation"),
+		Rank:         rapid.IntRange(0, 9).Draw(t, "rank"), Peers: peers,
+		Lease:      time.Duration(rapid.IntRange(0, 20).Draw(t, "lease")) * time.Second,
+		FleetUsage: float64(tokens.Draw(t, "usage")), FleetWaitingTokens: tokens.Draw(t, "waiting"),
+		FleetSpanTokens: tokens.Draw(t, "spans"), FleetOverdueSpans: tokens.Draw(t, "overdue"),
+		FleetMix: quota.Mix{Small: float64(tokens.Draw(t, "small")) / 50, Long: float64(tokens.Draw(t, "long")) / 50},
+	}
+}
+
 func finishRandomly(t *rapid.T, s *Scheduler, now time.Time, id string, l *life) {
 	outcome := Outcome{AnswerTokens: 5}
 	v := rapid.SampledFrom([]verdict.Verdict{verdict.Ran, verdict.NotRun, verdict.MayHaveRun}).Draw(t, "verdict")
