Work out the capacity at the target size from the recorded slopes

A page written by hand would drift from the measurements, so package capacity holds one formula for each row, on docs/slopes.json and the newly recorded docs/slopes-traffic.json, and renders docs/CAPACITY.md.

All of it is extrapolation by straight lines.

--- /dev/null
+++ b/capacity/follower.go
@@ -0,0 +1,101 @@
+package capacity
+
+import (
+	"fmt"
+
+	"celeryport/claim"
+)
+
+const summed = "books in sums: copies of differences with a strict sequence, merged at regional relays, so that a voter keeps one sum for each series"
+
+// FollowerRows are what a voter spends that doesn't lead; it is an entry instance
+// besides.
+func (m *Model) FollowerRows() []Row {
+	return []Row{
+		m.followerBook(), m.followerDead(), m.followerClaims(), m.followerMessages(),
+		m.followerTraffic(), m.followerCPU(), m.followerSyncs(), m.followerDisk(),
+	}
+}
+
+func (m *Model) followerBook() Row {
+	book := m.bookBytes()
+	return Row{
+		Role: Follower, Quantity: "memory of the books, live instances", Value: book.at(m.target.Instances), Unit: Bytes,
+		Formula:   fmt.Sprintf("%s + %s x %s instances", Bytes.format(book.base), Bytes.format(book.slope), number(m.target.Instances)),
+		Mechanism: "`ledger.Book`, each incarnation apart; would hold it: " + summed,
+	}.against(m.target.LimitMemory).breaksAt(book, "instances")
+}
+
+// followerDead counts the incarnations that ended: their counters stay, with
+// latencies for a week, so that every restart adds to the book.
+func (m *Model) followerDead() Row {
+	perDay := m.target.ReplacedPerDay + m.target.FailedPerDay
+	each := m.bookBytes().slope
+	return Row{
+		Role: Follower, Quantity: "memory of the books, ended incarnations", Value: perDay * latenciesKeptDays * each, Unit: Bytes,
+		Formula: fmt.Sprintf("%s ends/day x %d days x %s; counts alone stay for 92 days, not measured and on top",
+			number(perDay), latenciesKeptDays, Bytes.format(each)),
+		Mechanism: "`ledger.State.Trim`; would hold it: sums, into which an ended incarnation is folded once its last copy is known",
+	}.against(m.target.LimitMemory).breaksAt(line{0, latenciesKeptDays * each}, "ended incarnations a day")
+}
+
+func (m *Model) followerClaims() Row {
+	value := float64(claim.DefaultMaxVotes*claimVoteBytes + claim.DefaultMaxAnswerBytes)
+	row := Row{
+		Role: Follower, Quantity: "memory of claims", Value: value, Unit: Bytes,
+		Formula:   fmt.Sprintf("%d votes x %d B + %s of answers, a bound", claim.DefaultMaxVotes, claimVoteBytes, Bytes.format(claim.DefaultMaxAnswerBytes)),
+		Mechanism: "`claim.Voter`; the bound holds by abstaining, see Claims below",
+	}.against(m.target.LimitMemory)
+	row.Breaks = "bounded by settings, not by the size"
+	return row
+}
+
+func (m *Model) followerMessages() Row {
+	return Row{
+		Role: Follower, Quantity: "messages", Value: m.target.Instances/copyInterval + m.syncCalls(), Unit: CallsPerSecond, Carries: true,
+		Formula:   fmt.Sprintf("%s instances / %s s + its own %s; heartbeats of the leader and claims on top", number(m.target.Instances), number(copyInterval), number(m.syncCalls())),
+		Mechanism: "`accounting`, `control`",
+	}
+}
+
+func (m *Model) followerTraffic() Row {
+	own, copies := m.followerBytes(), m.ledgerBytesEach()
+	l := line{own.at(m.target.Upstreams), copies}
+	return Row{
+		Role: Follower, Quantity: "bytes", Value: l.at(m.target.Instances), Unit: BytesPerSecond,
+		Formula: fmt.Sprintf("%s + %s x %s upstreams + %s x %s instances", BytesPerSecond.format(own.base), BytesPerSecond.format(own.slope),
+			number(m.target.Upstreams), BytesPerSecond.format(copies), number(m.target.Instances)),
+		Mechanism: "`control`, `accounting`; would hold it: voters set aside for control, books in sums",
+	}.against(m.target.LimitBytes).breaksAt(l, "instances")
+}
+
+// followerCPU takes the books alone, from the measured processor time of a merge.
+func (m *Model) followerCPU() Row {
+	each := measuredMergeCPU / measuredRequests
+	return Row{
+		Role: Follower, Quantity: "CPU of the books", Value: each * m.target.RequestsPerSecond, Unit: Cores,
+		Formula: fmt.Sprintf("%s requests/s x 0.8 ms / %d (docs/REPORTS.md); applying alone was measured as %s", number(m.target.RequestsPerSecond),
+			measuredRequests, Cores.format(median(m.traffic.Apply)/1e9*m.target.RequestsPerSecond)),
+		Mechanism: "`ledger.Book.Merge`; would hold it: books in sums, each relay merging its region",
+	}.against(m.target.LimitCPU).breaksAt(line{0, each}, "requests/s")
+}
+
+func (m *Model) followerSyncs() Row {
+	copies := m.target.Instances / copyInterval
+	return Row{
+		Role: Follower, Quantity: "syncs", Value: copies + m.changesPerSecond(), Unit: SyncsPerSecond, Carries: true,
+		Formula: fmt.Sprintf("%s instances / %s s + %s changes; claims on top; a merge of %d requests with its sync took %s ms",
+			number(m.target.Instances), number(copyInterval), PerSecond.format(m.changesPerSecond()), measuredRequests, number(median(m.traffic.Merge)/1e6)),
+		Mechanism: "`ledger.Book`, `wal`; not tried at this rate",
+	}
+}
+
+func (m *Model) followerDisk() Row {
+	books := m.target.Instances * m.ledgerBytesEach() * secondsPerDay
+	trees := m.target.ChangesPerDay * m.target.TreeBytes
+	return Row{
+		Role: Follower, Quantity: "disk written", Value: books + trees, Unit: BytesPerDay, Carries: true,
+		Formula:   fmt.Sprintf("copies as received: %s, all day at the peak; trees: %s; before compaction", BytesPerDay.format(books), BytesPerDay.format(trees)),
+		Mechanism: "`ledger.Book`, `wal` segments, cut by snapshots",
+	}
+}
