Check the product of instances and upstreams by trials

The page multiplied two slopes that make slopes takes apart, which was an assumption.

The trials are not part of make slopes yet; that would make them repeatable by one command.

--- a/capacity/document.go
+++ b/capacity/document.go
@@ -25,6 +25,7 @@
 	InForce InForce
 	Losses  Losses
 	Spreads []Spread
+	Trials  []Checked
 }
 
 // Document renders docs/CAPACITY.md.
@@ -40,7 +41,7 @@
 	err = parsed.Execute(&b, page{
 		Target: t, Control: m.control, Traffic: m.traffic, Rows: m.tables(), Over: m.over(),
 		Today:  m.leaderBytes(todayUpstreams).at(todayInstances),
-		Claims: m.Claims(), InForce: m.InForce(), Losses: m.Losses(), Spreads: m.Spreads(),
+		Claims: m.Claims(), InForce: m.InForce(), Losses: m.Losses(), Spreads: m.Spreads(), Trials: m.Checks(),
 	})
 	return b.String(), errors.Wrap(err, "page")
 }
--- a/capacity/entry.go
+++ b/capacity/entry.go
@@ -38,7 +38,7 @@
 	sync := lineOf(m.control.Slopes.InstanceBytesPerUpstream)
 	copies := m.target.Voters * m.ledgerBytesEach()
 	changes := m.changeBytes() * m.changesPerSecond()
-	return Row{
+	row := Row{
 		Role: Entry, Quantity: "bytes", Value: sync.at(m.target.Upstreams) + copies + changes, Unit: BytesPerSecond,
 		Formula: fmt.Sprintf("%s + %s x %s upstreams + %s voters x %s copies + %s x %s changes",
 			BytesPerSecond.format(sync.base), BytesPerSecond.format(sync.slope), number(m.target.Upstreams),
@@ -46,18 +46,20 @@
 		Mechanism: "`control/relay` columns, `ledger` copies, whole trees; would hold it: " + subsets +
 			", copies to the two relays of the region instead of every voter, differences of trees",
 	}.against(m.target.LimitBytes).breaksAt(sync.plus(copies+changes), "upstreams")
+	return m.withTrial(row, m.largestTrial().InstanceBytes, copies+changes)
 }
 
 func (m *Model) entryCPU() Row {
 	idle := lineOf(m.control.Slopes.CPUPerUpstream)
 	copies := m.target.Voters / copyInterval * m.copySeconds().at(m.requestsPerCopy())
 	changes := m.control.Changes.CPUEach * m.changesPerSecond()
-	return Row{
+	row := Row{
 		Role: Entry, Quantity: "CPU", Value: idle.at(m.target.Upstreams) + copies + changes, Unit: Cores,
 		Formula: fmt.Sprintf("%s + %s x %s upstreams + %s for copies + %s for changes", Cores.format(idle.base), Cores.format(idle.slope),
 			number(m.target.Upstreams), Cores.format(copies), Cores.format(changes)),
 		Mechanism: "`control`, `control/relay`, `ledger`; the measured mean holds an eighth of the leader's work and the announcing stand-ins; would hold it: " + subsets,
 	}.against(m.target.LimitCPU).breaksAt(idle.plus(copies+changes), "upstreams")
+	return m.withTrial(row, m.largestTrial().CPUPerInstance, copies+changes)
 }
 
 func (m *Model) entrySyncs() Row {
--- a/capacity/follower.go
+++ b/capacity/follower.go
@@ -21,7 +21,7 @@
 	book := m.bookBytes()
 	return Row{
 		Role: Follower, Quantity: "memory of the books, live instances", Value: book.at(m.target.Instances), Unit: Bytes,
-		Formula:   fmt.Sprintf("%s + %s x %s instances", Bytes.format(book.base), Bytes.format(book.slope), number(m.target.Instances)),
+		Formula:   fmt.Sprintf("%s + %s x %s instances, at 1300 series each, the worst case", Bytes.format(book.base), Bytes.format(book.slope), number(m.target.Instances)),
 		Mechanism: "`ledger.Book`, each incarnation apart; would hold it: " + summed,
 	}.against(m.target.LimitMemory).breaksAt(book, "instances")
 }
@@ -33,7 +33,7 @@
 	each := m.bookBytes().slope
 	return Row{
 		Role: Follower, Quantity: "memory of the books, ended incarnations", Value: perDay * latenciesKeptDays * each, Unit: Bytes,
-		Formula: fmt.Sprintf("%s ends/day x %d days x %s; counts alone stay for 92 days, not measured and on top",
+		Formula: fmt.Sprintf("%s ends/day x %d days x %s, as above; counts alone stay for 92 days, not measured and on top",
 			number(perDay), latenciesKeptDays, Bytes.format(each)),
 		Mechanism: "`ledger.State.Trim`; would hold it: sums, into which an ended incarnation is folded once its last copy is known",
 	}.against(m.target.LimitMemory).breaksAt(line{0, latenciesKeptDays * each}, "ended incarnations a day")
--- a/capacity/leader.go
+++ b/capacity/leader.go
@@ -50,12 +50,16 @@
 // the nodes of a measured fleet share a process.
 func (m *Model) leaderCPU() Row {
 	l := lineOf(m.control.Slopes.CPUPerInstance)
-	return Row{
+	fleet := m.fleetCPU()
+	row := Row{
 		Role: Leader, Quantity: "CPU without upstreams, upper bound", Value: l.at(m.target.Instances), Unit: Cores,
-		Formula: fmt.Sprintf("%s + %s x %s instances, the instances' own part included; upstreams not measured apart", Cores.format(l.base),
+		Formula: fmt.Sprintf("%s + %s x %s instances, the instances' own part included", Cores.format(l.base),
 			Cores.format(l.slope), number(m.target.Instances)),
 		Mechanism: "`control`, one goroutine; would hold it: the relays",
 	}.against(m.target.LimitCPU).breaksAt(l, "instances")
+	row.Trial = fmt.Sprintf("with %s upstreams, by the trials, each further instance costs the whole fleet %s, %s for all; the leader's part of it is not known",
+		number(m.target.Upstreams), Cores.format(fleet.slope), Cores.format(fleet.at(m.target.Instances)))
+	return row
 }
 
 func (m *Model) leaderSyncs() Row {
--- a/capacity/model_test.go
+++ b/capacity/model_test.go
@@ -42,6 +42,8 @@
 		"apply":                func(s *Sources) { double(s.Traffic.Apply) },
 		"merge":                func(s *Sources) { double(s.Traffic.Merge) },
 		"book":                 func(s *Sources) { double(s.Traffic.States[1].Bytes) },
+		"trial, bytes":         func(s *Sources) { s.Traffic.Trials.Fleets[2].InstanceBytes *= 2 },
+		"trial, CPU":           func(s *Sources) { s.Traffic.Trials.Fleets[2].CPUPerInstance *= 2 },
 		"load average":         func(s *Sources) { s.Traffic.Runs[0].LoadAverage *= 2 },
 	}
 	before := render(t, recorded(t))
--- a/capacity/row.go
+++ b/capacity/row.go
@@ -28,6 +28,7 @@
 	Formula   string
 	Mechanism string // what carries it: package and mechanism
 	Breaks    string // at which size the limit is reached
+	Trial     string // what a trial says against the slope
 	Carries   bool   // today's mechanism carries the target
 	Planned   bool   // a chosen mechanism that isn't built
 	Unknown   bool   // nothing was measured that the value could follow from
@@ -67,5 +68,13 @@
 	slices.SortStableFunc(rows, func(a, b Row) int { return cmp.Compare(b.Times(), a.Times()) })
 }
 
+// Remark is where the row breaks and what a trial says.
+func (r Row) Remark() string {
+	if r.Trial == "" {
+		return r.Breaks
+	}
+	return r.Breaks + "; " + r.Trial
+}
+
 // Needs is the value with its unit, as the page shows it.
 func (r Row) Needs() string { return r.Unit.format(r.Value) }
--- a/capacity/table.go
+++ b/capacity/table.go
@@ -52,9 +52,9 @@
 	case r.Planned:
 		return "does not carry it yet"
 	case !r.Carries:
-		return "**does not carry it yet**; " + r.Breaks
+		return "**does not carry it yet**; " + r.Remark()
 	case r.Breaks != "":
-		return "yes, by extrapolation; " + r.Breaks
+		return "yes, by extrapolation; " + r.Remark()
 	case r.Limit == 0:
 		return "no limit given; not tried at this size"
 	}
--- a/capacity/traffic.go
+++ b/capacity/traffic.go
@@ -1,5 +1,7 @@
 package capacity
 
+import "celeryport/slopes"
+
 // Traffic is what requests and their ledger cost, as docs/slopes-traffic.json
 // keeps it. Times are elapsed times of one operation after the other, each run
 // several times.
@@ -15,6 +17,8 @@
 	Apply         []float64     `json:"ledger_apply_nanoseconds_per_request"`
 	Merge         []float64     `json:"ledger_merge_of_160_requests_nanoseconds"` // sync included
 	States        []StateSize   `json:"ledger_states"`
+
+	Trials Trials `json:"control_trials"`
 }
 
 // Machine is where it was measured.
@@ -57,3 +61,12 @@
 	Instances float64   `json:"instances"`
 	Bytes     []float64 `json:"bytes"`
 }
+
+// Trials are fleets at rest at sizes that `make slopes` does not take, as a check
+// of what its slopes say together.
+type Trials struct {
+	Command     string        `json:"command"`
+	Date        string        `json:"date"`
+	LoadAverage float64       `json:"load_average"`
+	Fleets      []slopes.Idle `json:"fleets"`
+}
