Count the memory of whole processes on the capacity page

One trial (an instance at rest as the only voter, once) gave 30.7 MB resident, 7.78 MB of it anonymous; on top comes twice the live heap, as Go's collector lets it grow by default.

--- a/capacity/entry.go
+++ b/capacity/entry.go
@@ -9,7 +9,7 @@
 
 // EntryRows are what an entry instance that doesn't vote spends on control.
 func (m *Model) EntryRows() []Row {
-	return []Row{m.entryMemory(), m.entryMessages(), m.entryBytes(), m.entryCPU(), m.entrySyncs(), m.entryDisk()}
+	return []Row{m.entryMemory(), m.entryProcess(), m.entryMessages(), m.entryBytes(), m.entryCPU(), m.entrySyncs(), m.entryDisk()}
 }
 
 func (m *Model) entryMemory() Row {
@@ -19,10 +19,23 @@
 		Role: Entry, Quantity: "state in memory (heap)", Value: value, Unit: Bytes,
 		Formula: fmt.Sprintf("%s + %s x %s upstreams + %s account", Bytes.format(heap.base), Bytes.format(heap.slope),
 			number(m.target.Upstreams), Bytes.format(book)),
-		Mechanism: "`upstream` registry, `control.View`, `ledger.Account`; " + account + "; process memory beyond the heap not measured",
+		Mechanism: "`upstream` registry, `control.View`, `ledger.Account`; " + account,
 	}.against(m.target.LimitMemory).breaksAt(heap.plus(book), "upstreams")
 }
 
+// entryProcess adds what a process holds at rest, and what the collector lets a
+// heap grow to.
+func (m *Model) entryProcess() Row {
+	heap := lineOf(m.control.Slopes.HeapPerUpstream).plus(m.bookBytes().slope)
+	l := m.process(heap)
+	return Row{
+		Role: Entry, Quantity: "memory of the process, without requests", Value: l.at(m.target.Upstreams), Unit: Bytes,
+		Formula: fmt.Sprintf("%s resident at rest (trial) + %s x %s of heap", Bytes.format(m.traffic.Process.Resident), number(collected),
+			Bytes.format(heap.at(m.target.Upstreams))),
+		Mechanism: "all of the above, the program and its runtime",
+	}.against(m.target.LimitMemory).breaksAt(l, "upstreams")
+}
+
 func (m *Model) entryMessages() Row {
 	copies := m.target.Voters / copyInterval
 	return Row{
--- a/capacity/follower.go
+++ b/capacity/follower.go
@@ -12,7 +12,7 @@
 // besides.
 func (m *Model) FollowerRows() []Row {
 	return []Row{
-		m.followerBook(), m.followerDead(), m.followerClaims(), m.followerMessages(),
+		m.followerBook(), m.followerDead(), m.followerClaims(), m.followerProcess(), m.followerMessages(),
 		m.followerTraffic(), m.followerCPU(), m.followerSyncs(), m.followerDisk(),
 	}
 }
@@ -50,6 +50,20 @@
 	return row
 }
 
+// followerProcess is all of it together: what an entry instance has, both parts of
+// the books, and claims.
+func (m *Model) followerProcess() Row {
+	live, dead, claims := m.bookBytes(), m.followerDead().Value, m.followerClaims().Value
+	heap := live.plus(lineOf(m.control.Slopes.HeapPerUpstream).at(m.target.Upstreams) + live.slope + dead + claims)
+	l := m.process(heap)
+	return Row{
+		Role: Follower, Quantity: "memory of the process, without requests", Value: l.at(m.target.Instances), Unit: Bytes,
+		Formula: fmt.Sprintf("%s resident at rest (trial) + %s x %s of heap: books, claims at their bound, an entry's state",
+			Bytes.format(m.traffic.Process.Resident), number(collected), Bytes.format(heap.at(m.target.Instances))),
+		Mechanism: "all of the above; would hold it: books in sums, claims by groups of voters",
+	}.against(m.target.LimitMemory).breaksAt(l, "instances")
+}
+
 func (m *Model) followerMessages() Row {
 	return Row{
 		Role: Follower, Quantity: "messages", Value: m.target.Instances/copyInterval + m.syncCalls(), Unit: CallsPerSecond, Carries: true,
--- a/capacity/model.go
+++ b/capacity/model.go
@@ -13,6 +13,7 @@
 	copyInterval      = float64(accounting.DefaultInterval) / float64(time.Second)
 	measuredRequests  = 160 // of the merged copy in docs/REPORTS.md
 	measuredMergeCPU  = 0.0008
+	collected         = 2.0 // Go's collector lets a heap grow to twice what lives, by default
 	claimVoteBytes    = 290 // docs/CONTROL.md, "Memory"
 	latenciesKeptDays = 7   // of a dead incarnation, docs/REPORTS.md
 )
@@ -109,3 +110,8 @@
 	l := through(first.PromptTokens, median(first.Nanoseconds), last.PromptTokens, median(last.Nanoseconds))
 	return line{l.base / 1e9, l.slope / 1e9}
 }
+
+// process is the memory of a process whose live heap follows the line.
+func (m *Model) process(heap line) line {
+	return line{m.traffic.Process.Resident + collected*heap.base, collected * heap.slope}
+}
--- a/capacity/model_test.go
+++ b/capacity/model_test.go
@@ -44,6 +44,7 @@
 		"book":                 func(s *Sources) { double(s.Traffic.States[1].Bytes) },
 		"trial, bytes":         func(s *Sources) { s.Traffic.Trials.Fleets[2].InstanceBytes *= 2 },
 		"trial, CPU":           func(s *Sources) { s.Traffic.Trials.Fleets[2].CPUPerInstance *= 2 },
+		"resident":             func(s *Sources) { s.Traffic.Process.Resident *= 2 },
 		"load average":         func(s *Sources) { s.Traffic.Runs[0].LoadAverage *= 2 },
 	}
 	before := render(t, recorded(t))
--- a/capacity/traffic.go
+++ b/capacity/traffic.go
@@ -18,7 +18,8 @@
 	Merge         []float64     `json:"ledger_merge_of_160_requests_nanoseconds"` // sync included
 	States        []StateSize   `json:"ledger_states"`
 
-	Trials Trials `json:"control_trials"`
+	Trials  Trials       `json:"control_trials"`
+	Process ProcessTrial `json:"process_trial"`
 }
 
 // Machine is where it was measured.
@@ -70,3 +71,12 @@
 	LoadAverage float64       `json:"load_average"`
 	Fleets      []slopes.Idle `json:"fleets"`
 }
+
+// ProcessTrial is the memory of one whole process at rest.
+type ProcessTrial struct {
+	Command     string  `json:"command"`
+	Date        string  `json:"date"`
+	LoadAverage float64 `json:"load_average"`
+	Resident    float64 `json:"resident_bytes"`
+	Anonymous   float64 `json:"resident_anonymous_bytes"` // the rest is the program itself
+}
