--- a/routing/node.go
+++ b/routing/node.go
@@ -24,10 +24,12 @@
 	report   report
 	prefixes *upstream.Prefixes
 	heardAt  time.Time
-	targets  []string
-	seen     uint64 // view revision in which it was present last
-	inLane   bool   // of the long lane of its pool
-	denied   bool   // refused a part of a span since its last report
+	// freshUntil is when it turns silent even if no newer view comes; zero: never.
+	freshUntil time.Time
+	targets    []string
+	seen       uint64 // view revision in which it was present last
+	inLane     bool   // of the long lane of its pool
+	denied     bool   // refused a part of a span since its last report
 
 	inFlight int
 	sends    []*Send // in flight, in no order
@@ -47,6 +49,7 @@
 
 // load is work of one kind of requests on an upstream.
 type load struct {
+	count  int // requests
 	short  int // prompt tokens without a first token, of short prompts
 	long   int // the same of long prompts
 	memory int // tokens held or to be held
@@ -72,6 +75,11 @@
 // InFlight is the number of own requests on the node.
 func (n *Node) InFlight() int { return n.inFlight }
 
+// running estimates the requests of all instances on the node.
+func (n *Node) running() int {
+	return max(n.report.running, n.known.count) + n.newer.count
+}
+
 // State is the freshness of the node in the last view.
 func (n *Node) State() upstream.State { return n.state }
 
@@ -119,6 +127,7 @@
 }
 
 func (l *load) add(s *Send, sign int) {
+	l.count += sign
 	l.memory += sign * s.Memory
 	if s.started {
 		return
@@ -150,6 +159,7 @@
 	n.prefixes = u.Prefixes
 	n.targets = a.Targets
 	n.heardAt = u.HeardAt
+	n.freshUntil = u.FreshUntil
 	if !u.LoadAt.After(n.report.at) {
 		return
 	}
