Measure the reconciler for the capacity page

Its rows said "not measured".

order.Driver makes a round after each answer as well as by its timer, so its processor time grows with the square of the engines: 2.54% of a core at 600, 1.69 times the limit, reached at 450 engines. Rounds by the timer alone would take 0.42%. That is noted on the page, not changed here.

The size at which a square reaches the limit has a test; with 4 instead of 4 x slope, or the other sign under the root, it fails with the sizes it found.

--- a/capacity/document.go
+++ b/capacity/document.go
@@ -32,7 +32,7 @@
 func Document(t Target, s *Sources) (string, error) {
 	m := NewModel(t, s)
 	parsed, err := template.New("page").Funcs(template.FuncMap{
-		"number": number, "percent": percent, "percent2": smallPercent, "millions": millions, "bytes": Bytes.format, "rate": BytesPerSecond.format,
+		"number": number, "percent": percent, "percent2": smallPercent, "millions": millions, "median": median, "micro": micro, "bytes": Bytes.format, "rate": BytesPerSecond.format,
 	}).Parse(pageText)
 	if err != nil {
 		return "", errors.Wrap(err, "page")
@@ -57,7 +57,7 @@
 // over lists the rows above their limit, worst first.
 func (m *Model) over() []Row {
 	var over []Row
-	for _, rows := range [][]Row{m.EntryRows(), m.FollowerRows(), m.LeaderRows()} {
+	for _, rows := range [][]Row{m.EntryRows(), m.FollowerRows(), m.LeaderRows(), m.ReconcilerRows()} {
 		for _, r := range rows {
 			if margin, ok := r.Margin(); ok && margin < 0 {
 				over = append(over, r)
--- a/capacity/model_test.go
+++ b/capacity/model_test.go
@@ -45,6 +45,8 @@
 		"trial, bytes":         func(s *Sources) { s.Traffic.Trials.Fleets[2].InstanceBytes *= 2 },
 		"trial, CPU":           func(s *Sources) { s.Traffic.Trials.Fleets[2].CPUPerInstance *= 2 },
 		"resident":             func(s *Sources) { s.Traffic.Process.Resident *= 2 },
+		"reconciler, time":     func(s *Sources) { double(s.Traffic.Reconciler.Fleets[1].Nanoseconds) },
+		"reconciler, memory":   func(s *Sources) { double(s.Traffic.Reconciler.Fleets[1].Memory) },
 		"load average":         func(s *Sources) { s.Traffic.Runs[0].LoadAverage *= 2 },
 	}
 	before := render(t, recorded(t))
@@ -122,3 +124,18 @@
 		t.Fatalf("got %+v, want %+v", got, want)
 	}
 }
+
+// The size at which the reconciler breaks solves a square, which a slip of a sign
+// would turn into a size that is far off and still looks sound.
+func TestReconcilerReachesItsLimit(t *testing.T) {
+	s := recorded(t)
+	target := Letter()
+	cpu := func(engines float64) float64 {
+		target.Upstreams = engines
+		return NewModel(target, &s).reconcilerCPU().Value
+	}
+	size := NewModel(target, &s).reconcilerReaches()
+	if cpu(size) > limitCPU || cpu(size+1) <= limitCPU {
+		t.Fatalf("at %v engines %v, one more %v; want the limit %v between them", size, cpu(size), cpu(size+1), limitCPU)
+	}
+}
--- a/capacity/traffic.go
+++ b/capacity/traffic.go
@@ -1,7 +1,5 @@
 package capacity
 
-import "celeryport/slopes"
-
 // Traffic is what requests and their ledger cost, as docs/slopes-traffic.json
 // keeps it. Times are elapsed times of one operation after the other, each run
 // several times.
@@ -20,6 +18,8 @@
 
 	Trials  Trials       `json:"control_trials"`
 	Process ProcessTrial `json:"process_trial"`
+
+	Reconciler ReconcilerTrial `json:"reconciler_trial"`
 }
 
 // Machine is where it was measured.
@@ -62,21 +62,3 @@
 	Instances float64   `json:"instances"`
 	Bytes     []float64 `json:"bytes"`
 }
-
-// Trials are fleets at rest at sizes that `make slopes` does not take, as a check
-// of what its slopes say together.
-type Trials struct {
-	Command     string        `json:"command"`
-	Date        string        `json:"date"`
-	LoadAverage float64       `json:"load_average"`
-	Fleets      []slopes.Idle `json:"fleets"`
-}
-
-// ProcessTrial is the memory of one whole process at rest.
-type ProcessTrial struct {
-	Command     string  `json:"command"`
-	Date        string  `json:"date"`
-	LoadAverage float64 `json:"load_average"`
-	Resident    float64 `json:"resident_bytes"`
-	Anonymous   float64 `json:"resident_anonymous_bytes"` // the rest is the program itself
-}
--- a/capacity/unit.go
+++ b/capacity/unit.go
@@ -72,3 +72,6 @@
 func smallPercent(part float64) string { return number(100*part) + "%" }
 
 func millions(value float64) float64 { return value / 1e6 }
+
+// micro turns nanoseconds into microseconds.
+func micro(nanoseconds float64) float64 { return nanoseconds / 1e3 }
