--- a/capacity/model_test.go
+++ b/capacity/model_test.go
@@ -135,7 +135,8 @@
 		return NewModel(target, &s).reconcilerCPU().Value
 	}
 	size := NewModel(target, &s).reconcilerReaches()
-	if cpu(size) > limitCPU || cpu(size+1) <= limitCPU {
+	within := cpu(size) <= limitCPU && cpu(size+1) > limitCPU
+	if !within {
 		t.Fatalf("at %v engines %v, one more %v; want the limit %v between them", size, cpu(size), cpu(size+1), limitCPU)
 	}
 }
