Measure small ledger copies for the capacity page

The voter's processor time was drawn from a copy of 160 requests, while at the target a copy holds 32.

The cost of counting a request, recorded and so far not shown, has a row.

--- a/capacity/follower.go
+++ b/capacity/follower.go
@@ -83,24 +83,27 @@
 	}.against(m.target.LimitBytes).breaksAt(l, "instances")
 }
 
-// followerCPU takes the books alone, from the measured processor time of a merge.
+// followerCPU takes the books alone.
 func (m *Model) followerCPU() Row {
-	each := measuredMergeCPU / measuredRequests
+	cpu, _ := m.mergeCost()
+	each := cpu / copyInterval
 	return Row{
-		Role: Follower, Quantity: "CPU of the books", Value: each * m.target.RequestsPerSecond, Unit: Cores,
-		Formula: fmt.Sprintf("%s requests/s x 0.8 ms / %d (docs/REPORTS.md); applying alone was measured as %s", number(m.target.RequestsPerSecond),
-			measuredRequests, Cores.format(median(m.traffic.Apply)/1e9*m.target.RequestsPerSecond)),
+		Role: Follower, Quantity: "CPU of the books", Value: each * m.target.Instances, Unit: Cores,
+		Formula: fmt.Sprintf("%s instances / %s s x %s ms for a copy of %s requests (trial); applying alone was measured as %s",
+			number(m.target.Instances), number(copyInterval), number(1e3*cpu), number(m.requestsPerCopy()),
+			Cores.format(median(m.traffic.Apply)/1e9*m.target.RequestsPerSecond)),
 		Mechanism: "`ledger.Book.Merge`; would hold it: books in sums, each relay merging its region",
-	}.against(m.target.LimitCPU).breaksAt(line{0, each}, "requests/s")
+	}.against(m.target.LimitCPU).breaksAt(line{0, each}, "instances")
 }
 
 func (m *Model) followerSyncs() Row {
 	copies := m.target.Instances / copyInterval
+	_, elapsed := m.mergeCost()
 	return Row{
 		Role: Follower, Quantity: "syncs", Value: copies + m.changesPerSecond(), Unit: SyncsPerSecond, Carries: true,
-		Formula: fmt.Sprintf("%s instances / %s s + %s changes; claims on top; a merge of %d requests with its sync took %s ms",
-			number(m.target.Instances), number(copyInterval), PerSecond.format(m.changesPerSecond()), measuredRequests, number(median(m.traffic.Merge)/1e6)),
-		Mechanism: "`ledger.Book`, `wal`; not tried at this rate",
+		Formula: fmt.Sprintf("%s instances / %s s + %s changes; claims on top; one after the other the copies take %s of the time (%s ms each, trial)",
+			number(m.target.Instances), number(copyInterval), PerSecond.format(m.changesPerSecond()), percent(copies*elapsed), number(1e3*elapsed)),
+		Mechanism: "`ledger.Book`, `wal`; a slower disk leaves less",
 	}
 }
 
--- a/capacity/model.go
+++ b/capacity/model.go
@@ -11,8 +11,6 @@
 	secondsPerDay     = 86_400
 	secondsPerHour    = 3600
 	copyInterval      = float64(accounting.DefaultInterval) / float64(time.Second)
-	measuredRequests  = 160 // of the merged copy in docs/REPORTS.md
-	measuredMergeCPU  = 0.0008
 	collected         = 2.0 // Go's collector lets a heap grow to twice what lives, by default
 	claimVoteBytes    = 290 // docs/CONTROL.md, "Memory"
 	latenciesKeptDays = 7   // of a dead incarnation, docs/REPORTS.md
@@ -115,3 +113,13 @@
 func (m *Model) process(heap line) line {
 	return line{m.traffic.Process.Resident + collected*heap.base, collected * heap.slope}
 }
+
+// mergeCost is the processor and the elapsed time, in seconds, that a voter spends
+// on one copy of the target's size, through the two smallest measured sizes.
+func (m *Model) mergeCost() (cpu, elapsed float64) {
+	first, next := &m.traffic.Merges.Copies[0], &m.traffic.Merges.Copies[1]
+	requests := m.requestsPerCopy()
+	cpu = through(first.Requests, median(first.CPU), next.Requests, median(next.CPU)).at(requests) / 1e9
+	elapsed = through(first.Requests, median(first.Elapsed), next.Requests, median(next.Elapsed)).at(requests) / 1e9
+	return cpu, elapsed
+}
--- a/capacity/setaside.go
+++ b/capacity/setaside.go
@@ -61,10 +61,10 @@
 }
 
 func (m *Model) setAsideMerges() Row {
-	each := measuredMergeCPU / measuredRequests
+	cpu, _ := m.mergeCost()
 	return Row{
-		Role: SetAside, Quantity: "CPU of the books of a region", Value: each * m.target.RequestsPerSecond / m.target.Regions, Unit: Cores,
-		Formula:   fmt.Sprintf("%s requests/s x 0.8 ms / %d", number(m.target.RequestsPerSecond/m.target.Regions), measuredRequests),
+		Role: SetAside, Quantity: "CPU of the books of a region", Value: cpu / copyInterval * m.regionInstances(), Unit: Cores,
+		Formula:   fmt.Sprintf("%s instances / %s s x %s ms (trial)", number(m.regionInstances()), number(copyInterval), number(1e3*cpu)),
 		Mechanism: relays,
 	}
 }
--- a/capacity/sources.go
+++ b/capacity/sources.go
@@ -41,7 +41,7 @@
 	case len(s.Control.Instances) < 2, len(s.Control.Upstreams) < 2, len(s.Control.Claims) == 0, s.Control.Changes.TextBytes == 0, s.Control.Slopes == (slopes.Slopes{}):
 		return errors.Newf("%s is incomplete", slopesFile)
 	case len(s.Traffic.Requests) < 2, len(s.Traffic.Copies) < 2, len(s.Traffic.States) < 2, len(s.Traffic.Decisions) == 0, len(s.Traffic.Trials.Fleets) == 0,
-		s.Traffic.Process.Resident == 0, len(s.Traffic.Reconciler.Fleets) < 2:
+		s.Traffic.Process.Resident == 0, len(s.Traffic.Reconciler.Fleets) < 2, len(s.Traffic.Merges.Copies) < 2:
 		return errors.Newf("%s is incomplete", trafficFile)
 	}
 	return nil
--- a/capacity/traffic.go
+++ b/capacity/traffic.go
@@ -20,6 +20,7 @@
 	Process ProcessTrial `json:"process_trial"`
 
 	Reconciler ReconcilerTrial `json:"reconciler_trial"`
+	Merges     MergeTrial      `json:"ledger_merge_trial"`
 }
 
 // Machine is where it was measured.
--- a/capacity/traffic_rows.go
+++ b/capacity/traffic_rows.go
@@ -6,7 +6,7 @@
 // letter's limits are for control and don't bind them. Elapsed times stand for
 // processor time; they hold the caller's and the engine's part too.
 func (m *Model) TrafficRows() []Row {
-	return []Row{m.trafficRequests(), m.trafficTokens(), m.trafficDecisions(), m.trafficInFlight()}
+	return []Row{m.trafficRequests(), m.trafficTokens(), m.trafficDecisions(), m.trafficCounting(), m.trafficInFlight()}
 }
 
 func (m *Model) trafficRequests() Row {
@@ -47,6 +47,15 @@
 	return median(m.traffic.Decisions[len(m.traffic.Decisions)-1].Nanoseconds)
 }
 
+func (m *Model) trafficCounting() Row {
+	cost := median(m.traffic.CountRequest)
+	return Row{
+		Role: Entry, Quantity: "counting", Value: m.requestsEach() * cost / 1e9, Unit: Cores, Carries: true,
+		Formula:   fmt.Sprintf("%s requests/s x %s ns", number(m.requestsEach()), number(cost)),
+		Mechanism: "`ledger.Account`",
+	}
+}
+
 // trafficInFlight takes everything that a request allocates as held to its end,
 // which is an upper bound.
 func (m *Model) trafficInFlight() Row {
--- a/capacity/trials.go
+++ b/capacity/trials.go
@@ -36,3 +36,19 @@
 	Nanoseconds []float64 `json:"round_nanoseconds"` // the reads of the round included
 	Memory      []float64 `json:"memory_bytes"`
 }
+
+// MergeTrial is what a voter spends on one ledger copy, sync included, with
+// several instances in its book.
+type MergeTrial struct {
+	Command     string      `json:"command"`
+	Date        string      `json:"date"`
+	LoadAverage float64     `json:"load_average"`
+	Copies      []MergeCost `json:"copies"`
+}
+
+// MergeCost is the cost of a copy by its requests.
+type MergeCost struct {
+	Requests float64   `json:"requests"`
+	CPU      []float64 `json:"cpu_nanoseconds"` // system calls and the collector included
+	Elapsed  []float64 `json:"nanoseconds"`
+}
