Give engines the priority of the decision, not that of the class

The scheduler sets the priority of each send from class and length and raises it for long requests that have waited; the caller side sent the class's instead, so engines let long prompts of a class run beside its short ones.

--- a/entry/send_prompt.go
+++ b/entry/send_prompt.go
@@ -67,7 +67,7 @@
 		Incarnation: lead.Incarnation,
 		Request:     e.request.ID,
 		Attempt:     action.Attempt,
-		Priority:    e.request.Priority,
+		Priority:    action.Priority,
 		Resume:      resume,
 		Offset:      offset,
 		Remaining:   e.request.Remaining(s.options.Clock.Now()),
