--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -144,13 +144,17 @@
 
 // Snapshot returns the present view, ordered by name.
 func (r *Registry) Snapshot(now time.Time) *Snapshot {
-	upstreams := make([]Upstream, 0, len(r.records))
+	ordered := make([]*record, 0, len(r.records))
 	for _, rec := range r.records {
-		upstreams = append(upstreams, rec.view(now, r.freshFor))
+		ordered = append(ordered, rec)
 	}
-	slices.SortFunc(upstreams, func(a, b Upstream) int {
-		return strings.Compare(a.Announcement.Name, b.Announcement.Name)
+	slices.SortFunc(ordered, func(a, b *record) int {
+		return strings.Compare(a.announcement.Name, b.announcement.Name)
 	})
+	upstreams := make([]Upstream, len(ordered))
+	for i, rec := range ordered {
+		upstreams[i] = rec.view(now, r.freshFor)
+	}
 	return NewSnapshot(r.version, now, upstreams)
 }
 
