Order the role that the settings wish, and let one model decide for an engine

The tree had no wish for a role, although engines take the order. And two models on one engine that wish different versions had it ordered to and fro for ever: the table's case ended at its bound of rounds before. The first model in the tree decides now.

--- a/order/reconciler_test.go
+++ b/order/reconciler_test.go
@@ -51,6 +51,8 @@
 		e.state.Adapters = slices.DeleteFunc(slices.Clone(e.state.Adapters), func(a string) bool { return a == o.Value })
 	case wire.OrderVersion:
 		e.state.Version = o.Value
+	case wire.OrderRole:
+		e.state.Role = o.Value
 	}
 	return true
 }
@@ -136,6 +138,16 @@
 			wished(settings.Model{Name: "m", Version: "v2", Adapters: []string{"a", "b"}}),
 			map[string]wire.EngineState{"e1": {Models: []string{"m"}, Version: "v2", Adapters: []string{"a", "b"}}},
 		},
+		"role": {
+			shop{"e1": newEngine("e1", upstream.FencingChecked, "m"), "e2": newEngine("e2", upstream.FencingIgnored)},
+			wished(settings.Model{Name: "m", Role: "prefill"}),
+			map[string]wire.EngineState{"e1": {Models: []string{"m"}, Role: "prefill"}, "e2": {}},
+		},
+		"two models on one engine wish different versions": {
+			shop{"e1": newEngine("e1", upstream.FencingIgnored, "m", "n")},
+			&settings.Tree{Models: []settings.Model{{Name: "m", Version: "v2"}, {Name: "n", Version: "v3"}}},
+			map[string]wire.EngineState{"e1": {Models: []string{"m", "n"}, Version: "v2"}},
+		},
 		"nothing wished": {
 			shop{"e1": newEngine("e1", upstream.FencingIgnored, "m")},
 			wished(settings.Model{Name: "m"}),
@@ -148,7 +160,7 @@
 			settle(t, NewReconciler(DefaultTiming()), test.engines, issuer, test.tree, testStart.Add(DefaultTiming().Wait))
 			for engine, want := range test.want {
 				got := test.engines[engine].state
-				if !slices.Equal(got.Models, want.Models) || !slices.Equal(got.Adapters, want.Adapters) || got.Version != want.Version {
+				if !slices.Equal(got.Models, want.Models) || !slices.Equal(got.Adapters, want.Adapters) || got.Version != want.Version || got.Role != want.Role {
 					t.Errorf("%s is %+v, want %+v", engine, got, want)
 				}
 			}
--- a/order/wish.go
+++ b/order/wish.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,7 +17,7 @@
 // the engines are not even read.
 func wishes(tree *settings.Tree) bool {
 	return slices.ContainsFunc(tree.Models, func(m settings.Model) bool {
-		return m.Version != "" || m.Replicas > 0 || len(m.Adapters) > 0
+		return m.Version != "" || m.Role != "" || m.Replicas > 0 || len(m.Adapters) > 0
 	})
 }
 
@@ -114,21 +115,28 @@
 	return count
 }
 
-// contentWant compares the version and the adapters of an engine with the
-// wishes for the models that it serves. What the tree leaves empty stays as it
-// is.
+// contentWant compares the version, the role and the adapters of an engine with
+// the wishes for the models that it serves. What the tree leaves empty stays as
+// it is. Of two models on one engine that wish differently the first in the tree
+// decides; otherwise the engine would be ordered to and fro for ever.
 func contentWant(e *engine, tree *settings.Tree) (want, bool) {
+	var version, role string
 	var adapters []string
 	for i := range tree.Models {
 		m := &tree.Models[i]
 		if !e.serves(m.Name) {
 			continue
 		}
-		if m.Version != "" && m.Version != e.state.Version {
-			return want{engine: e, kind: wire.OrderVersion, value: m.Version}, true
-		}
+		version = cmp.Or(version, m.Version)
+		role = cmp.Or(role, m.Role)
 		adapters = append(adapters, m.Adapters...)
 	}
+	if version != "" && version != e.state.Version {
+		return want{engine: e, kind: wire.OrderVersion, value: version}, true
+	}
+	if role != "" && role != e.state.Role {
+		return want{engine: e, kind: wire.OrderRole, value: role}, true
+	}
 	return adapterWant(e, adapters)
 }
 
--- a/settings/schema_target.go
+++ b/settings/schema_target.go
@@ -30,6 +30,8 @@
 			"Wished version; left out: whatever the engine has."),
 		key("adapters", list(plainName()), "", func(m *Model) *[]string { return &m.Adapters },
 			"Wished adapters."),
+		key("role", plainName(), "", func(m *Model) *string { return &m.Role },
+			"Wished role of the engines that serve it, as they name it; left out: whatever the engine has."),
 		key("replicas", count(0, mostReplicas), "0", func(m *Model) *int { return &m.Replicas },
 			"Wished number of engines; 0: all that announce the model."),
 		key("spans", boolean(), "true", func(m *Model) *bool { return &m.Spans },
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -86,6 +86,7 @@
 	Name     string
 	Version  string   // wished version, empty: whatever the engine has
 	Adapters []string // wished adapters
+	Role     string   // wished role, empty: whatever the engine has
 	Replicas int      // wished number of engines, 0: all that announce it
 	Spans    bool     // prompts larger than one engine may be spread over several
 }
