--- a/examples/demo/run.sh
+++ b/examples/demo/run.sh
@@ -139,6 +139,9 @@
 wait_for 15 upstreams_fresh
 operator instances
 operator upstreams
+operator voter list
+operator order list
+"$celeryport" addresses --to "$(traffic_of ortigia-1)"
 
 say "sending prompts of a thousand to a million tokens and fabric holds"
 "$celeryport" load --mix aretusa --to "$(traffic_of ortigia-1)" --to "$(traffic_of borgata-1)" --to "$(traffic_of neapolis-1)" \
