--- /dev/null
+++ b/entry/fake_upstream_test.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"slices"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"celeryport/upstream/wire"
+)
+
+// fakeUpstream answers connections by a script and counts generate and service
+// calls and cancels.
+type fakeUpstream struct {
+	listener *fasthttputil.InmemoryListener
+	script   func(conn net.Conn, r *fasthttp.Request)
+	mu       sync.Mutex
+	calls    []string // paths, cancels and holdings left out
+	cancels  []wire.CancelRequest
+	deaf     int            // so many cancels are read and not answered
+	held     []wire.Holding // listed, less what was cancelled
+}
+
+// script answers one call on a connection.
+type script = func(conn net.Conn, r *fasthttp.Request)
+
+func (f *fakeUpstream) run() {
+	for {
+		conn, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		go f.serve(conn)
+	}
+}
+
+func (f *fakeUpstream) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	var r fasthttp.Request
+	if r.Read(bufio.NewReader(conn)) != nil {
+		return
+	}
+	switch path := string(r.URI().Path()); path {
+	case wire.PathCancel:
+		var c wire.CancelRequest
+		_ = json.Unmarshal(r.Body(), &c)
+		if f.cancel(c) {
+			answerJSON(conn, wire.CancelResponse{Cancelled: 1})
+		}
+	case wire.PathHoldings:
+		f.mu.Lock()
+		held := append([]wire.Holding(nil), f.held...)
+		f.mu.Unlock()
+		answerJSON(conn, wire.Holdings{Incarnation: 1, Held: held})
+	default:
+		f.mu.Lock()
+		f.calls = append(f.calls, path)
+		f.mu.Unlock()
+		f.script(conn, &r)
+	}
+}
+
+// cancel takes a cancel and reports whether it is answered.
+func (f *fakeUpstream) cancel(c wire.CancelRequest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancels = append(f.cancels, c)
+	if f.deaf > 0 {
+		f.deaf--
+		return false
+	}
+	f.held = slices.DeleteFunc(f.held, func(h wire.Holding) bool {
+		return h.Request == c.Request && h.Owner == c.Owner
+	})
+	return true
+}
+
+func (f *fakeUpstream) counted() (calls, cancels int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.calls), len(f.cancels)
+}
+
+func answerJSON(conn net.Conn, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	var response fasthttp.Response
+	response.Header.SetContentType(contentTypeJSON)
+	response.SetBody(body)
+	w := bufio.NewWriter(conn)
+	_ = response.Write(w)
+	_ = w.Flush()
+}
--- a/entry/send_prompt.go
+++ b/entry/send_prompt.go
@@ -24,7 +24,7 @@
 	var failed error
 	for attempt := range maxResumes + 1 {
 		resume := attempt > 0
-		err := s.stream(e, action, s.generateCall(e, action, lead, span, resume))
+		err := s.stream(e, s.generateCall(e, action, lead, span, resume))
 		if err == nil {
 			return s.generated(e, sentAt)
 		}
@@ -91,7 +91,7 @@
 }
 
 // stream runs one connection to its end. Nil means that the answer is whole.
-func (s *sender) stream(e *exchange, _ *dispatch.Action, call *client.GenerateCall) error {
+func (s *sender) stream(e *exchange, call *client.GenerateCall) error {
 	stream, failed := s.options.Client.Generate(e.ctx, call, e.receiver)
 	if failed != nil {
 		return failed
