Prove that a span keeps no part after a refusal

A span whose second engine refuses must hold nothing afterwards, run nowhere and say not-run; a span that runs holds both parts and frees them.

--- a/entry/fake_upstream_test.go
+++ b/entry/fake_upstream_test.go
@@ -23,6 +23,8 @@
 	cancels  []wire.CancelRequest
 	deaf     int            // so many cancels are read and not answered
 	held     []wire.Holding // listed, less what was cancelled
+	full     bool           // reserves nothing
+	reserved int            // reservations granted, renewals included
 }
 
 // script answers one call on a connection.
@@ -51,6 +53,10 @@
 		if f.cancel(c) {
 			answerJSON(conn, wire.CancelResponse{Cancelled: 1})
 		}
+	case wire.PathReserve:
+		var reserve wire.ReserveRequest
+		_ = json.Unmarshal(r.Body(), &reserve)
+		answerJSON(conn, wire.ReserveResponse{Granted: f.reserve(reserve)})
 	case wire.PathHoldings:
 		f.mu.Lock()
 		held := append([]wire.Holding(nil), f.held...)
@@ -64,6 +70,20 @@
 	}
 }
 
+// reserve holds the memory of a part, unless the engine is full.
+func (f *fakeUpstream) reserve(r wire.ReserveRequest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.full {
+		return false
+	}
+	if !slices.ContainsFunc(f.held, func(h wire.Holding) bool { return h.Request == r.Request }) {
+		f.held = append(f.held, wire.Holding{Request: r.Request, Attempt: r.Attempt, Owner: r.Owner, Tokens: r.Tokens})
+	}
+	f.reserved++
+	return true
+}
+
 // cancel takes a cancel and reports whether it is answered.
 func (f *fakeUpstream) cancel(c wire.CancelRequest) bool {
 	f.mu.Lock()
