Read HTTP/1.1 strictly, accept documents by version, and let voters heal by themselves

Cause: the next callers' protocol forwards calls unchanged, and its operators send documents with versions of their own to instances that no one names. Change: package httpwire; settings of forwarded calls and duties of a process; documents of which the highest version holds; reads confirmed by a majority instead of a lease; a leader that replaces dead voters by itself; a data folder that failed is written anew and used again; seeds that may change.

--- a/control/applysettings.go
+++ b/control/applysettings.go
@@ -62,6 +62,11 @@
 	if err != nil {
 		return state.Outcome{}, err
 	}
+	return n.awaitProposal(ctx, done)
+}
+
+// awaitProposal waits for the fate of a proposal.
+func (n *Node) awaitProposal(ctx context.Context, done <-chan proposalResult) (state.Outcome, error) {
 	select {
 	case result := <-done:
 		return result.outcome, result.err
--- a/control/compaction.go
+++ b/control/compaction.go
@@ -1,5 +1,7 @@
 package control
 
+import "time"
+
 // compactBytes is the size of the log from which on it is compacted before
 // Timing.Compact entries: all of it is in memory too, and each change of the
 // settings holds the whole tree.
@@ -7,14 +9,14 @@
 
 // compactIfDue replaces old entries by a snapshot, so that the log stays small
 // and a voter that missed hundreds of changes catches up in one transfer.
-func (g *group) compactIfDue() {
+func (g *group) compactIfDue(now time.Time) {
 	applied := g.machine.Applied()
 	large := g.log.Size() > compactBytes && applied > g.compacted
 	if !large && applied < g.compacted+g.core.timing.Compact {
 		return
 	}
 	if err := g.compact(applied); err != nil {
-		g.fail(err)
+		g.fail(now, err)
 	}
 }
 
--- a/control/consensuscall.go
+++ b/control/consensuscall.go
@@ -36,7 +36,7 @@
 	for i := range messages {
 		c.group.senders[messages[i].From] = address
 		if err := c.group.node.Step(now, messages[i]); err != nil {
-			c.group.fail(err)
+			c.group.fail(now, err)
 			return
 		}
 	}
--- a/control/core.go
+++ b/control/core.go
@@ -10,6 +10,7 @@
 	"celeryport/event"
 	"celeryport/membership"
 	"celeryport/quota"
+	"celeryport/settings"
 	"celeryport/upstream"
 )
 
@@ -20,6 +21,7 @@
 	log            logrus.FieldLogger
 	timing         Timing
 	self           membership.Instance
+	inTouch        bool // the last sync worked
 	accepted       bool // a leader took a statement of this incarnation
 	defunct        bool // another process took over the name
 	installed      installed
@@ -35,9 +37,10 @@
 	demand         []quota.Demand
 	position       syncPosition
 	voters         []consensus.Member
-	nextVoter      int     // which voter to ask next when no leader is known
-	group          *group  // nil on an instance without a log
-	leader         *leader // nil unless this voter leads
+	seeds          []settings.Member // whom the process settings name; they may change
+	nextVoter      int               // which voter to ask next when no leader is known
+	group          *group            // nil on an instance without a log
+	leader         *leader           // nil unless this voter leads
 	views          viewState
 }
 
@@ -59,6 +62,7 @@
 		timing:    n.opts.Timing,
 		installed: installed{folder: dataFolder{process.DataFolder, n.opts.FS}, parse: n.opts.Parse},
 		members:   newMemberList(),
+		seeds:     process.Voters,
 	}
 	if err := c.readInitialTree(); err != nil {
 		return nil, err
--- a/control/events.go
+++ b/control/events.go
@@ -26,7 +26,7 @@
 	eventFollowing = event.Define(3011, logrus.InfoLevel, "no longer leads the control group",
 		"Another voter leads now, or this one lost the majority.")
 	eventStorageFailed = event.Define(3012, logrus.ErrorLevel, "data folder failed",
-		"A write or sync of the log failed. The voter stops taking part at once, since it could not keep a promise; repair or replace the disk and restart.")
+		"A write or sync of the log failed. The voter stops taking part at once, since it could not keep a promise, and takes part again when everything it holds could be written anew. Free or replace the disk.")
 	eventNotMember = event.Define(3013, logrus.WarnLevel, "voter is not a member of the control group",
 		"The data folder is new and the control group was founded without it, for instance after the loss of a disk. Make it a member with: celeryport voter replace.")
 	eventFounded = event.Define(3014, logrus.InfoLevel, "control group founded",
@@ -37,6 +37,18 @@
 		"An operator's tree was accepted as a new revision. Fields: revision, base, order.")
 	eventVoterChange = event.Define(3017, logrus.InfoLevel, "voters changed",
 		"The set of voters or learners changed. Fields: voters, learners.")
+	eventVoterRepair = event.Define(3018, logrus.InfoLevel, "voters repaired",
+		"The leader did one step towards the wanted number of live voters. Fields: step, voters, learners.")
+	eventVoterRepairRefused = event.Define(3019, logrus.WarnLevel, "repair of the voters refused",
+		"The leader could not do the next step of a repair; it tries again. If it goes on, look at the voters with: celeryport voter list.")
+	eventStorageBack = event.Define(3022, logrus.InfoLevel, "data folder works again",
+		"All that the voter holds was written and synced anew after a failure of its data folder, and it takes part again.")
+	eventSyncFailed = event.Define(3023, logrus.WarnLevel, "lost touch with the control group",
+		"A sync failed after one that worked. The instance goes on with what it knows. Fields: target, error.")
+	eventSyncBack = event.Define(3024, logrus.InfoLevel, "in touch with the control group",
+		"A sync worked, for the first time or after a failure. Fields: leader, revision.")
+	eventSeedsChanged = event.Define(3025, logrus.InfoLevel, "other seeds",
+		"The process settings name other addresses to ask for the control group. Fields: seeds.")
 	eventRelayFailed = event.Define(3021, logrus.ErrorLevel, "upstreams not relayed",
 		"What was heard of upstreams could not be encoded for other instances, a fault of the program. They lose sight of the upstreams; report it.")
 	eventServeFailed = event.Define(3020, logrus.ErrorLevel, "control address failed",
--- a/control/group.go
+++ b/control/group.go
@@ -28,7 +28,9 @@
 	senders     map[consensus.ID]string // address that each sender gave of itself
 	appliedTerm uint64                  // term of the last applied entry
 	compacted   uint64                  // index of the last snapshot
-	failed      error                   // why the voter stopped
+	reads       reads
+	failed      error     // why the voter stopped
+	retryAt     time.Time // when to open the folder again
 }
 
 // farAway is when to come back for something that nothing is scheduled for.
@@ -62,29 +64,29 @@
 // step lets time pass and does all that has come up.
 func (g *group) step(now time.Time) (time.Time, error) {
 	if g.node == nil {
-		return now.Add(farAway), nil
+		return g.reopenIfDue(now)
 	}
 	if !now.Before(g.node.NextTick()) {
 		g.node.Tick(now)
 	}
 	for g.node != nil && g.node.HasReady() {
-		if err := g.process(); err != nil {
+		if err := g.process(now); err != nil {
 			return now, err
 		}
 	}
 	if g.node == nil {
 		return now.Add(farAway), nil
 	}
-	g.compactIfDue()
+	g.compactIfDue(now)
 	return g.node.NextTick(), nil
 }
 
 // process handles one batch in the order that consensus demands: sync, send,
 // apply.
-func (g *group) process() error {
+func (g *group) process(now time.Time) error {
 	batch := g.node.Ready()
 	if err := g.store(&batch); err != nil {
-		g.fail(err)
+		g.fail(now, err)
 		return nil
 	}
 	g.sendAll(batch.Messages)
@@ -96,17 +98,20 @@
 			return err
 		}
 	}
+	g.reads.confirmed(batch.ReadStates)
 	g.node.Advance()
 	return nil
 }
 
 // fail ends this voter's part after a write or sync failed. Nothing that it
 // promised since the last good sync may be counted on, and after a failed sync
-// a second one can report success without having written anything: so it must
-// never try again. The instance itself goes on with another voter as its leader.
-func (g *group) fail(err error) {
+// a second one can report success without having written anything: so nothing is
+// synced again in place. The instance itself goes on with another voter as its
+// leader until reopen has written everything anew.
+func (g *group) fail(now time.Time, err error) {
 	eventStorageFailed.Log(g.core.log, event.Fields{"error": err, "folder": g.core.installed.folder.path})
 	g.failed = err
+	g.retryAt = now.Add(reopenInterval)
 	g.node = nil
 	g.proposals.abandon(verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonStorageFailed, "the log could not be written"))
 }
--- a/control/leader.go
+++ b/control/leader.go
@@ -28,6 +28,8 @@
 	leaving      bool             // an upstream leaves, which can't wait
 	urgent       uint64           // last batch that could not wait
 	confirmed    confirmations
+	since        time.Time // when this leader began
+	healAt       time.Time // when to look at the voters again
 }
 
 // poll is a sync whose answer is held until there is news.
@@ -44,6 +46,7 @@
 		core:       c,
 		epoch:      fmt.Sprintf("%s/%d/%d", c.self.Name, c.self.Incarnation, term),
 		term:       term,
+		since:      now,
 		table:      membership.NewTable(now, c.timing.Membership),
 		allocation: newAllocation(c.timing.Membership.Lease + c.timing.Membership.Margin),
 		ids:        map[string]consensus.ID{},
@@ -122,7 +125,7 @@
 	l.noteInForce(now)
 	l.keepIssuer(now)
 	l.applyInitialTree(now)
-	next := now.Add(maxWait)
+	next := l.heal(now)
 	l.spread(now)
 	if l.out.registry.Version() != l.out.version {
 		next = earlier(next, l.out.at.Add(relayInterval))
--- a/control/node.go
+++ b/control/node.go
@@ -85,6 +85,21 @@
 	}
 }
 
+// AnnounceSurely hands in an announcement and returns when the leader has it, so
+// that what the upstream is told holds on every instance: of one that leaves,
+// the leader tells all the others at once.
+func (n *Node) AnnounceSurely(ctx context.Context, a upstream.Announcement) error {
+	if err := n.do(ctx, func(now time.Time) { n.core.hear(now, a) }); err != nil {
+		return err
+	}
+	for {
+		err := n.syncOnce(ctx, 0)
+		if err == nil || !n.pause(ctx, n.opts.Timing.Retry) {
+			return err
+		}
+	}
+}
+
 // Handle implements Operations.
 func (n *Node) Handle(command string, h Handler) { n.handlers[command] = h }
 
--- a/control/openfolder.go
+++ b/control/openfolder.go
@@ -66,8 +66,11 @@
 }
 
 // namedAsVoter reports whether the process settings name this instance among the
-// first voters.
+// voters that found the group.
 func (n *Node) namedAsVoter() bool {
+	if !n.opts.Process.Found {
+		return false
+	}
 	for _, voter := range n.opts.Process.Voters {
 		if voter.Address == n.opts.controlAddress() {
 			return true
--- a/control/operations.go
+++ b/control/operations.go
@@ -34,6 +34,8 @@
 func (n *Node) registerCommands() {
 	n.handlers[commandHello] = n.answerHello
 	n.handlers[CommandApply] = n.atLeader(CommandApply, n.applySettings)
+	n.handlers[commandPutDocument] = n.atLeader(commandPutDocument, n.putDocument)
+	n.handlers[commandReadDocument] = n.atLeader(commandReadDocument, n.readDocument)
 	n.handlers[CommandShow] = n.atLeader(CommandShow, n.showSettings)
 	n.handlers[CommandInstances] = n.atLeader(CommandInstances, n.listInstances)
 	n.handlers[CommandUpstreams] = n.listUpstreams
--- a/control/options.go
+++ b/control/options.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,6 +29,9 @@
 	Parse    func(file string, text []byte) (*settings.Tree, error) // nil: settings.ParseTree
 	FS       wal.FS                                                 // nil: the machine's; tests make it fail
 	Timing   Timing                                                 // zero: DefaultTiming
+	Heal     int                                                    // voters that the leader keeps by itself; 0: operators replace them
+	Extra    http.Handler                                           // answers paths at the control address that are not the instances' own; nil: none
+	ExtraAt  string                                                 // path prefix that Extra answers
 }
 
 // Timing holds the intervals of control.
--- /dev/null
+++ b/control/reopen.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/consensus"
+	"celeryport/control/state"
+	"celeryport/event"
+)
+
+// reopenInterval is the pause between two tries to use a data folder again. A
+// disk that was full for seconds must not cost the group a voter for good: the
+// next loss would then take the majority.
+const reopenInterval = 500 * time.Millisecond
+
+// reopenIfDue opens a folder that failed, when the pause is over.
+func (g *group) reopenIfDue(now time.Time) (time.Time, error) {
+	if g.failed == nil {
+		return now.Add(farAway), nil
+	}
+	if now.Before(g.retryAt) {
+		return g.retryAt, nil
+	}
+	g.retryAt = now.Add(reopenInterval)
+	if err := g.reopen(); err != nil {
+		return g.retryAt, nil //nolint:nilerr // logged as failed already, and tried again
+	}
+	eventStorageBack.Log(g.core.log, event.Fields{"folder": g.core.installed.folder.path})
+	return now, nil
+}
+
+// reopen reads the folder as after a restart of the process and writes all of it
+// to new files. What was read may never have reached the disk: only the sync of
+// the new files makes it something that this voter may vote by.
+func (g *group) reopen() error {
+	if err := g.log.Close(); err != nil && !errors.Is(err, g.failed) {
+		eventStorageFailed.Log(g.core.log, event.Fields{"error": err, "folder": g.core.installed.folder.path})
+	}
+	log, stored, err := g.core.installed.folder.openLog(g.core.node.opts.Process.Name, g.core.log)
+	if err != nil {
+		return err
+	}
+	g.log = log
+	if err := log.Renew(); err != nil {
+		return err
+	}
+	g.failed = nil
+	g.stored = stored
+	g.machine = state.New()
+	if g.founding != nil {
+		return g.start(*g.founding)
+	}
+	return g.start(consensus.Configuration{})
+}
--- a/control/run.go
+++ b/control/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,12 +31,6 @@
 	if err != nil {
 		return err
 	}
-	eventStarted.Log(n.log, event.Fields{
-		"name":        n.opts.Process.Name,
-		"incarnation": n.core.self.Incarnation,
-		"address":     listener.Addr().String(),
-		"voter":       n.opts.Process.Voter,
-	})
 	inner, end := context.WithCancel(context.WithoutCancel(outer))
 	defer end()
 	group, ctx := errgroup.WithContext(inner)
@@ -82,13 +77,28 @@
 func (n *Node) server() *http.Server {
 	keys := rpc.Keys{Instance: n.opts.Process.InstanceKey, Operators: n.opts.Process.OperatorKeys}
 	return &http.Server{
-		Handler:           rpc.Authenticate(keys, rpc.NewControlServer(&service{node: n})),
+		Handler:           n.withExtra(rpc.Authenticate(keys, rpc.NewControlServer(&service{node: n}))),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
+// withExtra gives the paths of Options.Extra to it and all others to the calls
+// between instances.
+func (n *Node) withExtra(own http.Handler) http.Handler {
+	if n.opts.Extra == nil {
+		return own
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, n.opts.ExtraAt) {
+			n.opts.Extra.ServeHTTP(w, r)
+			return
+		}
+		own.ServeHTTP(w, r)
+	})
+}
+
 func (n *Node) serve(server *http.Server, listener net.Listener) error {
 	err := server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
--- a/control/service.go
+++ b/control/service.go
@@ -66,9 +66,11 @@
 // leaderAddress is where this instance believes the leader to be.
 func (c *core) leaderAddress() string {
 	if c.group != nil {
-		return c.group.leaderAddress()
+		if address := c.group.leaderAddress(); address != "" {
+			return address
+		}
 	}
-	return c.position.leader
+	return c.position.leader // also of a voter that is no member yet
 }
 
 // CopyLedger implements rpc.Control.
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -14,6 +14,7 @@
 	Lifetime time.Duration `json:"lifetime,omitempty"` // how long order ids are remembered, from the settings in force
 	Apply    *Apply        `json:"apply,omitempty"`
 	Issuer   *TakeIssuer   `json:"issuer,omitempty"`
+	Document *PutDocument  `json:"document,omitempty"`
 }
 
 // Apply is an operator's order to replace the settings tree.
@@ -23,6 +24,13 @@
 	Text    []byte `json:"text"`
 }
 
+// PutDocument is an operator's order to install a document that numbers its
+// versions itself: of two the higher one holds, in whatever order they come.
+type PutDocument struct {
+	Version uint64 `json:"version"`
+	Text    []byte `json:"text"`
+}
+
 // TakeIssuer makes a leader the only issuer of engine orders.
 type TakeIssuer struct {
 	Holder      string `json:"holder"`
@@ -42,7 +50,7 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return nil, errors.Wrap(err, "decode a command")
 	}
-	if c.Apply == nil && c.Issuer == nil {
+	if c.Apply == nil && c.Issuer == nil && c.Document == nil {
 		return nil, errors.New("a command of an unknown kind; this version is too old for the log")
 	}
 	return &c, nil
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -78,9 +78,26 @@
 		m.takeIssuer(index, term, command.Issuer)
 		return Outcome{}, nil
 	}
+	if command.Document != nil {
+		return m.put(index, command.Document), nil
+	}
 	return m.apply(index, command.Apply), nil
 }
 
+// put decides one document: only a version above the accepted one changes
+// anything. So a document that is sent again, or that arrives after a newer one,
+// is acknowledged without effect, and no other content ever takes the place of a
+// version that was accepted.
+func (m *Machine) put(index uint64, d *PutDocument) Outcome {
+	if m.content.Current.Number > 0 && d.Version <= m.content.Current.Version {
+		return Outcome{Kind: Superseded, Current: m.content.Current.Number}
+	}
+	m.accept(Revision{
+		Number: index, Base: m.content.Current.Number, Version: d.Version, At: m.content.Clock, Digest: Digest(d.Text),
+	}, d.Text)
+	return Outcome{Kind: Accepted, Revision: index, Current: index}
+}
+
 // advanceClock moves the replicated clock and forgets old order ids. A leader
 // whose wall clock is behind never moves it back.
 func (m *Machine) advanceClock(c *Command) {
@@ -130,15 +147,20 @@
 		winner := m.successor(a.Base)
 		return Outcome{Kind: Conflict, Current: m.content.Current.Number, Winner: &winner}
 	}
-	m.content.Current = Revision{
+	m.accept(Revision{
 		Number: index, Base: a.Base, OrderID: a.OrderID, At: m.content.Clock, Digest: digest,
-	}
-	m.content.Text = append([]byte(nil), a.Text...)
-	m.content.History = append(m.content.History, m.content.Current)
+	}, a.Text)
+	return Outcome{Kind: Accepted, Revision: index, Current: index}
+}
+
+// accept makes a text the accepted one.
+func (m *Machine) accept(r Revision, text []byte) {
+	m.content.Current = r
+	m.content.Text = append([]byte(nil), text...)
+	m.content.History = append(m.content.History, r)
 	if excess := len(m.content.History) - maxHistory; excess > 0 {
 		m.content.History = append([]Revision(nil), m.content.History[excess:]...)
 	}
-	return Outcome{Kind: Accepted, Revision: index, Current: index}
 }
 
 // successor returns the revision that was built on base, or the accepted one
--- a/control/state/outcome.go
+++ b/control/state/outcome.go
@@ -13,6 +13,9 @@
 	Forgotten
 	// Reused orders carry the id of another order with other content.
 	Reused
+	// Superseded documents have a version that is not above the accepted one. They
+	// are acknowledged and change nothing.
+	Superseded
 )
 
 // Outcome answers an order. A resent order id gets the first one again.
--- a/control/state/revision.go
+++ b/control/state/revision.go
@@ -8,6 +8,7 @@
 	Number  uint64    `json:"number"`
 	Base    uint64    `json:"base"`
 	OrderID string    `json:"order_id"`
+	Version uint64    `json:"version,omitempty"` // that a document gave itself
 	At      time.Time `json:"at"`
 	Digest  string    `json:"digest"` // SHA-256 of the text, hexadecimal
 }
--- a/control/syncclient.go
+++ b/control/syncclient.go
@@ -81,7 +81,7 @@
 	sentAt := n.clock.Now()
 	response, err := n.callSync(ctx, target, &request)
 	if err != nil {
-		return errors.CombineErrors(err, n.do(ctx, func(time.Time) { n.core.syncFailed(target) }))
+		return errors.CombineErrors(err, n.do(ctx, func(time.Time) { n.core.syncFailed(target, err) }))
 	}
 	var taken error
 	err = n.do(ctx, func(now time.Time) { taken = n.core.takeSync(now, sentAt, target, response) })
--- a/control/synctake.go
+++ b/control/synctake.go
@@ -10,10 +10,14 @@
 )
 
 // syncFailed forgets a leader that did not answer.
-func (c *core) syncFailed(target string) {
+func (c *core) syncFailed(target string, err error) {
 	if c.position.leader == target {
 		c.position.leader = ""
 	}
+	if c.inTouch {
+		eventSyncFailed.Log(c.log, event.Fields{"target": target, "error": err})
+	}
+	c.inTouch = false
 }
 
 // takeSync takes in an answer. The lease is renewed last: it covers the revision
@@ -36,6 +40,10 @@
 		return errAgain
 	}
 	c.accepted = true
+	if !c.inTouch {
+		eventSyncBack.Log(c.log, event.Fields{"leader": target, "revision": r.Revision})
+	}
+	c.inTouch = true
 	c.takeEpoch(r.Epoch, target)
 	c.position.stated = true
 	c.takeDeltas(now, sentAt, r)
--- a/control/synctarget.go
+++ b/control/synctarget.go
@@ -78,7 +78,7 @@
 	for _, m := range c.voters {
 		addresses = append(addresses, m.Address)
 	}
-	return appendNew(addresses, c.node.opts.Process.Voters)
+	return appendNew(addresses, c.seeds)
 }
 
 func appendNew(addresses []string, members []settings.Member) []string {
--- /dev/null
+++ b/httpwire/chunk.go
@@ -0,0 +1,18 @@
+package httpwire
+
+import "strconv"
+
+// AppendChunk adds one chunk of a chunked body; an empty one is left out, since
+// it would end the body.
+func AppendChunk(to, data []byte) []byte {
+	if len(data) == 0 {
+		return to
+	}
+	to = strconv.AppendInt(to, int64(len(data)), 16)
+	to = append(to, "\r\n"...)
+	to = append(to, data...)
+	return append(to, "\r\n"...)
+}
+
+// LastChunk ends a chunked body.
+const LastChunk = "0\r\n\r\n"
--- /dev/null
+++ b/httpwire/framing.go
@@ -0,0 +1,93 @@
+package httpwire
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// FramingKind says how the end of a body is found.
+type FramingKind uint8
+
+const (
+	// NoBody messages end with their head.
+	NoBody FramingKind = iota
+	// Sized bodies state their length.
+	Sized
+	// Chunked bodies come in chunks, the last one empty.
+	Chunked
+	// UntilClose bodies, of responses only, end with their connection.
+	UntilClose
+)
+
+// Framing says how a body is delimited.
+type Framing struct {
+	Kind   FramingKind
+	Length int64 // bytes, when Sized
+}
+
+func requestFraming(fields Fields) (Framing, error) {
+	chunked, err := isChunked(fields)
+	if err != nil {
+		return Framing{}, err
+	}
+	length, sized, err := contentLength(fields)
+	switch {
+	case err != nil:
+		return Framing{}, err
+	case chunked && sized:
+		return Framing{}, malformed("a body with a length and in chunks")
+	case chunked:
+		return Framing{Kind: Chunked}, nil
+	case sized:
+		return Framing{Kind: Sized, Length: length}, nil
+	default:
+		return Framing{}, nil
+	}
+}
+
+func responseFraming(fields Fields, method string, status int) (Framing, error) {
+	if method == http.MethodHead || status < http.StatusOK || status == http.StatusNoContent || status == http.StatusNotModified {
+		return Framing{}, nil
+	}
+	framing, err := requestFraming(fields)
+	if err == nil && framing.Kind == NoBody {
+		framing.Kind = UntilClose
+	}
+	return framing, err
+}
+
+func isChunked(fields Fields) (bool, error) {
+	switch fields.Count("Transfer-Encoding") {
+	case 0:
+		return false, nil
+	case 1:
+		if strings.EqualFold(fields.Get("Transfer-Encoding"), "chunked") {
+			return true, nil
+		}
+	}
+	return false, &Error{Status: http.StatusNotImplemented, Message: "a transfer coding other than chunked"}
+}
+
+// contentLength reads the length. Digits only: a sign, blanks or a list of equal
+// lengths are read differently by different programs.
+func contentLength(fields Fields) (length int64, sized bool, err error) {
+	switch fields.Count("Content-Length") {
+	case 0:
+		return 0, false, nil
+	case 1:
+	default:
+		return 0, false, malformed("more than one Content-Length")
+	}
+	text := fields.Get("Content-Length")
+	for i := range len(text) {
+		if text[i] < '0' || text[i] > '9' {
+			return 0, false, malformed("malformed Content-Length")
+		}
+	}
+	length, err = strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, false, malformed("malformed Content-Length")
+	}
+	return length, true, nil
+}
--- /dev/null
+++ b/httpwire/response.go
@@ -0,0 +1,96 @@
+package httpwire
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// ResponseHead is a response without its body.
+type ResponseHead struct {
+	Status int
+	Reason string
+	Fields Fields
+	Body   Framing
+	Close  bool // the sender closes the connection after it
+}
+
+// ReadResponseHead reads one response head of at most limit bytes; method is that
+// of the request that it answers. Interim responses are passed over.
+func ReadResponseHead(r *bufio.Reader, limit int, method string) (*ResponseHead, error) {
+	for {
+		head, err := readOneResponseHead(r, limit, method)
+		if err != nil || head.Status >= http.StatusOK || head.Status == http.StatusSwitchingProtocols {
+			return head, err
+		}
+	}
+}
+
+func readOneResponseHead(r *bufio.Reader, limit int, method string) (*ResponseHead, error) {
+	block, err := readBlock(r, limit)
+	if err != nil {
+		return nil, err
+	}
+	first, fields, err := splitBlock(block)
+	if err != nil {
+		return nil, err
+	}
+	head := &ResponseHead{Fields: fields}
+	var version string
+	if version, head.Status, head.Reason, err = splitStatusLine(first); err != nil {
+		return nil, err
+	}
+	if head.Body, err = responseFraming(fields, method, head.Status); err != nil {
+		return nil, err
+	}
+	head.Close = fields.HasToken("Connection", "close") || version == "HTTP/1.0" || head.Body.Kind == UntilClose
+	return head, nil
+}
+
+func splitStatusLine(line string) (version string, status int, reason string, err error) {
+	version, rest, _ := strings.Cut(line, " ")
+	code, reason, _ := strings.Cut(rest, " ")
+	status, err = strconv.Atoi(code)
+	if version != "HTTP/1.1" && version != "HTTP/1.0" || err != nil || len(code) != statusDigits || status < http.StatusContinue {
+		return "", 0, "", malformed("malformed status line")
+	}
+	return version, status, reason, nil
+}
+
+const statusDigits = 3
+
+// Append adds the head in wire form.
+func (h *ResponseHead) Append(to []byte) []byte {
+	to = append(to, "HTTP/1.1 "...)
+	to = strconv.AppendInt(to, int64(h.Status), 10)
+	to = append(to, ' ')
+	reason := h.Reason
+	if reason == "" {
+		reason = http.StatusText(h.Status)
+	}
+	to = append(to, reason...)
+	to = append(to, "\r\n"...)
+	if h.Close {
+		to = append(to, "Connection: close\r\n"...)
+	}
+	return appendFields(to, h.Fields, h.Body)
+}
+
+func appendFields(to []byte, fields Fields, body Framing) []byte {
+	for i := range fields {
+		to = append(to, fields[i].Name...)
+		to = append(to, ": "...)
+		to = append(to, fields[i].Value...)
+		to = append(to, "\r\n"...)
+	}
+	switch body.Kind {
+	case Sized:
+		to = append(to, "Content-Length: "...)
+		to = strconv.AppendInt(to, body.Length, 10)
+		to = append(to, "\r\n"...)
+	case Chunked:
+		to = append(to, "Transfer-Encoding: chunked\r\n"...)
+	}
+	return append(to, "\r\n"...)
+}
--- a/settings/parse_process.go
+++ b/settings/parse_process.go
@@ -32,8 +32,10 @@
 	parts := []processPart{
 		partOf(&processSchema, &p),
 		partOf(&listenSchema, &p),
+		dutyPart(listenSchema.kind, &p),
 		partOf(&controlSchema, &p),
 		partOf(&keysSchema, &keys),
+		dutyPart(keysSchema.kind, &p),
 		partOf(&poolsSchema, &p),
 		partOf(&limitsSchema, &p),
 	}
--- a/settings/process.go
+++ b/settings/process.go
@@ -7,13 +7,18 @@
 	Name             string // unique in the fleet
 	AvailabilityZone string
 	Region           string
+	Serves           Duty     // what it does for callers
 	Listen           string   // traffic address, host:port, callers and upstreams connect here
+	Readiness        string   // address that answers whether the instance takes traffic; empty: none
+	Directory        string   // address that answers which addresses callers may use; empty: none
+	Metrics          string   // address of the metrics; empty: that of Listen
 	Advertise        string   // traffic address given to callers; Listen if empty
 	ControlListen    string   // control address, host:port, instances connect here
 	ControlAdvertise string   // ControlListen if empty
 	DataFolder       string   // required for a voter
 	Voter            bool     // takes part in the control group
-	Voters           []Member // the control group at first start
+	Voters           []Member // the control group at first start, or those who know it now
+	Found            bool     // the voters may found a new group
 	InstanceKey      string   // shared by the instances
 	OperatorKeys     []string
 	UpstreamKeys     []string // accepted from upstreams that announce themselves
@@ -26,6 +31,18 @@
 	Pools            Pools
 }
 
+// Duty says what an instance does for callers.
+type Duty string
+
+const (
+	// ServesCompletions answers the completions interface and schedules prompts.
+	ServesCompletions Duty = "completions"
+	// ServesForwarding passes calls on by the routes of the settings.
+	ServesForwarding Duty = "forwarding"
+	// ServesControl takes part in control and takes no calls.
+	ServesControl Duty = "control"
+)
+
 // Member names one voter of the control group.
 type Member struct {
 	ID      string // never reused: a voter that lost its disk gets a new one
--- a/settings/schema_process.go
+++ b/settings/schema_process.go
@@ -14,6 +14,17 @@
 
 func path() value[string] { return text("a path, relative to the folder of this file", anythingOrNone) }
 
+func duty() value[Duty] {
+	words := oneOf(string(ServesCompletions), string(ServesForwarding), string(ServesControl))
+	return value[Duty]{
+		allowed: words.allowed,
+		parse: func(text string) (Duty, error) {
+			word, err := words.parse(text)
+			return Duty(word), err
+		},
+	}
+}
+
 const (
 	mostConnections = mega
 	mostTimeout     = time.Hour
@@ -31,10 +42,14 @@
 			"Availability zone that it runs in.").required(),
 		key("region", plainName(), "", func(p *Process) *string { return &p.Region },
 			"Region that it runs in."),
+		key("serves", duty(), string(ServesCompletions), func(p *Process) *Duty { return &p.Serves },
+			"What it does for callers: answer the completions interface, forward calls by the routes of the settings, or nothing but control."),
 		key("voter", boolean(), "false", func(p *Process) *bool { return &p.Voter },
 			"Whether it takes part in the control group; needs data_folder."),
 		key("data_folder", path(), "", func(p *Process) *string { return &p.DataFolder },
 			"Folder of everything that must survive a restart."),
+		key("found", boolean(), "true", func(p *Process) *bool { return &p.Found },
+			"Whether the instances of [voters] may found a new control group. False on every start but the first of a fleet whose voters are replaced by themselves: the addresses then only say whom to ask."),
 		key("tree", path(), "", func(p *Process) *string { return &p.Tree },
 			"Settings tree that is proposed if none was ever accepted."),
 		key("log_level", oneOf("debug", "info", "warning", "error"), "info", func(p *Process) *string { return &p.LogLevel },
@@ -48,9 +63,15 @@
 	help:  "Where callers and upstreams connect.",
 	fields: []field[Process]{
 		key("address", address(), "", func(p *Process) *string { return &p.Listen },
-			"Address that it listens on.").required(),
+			"Address that it listens on; must be given unless it serves control only."),
 		key("advertise", address(), "", func(p *Process) *string { return &p.Advertise },
 			"Address that callers are told; left out: address."),
+		key("readiness", address(), "", func(p *Process) *string { return &p.Readiness },
+			"Address that answers whether the instance takes traffic; left out: none."),
+		key("directory", address(), "", func(p *Process) *string { return &p.Directory },
+			"Address that answers which addresses callers may use; left out: none."),
+		key("metrics", address(), "", func(p *Process) *string { return &p.Metrics },
+			"Address of the metrics; left out: the traffic address."),
 	},
 }
 
@@ -74,11 +95,11 @@
 		key("instance", secret(), "", func(k *processKeys) *string { return &k.instance },
 			"Key that the instances share.").hidden().required(),
 		key("operators", list(secret()), "", func(k *processKeys) *[]string { return &k.operators },
-			"Keys of operators.").hidden().required(),
+			"Keys of operators; must be given with the completions interface.").hidden(),
 		key("upstreams", list(secret()), "", func(k *processKeys) *[]string { return &k.upstreams },
-			"Keys of upstreams that announce themselves.").hidden().required(),
+			"Keys of upstreams that announce themselves; must be given with the completions interface.").hidden(),
 		key("engine", secret(), "", func(k *processKeys) *string { return &k.engine },
-			"Key that is sent to upstreams.").hidden().required(),
+			"Key that is sent to upstreams; must be given with the completions interface.").hidden(),
 	},
 }
 
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -17,7 +17,8 @@
 	Models        []Model
 	Services      []Service
 	Fleet         Fleet
-	callers       []caller // the keys of all organisations
+	Forwarding    *Forwarding // routes of calls that are passed on, nil if there are none
+	callers       []caller    // the keys of all organisations
 }
 
 // Organisation is one branch of the organisation tree. Name is its dotted path
@@ -30,6 +31,7 @@
 	Classes    []string // classes that it may use, with their descendants; empty: all
 	Limits     Limits
 	RetryRatio float64 // retries allowed as a fraction of successes
+	Priority   *int    // overrides that of the routes, nil: the route's holds
 }
 
 // Class is one branch of the class tree.
--- a/wal/log.go
+++ b/wal/log.go
@@ -120,6 +120,21 @@
 	return l.records.Rewrite(l.encodeState())
 }
 
+// Renew writes all that the log holds to new files and syncs them. After a write
+// or sync failed, what a new Open reads may stand in the memory of the machine
+// only; once Renew has returned, it is on the disk.
+func (l *Log) Renew() error {
+	if l.records.failed != nil {
+		return l.records.failed
+	}
+	if l.state.Snapshot.Index > 0 {
+		if err := l.writeSnapshot(l.state.Snapshot); err != nil {
+			return l.records.fail(err)
+		}
+	}
+	return l.records.Rewrite(l.encodeState())
+}
+
 // behind returns the entries that follow a snapshot. If the log does not hold
 // the snapshot's last entry, what it has behind belongs to another history.
 func behind(entries []consensus.Entry, s consensus.Snapshot) []consensus.Entry {
