--- a/cli/serve.go
+++ b/cli/serve.go
@@ -12,25 +12,36 @@
 	urfave "github.com/urfave/cli/v3"
 
 	"celeryport/instance"
+	"celeryport/logsink"
 	"celeryport/settings"
 )
 
 const flagSettings = "settings"
 
+// settingsVariable names the file of the process settings where no flag does.
+const settingsVariable = "CELERYPORT_NODE_FILE"
+
 // serveCommand runs an entry instance.
-func serveCommand(_, stderr io.Writer) *urfave.Command {
+func serveCommand(stdout, stderr io.Writer) *urfave.Command {
 	return &urfave.Command{
 		Name:  "serve",
 		Usage: "run an entry instance; SIGTERM shuts it down gracefully, a second one cuts off what is in flight",
 		Flags: []urfave.Flag{
-			&urfave.StringFlag{Name: flagSettings, Usage: "process settings `FILE`", Required: true},
+			&urfave.StringFlag{
+				Name: flagSettings, Usage: "process settings `FILE`", Required: true,
+				Sources: urfave.EnvVars(settingsVariable),
+			},
 		},
 		Action: func(ctx context.Context, c *urfave.Command) error {
-			process, err := readProcess(c.String(flagSettings))
+			path := c.String(flagSettings)
+			process, err := readProcess(path)
 			if err != nil {
 				return &ExitError{Code: ExitUsage, Err: err}
 			}
-			return serve(ctx, process, newLog(stderr, process.LogLevel))
+			if process.Serves == settings.ServesCompletions {
+				return serve(ctx, instance.Run, instance.Options{Process: process, Log: newLog(stderr, process.LogLevel)})
+			}
+			return serveForwarding(ctx, path, process, stdout)
 		},
 	}
 }
@@ -53,8 +64,27 @@
 	return log
 }
 
+// serveForwarding runs an instance that forwards calls or takes part in control.
+// Its log goes to standard output, past a buffer that never makes a call wait.
+func serveForwarding(ctx context.Context, path string, process *settings.Process, stdout io.Writer) error {
+	sink := logsink.New(stdout)
+	defer sink.Close()
+	log := newLog(sink, process.LogLevel).WithField("instance", process.Name)
+	watching, end := context.WithCancel(ctx)
+	defer end()
+	return serve(ctx, instance.RunForwarding, instance.Options{
+		Process: process,
+		Log:     log,
+		Adapter: platformAdapter(),
+		Changes: watchSettings(watching, path, log),
+	})
+}
+
+// runInstance runs an instance until stop ends; cut bounds its shutdown.
+type runInstance func(stop, cut context.Context, options instance.Options) error
+
 // serve turns signals into the two ends of a run.
-func serve(ctx context.Context, process *settings.Process, log logrus.FieldLogger) error {
+func serve(ctx context.Context, run runInstance, options instance.Options) error {
 	stop, first := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer first()
 	cut, cancel := context.WithCancel(ctx)
@@ -69,5 +99,5 @@
 		case <-cut.Done():
 		}
 	}()
-	return instance.Run(stop, cut, instance.Options{Process: process, Log: log})
+	return run(stop, cut, options)
 }
--- a/control/node.go
+++ b/control/node.go
@@ -100,6 +100,21 @@
 	}
 }
 
+// Leave takes an upstream out of service on its own word, and returns when the
+// leader has told the others. One that is not known here is unknown everywhere, or
+// will be heard of as leaving from whoever knows it.
+func (n *Node) Leave(ctx context.Context, name string) error {
+	var known upstream.Announcement
+	var found bool
+	err := n.do(ctx, func(time.Time) { known, found = n.core.known.Find(name) })
+	if err != nil || !found {
+		return err
+	}
+	known.Leaving = true
+	known.Sequence++
+	return n.AnnounceSurely(ctx, known)
+}
+
 // Handle implements Operations.
 func (n *Node) Handle(command string, h Handler) { n.handlers[command] = h }
 
--- /dev/null
+++ b/forward/budget.go
@@ -0,0 +1,82 @@
+package forward
+
+import (
+	"sync"
+	"time"
+)
+
+// budgets bound, for each service, how many sends may follow the first sends of
+// calls. All instances together have to keep the bound without asking each other
+// at every repeat: each uses its own share, which is a part of its own calls and
+// an equal part of the slack.
+//
+// Without the bound a service that begins to fail gets all its calls twice, just
+// when it can bear them least.
+type budgets struct {
+	budget    RepeatBudget
+	instances func() int
+	mu        sync.Mutex
+	services  map[string]*serviceBudget
+}
+
+// serviceBudget holds the times of the calls and repeats of one window.
+type serviceBudget struct {
+	calls   []time.Time
+	repeats []time.Time
+}
+
+const (
+	// ratioUsed and slackUsed leave room for instances that disagree for a moment
+	// on how many they are, and for calls that fall out of the window earlier at
+	// the upstreams than here.
+	ratioUsed = 0.8
+	slackUsed = 0.7
+)
+
+func newBudgets(budget RepeatBudget, instances func() int) *budgets {
+	return &budgets{budget: budget, instances: instances, services: map[string]*serviceBudget{}}
+}
+
+// call notes the first send of a call.
+func (b *budgets) call(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(now, service)
+	s.calls = append(s.calls, now)
+}
+
+// take asks for one repeat and reports whether it may be sent.
+func (b *budgets) take(now time.Time, service string) bool {
+	share := b.budget.Slack * slackUsed / float64(b.instances())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(now, service)
+	allowed := b.budget.Ratio*ratioUsed*float64(len(s.calls)) + share
+	if float64(len(s.repeats)+1) > allowed {
+		return false
+	}
+	s.repeats = append(s.repeats, now)
+	return true
+}
+
+// of returns the window of a service up to now.
+func (b *budgets) of(now time.Time, service string) *serviceBudget {
+	s := b.services[service]
+	if s == nil {
+		s = &serviceBudget{}
+		b.services[service] = s
+	}
+	begin := now.Add(-b.budget.Window)
+	s.calls = since(s.calls, begin)
+	s.repeats = since(s.repeats, begin)
+	return s
+}
+
+// since drops the times before begin; times are in order.
+func since(times []time.Time, begin time.Time) []time.Time {
+	drop := 0
+	for drop < len(times) && times[drop].Before(begin) {
+		drop++
+	}
+	return append(times[:0], times[drop:]...)
+}
--- /dev/null
+++ b/forward/caller_conn.go
@@ -0,0 +1,154 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/event"
+	"celeryport/httpwire"
+)
+
+// callerConn is one connection of a caller. Calls on it are answered one after
+// the other.
+type callerConn struct {
+	server *Server
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// callerBuffer holds the head of a usual call.
+const callerBuffer = 4 << 10
+
+func newCallerConn(s *Server, conn net.Conn) *callerConn {
+	return &callerConn{server: s, conn: conn, reader: bufio.NewReaderSize(conn, callerBuffer)}
+}
+
+// serve answers calls until the connection ends or has to be closed.
+func (c *callerConn) serve() {
+	defer func() { _ = c.conn.Close() }() // it may be closed already
+	for {
+		received, err := c.receive()
+		if err != nil {
+			c.reject(err)
+			return
+		}
+		if !c.answer(received) {
+			return
+		}
+	}
+}
+
+// received is a call that was read whole.
+type received struct {
+	head  *httpwire.RequestHead
+	body  []byte
+	began time.Time // when its first byte came
+}
+
+// receive reads the next call. The caller may stay idle for long before it, but
+// has to send its head within the limit from the first byte on: a head that
+// trickles in would hold the connection for ever.
+func (c *callerConn) receive() (*received, error) {
+	limits := callerLimits(c.server.options.Plane.View())
+	if err := c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
+		return nil, errIdle
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, errIdle
+	}
+	began := time.Now()
+	c.server.lastCall.Store(began.UnixNano())
+	if err := c.conn.SetReadDeadline(began.Add(limits.HeaderTimeout)); err != nil {
+		return nil, err
+	}
+	head, err := httpwire.ReadRequestHead(c.reader, limits.HeaderBytes)
+	if err != nil {
+		return nil, err
+	}
+	if head.Fields.HasToken("Expect", "100-continue") {
+		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, err
+		}
+	}
+	if err := c.conn.SetReadDeadline(began.Add(limits.HeaderTimeout + bodyTimeout)); err != nil {
+		return nil, err
+	}
+	body, err := httpwire.NewBody(c.reader, head.Body).ReadAll(limits.BodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	return &received{head: head, body: body, began: began}, nil
+}
+
+// bodyTimeout is the time that a body may take beyond the limit of the header: a
+// body of 4 MB over a slow link takes a few seconds.
+const bodyTimeout = 10 * time.Second
+
+// errIdle ends a connection on which no call began.
+var errIdle = errors.New("no call began")
+
+// answer answers one call and reports whether the connection can be used again.
+func (c *callerConn) answer(r *received) bool {
+	s := c.server
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	w := &callerWriter{conn: c.conn, close: r.head.Close || s.draining.Load(), method: r.head.Method}
+	call, err := s.options.Dialect.DecodeCall(r.head)
+	if err != nil {
+		x := &exchange{server: s, writer: w, call: &Call{}, began: r.began}
+		x.refuse(err)
+		return w.reusable()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	watch := c.watch(cancel)
+	x := &exchange{server: s, writer: w, call: call, body: r.body, began: r.began}
+	x.run(ctx)
+	return watch.stop() && w.reusable()
+}
+
+// reject answers what could not be read, if the caller is still there, and ends
+// the connection: where the next call on it would begin is not known.
+func (c *callerConn) reject(err error) {
+	if errors.Is(err, errIdle) {
+		return
+	}
+	status := httpwire.StatusOf(err)
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		status = http.StatusRequestTimeout
+	}
+	if status == 0 {
+		return
+	}
+	c.server.options.Metrics.rejected(status)
+	eventUnreadable.Log(c.server.options.Log, event.Fields{"status": status, "error": err.Error()})
+	w := &callerWriter{conn: c.conn, close: true}
+	w.whole(&httpwire.ResponseHead{Status: status, Fields: textFields}, []byte(err.Error()+"\n"))
+	c.linger()
+}
+
+// linger reads on for a moment after the last answer: closing a connection with
+// unread bytes resets it, and the reset may overtake the answer.
+func (c *callerConn) linger() {
+	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite() // the read below ends by its deadline anyhow
+	}
+	if c.conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.reader, lingerBytes) // whatever comes is thrown away
+}
+
+const (
+	lingerTimeout = 300 * time.Millisecond
+	lingerBytes   = 1 << 20
+)
+
+var textFields = httpwire.Fields{{Name: "Content-Type", Value: "text/plain; charset=utf-8"}}
--- /dev/null
+++ b/forward/dialect.go
@@ -0,0 +1,58 @@
+package forward
+
+import (
+	"time"
+
+	"celeryport/httpwire"
+)
+
+// Dialect translates between the header fields of a protocol and the project's
+// own terms. It is stateless and safe for concurrent use.
+type Dialect interface {
+	// DecodeCall reads what a caller asks for. The error carries a verdict.
+	DecodeCall(head *httpwire.RequestHead) (*Call, error)
+	// SendHead returns the head under which a call goes to an upstream.
+	SendHead(call *Call, send *Send) *httpwire.RequestHead
+	// DecodeAnswer reads what an upstream says of its answer.
+	DecodeAnswer(head *httpwire.ResponseHead) Answer
+	// RefusalFields returns the fields of an answer that this instance gives itself.
+	RefusalFields(call *Call, retryAfter time.Duration) httpwire.Fields
+}
+
+// Call is what a caller asks for.
+type Call struct {
+	ID           string // of this try of the caller
+	Method       string
+	Target       string // raw, with the query
+	Host         string
+	Path         string
+	Key          string          // that the caller presents, empty if none
+	Fields       httpwire.Fields // end-to-end fields as the caller wrote them, without those that this instance sets
+	Wait         time.Duration   // how long the caller waits, 0 if it does not say
+	PromptTokens int             // 0 if the call carries no prompt
+	AnswerTokens int             // at most
+	ResumeAfter  int64           // last event that the caller has
+	Resumes      bool            // the caller has events up to ResumeAfter
+}
+
+// Send is one try of this instance to have a call answered.
+type Send struct {
+	Incarnation  string        // of the upstream that is meant
+	Organisation string        // whose call it is, empty on a public route
+	Left         time.Duration // until nobody waits any more
+	ResumeAfter  int64         // last event that the caller has
+	Resumes      bool
+	Urgent       bool     // before others at the engine
+	Helpers      []string // addresses of engines that read parts of the prompt
+}
+
+// Answer is what an upstream says of its answer.
+type Answer struct {
+	CallID    string        // of the call that it answers
+	NotRun    bool          // the call was not run and never will be
+	Elsewhere bool          // the upstream is not the incarnation that was meant
+	Genuine   bool          // it bears the mark of an upstream that ran the call
+	Encoded   bool          // its body is not what the upstream made
+	IdleFor   time.Duration // after which the upstream closes the idle connection, 0 if it does not say
+	AtFault   string        // address of the engine that made a joint call fail, empty if none is named
+}
--- /dev/null
+++ b/forward/events.go
@@ -0,0 +1,30 @@
+package forward
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"celeryport/event"
+)
+
+var (
+	eventAcceptFailed = event.Define(7000, logrus.ErrorLevel, "connection not accepted",
+		"A caller's connection could not be accepted, for instance for want of descriptors. Raise the limit or add instances.")
+	eventUnreadable = event.Define(7001, logrus.WarnLevel, "call not read",
+		"A caller sent something that is no proper call, too much, or too slowly; nothing was forwarded. Fields: status, error.")
+	eventRefused = event.Define(7002, logrus.InfoLevel, "call refused",
+		"The call was not run and the caller was told so, with the time after which to come back. Fields: call, route, status, reason, message, retry_after_ms, sends, waited_ms, revision.")
+	eventServed = event.Define(7003, logrus.InfoLevel, "call answered",
+		"The caller has the upstream's whole answer. Fields: call, route, status, upstream, sends, first_ms, total_ms, predicted_ms, revision.")
+	eventFailed = event.Define(7004, logrus.WarnLevel, "call failed",
+		"The caller got no whole answer, and the call may have run. Fields: call, route, reason, message, upstream, sends, events, total_ms, revision.")
+	eventCallerLeft = event.Define(7005, logrus.InfoLevel, "caller left",
+		"The caller closed its connection before the end; the upstream's work was cut off. Fields: call, route, upstream, sends, events, total_ms.")
+	eventSendFailed = event.Define(7006, logrus.WarnLevel, "send failed",
+		"One send of a call brought no answer. Fields: call, upstream, address, verdict, error, events, after_ms, again.")
+	eventSuspected = event.Define(7007, logrus.WarnLevel, "upstream suspected",
+		"An upstream took no connection, or answered nothing; it gets no new work for a while. Fields: upstream, address, error, for_ms.")
+	eventMisdirected = event.Define(7008, logrus.InfoLevel, "upstream replaced",
+		"Another incarnation answers at the address; this one gets no more work. Fields: upstream, address.")
+	eventCleared = event.Define(7009, logrus.InfoLevel, "upstream works again",
+		"A suspected upstream answered. Fields: upstream, address.")
+)
--- /dev/null
+++ b/forward/fleet.go
@@ -0,0 +1,230 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/event"
+	"celeryport/upstream"
+)
+
+// fleet is what this instance knows of the upstreams from its own sends.
+type fleet struct {
+	options *Options
+	mu      sync.Mutex
+	nodes   map[string]*node // by incarnation
+	swept   time.Time
+	random  *rand.Rand
+}
+
+// node is one incarnation of an upstream.
+type node struct {
+	name     string
+	address  string
+	zone     string
+	service  string
+	idle     []*upstreamConn
+	sends    map[*sendState]struct{} // under way from here
+	replaced bool                    // another incarnation answers at the address
+	doubt    doubt
+}
+
+// sendState is a send that is under way.
+type sendState struct {
+	at      time.Time
+	first   bool // its answer has begun
+	prompt  int
+	answer  int
+	reading time.Duration // of its prompt, on this node alone
+}
+
+// sweepInterval is how often connections and nodes that are not needed any more
+// are dropped.
+const sweepInterval = time.Second
+
+func newFleet(options *Options) *fleet {
+	if options.Dial == nil {
+		dialer := &net.Dialer{KeepAliveConfig: upstreamKeepAlive}
+		options.Dial = dialer.DialContext
+	}
+	random := rand.New(rand.NewPCG(options.Random.Uint64(), options.Random.Uint64()))
+	return &fleet{options: options, nodes: map[string]*node{}, random: random}
+}
+
+// upstreamKeepAlive finds connections that went silent for good: an idle one is
+// given up after about two seconds without an answer to the kernel's probes.
+var upstreamKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1}
+
+// node returns the state of an incarnation. The lock must be held.
+func (f *fleet) node(u *upstream.Upstream) *node {
+	a := &u.Announcement
+	n := f.nodes[a.Name]
+	if n == nil {
+		n = &node{name: a.Name, address: a.Address, zone: a.AvailabilityZone, sends: map[*sendState]struct{}{}}
+		if len(a.Targets) > 0 {
+			n.service = a.Targets[0]
+		}
+		f.nodes[a.Name] = n
+	}
+	return n
+}
+
+// sweep drops idle connections that are too old, and nodes that are not listed
+// any more. The lock must be held.
+func (f *fleet) sweep(now time.Time, snapshot *upstream.Snapshot) {
+	if now.Sub(f.swept) < sweepInterval {
+		return
+	}
+	f.swept = now
+	listed := make(map[string]bool, len(snapshot.Upstreams))
+	for i := range snapshot.Upstreams {
+		listed[snapshot.Upstreams[i].Announcement.Name] = true
+	}
+	for name, n := range f.nodes {
+		kept := n.idle[:0]
+		for _, c := range n.idle {
+			if listed[name] && c.usable(now) {
+				kept = append(kept, c)
+				continue
+			}
+			c.close()
+		}
+		clear(n.idle[len(kept):])
+		n.idle = kept
+		if !listed[name] && len(n.sends) == 0 {
+			delete(f.nodes, name)
+		}
+	}
+}
+
+// connect returns a connection to the node: an idle one that is sound, or a new
+// one. fresh asks for a new one. An error means that nothing was sent.
+func (f *fleet) connect(ctx context.Context, n *node, fresh bool) (*upstreamConn, error) {
+	if c := f.takeIdle(n); c != nil {
+		if !fresh {
+			return c, nil
+		}
+		c.close()
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := f.options.Dial(ctx, "tcp", n.address)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	return newUpstreamConn(conn), nil
+}
+
+// connectTimeout bounds a new connection to an upstream. Between availability
+// zones it takes a few milliseconds; one whose first packet was lost would take a
+// second, which is longer than another upstream needs for the whole call.
+const connectTimeout = 300 * time.Millisecond
+
+func (f *fleet) takeIdle(n *node) *upstreamConn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for len(n.idle) > 0 {
+		last := n.idle[len(n.idle)-1]
+		n.idle = n.idle[:len(n.idle)-1]
+		if last.usable(time.Now()) {
+			return last
+		}
+		last.close()
+	}
+	return nil
+}
+
+// keep takes back a connection after a whole answer.
+func (f *fleet) keep(n *node, c *upstreamConn, idleFor time.Duration) {
+	c.idleAt = time.Now()
+	if idleFor > 0 {
+		c.idleFor = idleFor
+	}
+	c.patient.there = nil
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.idle = append(n.idle, c)
+}
+
+// begin and end bracket a send.
+func (f *fleet) begin(n *node, s *sendState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.sends[s] = struct{}{}
+}
+
+func (f *fleet) end(n *node, s *sendState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(n.sends, s)
+}
+
+// answering notes that the answer of a send has begun.
+func (f *fleet) answering(s *sendState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.first = true
+}
+
+// there finds out whether an upstream that sends nothing still takes
+// connections. The new connection is kept for the next call.
+func (f *fleet) there(ctx context.Context, n *node) bool {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := f.options.Dial(ctx, "tcp", n.address)
+	if err != nil {
+		f.suspect(n, err)
+		return false
+	}
+	f.keep(n, newUpstreamConn(conn), 0)
+	return true
+}
+
+// suspect keeps new work from a node for a while.
+func (f *fleet) suspect(n *node, cause error) {
+	now := time.Now()
+	f.mu.Lock()
+	wait := n.doubt.raise(now)
+	for _, c := range n.idle {
+		c.close()
+	}
+	n.idle = nil
+	f.mu.Unlock()
+	eventSuspected.Log(f.options.Log, event.Fields{
+		"upstream": n.name, "address": n.address, "error": cause.Error(), "for_ms": wait.Milliseconds(),
+	})
+}
+
+// answered notes that a node works.
+func (f *fleet) answered(n *node) {
+	f.mu.Lock()
+	cleared := n.doubt.clear()
+	f.mu.Unlock()
+	if cleared {
+		eventCleared.Log(f.options.Log, event.Fields{"upstream": n.name, "address": n.address})
+	}
+}
+
+// misdirected notes that another incarnation answers at the node's address.
+func (f *fleet) misdirected(n *node) {
+	f.mu.Lock()
+	n.replaced = true
+	f.mu.Unlock()
+	eventMisdirected.Log(f.options.Log, event.Fields{"upstream": n.name, "address": n.address})
+}
+
+func (f *fleet) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		for _, c := range n.idle {
+			c.close()
+		}
+		n.idle = nil
+	}
+}
--- /dev/null
+++ b/forward/metrics.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the counters and histograms of forwarded calls.
+type Metrics struct {
+	calls       *prometheus.CounterVec
+	firstByte   *prometheus.HistogramVec
+	duration    *prometheus.HistogramVec
+	sends       *prometheus.CounterVec
+	connections prometheus.Gauge
+	unreadable  *prometheus.CounterVec
+}
+
+// latencyBuckets reach from a plain call of some milliseconds to the longest
+// time limit of a prompt.
+var latencyBuckets = []float64{.01, .025, .05, .1, .2, .3, .5, 1, 1.5, 2.5, 4, 6, 10, 15}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "forward_calls_total", Help: "Calls by route and how they ended.",
+		}, []string{"route", "outcome"}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "forward_first_byte_seconds", Help: "Time from a call's first byte to that of its answer.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "forward_duration_seconds", Help: "Time from a call's first byte to its end.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "forward_sends_total", Help: "Sends to upstreams by service and how they ended.",
+		}, []string{"service", "outcome"}),
+		connections: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "forward_caller_connections", Help: "Open connections of callers.",
+		}),
+		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "forward_unreadable_total", Help: "Requests that could not be read, by the status that answered them.",
+		}, []string{"status"}),
+	}
+	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.connections, m.unreadable)
+	return m
+}
+
+func (m *Metrics) rejected(status int) {
+	m.unreadable.WithLabelValues(strconv.Itoa(status)).Inc()
+}
+
+func (m *Metrics) ended(route, outcome string, first, total time.Duration) {
+	m.calls.WithLabelValues(route, outcome).Inc()
+	m.duration.WithLabelValues(route).Observe(total.Seconds())
+	if first > 0 {
+		m.firstByte.WithLabelValues(route).Observe(first.Seconds())
+	}
+}
+
+func (m *Metrics) sent(service, outcome string) {
+	m.sends.WithLabelValues(service, outcome).Inc()
+}
--- /dev/null
+++ b/forward/watch.go
@@ -0,0 +1,52 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// watch notices that a caller leaves while its call is under way. Engines would
+// otherwise go on working for nobody until the deadline.
+type watch struct {
+	conn  net.Conn
+	ended chan error
+}
+
+// watch reads ahead on the connection until stop; gone is called when the caller
+// closes it, or only its sending half.
+func (c *callerConn) watch(gone context.CancelFunc) *watch {
+	w := &watch{conn: c.conn, ended: make(chan error, 1)}
+	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
+		gone()
+		w.ended <- err
+		return w
+	}
+	go func() {
+		_, err := c.reader.Peek(1)
+		if err != nil && !isTimeout(err) {
+			gone()
+		}
+		w.ended <- err
+	}()
+	return w
+}
+
+// aLongTimeAgo ends a read at once when it is set as the deadline.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// stop ends the watch and reports whether the caller is still there.
+func (w *watch) stop() bool {
+	if err := w.conn.SetReadDeadline(aLongTimeAgo); err != nil {
+		return false
+	}
+	err := <-w.ended
+	return err == nil || isTimeout(err)
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/instance/forwarding.go
@@ -0,0 +1,241 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+
+	"celeryport/clock"
+	"celeryport/control"
+	"celeryport/event"
+	"celeryport/forward"
+	"celeryport/membership"
+	"celeryport/settings"
+)
+
+// forwarding is an instance that forwards calls, or that takes part in control
+// only.
+type forwarding struct {
+	options *Options
+	node    *control.Node
+	server  *forward.Server // nil on an instance that takes no calls
+	metrics *prometheus.Registry
+}
+
+// RunForwarding runs an instance whose duty is to forward calls or to take part
+// in control, until stop ends, and then shuts it down gracefully. cut bounds the
+// shutdown besides the drain timeout of the settings.
+func RunForwarding(stop, cut context.Context, options Options) error {
+	f := &forwarding{options: &options, metrics: newProcessRegistry()}
+	if err := f.assemble(); err != nil {
+		return err
+	}
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	group, ctx := errgroup.WithContext(running)
+	group.Go(func() error { return f.node.Run(ctx) })
+	group.Go(func() error { return f.followSettings(ctx) })
+	if err := f.listen(ctx, group); err != nil {
+		end()
+		return errors.CombineErrors(err, group.Wait())
+	}
+	eventServing.Log(options.Log, event.Fields{"address": options.Process.Listen, "serves": options.Process.Serves})
+	group.Go(func() error {
+		defer end() // control goes last: draining needs it
+		return f.shutDown(ctx, stop, cut)
+	})
+	err := group.Wait()
+	eventStopped.Log(options.Log, event.Fields{"error": err})
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (f *forwarding) assemble() error {
+	p := f.options.Process
+	heal := 0
+	if p.Voter {
+		heal = len(p.Voters)
+	}
+	adapter := f.options.Adapter
+	var answer http.Handler
+	node, err := control.New(control.Options{
+		Process: p,
+		Log:     f.options.Log,
+		Clock:   clock.NewBoot(),
+		Parse:   adapter.Parse,
+		Timing:  forwardingTiming(),
+		Heal:    heal,
+		ExtraAt: adapter.ControlPrefix,
+		Extra:   http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { answer.ServeHTTP(w, r) }),
+	})
+	if err != nil {
+		return errors.Wrap(err, "control")
+	}
+	answer = adapter.Control(node)
+	f.node = node
+	if p.Serves == settings.ServesForwarding {
+		f.server = forward.New(forward.Options{
+			Process: p,
+			Plane:   node,
+			Dialect: adapter.Dialect,
+			Metrics: forward.NewMetrics(f.metrics),
+			Log:     f.options.Log,
+			Budget:  forward.RepeatBudget{Ratio: p.RepeatRatio, Slack: float64(p.RepeatSlack), Window: p.RepeatWindow},
+		})
+	}
+	return nil
+}
+
+// forwardingTiming returns the intervals of instances that forward calls. They go
+// on with the settings they have when they lose touch, so that a lease is only
+// the sign that they live: callers must not be given the address of one that
+// stopped for longer than two seconds.
+func forwardingTiming() control.Timing {
+	timing := control.DefaultTiming()
+	timing.Membership = membership.Timing{Lease: 1500 * time.Millisecond, Margin: 500 * time.Millisecond, Kept: 10 * time.Minute}
+	timing.Call = 1200 * time.Millisecond
+	return timing
+}
+
+// listen opens all addresses of the instance.
+func (f *forwarding) listen(ctx context.Context, group *errgroup.Group) error {
+	p := f.options.Process
+	if f.server != nil {
+		listener, err := net.Listen("tcp", p.Listen)
+		if err != nil {
+			return errors.Wrap(err, "listen for callers")
+		}
+		group.Go(func() error { return errors.Wrap(f.server.Serve(listener), "serve callers") })
+	}
+	handlers := map[string]http.Handler{}
+	if p.Readiness != "" && f.server != nil {
+		handlers[p.Readiness] = readiness(f.server)
+	}
+	if p.Directory != "" {
+		handlers[p.Directory] = f.options.Adapter.Directory(f.addresses, directoryKeep)
+	}
+	if p.Metrics != "" {
+		handlers[p.Metrics] = promhttp.HandlerFor(f.metrics, promhttp.HandlerOpts{})
+	}
+	for address, handler := range handlers {
+		if err := serveHTTP(ctx, group, address, handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serveHTTP serves one of the small addresses until ctx ends.
+func serveHTTP(ctx context.Context, group *errgroup.Group, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: smallTimeout, IdleTimeout: smallIdle}
+	group.Go(func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return errors.Wrapf(err, "serve %s", address)
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	return nil
+}
+
+const (
+	smallTimeout = 3 * time.Second
+	smallIdle    = 30 * time.Second
+	// directoryKeep is how long callers may keep a list of addresses. They use some
+	// of them for three times as long, which has to end before the shutdown of an
+	// instance does.
+	directoryKeep = 2 * time.Second
+)
+
+// readiness answers whether the instance takes calls.
+func readiness(server *forward.Server) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !server.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// followSettings takes in process settings that changed while the instance runs.
+func (f *forwarding) followSettings(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case p := <-f.options.Changes:
+			if err := f.node.SetSeeds(ctx, p.Voters); err != nil {
+				return nil //nolint:nilerr // the node has stopped, and says why itself
+			}
+		}
+	}
+}
+
+const (
+	// drainShare is the part of the drain timeout that a shutdown may take; what is
+	// left is for closing.
+	drainShare = 0.85
+	// drainQuiet ends a shutdown when no call came for so long.
+	drainQuiet = 600 * time.Millisecond
+	// drainLeast is how long callers may still come with a list of addresses that
+	// they just got.
+	drainLeast = directoryKeep + 300*time.Millisecond
+	// noteTimeout bounds telling the others that this instance leaves.
+	noteTimeout = time.Second
+)
+
+// shutDown waits for stop and leaves without cutting a call.
+func (f *forwarding) shutDown(ctx, stop, cut context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-stop.Done():
+	}
+	eventStopping.Log(f.options.Log, nil)
+	limit := time.Duration(float64(f.options.Process.DrainTimeout) * drainShare)
+	bounded, cancel := context.WithTimeout(cut, limit)
+	defer cancel()
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		f.tellDraining(bounded)
+	}()
+	if f.server != nil {
+		f.server.Drain(bounded, drainLeast, drainQuiet)
+		f.server.Close()
+	}
+	<-told
+	return nil
+}
+
+func (f *forwarding) tellDraining(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	defer cancel()
+	if err := f.node.Drain(ctx); err != nil {
+		eventDrainUntold.Log(f.options.Log, event.Fields{"error": err})
+	}
+}
+
+func newProcessRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	return registry
+}
--- a/instance/options.go
+++ b/instance/options.go
@@ -12,6 +12,8 @@
 type Options struct {
 	Process *settings.Process
 	Log     logrus.FieldLogger
-	Traffic net.Listener // nil: listen on Process.Listen
-	Control net.Listener // nil: listen on Process.ControlListen
+	Traffic net.Listener             // nil: listen on Process.Listen
+	Control net.Listener             // nil: listen on Process.ControlListen
+	Adapter *Adapter                 // of an instance that does not serve completions
+	Changes <-chan *settings.Process // process settings that changed while it runs; nil: none
 }
--- a/settings/process.go
+++ b/settings/process.go
@@ -28,6 +28,9 @@
 	MaxConnections   int
 	ReadTimeout      time.Duration // of a caller's whole request
 	DrainTimeout     time.Duration // bound of a graceful shutdown
+	RepeatRatio      float64       // sends beyond the first of each forwarded call, as a part of the calls for a service, by all instances
+	RepeatSlack      int           // repeats beyond that ratio, by all instances
+	RepeatWindow     time.Duration // any span of this length counts
 	Pools            Pools
 }
 
--- a/settings/schema_process.go
+++ b/settings/schema_process.go
@@ -125,5 +125,11 @@
 			"Time within which a caller's whole request must arrive."),
 		key("drain_timeout", duration(time.Millisecond, mostTimeout), "10m", func(p *Process) *time.Duration { return &p.DrainTimeout },
 			"Bound of a graceful shutdown."),
+		key("repeat_ratio", number(0, 1), "0.2", func(p *Process) *float64 { return &p.RepeatRatio },
+			"Sends beyond the first of each forwarded call, as a part of the calls for a service; by all instances together."),
+		key("repeat_slack", count(0, mostPool), "100", func(p *Process) *int { return &p.RepeatSlack },
+			"Repeats beyond that part, by all instances together."),
+		key("repeat_window", duration(time.Second, mostTimeout), "10s", func(p *Process) *time.Duration { return &p.RepeatWindow },
+			"Any span of this length counts for both."),
 	},
 }
--- a/slopes/fleet.go
+++ b/slopes/fleet.go
@@ -61,7 +61,7 @@
 	for i, listener := range listeners {
 		m := &member{process: settings.Process{
 			Found: true,
-			Name: nameOf(i), AvailabilityZone: fmt.Sprintf("zone-%d", i%3), Listen: "127.0.0.1:1",
+			Name:  nameOf(i), AvailabilityZone: fmt.Sprintf("zone-%d", i%3), Listen: "127.0.0.1:1",
 			ControlListen: listener.Addr().String(), Voters: group, InstanceKey: instanceKey,
 		}}
 		if i < voters {
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -54,9 +54,32 @@
 // Hear takes an announcement that the upstream made to this instance and
 // reports whether it was news.
 func (r *Registry) Hear(now time.Time, a Announcement) bool {
+	if r.records[a.Name] == nil {
+		r.supersede(now, a)
+	}
 	return r.HearRelayed(now, Relayed{Announcement: a})
 }
 
+// successorGap is how long an upstream must have been silent before another name
+// at its address counts as its successor: above the usual interval of
+// announcements, so that a message that a dead upstream sent long ago, and that
+// arrives only now, never pushes out the one that lives there.
+const successorGap = 1500 * time.Millisecond
+
+// supersede takes silent upstreams at the address of a new one out of service.
+// Their own late announcements can't bring them back. Only the instance that
+// hears the new one itself decides this, since relayed news comes in any order.
+func (r *Registry) supersede(now time.Time, a Announcement) {
+	for _, rec := range r.records {
+		old := &rec.announcement
+		if old.Address != a.Address || old.Leaving || now.Sub(rec.heardAt) < successorGap {
+			continue
+		}
+		old.Leaving = true
+		rec.version = r.nextVersion()
+	}
+}
+
 // HearRelayed takes an announcement that another instance heard and reports
 // whether it was news.
 func (r *Registry) HearRelayed(now time.Time, relayed Relayed) bool {
@@ -112,6 +135,15 @@
 	return r.version
 }
 
+// Find returns the newest announcement of an upstream.
+func (r *Registry) Find(name string) (Announcement, bool) {
+	rec, found := r.records[name]
+	if !found {
+		return Announcement{}, false
+	}
+	return rec.announcement, true
+}
+
 // Expire forgets upstreams that were silent for very long.
 func (r *Registry) Expire(now time.Time) {
 	for name, rec := range r.records {
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -59,3 +59,9 @@
 	}
 	return Wrap(err, MayHaveRun, ReasonInternal, "unexpected failure")
 }
+
+// After sets the time after which to ask again and returns the error.
+func (e *Error) After(retryAfter time.Duration) *Error {
+	e.RetryAfter = retryAfter
+	return e
+}
