Ask all voters at once for a new leader

Cause: when the machine of the leader lost its power, instances asked one voter after the other. Ruled out: the log (accepted at 14.27 s, new leader at 15.55 s), installation. Change: an instance without a leader asks all known voters at once.

--- a/control/core.go
+++ b/control/core.go
@@ -38,7 +38,6 @@
 	position       syncPosition
 	voters         []consensus.Member
 	seeds          []settings.Member // whom the process settings name; they may change
-	nextVoter      int               // which voter to ask next when no leader is known
 	group          *group            // nil on an instance without a log
 	leader         *leader           // nil unless this voter leads
 	views          viewState
--- a/control/events.go
+++ b/control/events.go
@@ -34,7 +34,7 @@
 	eventFounding = event.Define(3015, logrus.InfoLevel, "waits for the other voters",
 		"The control group is founded once all voters of the settings answer.")
 	eventApplied = event.Define(3016, logrus.InfoLevel, "settings accepted",
-		"An operator's tree was accepted as a new revision. Fields: revision, base, order.")
+		"An operator's tree was accepted as a new revision. Fields: revision, base, order, version.")
 	eventVoterChange = event.Define(3017, logrus.InfoLevel, "voters changed",
 		"The set of voters or learners changed. Fields: voters, learners.")
 	eventVoterRepair = event.Define(3018, logrus.InfoLevel, "voters repaired",
--- a/control/group.go
+++ b/control/group.go
@@ -149,7 +149,7 @@
 	if outcome.Kind == state.Accepted && outcome.Revision == e.Index {
 		current := g.machine.Current()
 		eventApplied.Log(g.core.log, event.Fields{
-			"revision": outcome.Revision, "base": current.Base, "order": current.OrderID,
+			"revision": outcome.Revision, "base": current.Base, "order": current.OrderID, "version": current.Version,
 		})
 	}
 	g.proposals.committed(e.Index, e.Term, outcome)
--- a/control/options.go
+++ b/control/options.go
@@ -40,6 +40,7 @@
 	Membership membership.Timing
 	Sync       time.Duration // longest hold of a sync by the leader, and so the interval of heartbeats
 	Call       time.Duration // timeout of one call between instances, above Sync
+	Search     time.Duration // timeout of asking all voters at once who leads
 	Retry      time.Duration // pause after a failed sync
 	Compact    uint64        // applied entries between two snapshots of the log
 }
@@ -60,6 +61,7 @@
 		},
 		Sync:    500 * time.Millisecond,
 		Call:    2 * time.Second,
+		Search:  500 * time.Millisecond,
 		Retry:   100 * time.Millisecond,
 		Compact: 1000,
 	}
--- /dev/null
+++ b/control/search.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"context"
+	"time"
+)
+
+// searchAnswer is what one voter said to an instance that knows no leader.
+type searchAnswer struct {
+	target   string
+	sentAt   time.Time
+	response *syncResponse
+	err      error
+}
+
+// search asks all known voters at once, so that the instance finds a new leader as
+// soon as there is one. Asked one after the other, a voter without power costs a
+// whole timeout each time, and the others still name it as the leader: instances
+// then stayed on old settings for three seconds after a new leader was there.
+func (n *Node) search(ctx context.Context, request *syncRequest) error {
+	var addresses []string
+	var defunct bool
+	err := n.do(ctx, func(time.Time) { addresses, defunct = n.core.voterAddresses(), n.core.defunct })
+	if err != nil {
+		return err
+	}
+	if defunct || len(addresses) == 0 {
+		return errNoVoter
+	}
+	asking, cancel := context.WithTimeout(ctx, n.opts.Timing.Search)
+	defer cancel()
+	answers := make(chan searchAnswer, 2*len(addresses)) // room for one redirection each
+	asked := map[string]bool{}
+	ask := func(target string) {
+		asked[target] = true
+		go n.searchOne(asking, target, *request, answers)
+	}
+	for _, address := range addresses {
+		ask(address)
+	}
+	for waiting := len(asked); waiting > 0; waiting-- {
+		answer := <-answers
+		if answer.err != nil {
+			continue
+		}
+		if answer.response.Redirect {
+			if leader := answer.response.Leader; leader != "" && !asked[leader] {
+				ask(leader)
+				waiting++
+			}
+			continue
+		}
+		return n.take(ctx, &answer)
+	}
+	return errNoVoter
+}
+
+func (n *Node) searchOne(ctx context.Context, target string, request syncRequest, answers chan<- searchAnswer) {
+	answer := searchAnswer{target: target, sentAt: n.clock.Now()}
+	request.WaitMs = 0
+	answer.response, answer.err = n.callSync(ctx, target, &request)
+	answers <- answer
+}
+
+// take gives an answer to the control goroutine.
+func (n *Node) take(ctx context.Context, a *searchAnswer) error {
+	var taken error
+	err := n.do(ctx, func(now time.Time) { taken = n.core.takeSync(now, a.sentAt, a.target, a.response) })
+	if err != nil {
+		return err
+	}
+	return taken
+}
--- a/control/syncclient.go
+++ b/control/syncclient.go
@@ -76,16 +76,14 @@
 		return err
 	}
 	if target == "" {
-		return errNoVoter
+		return n.search(ctx, &request)
 	}
 	sentAt := n.clock.Now()
 	response, err := n.callSync(ctx, target, &request)
 	if err != nil {
 		return errors.CombineErrors(err, n.do(ctx, func(time.Time) { n.core.syncFailed(target, err) }))
 	}
-	var taken error
-	err = n.do(ctx, func(now time.Time) { taken = n.core.takeSync(now, sentAt, target, response) })
-	return errors.CombineErrors(err, taken)
+	return n.take(ctx, &searchAnswer{target: target, sentAt: sentAt, response: response})
 }
 
 // callSync reaches the leader, which may be this instance itself.
--- a/control/synctarget.go
+++ b/control/synctarget.go
@@ -9,7 +9,8 @@
 	"celeryport/settings"
 )
 
-// syncRequest states what this instance knows, and whom to tell it.
+// syncRequest states what this instance knows, and whom to tell it; an empty
+// address says that no leader is known.
 func (c *core) syncRequest(now time.Time, wait time.Duration) (syncRequest, string) {
 	c.self.Revision = c.installed.revision()
 	heard := c.heardDelta(now)
@@ -36,7 +37,7 @@
 	if c.defunct {
 		return request, ""
 	}
-	return request, c.syncTarget()
+	return request, c.position.leader
 }
 
 // heardDelta encodes what this instance heard and the leader lacks.
@@ -58,19 +59,6 @@
 	return 0
 }
 
-// syncTarget is the known leader, or else the voters in turn.
-func (c *core) syncTarget() string {
-	if c.position.leader != "" {
-		return c.position.leader
-	}
-	addresses := c.voterAddresses()
-	if len(addresses) == 0 {
-		return ""
-	}
-	c.nextVoter++
-	return addresses[c.nextVoter%len(addresses)]
-}
-
 // voterAddresses lists the voters of the last known configuration, and those of
 // the process settings in case all the former have been replaced.
 func (c *core) voterAddresses() []string {
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -102,7 +102,7 @@
 func forwardingTiming() control.Timing {
 	timing := control.DefaultTiming()
 	timing.Membership = membership.Timing{Lease: 1500 * time.Millisecond, Margin: 500 * time.Millisecond, Kept: 10 * time.Minute}
-	timing.Call = 1200 * time.Millisecond
+	timing.Call = 900 * time.Millisecond
 	return timing
 }
 
