Serve by what was known before there is a leader

Change: a voter keeps on disk who is in the fleet; it gives settings and fleet to an instance that has none while there is no leader; elections after 0.6 s, since forwarding rests on majorities and not on leases. Tests: TestServesBeforeThereIsALeader and two more.

--- a/control/core.go
+++ b/control/core.go
@@ -85,7 +85,7 @@
 	c.out = newOutbox(c.heard)
 	c.received = relay.NewReceiver()
 	c.known = upstream.NewRegistry(c.freshFor())
-	return c, nil
+	return c, c.recall(n.clock.Now())
 }
 
 // step does what is due and returns when to come back.
--- a/control/events.go
+++ b/control/events.go
@@ -49,6 +49,10 @@
 		"A sync worked, for the first time or after a failure. Fields: leader, revision.")
 	eventSeedsChanged = event.Define(3025, logrus.InfoLevel, "other seeds",
 		"The process settings name other addresses to ask for the control group. Fields: seeds.")
+	eventProvisional = event.Define(3026, logrus.InfoLevel, "provisional settings installed",
+		"There is no leader yet; the instance serves by the newest settings that another one had applied. Fields: revision, upstreams.")
+	eventRememberFailed = event.Define(3027, logrus.WarnLevel, "the fleet is not remembered",
+		"Who is in the fleet could not be written to the data folder or read from it. After a restart of all instances callers wait some seconds longer. Fields: error.")
 	eventRelayFailed = event.Define(3021, logrus.ErrorLevel, "upstreams not relayed",
 		"What was heard of upstreams could not be encoded for other instances, a fault of the program. They lose sight of the upstreams; report it.")
 	eventServeFailed = event.Define(3020, logrus.ErrorLevel, "control address failed",
--- a/control/installed.go
+++ b/control/installed.go
@@ -15,6 +15,7 @@
 	folder dataFolder
 	parse  func(file string, text []byte) (*settings.Tree, error)
 	tree   *settings.Tree
+	text   []byte // of tree
 }
 
 // installedRecord is the content of the file.
@@ -64,7 +65,7 @@
 	if err := i.keep(revision, text); err != nil {
 		return err
 	}
-	i.tree = tree
+	i.tree, i.text = tree, text
 	return nil
 }
 
@@ -73,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	i.tree = tree
+	i.tree, i.text = tree, text
 	return nil
 }
 
--- a/control/memberlist.go
+++ b/control/memberlist.go
@@ -52,6 +52,18 @@
 	}
 }
 
+// assume takes in instances that are not known, as somebody knew them before.
+func (l *memberList) assume(now time.Time, instances []membership.Instance) {
+	for _, i := range instances {
+		if _, known := l.byName[i.Name]; !known {
+			var entry listed
+			entry.set(now, i)
+			l.byName[i.Name] = entry
+			l.sorted = nil
+		}
+	}
+}
+
 func (e *listed) set(now time.Time, i membership.Instance) {
 	e.instance = i
 	switch {
--- /dev/null
+++ b/control/provisional_test.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"celeryport/membership"
+	"celeryport/settings"
+	"celeryport/upstream"
+)
+
+func TestServesBeforeThereIsALeader(t *testing.T) {
+	// All processes are killed at the same moment. Engines are still there, but
+	// until the voters have elected a leader nobody gives out settings or the names
+	// of engines, and every caller of these seconds is turned away. One voter that is
+	// back, without a majority, has to be enough to serve by what was known.
+	f := newFleet(t, 3, 0)
+	accepted := f.apply(0, "first", testTree(1))
+	f.awaitInstalled(accepted.Revision)
+	back := f.members[0]
+	back.node.Announce(upstream.Announcement{Name: "engine-1", Incarnation: 1, Sequence: 1, Address: "127.0.0.1:1", Targets: []string{"sarto"}})
+	f.await("the engine on disk", func() bool {
+		var kept remembered
+		return readJSON(back.node.core.installed.folder, rememberedFile, &kept) == nil && len(kept.Upstreams) == 1 && len(kept.Instances) == 3
+	})
+	for _, m := range f.members {
+		f.crash(m)
+	}
+	f.start(back, nil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	bare := f.add(len(f.members), false, listener)
+	f.await("provisional settings", func() bool {
+		v := bare.node.View()
+		return v.Tree != nil && v.Tree.Revision == accepted.Revision && len(v.Upstreams.Serving("sarto")) == 1
+	})
+	if got := bare.node.View().LeaseUntil; !got.IsZero() {
+		t.Errorf("an instance that no leader confirmed holds a lease until %s", got)
+	}
+}
+
+func TestProvisionalSettingsReplaceNothing(t *testing.T) {
+	// An answer of a voter that fell behind arrives late, at an instance that has
+	// newer settings by now. Callers must not be served by the older ones again.
+	c := newTestCore(t)
+	if err := c.installed.install(7, testTree(7)); err != nil {
+		t.Fatal(err)
+	}
+	c.takeProvisional(time.Now(), &provisional{Revision: 9, Text: testTree(9)})
+	if got := c.installed.revision(); got != 7 {
+		t.Errorf("revision %d took the place of 7", got)
+	}
+}
+
+func TestRememberedInstancesAreDroppedWhenNobodyHearsThem(t *testing.T) {
+	// An instance was removed while all others were down. If what they remember of it
+	// stayed, callers would be sent to its address for ever.
+	l := newMemberList()
+	now := time.Unix(1_700_000_000, 0)
+	l.assume(now, []membership.Instance{{Name: "removed", State: membership.Live}, {Name: "lives", State: membership.Live}})
+	l.merge(now, []membership.Instance{{Name: "lives", Incarnation: 2, State: membership.Live}})
+	l.settle(now)
+	for _, i := range l.list() {
+		if i.Name == "removed" && i.State != membership.Gone {
+			t.Errorf("an instance that no leader hears of is %s", i.State)
+		}
+	}
+}
+
+// newTestCore returns the core of a node that does not run.
+func newTestCore(t *testing.T) *core {
+	t.Helper()
+	node, err := New(Options{
+		Process: &settings.Process{Name: "i", Listen: "127.0.0.1:1", ControlListen: "127.0.0.1:2"},
+		Log:     logrus.New(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return node.core
+}
+
+// readJSON reads a file of a data folder.
+func readJSON(folder dataFolder, name string, into any) error {
+	data, err := folder.read(name)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, into)
+}
--- a/control/run.go
+++ b/control/run.go
@@ -48,6 +48,7 @@
 		group.Go(func() error { return n.claimVoter.run(ctx) })
 	}
 	group.Go(func() error { return n.runSync(ctx) })
+	group.Go(func() error { return n.runRemember(ctx) })
 	group.Go(func() error { return n.orders.Run(ctx) })
 	group.Go(func() error {
 		select {
--- a/control/search.go
+++ b/control/search.go
@@ -44,6 +44,10 @@
 			continue
 		}
 		if answer.response.Redirect {
+			given := answer.response.Provisional
+			if err := n.do(ctx, func(now time.Time) { n.core.takeProvisional(now, given) }); err != nil {
+				return err
+			}
 			if leader := answer.response.Leader; leader != "" && !asked[leader] {
 				ask(leader)
 				waiting++
--- a/control/synctarget.go
+++ b/control/synctarget.go
@@ -22,6 +22,7 @@
 		Claims:    c.claimsEpoch(),
 		Demand:    c.demand,
 		Grants:    c.position.grants,
+		Bare:      c.installed.tree == nil,
 		WaitMs:    wait.Milliseconds(),
 	}
 	if c.position.stated {
--- a/control/syncwire.go
+++ b/control/syncwire.go
@@ -19,6 +19,7 @@
 	Claims    uint64              `json:"claims,omitempty"`    // epoch of claims that is known
 	Demand    []quota.Demand      `json:"demand,omitempty"`
 	Grants    uint64              `json:"grants,omitempty"`  // round of the leader's grants that it acts on
+	Bare      bool                `json:"bare,omitempty"`    // the instance has no settings at all
 	WaitMs    int64               `json:"wait_ms,omitempty"` // the leader may hold the answer for so long
 
 	heard []byte // heard directly and not yet taken by the leader; travels beside the JSON
@@ -34,23 +35,24 @@
 
 // syncResponse answers a syncRequest.
 type syncResponse struct {
-	Leader     string                `json:"leader,omitempty"`   // control address of the leader, if known
-	Redirect   bool                  `json:"redirect,omitempty"` // this voter does not lead; nothing else is set
-	Restate    bool                  `json:"restate,omitempty"`  // the brief instance is not known here: state it whole
-	Superseded uint64                `json:"superseded,omitempty"`
-	Epoch      string                `json:"epoch,omitempty"`
-	LeaseMs    int64                 `json:"lease_ms,omitempty"` // 0: no lease
-	Revision   uint64                `json:"revision,omitempty"`
-	Text       []byte                `json:"text,omitempty"` // when the instance has an older revision
-	Members    []membership.Instance `json:"member_delta,omitempty"`
-	Settled    bool                  `json:"settled,omitempty"` // the leader knows every instance that lives
-	MembersAt  uint64                `json:"members_at,omitempty"`
-	HeldMs     int64                 `json:"held_ms,omitempty"`     // how long the leader held the sync
-	HeardUpTo  uint64                `json:"heard_up_to,omitempty"` // last batch of this instance that the leader took
-	Grants     []quota.Grant         `json:"grants,omitempty"`
-	GrantsAt   uint64                `json:"grants_at,omitempty"`
-	Voters     []consensus.Member    `json:"voters,omitempty"`
-	Claims     claim.Epoch           `json:"claims,omitzero"` // who votes on claims, when that is news
+	Leader      string                `json:"leader,omitempty"`   // control address of the leader, if known
+	Redirect    bool                  `json:"redirect,omitempty"` // this voter does not lead; nothing else is set
+	Restate     bool                  `json:"restate,omitempty"`  // the brief instance is not known here: state it whole
+	Superseded  uint64                `json:"superseded,omitempty"`
+	Epoch       string                `json:"epoch,omitempty"`
+	LeaseMs     int64                 `json:"lease_ms,omitempty"` // 0: no lease
+	Revision    uint64                `json:"revision,omitempty"`
+	Text        []byte                `json:"text,omitempty"` // when the instance has an older revision
+	Members     []membership.Instance `json:"member_delta,omitempty"`
+	Settled     bool                  `json:"settled,omitempty"` // the leader knows every instance that lives
+	MembersAt   uint64                `json:"members_at,omitempty"`
+	HeldMs      int64                 `json:"held_ms,omitempty"`     // how long the leader held the sync
+	HeardUpTo   uint64                `json:"heard_up_to,omitempty"` // last batch of this instance that the leader took
+	Grants      []quota.Grant         `json:"grants,omitempty"`
+	GrantsAt    uint64                `json:"grants_at,omitempty"`
+	Voters      []consensus.Member    `json:"voters,omitempty"`
+	Provisional *provisional          `json:"provisional,omitempty"` // of one that does not lead, for a bare instance
+	Claims      claim.Epoch           `json:"claims,omitzero"`       // who votes on claims, when that is news
 
 	upstreams []byte // heard by the leader and not yet taken; travels beside the JSON
 }
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"celeryport/clock"
+	"celeryport/consensus"
 	"celeryport/control"
 	"celeryport/event"
 	"celeryport/forward"
@@ -98,10 +99,13 @@
 // forwardingTiming returns the intervals of instances that forward calls. They go
 // on with the settings they have when they lose touch, so that a lease is only
 // the sign that they live: callers must not be given the address of one that
-// stopped for longer than two seconds.
+// stopped for longer than two seconds. Reads and changes are confirmed by a
+// majority, so that a short election only costs an extra one now and then; after
+// the loss of a leader each second without one is a second of old settings.
 func forwardingTiming() control.Timing {
 	timing := control.DefaultTiming()
 	timing.Membership = membership.Timing{Lease: 1500 * time.Millisecond, Margin: 500 * time.Millisecond, Kept: 10 * time.Minute}
+	timing.Consensus = consensus.Timing{Heartbeat: 100 * time.Millisecond, ElectionMin: 600 * time.Millisecond, Lease: 450 * time.Millisecond}
 	timing.Call = 900 * time.Millisecond
 	return timing
 }
