Gather long streams on few engines, beside short parts only

Change: the home of a long stream is an engine that has long streams already and little to read; parts go to engines without streams first; a part that would make a stream late costs as much as that stream.

--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"celeryport/loadshare"
 	"celeryport/settings"
 )
 
@@ -17,6 +18,9 @@
 	// reading. Passes there took 0.5 to 0.7 s for nine in ten prompts of 180,000
 	// tokens that twelve engines read, and up to 1.6 s.
 	loosePause = 800 * time.Millisecond
+	// looseReading is the most reading that may wait at an engine with long streams,
+	// whose events may pause for a second.
+	looseReading = 800 * time.Millisecond
 	// earlyShare is the part of the objective within which the first event is planned,
 	// where engines are free; the rest is for what comes between.
 	earlyShare = 0.5
@@ -179,20 +183,21 @@
 		return Plan{}, false
 	}
 	most := min(len(lane), mostHelpers+1, max(1, call.Prompt/leastPart))
-	readers, least := 1, 0.0
+	best, least := Plan{}, 0.0
 	for k := 1; k <= most; k++ {
-		cost := spreadCost(engines, lane[:k], call, reading/time.Duration(k))
+		part := reading / time.Duration(k)
+		home := homeAmong(p, engines, lane, call, part)
+		if home < 0 {
+			return Plan{}, false
+		}
+		helpers := withoutHome(lane, home)[:k-1]
+		cost := spreadCost(engines, home, helpers, call, part)
 		if k == 1 || cost < least {
-			readers, least = k, cost
+			best, least = Plan{Home: home, Helpers: helpers, Part: part}, cost
 		}
 	}
-	home := homeAmong(p, engines, lane[:readers], call)
-	if home < 0 {
-		return Plan{}, false
-	}
-	plan := Plan{Home: home, Helpers: withoutHome(lane[:readers], home), Part: reading / time.Duration(readers)}
-	plan.FirstEvent = latestOf(engines, lane[:readers]) + plan.Part + 2*passOf(p, engines[home].Load.Streams+1)
-	return plan, true
+	best.FirstEvent = latestOf(engines, best.Home, best.Helpers) + best.Part + 2*passOf(p, engines[best.Home].Load.Streams+1)
+	return best, true
 }
 
 const (
@@ -208,27 +213,37 @@
 
 // spreadCost is what it costs, in tokens, that a call is late and makes others
 // late when these engines read its parts.
-func spreadCost(engines []Engine, readers []int, call *Call, part time.Duration) float64 {
-	cost := 0.0
-	for _, i := range readers {
-		load := &engines[i].Load
-		// Streams beside more reading than that are late already.
-		if load.Reading <= shortReading && load.Reading+part > shortReading {
-			cost += float64(load.Tight) * tightValue
-		}
-	}
+func spreadCost(engines []Engine, home int, helpers []int, call *Call, part time.Duration) float64 {
 	value := float64(call.Prompt + answerValue*call.Answer)
-	first := float64(latestOf(engines, readers)+part) / float64(max(call.Objective, time.Millisecond))
+	cost := harmOf(&engines[home].Load, part, value)
+	for _, i := range helpers {
+		cost += harmOf(&engines[i].Load, part, value)
+	}
+	first := float64(latestOf(engines, home, helpers)+part) / float64(max(call.Objective, time.Millisecond))
 	// What is planned for the end of the objective is often late: prompts of other
 	// instances come between.
 	risk := min(1, max(0, (first-earlyShare)/(1-earlyShare)))
 	return cost + value*(risk+hasteShare*first)
 }
 
+// harmOf is what it costs that the streams of an engine wait for a part. Those
+// that wait for more already are late anyhow. The other long streams count like the
+// call itself.
+func harmOf(load *loadshare.Load, part time.Duration, value float64) float64 {
+	harm := 0.0
+	if load.Reading <= shortReading && load.Reading+part > shortReading {
+		harm += float64(load.Tight) * tightValue
+	}
+	if load.Reading <= looseReading && load.Reading+part > looseReading {
+		harm += float64(load.Streams-load.Tight) * value
+	}
+	return harm
+}
+
 // latestOf returns the most reading that waits at one of the engines.
-func latestOf(engines []Engine, among []int) time.Duration {
-	latest := time.Duration(0)
-	for _, i := range among {
+func latestOf(engines []Engine, home int, helpers []int) time.Duration {
+	latest := engines[home].Load.Reading
+	for _, i := range helpers {
 		latest = max(latest, engines[i].Load.Reading)
 	}
 	return latest
@@ -255,26 +270,44 @@
 		lane = withoutHome(lane, kept)
 	}
 	slices.SortStableFunc(lane, func(a, b int) int {
-		return cmp.Or(cmp.Compare(engines[a].Load.Tight, engines[b].Load.Tight), cmp.Compare(engines[a].Load.Reading, engines[b].Load.Reading))
+		x, y := &engines[a].Load, &engines[b].Load
+		return cmp.Or(cmp.Compare(x.Tight, y.Tight), cmp.Compare(x.Streams, y.Streams), cmp.Compare(x.Reading, y.Reading))
 	})
 	return lane
 }
 
-// homeAmong returns the engine with the fewest streams that has the memory, -1 if
-// none has it.
-func homeAmong(p *settings.EngineProfile, engines []Engine, among []int, call *Call) int {
-	best := -1
-	for _, i := range among {
-		if !fits(p, &engines[i], call) || engines[i].Load.Streams >= p.Slots {
+// homeAmong returns the engine that answers, -1 if none has the memory and a slot.
+// Long streams gather on few engines too, as long as the parts that these read are
+// short enough for them; the others read without any stream to wait for them.
+func homeAmong(p *settings.EngineProfile, engines []Engine, lane []int, call *Call, part time.Duration) int {
+	best, bestRank := -1, 0
+	for _, i := range lane {
+		e := &engines[i]
+		if !fits(p, e, call) || e.Load.Streams >= p.Slots {
 			continue
 		}
-		if best < 0 || engines[i].Load.Streams < engines[best].Load.Streams {
-			best = i
+		rank := homeRank(&e.Load, part)
+		if best < 0 || rank < bestRank || rank == bestRank && e.Load.Reading < engines[best].Load.Reading {
+			best, bestRank = i, rank
 		}
 	}
 	return best
 }
 
+// homeRank orders engines as homes of long streams; the lowest is the best.
+func homeRank(load *loadshare.Load, part time.Duration) int {
+	switch {
+	case load.Tight > 0:
+		return 3
+	case load.Reading+part > looseReading:
+		return 2
+	case load.Streams == 0:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // soonest takes the engine with the earliest first event when no good one is left.
 func soonest(p *settings.EngineProfile, engines []Engine, usable []int, call *Call, reading time.Duration) (Plan, bool) {
 	plan, found := Plan{Part: reading}, false
