Refuse a prompt at once when its first event would be late

Cause: long prompts were taken as long as their callers waited. Ruled out: waiting of short reads behind it; they had their first event after 1.1 s where 3 to 5 s were predicted, since engines read prompts side by side.

--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -24,6 +24,8 @@
 	// earlyShare is the part of the objective within which the first event is planned,
 	// where engines are free; the rest is for what comes between.
 	earlyShare = 0.5
+	// lateShare is the part of the objective up to which a long prompt is taken.
+	lateShare = 0.9
 	// spareSlots stay free on each engine, for calls that other instances send before
 	// they have heard of each other.
 	spareSlots = 2
@@ -57,7 +59,7 @@
 		}
 	}
 	if plan, found := spread(p, engines, usable, call, reading); found {
-		return plan, plan.FirstEvent < call.Left
+		return plan, plan.FirstEvent < min(call.Left, time.Duration(lateShare*float64(call.Objective)))
 	}
 	return soonest(p, engines, usable, call, reading)
 }
@@ -317,5 +319,8 @@
 			plan.Home, plan.FirstEvent, found = i, at, true
 		}
 	}
+	if Tight(call.LongPause) && plan.FirstEvent > call.Objective {
+		return plan, false
+	}
 	return plan, found && plan.FirstEvent < call.Left
 }
