Tell refused callers when their place is free

Cause: a prompt refused for its late first event was told to come back after 150 ms, found the same backlog and was refused again; some long prompts could still have been in time half a second later. Change: Retry-After is by how much the first event would have been too late, a third of the time left at most, and long prompts are taken up to 0.6 of the objective instead of 0.9.

--- a/forward/place.go
+++ b/forward/place.go
@@ -74,7 +74,7 @@
 	plan, found := placement.Prompt(profile, engines, call)
 	x.predicted, x.readers = plan.FirstEvent, 1+len(plan.Helpers)
 	if !found {
-		return nil, verdict.Refuse(verdict.ReasonDeadline, busyRetry, "the first event would come after %s", plan.FirstEvent)
+		return nil, verdict.Refuse(verdict.ReasonDeadline, x.comeBack(call.Left, plan.Excess), "the first event would come after %s", plan.FirstEvent)
 	}
 	w := &work{
 		home:  nodes[plan.Home],
@@ -88,6 +88,18 @@
 	return w, nil
 }
 
+// comeBack is when a refused caller finds what was in its way gone: after the
+// excess, spread a little so that those who were refused together don't meet
+// again. Callers wait a third of the time that they have left at most.
+func (x *exchange) comeBack(left, excess time.Duration) time.Duration {
+	spread := time.Duration(x.server.fleet.random.Float64() * float64(returnSpread))
+	return max(busyRetry, min(excess+spread, left/3))
+}
+
+// returnSpread is about the time in which an engine's streams turn over once in
+// each of its slots.
+const returnSpread = 200 * time.Millisecond
+
 const (
 	// leastPatience is how long an upstream may send nothing before it is asked
 	// whether it is there.
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -32,6 +32,7 @@
 	Helpers    []int         // engines that read a part of the prompt each
 	Part       time.Duration // reading at the home and each helper
 	FirstEvent time.Duration // predicted, from now
+	Excess     time.Duration // of a call that is refused: by how much its first event would be too late
 }
 
 // Reading returns how long an idle engine reads a prompt.
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -25,7 +25,7 @@
 	// where engines are free; the rest is for what comes between.
 	earlyShare = 0.5
 	// lateShare is the part of the objective up to which a long prompt is taken.
-	lateShare = 0.9
+	lateShare = 0.6
 	// spareSlots stay free on each engine, for calls that other instances send before
 	// they have heard of each other.
 	spareSlots = 2
@@ -59,7 +59,7 @@
 		}
 	}
 	if plan, found := spread(p, engines, usable, call, reading); found {
-		return plan, plan.FirstEvent < min(call.Left, time.Duration(lateShare*float64(call.Objective)))
+		return within(plan, min(call.Left, time.Duration(lateShare*float64(call.Objective))))
 	}
 	return soonest(p, engines, usable, call, reading)
 }
@@ -319,8 +319,17 @@
 			plan.Home, plan.FirstEvent, found = i, at, true
 		}
 	}
-	if Tight(call.LongPause) && plan.FirstEvent > call.Objective {
-		return plan, false
+	if !found {
+		return Plan{Excess: call.Left}, false
+	}
+	if Tight(call.LongPause) {
+		return within(plan, min(call.Left, call.Objective))
 	}
-	return plan, found && plan.FirstEvent < call.Left
+	return within(plan, call.Left)
+}
+
+// within accepts a plan whose first event comes before a limit.
+func within(plan Plan, limit time.Duration) (Plan, bool) {
+	plan.Excess = max(0, plan.FirstEvent-limit)
+	return plan, plan.Excess == 0
 }
