--- a/control/core.go
+++ b/control/core.go
@@ -120,6 +120,7 @@
 // hear takes an announcement that an upstream made to this instance.
 func (c *core) hear(now time.Time, a upstream.Announcement) {
 	news := c.heard.Hear(now, a)
+	c.logUpstream(a)
 	c.known.Hear(now, a)
 	if !news {
 		return
@@ -130,6 +131,19 @@
 	}
 }
 
+// logUpstream tells when an upstream appears or begins to leave. It is called
+// before the announcement is taken in.
+func (c *core) logUpstream(a upstream.Announcement) {
+	before, known := c.known.Find(a.Name)
+	fields := event.Fields{"upstream": a.Name, "address": a.Address, "targets": a.Targets, "sequence": a.Sequence}
+	switch {
+	case a.Leaving && (!known || !before.Leaving):
+		eventUpstreamLeaves.Log(c.log, fields)
+	case !known:
+		eventUpstreamKnown.Log(c.log, fields)
+	}
+}
+
 // noteUpstream has the next view contain the upstream's news: at once when it
 // leaves, and within a moment otherwise.
 func (c *core) noteUpstream(a upstream.Announcement) {
--- a/control/events.go
+++ b/control/events.go
@@ -53,6 +53,10 @@
 		"There is no leader yet; the instance serves by the newest settings that another one had applied. Fields: revision, upstreams.")
 	eventRememberFailed = event.Define(3027, logrus.WarnLevel, "the fleet is not remembered",
 		"Who is in the fleet could not be written to the data folder or read from it. After a restart of all instances callers wait some seconds longer. Fields: error.")
+	eventUpstreamKnown = event.Define(3028, logrus.InfoLevel, "upstream appears",
+		"An upstream was heard for the first time and may get calls. Fields: upstream, address, targets, sequence.")
+	eventUpstreamLeaves = event.Define(3029, logrus.InfoLevel, "upstream leaves",
+		"An upstream said that it takes no new calls; it gets none from now on. Fields: upstream, address, targets, sequence.")
 	eventRelayFailed = event.Define(3021, logrus.ErrorLevel, "upstreams not relayed",
 		"What was heard of upstreams could not be encoded for other instances, a fault of the program. They lose sight of the upstreams; report it.")
 	eventServeFailed = event.Define(3020, logrus.ErrorLevel, "control address failed",
--- a/control/options.go
+++ b/control/options.go
@@ -42,6 +42,7 @@
 	Call       time.Duration // timeout of one call between instances, above Sync
 	Search     time.Duration // timeout of asking all voters at once who leads
 	Retry      time.Duration // pause after a failed sync
+	Leave      time.Duration // timeout of telling the leader that this instance ends
 	Compact    uint64        // applied entries between two snapshots of the log
 }
 
@@ -63,6 +64,7 @@
 		Call:    2 * time.Second,
 		Search:  500 * time.Millisecond,
 		Retry:   100 * time.Millisecond,
+		Leave:   time.Second,
 		Compact: 1000,
 	}
 }
--- a/control/relaying.go
+++ b/control/relaying.go
@@ -57,6 +57,7 @@
 	}
 	l.inboxes[i.Name] = box
 	for _, r := range relayed {
+		l.core.logUpstream(r.Announcement)
 		if l.core.known.HearRelayed(now, r) {
 			l.core.noteUpstream(r.Announcement)
 		}
@@ -90,6 +91,7 @@
 		return
 	}
 	for _, one := range relayed {
+		c.logUpstream(one.Announcement)
 		if c.known.HearRelayed(now, one) {
 			c.noteUpstream(one.Announcement)
 		}
--- a/control/run.go
+++ b/control/run.go
@@ -15,13 +15,11 @@
 )
 
 const (
-	shutdownTimeout = 2 * time.Second
-	leaveTimeout    = time.Second
-	leaveAttempts   = 2 // the second after a redirection
-	headerTimeout   = 5 * time.Second
-	idleTimeout     = time.Minute
-	maxHeaderBytes  = 16 << 10
-	maxWait         = time.Second // longest sleep of the control goroutine
+	leaveAttempts  = 2 // the second after a redirection
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = time.Minute
+	maxHeaderBytes = 16 << 10
+	maxWait        = time.Second // longest sleep of the control goroutine
 )
 
 // Run serves the control address and drives the node until ctx ends, or until
@@ -110,9 +108,9 @@
 }
 
 // shutdown ends the open calls. Long polls are held by the leader at most for
-// Timing.Sync, so that the bound is seldom reached.
+// Timing.Sync, so that the bound of twice Timing.Leave is seldom reached.
 func (n *Node) shutdown(server *http.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*n.opts.Timing.Leave)
 	defer cancel()
 	if server.Shutdown(ctx) != nil {
 		return server.Close()
@@ -123,7 +121,7 @@
 // leave tells the leader that this instance admits nothing any more, so that
 // nobody waits for its lease. If the message is lost, the lease lapses.
 func (n *Node) leave(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, n.opts.Timing.Leave)
 	defer cancel()
 	if n.do(ctx, func(time.Time) { n.core.goodbye() }) != nil {
 		return
