--- a/control/core.go
+++ b/control/core.go
@@ -59,7 +59,7 @@
 		node:      n,
 		log:       n.log,
 		timing:    n.opts.Timing,
-		installed: installed{folder: dataFolder{process.DataFolder, n.opts.FS}, parse: n.opts.Parse},
+		installed: installed{folder: dataFolder{process.DataFolder, n.opts.FS}, parse: n.parsed.parse},
 		members:   newMemberList(),
 		seeds:     process.Voters,
 	}
--- a/control/documents.go
+++ b/control/documents.go
@@ -5,7 +5,10 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"celeryport/control/state"
+	"celeryport/pack"
 	"celeryport/verdict"
 )
 
@@ -19,7 +22,11 @@
 // outcome is Accepted or Superseded. An error with the verdict MayHaveRun leaves
 // open what came of it; the same document may be put again.
 func (n *Node) PutDocument(ctx context.Context, version uint64, text []byte) (state.Outcome, error) {
-	body, err := encode(state.PutDocument{Version: version, Text: text})
+	packed, err := pack.Text(text)
+	if err != nil {
+		return state.Outcome{}, err
+	}
+	body, err := encode(state.PutDocument{Version: version, Text: packed})
 	if err != nil {
 		return state.Outcome{}, err
 	}
@@ -39,7 +46,11 @@
 		return nil, err
 	}
 	var found Accepted
-	return &found, json.Unmarshal(answer, &found)
+	if err := json.Unmarshal(answer, &found); err != nil {
+		return nil, errors.Wrap(err, "decode an accepted document")
+	}
+	found.Text, err = pack.Unpack(found.Text)
+	return &found, err
 }
 
 // putDocument is the handler of commandPutDocument.
@@ -48,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := n.opts.Parse("document", document.Text); err != nil {
+	if _, err := n.parsed.parse("document", document.Text); err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, "the document is faulty")
 	}
 	done := make(chan proposalResult, 1)
--- a/control/node.go
+++ b/control/node.go
@@ -33,7 +33,8 @@
 	kick       chan struct{}
 	tasks      chan task
 	stopped    chan struct{} // closed when the control goroutine has ended
-	core       *core         // owned by the control goroutine
+	parsed     parsedText
+	core       *core // owned by the control goroutine
 }
 
 // task is work for the control goroutine.
@@ -61,6 +62,7 @@
 		kick:     make(chan struct{}, 1),
 	}
 	n.clock = n.opts.Clock
+	n.parsed.read = n.opts.Parse
 	n.clients = rpc.NewClients(opts.Process.InstanceKey, opts.Dial)
 	core, err := newCore(n)
 	if err != nil {
--- /dev/null
+++ b/control/parsed.go
@@ -0,0 +1,45 @@
+package control
+
+import (
+	"sync"
+
+	"celeryport/control/state"
+	"celeryport/pack"
+	"celeryport/settings"
+)
+
+// parsedText parses settings texts, packed or not, and keeps the newest result: a
+// leader checks a text before it is accepted and installs it right after, and
+// reading one of 1,600 routes takes an instance of 0.12 cores 0.15 s each time.
+type parsedText struct {
+	read   func(file string, text []byte) (*settings.Tree, error)
+	mu     sync.Mutex
+	digest string
+	tree   *settings.Tree
+}
+
+// parse returns the tree of a text. The caller gets a copy of its own, in which it
+// may set the revision.
+func (p *parsedText) parse(file string, data []byte) (*settings.Tree, error) {
+	digest := state.Digest(data)
+	p.mu.Lock()
+	known := p.tree
+	if p.digest != digest {
+		known = nil
+	}
+	p.mu.Unlock()
+	if known == nil {
+		text, err := pack.Unpack(data)
+		if err != nil {
+			return nil, err
+		}
+		if known, err = p.read(file, text); err != nil {
+			return nil, err
+		}
+		p.mu.Lock()
+		p.digest, p.tree = digest, known
+		p.mu.Unlock()
+	}
+	tree := *known
+	return &tree, nil
+}
--- a/settings/process.go
+++ b/settings/process.go
@@ -19,6 +19,7 @@
 	Voter            bool     // takes part in the control group
 	Voters           []Member // the control group at first start, or those who know it now
 	Found            bool     // the voters may found a new group
+	Losses           int      // voters that may be lost at the same time; 0: operators replace voters
 	InstanceKey      string   // shared by the instances
 	OperatorKeys     []string
 	UpstreamKeys     []string // accepted from upstreams that announce themselves
--- a/settings/schema_process.go
+++ b/settings/schema_process.go
@@ -27,6 +27,7 @@
 
 const (
 	mostConnections = mega
+	mostLosses      = 4
 	mostTimeout     = time.Hour
 	mostPool        = 100 * kilo
 )
@@ -50,6 +51,8 @@
 			"Folder of everything that must survive a restart."),
 		key("found", boolean(), "true", func(p *Process) *bool { return &p.Found },
 			"Whether the instances of [voters] may found a new control group. False on every start but the first of a fleet whose voters are replaced by themselves: the addresses then only say whom to ask."),
+		key("losses", count(0, mostLosses), "0", func(p *Process) *int { return &p.Losses },
+			"Voters that may be lost at the same time. The leader then keeps twice as many and one by itself, as long as there are instances for them; 0: operators replace voters."),
 		key("tree", path(), "", func(p *Process) *string { return &p.Tree },
 			"Settings tree that is proposed if none was ever accepted."),
 		key("log_level", oneOf("debug", "info", "warning", "error"), "info", func(p *Process) *string { return &p.LogLevel },
