--- a/cli/commands.go
+++ b/cli/commands.go
@@ -23,5 +23,6 @@
 		benchCommand(stdout, stderr),
 		slopesCommand(stdout, stderr),
 		eventsCommand(stdout),
+		explainCommand(stdout, stderr),
 	}
 }
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -54,10 +54,13 @@
 	return settings.ParseProcess(path, text)
 }
 
+// logTime has milliseconds: the lines of several instances are put in order by it.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 func newLog(out io.Writer, level string) *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(out)
-	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logTime})
 	if parsed, err := logrus.ParseLevel(level); err == nil {
 		log.SetLevel(parsed)
 	}
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,42 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+)
+
+// testLog mixes the lines of three instances, one with a shipper's prefix, one cut
+// short, and something that is no log line.
+const testLog = `front-2 2 {"event":7006,"instance":"front-1","call":"c-1","upstream":"i-7","verdict":"may-have-run","error":"connection reset","msg":"send failed","time":"2026-01-01T10:00:01.5Z"}
+{"event":7007,"instance":"front-2","upstream":"i-7","msg":"upstream suspected","time":"2026-01-01T10:00:01Z"}
+{"event":7004,"instance":"front-1","call":"c-1","upstream":"i-7","message":"upstream: the upstream failed","events":3,"total_ms":800,"msg":"call failed","time":"2026-01-01T10:00:02Z"}
+{"event":7002,"instance":"front-3","call":"c-2","status":503,"message":"deadline: too late","total_ms":0,"msg":"call refused","time":"2026-01-01T10:00:00Z"}
+{"event":7006,"instance":"front-3","call":"c-3","upstream":"i-8","verdict":"not-run","error":"turned away","msg":"send failed","time":"2026-01-01T10:00:00Z"}
+panic: something else
+{"event":7003,"instance":"front-1","call":"c-1","msg":"cut sho`
+
+func TestStoriesOfFailedCalls(t *testing.T) {
+	// A caller complains about a call, and all that is left are the mixed logs of
+	// several instances. Whoever is on call needs the cause from its id alone.
+	lines, unread, err := Read(strings.NewReader(testLog))
+	if err != nil || unread != 2 || len(lines) != 5 {
+		t.Fatalf("%d lines, %d unread, %v", len(lines), unread, err)
+	}
+	tests := []struct{ call, cause string }{
+		{"c-1", "It may have run; sends that failed before: i-7 (may-have-run): connection reset."},
+		{"c-2", "front-3 refused it after 0 ms with status 503: deadline: too late. It did not run."},
+		{"c-3", "No end is logged: front-3 was killed"},
+	}
+	for _, test := range tests {
+		story, found := Tell(lines, test.call)
+		if !found || !strings.Contains(story.Cause, test.cause) {
+			t.Errorf("%s: %q, want %q", test.call, story.Cause, test.cause)
+		}
+	}
+	if story, _ := Tell(lines, "c-1"); len(story.Upstream) != 1 || len(story.Lines) != 2 || story.Lines[0].Event != eventSendFailed {
+		t.Errorf("the story of c-1: %+v", story)
+	}
+	if _, found := Tell(lines, "unknown"); found {
+		t.Error("an unknown call has a story")
+	}
+}
--- /dev/null
+++ b/explain/line.go
@@ -0,0 +1,67 @@
+// Package explain puts the log lines of one call from several instances in order
+// and says what became of it.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Line is one line of a log.
+type Line struct {
+	At       time.Time
+	Instance string
+	Event    int
+	Message  string
+	Fields   map[string]any
+}
+
+// maxLine bounds one line; longer ones are no log lines.
+const maxLine = 1 << 20
+
+// Read reads log lines. Whatever stands before the object on a line, for instance
+// a prefix of a log shipper, is passed over. Lines that are no log lines, or are
+// cut short, are counted.
+func Read(r io.Reader) (lines []Line, unread int, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		line, ok := parse(scanner.Bytes())
+		if !ok {
+			unread++
+			continue
+		}
+		lines = append(lines, line)
+	}
+	return lines, unread, errors.Wrap(scanner.Err(), "read a log")
+}
+
+func parse(text []byte) (Line, bool) {
+	begin := bytes.IndexByte(text, '{')
+	if begin < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal(text[begin:], &fields) != nil {
+		return Line{}, false
+	}
+	number, ok := fields["event"].(float64)
+	if !ok {
+		return Line{}, false
+	}
+	line := Line{Event: int(number), Fields: fields, Instance: textOf(fields["instance"]), Message: textOf(fields["msg"])}
+	if at, err := time.Parse(time.RFC3339Nano, textOf(fields["time"])); err == nil {
+		line.At = at
+	}
+	return line, true
+}
+
+func textOf(value any) string {
+	text, _ := value.(string)
+	return text
+}
--- /dev/null
+++ b/explain/story.go
@@ -0,0 +1,101 @@
+package explain
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+)
+
+// The events that a story is made of. Their numbers never change their meaning.
+const (
+	eventRefused     = 7002
+	eventServed      = 7003
+	eventFailed      = 7004
+	eventCallerLeft  = 7005
+	eventSendFailed  = 7006
+	eventSuspected   = 7007
+	eventMisdirected = 7008
+	eventLeaves      = 3029
+)
+
+// Story is what is known of one call.
+type Story struct {
+	Call     string
+	Lines    []Line // of the call itself, in order
+	Upstream []Line // about the upstreams that it was sent to
+	Cause    string // one sentence
+}
+
+// Tell returns the story of a call; false if no line names it.
+func Tell(lines []Line, call string) (Story, bool) {
+	story := Story{Call: call}
+	upstreams := map[string]bool{}
+	for _, l := range lines {
+		if textOf(l.Fields["call"]) == call {
+			story.Lines = append(story.Lines, l)
+			upstreams[textOf(l.Fields["upstream"])] = true
+		}
+	}
+	delete(upstreams, "")
+	for _, l := range lines {
+		about := slices.Contains([]int{eventSuspected, eventMisdirected, eventLeaves}, l.Event)
+		if about && upstreams[textOf(l.Fields["upstream"])] {
+			story.Upstream = append(story.Upstream, l)
+		}
+	}
+	inOrder(story.Lines)
+	inOrder(story.Upstream)
+	if len(story.Lines) == 0 {
+		return story, false
+	}
+	story.Cause = cause(story.Lines)
+	return story, true
+}
+
+func inOrder(lines []Line) {
+	sort.SliceStable(lines, func(a, b int) bool { return lines[a].At.Before(lines[b].At) })
+}
+
+// cause says in a sentence how the call ended and why.
+func cause(lines []Line) string {
+	last := lines[len(lines)-1]
+	sends := failedSends(lines)
+	switch last.Event {
+	case eventRefused:
+		return fmt.Sprintf("%s refused it after %v ms with status %v: %s. It did not run%s.",
+			last.Instance, number(last, "total_ms"), number(last, "status"), detail(last), sends)
+	case eventServed:
+		return fmt.Sprintf("%s passed on the whole answer of %s, status %v, after %v ms%s.",
+			last.Instance, textOf(last.Fields["upstream"]), number(last, "status"), number(last, "total_ms"), sends)
+	case eventFailed:
+		return fmt.Sprintf("%s could not bring it to an end after %v ms and %v events: %s. It may have run%s.",
+			last.Instance, number(last, "total_ms"), number(last, "events"), detail(last), sends)
+	case eventCallerLeft:
+		return fmt.Sprintf("The caller left %s after %v ms, before the end%s.", last.Instance, number(last, "total_ms"), sends)
+	default:
+		return fmt.Sprintf("No end is logged: %s was killed, or its log is missing here%s.", last.Instance, sends)
+	}
+}
+
+func failedSends(lines []Line) string {
+	var parts []string
+	for _, l := range lines {
+		if l.Event == eventSendFailed {
+			parts = append(parts, fmt.Sprintf("%s (%s): %s", textOf(l.Fields["upstream"]), textOf(l.Fields["verdict"]), textOf(l.Fields["error"])))
+		}
+	}
+	if len(parts) == 0 {
+		return ""
+	}
+	return "; sends that failed before: " + strings.Join(parts, "; ")
+}
+
+func detail(l Line) string { return textOf(l.Fields["message"]) }
+
+func number(l Line, name string) any {
+	if value, found := l.Fields[name]; found {
+		return value
+	}
+	return 0
+}
