--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -13,7 +13,7 @@
 	// shortReading is the most reading that may wait at an engine with tight streams,
 	// a new prompt included: with the pass of 45 ms it stays below the shortest pause
 	// that callers count as in time, 250 ms.
-	shortReading = 140 * time.Millisecond
+	shortReading = 100 * time.Millisecond
 	// loosePause is the least pause with which a stream may share an engine with long
 	// reading. Passes there took 0.5 to 0.7 s for nine in ten prompts of 180,000
 	// tokens that twelve engines read, and up to 1.6 s.
