--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -15,6 +15,12 @@
 	SendHead(call *Call, send *Send) *httpwire.RequestHead
 	// DecodeAnswer reads what an upstream says of its answer.
 	DecodeAnswer(head *httpwire.ResponseHead) Answer
+	// OrderMessage returns the request that carries an order to the engine at an
+	// address.
+	OrderMessage(address string, order *Order) (*httpwire.RequestHead, []byte, error)
+	// OrderDone reports whether the status of an answer says that an order was carried
+	// out.
+	OrderDone(status int) bool
 	// RefusalFields returns the fields of an answer that this instance gives itself.
 	RefusalFields(call *Call, retryAfter time.Duration) httpwire.Fields
 }
@@ -43,7 +49,21 @@
 	ResumeAfter  int64         // last event that the caller has
 	Resumes      bool
 	Urgent       bool     // before others at the engine
-	Helpers      []string // addresses of engines that read parts of the prompt
+	Helpers      []Helper // engines that read parts of the prompt
+}
+
+// Helper is an engine that reads a part of a prompt.
+type Helper struct {
+	Address     string
+	Reservation string // of memory there that keeps a part; empty: none
+}
+
+// Order asks an engine to set memory aside, or to give it back.
+type Order struct {
+	Reservation string // name, chosen here
+	Tokens      int
+	Hold        time.Duration // after which the memory is free again by itself
+	Release     bool          // give it back now
 }
 
 // Answer is what an upstream says of its answer.
--- a/forward/events.go
+++ b/forward/events.go
@@ -25,6 +25,8 @@
 		"An upstream took no connection, or answered nothing; it gets no new work for a while. Fields: upstream, address, error, for_ms.")
 	eventMisdirected = event.Define(7008, logrus.InfoLevel, "upstream replaced",
 		"Another incarnation answers at the address; this one gets no more work. Fields: upstream, address.")
+	eventNotReserved = event.Define(7011, logrus.WarnLevel, "memory not reserved",
+		"A helper did not set memory aside for a prompt that no engine can hold alone; the call goes to others or is refused. Fields: reservation (instance, call, try), upstream, tokens, error.")
 	eventForeignDatagram = event.Define(7010, logrus.WarnLevel, "datagram refused",
 		"Something that is no report of an instance of this fleet came to the control port. Check that all instances have the same key. Fields: from, error.")
 	eventCleared = event.Define(7009, logrus.InfoLevel, "upstream works again",
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -25,6 +25,7 @@
 	priority     int
 	revision     uint64
 	deadline     time.Time
+	tries        int      // plans so far; each has reservations of its own
 	sends        int      // that may have reached an upstream
 	tried        []string // incarnations
 	firstAt      time.Time
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -43,9 +43,14 @@
 	home    *node
 	helpers []*node       // that read a part of the prompt each
 	part    time.Duration // of the reading, at the home and each helper
-	tight   bool          // its pauses have to be short
-	held    int           // tokens of memory at the home
-	reading bool          // its answer has not begun
+	memory  []*reservation
+
+	renewing     context.Context // ends with the send; set while memory is reserved
+	stopRenewing context.CancelFunc
+
+	tight   bool // its pauses have to be short
+	held    int  // tokens of memory at the home
+	reading bool // its answer has not begun
 }
 
 // sweepInterval is how often connections and nodes that are not needed any more
@@ -167,6 +172,9 @@
 	w.reading = true
 	w.home.load = w.home.load.Add(w.atHome())
 	w.addParts(w.part)
+	for _, r := range w.memory {
+		r.node.load.Held += r.tokens
+	}
 	f.changed()
 }
 
@@ -184,6 +192,9 @@
 	f.endReading(w)
 	at := w.atHome()
 	w.home.load = w.home.load.Add(loadshare.Load{Streams: -at.Streams, Tight: -at.Tight, Held: -at.Held})
+	for _, r := range w.memory {
+		r.node.load.Held -= r.tokens
+	}
 	f.changed()
 }
 
@@ -205,13 +216,21 @@
 	return load
 }
 
-// helperAddresses returns where the helpers are.
-func (w *work) helperAddresses() []string {
-	addresses := make([]string, 0, len(w.helpers))
+// helperList names the helpers, those that keep a part of the prompt first and in
+// the order in which their memory is filled.
+func (w *work) helperList() []Helper {
+	list := make([]Helper, 0, len(w.helpers))
+	keeps := map[*node]bool{}
+	for _, r := range w.memory {
+		keeps[r.node] = true
+		list = append(list, Helper{Address: r.node.address, Reservation: r.name})
+	}
 	for _, n := range w.helpers {
-		addresses = append(addresses, n.address)
+		if !keeps[n] {
+			list = append(list, Helper{Address: n.address})
+		}
 	}
-	return addresses
+	return list
 }
 
 func (w *work) addParts(part time.Duration) {
--- a/forward/place.go
+++ b/forward/place.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -85,9 +86,23 @@
 	for _, at := range plan.Helpers {
 		w.helpers = append(w.helpers, nodes[at])
 	}
+	w.held -= sumOf(plan.Reserved)
+	for i, r := range plan.Reserved {
+		name := fmt.Sprintf("%s/%s/%d/%d", x.server.options.Process.Name, x.call.ID, x.tries, i)
+		w.memory = append(w.memory, &reservation{node: nodes[r.Engine], name: name, tokens: r.Tokens})
+	}
+	x.tries++
 	return w, nil
 }
 
+func sumOf(reserved []placement.Reserved) int {
+	sum := 0
+	for _, r := range reserved {
+		sum += r.Tokens
+	}
+	return sum
+}
+
 // comeBack is when a refused caller finds what was in its way gone: after the
 // excess, spread a little so that those who were refused together don't meet
 // again. Callers wait a third of the time that they have left at most.
--- /dev/null
+++ b/forward/reservation.go
@@ -0,0 +1,145 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/event"
+	"celeryport/httpwire"
+)
+
+// reservation is memory set aside at a helper for a part of one call's prompt.
+type reservation struct {
+	node   *node
+	name   string // of this send alone: another send may meet the first one still at work
+	tokens int
+}
+
+const (
+	// holdFor is the lease of a reservation. An instance that is killed gives nothing
+	// back; four seconds later its memory has to be free.
+	holdFor = 3900 * time.Millisecond
+	// renewEvery leaves time for two tries before a lease ends. Most prompts are
+	// answered before the first renewal is due: an engine may carry out an order late,
+	// and a late renewal would set memory aside for nobody.
+	renewEvery = 2500 * time.Millisecond
+	// orderTimeout bounds one order; between zones it takes some milliseconds.
+	orderTimeout = 250 * time.Millisecond
+	// releasePause is the pause between two tries to give memory back.
+	releasePause = 200 * time.Millisecond
+)
+
+// errNoMemory says that a helper did not set the memory aside.
+var errNoMemory = errors.New("no memory at a helper")
+
+// reserve sets the memory of a send aside at all helpers, or at none.
+func (f *fleet) reserve(ctx context.Context, w *work) error {
+	failures := make([]error, len(w.memory))
+	var all sync.WaitGroup
+	for i, r := range w.memory {
+		all.Go(func() { failures[i] = f.order(ctx, r, false) })
+	}
+	all.Wait()
+	for i, failure := range failures {
+		if failure == nil {
+			continue
+		}
+		eventNotReserved.Log(f.options.Log, event.Fields{
+			"reservation": w.memory[i].name, "upstream": w.memory[i].node.name, "tokens": w.memory[i].tokens, "error": failure.Error(),
+		})
+		f.release(w)
+		return errors.CombineErrors(errNoMemory, failure)
+	}
+	w.renewing, w.stopRenewing = context.WithCancel(context.WithoutCancel(ctx))
+	go f.renew(w)
+	return nil
+}
+
+// renew keeps the leases of a send that takes long.
+func (f *fleet) renew(w *work) {
+	for pause(w.renewing, renewEvery) {
+		for _, r := range w.memory {
+			if err := f.order(w.renewing, r, false); err != nil && w.renewing.Err() == nil {
+				eventNotReserved.Log(f.options.Log, event.Fields{
+					"reservation": r.name, "upstream": r.node.name, "tokens": r.tokens, "error": err.Error(),
+				})
+			}
+		}
+	}
+}
+
+// release gives the memory back, in the background, until the engine confirms it
+// or the lease has ended. Also what was refused is given back: an order without an
+// answer may have been carried out.
+func (f *fleet) release(w *work) {
+	if w.stopRenewing != nil {
+		w.stopRenewing()
+	}
+	until := time.Now().Add(holdFor)
+	for _, r := range w.memory {
+		go func() {
+			for time.Now().Before(until) {
+				if f.order(context.Background(), r, true) == nil || !pause(context.Background(), releasePause) {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// order sends one order and reports whether it was carried out.
+func (f *fleet) order(ctx context.Context, r *reservation, release bool) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	head, body, err := f.options.Dialect.OrderMessage(r.node.address, &Order{
+		Reservation: r.name, Tokens: r.tokens, Hold: holdFor, Release: release,
+	})
+	if err != nil {
+		return err
+	}
+	status, err := f.roundTrip(ctx, r.node, head, body)
+	if err != nil {
+		return err
+	}
+	if !f.options.Dialect.OrderDone(status) {
+		return errors.Newf("status %d", status)
+	}
+	return nil
+}
+
+// roundTrip sends a small message to a node and returns the status of the answer.
+func (f *fleet) roundTrip(ctx context.Context, n *node, head *httpwire.RequestHead, body []byte) (int, error) {
+	conn, err := f.connect(ctx, n, false)
+	if err != nil {
+		return 0, err
+	}
+	deadline, _ := ctx.Deadline()
+	conn.patient.deadline, conn.patient.there = deadline, nil
+	if err := conn.conn.SetWriteDeadline(deadline); err != nil {
+		conn.close()
+		return 0, err
+	}
+	head.Body = httpwire.Framing{Kind: httpwire.Sized, Length: int64(len(body))}
+	if _, err := conn.conn.Write(append(head.Append(nil), body...)); err != nil {
+		conn.close()
+		return 0, err
+	}
+	answer, err := httpwire.ReadResponseHead(conn.reader, defaultHeaderBytes, http.MethodPost)
+	if err == nil {
+		_, err = httpwire.NewBody(conn.reader, answer.Body).ReadAll(defaultHeaderBytes)
+	}
+	if err != nil {
+		conn.close()
+		return 0, err
+	}
+	if answer.Close || conn.reader.Buffered() > 0 {
+		conn.close()
+	} else {
+		f.keep(n, conn, f.options.Dialect.DecodeAnswer(answer).IdleFor)
+	}
+	return answer.Status, nil
+}
--- a/forward/send.go
+++ b/forward/send.go
@@ -59,6 +59,12 @@
 func (x *exchange) send(ctx context.Context, w *work) *outcome {
 	fleet, n := x.server.fleet, w.home
 	defer fleet.end(w)
+	if len(w.memory) > 0 {
+		if err := fleet.reserve(ctx, w); err != nil {
+			return &outcome{verdict: verdict.NotRun, err: err, elsewhere: true}
+		}
+		defer fleet.release(w)
+	}
 	conn, err := fleet.connect(ctx, n, false)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -112,7 +118,7 @@
 		Left:         time.Until(x.deadline),
 		ResumeAfter:  x.lastEvent,
 		Resumes:      x.hasEvent,
-		Helpers:      s.work.helperAddresses(),
+		Helpers:      s.work.helperList(),
 	})
 	if len(x.body) > 0 || x.call.Method == http.MethodPost || x.call.Method == http.MethodPut {
 		head.Body = httpwire.Framing{Kind: httpwire.Sized, Length: int64(len(x.body))}
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -31,10 +31,17 @@
 	Home       int           // engine that answers
 	Helpers    []int         // engines that read a part of the prompt each
 	Part       time.Duration // reading at the home and each helper
+	Reserved   []Reserved    // memory that the prompt needs at helpers, in the order in which it is filled
 	FirstEvent time.Duration // predicted, from now
 	Excess     time.Duration // of a call that is refused: by how much its first event would be too late
 }
 
+// Reserved is memory for a part of a prompt at one helper.
+type Reserved struct {
+	Engine int
+	Tokens int
+}
+
 // Reading returns how long an idle engine reads a prompt.
 func Reading(p *settings.EngineProfile, tokens int) time.Duration {
 	if p.ReadRate <= 0 {
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -192,20 +192,61 @@
 	best, least := Plan{}, 0.0
 	for k := 1; k <= most; k++ {
 		part := reading / time.Duration(k)
-		home := homeAmong(p, engines, lane, call, part)
-		if home < 0 {
-			return Plan{}, false
+		candidate, found := gather(p, engines, lane, call, part, k)
+		if !found {
+			continue
 		}
-		helpers := withoutHome(lane, home)[:k-1]
-		cost := spreadCost(engines, home, helpers, call, part)
-		if k == 1 || cost < least {
-			best, least = Plan{Home: home, Helpers: helpers, Part: part}, cost
+		cost := spreadCost(engines, candidate.Home, candidate.Helpers, call, part)
+		if best.Part == 0 || cost < least {
+			best, least = candidate, cost
 		}
 	}
+	if best.Part == 0 {
+		return Plan{}, false
+	}
 	best.FirstEvent = latestOf(engines, best.Home, best.Helpers) + best.Part + 2*passOf(p, engines[best.Home].Load.Streams+1)
 	return best, true
 }
 
+// gather chooses the home and the helpers of a prompt that k engines read.
+func gather(p *settings.EngineProfile, engines []Engine, lane []int, call *Call, part time.Duration, k int) (Plan, bool) {
+	if home := homeAmong(p, engines, lane, call, part); home >= 0 {
+		return Plan{Home: home, Helpers: withoutHome(lane, home)[:k-1], Part: part}, true
+	}
+	return gatherMemory(p, engines, lane, call, part, k)
+}
+
+// gatherMemory has helpers keep a part of a prompt for which no engine has the
+// memory. The home is the engine with the most of it.
+func gatherMemory(p *settings.EngineProfile, engines []Engine, lane []int, call *Call, part time.Duration, k int) (Plan, bool) {
+	home := -1
+	for _, i := range lane {
+		if engines[i].Load.Streams < p.Slots && (home < 0 || engines[i].Load.Held < engines[home].Load.Held) {
+			home = i
+		}
+	}
+	if home < 0 {
+		return Plan{}, false
+	}
+	plan := Plan{Home: home, Helpers: withoutHome(lane, home)[:k-1], Part: part}
+	missing := call.Prompt + call.Answer - freeMemory(p, &engines[home])
+	for _, i := range plan.Helpers {
+		free := freeMemory(p, &engines[i])
+		if missing <= 0 || free < leastPart {
+			continue
+		}
+		tokens := min(missing, free)
+		plan.Reserved = append(plan.Reserved, Reserved{Engine: i, Tokens: tokens})
+		missing -= tokens
+	}
+	return plan, missing <= 0
+}
+
+// freeMemory is what may still be planned with at an engine.
+func freeMemory(p *settings.EngineProfile, e *Engine) int {
+	return max(0, int(memoryUsed*float64(p.MemoryTokens))-e.Load.Held)
+}
+
 const (
 	// tightValue is what a tight stream is worth, in tokens: the usual prompt of 5,000
 	// and ten for each of some 1,300 tokens of the answer.
@@ -317,6 +358,9 @@
 // soonest takes the engine with the earliest first event when no good one is left.
 func soonest(p *settings.EngineProfile, engines []Engine, usable []int, call *Call, reading time.Duration) (Plan, bool) {
 	plan, found := Plan{Part: reading}, false
+	if p.MemoryTokens > 0 && call.Prompt+call.Answer > p.MemoryTokens {
+		return Plan{Excess: call.Left}, false // no engine alone will ever take it
+	}
 	for _, i := range usable {
 		at := firstEvent(p, &engines[i], reading)
 		if !found || at < plan.FirstEvent {
