--- /dev/null
+++ b/forward/refuse_test.go
@@ -0,0 +1,101 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"celeryport/httpwire"
+	"celeryport/verdict"
+)
+
+// plainDialect answers with no fields of its own.
+type plainDialect struct{ Dialect }
+
+func (plainDialect) RefusalFields(*Call, time.Duration) httpwire.Fields { return nil }
+
+func TestNoPromiseForWhatMayHaveRun(t *testing.T) {
+	// An error says that the call may have run, and its reason usually goes with a
+	// status that callers take for the promise that it has not. They would send again
+	// what may run once only.
+	tests := []struct {
+		err    error
+		status int
+	}{
+		{verdict.New(verdict.MayHaveRun, verdict.ReasonNoUpstream, "gone"), http.StatusBadGateway},
+		{verdict.New(verdict.MayHaveRun, verdict.ReasonShare, "above its share"), http.StatusBadGateway},
+		{verdict.Refuse(verdict.ReasonNoUpstream, 0, "none"), http.StatusServiceUnavailable},
+		{verdict.New(verdict.MayHaveRun, verdict.ReasonTimeout, "late"), http.StatusGatewayTimeout},
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	server := &Server{options: Options{Dialect: plainDialect{}, Log: log, Metrics: NewMetrics(prometheus.NewRegistry())}}
+	for _, test := range tests {
+		ours, theirs := net.Pipe()
+		go func() {
+			x := &exchange{server: server, writer: &callerWriter{conn: ours}, call: &Call{}, began: time.Now()}
+			x.refuse(test.err)
+		}()
+		head, err := httpwire.ReadResponseHead(bufio.NewReader(theirs), defaultHeaderBytes, http.MethodGet)
+		if err != nil || head.Status != test.status {
+			t.Errorf("%v is answered with %+v (%v), want %d", test.err, head, err, test.status)
+		}
+	}
+}
+
+func TestRepeatsStayWithinTheShare(t *testing.T) {
+	// A service begins to fail all its calls. If every instance repeated each of them,
+	// the service would get twice its load when it can bear it least; together they
+	// may send a fifth more, and a fixed number besides.
+	const instances, calls = 8, 50
+	budget := RepeatBudget{Ratio: 0.2, Slack: 104, Window: 10 * time.Second}
+	now := time.Unix(1_700_000_000, 0)
+	repeats := 0
+	for range instances {
+		b := newBudgets(budget, func() int { return instances })
+		for range calls {
+			now = now.Add(time.Millisecond)
+			b.call(now, "shop")
+			for b.take(now, "shop") {
+				repeats++
+			}
+		}
+	}
+	if most := budget.Ratio*instances*calls + budget.Slack; float64(repeats) > most || float64(repeats) < most/2 {
+		t.Errorf("%d repeats of %d calls, at most %.0f are allowed", repeats, instances*calls, most)
+	}
+	b := newBudgets(budget, func() int { return instances })
+	for b.take(now, "shop") {
+	}
+	if b.take(now.Add(budget.Window/2), "shop") {
+		t.Error("the share is there again before the window is over")
+	}
+	if !b.take(now.Add(budget.Window+time.Millisecond), "shop") {
+		t.Error("the share does not come back")
+	}
+}
+
+func TestDoubtGrowsAndEnds(t *testing.T) {
+	var d doubt
+	now := time.Unix(1_700_000_000, 0)
+	last := time.Duration(0)
+	for range 12 {
+		wait := d.raise(now)
+		if wait < last || wait > mostDoubt {
+			t.Fatalf("%s after %s", wait, last)
+		}
+		last = wait
+	}
+	if !d.holds(now) || d.holds(now.Add(mostDoubt)) {
+		t.Error("it does not hold for its time")
+	}
+	if !d.clear() || d.holds(now) || d.clear() {
+		t.Error("an answer does not clear it")
+	}
+}
--- a/httpwire/httpwire_test.go
+++ b/httpwire/httpwire_test.go
@@ -110,8 +110,14 @@
 
 func TestFieldsOfOneConnectionAreDropped(t *testing.T) {
 	fields := Fields{
-		{"Host", "a"}, {"Connection", "keep-alive, X-Mine"}, {"x-mine", "1"}, {"Keep-Alive", "timeout=5"},
-		{"TE", "trailers"}, {"Upgrade", "h2c"}, {"Expect", "100-continue"}, {"X-Other", "2"},
+		{"Host", "a"},
+		{"Connection", "keep-alive, X-Mine"},
+		{"x-mine", "1"},
+		{"Keep-Alive", "timeout=5"},
+		{"TE", "trailers"},
+		{"Upgrade", "h2c"},
+		{"Expect", "100-continue"},
+		{"X-Other", "2"},
 	}
 	if got := fields.EndToEnd(); len(got) != 2 || got[0].Name != "Host" || got[1].Name != "X-Other" {
 		t.Errorf("passed on: %v", got)
--- a/loadshare/board_test.go
+++ b/loadshare/board_test.go
@@ -97,3 +97,16 @@
 		t.Errorf("after the time %+v is known, want nothing", got)
 	}
 }
+
+func TestOvertakenReportChangesNothing(t *testing.T) {
+	// A datagram arrives after one that was sent later. Taken in, a call that has
+	// ended would load its engine again until the next full report.
+	board := NewBoard()
+	board.Take(start, &Report{Sender: 1, Sequence: 2, Full: true, Loads: map[Key]Load{}})
+	if board.Take(start, &Report{Sender: 1, Sequence: 1, Loads: map[Key]Load{5: {Streams: 1}}}) {
+		t.Error("an older report counts as news")
+	}
+	if got := board.Load(start, 5); got != (Load{}) {
+		t.Errorf("load %+v", got)
+	}
+}
