--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -36,7 +36,6 @@
 	load     loadshare.Load // under way from here
 	replaced bool           // another incarnation answers at the address
 	doubt    doubt
-	record   record
 }
 
 // work is a send that is under way.
@@ -329,14 +328,6 @@
 	}
 }
 
-// noteSend takes the end of a send into the node's record. What was turned away
-// says nothing of the node but that it was full.
-func (f *fleet) noteSend(n *node, failed bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n.record.note(time.Now(), failed)
-}
-
 // misdirected notes that another incarnation answers at the node's address.
 func (f *fleet) misdirected(n *node) {
 	f.mu.Lock()
--- a/forward/send.go
+++ b/forward/send.go
@@ -83,10 +83,6 @@
 	}
 	if result.verdict != verdict.NotRun {
 		x.ran = true
-		if ctx.Err() == nil {
-			// A call whose time ran out says more of the load than of the engine.
-			fleet.noteSend(n, result.err != nil && time.Now().Before(x.deadline))
-		}
 	}
 	return result
 }
