--- a/cli/bench.go
+++ b/cli/bench.go
@@ -54,9 +54,28 @@
 	if len(measured) == 0 {
 		return &ExitError{Code: ExitUsage, Err: errors.Newf("no row is called %q; see --list", c.String("row"))}
 	}
+	bars := bench.Bars(measured)
 	if format == "json" {
-		return json.NewEncoder(stdout).Encode(benchReport{Rows: measured, Bars: bench.Bars(measured)})
+		if err := json.NewEncoder(stdout).Encode(benchReport{Rows: measured, Bars: bars}); err != nil {
+			return errors.Wrap(err, "write the report")
+		}
+	} else {
+		bench.WriteTable(stdout, measured)
+	}
+	return failedBars(bars)
+}
+
+// failedBars fails the command when a figure misses its bar: a script that runs it
+// would otherwise take the miss for a pass.
+func failedBars(bars []bench.Bar) error {
+	failed := 0
+	for _, bar := range bars {
+		if !bar.Pass {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return &ExitError{Code: ExitFailed, Err: errors.Newf("%d of %d figures miss their bar", failed, len(bars))}
 	}
-	bench.WriteTable(stdout, measured)
 	return nil
 }
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -14,7 +14,6 @@
 	Near   bool           // in the availability zone of this instance
 	Avoid  bool           // failed of late, or was not heard of: only if there is no other
 	Tried  bool           // had this call already
-	Failed float64        // share of its calls that failed of late
 }
 
 // Call is what has to be placed.
--- a/placement/service.go
+++ b/placement/service.go
@@ -21,16 +21,13 @@
 	// farCost keeps a call in its zone as long as the instance there is at most one
 	// call busier; crossing a zone costs about a millisecond each way.
 	farCost = 0.9
-	// failedCost passes over an instance that fails all its calls unless the others
-	// have ten more under way.
-	failedCost = 10
 	// avoidCost and triedCost leave an instance as the last resort.
 	avoidCost = 1e3
 	triedCost = 1e6
 )
 
 func serviceCost(e *Engine, at int, draw float64) float64 {
-	cost := float64(e.Load.Streams) + failedCost*e.Failed
+	cost := float64(e.Load.Streams)
 	if !e.Near {
 		cost += farCost
 	}
