--- a/placement/engine.go
+++ b/placement/engine.go
@@ -9,11 +9,11 @@
 
 // Engine is what is known of one engine, or of one instance of a plain service.
 type Engine struct {
-	Load   loadshare.Load // of all instances together
-	Order  uint64         // a fixed order that all instances agree on
-	Near   bool           // in the availability zone of this instance
-	Avoid  bool           // failed of late, or was not heard of: only if there is no other
-	Tried  bool           // had this call already
+	Load  loadshare.Load // of all instances together
+	Order uint64         // a fixed order that all instances agree on
+	Near  bool           // in the availability zone of this instance
+	Avoid bool           // failed of late, or was not heard of: only if there is no other
+	Tried bool           // had this call already
 }
 
 // Call is what has to be placed.
