Count prompts without a first event where short ones gather, and ask living engines only

Cause: a prompt that waits for the pass under way looks read when only the reading is counted, so that first events of short prompts came 25 ms (p50) to 80 ms (p90) later; and the successor at an address answered for a dead engine: 85 to 90 of 78 engines were known, 937 calls met another incarnation. Change: of two engines the one with fewer prompts without a first event is taken; of several incarnations at one address only the newest is asked, by its name.

--- a/forward/asking.go
+++ b/forward/asking.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/binary"
+	"maps"
 	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +15,7 @@
 	"celeryport/event"
 	"celeryport/loadshare"
 	"celeryport/membership"
+	"celeryport/upstream"
 )
 
 const (
@@ -72,8 +75,8 @@
 	defer f.mu.Unlock()
 	var found []*node
 	for _, service := range view.Tree.Forwarding.Engines() {
-		for _, at := range view.Upstreams.Serving(service) {
-			n := f.node(&view.Upstreams.Upstreams[at])
+		for _, u := range newestAt(view.Upstreams, service) {
+			n := f.node(u)
 			if !n.replaced && fallsTo(s.options.Process.Name, n, view.Instances) {
 				found = append(found, n)
 			}
@@ -82,6 +85,21 @@
 	return found
 }
 
+// newestAt returns the upstreams of a service without those at whose address another
+// one was heard later: its successor would answer for it, and calls that are meant
+// for the dead one would be sent there in vain.
+func newestAt(snapshot *upstream.Snapshot, service string) []*upstream.Upstream {
+	newest := map[string]*upstream.Upstream{}
+	for _, at := range snapshot.Serving(service) {
+		u := &snapshot.Upstreams[at]
+		address := u.Announcement.Address
+		if other := newest[address]; other == nil || u.HeardAt.After(other.HeardAt) {
+			newest[address] = u
+		}
+	}
+	return slices.Collect(maps.Values(newest))
+}
+
 // dueQuestion reports whether a node is to be asked now, and notes that it is.
 func (f *fleet) dueQuestion(now time.Time, n *node) bool {
 	f.mu.Lock()
@@ -120,7 +138,7 @@
 // so that only a fresh one speaks against the node.
 func (s *Server) ask(ctx context.Context, n *node) {
 	report, err := s.question(ctx, n, false)
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && !errors.Is(err, errElsewhere) {
 		report, err = s.question(ctx, n, true)
 	}
 	if ctx.Err() != nil {
@@ -151,11 +169,15 @@
 func (s *Server) question(ctx context.Context, n *node, fresh bool) (*EngineReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	head := s.options.Dialect.ReportMessage(n.address)
+	head := s.options.Dialect.ReportMessage(n.address, n.name)
 	status, body, err := s.fleet.roundTrip(ctx, n, head, nil, fresh)
 	if err != nil {
 		return nil, err
 	}
+	if status == http.StatusMisdirectedRequest {
+		s.fleet.misdirected(n)
+		return nil, errElsewhere
+	}
 	if status != http.StatusOK {
 		return nil, errors.Newf("status %d", status)
 	}
--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -21,8 +21,8 @@
 	// OrderDone reports whether the status of an answer says that an order was carried
 	// out.
 	OrderDone(status int) bool
-	// ReportMessage returns the request that asks the engine at an address how it is.
-	ReportMessage(address string) *httpwire.RequestHead
+	// ReportMessage returns the request that asks an engine how it is.
+	ReportMessage(address, incarnation string) *httpwire.RequestHead
 	// DecodeReport reads the answer to it.
 	DecodeReport(body []byte) (*EngineReport, error)
 	// RefusalFields returns the fields of an answer that this instance gives itself.
--- a/placement/lane.go
+++ b/placement/lane.go
@@ -18,6 +18,9 @@
 	// the occupancy grows. Short prompts alone leave some 20 ms.
 	calmReading    = 50 * time.Millisecond
 	pressedReading = 250 * time.Millisecond
+	// shortLeading is how many prompts may wait for their first event at one engine:
+	// three usual ones take 100 ms.
+	shortLeading = 3
 	// keptShare is the part of the engines that short streams leave free while the
 	// others have room: a long prompt that finds none is late or makes streams late.
 	keptShare = 0.2
@@ -50,7 +53,7 @@
 	width := laneWidth(p, engines, usable)
 	open := make([]int, 0, width)
 	for at, i := range usable {
-		if e := &engines[i]; !hasRoom(p, e, call) || e.Load.Reading+part > shortReading {
+		if e := &engines[i]; !hasRoom(p, e, call) || e.Load.Reading+part > shortReading || e.Load.Leading >= shortLeading {
 			continue
 		}
 		if at >= width {
@@ -69,11 +72,13 @@
 
 func drawn(from []int, draw float64) int { return from[int(draw*float64(len(from)))] }
 
-// lessBusy returns the engine with less to read, or of equals the one with fewer
-// streams.
+// lessBusy returns the engine that leads fewer prompts, or of equals the one with
+// fewer streams. Prompts that wait for the pass under way look read already when
+// only the reading is counted: first events came 25 ms later at the median and 80 ms
+// later at nine in ten.
 func lessBusy(engines []Engine, a, b int) int {
 	x, y := &engines[a].Load, &engines[b].Load
-	if y.Reading < x.Reading || y.Reading == x.Reading && y.Streams < x.Streams {
+	if y.Leading < x.Leading || y.Leading == x.Leading && y.Streams < x.Streams {
 		return b
 	}
 	return a
--- a/placement/prompt_test.go
+++ b/placement/prompt_test.go
@@ -60,7 +60,7 @@
 			t.Fatal("a short prompt was refused")
 		}
 		put(engines, &plan, &shortCall)
-		engines[plan.Home].Load.Reading = 0 // it is read before the next one comes
+		engines[plan.Home].Load.Reading, engines[plan.Home].Load.Leading = 0, 0 // it is read before the next one comes
 	}
 	used := 0
 	for i := range engines {
@@ -100,7 +100,7 @@
 		}
 	}
 	put(engines, &Plan{Home: 0}, &shortCall)
-	engines[0].Load.Reading = 0
+	engines[0].Load.Reading, engines[0].Load.Leading = 0, 0
 	plan, found := Prompt(testProfile, engines, &tightLong)
 	if !found {
 		t.Fatal("it was refused")
