Leave upstreams that take calls and answer none

Cause: a service or engine that hangs takes connections, so that the look whether it is there found nothing; every call waited until its deadline. Change: an answer that is overdue (three times the prediction, 2.5 s at least on engines, 0.3 s on plain services) counts as a failure that is told to all; what may run again goes elsewhere.

--- a/forward/place.go
+++ b/forward/place.go
@@ -242,3 +242,24 @@
 	}
 	return max(leastPatience, x.predicted+x.predicted/2)
 }
+
+const (
+	// overdueFactor times the predicted first event is how late an answer may begin
+	// before the upstream counts as hung; predictions are right within 0.1 s, but for
+	// engines that are slow.
+	overdueFactor = 3
+	// leastOverdue and serviceOverdue are the least of that time: an engine with all
+	// slots taken begins after a whole other answer, of up to 2 s, and a plain service
+	// after two or three others of some tens of milliseconds.
+	leastOverdue   = 2500 * time.Millisecond
+	serviceOverdue = 300 * time.Millisecond
+)
+
+// overdue is how long an upstream may take to begin its answer before it counts as
+// hung.
+func (x *exchange) overdue() time.Duration {
+	if x.service.Engine == nil {
+		return serviceOverdue
+	}
+	return max(leastOverdue, overdueFactor*x.predicted)
+}
--- a/forward/send.go
+++ b/forward/send.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/httpwire"
+	"celeryport/settings"
 	"celeryport/verdict"
 )
 
@@ -92,7 +93,8 @@
 	x := s.x
 	s.conn.patient.deadline = x.deadline
 	s.conn.patient.silence = x.patience()
-	s.conn.patient.there = func() bool { return x.server.fleet.there(ctx, s.node) }
+	sentAt := time.Now()
+	s.conn.patient.there = func() bool { return !s.hung(sentAt) && x.server.fleet.there(ctx, s.node) }
 	s.write()
 	head, answer, err := s.readHead()
 	if err != nil {
@@ -104,6 +106,18 @@
 	return s.rejection(head, answer)
 }
 
+// hung reports whether the upstream should have begun to answer long ago, although
+// it may still take connections. It is told as failing; a call that may run again
+// goes elsewhere, any other waits on.
+func (s *sending) hung(sentAt time.Time) bool {
+	x := s.x
+	if s.begun || time.Since(sentAt) < x.overdue() {
+		return false
+	}
+	x.server.fleet.failing(s.node)
+	return x.route.Repeat != settings.Never
+}
+
 // largeBody is the size from which on a call is written beside the reading: the
 // upstream may answer before it has read all of it, and a pipe that is full in
 // both directions would stand still.
