Plan nothing where no engine is known

Cause: found by reading the diff: an arbiter that knows a service and none of its engines, as just after a loss of power, indexed an empty list and would have crashed. TestPlansAreSound without engines panics before this change. Change: no plan without engines, and such an arbiter says that it does not know the service, so that the one who asks goes elsewhere.

--- a/arbiter/queue.go
+++ b/arbiter/queue.go
@@ -19,7 +19,7 @@
 
 // World gives the arbiter its knowledge and takes what it gave away.
 type World interface {
-	// Fleet returns the engines of a service, nil if there are none.
+	// Fleet returns the engines of a service, nil if the service is not known.
 	Fleet(service string) *Fleet
 	// Granted notes that a prompt was given a place, until the one who asked tells of
 	// it itself.
@@ -94,7 +94,7 @@
 	ahead := map[string]time.Duration{}
 	for _, w := range q.order(world, fleets) {
 		fleet := fleets[w.ask.Service]
-		if fleet == nil {
+		if fleet == nil || len(fleet.Engines) == 0 {
 			answers = append(answers, q.settle(now, &Answer{ID: w.ask.ID, Decision: Unknown}))
 			continue
 		}
--- a/arbiter/queue_test.go
+++ b/arbiter/queue_test.go
@@ -153,4 +153,10 @@
 	if answers := queue.Step(start, w); len(answers) != 1 || answers[0].Decision != Unknown {
 		t.Errorf("answers %+v", answers)
 	}
+	// It has just started, and no engine has announced itself there.
+	w.engines = 0
+	queue.Take(start, askFor("b", 150_000))
+	if answers := queue.Step(start, w); len(answers) != 1 || answers[0].Decision != Unknown {
+		t.Errorf("without engines: answers %+v", answers)
+	}
 }
--- a/placement/prompt_test.go
+++ b/placement/prompt_test.go
@@ -248,7 +248,7 @@
 	// Whatever the loads are, an engine must not be named twice, helpers must not be
 	// more than engines take, and all parts together must make up the prompt.
 	rapid.Check(t, func(t *rapid.T) {
-		engines := testEngines(rapid.IntRange(1, 24).Draw(t, "engines"))
+		engines := testEngines(rapid.IntRange(0, 24).Draw(t, "engines"))
 		for i := range engines {
 			engines[i].Load = loadshare.Load{
 				Streams: rapid.IntRange(0, 20).Draw(t, "streams"),
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -69,8 +69,11 @@
 			best, least = candidate, cost
 		}
 	}
+	if best.Part == 0 {
+		return Plan{}, false
+	}
 	best.FirstEvent = best.Part + 2*passOf(p, engines[best.Home].Load.Streams+1)
-	return best, best.Part > 0 && least <= harmWorth*valueOf(call)
+	return best, least <= harmWorth*valueOf(call)
 }
 
 // later finds out when enough engines will have read what they have for a prompt
