--- a/forward/arbitration_test.go
+++ b/forward/arbitration_test.go
@@ -75,8 +75,8 @@
 		}
 		again := time.Now()
 		s.askArbiter(context.Background(), "model", longAsk)
-		if took := time.Since(again); took > time.Since(began)/2 {
-			t.Errorf("the next call waits for %s for the same silent instances", took)
+		if took := time.Since(again); took > silentResends*askResend {
+			t.Errorf("the next call waits for %s, for instances that were silent already", took)
 		}
 	})
 }
--- a/forward/standing_test.go
+++ b/forward/standing_test.go
@@ -1,6 +1,11 @@
 package forward
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"celeryport/upstream"
+)
 
 func TestNodesAreAvoidedForAReason(t *testing.T) {
 	// An engine goes dark, or only the path to it does, or only its announcements are
@@ -33,3 +38,24 @@
 		})
 	}
 }
+
+func TestSuccessorsDontAnswerForTheDead(t *testing.T) {
+	// An engine has died, and another one starts at its address. It answers polls, and
+	// the dead one would look alive: calls that are meant for it are sent in vain.
+	registry := upstream.NewRegistry(time.Hour)
+	now := time.Now()
+	for i, name := range []string{"z-dead", "a-successor"} {
+		registry.HearRelayed(now.Add(time.Duration(i)*time.Second), upstream.Relayed{Announcement: upstream.Announcement{
+			Name: name, Incarnation: 1, Sequence: 1, Address: "10.0.1.1:80", Targets: []string{"model"},
+		}})
+	}
+	newest := newestAt(registry.Snapshot(now), "model")
+	if len(newest) != 1 || newest[0].Announcement.Name != "a-successor" {
+		t.Errorf("%d upstreams are polled at one address", len(newest))
+	}
+	n := &node{}
+	n.report.lostAt = now
+	if !n.lostSince(now.Add(-time.Second)) || n.lostSince(now.Add(time.Second)) {
+		t.Error("a node that did not answer is polled on before it has announced itself")
+	}
+}
--- a/placement/herd_test.go
+++ b/placement/herd_test.go
@@ -96,3 +96,19 @@
 		t.Errorf("an engine with %d slots has %d streams", testProfile.Slots, most)
 	}
 }
+
+func TestTheFirstCallsOfABurstAreSpread(t *testing.T) {
+	// The fleet is calm, and forty short prompts come in the same moment. With hardly
+	// any stream to go by, all instances would gather them on the first few engines.
+	r := newReplay(78)
+	for range 40 {
+		r.place(0)
+	}
+	most := 0
+	for i := range r.engines {
+		most = max(most, r.engines[i].Leading)
+	}
+	if most > 6 {
+		t.Errorf("%d of 40 prompts wait for each other at one engine", most)
+	}
+}
--- a/placement/prompt_test.go
+++ b/placement/prompt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -165,12 +166,12 @@
 }
 
 func TestLongPromptsWaitForManyTightStreams(t *testing.T) {
-	// The mix turns: every engine writes ten short streams, and a long prompt comes.
+	// The mix turns: every engine writes four short streams, and a long prompt comes.
 	// Read beside them, it lets all of them pause for a second or two, and their callers
 	// give up in the middle. They end within two seconds by themselves.
 	engines := testEngines(14)
 	for i := range engines {
-		engines[i].Load = loadshare.Load{Streams: 10, Tight: 10}
+		engines[i].Load = loadshare.Load{Streams: 4, Tight: 4}
 	}
 	long := longCall
 	long.Prompt = 350_000
@@ -202,9 +203,70 @@
 	// second again and again.
 	engines := testEngines(18)
 	engines[3].Load = loadshare.Load{Streams: 1}
+	engines[4].Load = loadshare.Load{Streams: 1}
 	plan, found := Prompt(testProfile, engines, &longCall)
-	if !found || plan.Home != 3 && slices.Contains(plan.Helpers, 3) {
-		t.Errorf("the engine with a stream reads a part for engine %d (%t)", plan.Home, found)
+	if !found || slices.Contains(plan.Helpers, 3) || slices.Contains(plan.Helpers, 4) {
+		t.Errorf("engines %v help engine %d (%t), 3 and 4 write streams", plan.Helpers, plan.Home, found)
+	}
+}
+
+func TestEnginesThatLeadAPromptHelpNobody(t *testing.T) {
+	// An engine reads its part of a prompt that it answers itself. What it helps with it
+	// reads first, so that with one part after the other its own caller never gets an
+	// answer. And one that helps as many as it can turns the whole call away.
+	engines := testEngines(18)
+	engines[0].Load = loadshare.Load{Streams: 1, Tight: 1} // where such streams gather
+	engines[5].Load.Leading = 1
+	engines[6].Load.Helping = testProfile.Slots
+	for range 20 {
+		plan, found := Prompt(testProfile, engines, &tightLong)
+		if !found || slices.Contains(plan.Helpers, 5) || slices.Contains(plan.Helpers, 6) {
+			t.Fatalf("engines %v help engine %d (%t), 5 leads a prompt, 6 helps many", plan.Helpers, plan.Home, found)
+		}
+		for _, i := range plan.Helpers {
+			engines[i].Load.Reading += plan.Part // the next plan looks further
+		}
+	}
+}
+
+func TestShortStreamsLeaveAFifthOfTheEngines(t *testing.T) {
+	// Many short streams run in a calm minute. Spread over all engines they are in time,
+	// until a long prompt comes and finds none to be read at.
+	engines := testEngines(20)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 140 {
+		call := shortCall
+		call.Draw = [2]float64{random.Float64(), random.Float64()}
+		plan, found := Prompt(testProfile, engines, &call)
+		if !found {
+			t.Fatal("a short prompt was refused")
+		}
+		put(engines, &plan, &call)
+		engines[plan.Home].Load.Reading, engines[plan.Home].Load.Leading = 0, 0
+	}
+	without := 0
+	for i := range engines {
+		if engines[i].Load.Tight == 0 {
+			without++
+		}
+	}
+	if without < 4 {
+		t.Errorf("%d of 20 engines are without short streams, want 4", without)
+	}
+}
+
+func TestPartsBesideShortStreamsAreShort(t *testing.T) {
+	// Every engine has a short stream, which pauses for 250 ms at most. Two parts of
+	// 100 ms in one pass are enough to make it late.
+	engines := testEngines(17)
+	for i := range engines {
+		engines[i].Load = loadshare.Load{Streams: 6, Tight: 6}
+	}
+	long := longCall
+	long.Prompt = 100_000
+	plan, found := Prompt(testProfile, engines, &long)
+	if found && len(plan.Helpers) > 3 && plan.Part > 80*time.Millisecond {
+		t.Errorf("%d engines read parts of %s beside short streams", len(plan.Helpers)+1, plan.Part)
 	}
 }
 
