Tell the starts of an engine apart, and take no half heartbeats

Cause: every announcement got the same incarnation, so an engine that started again under its id counted as silent until it had sent more heartbeats than before, while streams, loads, doubts and connections of the former start stayed on its account. Missing fields of a heartbeat became zeros (no slots, no zone), an unknown state counted as ready, a report of other types cost the engine its good name.

Change: the start that an engine states is its incarnation; a node is one start. When a later start is heard, or a report states one, calls at the former are broken off and go on elsewhere. A late message of a former start changes nothing, nor does its last word. Entries that lack a field or make no sense are refused with a sentence, a line a second at most and a counter.

A start that is 0, negative, no whole number or a text is refused: taken for none, it would let a late message pass for the present start. One far in the future is taken: it is compared with other starts of the same engine only.

--- a/control/events.go
+++ b/control/events.go
@@ -56,7 +56,9 @@
 	eventUpstreamKnown = event.Define(3028, logrus.InfoLevel, "upstream appears",
 		"An upstream was heard for the first time and may get calls. Fields: upstream, address, targets, sequence.")
 	eventUpstreamLeaves = event.Define(3029, logrus.InfoLevel, "upstream leaves",
-		"An upstream said that it takes no new calls; it gets none from now on. Fields: upstream, address, targets, sequence.")
+		"An upstream said that it takes no new calls; it gets none from now on. Fields: upstream, incarnation, address, targets, sequence.")
+	eventAnnouncementRefused = event.Define(3030, logrus.WarnLevel, "announcement refused",
+		"Something announced an upstream that can't be used: fields are missing or make no sense, or the settings don't name its service. One line a second at most. Find out who writes it. Fields: upstream, error, refused (in all).")
 	eventRelayFailed = event.Define(3021, logrus.ErrorLevel, "upstreams not relayed",
 		"What was heard of upstreams could not be encoded for other instances, a fault of the program. They lose sight of the upstreams; report it.")
 	eventServeFailed = event.Define(3020, logrus.ErrorLevel, "control address failed",
--- a/control/node.go
+++ b/control/node.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"celeryport/clock"
 	"celeryport/order"
@@ -34,6 +35,7 @@
 	tasks      chan task
 	stopped    chan struct{} // closed when the control goroutine has ended
 	parsed     parsedText
+	refused    refusedAnnouncements
 	core       *core // owned by the control goroutine
 }
 
@@ -60,6 +62,7 @@
 		tasks:    make(chan task, taskQueue),
 		stopped:  make(chan struct{}),
 		kick:     make(chan struct{}, 1),
+		refused:  refusedAnnouncements{logged: rate.Sometimes{Interval: refusedLogInterval}},
 	}
 	n.clock = n.opts.Clock
 	n.parsed.read = n.opts.Parse
@@ -81,6 +84,10 @@
 // Announce implements Plane. It does not wait: while the control goroutine is
 // stalled an announcement is dropped, and the next one comes within a second.
 func (n *Node) Announce(a upstream.Announcement) {
+	if err := n.checkTargets(&a); err != nil {
+		n.RefuseAnnouncement(a.Name, err)
+		return
+	}
 	select {
 	case n.tasks <- func(now time.Time) { n.core.hear(now, a) }:
 	default:
@@ -102,16 +109,23 @@
 	}
 }
 
-// Leave takes an upstream out of service on its own word, and returns when the
-// leader has told the others. One that is not known here is unknown everywhere, or
-// will be heard of as leaving from whoever knows it.
-func (n *Node) Leave(ctx context.Context, name string) error {
+// Leave takes an incarnation of an upstream out of service on its own word, and
+// returns when the leader has told the others; upstream.Unstated means the one that is
+// known. One that is not known here is unknown everywhere, or will be heard of as
+// leaving from whoever knows it. A former start has nothing left to take away.
+func (n *Node) Leave(ctx context.Context, name string, incarnation uint64) error {
 	var known upstream.Announcement
 	var found bool
 	err := n.do(ctx, func(time.Time) { known, found = n.core.known.Find(name) })
 	if err != nil || !found {
 		return err
 	}
+	if incarnation > upstream.Unstated && incarnation < known.Incarnation {
+		return nil
+	}
+	if incarnation > known.Incarnation {
+		known.Incarnation, known.Sequence = incarnation, 0
+	}
 	known.Leaving = true
 	known.Sequence++
 	return n.AnnounceSurely(ctx, known)
--- a/control/remembered.go
+++ b/control/remembered.go
@@ -102,9 +102,7 @@
 
 func (c *core) takeRemembered(now time.Time, r *remembered) {
 	for _, a := range r.Upstreams {
-		if _, known := c.known.Find(a.Name); !known {
-			c.known.HearRelayed(now, upstream.Relayed{Announcement: a, Age: c.freshFor() + time.Second})
-		}
+		c.known.HearRelayed(now, upstream.Relayed{Announcement: a, Age: c.freshFor() + time.Second})
 	}
 	c.members.assume(now, r.Instances)
 	c.views.dirty()
--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -83,5 +83,6 @@
 
 // EngineReport is what an engine says of itself.
 type EngineReport struct {
-	Pace float64 // how many times as long as usual it takes
+	Pace        float64 // how many times as long as usual it takes
+	Incarnation uint64  // of the engine that reports, upstream.Unstated if it does not say
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/loadshare"
 	"celeryport/placement"
 	"celeryport/settings"
 	"celeryport/verdict"
@@ -24,11 +25,11 @@
 	priority     int
 	revision     uint64
 	deadline     time.Time
-	age          time.Duration // of the call when it came, if its caller has tried before
-	tries        int           // plans so far; each has reservations of its own
-	sends        int           // that may have reached an upstream
-	ended        int           // of these, sends to incarnations that had ended
-	tried        []string      // incarnations
+	age          time.Duration   // of the call when it came, if its caller has tried before
+	tries        int             // plans so far; each has reservations of its own
+	sends        int             // that may have reached an upstream
+	ended        int             // of these, sends to incarnations that had ended
+	tried        []loadshare.Key // upstreams that failed the call
 	firstAt      time.Time
 	lastEvent    int64 // that the caller has
 	hasEvent     bool
@@ -84,7 +85,7 @@
 		}
 		x.noteFailedSend(result)
 		if !result.elsewhere {
-			x.tried = append(x.tried, next.home.name)
+			x.tried = append(x.tried, next.home.key)
 		}
 		if !result.reached {
 			unsent++
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -18,7 +18,7 @@
 type fleet struct {
 	options *Options
 	mu      sync.Mutex
-	nodes   map[string]*node // by incarnation
+	nodes   map[start]*node
 	swept   time.Time
 	board   *loadshare.Board
 	news    chan struct{} // the loads have changed
@@ -37,7 +37,7 @@
 	random := rand.New(rand.NewPCG(options.Random.Uint64(), options.Random.Uint64()))
 	return &fleet{
 		options: options,
-		nodes:   map[string]*node{},
+		nodes:   map[start]*node{},
 		board:   loadshare.NewBoard(),
 		news:    make(chan struct{}, 1),
 		random:  random,
@@ -51,17 +51,45 @@
 // node returns the state of an incarnation. The lock must be held.
 func (f *fleet) node(u *upstream.Upstream) *node {
 	a := &u.Announcement
-	n := f.nodes[a.Name]
+	id := startOf(a)
+	n := f.nodes[id]
 	if n == nil {
-		n = &node{name: a.Name, address: a.Address, zone: a.AvailabilityZone, key: loadshare.KeyOf(a.Name)}
+		n = &node{start: id, address: a.Address, zone: a.AvailabilityZone, key: id.loadKey()}
 		if len(a.Targets) > 0 {
 			n.service = a.Targets[0]
 		}
-		f.nodes[a.Name] = n
+		f.retireBefore(id)
+		f.nodes[id] = n
 	}
 	return n
 }
 
+// retireBefore ends what is under way at the former starts of an upstream that has
+// started again. It holds nothing of before, but an engine that crashed behind a cut
+// sends no reset: without this a stream would wait for its patience, 0.6 s or more,
+// before it goes on elsewhere. A start that is not stated may be this one, and is
+// left alone. The lock must be held.
+func (f *fleet) retireBefore(id start) {
+	for former, n := range f.nodes {
+		if former.name != id.name || former.incarnation >= id.incarnation || former.incarnation <= upstream.Unstated {
+			continue
+		}
+		f.retire(n)
+	}
+}
+
+// retire takes a node out of use and breaks its connections. The lock must be held.
+func (f *fleet) retire(n *node) {
+	n.replaced = true
+	for c := range n.busy {
+		c.close()
+	}
+	for _, c := range n.idle {
+		c.close()
+	}
+	n.idle = nil
+}
+
 // byKey returns the nodes by the keys under which loads are told. The lock must be
 // held.
 func (f *fleet) byKey() map[loadshare.Key]*node {
@@ -79,14 +107,14 @@
 		return
 	}
 	f.swept = now
-	listed := make(map[string]bool, len(snapshot.Upstreams))
+	listed := make(map[start]bool, len(snapshot.Upstreams))
 	for i := range snapshot.Upstreams {
-		listed[snapshot.Upstreams[i].Announcement.Name] = true
+		listed[startOf(&snapshot.Upstreams[i].Announcement)] = true
 	}
-	for name, n := range f.nodes {
+	for id, n := range f.nodes {
 		kept := n.idle[:0]
 		for _, c := range n.idle {
-			if listed[name] && c.usable(now) {
+			if listed[id] && c.usable(now) {
 				kept = append(kept, c)
 				continue
 			}
@@ -94,8 +122,8 @@
 		}
 		clear(n.idle[len(kept):])
 		n.idle = kept
-		if !listed[name] && n.load == (loadshare.Load{}) && len(n.reading) == 0 {
-			delete(f.nodes, name)
+		if !listed[id] && n.load == (loadshare.Load{}) && len(n.reading) == 0 {
+			delete(f.nodes, id)
 		}
 	}
 }
@@ -146,9 +174,33 @@
 	c.patient.there = nil
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if n.replaced {
+		c.close()
+		return
+	}
 	n.idle = append(n.idle, c)
 }
 
+// occupy notes that a call is on a connection, and vacate that it has ended. A call
+// at a node that has been replaced meanwhile finds its connection closed.
+func (f *fleet) occupy(n *node, c *upstreamConn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n.replaced {
+		c.close()
+	}
+	if n.busy == nil {
+		n.busy = map[*upstreamConn]struct{}{}
+	}
+	n.busy[c] = struct{}{}
+}
+
+func (f *fleet) vacate(n *node, c *upstreamConn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(n.busy, c)
+}
+
 // changed has the others told of the loads.
 func (f *fleet) changed() {
 	select {
@@ -262,10 +314,11 @@
 	f.changed()
 }
 
-// misdirected notes that another incarnation answers at the node's address.
+// misdirected notes that another incarnation answers at the node's address. What is
+// under way at the node has ended with it.
 func (f *fleet) misdirected(n *node) {
 	f.mu.Lock()
-	n.replaced = true
+	f.retire(n)
 	f.mu.Unlock()
 	eventMisdirected.Log(f.options.Log, event.Fields{"upstream": n.name, "address": n.address})
 }
--- a/forward/node.go
+++ b/forward/node.go
@@ -1,22 +1,39 @@
 package forward
 
 import (
+	"fmt"
 	"time"
 
 	"celeryport/loadshare"
+	"celeryport/upstream"
 )
 
+// start names one incarnation of an upstream. An upstream may start again under the
+// name that it had; what was known of its former start says nothing of the new one.
+type start struct {
+	name        string
+	incarnation uint64
+}
+
+func startOf(a *upstream.Announcement) start { return start{name: a.Name, incarnation: a.Incarnation} }
+
+// key returns the key under which the loads of the start are told.
+func (s start) loadKey() loadshare.Key {
+	return loadshare.KeyOf(fmt.Sprintf("%s/%d", s.name, s.incarnation))
+}
+
 // node is one incarnation of an upstream.
 type node struct {
-	name     string
+	start
 	address  string
 	zone     string
 	service  string
 	key      loadshare.Key
 	idle     []*upstreamConn
-	load     loadshare.Load      // under way from here, but for the reading
-	reading  map[*work]time.Time // until when it reads parts of prompts sent from here
-	replaced bool                // another incarnation answers at the address
+	busy     map[*upstreamConn]struct{} // connections with a call on them
+	load     loadshare.Load             // under way from here, but for the reading
+	reading  map[*work]time.Time        // until when it reads parts of prompts sent from here
+	replaced bool                       // another incarnation answers at the address
 	doubt    doubt
 	answered time.Time // last good answer to a call from here
 	failedAt time.Time // last failure of its own on a call from here, zero after a good answer
--- a/forward/place.go
+++ b/forward/place.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"celeryport/arbiter"
-	"celeryport/loadshare"
 	"celeryport/placement"
 	"celeryport/upstream"
 	"celeryport/verdict"
@@ -75,9 +74,7 @@
 		Left:      x.deadline.Sub(now),
 		Waited:    now.Sub(x.began) + x.age,
 		Age:       x.age,
-	}
-	for _, name := range x.tried {
-		ask.Tried = append(ask.Tried, loadshare.KeyOf(name))
+		Tried:     slices.Clone(x.tried),
 	}
 	return ask
 }
@@ -135,7 +132,7 @@
 	f.sweep(now, view.Upstreams)
 	nodes, engines := f.candidates(now, view.Upstreams, x.service.Name)
 	for i, n := range nodes {
-		engines[i].Tried = slices.Contains(x.tried, n.name)
+		engines[i].Tried = slices.Contains(x.tried, n.key)
 	}
 	if len(nodes) == 0 && x.awaitsUpstreams(now) {
 		return nil, longestWait, nil
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -143,6 +143,9 @@
 // so that only a fresh one speaks against the node.
 func (s *Server) poll(ctx context.Context, n *node) {
 	report, err := s.pollOnce(ctx, n, false)
+	if errors.Is(err, errUnreadableReport) {
+		return // it was reached; what it wrote says nothing, good or bad
+	}
 	if err != nil && ctx.Err() == nil && !errors.Is(err, errElsewhere) {
 		report, err = s.pollOnce(ctx, n, true)
 	}
@@ -161,6 +164,10 @@
 		f.changed()
 		return
 	}
+	if n.incarnation > upstream.Unstated && report.Incarnation > n.incarnation {
+		f.misdirected(n)
+		return
+	}
 	f.mu.Lock()
 	n.report.heardAt = time.Now()
 	n.report.pace = toldPace(report.Pace)
@@ -186,9 +193,14 @@
 	if status != http.StatusOK {
 		return nil, errors.Newf("status %d", status)
 	}
-	return s.options.Dialect.DecodeReport(body)
+	report, err := s.options.Dialect.DecodeReport(body)
+	return report, errors.Mark(err, errUnreadableReport)
 }
 
+// errUnreadableReport says that an engine answered a poll with something that is no
+// report.
+var errUnreadableReport = errors.New("the report can't be read")
+
 // toldPace rounds a pace to what is told, in tenths.
 func toldPace(pace float64) int {
 	steps := math.Round((pace*normalPace - normalPace) / paceStep)
--- a/forward/send.go
+++ b/forward/send.go
@@ -76,7 +76,9 @@
 	x.sends++
 	s := &sending{x: x, node: n, conn: conn, work: w}
 	stop := context.AfterFunc(ctx, conn.close)
+	fleet.occupy(n, conn)
 	result := s.exchange(ctx)
+	fleet.vacate(n, conn)
 	if !stop() || !s.clean {
 		conn.close()
 	} else {
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -83,6 +83,10 @@
 	}
 	answer = adapter.Control(node)
 	f.node = node
+	f.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "control_announcements_refused_total",
+		Help: "Announcements that name no upstream to use.",
+	}, func() float64 { return float64(node.RefusedAnnouncements()) }))
 	if p.Serves == settings.ServesForwarding {
 		f.server = forward.New(forward.Options{
 			Process: p,
--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -24,6 +24,9 @@
 	FencingChecked
 )
 
+// Unstated is the incarnation of an upstream that does not tell its starts apart.
+const Unstated = 1
+
 // Announcement is what an upstream says of itself. It is the body of
 // POST /v1/announce. Incarnation grows with each start of the process, and
 // Sequence with each announcement of one incarnation, so that an announcement
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -54,7 +54,7 @@
 // Hear takes an announcement that the upstream made to this instance and
 // reports whether it was news.
 func (r *Registry) Hear(now time.Time, a Announcement) bool {
-	if r.records[a.Name] == nil {
+	if known := r.records[a.Name]; known == nil || a.Incarnation > known.announcement.Incarnation {
 		r.supersede(now, a)
 	}
 	return r.HearRelayed(now, Relayed{Announcement: a})
@@ -72,7 +72,7 @@
 func (r *Registry) supersede(now time.Time, a Announcement) {
 	for _, rec := range r.records {
 		old := &rec.announcement
-		if old.Address != a.Address || old.Leaving || now.Sub(rec.heardAt) < successorGap {
+		if old.Name == a.Name || old.Address != a.Address || old.Leaving || now.Sub(rec.heardAt) < successorGap {
 			continue
 		}
 		old.Leaving = true
