Say from logs where answers in time are lost

celeryport losses LOG... prints for each route what was lost by which cause at which moment, as text or JSON. The lines of ended calls carry for that the objective, the pause limit, the answer's tokens and the age of a call that came back.

--- a/cli/commands.go
+++ b/cli/commands.go
@@ -24,5 +24,6 @@
 		slopesCommand(stdout, stderr),
 		eventsCommand(stdout),
 		explainCommand(stdout, stderr),
+		lossesCommand(stdout, stderr),
 	}
 }
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -104,12 +104,18 @@
 	fields := event.Fields{"call": x.call.ID, "sends": x.sends, "total_ms": time.Since(x.began).Milliseconds(), "revision": x.revision}
 	if x.route != nil {
 		fields["route"] = x.route.Name
+		fields["objective_ms"] = x.route.Objective.Milliseconds()
+	}
+	if x.age > 0 {
+		fields["age_ms"] = x.age.Milliseconds()
 	}
 	if x.target != nil {
 		fields["upstream"] = x.target.name
 	}
 	if x.call.PromptTokens > 0 {
 		fields["prompt"] = x.call.PromptTokens
+		fields["answer"] = x.call.AnswerTokens
+		fields["pause_limit_ms"] = x.route.LongPause.Milliseconds()
 		fields["predicted_ms"] = x.predicted.Milliseconds()
 		fields["readers"] = x.readers
 		fields["engines"] = x.seen.Engines
--- /dev/null
+++ b/losses/call.go
@@ -0,0 +1,100 @@
+package losses
+
+import (
+	"time"
+
+	"celeryport/explain"
+)
+
+// The events that end a call.
+const (
+	eventRefused    = 7002
+	eventServed     = 7003
+	eventFailed     = 7004
+	eventCallerLeft = 7005
+)
+
+// call is the end of one call.
+type call struct {
+	route   string
+	arrived time.Time
+	prompt  float64 // tokens
+	value   float64 // tokens in, and ten for each token out; 1 without a prompt
+	cause   Cause
+}
+
+// answerValue is what a token of an answer is worth in tokens of the prompt, as
+// placement counts.
+const answerValue = 10
+
+// callOf reads the end of a call from a line. Calls that matched no route are owed
+// nothing.
+func callOf(l *explain.Line) (call, bool) {
+	switch l.Event {
+	case eventRefused, eventServed, eventFailed, eventCallerLeft:
+	default:
+		return call{}, false
+	}
+	route, _ := l.Fields["route"].(string)
+	if route == "" {
+		return call{}, false
+	}
+	c := call{
+		route:   route,
+		arrived: l.At.Add(-durationOf(l, "total_ms")),
+		prompt:  numberOf(l, "prompt"),
+		cause:   causeOf(l),
+	}
+	c.value = max(1, c.prompt+answerValue*numberOf(l, "answer"))
+	return c, true
+}
+
+func causeOf(l *explain.Line) Cause {
+	age := durationOf(l, "age_ms")
+	reason, _ := l.Fields["reason"].(string)
+	switch l.Event {
+	case eventRefused:
+		switch {
+		case reason == "no-upstream":
+			return NoUpstream
+		case age > 0:
+			return RefusedAgain
+		default:
+			return Refused
+		}
+	case eventFailed:
+		if numberOf(l, "events") > 0 {
+			return Cut
+		}
+		return UpstreamFault
+	case eventCallerLeft:
+		return CallerLeft
+	}
+	return lateness(l, age)
+}
+
+// lateness judges an answer. Its objective counts from the first try of its caller.
+func lateness(l *explain.Line, age time.Duration) Cause {
+	if status := numberOf(l, "status"); status >= 300 {
+		return UpstreamFault
+	}
+	objective, limit := durationOf(l, "objective_ms"), durationOf(l, "pause_limit_ms")
+	switch {
+	case objective > 0 && durationOf(l, "first_ms")+age > objective && age > 0:
+		return ReturnLate
+	case objective > 0 && durationOf(l, "first_ms") > objective:
+		return FirstLate
+	case limit > 0 && durationOf(l, "pause_ms") > limit:
+		return PauseLong
+	}
+	return None
+}
+
+func numberOf(l *explain.Line, name string) float64 {
+	number, _ := l.Fields[name].(float64) // a field that is left out is 0
+	return number
+}
+
+func durationOf(l *explain.Line, name string) time.Duration {
+	return time.Duration(numberOf(l, name) * float64(time.Millisecond))
+}
