Recognise prompts that come back by what they name

Hypothesis: many refusals and late answers come from an age that calls don't have. Cause: the age of a call was the difference between its caller's patience and the longest one of its route. Change: the arbiter remembers for 30 s which prompts it turned away, by a hash of what the call names, which is the same in all tries.

--- a/arbiter/message.go
+++ b/arbiter/message.go
@@ -11,7 +11,7 @@
 )
 
 // Ask is a prompt that needs a place. It is sent again and again until the answer
-// comes; Left and Waited are those of each time.
+// comes; Left and Waited are those of each time, of this try alone.
 type Ask struct {
 	ID        string          `json:"id"` // of the call and the try
 	Service   string          `json:"service"`
@@ -21,8 +21,8 @@
 	LongPause time.Duration   `json:"long_pause"`
 	Left      time.Duration   `json:"left"`
 	Waited    time.Duration   `json:"waited"`
-	Age       time.Duration   `json:"age"`
-	Tried     []loadshare.Key `json:"tried,omitempty"` // engines that had the call already
+	PromptID  uint64          `json:"prompt_id,omitempty"` // the same for all tries of a caller with one prompt
+	Tried     []loadshare.Key `json:"tried,omitempty"`     // engines that had the call already
 }
 
 // Decision is what became of an ask.
@@ -49,6 +49,7 @@
 	Part       time.Duration   `json:"part,omitempty"`
 	FirstEvent time.Duration   `json:"first_event,omitempty"`
 	Excess     time.Duration   `json:"excess,omitempty"`
+	Age        time.Duration   `json:"age,omitempty"` // of the prompt when it came, if it was turned away before
 	Seen       placement.Seen  `json:"seen"`
 }
 
--- a/arbiter/queue.go
+++ b/arbiter/queue.go
@@ -31,10 +31,11 @@
 	ask     *Ask
 	heardAt time.Time
 	reading time.Duration // on one engine
+	age     time.Duration // of the prompt when this try came, if an earlier one was turned away
 }
 
 func (w *waiting) overdue() bool {
-	return placement.Overdue(&placement.Call{Age: w.ask.Age, Objective: w.ask.Objective})
+	return placement.Overdue(&placement.Call{Age: w.age, Objective: w.ask.Objective})
 }
 
 // compareBool orders false before true.
@@ -57,8 +58,9 @@
 
 // Queue holds the asks that wait. It is not safe for concurrent use.
 type Queue struct {
-	waiting map[string]*waiting
-	settled map[string]settled
+	waiting  map[string]*waiting
+	settled  map[string]settled
+	returned returned
 }
 
 const (
@@ -71,7 +73,7 @@
 
 // NewQueue returns an empty queue.
 func NewQueue() *Queue {
-	return &Queue{waiting: map[string]*waiting{}, settled: map[string]settled{}}
+	return &Queue{waiting: map[string]*waiting{}, settled: map[string]settled{}, returned: returned{}}
 }
 
 // Waits reports whether any ask has no answer yet.
@@ -82,7 +84,7 @@
 	if s, found := q.settled[ask.ID]; found {
 		return s.answer
 	}
-	q.waiting[ask.ID] = &waiting{ask: ask, heardAt: now}
+	q.waiting[ask.ID] = &waiting{ask: ask, heardAt: now, age: q.returned.age(now.Add(-ask.Waited), ask.PromptID)}
 	return nil
 }
 
@@ -107,6 +109,9 @@
 			fleet.note(answer, w.ask)
 			world.Granted(w.ask, answer)
 		}
+		if answer.Decision == Hopeless {
+			q.returned.note(now.Add(-w.ask.Waited-w.age), w.ask.PromptID)
+		}
 		answers = append(answers, q.settle(now, answer))
 	}
 	return answers
@@ -146,6 +151,7 @@
 			delete(q.settled, id)
 		}
 	}
+	q.returned.forget(now)
 }
 
 func (q *Queue) settle(now time.Time, answer *Answer) *Answer {
@@ -164,15 +170,15 @@
 		Objective: w.ask.Objective,
 		LongPause: w.ask.LongPause,
 		Left:      w.ask.Left - since,
-		Waited:    w.ask.Waited + since,
-		Age:       w.ask.Age,
+		Waited:    w.ask.Waited + w.age + since,
+		Age:       w.age,
 		Ahead:     ahead,
 	}
 	for i, key := range fleet.Keys {
 		fleet.Engines[i].Tried = slices.Contains(w.ask.Tried, key)
 	}
 	plan, found := placement.Prompt(fleet.Profile, fleet.Engines, call)
-	answer := &Answer{ID: w.ask.ID, Part: plan.Part, FirstEvent: plan.FirstEvent, Excess: plan.Excess, Seen: plan.Seen}
+	answer := &Answer{ID: w.ask.ID, Part: plan.Part, FirstEvent: plan.FirstEvent, Excess: plan.Excess, Age: w.age, Seen: plan.Seen}
 	switch {
 	case plan.Wait > 0:
 		answer.Decision = Waiting
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -25,7 +25,7 @@
 	priority     int
 	revision     uint64
 	deadline     time.Time
-	age          time.Duration   // of the call when it came, if its caller has tried before
+	age          time.Duration   // of the call when it came, if the arbiter knows that it was turned away before
 	tries        int             // plans so far; each has reservations of its own
 	sends        int             // that may have reached an upstream
 	ended        int             // of these, sends to incarnations that had ended
@@ -155,7 +155,6 @@
 	x.deadline = x.began.Add(x.route.Timeout)
 	if x.call.Wait > 0 {
 		x.deadline = earlier(x.deadline, x.began.Add(x.call.Wait))
-		x.age = x.server.patience.age(x.route.Name, x.call.Wait)
 	}
 	x.lastEvent, x.hasEvent = x.call.ResumeAfter, x.call.Resumes
 	return nil
--- a/forward/place.go
+++ b/forward/place.go
@@ -46,7 +46,7 @@
 	if answer == nil {
 		return nil, ctx.Err(), true
 	}
-	x.predicted, x.readers, x.seen = answer.FirstEvent, 1+len(answer.Helpers), answer.Seen
+	x.predicted, x.readers, x.seen, x.age = answer.FirstEvent, 1+len(answer.Helpers), answer.Seen, answer.Age
 	if answer.Decision == arbiter.Hopeless {
 		return nil, x.hopeless(answer.FirstEvent, answer.Excess), true
 	}
@@ -72,8 +72,8 @@
 		Objective: x.route.Objective,
 		LongPause: x.route.LongPause,
 		Left:      x.deadline.Sub(now),
-		Waited:    now.Sub(x.began) + x.age,
-		Age:       x.age,
+		Waited:    now.Sub(x.began),
+		PromptID:  x.call.PromptID,
 		Tried:     slices.Clone(x.tried),
 	}
 	return ask
@@ -202,8 +202,7 @@
 		Objective: x.route.Objective,
 		LongPause: x.route.LongPause,
 		Left:      x.deadline.Sub(now),
-		Waited:    now.Sub(x.began) + x.age,
-		Age:       x.age,
+		Waited:    now.Sub(x.began),
 		Draw:      [2]float64{x.server.fleet.random.Float64(), x.server.fleet.random.Float64()},
 	}
 	plan, found := placement.Prompt(profile, engines, call)
--- a/forward/server.go
+++ b/forward/server.go
@@ -19,7 +19,6 @@
 	fleet       *fleet
 	budgets     *budgets
 	arbitration *arbitration
-	patience    *patience
 	draining    atomic.Pointer[drainState] // nil: it takes calls
 	inFlight    atomic.Int64
 	startedAt   time.Time
@@ -45,7 +44,6 @@
 	}
 	s.fleet = newFleet(&s.options)
 	s.arbitration = newArbitration()
-	s.patience = newPatience()
 	s.budgets = newBudgets(options.Budget, s.instances)
 	return s
 }
