Don't follow an arbiter to an engine that leaves

Cause: not seen in a log. The same choice by two instances at one moment points to the instance that places long prompts for all: the asker took the engines that it names without a look at what it knows itself. Change: an answer that names an engine which is leaving, replaced or of another service as far as is known here is not followed; the instance decides alone. The test failed before the change.

--- a/forward/arbitration_test.go
+++ b/forward/arbitration_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 
 	"celeryport/arbiter"
 	"celeryport/control"
+	"celeryport/loadshare"
 	"celeryport/membership"
 	"celeryport/settings"
 	"celeryport/upstream"
@@ -88,7 +90,7 @@
 		if !heard || answer == nil || answer.Decision != arbiter.Placed {
 			t.Fatalf("answered %+v (%t)", answer, heard)
 		}
-		if loaded := s.fleet.byKey()[answer.Home].granted; len(loaded) != 1 {
+		if loaded := s.fleet.inUse(s.options.Plane.View().Upstreams, "model")[answer.Home].granted; len(loaded) != 1 {
 			t.Errorf("the arbiter counts %d grants at the home", len(loaded))
 		}
 	})
@@ -145,3 +147,31 @@
 		}
 	})
 }
+
+func TestArbiterThatMissedALeavingEngineIsNotFollowed(t *testing.T) {
+	// An engine said that it leaves and was promised to get nothing more. The instance
+	// that places long prompts for all has missed that, and names it. The call has to go
+	// elsewhere, or it is cut off when the engine ends.
+	s := newTestServer(t, "front-1", "front-1")
+	view := *s.options.Plane.View()
+	upstreams := slices.Clone(view.Upstreams.Upstreams)
+	upstreams[0].Announcement.Leaving = true
+	view.Upstreams = upstream.NewSnapshot(2, time.Now(), upstreams)
+	s.options.Plane = fixedPlane{view: &view}
+	x := &exchange{server: s, call: &Call{PromptTokens: 180_000}, route: &settings.Route{}, service: &view.Tree.Forwarding.Services[0]}
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	leaving, staying := s.fleet.node(&upstreams[0]), s.fleet.node(&upstreams[1])
+	for name, answer := range map[string]*arbiter.Answer{
+		"home":   {Home: leaving.key, Helpers: []loadshare.Key{staying.key}},
+		"helper": {Home: staying.key, Helpers: []loadshare.Key{leaving.key}},
+		"memory": {Home: staying.key, Reserved: []arbiter.Reserved{{Engine: leaving.key, Tokens: 1}}},
+	} {
+		if _, usable := x.workFor(answer); usable {
+			t.Errorf("the leaving engine is used as %s", name)
+		}
+	}
+	if _, usable := x.workFor(&arbiter.Answer{Home: staying.key}); !usable {
+		t.Error("an engine that stays is not used")
+	}
+}
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -90,12 +90,15 @@
 	n.idle = nil
 }
 
-// byKey returns the nodes by the keys under which loads are told. The lock must be
-// held.
-func (f *fleet) byKey() map[loadshare.Key]*node {
+// inUse returns the nodes of a service that may get work, by the keys under which
+// loads are told. The lock must be held.
+func (f *fleet) inUse(snapshot *upstream.Snapshot, service string) map[loadshare.Key]*node {
 	nodes := make(map[loadshare.Key]*node, len(f.nodes))
-	for _, n := range f.nodes {
-		nodes[n.key] = n
+	for _, at := range snapshot.Serving(service) {
+		u := &snapshot.Upstreams[at]
+		if n := f.node(u); !n.replaced && !u.Announcement.Leaving {
+			nodes[n.key] = n
+		}
 	}
 	return nodes
 }
--- a/forward/place.go
+++ b/forward/place.go
@@ -80,9 +80,11 @@
 }
 
 // workFor returns the work that the arbiter's answer stands for, false if it names
-// an engine that is not known here. The lock of the fleet must be held.
+// an engine that may not be used as far as is known here: the arbiter may have missed
+// what this instance knows, and an engine that leaves was promised to get nothing
+// more. The lock of the fleet must be held.
 func (x *exchange) workFor(answer *arbiter.Answer) (*work, bool) {
-	nodes := x.server.fleet.byKey()
+	nodes := x.server.fleet.inUse(x.server.options.Plane.View().Upstreams, x.service.Name)
 	w := &work{
 		home:  nodes[answer.Home],
 		part:  answer.Part,
