Log refused prompts that matched no route

Cause: the line about an ended call took the pause limit from the route, which a prompt that comes before the first settings has none of: two processes ended by themselves after a loss of power.

--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -105,6 +105,7 @@
 	if x.route != nil {
 		fields["route"] = x.route.Name
 		fields["objective_ms"] = x.route.Objective.Milliseconds()
+		fields["pause_limit_ms"] = x.route.LongPause.Milliseconds()
 	}
 	if x.age > 0 {
 		fields["age_ms"] = x.age.Milliseconds()
@@ -115,7 +116,6 @@
 	if x.call.PromptTokens > 0 {
 		fields["prompt"] = x.call.PromptTokens
 		fields["answer"] = x.call.AnswerTokens
-		fields["pause_limit_ms"] = x.route.LongPause.Milliseconds()
 		fields["predicted_ms"] = x.predicted.Milliseconds()
 		fields["readers"] = x.readers
 		fields["engines"] = x.seen.Engines
