Protect no stream that is late already

Hypothesis: at a turn from short to long prompts, engines stay barred for seconds by short streams that are late anyhow. Cause: long reading beside a short stream makes it late and slows it to an event each 0.5 to 0.9 s, so that it stays for up to 20 s; it still counted as one whose engine must be kept free. With the arbiter's view printed, five of twelve engines stood idle with two to five such streams while seven prompts waited. Change: a stream that had its first event or a pause too late counts as late, not as tight, and its rest may be placed anywhere. Loads tell the count (a byte more).

--- a/forward/place.go
+++ b/forward/place.go
@@ -70,7 +70,7 @@
 		Prompt:    x.call.PromptTokens,
 		Answer:    x.call.AnswerTokens,
 		Objective: x.route.Objective,
-		LongPause: x.route.LongPause,
+		LongPause: x.longPause(),
 		Left:      x.deadline.Sub(now),
 		Waited:    now.Sub(x.began),
 		PromptID:  x.call.PromptID,
@@ -88,7 +88,7 @@
 	w := &work{
 		home:  nodes[answer.Home],
 		part:  answer.Part,
-		tight: placement.Tight(x.route.LongPause),
+		tight: placement.Tight(x.longPause()),
 		held:  x.call.PromptTokens + x.call.AnswerTokens,
 	}
 	known := w.home != nil
@@ -202,7 +202,7 @@
 		Prompt:    x.call.PromptTokens,
 		Answer:    x.call.AnswerTokens,
 		Objective: x.route.Objective,
-		LongPause: x.route.LongPause,
+		LongPause: x.longPause(),
 		Left:      x.deadline.Sub(now),
 		Waited:    now.Sub(x.began),
 		Draw:      [2]float64{x.server.fleet.random.Float64(), x.server.fleet.random.Float64()},
@@ -218,7 +218,7 @@
 	w := &work{
 		home:  nodes[plan.Home],
 		part:  plan.Part,
-		tight: placement.Tight(x.route.LongPause),
+		tight: placement.Tight(x.longPause()),
 		held:  x.call.PromptTokens + x.call.AnswerTokens,
 	}
 	for _, at := range plan.Helpers {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -57,6 +57,9 @@
 		x.firstAt = time.Now()
 	}
 	x.notePause()
+	if x.late() {
+		x.server.fleet.late(s.work)
+	}
 	x.writer.part(e.Raw)
 	x.events++
 	if e.HasID {
@@ -74,6 +77,23 @@
 	x.eventAt = now
 }
 
+// late reports whether the answer can't be in time any more.
+func (x *exchange) late() bool {
+	if !x.firstAt.IsZero() && x.age+x.firstAt.Sub(x.began) > x.route.Objective {
+		return true
+	}
+	return x.route.LongPause > 0 && x.longestPause > x.route.LongPause
+}
+
+// longPause is the longest pause with which the rest of the answer is in time, 0 if
+// it is late already.
+func (x *exchange) longPause() time.Duration {
+	if x.late() {
+		return 0
+	}
+	return x.route.LongPause
+}
+
 // streamEnded ends the caller's answer as complete.
 func (s *sending) streamEnded(head *httpwire.ResponseHead, answer Answer) *outcome {
 	x := s.x
--- a/forward/work.go
+++ b/forward/work.go
@@ -18,6 +18,7 @@
 	stopRenewing context.CancelFunc
 
 	tight bool // its pauses have to be short
+	late  bool // its answer can't be in time any more
 	held  int  // tokens of memory at the home
 }
 
@@ -62,7 +63,7 @@
 	defer f.mu.Unlock()
 	f.endReading(w)
 	at := w.atHome()
-	w.home.load = w.home.load.Add(loadshare.Load{Streams: -at.Streams, Tight: -at.Tight, Held: -at.Held})
+	w.home.load = w.home.load.Add(loadshare.Load{Streams: -at.Streams, Tight: -at.Tight, Late: -at.Late, Held: -at.Held})
 	for _, r := range w.memory {
 		r.node.load.Held -= r.tokens
 	}
@@ -82,12 +83,31 @@
 	f.changed()
 }
 
+// late notes that a stream can't be in time any more: its engine need not be kept
+// from long reading for it.
+func (f *fleet) late(w *work) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w.late {
+		return
+	}
+	if w.tight {
+		w.home.load.Tight--
+	}
+	w.tight, w.late = false, true
+	w.home.load.Late++
+	f.changed()
+}
+
 // atHome is what a send takes at its home besides the reading.
 func (w *work) atHome() loadshare.Load {
 	load := loadshare.Load{Streams: 1, Held: w.held}
 	if w.tight {
 		load.Tight = 1
 	}
+	if w.late {
+		load.Late = 1
+	}
 	return load
 }
 
--- a/forward/work_test.go
+++ b/forward/work_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"celeryport/loadshare"
+	"celeryport/settings"
 )
 
 func TestLostAnswersDontKeepTheirEngineOut(t *testing.T) {
@@ -58,3 +59,46 @@
 		}
 	})
 }
+
+func TestLateStreamsAreNotProtected(t *testing.T) {
+	// A long prompt was read beside a short stream, which paused for a second. Its
+	// answer is late whatever happens now. If its engine was still kept free for it, the
+	// engine would read nothing until the slowed stream ends, and long prompts would be
+	// turned away by engines that stand idle.
+	f := newFleet(&Options{Random: rand.New(rand.NewPCG(1, 2))})
+	home := &node{start: start{name: "e1"}, key: 1}
+	w := &work{home: home, tight: true, held: 100}
+	f.mu.Lock()
+	f.begin(time.Now(), w)
+	f.mu.Unlock()
+	f.late(w)
+	f.late(w)
+	if at := home.own(time.Now()); at.Streams != 1 || at.Tight != 0 || at.Late != 1 {
+		t.Errorf("a late stream counts as %+v", at)
+	}
+	f.end(w)
+	if at := home.own(time.Now()); at != (loadshare.Load{}) {
+		t.Errorf("at the end %+v is left", at)
+	}
+}
+
+func TestAnswerIsLateByItsFirstEventOrAPause(t *testing.T) {
+	began := time.Unix(1_700_000_000, 0)
+	route := &settings.Route{Objective: 300 * time.Millisecond, LongPause: 250 * time.Millisecond}
+	for name, test := range map[string]struct {
+		x    exchange
+		late bool
+	}{
+		"nothing came yet":     {exchange{}, false},
+		"in time":              {exchange{firstAt: began.Add(200 * time.Millisecond), longestPause: 250 * time.Millisecond}, false},
+		"first event late":     {exchange{firstAt: began.Add(301 * time.Millisecond)}, true},
+		"late since it came":   {exchange{firstAt: began.Add(200 * time.Millisecond), age: 150 * time.Millisecond}, true},
+		"a pause was too long": {exchange{firstAt: began, longestPause: 251 * time.Millisecond}, true},
+	} {
+		x := test.x
+		x.began, x.route = began, route
+		if x.late() != test.late || (x.longPause() == 0) != test.late {
+			t.Errorf("%s: late is %t, the rest may pause for %s", name, x.late(), x.longPause())
+		}
+	}
+}
--- a/loadshare/load.go
+++ b/loadshare/load.go
@@ -7,6 +7,7 @@
 type Load struct {
 	Streams int           // calls that were sent and have not ended
 	Tight   int           // of these, streams whose pauses must be short
+	Late    int           // of these, streams that can't be in time any more
 	Reading time.Duration // until the prompts that were sent are read, from now
 	Held    int           // tokens of KV memory
 	Leading int           // calls whose prompt it reads, alone or with helpers, and which have no event yet
@@ -25,6 +26,7 @@
 	return Load{
 		Streams: l.Streams + other.Streams,
 		Tight:   l.Tight + other.Tight,
+		Late:    l.Late + other.Late,
 		Reading: max(l.Reading, other.Reading),
 		Held:    l.Held + other.Held,
 		Leading: l.Leading + other.Leading,
--- a/loadshare/report.go
+++ b/loadshare/report.go
@@ -26,7 +26,7 @@
 
 const (
 	headBytes = 8 + 4 + 1
-	loadBytes = 8 + 6*1 + 2*2
+	loadBytes = 8 + 7*1 + 2*2
 	// failingUnit puts two counts into one byte; an instance alone counts one of each at
 	// most.
 	failingUnit = 16
@@ -47,7 +47,7 @@
 	for key, load := range r.Loads {
 		data = binary.LittleEndian.AppendUint64(data, uint64(key))
 		data = append(data, clamp8(load.Streams), clamp8(load.Tight), clamp8(load.Leading), clamp8(load.Helping),
-			clamp8(load.Doubts+load.Failing*failingUnit), clamp8(load.Pace))
+			clamp8(load.Doubts+load.Failing*failingUnit), clamp8(load.Pace), clamp8(load.Late))
 		data = binary.LittleEndian.AppendUint16(data, clamp16(load.Reading.Milliseconds()))
 		data = binary.LittleEndian.AppendUint16(data, clamp16(int64((load.Held+heldUnit-1)/heldUnit)))
 	}
@@ -74,8 +74,9 @@
 			Doubts:  int(rest[12]) % failingUnit,
 			Failing: int(rest[12]) / failingUnit,
 			Pace:    int(rest[13]),
-			Reading: time.Duration(binary.LittleEndian.Uint16(rest[14:])) * time.Millisecond,
-			Held:    int(binary.LittleEndian.Uint16(rest[16:])) * heldUnit,
+			Late:    int(rest[14]),
+			Reading: time.Duration(binary.LittleEndian.Uint16(rest[15:])) * time.Millisecond,
+			Held:    int(binary.LittleEndian.Uint16(rest[17:])) * heldUnit,
 		}
 	}
 	return r, nil
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -134,11 +134,15 @@
 		harm += float64(load.Tight) * tightValue
 	}
 	if load.Reading <= looseReading && load.Reading+part > looseReading {
-		harm += float64(load.Streams-load.Tight) * value
+		harm += float64(loose(load)) * value
 	}
 	return harm
 }
 
+// loose is how many streams an engine writes that may pause for long and are in time
+// so far.
+func loose(load *loadshare.Load) int { return load.Streams - load.Tight - load.Late }
+
 // laneOf lists the engines that may read long prompts: those with the fewest tight
 // streams first, and of them those that are free soonest. One without any is left
 // to short prompts when those have no room elsewhere: they can't wait for the end
@@ -191,7 +195,7 @@
 func idleOf(engines []Engine, helpers []int) []int {
 	idle := make([]int, 0, len(helpers))
 	for _, i := range helpers {
-		if engines[i].Load.Streams == engines[i].Load.Tight {
+		if loose(&engines[i].Load) == 0 {
 			idle = append(idle, i)
 		}
 	}
