Use remembered engines after a start, heard or not

Cause: in the second after a loss of power of the fleet 32 calls were refused with 'the first event would come after 702 ms' by instances that knew 18 engines: one to three had announced themselves, the others counted as silent and were passed over. Change: in the first 4 s of an instance silence of an engine says nothing, since it could not be heard before. The test failed before.

--- a/forward/arbitration_test.go
+++ b/forward/arbitration_test.go
@@ -175,3 +175,40 @@
 		t.Error("an engine that stays is not used")
 	}
 }
+
+func TestRememberedEnginesAreUsedAfterAStart(t *testing.T) {
+	// The whole fleet lost its power and is back. Voters remember eighteen engines, and
+	// two of them have announced themselves so far. If only these two are used, they are
+	// overrun, and callers are turned away while sixteen engines idle. An instance that
+	// runs for long takes silence for what it is.
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, "front-1", "front-1")
+		view := *s.options.Plane.View()
+		upstreams := slices.Clone(view.Upstreams.Upstreams)
+		for i := range upstreams {
+			if i >= 2 {
+				upstreams[i].FreshUntil = time.Now().Add(-time.Second)
+			}
+		}
+		snapshot := upstream.NewSnapshot(2, time.Now(), upstreams)
+		usable := func() int {
+			s.fleet.mu.Lock()
+			defer s.fleet.mu.Unlock()
+			_, engines := s.fleet.candidates(time.Now(), snapshot, "model")
+			count := 0
+			for i := range engines {
+				if !engines[i].Avoid {
+					count++
+				}
+			}
+			return count
+		}
+		if got := usable(); got != 18 {
+			t.Errorf("just started: %d of 18 engines are used", got)
+		}
+		time.Sleep(startTime)
+		if got := usable(); got != 2 {
+			t.Errorf("long after the start: %d engines are used, want the 2 that are heard", got)
+		}
+	})
+}
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -20,6 +20,7 @@
 	mu      sync.Mutex
 	nodes   map[start]*node
 	swept   time.Time
+	began   time.Time // of this instance; silence before it says nothing
 	board   *loadshare.Board
 	news    chan struct{} // the loads have changed
 	random  *rand.Rand
@@ -41,6 +42,7 @@
 		board:   loadshare.NewBoard(),
 		news:    make(chan struct{}, 1),
 		random:  random,
+		began:   time.Now(),
 	}
 }
 
--- a/forward/place.go
+++ b/forward/place.go
@@ -184,12 +184,21 @@
 			Load:  load,
 			Order: uint64(n.key),
 			Near:  n.zone == f.options.Process.AvailabilityZone,
-			Avoid: n.standing(now, load, u.StateAt(now) == upstream.Silent).avoid(),
+			Avoid: n.standing(now, load, f.silent(now, u)).avoid(),
 		})
 	}
 	return nodes, engines
 }
 
+// silent reports whether an upstream ceased to announce itself. An instance that has
+// just started knows most upstreams from what was remembered, and could not hear them
+// before: with those passed over, all calls of a fleet that was back from a loss of
+// power went to the one to three engines that were heard first, and 32 of 60 were
+// refused in the second until all were.
+func (f *fleet) silent(now time.Time, u *upstream.Upstream) bool {
+	return u.StateAt(now) == upstream.Silent && now.Sub(f.began) >= startTime
+}
+
 // plan asks the placement.
 func (x *exchange) plan(now time.Time, nodes []*node, engines []placement.Engine) (*work, time.Duration, error) {
 	profile := x.service.Engine
