Take the fleet from whichever voter knows it, until there is a leader

Change: the fleet is answered from a view of now, and an instance that no leader has taken in says how many upstreams it knows; whoever knows more tells them. Ruled out: asking each time for everything (settings of up to 4 MB to 65 instances ten times a second).

--- a/control/provisional_test.go
+++ b/control/provisional_test.go
@@ -58,6 +58,43 @@
 	}
 }
 
+func TestFleetIsTakenFromWhoeverKnowsMore(t *testing.T) {
+	// After a loss of power, an instance gets its settings from a voter that has lost its
+	// disk, got them itself a moment ago, and knows no engine. If the instance asks no
+	// further, its callers find no engine until there is a leader.
+	now := time.Now()
+	fleet := remembered{Upstreams: []upstream.Announcement{
+		{Name: "e1", Incarnation: 1, Address: "10.0.0.1:1", Targets: []string{"sarto"}},
+		{Name: "e2", Incarnation: 1, Address: "10.0.0.2:1", Targets: []string{"sarto"}},
+	}}
+	knows, asks := newTestCore(t), newTestCore(t)
+	if err := knows.installed.install(7, testTree(7)); err != nil {
+		t.Fatal(err)
+	}
+	knows.takeRemembered(now, &fleet)
+	asks.takeProvisional(now, &provisional{Revision: 7, Text: testTree(7)})
+	request, _ := asks.syncRequest(now, 0)
+	if request.Bare || !request.Seeking {
+		t.Fatalf("the instance asks for settings: %t, for the fleet: %t", request.Bare, request.Seeking)
+	}
+	answer := knows.provisionalFor(now, &request)
+	if answer == nil || len(answer.Text) > 0 {
+		t.Fatalf("the answer is %+v, want the fleet without settings", answer)
+	}
+	asks.takeProvisional(now, answer)
+	if got := asks.known.Size(); got != 2 {
+		t.Errorf("%d upstreams are known, want 2", got)
+	}
+	if request, _ = asks.syncRequest(now, 0); knows.provisionalFor(now, &request) != nil {
+		t.Error("the fleet is sent again to an instance that knows it")
+	}
+	asks.accepted = true
+	asks.takeProvisional(now, &provisional{Fleet: remembered{Upstreams: []upstream.Announcement{{Name: "gone", Incarnation: 1}}}})
+	if got := asks.known.Size(); got != 2 {
+		t.Errorf("a leader has told the fleet, and %d upstreams are known, want 2", got)
+	}
+}
+
 func TestRememberedInstancesAreDroppedWhenNobodyHearsThem(t *testing.T) {
 	// An instance was removed while all others were down. If what they remember of it
 	// stayed, callers would be sent to its address for ever.
--- a/control/service.go
+++ b/control/service.go
@@ -60,7 +60,7 @@
 		c.leader.accept(now, arrivedAt, request, reply)
 		return
 	}
-	reply <- &syncResponse{Redirect: true, Leader: c.leaderAddress(), Provisional: c.provisionalFor(request)}
+	reply <- &syncResponse{Redirect: true, Leader: c.leaderAddress(), Provisional: c.provisionalFor(now, request)}
 }
 
 // leaderAddress is where this instance believes the leader to be.
--- a/control/synctarget.go
+++ b/control/synctarget.go
@@ -23,6 +23,8 @@
 		Demand:    c.demand,
 		Grants:    c.position.grants,
 		Bare:      c.installed.tree == nil,
+		Seeking:   !c.accepted,
+		Known:     c.known.Size(),
 		WaitMs:    wait.Milliseconds(),
 	}
 	if c.position.stated {
--- a/control/syncwire.go
+++ b/control/syncwire.go
@@ -20,6 +20,8 @@
 	Demand    []quota.Demand      `json:"demand,omitempty"`
 	Grants    uint64              `json:"grants,omitempty"`  // round of the leader's grants that it acts on
 	Bare      bool                `json:"bare,omitempty"`    // the instance has no settings at all
+	Seeking   bool                `json:"seeking,omitempty"` // no leader has taken the instance in yet
+	Known     int                 `json:"known,omitempty"`   // upstreams that it knows
 	WaitMs    int64               `json:"wait_ms,omitempty"` // the leader may hold the answer for so long
 
 	heard []byte // heard directly and not yet taken by the leader; travels beside the JSON
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -144,6 +144,9 @@
 	return rec.announcement, true
 }
 
+// Size returns how many upstreams are known, those that are silent or leaving included.
+func (r *Registry) Size() int { return len(r.records) }
+
 // Expire forgets upstreams that were silent for very long.
 func (r *Registry) Expire(now time.Time) {
 	for name, rec := range r.records {
