Plan first events up to 0.95 of the objective

Hypothesis: long prompts are refused although they would be in time: predictions of the first event are 2 to 4 hundredths off, where 15 were kept back.

--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -26,7 +26,9 @@
 	// lateShare is the part of the objective by which the first event of a long prompt
 	// has to be planned. On free engines first events came up to 80 ms before the
 	// prediction; the rest is for prompts of the same moment.
-	lateShare = 0.85
+	// Tried on 15 runs of bursts alone each: 0.85 gave a worth of 0.796, 0.95 gave 0.802,
+	// and with engines that are free as predicted 0.95 and 1.0 gave 0.806.
+	lateShare = 0.95
 	// spareSlots stay free on each engine, for calls that other instances send before
 	// they have heard of each other.
 	spareSlots = 2
--- a/placement/prompt_test.go
+++ b/placement/prompt_test.go
@@ -254,6 +254,23 @@
 	}
 }
 
+func TestLongPromptsAreReadUpToTheirObjective(t *testing.T) {
+	// Engines are free so late that the first event of a long prompt comes within the
+	// last tenth of its objective. Predictions are right within a few hundredths of it:
+	// refused, the caller comes back when its answer can only be late.
+	engines := testEngines(1)
+	prompt := longCall
+	prompt.Objective = Reading(testProfile, prompt.Prompt) + 2*passOf(testProfile, 1)
+	prompt.Objective += prompt.Objective / 14
+	if plan, found := Prompt(testProfile, engines, &prompt); !found {
+		t.Errorf("refused with a first event after %s of %s", plan.FirstEvent, prompt.Objective)
+	}
+	prompt.Objective -= prompt.Objective / 8
+	if plan, found := Prompt(testProfile, engines, &prompt); found {
+		t.Errorf("taken with a first event after %s of %s", plan.FirstEvent, prompt.Objective)
+	}
+}
+
 func TestOverdueCallsDontWait(t *testing.T) {
 	// A caller was turned away and comes back when it is late already. If its prompt
 	// waited again it would go behind all that can be in time, until its caller leaves.
