Count engines as free when they have read what they help with

Hypothesis: engines stand idle between the end of their part and the first event of the prompt, which waits for the slowest of its engines: the arbiter's view shows up to eight of twelve readers with nothing to read and a part on their account, while eight prompts wait.

--- a/placement/prompt_test.go
+++ b/placement/prompt_test.go
@@ -254,6 +254,19 @@
 	}
 }
 
+func TestEnginesThatHaveReadTheirPartsAreFree(t *testing.T) {
+	// Twelve engines have read their parts of a prompt whose first event waits for a
+	// slow one. A long prompt that waits for that event too is late, while they idle.
+	engines := testEngines(13)
+	for i := range 12 {
+		engines[i].Load.Helping = 1
+	}
+	engines[12].Load = loadshare.Load{Streams: 1, Leading: 1, Reading: 2 * time.Second}
+	if plan, found := Prompt(testProfile, engines, &longCall); !found || len(plan.Helpers) == 0 {
+		t.Errorf("plan %+v (%t), want it read at once by engines that idle", plan, found)
+	}
+}
+
 func TestLongPromptsAreReadUpToTheirObjective(t *testing.T) {
 	// Engines are free so late that the first event of a long prompt comes within the
 	// last tenth of its objective. Predictions are right within a few hundredths of it:
--- a/placement/readers.go
+++ b/placement/readers.go
@@ -33,7 +33,9 @@
 // time. A stream beside long reading advances by an event each 0.5 to 0.9 s, and a long
 // one keeps the memory of its prompt for up to 14 s instead of one: engines without
 // any reading turned long prompts away for want of memory. Tight streams are read
-// beside only at a turn of the mix, while hardly any reader is without them.
+// beside only at a turn of the mix, while hardly any reader is without them. An
+// engine that has read what it helps with is free, although the first event of that
+// prompt waits for other engines: of twelve readers up to eight stood idle so.
 func freeOf(engines []Engine, readers []int) []int {
 	without := 0
 	for _, i := range readers {
@@ -45,7 +47,7 @@
 	free := make([]int, 0, len(readers))
 	for _, i := range readers {
 		load := &engines[i].Load
-		reads := load.Reading > freeReading || load.Helping > 0 || load.Leading > 0
+		reads := load.Reading > freeReading || load.Leading > 0
 		if !reads && loose(load) == 0 && (load.Tight == 0 || tightToo) {
 			free = append(free, i)
 		}
