Keep engines apart only as far as short streams fill them, and say why a prompt is refused

Cause: in a fleet of three engines two were kept for short streams that were not there, and a prompt that needs the memory of several was refused for good. Change: as many engines are kept from long reading as the present short streams fill, one more, and half of all at most; none without such streams. Besides: a refusal tells how soon the prompt could be read, how much of its objective has passed, and how loaded the engines are; losses leave out calls that are owed nothing.

--- a/forward/place.go
+++ b/forward/place.go
@@ -114,7 +114,10 @@
 // hopeless is the refusal of a call whose first event would come too late.
 func (x *exchange) hopeless(first, excess time.Duration) error {
 	back := x.comeBack(time.Until(x.deadline), excess)
-	return verdict.Refuse(verdict.ReasonDeadline, back, "the first event would come after %s", first)
+	waited := x.age + time.Since(x.began)
+	return verdict.Refuse(verdict.ReasonDeadline, back,
+		"no place in time: read %s from now at the soonest, after %s of an objective of %s; %d of %d engines write streams with short pauses, %s to read at each on the mean",
+		first.Round(time.Millisecond), waited.Round(time.Millisecond), x.route.Objective, x.seen.Tight, x.seen.Engines, x.seen.Backlog.Round(time.Millisecond))
 }
 
 // longestWait is how long a waiting prompt is not planned again: others that end
--- a/losses/call.go
+++ b/losses/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryport/explain"
+	"celeryport/verdict"
 )
 
 // The events that end a call.
@@ -27,8 +28,8 @@
 // placement counts.
 const answerValue = 10
 
-// callOf reads the end of a call from a line. Calls that matched no route are owed
-// nothing.
+// callOf reads the end of a call from a line. Calls that matched no route, or had no
+// key that is known, are owed nothing.
 func callOf(l *explain.Line) (call, bool) {
 	switch l.Event {
 	case eventRefused, eventServed, eventFailed, eventCallerLeft:
@@ -36,7 +37,7 @@
 		return call{}, false
 	}
 	route, _ := l.Fields["route"].(string)
-	if route == "" {
+	if reason, _ := l.Fields["reason"].(string); route == "" || reason == string(verdict.ReasonUnauthorized) {
 		return call{}, false
 	}
 	c := call{
@@ -55,7 +56,7 @@
 	switch l.Event {
 	case eventRefused:
 		switch {
-		case reason == "no-upstream":
+		case reason == string(verdict.ReasonNoUpstream):
 			return NoUpstream
 		case age > 0:
 			return RefusedAgain
--- /dev/null
+++ b/losses/losses_test.go
@@ -0,0 +1,101 @@
+package losses
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"celeryport/explain"
+)
+
+// logAt returns a log line that ends a call at a second.
+func logAt(second float64, event int, fields string) string {
+	at := time.Date(2026, 1, 1, 10, 0, 0, 0, time.UTC).Add(time.Duration(second * float64(time.Second)))
+	return fmt.Sprintf(`front-1 {"event":%d,"instance":"front-1","time":%q%s}`+"\n", event, at.Format(time.RFC3339Nano), fields)
+}
+
+const usual = `,"route":"r","objective_ms":300,"pause_limit_ms":250,"prompt":5000,"answer":1000,"total_ms":100`
+
+func tableOf(t *testing.T, lines ...string) Table {
+	t.Helper()
+	read, unread, err := explain.Read(strings.NewReader(strings.Join(lines, "")))
+	if err != nil || unread > 0 {
+		t.Fatalf("%d lines not read, %v", unread, err)
+	}
+	return Of(read)
+}
+
+func TestEachLossHasItsCause(t *testing.T) {
+	// Answers come late, break off or never come, each for another reason. An operator
+	// who sees only that many are missing can't tell whether to add engines or to look
+	// at the network.
+	tests := map[Cause]string{
+		None:          logAt(1, 7003, usual+`,"status":200,"first_ms":300,"pause_ms":250`),
+		Refused:       logAt(1, 7002, usual+`,"status":503,"reason":"deadline"`),
+		RefusedAgain:  logAt(1, 7002, usual+`,"status":503,"reason":"deadline","age_ms":900`),
+		NoUpstream:    logAt(1, 7002, usual+`,"status":503,"reason":"no-upstream"`),
+		UpstreamFault: logAt(1, 7004, usual+`,"status":502,"reason":"upstream"`),
+		Cut:           logAt(1, 7004, usual+`,"reason":"upstream","events":3`),
+		CallerLeft:    logAt(1, 7005, usual),
+		FirstLate:     logAt(1, 7003, usual+`,"status":200,"first_ms":301`),
+		ReturnLate:    logAt(1, 7003, usual+`,"status":200,"first_ms":100,"age_ms":250`),
+		PauseLong:     logAt(1, 7003, usual+`,"status":200,"first_ms":100,"pause_ms":251`),
+	}
+	for cause, line := range tests {
+		table := tableOf(t, line)
+		if cause == None {
+			if len(table.Rows) != 0 || table.Routes[0].Lost != 0 {
+				t.Errorf("an answer in time counts as lost: %+v", table.Rows)
+			}
+			continue
+		}
+		if len(table.Rows) != 1 || table.Rows[0].Cause != cause || table.Rows[0].Lost != cause.share() {
+			t.Errorf("%s: rows %+v", cause, table.Rows)
+		}
+	}
+}
+
+func TestCallsThatAreOwedNothingAreLeftOut(t *testing.T) {
+	// Callers use keys that were taken away, or paths that no route has. Their refusals
+	// are as the operator wishes.
+	table := tableOf(t,
+		logAt(1, 7002, usual+`,"status":401,"reason":"unauthorised"`),
+		logAt(1, 7002, `,"status":404,"reason":"not-found","total_ms":0`))
+	if len(table.Routes) != 0 || len(table.Rows) != 0 {
+		t.Errorf("%+v", table)
+	}
+}
+
+func TestLossesBelongToAMoment(t *testing.T) {
+	// An instance starts again at 20 s, an engine is suspected at 30 s, and long prompts
+	// come from 40 s on. Losses without their moment look like one trouble.
+	var lines []string
+	for second := range 60 {
+		for range 4 {
+			lines = append(lines, logAt(float64(second), 7003, usual+`,"status":200,"first_ms":100`))
+		}
+		if second >= 40 {
+			lines = append(lines, logAt(float64(second), 7003, strings.Replace(usual, "5000", "90000", 1)+`,"status":200,"first_ms":100`))
+		}
+	}
+	started := func(second float64, instance string) string {
+		return strings.ReplaceAll(logAt(second, 1100, ""), "front-1", instance)
+	}
+	for i := range 5 {
+		lines = append(lines, started(0, fmt.Sprint("front-", i)))
+	}
+	lines = append(lines, started(20, "front-2"), logAt(30, 7007, `,"upstream":"e1"`))
+	for second, want := range map[float64]Moment{10: Calm, 20.5: InstanceLost, 30.5: EngineLost, 41.5: Turn, 55: Burst} {
+		table := tableOf(t, append(lines, logAt(second, 7002, usual+`,"status":503,"reason":"deadline"`))...)
+		if len(table.Rows) != 1 || table.Rows[0].ByMoment[want] == 0 {
+			t.Errorf("at %g s: %+v, want the loss at %q", second, table.Rows, want)
+		}
+	}
+}
+
+func TestEmptyLogsHaveNoLosses(t *testing.T) {
+	if table := Of(nil); len(table.Routes) != 0 || len(table.Rows) != 0 {
+		t.Errorf("%+v", table)
+	}
+}
--- a/placement/gather.go
+++ b/placement/gather.go
@@ -43,7 +43,16 @@
 // later than predicted and one in ten half a second. So they gather closely only
 // while long prompts wait.
 func gatherWidth(p *settings.EngineProfile, engines []Engine, usable []int) int {
-	tight, reading := 1, time.Duration(0)
+	filled, pressure := filledWidth(p, engines, usable)
+	width := max(filled+1, int((1-pressure)*calmShare*float64(len(usable))))
+	most := len(usable) - int(keptShare*float64(len(usable)))
+	return min(width, max(1, most))
+}
+
+// filledWidth returns how many engines the tight streams fill, and how much long
+// prompts press, from 0 to 1.
+func filledWidth(p *settings.EngineProfile, engines []Engine, usable []int) (int, float64) {
+	tight, reading := 0, time.Duration(0)
 	for _, i := range usable {
 		tight += engines[i].Load.Tight
 		reading += engines[i].Load.Reading
@@ -51,10 +60,7 @@
 	mean := reading / time.Duration(max(1, len(usable)))
 	pressure := min(1, max(0, float64(mean-calmReading)/float64(pressedReading-calmReading)))
 	occupancy := looseOccupancy + pressure*(denseOccupancy-looseOccupancy)
-	width := int(math.Ceil(float64(tight)/(occupancy*float64(max(1, p.Slots))))) + 1
-	width = max(width, int((1-pressure)*calmShare*float64(len(usable))))
-	most := len(usable) - int(keptShare*float64(len(usable)))
-	return min(width, max(1, most))
+	return int(math.Ceil(float64(tight) / (occupancy * float64(max(1, p.Slots))))), pressure
 }
 
 // gatherHome returns the engine for a stream with tight pauses and its part of the
--- a/placement/prompt_test.go
+++ b/placement/prompt_test.go
@@ -133,6 +133,18 @@
 	}
 }
 
+func TestNoEngineIsKeptForStreamsThatAreNotThere(t *testing.T) {
+	// A small fleet gets long prompts only. Engines that are kept for short streams stand
+	// idle, and a prompt that needs the memory of three engines is refused for good.
+	engines := testEngines(3)
+	huge := longCall
+	huge.Prompt, huge.Objective, huge.Left = 900_000, time.Minute, 2*time.Minute
+	plan, found := Prompt(testProfile, engines, &huge)
+	if !found || len(plan.Helpers) != 2 {
+		t.Errorf("engines %v help (%t), want both others", plan.Helpers, found)
+	}
+}
+
 func TestLongPromptsAreNotReadBesideLongStreams(t *testing.T) {
 	// All engines but two write a long stream. Beside reading a stream takes ten times as
 	// long, and keeps the memory of its prompt: soon none has memory for the next one.
--- a/placement/readers.go
+++ b/placement/readers.go
@@ -14,13 +14,13 @@
 func loose(load *loadshare.Load) int { return load.Streams - load.Tight - load.Late }
 
 // readersOf lists the engines that may read long prompts: all but those where short
-// streams gather, the ones with the fewest tight streams first, and of them those that
-// are free soonest. Long reading on the engines where short streams gather sent these
+// streams gather, as far as there are any, and half of all at least: the ones with the
+// fewest tight streams first, and of them those that are free soonest. Long reading on the engines where short streams gather sent these
 // to all others, until each engine had some and every long prompt made some late.
 func readersOf(p *settings.EngineProfile, engines []Engine, usable []int) []int {
 	readers := slices.Clone(usable)
-	if width := gatherWidth(p, engines, usable); width < len(usable) {
-		readers = readers[width:]
+	if filled, _ := filledWidth(p, engines, usable); filled > 0 {
+		readers = readers[min(filled+1, len(readers)/2):]
 	}
 	slices.SortStableFunc(readers, func(a, b int) int {
 		x, y := &engines[a].Load, &engines[b].Load
