--- a/placement/prompt_test.go
+++ b/placement/prompt_test.go
@@ -146,18 +146,50 @@
 }
 
 func TestLongPromptsAreNotReadBesideLongStreams(t *testing.T) {
-	// All engines but two write a long stream. Beside reading a stream takes ten times as
-	// long, and keeps the memory of its prompt: soon none has memory for the next one.
+	// All engines write a long stream. Beside reading, each takes ten times as long and
+	// keeps the memory of its prompt: soon no engine has memory for the next one. The
+	// streams end within a second by themselves.
 	engines := testEngines(16)
-	for i := range 14 {
+	for i := range engines {
 		engines[i].Load = loadshare.Load{Streams: 1, Held: 150_000}
 	}
-	plan, found := Prompt(testProfile, engines, &longCall)
-	if !found && plan.Wait == 0 {
-		t.Fatal("a long prompt was refused")
+	if plan, found := Prompt(testProfile, engines, &longCall); found || plan.Wait == 0 {
+		t.Errorf("plan %+v (%t), want it to wait", plan, found)
+	}
+}
+
+func TestTightStreamsOfLongPromptsLiveBesideShortOnes(t *testing.T) {
+	// A stream that may pause for 600 ms is written for a second. On an engine of its
+	// own it keeps that engine from long reading; beside short streams it costs nothing,
+	// as long as the others read most of its prompt.
+	engines := testEngines(16)
+	for i := range 2 {
+		engines[i].Load = loadshare.Load{Streams: 6, Tight: 6}
+	}
+	plan, found := Prompt(testProfile, engines, &tightLong)
+	if !found || plan.Home > 2 || plan.Part > shortReading || len(plan.Helpers) == 0 {
+		t.Errorf("plan %+v (%t), want a short part at one of the first engines", plan, found)
+	}
+}
+
+func TestTightStreamsWaitForShortParts(t *testing.T) {
+	// All engines but those of the short streams read long prompts for a third of a
+	// second and write what they read before. A tight stream on one of them pauses for
+	// too long. It waits, but not for longer than half of its objective.
+	engines := testEngines(16)
+	for i := range engines {
+		engines[i].Load = loadshare.Load{Streams: 2, Leading: 1, Reading: 300 * time.Millisecond}
+		if i < 2 {
+			engines[i].Load = loadshare.Load{Streams: 6, Tight: 6}
+		}
+	}
+	call := tightLong
+	if plan, found := Prompt(testProfile, engines, &call); found || plan.Wait != leastWait {
+		t.Errorf("plan %+v (%t), want it to wait for engines that read little", plan, found)
 	}
-	if found && (plan.Home < 14 || slices.ContainsFunc(plan.Helpers, func(i int) bool { return i < 14 })) {
-		t.Errorf("engines %v help engine %d, 14 and 15 write nothing", plan.Helpers, plan.Home)
+	call.Waited = call.Objective
+	if plan, found := Prompt(testProfile, engines, &call); found || plan.Wait == leastWait {
+		t.Errorf("plan %+v (%t) when its objective has passed", plan, found)
 	}
 }
 
