--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"celeryport/event"
 	"celeryport/loadshare"
 	"celeryport/upstream"
@@ -133,79 +131,6 @@
 	}
 }
 
-// connect returns a connection to the node: an idle one that is sound, or a new
-// one. fresh asks for a new one. An error means that nothing was sent.
-func (f *fleet) connect(ctx context.Context, n *node, fresh bool) (*upstreamConn, error) {
-	if c := f.takeIdle(n); c != nil {
-		if !fresh {
-			return c, nil
-		}
-		c.close()
-	}
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	conn, err := f.options.Dial(ctx, "tcp", n.address)
-	if err != nil {
-		return nil, errors.Wrap(err, "connect")
-	}
-	return newUpstreamConn(conn), nil
-}
-
-// connectTimeout bounds a new connection to an upstream. Between availability
-// zones it takes a few milliseconds; one whose first packet was lost would take a
-// second, which is longer than another upstream needs for the whole call.
-const connectTimeout = 300 * time.Millisecond
-
-func (f *fleet) takeIdle(n *node) *upstreamConn {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for len(n.idle) > 0 {
-		last := n.idle[len(n.idle)-1]
-		n.idle = n.idle[:len(n.idle)-1]
-		if last.usable(time.Now()) {
-			return last
-		}
-		last.close()
-	}
-	return nil
-}
-
-// keep takes back a connection after a whole answer.
-func (f *fleet) keep(n *node, c *upstreamConn, idleFor time.Duration) {
-	c.idleAt = time.Now()
-	if idleFor > 0 {
-		c.idleFor = idleFor
-	}
-	c.patient.there = nil
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if n.replaced {
-		c.close()
-		return
-	}
-	n.idle = append(n.idle, c)
-}
-
-// occupy notes that a call is on a connection, and vacate that it has ended. A call
-// at a node that has been replaced meanwhile finds its connection closed.
-func (f *fleet) occupy(n *node, c *upstreamConn) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if n.replaced {
-		c.close()
-	}
-	if n.busy == nil {
-		n.busy = map[*upstreamConn]struct{}{}
-	}
-	n.busy[c] = struct{}{}
-}
-
-func (f *fleet) vacate(n *node, c *upstreamConn) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(n.busy, c)
-}
-
 // changed has the others told of the loads.
 func (f *fleet) changed() {
 	select {
