--- a/placement/prompt_test.go
+++ b/placement/prompt_test.go
@@ -145,6 +145,23 @@
 	}
 }
 
+func TestLongPromptsKeepAwayFromWhereShortStreamsGather(t *testing.T) {
+	// The mix has turned, and every engine has short streams, the first ones fewest. A
+	// long prompt that is read there sends the next short ones to all other engines.
+	engines := testEngines(16)
+	for i := range engines {
+		engines[i].Load = loadshare.Load{Streams: 8, Tight: 8}
+		if i < 3 {
+			engines[i].Load = loadshare.Load{Streams: 2, Tight: 2}
+		}
+	}
+	long := longCall
+	long.Objective = 6 * time.Second
+	if plan, found := Prompt(testProfile, engines, &long); found && plan.Home < 3 || !found && plan.Wait == 0 {
+		t.Errorf("plan %+v (%t), engines 0 to 2 are those where short streams gather", plan, found)
+	}
+}
+
 func TestLongPromptsAreNotReadBesideLongStreams(t *testing.T) {
 	// All engines write a long stream. Beside reading, each takes ten times as long and
 	// keeps the memory of its prompt: soon no engine has memory for the next one. The
