--- a/cli/ports.go
+++ b/cli/ports.go
@@ -61,7 +61,7 @@
 	if err := server.Close(); err != nil { // the side that closes first waits
 		return errors.Wrap(err, "close the accepted connection")
 	}
-	if _, err := client.Read(make([]byte, 1)); err != io.EOF {
+	if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		return errors.Wrap(err, "await the end of the connection")
 	}
 	return nil
