--- a/cli/ports_test.go
+++ b/cli/ports_test.go
@@ -1,10 +1,8 @@
 package cli
 
 import (
-	"bytes"
 	"context"
 	"net"
-	"strings"
 	"syscall"
 	"testing"
 
@@ -16,11 +14,7 @@
 // that very one. The process then ends, and operators get answers of a stranger at its
 // address for as long as that one runs.
 func TestFreeAddressesStayReserved(t *testing.T) {
-	var printed bytes.Buffer
-	if err := printFreeAddresses(&printed, 3); err != nil {
-		t.Fatal(err)
-	}
-	for _, address := range strings.Fields(printed.String()) {
+	for _, address := range freeAddresses(t, 3) {
 		if taken, err := listenInRangeOf(address); err == nil {
 			_ = taken.Close()
 			t.Errorf("the kernel gave %s to a listener that named no port", address)
--- a/cli/process_fleet_test.go
+++ b/cli/process_fleet_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 )
@@ -81,15 +80,8 @@
 	t.Helper()
 	count := voters + others
 	f := &processFleet{t: t, folder: t.TempDir(), processes: make([]*exec.Cmd, count)}
-	f.binary = filepath.Join(f.folder, "celeryport")
-	if out, err := exec.Command("go", "build", "-o", f.binary, "celeryport/cmd/celeryport").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	var ports bytes.Buffer
-	if err := printFreeAddresses(&ports, 2*count); err != nil {
-		t.Fatal(err)
-	}
-	addresses := strings.Fields(ports.String())
+	f.binary = buildBinary(t, f.folder)
+	addresses := freeAddresses(t, 2*count)
 	f.control, f.traffic = addresses[:count], addresses[count:]
 	group := ""
 	for i := range voters {
--- a/cli/report_process_test.go
+++ b/cli/report_process_test.go
@@ -41,15 +41,8 @@
 func newReportFleet(t *testing.T) *reportFleet {
 	t.Helper()
 	f := &reportFleet{t: t, folder: t.TempDir(), running: map[string]*exec.Cmd{}}
-	f.binary = filepath.Join(f.folder, "celeryport")
-	if out, err := exec.Command("go", "build", "-o", f.binary, "celeryport/cmd/celeryport").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	var ports bytes.Buffer
-	if err := printFreeAddresses(&ports, 2*reportInstances); err != nil {
-		t.Fatal(err)
-	}
-	addresses := strings.Fields(ports.String())
+	f.binary = buildBinary(t, f.folder)
+	addresses := freeAddresses(t, 2*reportInstances)
 	f.traffic, f.control = addresses[:reportInstances], addresses[reportInstances:]
 	f.file("secret.key", operatorSecret)
 	t.Setenv(keyVariable, operatorSecret)
--- a/forward/place.go
+++ b/forward/place.go
@@ -8,7 +8,6 @@
 
 	"celeryport/arbiter"
 	"celeryport/placement"
-	"celeryport/upstream"
 	"celeryport/verdict"
 )
 
@@ -85,12 +84,7 @@
 // more. The lock of the fleet must be held.
 func (x *exchange) workFor(answer *arbiter.Answer) (*work, bool) {
 	nodes := x.server.fleet.inUse(x.server.options.Plane.View().Upstreams, x.service.Name)
-	w := &work{
-		home:  nodes[answer.Home],
-		part:  answer.Part,
-		tight: placement.Tight(x.service.Engine, x.longPause()),
-		held:  x.call.PromptTokens + x.call.AnswerTokens,
-	}
+	w := x.newWork(nodes[answer.Home], answer.Part)
 	known := w.home != nil
 	for _, key := range answer.Helpers {
 		w.helpers = append(w.helpers, nodes[key])
@@ -104,6 +98,16 @@
 	return w, known
 }
 
+// newWork returns a send to a node; with helpers each of them reads a part like it.
+func (x *exchange) newWork(home *node, part time.Duration) *work {
+	return &work{
+		home:  home,
+		part:  part,
+		tight: placement.Tight(x.service.Engine, x.longPause()),
+		held:  x.call.PromptTokens + x.call.AnswerTokens,
+	}
+}
+
 // reserve notes memory that a send needs at a helper.
 func (x *exchange) reserve(w *work, n *node, tokens int) {
 	name := fmt.Sprintf("%s/%s/%d/%d", x.server.options.Process.Name, x.call.ID, x.tries, len(w.memory))
@@ -111,15 +115,6 @@
 	w.held -= tokens
 }
 
-// hopeless is the refusal of a call whose first event would come too late.
-func (x *exchange) hopeless(first, excess time.Duration) error {
-	back := x.comeBack(time.Until(x.deadline), excess)
-	waited := x.age + time.Since(x.began)
-	return verdict.Refuse(verdict.ReasonDeadline, back,
-		"no place in time: read %s from now at the soonest, after %s of an objective of %s; %d of %d engines write streams with short pauses, %s to read at each on the mean",
-		first.Round(time.Millisecond), waited.Round(time.Millisecond), x.route.Objective, x.seen.Tight, x.seen.Engines, x.seen.Backlog.Round(time.Millisecond))
-}
-
 // longestWait is how long a waiting prompt is not planned again: others that end
 // early, or fail, free engines sooner than was predicted.
 const longestWait = 50 * time.Millisecond
@@ -169,39 +164,6 @@
 	upstreamsWait = time.Second
 )
 
-// candidates lists the nodes of a service and what is known of them. The lock must
-// be held.
-func (f *fleet) candidates(now time.Time, snapshot *upstream.Snapshot, service string) ([]*node, []placement.Engine) {
-	serving := snapshot.Serving(service)
-	nodes := make([]*node, 0, len(serving))
-	engines := make([]placement.Engine, 0, len(serving))
-	for _, at := range serving {
-		u := &snapshot.Upstreams[at]
-		n := f.node(u)
-		if n.replaced || u.Announcement.Leaving {
-			continue
-		}
-		load := f.loadOf(now, n)
-		nodes = append(nodes, n)
-		engines = append(engines, placement.Engine{
-			Load:  load,
-			Order: uint64(n.key),
-			Near:  n.zone == f.options.Process.AvailabilityZone,
-			Avoid: n.standing(now, load, f.silent(now, u)).avoid(),
-		})
-	}
-	return nodes, engines
-}
-
-// silent reports whether an upstream ceased to announce itself. An instance that has
-// just started knows most upstreams from what was remembered, and could not hear them
-// before: with those passed over, all calls of a fleet that was back from a loss of
-// power went to the one to three engines that were heard first, and 32 of 60 were
-// refused in the second until all were.
-func (f *fleet) silent(now time.Time, u *upstream.Upstream) bool {
-	return u.StateAt(now) == upstream.Silent && now.Sub(f.began) >= startTime
-}
-
 // plan asks the placement.
 func (x *exchange) plan(now time.Time, nodes []*node, engines []placement.Engine) (*work, time.Duration, error) {
 	profile := x.service.Engine
@@ -227,12 +189,7 @@
 	if !found {
 		return nil, 0, x.hopeless(plan.FirstEvent, plan.Excess)
 	}
-	w := &work{
-		home:  nodes[plan.Home],
-		part:  plan.Part,
-		tight: placement.Tight(x.service.Engine, x.longPause()),
-		held:  x.call.PromptTokens + x.call.AnswerTokens,
-	}
+	w := x.newWork(nodes[plan.Home], plan.Part)
 	for _, at := range plan.Helpers {
 		w.helpers = append(w.helpers, nodes[at])
 	}
@@ -242,55 +199,3 @@
 	x.tries++
 	return w, 0, nil
 }
-
-// comeBack is when a refused caller finds what was in its way gone: after the
-// excess, spread a little so that those who were refused together don't meet
-// again. Callers wait a third of the time that they have left at most.
-func (x *exchange) comeBack(left, excess time.Duration) time.Duration {
-	spread := time.Duration(x.server.fleet.random.Float64() * float64(returnSpread))
-	return max(busyRetry, min(excess+spread, left/3))
-}
-
-// returnSpread is about the time in which an engine's streams turn over once in
-// each of its slots.
-const returnSpread = 200 * time.Millisecond
-
-const (
-	// leastPatience is how long an upstream may send nothing before it is asked
-	// whether it is there.
-	leastPatience = 600 * time.Millisecond
-	// servicePatience is that of a plain service, whose calls take some tens of
-	// milliseconds.
-	servicePatience = 200 * time.Millisecond
-)
-
-// patience is how long the upstream may send nothing before it is asked whether it
-// is there.
-func (x *exchange) patience() time.Duration {
-	if x.service.Engine == nil {
-		return servicePatience
-	}
-	return max(leastPatience, x.predicted+x.predicted/2)
-}
-
-const (
-	// overdueFactor times the predicted first event is how late an answer may begin
-	// before the upstream counts as hung; predictions are right within 0.1 s, but for
-	// engines that are slow.
-	overdueFactor = 3
-	// fullWaits times the wait at an engine with all slots taken is the least of that
-	// time: other answers may be longer than usual.
-	fullWaits = 2
-	// serviceOverdue is the least of that time at a plain service, which begins after
-	// two or three others of some tens of milliseconds.
-	serviceOverdue = 300 * time.Millisecond
-)
-
-// overdue is how long an upstream may take to begin its answer before it counts as
-// hung.
-func (x *exchange) overdue() time.Duration {
-	if x.service.Engine == nil {
-		return serviceOverdue
-	}
-	return max(fullWaits*placement.FullWait(x.service.Engine), overdueFactor*x.predicted)
-}
