--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"celeryport/event"
@@ -112,6 +113,7 @@
 	}
 	if x.target != nil {
 		fields["upstream"] = x.target.name
+		fields["placed_ms"] = x.placedAt.Sub(x.began).Milliseconds()
 	}
 	if x.call.PromptTokens > 0 {
 		fields["prompt"] = x.call.PromptTokens
@@ -122,11 +124,15 @@
 		fields["engines_tight"] = x.seen.Tight
 		fields["backlog_ms"] = x.seen.Backlog.Milliseconds()
 	}
+	if len(x.helpers) > 0 {
+		fields["helpers"] = namesOf(x.helpers)
+	}
 	if x.events > 0 {
 		fields["events"] = x.events
 	}
 	if x.longestPause > 0 {
 		fields["pause_ms"] = x.longestPause.Milliseconds()
+		fields["paused_at_ms"] = x.pausedAt.Sub(x.began).Milliseconds()
 	}
 	if !x.firstAt.IsZero() {
 		fields["first_ms"] = x.firstAt.Sub(x.began).Milliseconds()
@@ -136,3 +142,12 @@
 	}
 	return fields
 }
+
+// namesOf lists the names of upstreams, of seventeen at most, in one field.
+func namesOf(nodes []*node) string {
+	names := make([]string, len(nodes))
+	for i, n := range nodes {
+		names[i] = n.name
+	}
+	return strings.Join(names, " ")
+}
--- a/forward/events.go
+++ b/forward/events.go
@@ -14,7 +14,7 @@
 	eventRefused = event.Define(7002, logrus.InfoLevel, "call refused",
 		"The call was not run and the caller was told so, with the time after which to come back. Fields: call, route, status, reason, message, retry_after_ms, sends, waited_ms, revision.")
 	eventServed = event.Define(7003, logrus.InfoLevel, "call answered",
-		"The caller has the upstream's whole answer. Fields: call, route, status, upstream, sends, first_ms (from the call's first byte), pause_ms (the longest between two events), predicted_ms (of the first event), prompt (tokens), readers (engines that read it), total_ms, revision.")
+		"The caller has the upstream's whole answer. Fields: call, route, status, upstream, sends, first_ms (from the call's first byte), placed_ms (until its last send had a place), pause_ms (the longest between two events) and paused_at_ms (when that began), predicted_ms (of the first event), prompt (tokens), readers (engines that read it), helpers (those of them that did not answer), total_ms, revision.")
 	eventFailed = event.Define(7004, logrus.WarnLevel, "call failed",
 		"The caller got no whole answer, and the call may have run. Fields: call, route, reason, message, upstream, sends, events, total_ms, revision.")
 	eventCallerLeft = event.Define(7005, logrus.InfoLevel, "caller left",
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -39,8 +39,11 @@
 	readers      int           // engines that read the prompt
 	seen         placement.Seen
 	longestPause time.Duration // between two events
-	eventAt      time.Time
-	ran          bool // a send may have run
+	pausedAt     time.Time     // when that pause began
+	eventAt      time.Time     // of the last event
+	helpers      []*node       // that read a part of the last send's prompt
+	placedAt     time.Time     // when the last send got its place
+	ran          bool          // a send may have run
 }
 
 // sendsUnsent bounds the tries that met no upstream, for want of a connection or
@@ -73,7 +76,7 @@
 			x.giveUp(last, err)
 			return
 		}
-		x.target = next.home
+		x.target, x.helpers, x.placedAt = next.home, next.helpers, time.Now()
 		result := x.send(ctx, next)
 		if result.err == nil {
 			x.served()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -68,11 +68,11 @@
 	return x.writer.failure
 }
 
-// notePause keeps the longest pause between two events.
+// notePause keeps the longest pause between two events and when it began.
 func (x *exchange) notePause() {
 	now := time.Now()
-	if x.events > 0 {
-		x.longestPause = max(x.longestPause, now.Sub(x.eventAt))
+	if pause := now.Sub(x.eventAt); x.events > 0 && pause > x.longestPause {
+		x.longestPause, x.pausedAt = pause, x.eventAt
 	}
 	x.eventAt = now
 }
