Let engines that write long streams take further ones

Conclusion: a condition less, kept. Test: a long prompt goes to the engine that writes a long stream; failed before.

--- a/placement/prompt_test.go
+++ b/placement/prompt_test.go
@@ -176,6 +176,20 @@
 	}
 }
 
+func TestLongStreamsGatherWhileTheirPartsAreShort(t *testing.T) {
+	// One engine writes a long stream. While each further one takes an engine of its own,
+	// seven to nine of fourteen engines write one stream each and read nothing, and one
+	// long prompt in five is refused.
+	engines := testEngines(16)
+	engines[5].Load = loadshare.Load{Streams: 1, Held: 50_000}
+	long := longCall
+	long.Prompt = 60_000
+	plan, found := Prompt(testProfile, engines, &long)
+	if !found || plan.Home != 5 || len(plan.Helpers) == 0 {
+		t.Errorf("plan %+v (%t), want the stream on engine 5", plan, found)
+	}
+}
+
 func TestTightStreamsOfLongPromptsLiveBesideShortOnes(t *testing.T) {
 	// A stream that may pause for 600 ms is written for a second. On an engine of its
 	// own it keeps that engine from long reading; beside short streams it costs nothing,
--- a/placement/readers.go
+++ b/placement/readers.go
@@ -23,18 +23,13 @@
 	return readers
 }
 
-// freeOf keeps the readers that have nothing to read and write no long stream that is
-// in time. A stream beside long reading advances by an event each 0.5 to 0.9 s, and a
-// long one keeps the memory of its prompt for up to 14 s instead of one: engines without
-// any reading turned long prompts away for want of memory. An engine that has read what
-// it helps with is free, although the first event of that prompt waits for other
-// engines: of twelve readers up to eight stood idle so.
+// freeOf keeps the readers that have nothing to read. An engine that has read what it
+// helps with is free, although the first event of that prompt waits for other engines:
+// of twelve readers up to eight stood idle so.
 func freeOf(p *settings.EngineProfile, engines []Engine, readers []int) []int {
 	free := make([]int, 0, len(readers))
 	for _, i := range readers {
-		load := &engines[i].Load
-		reads := load.Reading > freeReading(p) || load.Leading > 0
-		if !reads && loose(load) == 0 {
+		if load := &engines[i].Load; load.Reading <= freeReading(p) && load.Leading == 0 {
 			free = append(free, i)
 		}
 	}
