--- a/control/search.go
+++ b/control/search.go
@@ -24,6 +24,15 @@
 	return a.err != nil || a.response.Redirect && a.response.Provisional == nil && a.response.Leader == ""
 }
 
+// askFirst tells which voters are asked at once and which later.
+func (n *Node) askFirst(voters []string, bare bool) (first, rest []string) {
+	if !bare {
+		return voters, nil
+	}
+	voters = rotated(voters, n.opts.Process.Name)
+	return voters[:1], voters[1:]
+}
+
 // rotated returns a list from a place on that differs with the name.
 func rotated(list []string, name string) []string {
 	at := int(xxhash.Sum64String(name) % uint64(len(list)))
@@ -58,11 +67,7 @@
 		asked[target] = true
 		go n.searchOne(asking, target, *request, &heard, answers)
 	}
-	first, rest := addresses, []string(nil)
-	if request.Bare {
-		addresses = rotated(addresses, n.opts.Process.Name)
-		first, rest = addresses[:1], addresses[1:]
-	}
+	first, rest := n.askFirst(addresses, request.Bare)
 	for _, address := range first {
 		ask(address)
 	}
@@ -75,7 +80,7 @@
 			waiting--
 		case <-next.C:
 		}
-		if answer.target == "" || answer.fruitless() {
+		if late := answer.target == ""; late || answer.fruitless() {
 			if len(rest) > 0 {
 				ask(rest[0])
 				rest, waiting = rest[1:], waiting+1
@@ -87,7 +92,7 @@
 			if err := n.do(ctx, func(now time.Time) { n.core.takeProvisional(now, given) }); err != nil {
 				return err
 			}
-			rest = nil // there are settings now, and the next search asks all for the rest
+			rest = nil // settings are there, or a leader to ask for them
 			if leader := answer.response.Leader; leader != "" && !asked[leader] {
 				ask(leader)
 				waiting++
