--- /dev/null
+++ b/settings/pauses_test.go
@@ -0,0 +1,35 @@
+package settings
+
+import (
+	"testing"
+	"time"
+)
+
+// The engines of a service read beside their streams for as long as the route with the
+// shortest pauses bears. If they go by another route, or by the routes of another
+// service, its streams stand still for too long or long prompts are refused.
+func TestEnginesKnowTheShortestPauseOfTheirRoutes(t *testing.T) {
+	route := func(name, service string, pause time.Duration) Route {
+		return Route{
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Stream: true, Timeout: time.Second, LongPause: pause,
+			Shares: []ServiceShare{{Service: service, Weight: 1}},
+		}
+	}
+	forwarding := &Forwarding{
+		Routes: []Route{
+			route("long", "model", time.Second), route("short", "model", 250*time.Millisecond), route("none", "model", 0),
+			route("other", "second", 100*time.Millisecond), route("plain", "office", 50*time.Millisecond),
+		},
+		Services: []ForwardedService{
+			{Name: "model", Engine: &EngineProfile{}}, {Name: "second", Engine: &EngineProfile{}}, {Name: "office"},
+		},
+	}
+	if _, err := NewForwardingTree("test", nil, forwarding); err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]time.Duration{"model": 250 * time.Millisecond, "second": 100 * time.Millisecond} {
+		if got := forwarding.Service(name).Engine.LeastPause; got != want {
+			t.Errorf("the shortest pause of %s is %s, want %s", name, got, want)
+		}
+	}
+}
