Have each voter answer a part of the instances, and pass what they state on to the leader

Hypothesis: on hundreds of machines the control group changes its leader about once a second because one voter of 0.12 cores answers the syncs of 191 instances beside leading: each instance that joins wakes all others, and the messages of consensus wait behind them for longer than an election timeout. Everything else that breaks (settings and leaving engines not acknowledged, prices) follows.

Cause: confirmed. The leader had every instance's sync twice a second and woke all held ones at each change of the membership: 191 joins are 191 times as many answers.

Change: an instance without a log syncs with the voter of its availability zone, or the next one in an order of its own. The voter answers from the log and from what the leader told it, and states its instances in its own syncs, in brief. A voter that hears no leader says so; the instance asks others with a small question first and moves only to one that hears a leader. Instances that come and go no longer wake held syncs; settings and leaving upstreams do. The leader is woken by voters alone.

--- /dev/null
+++ b/control/attached.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/control/attachment"
+	"celeryport/membership"
+)
+
+// attachedInstance is what a voter tells the leader of an instance attached to it.
+type attachedInstance struct {
+	Whole *membership.Instance `json:"w,omitempty"` // when the leader may not know it
+	Brief *briefInstance       `json:"b,omitempty"` // else
+	AgeMs int64                `json:"a,omitempty"` // since the instance stated it
+}
+
+// attachedWire encodes the statements of the attached instances.
+func attachedWire(statements []attachment.Statement) []attachedInstance {
+	encoded := make([]attachedInstance, len(statements))
+	for n := range statements {
+		s := &statements[n]
+		encoded[n].AgeMs = s.Age.Milliseconds()
+		if s.Whole {
+			encoded[n].Whole = &s.Instance
+		} else {
+			encoded[n].Brief = briefOf(&s.Instance)
+		}
+	}
+	return encoded
+}
+
+// acceptAttached takes in what a voter states of the instances attached to it, and
+// returns those that must be stated whole and those with a higher incarnation here.
+func (l *leader) acceptAttached(now time.Time, attached []attachedInstance) (unknown []string, superseded map[string]uint64) {
+	for n := range attached {
+		i, found := l.statedInstance(&attached[n])
+		if !found {
+			unknown = append(unknown, attached[n].Brief.Name)
+			continue
+		}
+		if l.table.Passed(now, time.Duration(attached[n].AgeMs)*time.Millisecond, i) == membership.Stale {
+			if superseded == nil {
+				superseded = map[string]uint64{}
+			}
+			superseded[i.Name] = l.table.Incarnation(i.Name)
+		}
+	}
+	return unknown, superseded
+}
+
+func (l *leader) statedInstance(a *attachedInstance) (membership.Instance, bool) {
+	if a.Whole != nil {
+		return *a.Whole, true
+	}
+	known, found := l.table.Known(a.Brief.Name)
+	if !found || known.Incarnation < a.Brief.Incarnation {
+		return known, false
+	}
+	return a.Brief.of(known), true
+}
+
+// takeAttached notes what the leader made of the statements in a sync of this voter.
+func (f *fanout) takeAttached(sent []attachedInstance, r *syncResponse) {
+	for _, name := range r.Unknown {
+		f.roster.Unknown(name)
+	}
+	for name, incarnation := range r.SupersededAttached {
+		f.roster.Superseded(name, incarnation)
+	}
+	unknown := map[string]bool{}
+	for _, name := range r.Unknown {
+		unknown[name] = true
+	}
+	for n := range sent {
+		brief := sent[n].Brief
+		if brief == nil {
+			brief = briefOf(sent[n].Whole)
+		}
+		if _, stale := r.SupersededAttached[brief.Name]; !stale && !unknown[brief.Name] {
+			f.roster.Taken(brief.Name, brief.Incarnation, brief.State)
+		}
+	}
+}
+
+// reattachInterval is how often an attached instance looks whether another voter
+// suits it better than the one that answers it.
+const reattachInterval = 2 * time.Second
+
+// better returns a voter that this instance would rather be attached to; empty if it
+// is well where it is. While its own voter hears no leader, that is the next one in
+// its order, else the first.
+func (c *core) better(now time.Time) string {
+	own := c.position.leader
+	if own == "" {
+		return ""
+	}
+	if !c.detached && now.Sub(c.reviewedAt) < reattachInterval {
+		return ""
+	}
+	c.reviewedAt = now
+	order := c.attachOrder()
+	if len(order) == 0 {
+		return ""
+	}
+	target := order[0]
+	if c.detached {
+		target = after(order, own, c.probed)
+		c.probed = target
+	}
+	if target == own {
+		return ""
+	}
+	return target
+}
+
+// after returns the address that follows last in a list, but for one address.
+func after(list []string, own, last string) string {
+	at := -1
+	for n, address := range list {
+		if address == last {
+			at = n
+		}
+	}
+	for range list {
+		at = (at + 1) % len(list)
+		if list[at] != own {
+			return list[at]
+		}
+	}
+	return own
+}
+
+// attachOrder lists the voters in the order in which this instance asks them.
+func (c *core) attachOrder() []string {
+	process := c.node.opts.Process
+	return attachment.Order(c.voterAddresses(), c.members.list(), process.Name, process.AvailabilityZone, c.failedVoter)
+}
+
+// reattach asks a voter that would suit better whether it hears a leader, and goes on
+// with it if it does. Asking first costs little: a change of the voter brings the
+// whole fleet anew, and while there is no leader at all every instance would go round
+// the voters and get it from each of them.
+func (n *Node) reattach(ctx context.Context) error {
+	var target string
+	if err := n.do(ctx, func(now time.Time) { target = n.core.better(now) }); err != nil || target == "" {
+		return err
+	}
+	bounded, cancel := context.WithTimeout(ctx, n.opts.Timing.Search)
+	defer cancel()
+	response, err := n.callSync(bounded, target, &syncRequest{Attach: true, Probe: true})
+	if err != nil {
+		return errors.CombineErrors(n.do(ctx, func(time.Time) { n.core.failedVoter = target }), ctx.Err())
+	}
+	if response.Redirect || response.Detached {
+		return nil
+	}
+	return n.do(ctx, func(time.Time) { n.core.attachTo(target) })
+}
+
+// attachTo goes on with another voter, which states everything anew.
+func (c *core) attachTo(target string) {
+	c.position = syncPosition{leader: target, epoch: ""}
+	c.detached = false
+	c.probed = ""
+	if c.failedVoter == target {
+		c.failedVoter = ""
+	}
+}
--- /dev/null
+++ b/control/attached_test.go
@@ -0,0 +1,201 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"celeryport/control/state"
+	"celeryport/membership"
+	"celeryport/upstream"
+)
+
+// newAttachingFleet starts voters, one in each of as many availability zones, and
+// instances that sync with any of them.
+func newAttachingFleet(t *testing.T, voters, others int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, timing: testTiming(), fanOut: true}
+	for zone := range voters {
+		f.zones = append(f.zones, fmt.Sprint("zone-", zone))
+	}
+	f.startAll(voters, others)
+	return f
+}
+
+// attachedTo returns the control address that a node syncs with.
+func (n *testNode) attachedTo() string { return n.node.View().Leader }
+
+func TestInstancesAreAnsweredByTheVoterOfTheirZone(t *testing.T) {
+	// Hundreds of instances start together. If all of them sync with the leader, its
+	// small processor is taken by their syncs, its heartbeats are late, and the others
+	// elect a new leader, which meets the same. Operators' changes are then acknowledged
+	// late or never.
+	t.Parallel()
+	f := newAttachingFleet(t, 3, 9)
+	first := f.apply(0, "a", testTree(1))
+	f.awaitInstalled(first.Revision)
+	for n, m := range f.members[3:] {
+		voter := f.members[n%3].process.ControlListen
+		f.await("an instance attached to the voter of its zone", func() bool { return m.attachedTo() == voter })
+	}
+	leader := f.leader()
+	var direct int
+	err := leader.node.do(t.Context(), func(time.Time) { direct = len(leader.node.core.leader.inboxes) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if direct > 3 {
+		t.Errorf("%d instances sync with the leader itself, want the 3 voters at most", direct)
+	}
+	second := f.apply(first.Revision, "b", testTree(2))
+	f.awaitInstalled(second.Revision)
+	f.awaitInForce(second.Revision)
+	f.await("every instance knows all others", func() bool {
+		for _, m := range f.members {
+			live := 0
+			for _, i := range m.node.View().Instances {
+				if i.State == membership.Live {
+					live++
+				}
+			}
+			if live != len(f.members) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestVoterThatIsCutOffIsLeft(t *testing.T) {
+	// A voter is cut off from the other voters, but the instances attached to it reach it
+	// and the others. It goes on answering them. If they stayed with it, their callers
+	// would be served by old settings for as long as the cut lasts.
+	t.Parallel()
+	f := newAttachingFleet(t, 3, 3)
+	first := f.apply(0, "a", testTree(1))
+	f.awaitInstalled(first.Revision)
+	leader := f.leader()
+	var cutOff, attached *testNode
+	for n, m := range f.members[:3] {
+		if m != leader {
+			cutOff, attached = m, f.members[3+n]
+		}
+	}
+	f.await("the instance attached to its voter", func() bool { return attached.attachedTo() == cutOff.process.ControlListen })
+	f.network.cut(cutOff.process.ControlListen, attached.process.ControlListen)
+	second := f.apply(first.Revision, "b", testTree(2))
+	f.awaitOne(attached, second.Revision)
+	f.network.heal(cutOff.process.ControlListen)
+	f.await("the instance back at its voter", func() bool { return attached.attachedTo() == cutOff.process.ControlListen })
+}
+
+func TestLossOfAVoterIsMadeGoodByTheOthers(t *testing.T) {
+	// The voter that answers an instance dies. The instance must hear of changes, and
+	// the others of its end, through another voter.
+	t.Parallel()
+	f := newAttachingFleet(t, 3, 3)
+	first := f.apply(0, "a", testTree(1))
+	f.awaitInstalled(first.Revision)
+	attached := f.members[3]
+	f.await("the instance attached to its voter", func() bool { return attached.attachedTo() == f.members[0].process.ControlListen })
+	f.crash(f.members[0])
+	second := f.apply(first.Revision, "b", testTree(2))
+	f.awaitOne(attached, second.Revision)
+	f.crash(attached)
+	f.await("the dead instance gone", func() bool {
+		for _, i := range f.members[4].node.View().Instances {
+			if i.Name == attached.process.Name {
+				return i.State == membership.Gone
+			}
+		}
+		return false
+	})
+}
+
+func TestLeavingUpstreamReachesAttachedInstances(t *testing.T) {
+	// An upstream tells one voter that it leaves, and counts on getting nothing new soon
+	// after it is acknowledged. Instances that are attached to other voters must hear it
+	// at once, not when their next sync is due.
+	t.Parallel()
+	f := newAttachingFleet(t, 3, 6)
+	first := f.apply(0, "a", testTree(1))
+	f.awaitInstalled(first.Revision)
+	a := &upstream.Announcement{Name: "e1", Incarnation: 1, Address: "10.0.0.1:9", Targets: []string{"m"}}
+	f.awaitSeen(a, f.members[1], upstream.Fresh)
+	a.Sequence++
+	a.Leaving = true
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if err := f.members[2].node.AnnounceSurely(ctx, *a); err != nil {
+		t.Fatal(err)
+	}
+	f.await("every instance knows that it leaves", func() bool {
+		for _, m := range f.members {
+			if !m.sees(a.Name, upstream.Leaving, 0) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestAttachedInstanceOutgrowsItsFormerIncarnation(t *testing.T) {
+	// The machine's clock went back while the instance was down, so it starts with an
+	// incarnation below that of its former process, which the leader knows. If it never
+	// drew a higher one, it would get no settings until the clock caught up.
+	t.Parallel()
+	f := newAttachingFleet(t, 3, 0)
+	first := f.apply(0, "a", testTree(1))
+	f.awaitInstalled(first.Revision)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	leader := f.leader()
+	far := uint64(time.Now().Add(time.Hour).UnixNano())
+	err = leader.node.do(t.Context(), func(now time.Time) {
+		leader.node.core.leader.table.Heard(now, membership.Instance{Name: "i3", Incarnation: far})
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	back := f.add(3, false, listener)
+	f.await("a higher incarnation", func() bool { return back.node.View().Incarnation > far })
+	f.awaitOne(back, first.Revision)
+}
+
+func TestInstancesThatJoinWakeNoOther(t *testing.T) {
+	// A fleet of 300 instances starts within a moment, and each is attached to one of a
+	// few voters. If every one that joins wakes all that wait for news, a voter sends a
+	// hundred answers for each, and is busy for seconds while it should elect a leader.
+	now := time.Unix(1_700_000_000, 0)
+	c := newTestCore(t)
+	c.group = &group{core: c, machine: state.New()}
+	c.fanout = newFanout(c)
+	const fleetSize = 300
+	var waiting []chan *syncResponse
+	for n := range fleetSize {
+		i := membership.Instance{Name: fmt.Sprint("front-", n), Incarnation: 1}
+		reply := make(chan *syncResponse, 1)
+		c.fanout.accept(now, now, &syncRequest{Instance: i, Epoch: c.fanout.epoch, WaitMs: 500, Attach: true}, reply)
+		c.members.merge(now, []membership.Instance{i})
+		waiting = append(waiting, reply)
+		now = now.Add(time.Millisecond)
+		c.fanout.step(now)
+	}
+	answered := 0
+	for _, reply := range waiting {
+		answered += len(reply)
+	}
+	if answered > 0 {
+		t.Errorf("%d of %d instances were woken because others joined", answered, fleetSize)
+	}
+	c.fanout.step(now.Add(time.Second))
+	for _, reply := range waiting {
+		if r := <-reply; len(r.Members) != fleetSize {
+			t.Fatalf("an answer that was due names %d instances, want %d", len(r.Members), fleetSize)
+		}
+	}
+}
--- a/control/core.go
+++ b/control/core.go
@@ -21,9 +21,10 @@
 	log            logrus.FieldLogger
 	timing         Timing
 	self           membership.Instance
-	inTouch        bool // the last sync worked
-	accepted       bool // a leader took a statement of this incarnation
-	defunct        bool // another process took over the name
+	inTouch        bool      // the last sync worked
+	syncedAt       time.Time // when a sync worked last
+	accepted       bool      // a leader took a statement of this incarnation
+	defunct        bool      // another process took over the name
 	installed      installed
 	failedRevision uint64 // that could not be installed
 	lease          lease
@@ -40,13 +41,18 @@
 	seeds          []settings.Member // whom the process settings name; they may change
 	group          *group            // nil on an instance without a log
 	leader         *leader           // nil unless this voter leads
+	fanout         *fanout           // nil on an instance without a log
+	detached       bool              // the voter that this instance is attached to hears no leader
+	reviewedAt     time.Time         // when this instance last looked for a better voter
+	probed         string            // voter that was asked last whether it hears a leader
+	failedVoter    string            // voter that failed last
 	views          viewState
 }
 
 // syncPosition is what this instance and a leader know of each other.
 type syncPosition struct {
 	epoch     string
-	leader    string // control address
+	leader    string // control address; of an attached instance, its voter
 	stated    bool   // the leader has heard this incarnation whole
 	members   uint64
 	grants    uint64 // round of the grants that are acted on
@@ -85,6 +91,9 @@
 	c.out = newOutbox(c.heard)
 	c.received = relay.NewReceiver()
 	c.known = upstream.NewRegistry(c.freshFor())
+	if c.group != nil {
+		c.fanout = newFanout(c)
+	}
 	return c, c.recall(n.clock.Now())
 }
 
@@ -102,6 +111,9 @@
 	if c.leader != nil {
 		next = earlier(next, c.leader.step(now))
 	}
+	if c.fanout != nil {
+		next = earlier(next, c.fanout.step(now))
+	}
 	c.noteLease(now)
 	return earlier(next, c.publishIfDue(now)), nil
 }
@@ -152,8 +164,8 @@
 func (c *core) noteUpstream(a upstream.Announcement) {
 	if a.Leaving {
 		c.views.dirty()
-		if c.leader != nil {
-			c.leader.leaving = true
+		if c.fanout != nil {
+			c.fanout.leaving = true
 		}
 		return
 	}
--- a/control/events.go
+++ b/control/events.go
@@ -59,6 +59,8 @@
 		"An upstream said that it takes no new calls; it gets none from now on. Fields: upstream, incarnation, address, targets, sequence.")
 	eventAnnouncementRefused = event.Define(3030, logrus.WarnLevel, "announcement refused",
 		"Something announced an upstream that can't be used: fields are missing or make no sense, or the settings don't name its service. One line a second at most. Find out who writes it. Fields: upstream, error, refused (in all).")
+	eventVoterDetached = event.Define(3031, logrus.WarnLevel, "the voter hears no leader",
+		"The voter that this instance syncs with can't reach a leader. The instance goes on with what it knows and looks for another voter. Fields: voter, revision.")
 	eventRelayFailed = event.Define(3021, logrus.ErrorLevel, "upstreams not relayed",
 		"What was heard of upstreams could not be encoded for other instances, a fault of the program. They lose sight of the upstreams; report it.")
 	eventServeFailed = event.Define(3020, logrus.ErrorLevel, "control address failed",
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -25,6 +25,8 @@
 	timing  Timing
 	network network
 	heal    int // voters that leaders keep by themselves
+	fanOut  bool
+	zones   []string // of the instances, in turn; empty: all are in one
 }
 
 // testNode is one node that can be stopped and started again.
@@ -97,7 +99,7 @@
 	f.t.Helper()
 	process := settings.Process{
 		Name:             fmt.Sprintf("i%d", number),
-		AvailabilityZone: "sala-ortigia",
+		AvailabilityZone: f.zone(number),
 		Listen:           fmt.Sprintf("127.0.0.1:%d", 10000+number),
 		ControlListen:    listener.Addr().String(),
 		Voter:            voter,
@@ -127,7 +129,7 @@
 	}
 	node, err := New(Options{
 		Process: &n.process, Log: log.WithField("at", n.process.Name), Listener: listener, Timing: f.timing, FS: n.disk, Clock: n.clock,
-		Dial: f.network.dialFrom(n.process.ControlListen), Heal: f.heal,
+		Dial: f.network.dialFrom(n.process.ControlListen), Heal: f.heal, FanOut: f.fanOut,
 	})
 	if err != nil {
 		f.t.Fatal(err)
@@ -137,6 +139,13 @@
 	go func() { n.ended <- node.Run(ctx) }()
 }
 
+func (f *fleet) zone(number int) string {
+	if len(f.zones) == 0 {
+		return "sala-ortigia"
+	}
+	return f.zones[number%len(f.zones)]
+}
+
 // halt stops the node and waits for its end.
 func (n *testNode) halt() {
 	if n.stop == nil {
--- a/control/leader.go
+++ b/control/leader.go
@@ -23,10 +23,7 @@
 	initialAsked bool
 	issuerAsked  bool
 	issuerAt     time.Time        // when this leader became the issuer
-	out          outbox           // what is known of upstreams, for all instances
 	inboxes      map[string]inbox // by instance
-	leaving      bool             // an upstream leaves, which can't wait
-	urgent       uint64           // last batch that could not wait
 	confirmed    confirmations
 	since        time.Time // when this leader began
 	healAt       time.Time // when to look at the voters again
@@ -37,8 +34,11 @@
 	request   *syncRequest
 	arrivedAt time.Time
 	heardUpTo uint64
-	due       time.Time
-	reply     chan<- *syncResponse
+
+	unknown    []string          // attached instances that must be stated whole
+	superseded map[string]uint64 // attached instances of which a higher incarnation is known
+	due        time.Time
+	reply      chan<- *syncResponse
 }
 
 func newLeader(now time.Time, c *core, term uint64) *leader {
@@ -50,7 +50,6 @@
 		table:      membership.NewTable(now, c.timing.Membership),
 		allocation: newAllocation(c.timing.Membership.Lease + c.timing.Membership.Margin),
 		ids:        map[string]consensus.ID{},
-		out:        newOutbox(c.known),
 		inboxes:    map[string]inbox{},
 	}
 }
@@ -101,6 +100,7 @@
 	wait := time.Duration(request.WaitMs) * time.Millisecond
 	p := poll{request: request, arrivedAt: arrivedAt, due: now.Add(min(wait, l.core.timing.Sync)), reply: reply}
 	p.heardUpTo = l.takeHeard(now, &p)
+	p.unknown, p.superseded = l.acceptAttached(now, request.Attached)
 	l.polls = append(l.polls, p)
 }
 
@@ -114,8 +114,7 @@
 	if !found || known.Incarnation != brief.Incarnation {
 		return false
 	}
-	known.State, known.Revision = brief.State, brief.Revision
-	request.Instance = known
+	request.Instance = brief.of(known)
 	return true
 }
 
@@ -126,30 +125,25 @@
 	l.keepIssuer(now)
 	l.applyInitialTree(now)
 	next := l.heal(now)
-	l.spread(now)
-	if l.out.registry.Version() != l.out.version {
-		next = earlier(next, l.out.at.Add(relayInterval))
-	}
-	held := l.polls[:0]
-	for _, p := range l.polls {
-		if now.Before(p.due) && !l.hasNews(p.request) {
-			held = append(held, p)
-			next = earlier(next, p.due)
-			continue
+	l.core.fanout.spread(now)
+	l.polls, next = answerDue(now, l.polls, next, func(p *poll) *syncResponse {
+		if now.Before(p.due) && !l.hasNews(p) {
+			return nil
 		}
-		p.reply <- l.answer(now, &p)
-	}
-	clear(l.polls[len(held):])
-	l.polls = held
+		return l.answer(now, p)
+	})
 	return next
 }
 
-// hasNews reports whether an instance must learn something at once.
-func (l *leader) hasNews(r *syncRequest) bool {
-	return r.Epoch != l.epoch ||
+// hasNews reports whether an instance must learn something at once. A voter that
+// others are attached to gets each batch of upstreams, since they hear of it later.
+func (l *leader) hasNews(p *poll) bool {
+	r, out := p.request, l.core.fanout
+	return r.Epoch != l.epoch || len(p.unknown) > 0 ||
 		r.Instance.Revision < l.core.group.machine.Current().Number ||
 		r.Members < l.table.Revision() ||
-		r.Upstreams < l.urgent
+		r.Upstreams < out.urgent ||
+		len(r.Attached) > 0 && r.Upstreams < out.out.sender.Position()
 }
 
 // answer builds the answer to a sync, with a lease when this leader's own lease
@@ -170,6 +164,9 @@
 		Settled:   l.table.Settled(now),
 		HeardUpTo: p.heardUpTo,
 		HeldMs:    now.Sub(p.arrivedAt).Milliseconds(),
+		Unknown:   p.unknown,
+
+		SupersededAttached: p.superseded,
 	}
 	if r.Epoch != l.epoch || r.Claims != group.machine.Epoch().Number {
 		response.Voters, response.Claims = group.voters(), group.machine.Epoch()
@@ -189,7 +186,7 @@
 
 // upstreamsSince encodes what an instance lacks.
 func (l *leader) upstreamsSince(now time.Time, position uint64) []byte {
-	delta, err := l.out.sender.Since(now, position)
+	delta, err := l.core.fanout.out.sender.Since(now, position)
 	if err != nil {
 		eventRelayFailed.Log(l.core.log, event.Fields{"error": err})
 	}
--- a/control/memberlist.go
+++ b/control/memberlist.go
@@ -18,6 +18,8 @@
 	byName  map[string]listed
 	sorted  []membership.Instance // nil after a change
 	settled bool                  // the present leader knows every instance
+
+	revision uint64 // grows with each change that others must learn
 }
 
 // listed is one instance of the list.
@@ -25,6 +27,7 @@
 	instance  membership.Instance
 	named     bool      // by the present leader
 	goneSince time.Time // zero: not gone
+	changed   uint64    // revision of the list at the last change that others must learn
 }
 
 func newMemberList() memberList { return memberList{byName: map[string]listed{}} }
@@ -45,6 +48,7 @@
 		entry := l.byName[i.Name]
 		entry.named = true
 		if entry.instance.Incarnation <= i.Incarnation {
+			l.touch(&entry, i)
 			entry.set(now, i)
 		}
 		l.byName[i.Name] = entry
@@ -57,6 +61,7 @@
 	for _, i := range instances {
 		if _, known := l.byName[i.Name]; !known {
 			var entry listed
+			l.touch(&entry, i)
 			entry.set(now, i)
 			l.byName[i.Name] = entry
 			l.sorted = nil
@@ -64,6 +69,32 @@
 	}
 }
 
+// touch notes that an entry is about to change, unless only in its confirmed revision,
+// which others need not learn.
+func (l *memberList) touch(entry *listed, i membership.Instance) {
+	old := entry.instance
+	old.Revision = i.Revision
+	if old != i {
+		l.revision++
+		entry.changed = l.revision
+	}
+}
+
+// changed returns the instances that changed after a revision of the list, by name.
+func (l *memberList) changed(after uint64) []membership.Instance {
+	if after == l.revision {
+		return nil
+	}
+	var found []membership.Instance
+	for _, entry := range l.byName {
+		if entry.changed > after {
+			found = append(found, entry.instance)
+		}
+	}
+	slices.SortFunc(found, func(a, b membership.Instance) int { return strings.Compare(a.Name, b.Name) })
+	return found
+}
+
 func (e *listed) set(now time.Time, i membership.Instance) {
 	e.instance = i
 	switch {
@@ -84,6 +115,7 @@
 		if !entry.named {
 			gone := entry.instance
 			gone.State = membership.Gone
+			l.touch(&entry, gone)
 			entry.set(now, gone)
 			l.byName[name] = entry
 		}
--- a/control/options.go
+++ b/control/options.go
@@ -29,6 +29,7 @@
 	Parse    func(file string, text []byte) (*settings.Tree, error) // nil: settings.ParseTree
 	FS       wal.FS                                                 // nil: the machine's; tests make it fail
 	Timing   Timing                                                 // zero: DefaultTiming
+	FanOut   bool                                                   // instances without a log sync with any voter, which passes on to the leader what they state
 	Heal     int                                                    // voters that the leader keeps by itself; 0: operators replace them
 	Extra    http.Handler                                           // answers paths at the control address that are not the instances' own; nil: none
 	ExtraAt  string                                                 // path prefix that Extra answers
@@ -44,6 +45,7 @@
 	Stagger    time.Duration // after which an instance without settings asks one more voter
 	Look       time.Duration // pause of an instance without settings before it asks a silent voter again, and the first bound of a connection, doubled each time
 	Retry      time.Duration // pause after a failed sync
+	Touch      time.Duration // a voter whose last sync worked so long ago hears no leader; above Sync
 	Leave      time.Duration // timeout of telling the leader that this instance ends
 	Compact    uint64        // applied entries between two snapshots of the log
 }
@@ -68,6 +70,7 @@
 		Stagger: 100 * time.Millisecond,
 		Look:    25 * time.Millisecond, // a quarter of Retry; a connection within a region takes 1 to 2 ms
 		Retry:   100 * time.Millisecond,
+		Touch:   1200 * time.Millisecond,
 		Leave:   time.Second,
 		Compact: 1000,
 	}
--- a/control/relaying.go
+++ b/control/relaying.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"celeryport/control/relay"
-	"celeryport/event"
 	"celeryport/upstream"
 )
 
@@ -42,12 +41,12 @@
 	receiver    *relay.Receiver
 }
 
-// takeHeard takes in what an instance heard and returns the position up to which
-// the leader has it. A gap, for instance after a message was lost, is answered by
-// position 0, at which the instance sends everything again.
-func (l *leader) takeHeard(now time.Time, p *poll) uint64 {
+// takeInbox takes in what an instance heard of upstreams and returns the position up
+// to which it is known here. A gap, for instance after a message was lost, is answered
+// by position 0, at which the instance sends everything again.
+func takeInbox(inboxes map[string]inbox, now time.Time, p *poll) (relayed []upstream.Relayed, position uint64) {
 	i := &p.request.Instance
-	box := l.inboxes[i.Name]
+	box := inboxes[i.Name]
 	if box.receiver == nil || box.incarnation != i.Incarnation {
 		box = inbox{incarnation: i.Incarnation, receiver: relay.NewReceiver()}
 	}
@@ -55,29 +54,21 @@
 	if err != nil {
 		box.receiver = relay.NewReceiver()
 	}
-	l.inboxes[i.Name] = box
+	inboxes[i.Name] = box
+	return relayed, box.receiver.Position()
+}
+
+// takeHeard takes in what an instance heard and returns the position up to which
+// the leader has it.
+func (l *leader) takeHeard(now time.Time, p *poll) uint64 {
+	relayed, position := takeInbox(l.inboxes, now, p)
 	for _, r := range relayed {
 		l.core.logUpstream(r.Announcement)
 		if l.core.known.HearRelayed(now, r) {
 			l.core.noteUpstream(r.Announcement)
 		}
 	}
-	return box.receiver.Position()
-}
-
-// spread makes a batch for the instances when one is due, at once when an
-// upstream leaves.
-func (l *leader) spread(now time.Time) {
-	if !l.leaving && !l.out.due(now) {
-		return
-	}
-	if err := l.out.gather(now); err != nil {
-		eventRelayFailed.Log(l.core.log, event.Fields{"error": err})
-	}
-	if l.leaving {
-		l.leaving = false
-		l.urgent = l.out.sender.Position()
-	}
+	return position
 }
 
 // takeUpstreams takes in what the leader heard of upstreams. The delta was on its
--- a/control/search.go
+++ b/control/search.go
@@ -17,20 +17,32 @@
 	sentAt   time.Time
 	response *syncResponse
 	err      error
+	attached []attachedInstance // what the sync stated of attached instances
 }
 
 // fruitless reports whether the answer names no leader and brings nothing.
-func (a *searchAnswer) fruitless() bool {
-	return a.err != nil || a.response.Redirect && a.response.Provisional == nil && a.response.Leader == ""
+func (a *searchAnswer) fruitless(bare bool) bool {
+	switch {
+	case a.err != nil:
+		return true
+	case a.response.Redirect:
+		return a.response.Provisional == nil && a.response.Leader == ""
+	default:
+		return bare && a.response.Detached && len(a.response.Text) == 0
+	}
 }
 
 // askFirst tells which voters are asked at once and which later.
-func (n *Node) askFirst(voters []string, bare bool) (first, rest []string) {
-	if !bare {
+func (n *Node) askFirst(voters []string, request *syncRequest) (first, rest []string) {
+	switch {
+	case request.Attach:
+		return voters[:1], voters[1:]
+	case !request.Bare:
 		return voters, nil
+	default:
+		voters = rotated(voters, n.opts.Process.Name)
+		return voters[:1], voters[1:]
 	}
-	voters = rotated(voters, n.opts.Process.Name)
-	return voters[:1], voters[1:]
 }
 
 // rotated returns a list from a place on that differs with the name.
@@ -51,14 +63,23 @@
 func (n *Node) search(ctx context.Context, request *syncRequest) error {
 	var addresses []string
 	var defunct bool
-	err := n.do(ctx, func(time.Time) { addresses, defunct = n.core.voterAddresses(), n.core.defunct })
+	err := n.do(ctx, func(time.Time) {
+		addresses, defunct = n.core.voterAddresses(), n.core.defunct
+		if request.Attach {
+			addresses = n.core.attachOrder()
+		}
+	})
 	if err != nil {
 		return err
 	}
 	if defunct || len(addresses) == 0 {
 		return errNoVoter
 	}
-	asking, cancel := context.WithTimeout(ctx, n.opts.Timing.Search)
+	bound, stagger := n.opts.Timing.Search, n.opts.Timing.Stagger
+	if request.Attach {
+		bound *= attachPatience
+	}
+	asking, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	answers := make(chan searchAnswer, 2*len(addresses)) // room for one redirection each
 	asked := map[string]bool{}
@@ -67,11 +88,11 @@
 		asked[target] = true
 		go n.searchOne(asking, target, *request, &heard, answers)
 	}
-	first, rest := n.askFirst(addresses, request.Bare)
+	first, rest := n.askFirst(addresses, request)
 	for _, address := range first {
 		ask(address)
 	}
-	next := time.NewTicker(n.opts.Timing.Stagger)
+	next := time.NewTimer(stagger)
 	defer next.Stop()
 	for waiting := len(asked); waiting+len(rest) > 0; {
 		var answer searchAnswer
@@ -79,8 +100,12 @@
 		case answer = <-answers:
 			waiting--
 		case <-next.C:
+			if request.Attach {
+				stagger *= 2
+			}
+			next.Reset(stagger)
 		}
-		if late := answer.target == ""; late || answer.fruitless() {
+		if late := answer.target == ""; late || answer.fruitless(request.Bare) {
 			if len(rest) > 0 {
 				ask(rest[0])
 				rest, waiting = rest[1:], waiting+1
@@ -104,13 +129,19 @@
 	return errNoVoter
 }
 
+// attachPatience is how much longer an instance that any voter may answer looks for
+// one than an instance that needs the leader. Each voter that it asks besides sends it
+// the whole fleet, so it asks further ones after pauses that double: when a large fleet
+// starts, voters are slow because all instances ask, and asking more makes it worse.
+const attachPatience = 2
+
 // searchOne asks one voter. An instance without settings, which serves nobody, asks
 // again until some voter was heard: after a loss of power it is there before the
 // voters, and what it sent until then is lost or refused. In ten losses of power the
 // middle instance had settings 0.21 s after the first voter was back when it looked for
 // voters every 0.6 s, and has them after 0.10 s.
 func (n *Node) searchOne(ctx context.Context, target string, request syncRequest, heard *atomic.Bool, answers chan<- searchAnswer) {
-	answer := searchAnswer{target: target}
+	answer := searchAnswer{target: target, attached: request.Attached}
 	request.WaitMs = 0
 	for bound := n.opts.Timing.Look; ; bound *= 2 {
 		answer.sentAt = n.clock.Now()
@@ -132,7 +163,7 @@
 // take gives an answer to the control goroutine.
 func (n *Node) take(ctx context.Context, a *searchAnswer) error {
 	var taken error
-	err := n.do(ctx, func(now time.Time) { taken = n.core.takeSync(now, a.sentAt, a.target, a.response) })
+	err := n.do(ctx, func(now time.Time) { taken = n.core.takeSync(now, a) })
 	if err != nil {
 		return err
 	}
--- a/control/service.go
+++ b/control/service.go
@@ -56,6 +56,10 @@
 // acceptSync gives a sync to the leader's part, or names the leader.
 func (c *core) acceptSync(now, arrivedAt time.Time, request *syncRequest, reply chan<- *syncResponse) {
 	c.followLeadership(now)
+	if request.Attach && c.fanout != nil {
+		c.fanout.accept(now, arrivedAt, request, reply)
+		return
+	}
 	if c.leader != nil {
 		c.leader.accept(now, arrivedAt, request, reply)
 		return
--- a/control/syncclient.go
+++ b/control/syncclient.go
@@ -26,6 +26,11 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if n.core.attaches() {
+			if err := n.reattach(ctx); err != nil {
+				return err
+			}
+		}
 	}
 }
 
@@ -83,7 +88,7 @@
 	if err != nil {
 		return errors.CombineErrors(err, n.do(ctx, func(time.Time) { n.core.syncFailed(target, err) }))
 	}
-	return n.take(ctx, &searchAnswer{target: target, sentAt: sentAt, response: response})
+	return n.take(ctx, &searchAnswer{target: target, sentAt: sentAt, response: response, attached: request.Attached})
 }
 
 // callSync reaches the leader, which may be this instance itself.
--- a/control/synctake.go
+++ b/control/synctake.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"celeryport/consensus"
 	"celeryport/control/relay"
 	"celeryport/event"
@@ -14,6 +16,7 @@
 	if c.position.leader == target {
 		c.position.leader = ""
 	}
+	c.failedVoter = target
 	if c.inTouch {
 		eventSyncFailed.Log(c.log, event.Fields{"target": target, "error": err})
 	}
@@ -22,7 +25,8 @@
 
 // takeSync takes in an answer. The lease is renewed last: it covers the revision
 // in this answer, so it counts only once that is installed.
-func (c *core) takeSync(now, sentAt time.Time, target string, r *syncResponse) error {
+func (c *core) takeSync(now time.Time, a *searchAnswer) error {
+	sentAt, target, r := a.sentAt, a.target, a.response
 	if r.Redirect {
 		c.position.leader = r.Leader
 		if r.Leader == "" || r.Leader == target {
@@ -39,12 +43,9 @@
 		c.position.stated = false
 		return errAgain
 	}
-	c.accepted = true
-	if !c.inTouch {
-		eventSyncBack.Log(c.log, event.Fields{"leader": target, "revision": r.Revision})
-	}
-	c.inTouch = true
-	c.takeEpoch(r.Epoch, target)
+	c.accepted = c.accepted || !c.attaches() || r.Taken
+	c.noteTouch(now, target, r)
+	c.takeEpoch(now, r.Epoch, target)
 	c.position.stated = true
 	c.takeDeltas(now, sentAt, r)
 	if err := c.takeRevision(r); err != nil {
@@ -53,7 +54,10 @@
 	if r.LeaseMs > 0 && c.installed.revision() >= r.Revision && c.self.State != membership.Gone {
 		c.lease.renew(sentAt, time.Duration(r.LeaseMs)*time.Millisecond)
 	}
-	if r.LeaseMs == 0 && len(r.Text) == 0 {
+	if c.fanout != nil {
+		c.fanout.takeAttached(a.attached, r)
+	}
+	if r.LeaseMs == 0 && len(r.Text) == 0 && !c.attaches() {
 		// It takes itself for the leader but can't reach a majority: another voter
 		// may know a newer one.
 		c.position.leader = ""
@@ -62,6 +66,19 @@
 	return nil
 }
 
+// noteTouch notes that a sync worked, and logs when this instance is in touch again or
+// its voter ceased to hear a leader.
+func (c *core) noteTouch(now time.Time, target string, r *syncResponse) {
+	switch {
+	case r.Detached && !c.detached:
+		eventVoterDetached.Log(c.log, event.Fields{"voter": target, "revision": r.Revision})
+	case !r.Detached && (!c.inTouch || c.detached):
+		eventSyncBack.Log(c.log, event.Fields{"leader": target, "revision": r.Revision})
+	}
+	c.detached = r.Detached
+	c.inTouch, c.syncedAt = true, now
+}
+
 // superseded handles the answer that a higher incarnation of this name is known.
 // A process that was never taken drew its incarnation from a clock that went
 // back, and draws a higher one. A process that was taken before has a successor,
@@ -81,15 +98,22 @@
 
 // takeEpoch starts from the beginning with another leader, whose positions mean
 // something else.
-func (c *core) takeEpoch(epoch, target string) {
+func (c *core) takeEpoch(now time.Time, epoch, target string) {
 	if c.position.epoch != epoch {
 		c.position = syncPosition{epoch: epoch}
 		c.received = relay.NewReceiver()
 		c.members.follow()
+		c.reviewedAt = c.reviewAfter(now)
 	}
 	c.position.leader = target
 }
 
+// reviewAfter is when an instance that was attached anew looks for a better voter. The
+// name spreads the instances of a fleet that started together.
+func (c *core) reviewAfter(now time.Time) time.Time {
+	return now.Add(time.Duration(xxhash.Sum64String(c.self.Name) % uint64(reattachInterval)))
+}
+
 func (c *core) takeDeltas(now, sentAt time.Time, r *syncResponse) {
 	c.position.members = max(c.position.members, r.MembersAt)
 	c.position.heardUpTo = r.HeardUpTo
@@ -148,7 +172,9 @@
 	eventInstalled.Log(c.log, event.Fields{"revision": r.Revision})
 	c.heard.SetFreshFor(c.freshFor())
 	c.known.SetFreshFor(c.freshFor())
-	c.node.kickSync() // confirm at once
+	if !c.attaches() {
+		c.node.kickSync() // confirm at once; an attached instance's next sync follows this answer anyway
+	}
 	return nil
 }
 
--- a/control/synctarget.go
+++ b/control/synctarget.go
@@ -26,11 +26,13 @@
 		Seeking:   !c.accepted,
 		Known:     c.known.Size(),
 		WaitMs:    wait.Milliseconds(),
+		Attach:    c.attaches(),
+	}
+	if c.fanout != nil {
+		request.Attached = attachedWire(c.fanout.roster.Statements(now))
 	}
 	if c.position.stated {
-		request.Brief = &briefInstance{
-			Name: c.self.Name, Incarnation: c.self.Incarnation, State: c.self.State, Revision: c.self.Revision,
-		}
+		request.Brief = briefOf(&c.self)
 	} else {
 		request.Instance = c.self
 	}
@@ -43,6 +45,9 @@
 	return request, c.position.leader
 }
 
+// attaches reports whether this instance syncs with any voter instead of the leader.
+func (c *core) attaches() bool { return c.group == nil && c.node.opts.FanOut }
+
 // heardDelta encodes what this instance heard and the leader lacks.
 func (c *core) heardDelta(now time.Time) []byte {
 	err := c.out.gather(now)
--- a/control/syncwire.go
+++ b/control/syncwire.go
@@ -18,11 +18,14 @@
 	Upstreams uint64              `json:"upstreams,omitempty"` // last batch of the leader that was taken
 	Claims    uint64              `json:"claims,omitempty"`    // epoch of claims that is known
 	Demand    []quota.Demand      `json:"demand,omitempty"`
-	Grants    uint64              `json:"grants,omitempty"`  // round of the leader's grants that it acts on
-	Bare      bool                `json:"bare,omitempty"`    // the instance has no settings at all
-	Seeking   bool                `json:"seeking,omitempty"` // no leader has taken the instance in yet
-	Known     int                 `json:"known,omitempty"`   // upstreams that it knows
-	WaitMs    int64               `json:"wait_ms,omitempty"` // the leader may hold the answer for so long
+	Grants    uint64              `json:"grants,omitempty"`   // round of the leader's grants that it acts on
+	Bare      bool                `json:"bare,omitempty"`     // the instance has no settings at all
+	Seeking   bool                `json:"seeking,omitempty"`  // no leader has taken the instance in yet
+	Known     int                 `json:"known,omitempty"`    // upstreams that it knows
+	WaitMs    int64               `json:"wait_ms,omitempty"`  // the leader may hold the answer for so long
+	Attach    bool                `json:"attach,omitempty"`   // any voter may answer, leading or not
+	Probe     bool                `json:"probe,omitempty"`    // only whether the voter hears a leader is asked; nothing else is set
+	Attached  []attachedInstance  `json:"attached,omitempty"` // of a voter: the instances attached to it
 
 	heard []byte // heard directly and not yet taken by the leader; travels beside the JSON
 }
@@ -35,6 +38,17 @@
 	Revision    uint64           `json:"r,omitempty"`
 }
 
+// briefOf returns the part of an instance that may change.
+func briefOf(i *membership.Instance) *briefInstance {
+	return &briefInstance{Name: i.Name, Incarnation: i.Incarnation, State: i.State, Revision: i.Revision}
+}
+
+// of returns the instance that is known, with what a brief statement says of it.
+func (b *briefInstance) of(known membership.Instance) membership.Instance {
+	known.Incarnation, known.State, known.Revision = b.Incarnation, b.State, b.Revision
+	return known
+}
+
 // syncResponse answers a syncRequest.
 type syncResponse struct {
 	Leader      string                `json:"leader,omitempty"`   // control address of the leader, if known
@@ -55,6 +69,11 @@
 	Voters      []consensus.Member    `json:"voters,omitempty"`
 	Provisional *provisional          `json:"provisional,omitempty"` // of one that does not lead, for a bare instance
 	Claims      claim.Epoch           `json:"claims,omitzero"`       // who votes on claims, when that is news
+	Detached    bool                  `json:"detached,omitempty"`    // the voter that answers an attached instance hears no leader
+	Taken       bool                  `json:"taken,omitempty"`       // a leader has taken the attached instance in
+	Unknown     []string              `json:"unknown,omitempty"`     // attached instances that must be stated whole
+
+	SupersededAttached map[string]uint64 `json:"superseded_attached,omitempty"` // attached instances of which a higher incarnation is known
 
 	upstreams []byte // heard by the leader and not yet taken; travels beside the JSON
 }
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -75,6 +75,7 @@
 		Parse:   adapter.Parse,
 		Timing:  forwardingTiming(),
 		Heal:    heal,
+		FanOut:  true,
 		ExtraAt: adapter.ControlPrefix,
 		Extra:   http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { answer.ServeHTTP(w, r) }),
 	})
--- a/membership/table.go
+++ b/membership/table.go
@@ -42,6 +42,32 @@
 	Stale
 )
 
+// Passed takes an instance's statement about itself that another instance heard so
+// long ago and passes on. Statements of one instance may come by two ways, and the
+// older one last, so one that is older than what is known is ignored, and an instance
+// that drains goes on draining.
+//
+// Such an instance holds no lease that it admits by. That it was heard counts like one:
+// a revision is not taken to be in force while it lives and has an older one.
+func (t *Table) Passed(now time.Time, age time.Duration, i Instance) Verdict {
+	heardAt := now.Add(-age)
+	if known, found := t.members[i.Name]; found && known.instance.Incarnation == i.Incarnation {
+		if heardAt.Before(known.heardAt) {
+			return Taken
+		}
+		if known.instance.State == Draining && i.State == Live {
+			i.State = Draining
+		}
+	}
+	if t.Heard(heardAt, i) == Stale {
+		return Stale
+	}
+	if i.State != Gone {
+		t.Granted(heardAt, i.Name)
+	}
+	return Taken
+}
+
 // Heard takes an instance's statement about itself.
 func (t *Table) Heard(now time.Time, i Instance) Verdict {
 	known, found := t.members[i.Name]
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -177,3 +177,31 @@
 		}
 	})
 }
+
+func TestPassedStatementsDoNotTakeAnInstanceBack(t *testing.T) {
+	// An instance moves to another voter and begins to drain. The former voter still
+	// states what it heard before. If that counted, callers would be sent to the draining
+	// instance again.
+	now := time.Unix(1_700_000_000, 0)
+	table := NewTable(now, Timing{Lease: 4 * time.Second, Margin: time.Second, Kept: time.Minute})
+	live := Instance{Name: "a", Incarnation: 1}
+	draining := Instance{Name: "a", Incarnation: 1, State: Draining}
+	table.Passed(now, 0, live)
+	now = now.Add(time.Second)
+	table.Passed(now, 0, draining)
+	table.Passed(now, 500*time.Millisecond, live) // older, and last
+	table.Passed(now.Add(time.Second), 0, live)   // a message that was long on its way
+	if got, _ := table.Find("a"); got.State != Draining {
+		t.Errorf("the instance is %s, want draining", got.State)
+	}
+	if table.Passed(now, 0, Instance{Name: "a"}) != Stale {
+		t.Error("a former incarnation is taken")
+	}
+	if got := table.Outstanding(5); len(got) != 1 {
+		t.Errorf("%d live instances have not confirmed revision 5, want 1", len(got))
+	}
+	table.Expire(now.Add(time.Minute))
+	if _, found := table.Find("a"); found {
+		t.Error("an instance that nobody states lives on")
+	}
+}
