Let consensus go before other tasks, and instances without settings wait at their voter

Hypothesis: the first leader of a fleet that starts still falls, since heartbeats wait behind the tasks of syncs, and since instances without settings ask every voter again and again until there are settings (191 instances, three voters each, every 0.15 s).

Change: messages of consensus have a queue of their own, which is emptied before each 16 other tasks at most. An instance that finds no voter with settings stays with the first that answered, which holds its syncs; it asks another one once a second with a small question.

Tests, failing before: TestConsensusGoesBeforeWhatAFleetSends (the heartbeat came in after all 500 syncs), TestInstancesWithoutSettingsWaitAtTheirVoter.

--- a/control/attached.go
+++ b/control/attached.go
@@ -89,6 +89,11 @@
 // suits it better than the one that answers it.
 const reattachInterval = 2 * time.Second
 
+// probeInterval is how often one whose voter hears no leader asks another voter. It is
+// short against the time that a change may take to be in force, and long enough that
+// the questions of a whole fleet leave the voters time to elect a leader.
+const probeInterval = time.Second
+
 // better returns a voter that this instance would rather be attached to; empty if it
 // is well where it is. While its own voter hears no leader, that is the next one in
 // its order, else the first.
@@ -97,10 +102,14 @@
 	if own == "" {
 		return ""
 	}
-	if !c.detached && now.Sub(c.reviewedAt) < reattachInterval {
+	switch {
+	case c.detached && now.Sub(c.probedAt) >= probeInterval:
+		c.probedAt = now
+	case !c.detached && now.Sub(c.reviewedAt) >= reattachInterval:
+		c.reviewedAt = now
+	default:
 		return ""
 	}
-	c.reviewedAt = now
 	order := c.attachOrder()
 	if len(order) == 0 {
 		return ""
@@ -154,15 +163,21 @@
 	if err != nil {
 		return errors.CombineErrors(n.do(ctx, func(time.Time) { n.core.failedVoter = target }), ctx.Err())
 	}
-	if response.Redirect || response.Detached {
-		return nil
+	return n.do(ctx, func(time.Time) { n.core.takeProbe(target, response) })
+}
+
+// takeProbe goes on with the voter that was asked, if it hears a leader, or at least has
+// settings where this instance has none.
+func (c *core) takeProbe(target string, r *syncResponse) {
+	helps := !r.Detached || c.installed.tree == nil && r.Revision > 0
+	if !r.Redirect && helps {
+		c.attachTo(target)
 	}
-	return n.do(ctx, func(time.Time) { n.core.attachTo(target) })
 }
 
 // attachTo goes on with another voter, which states everything anew.
 func (c *core) attachTo(target string) {
-	c.position = syncPosition{leader: target, epoch: ""}
+	c.position = syncPosition{leader: target}
 	c.detached = false
 	c.probed = ""
 	if c.failedVoter == target {
--- a/control/attached_test.go
+++ b/control/attached_test.go
@@ -199,3 +199,33 @@
 		}
 	}
 }
+
+func TestInstancesWithoutSettingsWaitAtTheirVoter(t *testing.T) {
+	// The voters of a fleet that starts have no settings and no leader yet. If each
+	// instance asks all of them again and again meanwhile, they have no time to elect a
+	// leader, and nobody serves for seconds.
+	t.Parallel()
+	f := newAttachingFleet(t, 3, 0)
+	for _, m := range f.members[1:] {
+		f.crash(m)
+	}
+	f.crash(f.members[0])
+	f.start(f.members[0], nil) // no majority, so no leader, and no settings were ever accepted
+	f.voters = f.voters[:1]
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	bare := f.add(3, false, listener)
+	voter := f.members[0]
+	f.await("a held sync", func() bool {
+		held := 0
+		if voter.node.do(t.Context(), func(time.Time) { held = len(voter.node.core.fanout.polls) }) != nil {
+			return false
+		}
+		return held == 1
+	})
+	if calls := bare.node.clients.Stats().Calls.Load(); calls > 3 {
+		t.Errorf("%d calls until the voter held one", calls)
+	}
+}
--- a/control/consensuscall.go
+++ b/control/consensuscall.go
@@ -12,7 +12,7 @@
 
 // Consensus implements rpc.Control. The answer says only that the messages were
 // queued: consensus answers by messages of its own.
-func (s *service) Consensus(ctx context.Context, in *rpc.ConsensusRequest) (*rpc.ConsensusResponse, error) {
+func (s *service) Consensus(_ context.Context, in *rpc.ConsensusRequest) (*rpc.ConsensusResponse, error) {
 	messages := make([]consensus.Message, 0, len(in.Messages))
 	for _, data := range in.Messages {
 		m, err := consensus.DecodeMessage(data)
@@ -21,10 +21,7 @@
 		}
 		messages = append(messages, m)
 	}
-	err := s.node.post(ctx, func(now time.Time) { s.node.core.receive(now, in.Address, messages) })
-	if err != nil {
-		return nil, rpc.ToTwirp(err)
-	}
+	s.node.postMessages(func(now time.Time) { s.node.core.receive(now, in.Address, messages) })
 	return &rpc.ConsensusResponse{}, nil
 }
 
--- a/control/core.go
+++ b/control/core.go
@@ -45,6 +45,7 @@
 	detached       bool              // the voter that this instance is attached to hears no leader
 	reviewedAt     time.Time         // when this instance last looked for a better voter
 	probed         string            // voter that was asked last whether it hears a leader
+	probedAt       time.Time         // when it was asked
 	failedVoter    string            // voter that failed last
 	views          viewState
 }
--- a/control/fanout.go
+++ b/control/fanout.go
@@ -50,7 +50,8 @@
 // accept takes in a sync and holds it until there is news.
 func (f *fanout) accept(now, arrivedAt time.Time, request *syncRequest, reply chan<- *syncResponse) {
 	if request.Probe {
-		reply <- &syncResponse{Leader: f.core.self.ControlAddress, Epoch: f.epoch, Detached: !f.inTouch(now)}
+		revision, _ := f.core.newestText()
+		reply <- &syncResponse{Leader: f.core.self.ControlAddress, Epoch: f.epoch, Revision: revision, Detached: !f.inTouch(now)}
 		return
 	}
 	if !f.complete(request) {
--- a/control/node.go
+++ b/control/node.go
@@ -32,6 +32,7 @@
 	claimGroup atomic.Pointer[claimGroup]
 	wonClaims  wonClaims
 	kick       chan struct{}
+	messages   chan task // of consensus, which go before all other tasks
 	tasks      chan task
 	stopped    chan struct{} // closed when the control goroutine has ended
 	parsed     parsedText
@@ -46,6 +47,18 @@
 // senders wait, so that a stalled disk slows them and costs no memory.
 const taskQueue = 1024
 
+// messageQueue bounds the batches of consensus messages that wait. Consensus repeats
+// what is lost, so what comes above it is dropped.
+const messageQueue = 64
+
+// postMessages hands messages of consensus to the control goroutine without waiting.
+func (n *Node) postMessages(t task) {
+	select {
+	case n.messages <- t:
+	default:
+	}
+}
+
 // errStopped ends calls on a node that does not run any more.
 var errStopped = verdict.Refuse(verdict.ReasonDraining, 0, "control has stopped")
 
@@ -59,6 +72,7 @@
 		opts:     opts.withDefaults(),
 		log:      opts.Log,
 		handlers: map[string]Handler{},
+		messages: make(chan task, messageQueue),
 		tasks:    make(chan task, taskQueue),
 		stopped:  make(chan struct{}),
 		kick:     make(chan struct{}, 1),
--- a/control/run.go
+++ b/control/run.go
@@ -143,7 +143,11 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case t := <-n.messages:
+			t(n.clock.Now())
+			n.drainMessages()
 		case t := <-n.tasks:
+			n.drainMessages()
 			t(n.clock.Now())
 			n.drainTasks()
 		case <-timer.C:
@@ -156,10 +160,27 @@
 	}
 }
 
-// drainTasks runs what else waits, so that one sync of the log covers it all.
+// tasksAtOnce bounds the tasks between two looks at consensus. One sync of the log
+// covers what they propose, and a heartbeat waits for so many of them at most: behind
+// all that a fleet sends when it starts, it would be late for longer than an election
+// timeout, and the group would change its leader without need.
+const tasksAtOnce = 16
+
+// drainTasks runs more of what waits.
 func (n *Node) drainTasks() {
-	for range len(n.tasks) {
+	for range min(tasksAtOnce, len(n.tasks)) {
+		if len(n.messages) > 0 {
+			return
+		}
 		t := <-n.tasks
 		t(n.clock.Now())
 	}
 }
+
+// drainMessages runs all messages of consensus that wait.
+func (n *Node) drainMessages() {
+	for range len(n.messages) {
+		t := <-n.messages
+		t(n.clock.Now())
+	}
+}
--- /dev/null
+++ b/control/run_test.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"celeryport/settings"
+)
+
+func TestConsensusGoesBeforeWhatAFleetSends(t *testing.T) {
+	// A fleet starts and hundreds of syncs wait at a voter with a small processor. A
+	// heartbeat of the leader comes behind them. If it waits for all of them, the voter
+	// takes the leader for dead and has a new one elected, and so on.
+	node, err := New(Options{
+		Process: &settings.Process{Name: "i", Listen: "127.0.0.1:1", ControlListen: "127.0.0.1:2"},
+		Log:     logrus.New(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const syncs = 500
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	done, heartbeatAfter := 0, 0
+	for range syncs {
+		node.tasks <- func(time.Time) {
+			done++
+			switch done {
+			case 10:
+				node.postMessages(func(time.Time) { heartbeatAfter = done })
+			case syncs:
+				end()
+			}
+		}
+	}
+	_ = node.loop(ctx)
+	if heartbeatAfter == 0 || heartbeatAfter > 10+tasksAtOnce {
+		t.Errorf("the heartbeat came in after %d of %d syncs", heartbeatAfter, syncs)
+	}
+}
--- a/control/search.go
+++ b/control/search.go
@@ -94,6 +94,7 @@
 	}
 	next := time.NewTimer(stagger)
 	defer next.Stop()
+	var unhelpful *searchAnswer // of the first voter that answered and had nothing to give
 	for waiting := len(asked); waiting+len(rest) > 0; {
 		var answer searchAnswer
 		select {
@@ -106,6 +107,9 @@
 			next.Reset(stagger)
 		}
 		if late := answer.target == ""; late || answer.fruitless(request.Bare) {
+			if unhelpful == nil && !late && answer.err == nil && !answer.response.Redirect {
+				unhelpful = &answer
+			}
 			if len(rest) > 0 {
 				ask(rest[0])
 				rest, waiting = rest[1:], waiting+1
@@ -126,6 +130,12 @@
 		}
 		return n.take(ctx, &answer)
 	}
+	if unhelpful != nil {
+		// No voter has settings yet. Its voter holds the next sync until it does; asked
+		// again and again by a whole fleet that starts, the voters found no time to elect
+		// a leader.
+		return n.take(ctx, unhelpful)
+	}
 	return errNoVoter
 }
 
