Sum up the loads of an engine over those who have work there only

Hypothesis: at hundreds of instances each placement costs milliseconds, since the load of each engine is summed up over all instances.

Change: the board keeps loads by engine, and of those only that are not nothing. Silent senders leave it when a new one comes.

--- a/loadshare/board.go
+++ b/loadshare/board.go
@@ -5,12 +5,13 @@
 // Board sums up what the other instances told. It is not safe for concurrent use.
 type Board struct {
 	senders map[Key]*sender
+	loads   map[Key]map[Key]told // by upstream, then by sender; only loads that are not nothing
 }
 
 type sender struct {
 	sequence uint32
 	heardAt  time.Time
-	loads    map[Key]told
+	loaded   map[Key]bool // upstreams at which it has something under way
 }
 
 // told is a load and when it was told.
@@ -31,7 +32,9 @@
 const FullInterval = 400 * time.Millisecond
 
 // NewBoard returns an empty board.
-func NewBoard() *Board { return &Board{senders: map[Key]*sender{}} }
+func NewBoard() *Board {
+	return &Board{senders: map[Key]*sender{}, loads: map[Key]map[Key]told{}}
+}
 
 // Take takes in a report and reports whether it was news. Datagrams may overtake
 // each other.
@@ -41,28 +44,65 @@
 		return false
 	}
 	if s == nil {
-		s = &sender{loads: map[Key]told{}}
+		b.forgetSilent(now)
+		s = &sender{loaded: map[Key]bool{}}
 		b.senders[r.Sender] = s
 	}
 	s.sequence, s.heardAt = r.Sequence, now
 	if r.Full {
-		clear(s.loads)
+		b.clear(r.Sender, s)
 	}
 	for key, load := range r.Loads {
-		s.loads[key] = told{load: load, at: now}
+		b.set(r.Sender, s, key, told{load: load, at: now})
 	}
 	return true
 }
 
-// Load returns what the others have under way at an upstream.
-func (b *Board) Load(now time.Time, key Key) Load {
-	var total Load
+func (b *Board) set(id Key, s *sender, key Key, t told) {
+	if t.load == (Load{}) {
+		b.drop(id, s, key)
+		return
+	}
+	if b.loads[key] == nil {
+		b.loads[key] = map[Key]told{}
+	}
+	b.loads[key][id] = t
+	s.loaded[key] = true
+}
+
+func (b *Board) drop(id Key, s *sender, key Key) {
+	delete(s.loaded, key)
+	delete(b.loads[key], id)
+	if len(b.loads[key]) == 0 {
+		delete(b.loads, key)
+	}
+}
+
+func (b *Board) clear(id Key, s *sender) {
+	for key := range s.loaded {
+		b.drop(id, s, key)
+	}
+}
+
+// forgetSilent drops the senders whose word does not count any more.
+func (b *Board) forgetSilent(now time.Time) {
 	for id, s := range b.senders {
 		if now.Sub(s.heardAt) > Forget {
+			b.clear(id, s)
 			delete(b.senders, id)
-			continue
 		}
-		total = total.Add(s.loads[key].now(now))
+	}
+}
+
+// Load returns what the others have under way at an upstream. It looks only at those
+// that have: a call is placed by the loads of all upstreams, and with hundreds of
+// instances each of them has work at a few.
+func (b *Board) Load(now time.Time, key Key) Load {
+	var total Load
+	for id, t := range b.loads[key] {
+		if now.Sub(b.senders[id].heardAt) <= Forget {
+			total = total.Add(t.now(now))
+		}
 	}
 	return total
 }
--- a/loadshare/board_test.go
+++ b/loadshare/board_test.go
@@ -138,3 +138,36 @@
 		t.Error("an engine that is free sooner was not told")
 	}
 }
+
+func TestSilentSendersLeaveTheBoard(t *testing.T) {
+	// Instances are replaced all the time. If the loads of dead ones stayed, the board
+	// would grow for as long as an instance runs.
+	board := NewBoard()
+	for id := range 100 {
+		now := start.Add(time.Duration(id) * Forget)
+		board.Take(now, &Report{Sender: Key(id), Sequence: 1, Loads: map[Key]Load{Key(id): {Streams: 1}}})
+	}
+	if len(board.senders) > 2 || len(board.loads) > 2 {
+		t.Errorf("%d senders with %d loads are kept, want those of the last moments", len(board.senders), len(board.loads))
+	}
+}
+
+// BenchmarkLoads sums up the loads of all engines for one call in a fleet of 330
+// instances, each of which has work at four of 600 engines.
+func BenchmarkLoads(b *testing.B) {
+	const instances, engines = 330, 600
+	board := NewBoard()
+	for id := range instances {
+		loads := map[Key]Load{}
+		for n := range 4 {
+			loads[Key((id*7+n*151)%engines)] = Load{Streams: 1}
+		}
+		board.Take(start, &Report{Sender: Key(1000 + id), Sequence: 1, Full: true, Loads: loads})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for key := range engines {
+			board.Load(start, Key(key))
+		}
+	}
+}
