Let instances hear the upstreams of their zone, and pass on what changes

Change: a voter answers an announcement with the address of an instance of the upstream's zone (rendezvous hash of both names), which hears it from then on and passes it on with its own syncs. Of one that leaves, the instance is told that it is known only when the leader has it. A voter hears those that nobody else hears. Announcements now pass an instance and two voters, so they count as fresh for 5 s instead of 3 s.

Found on the way by TestLeavingUpstreamIsAcknowledgedWhenTheLeaderHasIt, which failed first: a second sync of the same instance was answered before the leader had the word that came with the first one.

--- a/control/attached_test.go
+++ b/control/attached_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -229,3 +231,75 @@
 		t.Errorf("%d calls until the voter held one", calls)
 	}
 }
+
+func TestUpstreamsAreHeardByInstancesOfTheirZone(t *testing.T) {
+	// Hundreds of upstreams announce themselves every second. If a few voters hear all of
+	// them, their small processors have no time for anything else, and upstreams that
+	// leave are not acknowledged.
+	instances := []membership.Instance{
+		{Name: "voter", Voter: true, ControlAddress: "10.0.0.9:1", AvailabilityZone: "a"},
+		{Name: "draining", State: membership.Draining, Address: "x", ControlAddress: "10.0.0.8:1", AvailabilityZone: "a"},
+	}
+	if got := hearingAddress(instances, "e", "a"); got != "" {
+		t.Errorf("nobody is there to hear an upstream, and %s is named", got)
+	}
+	zones := map[string]string{}
+	for n := range 6 {
+		i := membership.Instance{
+			Name: fmt.Sprint("front-", n), Address: "x", ControlAddress: fmt.Sprintf("10.0.0.%d:1", n), AvailabilityZone: string(rune('a' + n%2)),
+		}
+		instances = append(instances, i)
+		zones[i.ControlAddress] = i.AvailabilityZone
+	}
+	counts := map[string]int{}
+	for n := range 300 {
+		address := hearingAddress(instances, fmt.Sprint("engine-", n), "a")
+		if zones[address] != "a" {
+			t.Fatalf("an upstream of zone a is heard at %q", address)
+		}
+		counts[address]++
+	}
+	if len(counts) != 3 || slices.Min(slices.Collect(maps.Values(counts))) < 60 {
+		t.Errorf("300 upstreams are heard so: %v", counts)
+	}
+	if got := hearingAddress(instances, "e", "zone without instances"); got == "" {
+		t.Error("an upstream of a zone without instances is heard by nobody")
+	}
+}
+
+func TestLeavingUpstreamIsAcknowledgedWhenTheLeaderHasIt(t *testing.T) {
+	// An upstream tells an attached instance that it leaves. The voter of that instance is
+	// cut off from the others. If the word were acknowledged by then, the others would
+	// send calls to an engine that ends.
+	t.Parallel()
+	f := newAttachingFleet(t, 3, 3)
+	first := f.apply(0, "a", testTree(1))
+	f.awaitInstalled(first.Revision)
+	leader := f.leader()
+	var cutOff, attached, other *testNode
+	for n, m := range f.members[:3] {
+		switch {
+		case m == leader:
+			other = f.members[3+n]
+		default:
+			cutOff, attached = m, f.members[3+n]
+		}
+	}
+	f.await("the instance attached to its voter", func() bool { return attached.attachedTo() == cutOff.process.ControlListen })
+	a := &upstream.Announcement{Name: "e1", Incarnation: 1, Address: "10.0.0.1:9", Targets: []string{"m"}}
+	f.awaitSeen(a, attached, upstream.Fresh)
+	f.network.cut(cutOff.process.ControlListen, attached.process.ControlListen)
+	a.Sequence++
+	a.Leaving = true
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if err := attached.node.AnnounceSurely(ctx, *a); err != nil {
+		t.Fatal(err)
+	}
+	var known upstream.Announcement
+	err := leader.node.do(t.Context(), func(time.Time) { known, _ = leader.node.core.known.Find(a.Name) })
+	if err != nil || !known.Leaving {
+		t.Errorf("it was acknowledged, and the leader takes it for leaving: %t, %v", known.Leaving, err)
+	}
+	f.await("the others know", func() bool { return other.sees(a.Name, upstream.Leaving, 0) })
+}
--- a/control/core.go
+++ b/control/core.go
@@ -184,14 +184,11 @@
 
 func (c *core) freshFor() time.Duration {
 	if c.installed.tree == nil || c.installed.tree.Fleet.FreshFor == 0 {
-		return defaultFreshFor
+		return c.timing.Fresh
 	}
 	return c.installed.tree.Fleet.FreshFor
 }
 
-// defaultFreshFor holds until the first settings are installed.
-const defaultFreshFor = 3 * time.Second
-
 func (c *core) close() {
 	if c.group != nil {
 		c.group.close()
--- a/control/fanout.go
+++ b/control/fanout.go
@@ -28,6 +28,9 @@
 	inboxes map[string]inbox // of what attached instances heard, by name
 	leaving bool             // an upstream leaves, which can't wait
 	urgent  uint64           // last batch that could not wait
+
+	leavesHeard  uint64 // how many attached instances told of an upstream that leaves
+	leavesPassed uint64 // of these, how many the leader has
 }
 
 func newFanout(c *core) *fanout {
@@ -69,6 +72,7 @@
 	wait := time.Duration(request.WaitMs) * time.Millisecond
 	p := poll{request: request, arrivedAt: arrivedAt, due: now.Add(min(wait, f.core.timing.Sync)), reply: reply}
 	p.heardUpTo = f.takeHeard(now, &p)
+	p.leaves = len(request.heard) > 0 && f.leavesHeard > f.leavesPassed
 	f.polls = append(f.polls, p)
 }
 
@@ -97,7 +101,7 @@
 			f.core.noteUpstream(r.Announcement)
 		}
 		if r.Announcement.Leaving {
-			f.core.node.kickSync()
+			f.leavesHeard++
 		}
 	}
 	return position
@@ -112,7 +116,7 @@
 	}
 	revision, _ := f.core.newestText()
 	f.polls, next = answerDue(now, f.polls, next, func(p *poll) *syncResponse {
-		if now.Before(p.due) && !f.hasNews(p.request, revision) {
+		if now.Before(p.due) && !p.leaves && !f.hasNews(p.request, revision) {
 			return nil
 		}
 		return f.answer(now, p)
@@ -162,6 +166,7 @@
 		HeldMs:    now.Sub(p.arrivedAt).Milliseconds(),
 		Detached:  !f.inTouch(now),
 		Taken:     f.roster.IsTaken(r.Instance.Name),
+		leaves:    p.leaves,
 	}
 	if r.Instance.Revision < revision {
 		response.Text = text
--- /dev/null
+++ b/control/hearing.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"context"
+
+	"github.com/cespare/xxhash/v2"
+
+	"celeryport/membership"
+)
+
+// HearingAddress returns the control address of the instance that should hear an
+// upstream from now on, empty if this one may go on hearing it.
+//
+// Each upstream announces itself every second. If the few voters hear hundreds of them
+// in person, their small processors have no time left to lead, and upstreams that
+// leave are not acknowledged. There are many more instances that forward calls: each
+// hears a few upstreams, and passes on what changes with its own syncs. Those of the
+// upstream's availability zone go first, so that no bytes cross to another one.
+func (n *Node) HearingAddress(name, availabilityZone string) string {
+	if !n.opts.Process.Voter || !n.opts.FanOut {
+		return ""
+	}
+	return hearingAddress(n.View().Instances, name, availabilityZone)
+}
+
+func hearingAddress(instances []membership.Instance, name, availabilityZone string) string {
+	var best string
+	var bestNear bool
+	var most uint64
+	for i := range instances {
+		one := &instances[i]
+		if one.State != membership.Live || one.Voter || one.Address == "" {
+			continue
+		}
+		near := one.AvailabilityZone == availabilityZone
+		weight := xxhash.Sum64String(name + " " + one.Name)
+		if best == "" || near && !bestNear || near == bestNear && weight > most {
+			best, bestNear, most = one.ControlAddress, near, weight
+		}
+	}
+	return best
+}
+
+// passOn has the leader take in what this voter heard, before who waits for it is told
+// so: an upstream that leaves counts on getting nothing new from then on.
+func (n *Node) passOn(ctx context.Context) error {
+	for {
+		err := n.syncOnce(ctx, 0)
+		if err == nil || !n.pause(ctx, n.opts.Timing.Retry) {
+			return err
+		}
+	}
+}
--- a/control/leader.go
+++ b/control/leader.go
@@ -34,11 +34,12 @@
 	request   *syncRequest
 	arrivedAt time.Time
 	heardUpTo uint64
+	due       time.Time
+	reply     chan<- *syncResponse
 
 	unknown    []string          // attached instances that must be stated whole
 	superseded map[string]uint64 // attached instances of which a higher incarnation is known
-	due        time.Time
-	reply      chan<- *syncResponse
+	leaves     bool              // it may tell of an upstream that leaves, which the leader does not have yet
 }
 
 func newLeader(now time.Time, c *core, term uint64) *leader {
--- a/control/node.go
+++ b/control/node.go
@@ -115,12 +115,7 @@
 	if err := n.do(ctx, func(now time.Time) { n.core.hear(now, a) }); err != nil {
 		return err
 	}
-	for {
-		err := n.syncOnce(ctx, 0)
-		if err == nil || !n.pause(ctx, n.opts.Timing.Retry) {
-			return err
-		}
-	}
+	return n.passOn(ctx)
 }
 
 // Leave takes an incarnation of an upstream out of service on its own word, and
@@ -157,12 +152,7 @@
 	if err := n.do(ctx, func(now time.Time) { n.core.drain(now) }); err != nil {
 		return err
 	}
-	for {
-		err := n.syncOnce(ctx, 0)
-		if err == nil || !n.pause(ctx, n.opts.Timing.Retry) {
-			return err
-		}
-	}
+	return n.passOn(ctx)
 }
 
 // do runs a task on the control goroutine and waits for its end.
--- a/control/options.go
+++ b/control/options.go
@@ -44,6 +44,7 @@
 	Search     time.Duration // timeout of asking all voters at once who leads
 	Stagger    time.Duration // after which an instance without settings asks one more voter
 	Look       time.Duration // pause of an instance without settings before it asks a silent voter again, and the first bound of a connection, doubled each time
+	Fresh      time.Duration // an upstream that was not heard for longer counts as silent, where the settings say nothing of it
 	Retry      time.Duration // pause after a failed sync
 	Touch      time.Duration // a voter whose last sync worked so long ago hears no leader; above Sync
 	Leave      time.Duration // timeout of telling the leader that this instance ends
@@ -69,6 +70,7 @@
 		Search:  500 * time.Millisecond,
 		Stagger: 100 * time.Millisecond,
 		Look:    25 * time.Millisecond, // a quarter of Retry; a connection within a region takes 1 to 2 ms
+		Fresh:   3 * time.Second,
 		Retry:   100 * time.Millisecond,
 		Touch:   1200 * time.Millisecond,
 		Leave:   time.Second,
--- a/control/search.go
+++ b/control/search.go
@@ -17,7 +17,7 @@
 	sentAt   time.Time
 	response *syncResponse
 	err      error
-	attached []attachedInstance // what the sync stated of attached instances
+	request  *syncRequest
 }
 
 // fruitless reports whether the answer names no leader and brings nothing.
@@ -151,7 +151,7 @@
 // middle instance had settings 0.21 s after the first voter was back when it looked for
 // voters every 0.6 s, and has them after 0.10 s.
 func (n *Node) searchOne(ctx context.Context, target string, request syncRequest, heard *atomic.Bool, answers chan<- searchAnswer) {
-	answer := searchAnswer{target: target, attached: request.Attached}
+	answer := searchAnswer{target: target, request: &request}
 	request.WaitMs = 0
 	for bound := n.opts.Timing.Look; ; bound *= 2 {
 		answer.sentAt = n.clock.Now()
--- a/control/syncclient.go
+++ b/control/syncclient.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return errors.CombineErrors(err, n.do(ctx, func(time.Time) { n.core.syncFailed(target, err) }))
 	}
-	return n.take(ctx, &searchAnswer{target: target, sentAt: sentAt, response: response, attached: request.Attached})
+	return n.take(ctx, &searchAnswer{target: target, sentAt: sentAt, response: response, request: &request})
 }
 
 // callSync reaches the leader, which may be this instance itself.
--- a/control/synctake.go
+++ b/control/synctake.go
@@ -55,7 +55,8 @@
 		c.lease.renew(sentAt, time.Duration(r.LeaseMs)*time.Millisecond)
 	}
 	if c.fanout != nil {
-		c.fanout.takeAttached(a.attached, r)
+		c.fanout.takeAttached(a.request.Attached, r)
+		c.fanout.leavesPassed = max(c.fanout.leavesPassed, a.request.leaves)
 	}
 	if r.LeaseMs == 0 && len(r.Text) == 0 && !c.attaches() {
 		// It takes itself for the leader but can't reach a majority: another voter
--- a/control/syncwire.go
+++ b/control/syncwire.go
@@ -27,7 +27,8 @@
 	Probe     bool                `json:"probe,omitempty"`    // only whether the voter hears a leader is asked; nothing else is set
 	Attached  []attachedInstance  `json:"attached,omitempty"` // of a voter: the instances attached to it
 
-	heard []byte // heard directly and not yet taken by the leader; travels beside the JSON
+	heard  []byte // heard directly and not yet taken by the leader; travels beside the JSON
+	leaves uint64 // of a voter: the upstreams that leave of which attached instances told, as far as heard contains them
 }
 
 // briefInstance is the part of an instance that may change while it runs.
@@ -76,4 +77,5 @@
 	SupersededAttached map[string]uint64 `json:"superseded_attached,omitempty"` // attached instances of which a higher incarnation is known
 
 	upstreams []byte // heard by the leader and not yet taken; travels beside the JSON
+	leaves    bool   // the sync may have told of an upstream that leaves, which the leader must have before this is sent
 }
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -113,6 +113,7 @@
 	timing.Consensus = consensus.Timing{Heartbeat: 100 * time.Millisecond, ElectionMin: 600 * time.Millisecond, Lease: 450 * time.Millisecond}
 	timing.Leave = 300 * time.Millisecond // with the drain it has to end before the process is killed
 	timing.Call = 900 * time.Millisecond
+	timing.Fresh = 5 * time.Second // an announcement passes an instance and two voters on its way to the others
 	return timing
 }
 
