Have one instance tell the loads of its zone to the others

Change: instances tell their loads within their zone only. One of each zone, the first in an order that all know of those that are heard, tells the other zones the sum, through one instance of each, with a pause that grows with the fleet. When another one begins to speak, its first full report takes the place of the former's, so that a zone is counted once. Dead instances no longer send on. Tests: TestZoneIsCountedOnce, TestZoneAlwaysHasOneSpeaker, TestDeadInstancesSendNothingOn (failed before: the dead one was chosen half of the time), TestSumKeepsCountsApart.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -18,9 +19,12 @@
 	mu      sync.Mutex
 	nodes   map[start]*node
 	swept   time.Time
-	began   time.Time // of this instance; silence before it says nothing
-	board   *loadshare.Board
-	news    chan struct{} // the loads have changed
+	mates   map[netip.AddrPort]time.Time // when instances of the own zone were heard last
+	began   time.Time                    // of this instance; silence before it says nothing
+	board   *loadshare.Board             // of the other instances of the own availability zone
+	zones   *loadshare.Zones             // of the other zones
+	news    chan struct{}                // the loads have changed
+	speech  chan struct{}                // the loads of the own zone have changed
 	random  *rand.Rand
 }
 
@@ -38,7 +42,10 @@
 		options: options,
 		nodes:   map[start]*node{},
 		board:   loadshare.NewBoard(),
+		zones:   loadshare.NewZones(loadshare.KeyOf(options.Process.AvailabilityZone)),
+		mates:   map[netip.AddrPort]time.Time{},
 		news:    make(chan struct{}, 1),
+		speech:  make(chan struct{}, 1),
 		random:  random,
 		began:   time.Now(),
 	}
@@ -133,8 +140,14 @@
 
 // changed has the others told of the loads.
 func (f *fleet) changed() {
+	wake(f.news)
+	wake(f.speech)
+}
+
+// wake tells whoever waits that there is news.
+func wake(news chan<- struct{}) {
 	select {
-	case f.news <- struct{}{}:
+	case news <- struct{}{}:
 	default:
 	}
 }
@@ -142,7 +155,7 @@
 // loadOf returns what all instances have under way at a node. The lock must be
 // held.
 func (f *fleet) loadOf(now time.Time, n *node) loadshare.Load {
-	load := n.own(now).Add(f.board.Load(now, n.key))
+	load := n.own(now).Add(f.board.Load(now, n.key)).Add(f.zones.Load(now, n.key))
 	kept := n.granted[:0]
 	for _, g := range n.granted {
 		if passed := now.Sub(g.at); passed < grantKept {
@@ -167,11 +180,29 @@
 	return loads
 }
 
-// heard takes in what another instance has under way.
-func (f *fleet) heard(now time.Time, r *loadshare.Report) {
+// heard takes in what another instance of the own zone, or another zone, has under way.
+func (f *fleet) heard(now time.Time, from netip.AddrPort, r *loadshare.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.Zone != 0 {
+		f.zones.Take(now, r)
+		return
+	}
+	f.mates[from] = now
+	if f.board.Take(now, r) && len(r.Loads) > 0 {
+		wake(f.speech)
+	}
+}
+
+// zoneLoads returns what all instances of the own zone have under way.
+func (f *fleet) zoneLoads(now time.Time) map[loadshare.Key]loadshare.Load {
+	total := f.ownLoads(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.board.Take(now, r)
+	for key, load := range f.board.Loads(now) {
+		total[key] = total[key].Add(load)
+	}
+	return total
 }
 
 // helperRefused notes that the node at an address did not help with a prompt. It
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -110,7 +110,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	since := now.Sub(n.report.polledAt)
-	if since < pollAgain || since < pollInterval && f.board.Load(now, n.key).Doubts == 0 {
+	if since < pollAgain || since < pollInterval && f.board.Load(now, n.key).Add(f.zones.Load(now, n.key)).Doubts == 0 {
 		return false
 	}
 	n.report.polledAt = now
--- a/forward/recipients.go
+++ b/forward/recipients.go
@@ -10,14 +10,15 @@
 )
 
 // recipients lists who gets a report directly: the other instances of the own
-// availability zone, and of each other zone one that sends it on. That one changes
+// availability zone, and, of a report of the whole zone, one of each other zone that
+// sends it on. That one changes
 // with each report, so that the loss of an instance costs its zone one report in as
 // many as it has instances.
 func recipients(instances []membership.Instance, self *settings.Process, sequence uint32) (mates, relays []netip.AddrPort) {
 	zones := map[string][]*membership.Instance{}
 	for i := range instances {
 		other := &instances[i]
-		if other.Address != "" && other.Name != self.Name {
+		if other.Address != "" && other.Name != self.Name && other.State != membership.Gone {
 			zones[other.AvailabilityZone] = append(zones[other.AvailabilityZone], other)
 		}
 	}
--- /dev/null
+++ b/forward/speaking_test.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"celeryport/membership"
+	"celeryport/settings"
+)
+
+func TestZoneAlwaysHasOneSpeaker(t *testing.T) {
+	// One instance tells the other zones what its zone has under way. If it dies and
+	// nobody speaks, they place long prompts on engines that are full; if two speak, each
+	// takes the place of the other.
+	var instances []membership.Instance
+	heard := map[netip.AddrPort]bool{}
+	address := func(n int) netip.AddrPort { return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7340", n+1)) }
+	for n := range 8 {
+		instances = append(instances, membership.Instance{
+			Name: fmt.Sprint("front-", n), Address: "a", AvailabilityZone: fmt.Sprint("z", n%2), ControlAddress: address(n).String(),
+		})
+		heard[address(n)] = true
+	}
+	instances = append(instances, membership.Instance{Name: "core", AvailabilityZone: "z0", ControlAddress: "10.0.0.99:7340"})
+	speakers := func() map[string]int {
+		found := map[string]int{}
+		for n := range 8 {
+			if one := instances[n]; heard[address(n)] {
+				found[speakerOf(instances, one.Name, one.AvailabilityZone, heard)]++
+			}
+		}
+		return found
+	}
+	first := speakers()
+	if len(first) != 2 {
+		t.Fatalf("of two zones %v speak", first)
+	}
+	for n := range 8 {
+		if first[instances[n].Name] > 0 {
+			delete(heard, address(n)) // it died, and control does not know yet
+		}
+	}
+	second := speakers()
+	if len(second) != 2 {
+		t.Fatalf("after the speakers died %v speak", second)
+	}
+	for name := range second {
+		if first[name] > 0 {
+			t.Errorf("%s is dead, and is taken for the speaker", name)
+		}
+	}
+}
+
+func TestDeadInstancesSendNothingOn(t *testing.T) {
+	// Control knows that an instance is gone. A report that it should send on is lost for
+	// a whole zone.
+	instances := []membership.Instance{
+		{Name: "gone", Address: "a", State: membership.Gone, AvailabilityZone: "z1", ControlAddress: "10.0.0.1:7340"},
+		{Name: "live", Address: "a", AvailabilityZone: "z1", ControlAddress: "10.0.0.2:7340"},
+	}
+	for sequence := range uint32(4) {
+		_, relays := recipients(instances, &settings.Process{Name: "front", AvailabilityZone: "z0"}, sequence)
+		if len(relays) != 1 || relays[0].String() != "10.0.0.2:7340" {
+			t.Fatalf("%v send on", relays)
+		}
+	}
+}
--- a/forward/telling.go
+++ b/forward/telling.go
@@ -25,6 +25,7 @@
 	s.arbitration.mu.Unlock()
 	go s.hear(conn)
 	go s.arbitrate(ctx)
+	go s.speakForZone(ctx, conn)
 	defer func() { _ = conn.Close() }() // ends hear
 	view := s.options.Plane.View()
 	teller := loadshare.NewTeller(loadshare.KeyOf(fmt.Sprintf("%s/%d", s.options.Process.Name, view.Incarnation)))
@@ -59,15 +60,11 @@
 	}
 }
 
-// tell sends a report to all other instances that take calls: to those of the own
-// availability zone itself, and to one of each other zone, which sends it on there.
-// Sent to each by itself, reports were about half of the bytes between zones (0.142
-// GB in a minute of 65 instances, 0.075 so). A failed send is made good by the next full report.
+// tell sends a report to the other instances of the own availability zone that take
+// calls. A failed send is made good by the next full report.
 func (s *Server) tell(conn net.PacketConn, report *loadshare.Report) {
-	content := report.Encode()
-	mates, relays := recipients(s.options.Plane.View().Instances, s.options.Process, report.Sequence)
-	s.sendTo(conn, mates, datagram.Loads, content)
-	s.sendTo(conn, relays, datagram.LoadsToRelay, content)
+	mates, _ := recipients(s.options.Plane.View().Instances, s.options.Process, report.Sequence)
+	s.sendTo(conn, mates, datagram.Loads, report.Encode())
 }
 
 // relay sends a report of another zone on within the own one.
@@ -114,7 +111,7 @@
 		if err != nil {
 			return err
 		}
-		s.fleet.heard(time.Now(), report)
+		s.fleet.heard(time.Now(), addressOf(from), report)
 		if kind == datagram.LoadsToRelay {
 			s.relay(content)
 		}
--- a/loadshare/board.go
+++ b/loadshare/board.go
@@ -94,6 +94,25 @@
 	}
 }
 
+// Remove drops what a sender told.
+func (b *Board) Remove(id Key) {
+	if s := b.senders[id]; s != nil {
+		b.clear(id, s)
+		delete(b.senders, id)
+	}
+}
+
+// Loads returns what the others have under way at all upstreams.
+func (b *Board) Loads(now time.Time) map[Key]Load {
+	loads := make(map[Key]Load, len(b.loads))
+	for key := range b.loads {
+		if load := b.Load(now, key); load != (Load{}) {
+			loads[key] = load
+		}
+	}
+	return loads
+}
+
 // Load returns what the others have under way at an upstream. It looks only at those
 // that have: a call is placed by the loads of all upstreams, and with hundreds of
 // instances each of them has work at a few.
--- a/loadshare/report.go
+++ b/loadshare/report.go
@@ -19,16 +19,17 @@
 // Report is one datagram.
 type Report struct {
 	Sender   Key    // name and incarnation of the instance
+	Zone     Key    // the availability zone whose loads it sums up; 0: the sender tells only its own
 	Sequence uint32 // grows with each report of the sender
 	Full     bool   // upstreams that it leaves out have no load from the sender
 	Loads    map[Key]Load
 }
 
 const (
-	headBytes = 8 + 4 + 1
+	headBytes = 8 + 8 + 4 + 1
 	loadBytes = 8 + 7*1 + 2*2
-	// failingUnit puts two counts into one byte; an instance alone counts one of each at
-	// most.
+	// failingUnit puts two counts into one byte. More than its half-bytes hold are told
+	// as that many; two are enough to avoid an upstream.
 	failingUnit = 16
 	// heldUnit is the step in which held tokens are told.
 	heldUnit = 1024
@@ -40,14 +41,15 @@
 func (r *Report) Encode() []byte {
 	data := make([]byte, headBytes, headBytes+loadBytes*len(r.Loads))
 	binary.LittleEndian.PutUint64(data, uint64(r.Sender))
-	binary.LittleEndian.PutUint32(data[8:], r.Sequence)
+	binary.LittleEndian.PutUint64(data[8:], uint64(r.Zone))
+	binary.LittleEndian.PutUint32(data[16:], r.Sequence)
 	if r.Full {
-		data[12] = 1
+		data[20] = 1
 	}
 	for key, load := range r.Loads {
 		data = binary.LittleEndian.AppendUint64(data, uint64(key))
 		data = append(data, clamp8(load.Streams), clamp8(load.Tight), clamp8(load.Leading), clamp8(load.Helping),
-			clamp8(load.Doubts+load.Failing*failingUnit), clamp8(load.Pace), clamp8(load.Late))
+			clamp4(load.Doubts)+clamp4(load.Failing)*failingUnit, clamp8(load.Pace), clamp8(load.Late))
 		data = binary.LittleEndian.AppendUint16(data, clamp16(load.Reading.Milliseconds()))
 		data = binary.LittleEndian.AppendUint16(data, clamp16(int64((load.Held+heldUnit-1)/heldUnit)))
 	}
@@ -61,8 +63,9 @@
 	}
 	r := &Report{
 		Sender:   Key(binary.LittleEndian.Uint64(body)),
-		Sequence: binary.LittleEndian.Uint32(body[8:]),
-		Full:     body[12] == 1,
+		Zone:     Key(binary.LittleEndian.Uint64(body[8:])),
+		Sequence: binary.LittleEndian.Uint32(body[16:]),
+		Full:     body[20] == 1,
 		Loads:    make(map[Key]Load, (len(body)-headBytes)/loadBytes),
 	}
 	for rest := body[headBytes:]; len(rest) > 0; rest = rest[loadBytes:] {
@@ -82,6 +85,8 @@
 	return r, nil
 }
 
+func clamp4(n int) byte { return byte(min(max(n, 0), failingUnit-1)) }
+
 func clamp8(n int) byte { return byte(min(max(n, 0), math.MaxUint8)) }
 
 func clamp16(n int64) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
--- a/loadshare/teller.go
+++ b/loadshare/teller.go
@@ -14,6 +14,9 @@
 // NewTeller returns the teller of one incarnation of an instance.
 func NewTeller(id Key) *Teller { return &Teller{id: id, told: map[Key]told{}} }
 
+// Restart has the next report tell all loads, to those that may not know the last ones.
+func (t *Teller) Restart() { t.fullAt = time.Time{} }
+
 // Next returns the report that is due, given the present loads, or nil.
 func (t *Teller) Next(now time.Time, loads map[Key]Load) *Report {
 	full := now.Sub(t.fullAt) >= FullInterval
--- /dev/null
+++ b/loadshare/zones_test.go
@@ -0,0 +1,61 @@
+package loadshare
+
+import "testing"
+
+func TestZoneIsCountedOnce(t *testing.T) {
+	// The instance that speaks for a zone dies, or is believed dead, and another one
+	// speaks. If both counted, the engines would look twice as loaded as they are, and
+	// prompts would be turned away beside idle engines.
+	zones := NewZones(KeyOf("own"))
+	zone, engine := KeyOf("other"), KeyOf("engine")
+	report := func(sender Key, sequence uint32, full bool, streams int) *Report {
+		return &Report{Sender: sender, Zone: zone, Sequence: sequence, Full: full, Loads: map[Key]Load{engine: {Streams: streams}}}
+	}
+	steps := []struct {
+		name   string
+		report *Report
+		want   int
+	}{
+		{"the first speaker", report(1, 1, true, 3), 3},
+		{"its next word", report(1, 2, false, 4), 4},
+		{"another one, not whole yet", report(2, 1, false, 9), 4},
+		{"another one, whole", report(2, 2, true, 5), 5},
+		{"the former one, late", report(1, 3, false, 4), 5},
+	}
+	for _, step := range steps {
+		zones.Take(start, step.report)
+		if got := zones.Load(start, engine).Streams; got != step.want {
+			t.Errorf("after %s there are %d streams, want %d", step.name, got, step.want)
+		}
+	}
+}
+
+func TestOwnZoneIsNotCountedAgain(t *testing.T) {
+	zones := NewZones(KeyOf("own"))
+	if zones.Take(start, &Report{Sender: 1, Zone: KeyOf("own"), Sequence: 1, Full: true, Loads: map[Key]Load{5: {Streams: 1}}}) {
+		t.Error("the own zone was taken in from its speaker")
+	}
+}
+
+func TestSumKeepsCountsApart(t *testing.T) {
+	// Of a whole zone, twenty instances doubt an engine. If the count ran over into that
+	// of its failures, an engine that answers would be passed over.
+	report := Report{Sender: 1, Zone: 2, Loads: map[Key]Load{5: {Doubts: 20, Failing: 1}}}
+	got, err := Decode(report.Encode())
+	if err != nil || got.Zone != 2 {
+		t.Fatal(got, err)
+	}
+	if load := got.Loads[5]; load.Doubts != failingUnit-1 || load.Failing != 1 {
+		t.Errorf("20 doubts and one failure arrive as %+v", load)
+	}
+}
+
+func TestSpeakerThatStartsTellsAll(t *testing.T) {
+	teller := NewTeller(1)
+	loads := map[Key]Load{5: {Streams: 1}}
+	teller.Next(start, loads)
+	teller.Restart()
+	if r := teller.Next(start, loads); r == nil || !r.Full || len(r.Loads) != 1 {
+		t.Errorf("after a pause it tells %+v", r)
+	}
+}
