Encode the whole fleet once for all instances that start

Change: a relay sender keeps the encoded table until the next batch, with its age, and the list of all instances is encoded once for each revision.

--- a/control/attached_test.go
+++ b/control/attached_test.go
@@ -196,8 +196,8 @@
 	}
 	c.fanout.step(now.Add(time.Second))
 	for _, reply := range waiting {
-		if r := <-reply; len(r.Members) != fleetSize {
-			t.Fatalf("an answer that was due names %d instances, want %d", len(r.Members), fleetSize)
+		if r := <-reply; len(r.Members.list) != fleetSize {
+			t.Fatalf("an answer that was due names %d instances, want %d", len(r.Members.list), fleetSize)
 		}
 	}
 }
--- a/control/fanout.go
+++ b/control/fanout.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -23,6 +24,8 @@
 	core    *core
 	epoch   string
 	roster  *attachment.Roster
+	all     memberDelta // all instances, as of allAt
+	allAt   uint64      // revision of the list of instances; 0: not encoded yet
 	polls   []poll
 	out     outbox           // what is known of upstreams
 	inboxes map[string]inbox // of what attached instances heard, by name
@@ -159,7 +162,7 @@
 		Leader:    f.core.self.ControlAddress,
 		Epoch:     f.epoch,
 		Revision:  revision,
-		Members:   f.core.members.changed(members),
+		Members:   f.membersSince(members),
 		MembersAt: f.core.members.revision,
 		Settled:   f.core.members.settled,
 		HeardUpTo: p.heardUpTo,
@@ -184,6 +187,23 @@
 	return response
 }
 
+// membersSince returns the instances that changed after a revision of the list.
+func (f *fanout) membersSince(revision uint64) memberDelta {
+	members := &f.core.members
+	if revision > 0 {
+		return memberDelta{list: members.changed(revision)}
+	}
+	if f.allAt != members.revision {
+		list := members.changed(0)
+		encoded, err := json.Marshal(list)
+		if err != nil {
+			encoded = nil // plain data: cannot fail; encoded with the answer otherwise
+		}
+		f.all, f.allAt = memberDelta{list: list, encoded: encoded}, members.revision
+	}
+	return f.all
+}
+
 // spread makes a batch of what changed of upstreams when one is due, at once when an
 // upstream leaves.
 func (f *fanout) spread(now time.Time) {
--- a/control/leader.go
+++ b/control/leader.go
@@ -160,7 +160,7 @@
 		Leader:    l.core.self.ControlAddress,
 		Epoch:     l.epoch,
 		Revision:  group.machine.Current().Number,
-		Members:   l.table.Changed(members),
+		Members:   memberDelta{list: l.table.Changed(members)},
 		MembersAt: l.table.Revision(),
 		Settled:   l.table.Settled(now),
 		HeardUpTo: p.heardUpTo,
--- a/control/provisional_test.go
+++ b/control/provisional_test.go
@@ -111,7 +111,7 @@
 }
 
 // newTestCore returns the core of a node that does not run.
-func newTestCore(t *testing.T) *core {
+func newTestCore(t testing.TB) *core {
 	t.Helper()
 	node, err := New(Options{
 		Process: &settings.Process{Name: "i", Listen: "127.0.0.1:1", ControlListen: "127.0.0.1:2"},
--- a/control/relay/sender.go
+++ b/control/relay/sender.go
@@ -25,6 +25,7 @@
 	refs    uint32
 	number  uint64
 	batches []batch // newest last
+	whole   batch   // the whole table as of a batch; nothing encoded: not asked for since
 }
 
 // sent is an upstream as of the last batch.
@@ -104,8 +105,24 @@
 	return &rpc.SentBatch{AgeMs: unitsOf(now.Sub(b.at), time.Millisecond), Number: b.number, Batch: b.encoded}
 }
 
-// full encodes the whole table as of the last batch.
+// full encodes the whole table as of the last batch. When a fleet starts, all its
+// instances ask for it within a moment, and a table of hundreds takes milliseconds: it
+// is encoded once for those that ask between two batches.
 func (s *Sender) full(now time.Time) ([]byte, error) {
+	if s.whole.number != s.number || len(s.whole.encoded) == 0 {
+		encoded, err := s.encodeTable(now)
+		if err != nil {
+			return nil, err
+		}
+		s.whole = batch{number: s.number, at: now, encoded: encoded}
+	}
+	delta := rpc.UpstreamDelta{Position: s.number, Full: true, Batches: []*rpc.SentBatch{sentBatch(now, s.whole)}}
+	encoded, err := proto.Marshal(&delta)
+	return encoded, errors.Wrap(err, "encode upstreams")
+}
+
+// encodeTable encodes all upstreams as a batch.
+func (s *Sender) encodeTable(now time.Time) ([]byte, error) {
 	var b rpc.UpstreamBatch
 	for _, u := range s.sorted() {
 		if err := appendNew(&b, u.ref, &u.announcement, now.Sub(u.heardAt)); err != nil {
@@ -113,13 +130,6 @@
 		}
 	}
 	encoded, err := proto.Marshal(&b)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode upstreams")
-	}
-	delta := rpc.UpstreamDelta{Position: s.number, Full: true, Batches: []*rpc.SentBatch{
-		{Number: s.number, Batch: encoded},
-	}}
-	encoded, err = proto.Marshal(&delta)
 	return encoded, errors.Wrap(err, "encode upstreams")
 }
 
--- a/control/synctake.go
+++ b/control/synctake.go
@@ -118,7 +118,7 @@
 func (c *core) takeDeltas(now, sentAt time.Time, r *syncResponse) {
 	c.position.members = max(c.position.members, r.MembersAt)
 	c.position.heardUpTo = r.HeardUpTo
-	c.members.merge(now, r.Members)
+	c.members.merge(now, r.Members.list)
 	if r.Settled {
 		c.members.settle(now)
 	}
--- a/control/syncwire.go
+++ b/control/syncwire.go
@@ -52,27 +52,27 @@
 
 // syncResponse answers a syncRequest.
 type syncResponse struct {
-	Leader      string                `json:"leader,omitempty"`   // control address of the leader, if known
-	Redirect    bool                  `json:"redirect,omitempty"` // this voter does not lead; nothing else is set
-	Restate     bool                  `json:"restate,omitempty"`  // the brief instance is not known here: state it whole
-	Superseded  uint64                `json:"superseded,omitempty"`
-	Epoch       string                `json:"epoch,omitempty"`
-	LeaseMs     int64                 `json:"lease_ms,omitempty"` // 0: no lease
-	Revision    uint64                `json:"revision,omitempty"`
-	Text        []byte                `json:"text,omitempty"` // when the instance has an older revision
-	Members     []membership.Instance `json:"member_delta,omitempty"`
-	Settled     bool                  `json:"settled,omitempty"` // the leader knows every instance that lives
-	MembersAt   uint64                `json:"members_at,omitempty"`
-	HeldMs      int64                 `json:"held_ms,omitempty"`     // how long the leader held the sync
-	HeardUpTo   uint64                `json:"heard_up_to,omitempty"` // last batch of this instance that the leader took
-	Grants      []quota.Grant         `json:"grants,omitempty"`
-	GrantsAt    uint64                `json:"grants_at,omitempty"`
-	Voters      []consensus.Member    `json:"voters,omitempty"`
-	Provisional *provisional          `json:"provisional,omitempty"` // of one that does not lead, for a bare instance
-	Claims      claim.Epoch           `json:"claims,omitzero"`       // who votes on claims, when that is news
-	Detached    bool                  `json:"detached,omitempty"`    // the voter that answers an attached instance hears no leader
-	Taken       bool                  `json:"taken,omitempty"`       // a leader has taken the attached instance in
-	Unknown     []string              `json:"unknown,omitempty"`     // attached instances that must be stated whole
+	Leader      string             `json:"leader,omitempty"`   // control address of the leader, if known
+	Redirect    bool               `json:"redirect,omitempty"` // this voter does not lead; nothing else is set
+	Restate     bool               `json:"restate,omitempty"`  // the brief instance is not known here: state it whole
+	Superseded  uint64             `json:"superseded,omitempty"`
+	Epoch       string             `json:"epoch,omitempty"`
+	LeaseMs     int64              `json:"lease_ms,omitempty"` // 0: no lease
+	Revision    uint64             `json:"revision,omitempty"`
+	Text        []byte             `json:"text,omitempty"` // when the instance has an older revision
+	Members     memberDelta        `json:"member_delta,omitzero"`
+	Settled     bool               `json:"settled,omitempty"` // the leader knows every instance that lives
+	MembersAt   uint64             `json:"members_at,omitempty"`
+	HeldMs      int64              `json:"held_ms,omitempty"`     // how long the leader held the sync
+	HeardUpTo   uint64             `json:"heard_up_to,omitempty"` // last batch of this instance that the leader took
+	Grants      []quota.Grant      `json:"grants,omitempty"`
+	GrantsAt    uint64             `json:"grants_at,omitempty"`
+	Voters      []consensus.Member `json:"voters,omitempty"`
+	Provisional *provisional       `json:"provisional,omitempty"` // of one that does not lead, for a bare instance
+	Claims      claim.Epoch        `json:"claims,omitzero"`       // who votes on claims, when that is news
+	Detached    bool               `json:"detached,omitempty"`    // the voter that answers an attached instance hears no leader
+	Taken       bool               `json:"taken,omitempty"`       // a leader has taken the attached instance in
+	Unknown     []string           `json:"unknown,omitempty"`     // attached instances that must be stated whole
 
 	SupersededAttached map[string]uint64 `json:"superseded_attached,omitempty"` // attached instances of which a higher incarnation is known
 
