Ask the arbiter again when it names an engine that may not be used

Logs: two instances placed prompts of 511,000 and 493,000 tokens by themselves within 30 ms, on the same new engine, at the moment at which eight engines left. They knew of the leaving 50 ms before the arbiter, whose answer they could not use, and then placed alone. Engines heard of each leaving within 0.07 s at the median and 0.24 s at most, so that was not it; nor were the engines in question slow, dead or short of slots.

Change: the instance asks again without the engines in question, three times. What the arbiter gave away counts for longer in a larger fleet, until it is told. Instances that are gone are no arbiters.

Test, failing before: TestArbiterIsAskedAgainWhenAnEngineMayNotBeUsed.

--- a/forward/arbitration.go
+++ b/forward/arbitration.go
@@ -39,8 +39,16 @@
 	// grantKept is how long what was given away is counted here, until the one who
 	// asked tells of it: the pause before a report and the way, three times over.
 	grantKept = 50 * time.Millisecond
+	// grantKeptEach is what each instance of the fleet adds to it: the pause of the one
+	// who tells it to the other zones, as many times over.
+	grantKeptEach = 3 * speakPauseEach
 )
 
+// grantsKept is how long what was given away is counted in a fleet of so many instances.
+func grantsKept(instances int) time.Duration {
+	return grantKept + time.Duration(instances)*grantKeptEach
+}
+
 func newArbitration() *arbitration {
 	return &arbitration{
 		queue:      arbiter.NewQueue(),
--- a/forward/arbitration_ask.go
+++ b/forward/arbitration_ask.go
@@ -15,7 +15,7 @@
 )
 
 // arbiterOf returns the instance that decides for the long prompts of a service:
-// the one with the highest hash of both names that has not failed to answer. All
+// the one with the highest hash of both names that lives and has not failed to answer. All
 // instances agree on it without a word. It is nil when there is none.
 func (s *Server) arbiterOf(now time.Time, service string) *membership.Instance {
 	view := s.options.Plane.View()
@@ -24,7 +24,7 @@
 	var most uint64
 	for i := range view.Instances {
 		candidate := &view.Instances[i]
-		if candidate.Address == "" || now.Before(s.arbitration.distrusted[candidate.Name]) {
+		if candidate.Address == "" || candidate.State == membership.Gone || now.Before(s.arbitration.distrusted[candidate.Name]) {
 			continue
 		}
 		if weight := weightFor(candidate.Name, key); best == nil || weight > most {
--- a/forward/arbitration_test.go
+++ b/forward/arbitration_test.go
@@ -167,11 +167,11 @@
 		"helper": {Home: staying.key, Helpers: []loadshare.Key{leaving.key}},
 		"memory": {Home: staying.key, Reserved: []arbiter.Reserved{{Engine: leaving.key, Tokens: 1}}},
 	} {
-		if _, usable := x.workFor(answer); usable {
+		if _, unusable := x.workFor(answer); !slices.Contains(unusable, leaving.key) || slices.Contains(unusable, staying.key) {
 			t.Errorf("the leaving engine is used as %s", name)
 		}
 	}
-	if _, usable := x.workFor(&arbiter.Answer{Home: staying.key}); !usable {
+	if _, unusable := x.workFor(&arbiter.Answer{Home: staying.key}); len(unusable) > 0 {
 		t.Error("an engine that stays is not used")
 	}
 }
--- a/forward/arbitration_world.go
+++ b/forward/arbitration_world.go
@@ -44,7 +44,8 @@
 
 // Granted implements arbiter.World.
 func (w *arbiterWorld) Granted(ask *arbiter.Ask, answer *arbiter.Answer) {
-	profile := engineProfile(w.server.options.Plane.View().Tree, ask.Service)
+	view := w.server.options.Plane.View()
+	profile := engineProfile(view.Tree, ask.Service)
 	if profile == nil {
 		return // the service was removed since the place was given
 	}
@@ -55,7 +56,7 @@
 	for _, n := range f.nodes {
 		if load, given := loads[n.key]; given {
 			load.Reading += f.loadOf(w.now, n).Reading
-			n.granted = append(n.granted, grant{load: load, at: w.now})
+			n.granted = append(n.granted, grant{load: load, at: w.now, kept: grantsKept(len(view.Instances))})
 		}
 	}
 }
@@ -64,4 +65,5 @@
 type grant struct {
 	load loadshare.Load
 	at   time.Time
+	kept time.Duration // from then on
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -30,6 +30,8 @@
 	sends        int             // that may have reached an upstream
 	ended        int             // of these, sends to incarnations that had ended
 	tried        []loadshare.Key // upstreams that failed the call
+	unusable     []loadshare.Key // that the arbiter named last and that may not be used
+	barred       []loadshare.Key // all of these
 	firstAt      time.Time
 	lastEvent    int64 // that the caller has
 	hasEvent     bool
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -158,7 +158,7 @@
 	load := n.own(now).Add(f.board.Load(now, n.key)).Add(f.zones.Load(now, n.key))
 	kept := n.granted[:0]
 	for _, g := range n.granted {
-		if passed := now.Sub(g.at); passed < grantKept {
+		if passed := now.Sub(g.at); passed < g.kept {
 			kept = append(kept, g)
 			load = load.Add(g.load.After(passed))
 		}
--- a/forward/place.go
+++ b/forward/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"celeryport/arbiter"
+	"celeryport/loadshare"
 	"celeryport/placement"
 	"celeryport/verdict"
 )
@@ -34,10 +35,31 @@
 	return x.service.Engine != nil && placement.Long(x.service.Engine, x.call.PromptTokens)
 }
 
+// asksAnew is how often the arbiter is asked again when it names engines that may not be
+// used as far as is known here.
+const asksAnew = 3
+
 // placeLong asks the instance that decides for the long prompts of all. The last
-// return is false when it can't be reached, or sees engines that are not known here
-// yet.
+// return is false when it can't be reached.
+//
+// While engines are replaced, what the arbiter and this instance know of them differs
+// for some tenths of a second. Then it is asked again without the engines in question:
+// an instance that places long prompts by itself meanwhile gives parts to engines that
+// the arbiter gives away too, and whoever comes second there is seconds late.
 func (x *exchange) placeLong(ctx context.Context) (*work, error, bool) {
+	for range asksAnew {
+		w, err, decided := x.askForPlace(ctx)
+		if decided || len(x.unusable) == 0 {
+			return w, err, decided
+		}
+	}
+	return nil, nil, false
+}
+
+// askForPlace asks the arbiter once. The last return is false when it can't be reached or
+// names engines that may not be used, which are noted.
+func (x *exchange) askForPlace(ctx context.Context) (*work, error, bool) {
+	x.unusable = nil
 	answer, heard := x.server.askArbiter(ctx, x.service.Name, x.newAsk)
 	if !heard {
 		return nil, nil, false
@@ -52,8 +74,9 @@
 	f := x.server.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w, known := x.workFor(answer)
-	if !known {
+	w, unusable := x.workFor(answer)
+	if len(unusable) > 0 {
+		x.unusable, x.barred = unusable, append(x.barred, unusable...)
 		return nil, nil, false
 	}
 	f.begin(time.Now(), w)
@@ -73,29 +96,33 @@
 		Left:      x.deadline.Sub(now),
 		Waited:    now.Sub(x.began),
 		PromptID:  x.call.PromptID,
-		Tried:     slices.Clone(x.tried),
+		Tried:     slices.Concat(x.tried, x.barred),
 	}
 	return ask
 }
 
-// workFor returns the work that the arbiter's answer stands for, false if it names
-// an engine that may not be used as far as is known here: the arbiter may have missed
-// what this instance knows, and an engine that leaves was promised to get nothing
-// more. The lock of the fleet must be held.
-func (x *exchange) workFor(answer *arbiter.Answer) (*work, bool) {
+// workFor returns the work that the arbiter's answer stands for, and the engines in it
+// that may not be used as far as is known here: the arbiter may have missed what this
+// instance knows, and an engine that leaves was promised to get nothing more. The lock
+// of the fleet must be held.
+func (x *exchange) workFor(answer *arbiter.Answer) (*work, []loadshare.Key) {
 	nodes := x.server.fleet.inUse(x.server.options.Plane.View().Upstreams, x.service.Name)
-	w := x.newWork(nodes[answer.Home], answer.Part)
-	known := w.home != nil
+	var unusable []loadshare.Key
+	find := func(key loadshare.Key) *node {
+		if nodes[key] == nil {
+			unusable = append(unusable, key)
+		}
+		return nodes[key]
+	}
+	w := x.newWork(find(answer.Home), answer.Part)
 	for _, key := range answer.Helpers {
-		w.helpers = append(w.helpers, nodes[key])
-		known = known && nodes[key] != nil
+		w.helpers = append(w.helpers, find(key))
 	}
 	for _, r := range answer.Reserved {
-		x.reserve(w, nodes[r.Engine], r.Tokens)
-		known = known && nodes[r.Engine] != nil
+		x.reserve(w, find(r.Engine), r.Tokens)
 	}
 	x.tries++
-	return w, known
+	return w, unusable
 }
 
 // newWork returns a send to a node, which counts as reading for the time of its part,
--- /dev/null
+++ b/forward/skew_test.go
@@ -0,0 +1,72 @@
+package forward
+
+import (
+	"net"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"celeryport/arbiter"
+	"celeryport/datagram"
+	"celeryport/loadshare"
+	"celeryport/settings"
+	"celeryport/upstream"
+)
+
+// arbiterStandIn answers asks like an arbiter that has not heard yet that an engine
+// leaves: it gives that one away until an ask bars it.
+type arbiterStandIn struct {
+	net.PacketConn
+	server           *Server
+	leaving, staying loadshare.Key
+	asks             int
+}
+
+func (a *arbiterStandIn) WriteTo(data []byte, _ net.Addr) (int, error) {
+	kind, content, err := datagram.Open("key", data)
+	if err != nil || kind != datagram.Ask {
+		return len(data), err
+	}
+	ask, err := arbiter.DecodeAsk(content)
+	if err != nil {
+		return 0, err
+	}
+	a.asks++
+	answer := &arbiter.Answer{ID: ask.ID, Decision: arbiter.Placed, Home: a.leaving, Part: time.Second}
+	if slices.Contains(ask.Tried, a.leaving) {
+		answer.Home = a.staying
+	}
+	go a.server.takeAnswer(answer)
+	return len(data), nil
+}
+
+func TestArbiterIsAskedAgainWhenAnEngineMayNotBeUsed(t *testing.T) {
+	// Engines are replaced, and the arbiter hears a moment later than this instance that
+	// one leaves. If the instance then placed its long prompts by itself, it would give
+	// parts to engines that the arbiter gives to others: their callers waited four seconds
+	// for a first event that was promised after a third of a second.
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, "front-1", "arbiter")
+		view := *s.options.Plane.View()
+		upstreams := slices.Clone(view.Upstreams.Upstreams)
+		upstreams[0].Announcement.Leaving = true
+		view.Upstreams = upstream.NewSnapshot(2, time.Now(), upstreams)
+		s.options.Plane = fixedPlane{view: &view}
+		s.fleet.mu.Lock()
+		standIn := &arbiterStandIn{server: s, leaving: s.fleet.node(&upstreams[0]).key, staying: s.fleet.node(&upstreams[1]).key}
+		s.fleet.mu.Unlock()
+		s.arbitration.conn = standIn
+		x := &exchange{
+			server: s, call: &Call{ID: "call", PromptTokens: 180_000}, route: &settings.Route{Objective: 4 * time.Second},
+			service: &view.Tree.Forwarding.Services[0], deadline: time.Now().Add(15 * time.Second),
+		}
+		w, err, decided := x.placeLong(t.Context())
+		if err != nil || !decided {
+			t.Fatalf("the arbiter did not decide: %v", err)
+		}
+		if w.home.key != standIn.staying || standIn.asks != 2 {
+			t.Errorf("after %d asks the call goes to %s", standIn.asks, w.home.name)
+		}
+	})
+}
