Pack the whole fleet for instances that start

Change: the list of all instances and the table of all upstreams travel compressed, like settings texts.

Test: TestInstancesSurviveTheWire.

--- a/control/attached_test.go
+++ b/control/attached_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"net"
@@ -303,3 +304,30 @@
 	}
 	f.await("the others know", func() bool { return other.sees(a.Name, upstream.Leaving, 0) })
 }
+
+func TestInstancesSurviveTheWire(t *testing.T) {
+	// A list that goes to many is packed. One that can't be read must be refused whole: an
+	// instance that took a part of it for all would hand out no others.
+	list := []membership.Instance{{Name: "a", Incarnation: 3, Address: "10.0.0.1:1"}, {Name: "b", State: membership.Draining}}
+	packed, err := packMembers(list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, delta := range map[string]memberDelta{"packed": packed, "plain": {list: list}} {
+		data, err := json.Marshal(delta)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got memberDelta
+		if err := json.Unmarshal(data, &got); err != nil || !slices.Equal(got.list, list) {
+			t.Errorf("%s: %v, %v", name, got.list, err)
+		}
+		var cut memberDelta
+		if err := cut.UnmarshalJSON(data[:len(data)/2]); err == nil {
+			t.Errorf("%s: half of it was taken: %v", name, cut.list)
+		}
+	}
+	if err := new(memberDelta).UnmarshalJSON([]byte(`"KLUv/QAAAAAAAAAA"`)); err == nil {
+		t.Error("a damaged list was taken")
+	}
+}
--- a/control/events.go
+++ b/control/events.go
@@ -61,6 +61,8 @@
 		"Something announced an upstream that can't be used: fields are missing or make no sense, or the settings don't name its service. One line a second at most. Find out who writes it. Fields: upstream, error, refused (in all).")
 	eventVoterDetached = event.Define(3031, logrus.WarnLevel, "the voter hears no leader",
 		"The voter that this instance syncs with can't reach a leader. The instance goes on with what it knows and looks for another voter. Fields: voter, revision.")
+	eventPackFailed = event.Define(3032, logrus.ErrorLevel, "instances not packed",
+		"The list of instances could not be compressed, a fault of the program. It is sent as it is, which takes voters longer when a fleet starts; report it. Fields: error.")
 	eventRelayFailed = event.Define(3021, logrus.ErrorLevel, "upstreams not relayed",
 		"What was heard of upstreams could not be encoded for other instances, a fault of the program. They lose sight of the upstreams; report it.")
 	eventServeFailed = event.Define(3020, logrus.ErrorLevel, "control address failed",
--- a/control/fanout.go
+++ b/control/fanout.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -195,11 +194,12 @@
 	}
 	if f.allAt != members.revision {
 		list := members.changed(0)
-		encoded, err := json.Marshal(list)
+		all, err := packMembers(list)
 		if err != nil {
-			encoded = nil // plain data: cannot fail; encoded with the answer otherwise
+			eventPackFailed.Log(f.core.log, event.Fields{"error": err})
+			return memberDelta{list: list}
 		}
-		f.all, f.allAt = memberDelta{list: list, encoded: encoded}, members.revision
+		f.all, f.allAt = all, members.revision
 	}
 	return f.all
 }
--- a/control/relay/receiver.go
+++ b/control/relay/receiver.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"celeryport/pack"
 	"celeryport/rpc"
 	"celeryport/upstream"
 )
@@ -63,8 +64,12 @@
 	if !full && sent.Number != r.position+1 {
 		return nil, ErrGap
 	}
+	content, err := pack.Unpack(sent.Batch) // a whole table is packed, a batch is not
+	if err != nil {
+		return nil, err
+	}
 	var b rpc.UpstreamBatch
-	if err := proto.Unmarshal(sent.Batch, &b); err != nil {
+	if err := proto.Unmarshal(content, &b); err != nil {
 		return nil, errors.Wrap(err, "decode a batch of upstreams")
 	}
 	if err := checkColumns(&b); err != nil {
--- a/control/relay/sender.go
+++ b/control/relay/sender.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"celeryport/pack"
 	"celeryport/rpc"
 	"celeryport/upstream"
 )
@@ -121,7 +122,7 @@
 	return encoded, errors.Wrap(err, "encode upstreams")
 }
 
-// encodeTable encodes all upstreams as a batch.
+// encodeTable encodes all upstreams as a packed batch.
 func (s *Sender) encodeTable(now time.Time) ([]byte, error) {
 	var b rpc.UpstreamBatch
 	for _, u := range s.sorted() {
@@ -130,7 +131,10 @@
 		}
 	}
 	encoded, err := proto.Marshal(&b)
-	return encoded, errors.Wrap(err, "encode upstreams")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode upstreams")
+	}
+	return pack.Text(encoded)
 }
 
 func (s *Sender) sorted() []*sent {
