--- a/control/attached_test.go
+++ b/control/attached_test.go
@@ -279,10 +279,9 @@
 	leader := f.leader()
 	var cutOff, attached, other *testNode
 	for n, m := range f.members[:3] {
-		switch {
-		case m == leader:
+		if m == leader {
 			other = f.members[3+n]
-		default:
+		} else {
 			cutOff, attached = m, f.members[3+n]
 		}
 	}
