--- a/control/parsed.go
+++ b/control/parsed.go
@@ -10,7 +10,7 @@
 
 // parsedText parses settings texts, packed or not, and keeps the newest result: a
 // leader checks a text before it is accepted and installs it right after, and
-// reading one of 1,600 routes takes an instance of 0.12 cores 0.15 s each time.
+// reading one with many routes takes long on a small part of a processor.
 type parsedText struct {
 	read   func(file string, text []byte) (*settings.Tree, error)
 	mu     sync.Mutex
--- a/control/provisional.go
+++ b/control/provisional.go
@@ -19,9 +19,8 @@
 
 // provisionalFor answers an instance that no leader has taken in yet; nil if nothing is
 // known here that it lacks. A voter that has lost its disk gets settings from another
-// one and answers a moment before it has the fleet: three of seven instances that asked
-// it alone knew no engine until there was a leader, 0.6 s later. So an instance asks on
-// while others know more.
+// one and answers a moment before it has the fleet: an instance that asked it alone would
+// know no engine until there is a leader. So it asks on while others know more.
 func (c *core) provisionalFor(now time.Time, r *syncRequest) *provisional {
 	if !r.Bare && !r.Seeking {
 		return nil
--- a/control/search.go
+++ b/control/search.go
@@ -58,8 +58,7 @@
 //
 // An instance without settings starts with one voter, and asks another one whenever an
 // answer brings nothing or is late. After a restart of the whole fleet all of them ask
-// for all settings: with each voter asked by each of 65 instances, the middle one had them
-// 0.22 s and the last one 0.32 s after the first voter was back, now 0.12 and 0.17 s.
+// for all settings, and a voter that every one of them asks is busy for long.
 func (n *Node) search(ctx context.Context, request *syncRequest) error {
 	var addresses []string
 	var defunct bool
@@ -147,9 +146,7 @@
 
 // searchOne asks one voter. An instance without settings, which serves nobody, asks
 // again until some voter was heard: after a loss of power it is there before the
-// voters, and what it sent until then is lost or refused. In ten losses of power the
-// middle instance had settings 0.21 s after the first voter was back when it looked for
-// voters every 0.6 s, and has them after 0.10 s.
+// voters, and what it sent until then is lost or refused.
 func (n *Node) searchOne(ctx context.Context, target string, request syncRequest, heard *atomic.Bool, answers chan<- searchAnswer) {
 	answer := searchAnswer{target: target, request: &request}
 	request.WaitMs = 0
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -33,9 +33,8 @@
 
 // silent reports whether an upstream ceased to announce itself. An instance that has
 // just started knows most upstreams from what was remembered, and could not hear them
-// before: with those passed over, all calls of a fleet that was back from a loss of
-// power went to the one to three engines that were heard first, and 32 of 60 were
-// refused in the second until all were.
+// before: with those passed over, all calls of a fleet that is back from a loss of
+// power go to the few engines that are heard first, and most are refused until all are.
 func (f *fleet) silent(now time.Time, u *upstream.Upstream) bool {
 	return u.StateAt(now) == upstream.Silent && now.Sub(f.began) >= startTime
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -51,7 +51,7 @@
 // sendsUnsent bounds the tries that met no upstream, for want of a connection or
 // because another incarnation answered: each costs up to a connect timeout.
 // Incarnations that had ended don't count as upstreams that a call was sent to: after
-// a crash of 15 engines 100 calls were given up at the second such one.
+// a crash of many engines calls would be given up at the second such one.
 const sendsUnsent = 4
 
 // run answers the call. ctx ends when the caller leaves.
@@ -113,8 +113,8 @@
 }
 
 // awaitSettings has a call wait for the first settings of a process that has just
-// started: they come with the first answer of a voter, after 0.2 s. Refused at once,
-// 197 calls were turned away in the half second after a restart of all processes.
+// started: they come with the first answer of a voter, a moment later. After a restart of
+// all processes all calls would else be turned away until then.
 func (x *exchange) awaitSettings(ctx context.Context) {
 	until := x.began.Add(settingsWait)
 	for !x.server.settled() && time.Now().Before(until) {
--- a/forward/place.go
+++ b/forward/place.go
@@ -177,8 +177,8 @@
 
 // awaitsUpstreams reports whether a call should wait until the first upstream of its
 // service is heard of: the process has just started, and they announce themselves
-// every second or so. After a loss of power of the whole fleet 473 calls were
-// turned away in about a second.
+// every second or so. After a loss of power of the whole fleet all calls would be turned
+// away until then.
 func (x *exchange) awaitsUpstreams(now time.Time) bool {
 	return now.Sub(x.server.startedAt) < startTime && now.Sub(x.began) < upstreamsWait
 }
@@ -187,8 +187,7 @@
 	// startTime is how long after its start an instance may know no upstreams yet: two
 	// announcements and an election.
 	startTime = 4 * time.Second
-	// upstreamsWait bounds the wait of one call; upstreams announce themselves every
-	// 1.2 s.
+	// upstreamsWait bounds the wait of one call: about the interval of announcements.
 	upstreamsWait = time.Second
 )
 
--- a/forward/standing.go
+++ b/forward/standing.go
@@ -26,7 +26,7 @@
 	// has not tried itself. One alone may be cut off from the node.
 	doubtsEnough = 2
 	// failureKept is how long a failed call of an engine is remembered. An engine that
-	// fails its calls is never busy and draws them: one of 45 failed 192 in 5 s.
+	// fails its calls is never busy and draws them.
 	failureKept = 2 * time.Second
 	// slowPace is the pace from which on a node is too slow. A prompt is read in even
 	// parts, so that the slowest engine decides when it is read.
@@ -50,9 +50,9 @@
 // avoid reports whether the node gets work only if there is no other.
 //
 // Announcements alone say too little: they stop when the control group is cut in
-// two, and 18 of 45 engines got no work for as long as that lasted, while long
-// prompts were turned away. And what one instance finds out on its own,
-// all others find out again: with 15 of 78 engines dark 560 calls waited for one.
+// two, and engines got no work for as long as that lasts, while long prompts are turned
+// away. And what one instance finds out on its own, all others find out again, each by
+// calls that wait for a dark engine.
 func (s standing) avoid() bool {
 	switch {
 	case s.failed || s.busy || s.pace >= slowPace:
--- a/forward/work.go
+++ b/forward/work.go
@@ -41,8 +41,8 @@
 
 // beginReading notes until when a node reads its part of a prompt, after all that
 // it has to read already. The prediction ends by itself: an answer that is lost on
-// its way must not keep its engines out. One long prompt whose answer was lost had
-// kept 17 of 23 engines idle for ten seconds while one call in seven was refused.
+// its way must not keep its engines idle until its deadline, while other calls are
+// refused for want of them.
 func (f *fleet) beginReading(now time.Time, w *work, n *node) {
 	if n.reading == nil {
 		n.reading = map[*work]time.Time{}
--- a/instance/forwarding_stop.go
+++ b/instance/forwarding_stop.go
@@ -17,10 +17,9 @@
 	// drainLeast is how long callers may still come with a list of addresses that
 	// they just got.
 	drainLeast = directoryKeep + 300*time.Millisecond
-	// streamTime and callTime are what a stream and another call need to be finished:
-	// nine in ten streams took up to 4.3 s, and other calls have 1.5 s at most. Some
-	// callers come with a list of addresses that is six seconds old; a stream that was
-	// taken five seconds after the begin of a drain was cut at its end.
+	// streamTime and callTime are what most streams and all other calls need to be
+	// finished. Some callers come with a list of addresses that is older than they may
+	// keep it; a stream that is taken too late is cut at the end of the drain.
 	streamTime = 4300 * time.Millisecond
 	callTime   = 1600 * time.Millisecond
 	// noteTimeout bounds telling the others that this instance leaves.
--- a/loadshare/load.go
+++ b/loadshare/load.go
@@ -19,9 +19,8 @@
 
 // Add returns the load of two instances together. Each of them counts the prompts
 // of the other in when it predicts until when an upstream reads its own, so the
-// later end holds. With the sum, upstreams that had read their parts long ago
-// looked busy until the last part of the same prompt was read: predictions of 1.4
-// to 2.1 s met first events after 0.4 to 0.8 s.
+// later end holds. With the sum, upstreams that have read their parts long ago look
+// busy until the last part of the same prompt is read.
 func (l Load) Add(other Load) Load {
 	return Load{
 		Streams: l.Streams + other.Streams,
--- a/placement/gather.go
+++ b/placement/gather.go
@@ -12,16 +12,12 @@
 	// streams fill, on the mean of the engines where they gather, without long prompts
 	// that wait and with many. The rest takes what other instances place at the same
 	// moment; a call above the slots waits for the end of a whole other answer.
-	// Tried as the first with bursts alone, 15 runs each: 0.6 and 0.7 gave a worth of
-	// 0.796, 0.8 gave 0.795, where 0.8 lets 4 to 7 in 100 calls of 65 instances meet an
-	// engine that is busy with others.
 	looseOccupancy = 0.6
 	denseOccupancy = 0.8
-	// shortLeading is how many prompts may wait for their first event at one engine:
-	// three usual ones take 100 ms.
+	// shortLeading is how many prompts may wait for their first event at one engine.
 	shortLeading = 3
-	// leastOpen is among how many engines a short prompt draws at least; in the 15 ms
-	// until others hear of a call 300 calls a second are four or five.
+	// leastOpen is among how many engines a short prompt draws at least: as many as there
+	// are calls in the time until others hear of one.
 	leastOpen = 4
 	// calmShare is the least part of the engines where short streams gather while no
 	// long prompts wait. Before a burst there are few streams, and the first calls of
@@ -34,9 +30,8 @@
 
 // gatherWidth returns on how many engines short streams gather. Few leave the others
 // to long prompts, whose reading makes streams late. But few are also full or busy
-// with the prompts that others have just placed: with 300 calls a second and all
-// of them on the first engine that had room, half of the first events came 90 ms
-// later than predicted and one in ten half a second. So they gather closely only
+// with the prompts that others have just placed: with all calls on the first engine
+// that has room, first events come later than predicted. So they gather closely only
 // while long prompts wait.
 func gatherWidth(p *settings.EngineProfile, engines []Engine, usable []int) int {
 	filled, pressure := filledWidth(p, engines, usable)
@@ -92,8 +87,7 @@
 
 // lessBusy returns the engine that leads fewer prompts, or of equals the one with
 // fewer streams. Prompts that wait for the pass under way look read already when
-// only the reading is counted: first events came 23 to 38 ms later at the median and
-// 65 to 112 ms later at nine in ten.
+// only the reading is counted, and first events come later than predicted.
 func lessBusy(engines []Engine, a, b int) int {
 	x, y := &engines[a].Load, &engines[b].Load
 	if y.Leading < x.Leading || y.Leading == x.Leading && y.Streams < x.Streams {
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -7,9 +7,8 @@
 )
 
 // What engines may read beside their streams follows from the law of the engines and
-// from the pauses that the routes allow. With these limits as fixed times, the same
-// fleet with all of its times three times as long served 0.18 less of the credit that
-// it was asked for (bursts alone, 0.765 and 0.580).
+// from the pauses that the routes allow. As fixed times, these limits would be wrong for
+// a fleet whose engines are faster or slower.
 const (
 	// passesWithoutPause stands in for the shortest pause where no route names one: a
 	// stream is noticed to stand still when some of its events are missing.
@@ -19,20 +18,16 @@
 	waitingShare = 0.5
 	// partShare is the part of the room of a pause that a part of a prompt may take
 	// without being felt: two of them may meet in one pass, with two usual short
-	// prompts. With half of the room 30 of 371 streams paused for too long, nearly all
-	// by some milliseconds, at a turn of the mix.
+	// prompts.
 	partShare = 0.3
 	// spacedShare is the part of the room of a pause that a part of a long prompt may
-	// take; the rest is for two or three short prompts. Tried on five days of load and
-	// trouble, 15 runs each: 0.5 gave a worth of 0.723, 0.6 gave 0.728, 0.73 gave 0.726,
-	// 0.85 gave 0.724, all the same within their spread.
+	// take; the rest is for two or three short prompts.
 	spacedShare = 0.6
 	// calmRoom is the part of the room up to which the mean reading at an engine counts
-	// as calm. Short prompts alone leave some 20 ms where the room is 200 ms.
+	// as calm: more than short prompts alone leave there.
 	calmRoom = 0.25
 	// looseShare is the part of a pass full of reading that a stream has to bear to
-	// share an engine with long reading. Passes beside prompts of 180,000 tokens that
-	// twelve engines read took up to two thirds of that for nine in ten.
+	// share an engine with long reading.
 	looseShare = 0.8
 	// deepPieces is how much longer a piece in the middle of a long prompt takes than
 	// one at its begin, because of the pairs.
@@ -93,8 +88,8 @@
 }
 
 // passReading is the most reading in one pass: a piece in each step. An engine
-// reads a new prompt beside the others, so that it waits for no more than that.
-// Calls behind 3 to 5 s of reading had their first event after 1.0 to 1.1 s.
+// reads a new prompt beside the others, so that it waits for no more than that, however
+// much there is to read.
 func passReading(p *settings.EngineProfile) time.Duration {
 	return deepPieces * pieceOf(p) * time.Duration(max(1, p.Stride))
 }
--- a/placement/option.go
+++ b/placement/option.go
@@ -67,13 +67,11 @@
 
 const (
 	// harmWorth is the part of its own value that a prompt may cost others in the end.
-	// Without a bound, prompts that came just after many short ones were read beside
-	// these: passes took up to 2 s, and 280 of 4,180 callers gave up in the middle of
-	// their streams. Tried on five days of load and trouble, 15 runs each: 0.6 gave a
-	// worth of 0.698, 1.2 gave 0.722, 2 gave 0.715 and 4 gave 0.711.
+	// Without a bound, prompts that come just after many short ones are read beside
+	// these: passes take so long that callers give up in the middle of their streams.
 	harmWorth = 1.2
 	// harmShare is the part of the objective after which a prompt may do all of that
-	// harm. Tried as before: 0.5 gave 0.726, 0.9 gave 0.720.
+	// harm.
 	harmShare = 0.5
 	// hasteShare is the part of a call's value that a first event just in time costs
 	// against one at once; it only decides between plans that are equal otherwise.
--- a/placement/pack.go
+++ b/placement/pack.go
@@ -45,7 +45,7 @@
 
 // awaitsParts reports whether a tight stream that found no engines to read its prompt
 // in short parts should wait for some. Read beside long prompts, its own events come
-// too late: 15 of 45 such streams paused for more than their 600 ms.
+// too late.
 func awaitsParts(p *settings.EngineProfile, call *Call, reading time.Duration) bool {
 	divisible := reading <= (mostHelpers+1)*shortReading(p)
 	return divisible && call.Waited < time.Duration(earlyShare*float64(call.Objective))
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -13,10 +13,7 @@
 	// where engines are free; the rest is for what comes between.
 	earlyShare = 0.5
 	// lateShare is the part of the objective by which the first event of a long prompt
-	// has to be planned. On free engines first events came up to 80 ms before the
-	// prediction; the rest is for prompts of the same moment.
-	// Tried on 15 runs of bursts alone each: 0.85 gave a worth of 0.796, 0.95 gave 0.802,
-	// and with engines that are free as predicted 0.95 and 1.0 gave 0.806.
+	// has to be planned; the rest is for prompts of the same moment.
 	lateShare = 0.95
 	// spareSlots stay free on each engine, for calls that other instances send before
 	// they have heard of each other.
@@ -92,8 +89,8 @@
 }
 
 // soonest takes one of the engines with the earliest first events when no good one
-// is left. All instances see the same ones: with the very earliest, 9 of 56 engines
-// got more streams than they have slots at a turn of the mix, while 7 had one.
+// is left. All instances see the same ones: the very earliest get more streams than
+// they have slots at a turn of the mix, while others have one.
 func soonest(p *settings.EngineProfile, engines []Engine, usable []int, call *Call, reading time.Duration) (Plan, bool) {
 	plan := Plan{Part: reading}
 	if p.MemoryTokens > 0 && call.Prompt+call.Answer > p.MemoryTokens || len(usable) == 0 {
--- a/placement/readers.go
+++ b/placement/readers.go
@@ -37,8 +37,8 @@
 }
 
 // idleOf keeps the helpers that write no long streams. An engine that writes long
-// streams and reads part after part hands on an event every 1.5 to 2.4 s, and a stream
-// of a second took 4 to 9 s.
+// streams and reads part after part hands on events so seldom that a stream takes many
+// times as long as it should.
 func idleOf(engines []Engine, helpers []int) []int {
 	idle := make([]int, 0, len(helpers))
 	for _, i := range helpers {
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -14,18 +14,18 @@
 //
 // Engines read the part that came last before the others. One that gets a second
 // part leaves the first one waiting, and with it a prompt that is read everywhere
-// else: with parts put on busy engines, prompts predicted to be read after 0.3 to
-// 0.9 s were read after 2 to 10 s at four times the usual load, the oldest last. So
-// a prompt waits here until enough engines are free for parts that no stream feels.
+// else: under load, prompts are then read many times later than predicted, the oldest
+// last. So a prompt waits here until enough engines are free for parts that no stream
+// feels.
 // In the burst of long prompts after one of short ones each engine has some streams
 // with short pauses: all together read a usual long prompt between two events of each.
-// With harm allowed from the start, 59 of 111 such prompts were read by one engine
-// alone, whose streams stood still for a second. So only when its time gets short a
-// prompt is read at the cost of other streams.
+// With harm allowed from the start, many such prompts are read by one engine alone,
+// whose streams stand still meanwhile. So only when its time gets short a prompt is read
+// at the cost of other streams.
 //
-// With only engines without tight streams allowed, a few of these that met a long
-// prompt kept their engines out for many seconds, since they hardly moved on;
-// prompts of 160,000 tokens were read by 1.0 to 1.6 engines then instead of 13.
+// With only engines without tight streams allowed, a few of these that meet a long
+// prompt keep their engines out for many seconds, since they hardly move on, and long
+// prompts find one engine where many could read them.
 func spread(p *settings.EngineProfile, engines []Engine, usable []int, call *Call, reading time.Duration) (Plan, bool) {
 	readers := readersOf(engines, usable)
 	limit := limitOf(call)
