--- a/cli/commands.go
+++ b/cli/commands.go
@@ -21,7 +21,6 @@
 		loadCommand(stdout, stderr),
 		standinCommand(stdout, stderr),
 		benchCommand(stdout, stderr),
-		slopesCommand(stdout, stderr),
 		eventsCommand(stdout),
 		explainCommand(stdout, stderr),
 		lossesCommand(stdout, stderr),
