--- a/forward/fleet_conns.go
+++ b/forward/fleet_conns.go
@@ -7,11 +7,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-// connect returns a connection to the node: an idle one that is sound and within a part
-// of its idle time, or a new one. fresh asks for a new one. An error means that nothing
-// was sent.
-func (f *fleet) connect(ctx context.Context, n *node, part float64, fresh bool) (*upstreamConn, error) {
-	if c := f.takeIdle(n, part); c != nil {
+// connect returns a connection to the node: an idle one that is sound, or a new
+// one. fresh asks for a new one. An error means that nothing was sent.
+func (f *fleet) connect(ctx context.Context, n *node, fresh bool) (*upstreamConn, error) {
+	if c := f.takeIdle(n); c != nil {
 		if !fresh {
 			return c, nil
 		}
@@ -31,18 +30,13 @@
 // second, which is longer than another upstream needs for the whole call.
 const connectTimeout = 300 * time.Millisecond
 
-// takeIdle takes the idle connection that was used last, if it may be used. Older ones
-// are left to polls, or to be swept.
-func (f *fleet) takeIdle(n *node, part float64) *upstreamConn {
+func (f *fleet) takeIdle(n *node) *upstreamConn {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for len(n.idle) > 0 {
 		last := n.idle[len(n.idle)-1]
-		if !last.within(time.Now(), part) {
-			return nil
-		}
 		n.idle = n.idle[:len(n.idle)-1]
-		if last.quiet() {
+		if last.usable(time.Now()) {
 			return last
 		}
 		last.close()
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -182,7 +182,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	head := s.options.Dialect.ReportMessage(n.address, n.name)
-	status, body, err := s.fleet.roundTrip(ctx, n, head, nil, pollShare, fresh)
+	status, body, err := s.fleet.roundTrip(ctx, n, head, nil, fresh)
 	if err != nil {
 		return nil, err
 	}
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	status, _, err := f.roundTrip(ctx, r.node, head, body, callShare, false)
+	status, _, err := f.roundTrip(ctx, r.node, head, body, false)
 	if err != nil {
 		return err
 	}
@@ -111,10 +111,10 @@
 	return nil
 }
 
-// roundTrip sends a small message to a node, on a connection within a part of its idle
-// time or on a fresh one if that is asked for, and returns the status and the body of the answer.
-func (f *fleet) roundTrip(ctx context.Context, n *node, head *httpwire.RequestHead, body []byte, part float64, fresh bool) (int, []byte, error) {
-	conn, err := f.connect(ctx, n, part, fresh)
+// roundTrip sends a small message to a node, on a fresh connection if it is asked
+// for, and returns the status and the body of the answer.
+func (f *fleet) roundTrip(ctx context.Context, n *node, head *httpwire.RequestHead, body []byte, fresh bool) (int, []byte, error) {
+	conn, err := f.connect(ctx, n, fresh)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -66,7 +66,7 @@
 		}
 		defer fleet.release(w)
 	}
-	conn, err := fleet.connect(ctx, n, callShare, false)
+	conn, err := fleet.connect(ctx, n, false)
 	if err != nil {
 		if ctx.Err() == nil {
 			fleet.suspect(n, err)
--- a/forward/upstream_conn.go
+++ b/forward/upstream_conn.go
@@ -31,25 +31,22 @@
 	// defaultIdleFor is the idle time that an upstream is trusted to allow when it
 	// does not state one.
 	defaultIdleFor = 2 * time.Second
-	// callShare is the part of a stated idle time after which a connection is not
-	// used for calls any more: one that meets the upstream's close may have run, and may
+	// idleShare is the part of a stated idle time after which a connection is not
+	// used any more: a call that meets the upstream's close may have run, and may
 	// not be repeated.
-	callShare = 0.5
-	// pollShare is the same for what can be sent again, as polls can. They come once a
-	// second, and would else each find their connection just too old.
-	pollShare = 0.9
+	idleShare = 0.5
 )
 
-// within reports whether not more than a part of the idle time has passed, so that the
-// upstream will not close the connection just now.
-func (c *upstreamConn) within(now time.Time, part float64) bool {
-	return now.Sub(c.idleAt) <= time.Duration(float64(c.idleFor)*part)
+// usable reports whether a call may be sent on an idle connection: the upstream
+// will not close it just now, and nothing came on it meanwhile. Bytes that came
+// belong to no call, or are the end of the connection.
+func (c *upstreamConn) usable(now time.Time) bool {
+	if now.Sub(c.idleAt) > time.Duration(float64(c.idleFor)*idleShare) {
+		return false
+	}
+	return c.reader.Buffered() == 0 && !readable(c.conn)
 }
 
-// quiet reports whether nothing came on an idle connection. Bytes that came belong to no
-// call, or are the end of the connection.
-func (c *upstreamConn) quiet() bool { return c.reader.Buffered() == 0 && !readable(c.conn) }
-
 func (c *upstreamConn) close() { _ = c.conn.Close() } // nothing more is expected of it
 
 // readable reports whether a read would return at once, without reading.
