Return to the voter of the own zone after it failed, and take the choice of a voter apart

Cause: an instance whose voter failed passed it over in its order until another one failed, so that after each loss of a voter the others kept its instances for good. Found by reading; TestLossOfAVoterIsMadeGoodByTheOthers, which now starts the voter again, fails without the change ("never: the instance back at its voter").

--- a/control/attached.go
+++ b/control/attached.go
@@ -85,67 +85,20 @@
 	}
 }
 
-// reattachInterval is how often an attached instance looks whether another voter
-// suits it better than the one that answers it.
-const reattachInterval = 2 * time.Second
-
-// probeInterval is how often one whose voter hears no leader asks another voter. It is
-// short against the time that a change may take to be in force, and long enough that
-// the questions of a whole fleet leave the voters time to elect a leader.
-const probeInterval = time.Second
-
-// better returns a voter that this instance would rather be attached to; empty if it
-// is well where it is. While its own voter hears no leader, that is the next one in
-// its order, else the first.
-func (c *core) better(now time.Time) string {
-	own := c.position.leader
-	if own == "" {
-		return ""
-	}
-	switch {
-	case c.detached && now.Sub(c.probedAt) >= probeInterval:
-		c.probedAt = now
-	case !c.detached && now.Sub(c.reviewedAt) >= reattachInterval:
-		c.reviewedAt = now
-	default:
-		return ""
-	}
-	order := c.attachOrder()
-	if len(order) == 0 {
-		return ""
-	}
-	target := order[0]
-	if c.detached {
-		target = after(order, own, c.probed)
-		c.probed = target
-	}
-	if target == own {
-		return ""
-	}
-	return target
+// attachOrder lists the voters in the order in which this instance asks them, one that
+// failed last.
+func (c *core) attachOrder(failed string) []string {
+	process := c.node.opts.Process
+	return attachment.Order(c.voterAddresses(), c.members.list(), process.Name, process.AvailabilityZone, failed)
 }
 
-// after returns the address that follows last in a list, but for one address.
-func after(list []string, own, last string) string {
-	at := -1
-	for n, address := range list {
-		if address == last {
-			at = n
-		}
-	}
-	for range list {
-		at = (at + 1) % len(list)
-		if list[at] != own {
-			return list[at]
-		}
+// betterVoter returns a voter that this instance may rather be attached to; empty if it
+// is well where it is.
+func (c *core) betterVoter(now time.Time) string {
+	if c.position.leader == "" {
+		return ""
 	}
-	return own
-}
-
-// attachOrder lists the voters in the order in which this instance asks them.
-func (c *core) attachOrder() []string {
-	process := c.node.opts.Process
-	return attachment.Order(c.voterAddresses(), c.members.list(), process.Name, process.AvailabilityZone, c.failedVoter)
+	return c.choice.Next(now, c.position.leader, c.attachOrder(""))
 }
 
 // reattach asks a voter that would suit better whether it hears a leader, and goes on
@@ -154,33 +107,25 @@
 // the voters and get it from each of them.
 func (n *Node) reattach(ctx context.Context) error {
 	var target string
-	if err := n.do(ctx, func(now time.Time) { target = n.core.better(now) }); err != nil || target == "" {
+	if err := n.do(ctx, func(now time.Time) { target = n.core.betterVoter(now) }); err != nil || target == "" {
 		return err
 	}
 	bounded, cancel := context.WithTimeout(ctx, n.opts.Timing.Search)
 	defer cancel()
 	response, err := n.callSync(bounded, target, &syncRequest{Attach: true, Probe: true})
 	if err != nil {
-		return errors.CombineErrors(n.do(ctx, func(time.Time) { n.core.failedVoter = target }), ctx.Err())
+		return errors.CombineErrors(n.do(ctx, func(now time.Time) { n.core.choice.Unanswered(now) }), ctx.Err())
 	}
-	return n.do(ctx, func(time.Time) { n.core.takeProbe(target, response) })
+	return n.do(ctx, func(now time.Time) { n.core.takeProbe(now, target, response) })
 }
 
 // takeProbe goes on with the voter that was asked, if it hears a leader, or at least has
 // settings where this instance has none.
-func (c *core) takeProbe(target string, r *syncResponse) {
+func (c *core) takeProbe(now time.Time, target string, r *syncResponse) {
 	helps := !r.Detached || c.installed.tree == nil && r.Revision > 0
-	if !r.Redirect && helps {
-		c.attachTo(target)
+	if r.Redirect || !helps {
+		return
 	}
-}
-
-// attachTo goes on with another voter, which states everything anew.
-func (c *core) attachTo(target string) {
 	c.position = syncPosition{leader: target}
-	c.detached = false
-	c.probed = ""
-	if c.failedVoter == target {
-		c.failedVoter = ""
-	}
+	c.choice.Attached(now, c.self.Name, target)
 }
--- a/control/attached_test.go
+++ b/control/attached_test.go
@@ -106,6 +106,8 @@
 	f.crash(f.members[0])
 	second := f.apply(first.Revision, "b", testTree(2))
 	f.awaitOne(attached, second.Revision)
+	f.start(f.members[0], nil)
+	f.await("the instance back at its voter", func() bool { return attached.attachedTo() == f.members[0].process.ControlListen })
 	f.crash(attached)
 	f.await("the dead instance gone", func() bool {
 		for _, i := range f.members[4].node.View().Instances {
--- a/control/core.go
+++ b/control/core.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"celeryport/consensus"
+	"celeryport/control/attachment"
 	"celeryport/control/relay"
 	"celeryport/event"
 	"celeryport/membership"
@@ -42,11 +43,7 @@
 	group          *group            // nil on an instance without a log
 	leader         *leader           // nil unless this voter leads
 	fanout         *fanout           // nil on an instance without a log
-	detached       bool              // the voter that this instance is attached to hears no leader
-	reviewedAt     time.Time         // when this instance last looked for a better voter
-	probed         string            // voter that was asked last whether it hears a leader
-	probedAt       time.Time         // when it was asked
-	failedVoter    string            // voter that failed last
+	choice         attachment.Choice // of the voter that an attached instance asks
 	views          viewState
 }
 
--- a/control/search.go
+++ b/control/search.go
@@ -65,7 +65,7 @@
 	err := n.do(ctx, func(time.Time) {
 		addresses, defunct = n.core.voterAddresses(), n.core.defunct
 		if request.Attach {
-			addresses = n.core.attachOrder()
+			addresses = n.core.attachOrder(n.core.choice.LastFailed())
 		}
 	})
 	if err != nil {
--- a/control/synctake.go
+++ b/control/synctake.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"celeryport/consensus"
 	"celeryport/control/relay"
 	"celeryport/event"
@@ -16,7 +14,7 @@
 	if c.position.leader == target {
 		c.position.leader = ""
 	}
-	c.failedVoter = target
+	c.choice.Failed(target)
 	if c.inTouch {
 		eventSyncFailed.Log(c.log, event.Fields{"target": target, "error": err})
 	}
@@ -71,12 +69,12 @@
 // its voter ceased to hear a leader.
 func (c *core) noteTouch(now time.Time, target string, r *syncResponse) {
 	switch {
-	case r.Detached && !c.detached:
+	case r.Detached && !c.choice.Detached():
 		eventVoterDetached.Log(c.log, event.Fields{"voter": target, "revision": r.Revision})
-	case !r.Detached && (!c.inTouch || c.detached):
+	case !r.Detached && (!c.inTouch || c.choice.Detached()):
 		eventSyncBack.Log(c.log, event.Fields{"leader": target, "revision": r.Revision})
 	}
-	c.detached = r.Detached
+	c.choice.SetDetached(r.Detached)
 	c.inTouch, c.syncedAt = true, now
 }
 
@@ -104,17 +102,11 @@
 		c.position = syncPosition{epoch: epoch}
 		c.received = relay.NewReceiver()
 		c.members.follow()
-		c.reviewedAt = c.reviewAfter(now)
+		c.choice.Attached(now, c.self.Name, target)
 	}
 	c.position.leader = target
 }
 
-// reviewAfter is when an instance that was attached anew looks for a better voter. The
-// name spreads the instances of a fleet that started together.
-func (c *core) reviewAfter(now time.Time) time.Time {
-	return now.Add(time.Duration(xxhash.Sum64String(c.self.Name) % uint64(reattachInterval)))
-}
-
 func (c *core) takeDeltas(now, sentAt time.Time, r *syncResponse) {
 	c.position.members = max(c.position.members, r.MembersAt)
 	c.position.heardUpTo = r.HeardUpTo
