--- a/forward/speaking_test.go
+++ b/forward/aggregate_test.go
@@ -9,9 +9,9 @@
 	"celeryport/settings"
 )
 
-func TestZoneAlwaysHasOneSpeaker(t *testing.T) {
+func TestZoneAlwaysHasOneAggregator(t *testing.T) {
 	// One instance tells the other zones what its zone has under way. If it dies and
-	// nobody speaks, they place long prompts on engines that are full; if two speak, each
+	// nobody sums up, they place long prompts on engines that are full; if two do, each
 	// takes the place of the other.
 	var instances []membership.Instance
 	heard := map[netip.AddrPort]bool{}
@@ -23,31 +23,31 @@
 		heard[address(n)] = true
 	}
 	instances = append(instances, membership.Instance{Name: "core", AvailabilityZone: "z0", ControlAddress: "10.0.0.99:7340"})
-	speakers := func() map[string]int {
+	aggregators := func() map[string]int {
 		found := map[string]int{}
 		for n := range 8 {
 			if one := instances[n]; heard[address(n)] {
-				found[speakerOf(instances, one.Name, one.AvailabilityZone, heard)]++
+				found[aggregatorOf(instances, one.Name, one.AvailabilityZone, heard)]++
 			}
 		}
 		return found
 	}
-	first := speakers()
+	first := aggregators()
 	if len(first) != 2 {
-		t.Fatalf("of two zones %v speak", first)
+		t.Fatalf("two zones have the aggregators %v", first)
 	}
 	for n := range 8 {
 		if first[instances[n].Name] > 0 {
 			delete(heard, address(n)) // it died, and control does not know yet
 		}
 	}
-	second := speakers()
+	second := aggregators()
 	if len(second) != 2 {
-		t.Fatalf("after the speakers died %v speak", second)
+		t.Fatalf("after the aggregators died there are %v", second)
 	}
 	for name := range second {
 		if first[name] > 0 {
-			t.Errorf("%s is dead, and is taken for the speaker", name)
+			t.Errorf("%s is dead, and is taken for the aggregator", name)
 		}
 	}
 }
--- a/forward/arbitration.go
+++ b/forward/arbitration.go
@@ -41,7 +41,7 @@
 	grantKept = 50 * time.Millisecond
 	// grantKeptEach is what each instance of the fleet adds to it: the pause of the one
 	// who tells it to the other zones, as many times over.
-	grantKeptEach = 3 * speakPauseEach
+	grantKeptEach = 3 * aggregatePauseEach
 )
 
 // grantsKept is how long what was given away is counted in a fleet of so many instances.
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -15,17 +15,17 @@
 
 // fleet is what this instance knows of the upstreams from its own sends.
 type fleet struct {
-	options *Options
-	mu      sync.Mutex
-	nodes   map[start]*node
-	swept   time.Time
-	mates   map[netip.AddrPort]time.Time // when instances of the own zone were heard last
-	began   time.Time                    // of this instance; silence before it says nothing
-	board   *loadshare.Board             // of the other instances of the own availability zone
-	zones   *loadshare.Zones             // of the other zones
-	news    chan struct{}                // the loads have changed
-	speech  chan struct{}                // the loads of the own zone have changed
-	random  *rand.Rand
+	options  *Options
+	mu       sync.Mutex
+	nodes    map[start]*node
+	swept    time.Time
+	peers    map[netip.AddrPort]time.Time // when instances of the own zone were heard last
+	began    time.Time                    // of this instance; silence before it says nothing
+	board    *loadshare.Board             // of the other instances of the own availability zone
+	zones    *loadshare.Zones             // of the other zones
+	news     chan struct{}                // the loads have changed
+	zoneNews chan struct{}                // the loads of the own zone have changed
+	random   *rand.Rand
 }
 
 // sweepInterval is how often connections and nodes that are not needed any more
@@ -39,15 +39,15 @@
 	}
 	random := rand.New(rand.NewPCG(options.Random.Uint64(), options.Random.Uint64()))
 	return &fleet{
-		options: options,
-		nodes:   map[start]*node{},
-		board:   loadshare.NewBoard(),
-		zones:   loadshare.NewZones(loadshare.KeyOf(options.Process.AvailabilityZone)),
-		mates:   map[netip.AddrPort]time.Time{},
-		news:    make(chan struct{}, 1),
-		speech:  make(chan struct{}, 1),
-		random:  random,
-		began:   time.Now(),
+		options:  options,
+		nodes:    map[start]*node{},
+		board:    loadshare.NewBoard(),
+		zones:    loadshare.NewZones(loadshare.KeyOf(options.Process.AvailabilityZone)),
+		peers:    map[netip.AddrPort]time.Time{},
+		news:     make(chan struct{}, 1),
+		zoneNews: make(chan struct{}, 1),
+		random:   random,
+		began:    time.Now(),
 	}
 }
 
@@ -141,7 +141,7 @@
 // changed has the others told of the loads.
 func (f *fleet) changed() {
 	wake(f.news)
-	wake(f.speech)
+	wake(f.zoneNews)
 }
 
 // wake tells whoever waits that there is news.
@@ -188,9 +188,9 @@
 		f.zones.Take(now, r)
 		return
 	}
-	f.mates[from] = now
+	f.peers[from] = now
 	if f.board.Take(now, r) && len(r.Loads) > 0 {
-		wake(f.speech)
+		wake(f.zoneNews)
 	}
 }
 
--- a/forward/recipients.go
+++ b/forward/recipients.go
@@ -14,7 +14,7 @@
 // sends it on. That one changes
 // with each report, so that the loss of an instance costs its zone one report in as
 // many as it has instances.
-func recipients(instances []membership.Instance, self *settings.Process, sequence uint32) (mates, relays []netip.AddrPort) {
+func recipients(instances []membership.Instance, self *settings.Process, sequence uint32) (peers, relays []netip.AddrPort) {
 	zones := map[string][]*membership.Instance{}
 	for i := range instances {
 		other := &instances[i]
@@ -24,14 +24,14 @@
 	}
 	for zone, others := range zones {
 		if zone == self.AvailabilityZone {
-			mates = addressesOf(others)
+			peers = addressesOf(others)
 			continue
 		}
 		slices.SortFunc(others, func(a, b *membership.Instance) int { return cmp.Compare(a.Name, b.Name) })
 		turn := (uint64(sequence) + weightFor(self.Name, 0)) % uint64(len(others))
 		relays = append(relays, addressesOf(others[turn:turn+1])...)
 	}
-	return mates, relays
+	return peers, relays
 }
 
 func addressesOf(instances []*membership.Instance) []netip.AddrPort {
--- a/forward/recipients_test.go
+++ b/forward/recipients_test.go
@@ -29,9 +29,9 @@
 		self := &settings.Process{Name: sender.Name, AvailabilityZone: sender.AvailabilityZone}
 		used := map[netip.AddrPort]int{}
 		for sequence := range uint32(6) {
-			mates, relays := recipients(instances, self, sequence)
-			if len(mates) != 5 || len(relays) != 3 {
-				t.Fatalf("%d of the own zone and %d others get a report, want 5 and 3", len(mates), len(relays))
+			peers, relays := recipients(instances, self, sequence)
+			if len(peers) != 5 || len(relays) != 3 {
+				t.Fatalf("%d of the own zone and %d others get a report, want 5 and 3", len(peers), len(relays))
 			}
 			zones := map[string]bool{self.AvailabilityZone: true}
 			for _, relay := range relays {
--- a/forward/telling.go
+++ b/forward/telling.go
@@ -25,7 +25,7 @@
 	s.arbitration.mu.Unlock()
 	go s.hear(conn)
 	go s.arbitrate(ctx)
-	go s.speakForZone(ctx, conn)
+	go s.aggregateZone(ctx, conn)
 	defer func() { _ = conn.Close() }() // ends hear
 	view := s.options.Plane.View()
 	teller := loadshare.NewTeller(loadshare.KeyOf(fmt.Sprintf("%s/%d", s.options.Process.Name, view.Incarnation)))
@@ -63,8 +63,8 @@
 // tell sends a report to the other instances of the own availability zone that take
 // calls. A failed send is made good by the next full report.
 func (s *Server) tell(conn net.PacketConn, report *loadshare.Report) {
-	mates, _ := recipients(s.options.Plane.View().Instances, s.options.Process, report.Sequence)
-	s.sendTo(conn, mates, datagram.Loads, report.Encode())
+	peers, _ := recipients(s.options.Plane.View().Instances, s.options.Process, report.Sequence)
+	s.sendTo(conn, peers, datagram.Loads, report.Encode())
 }
 
 // relay sends a report of another zone on within the own one.
@@ -72,8 +72,8 @@
 	s.arbitration.mu.Lock()
 	conn := s.arbitration.conn
 	s.arbitration.mu.Unlock()
-	mates, _ := recipients(s.options.Plane.View().Instances, s.options.Process, 0)
-	s.sendTo(conn, mates, datagram.Loads, content)
+	peers, _ := recipients(s.options.Plane.View().Instances, s.options.Process, 0)
+	s.sendTo(conn, peers, datagram.Loads, content)
 }
 
 func (s *Server) sendTo(conn net.PacketConn, to []netip.AddrPort, kind datagram.Kind, content []byte) {
--- a/loadshare/zones_test.go
+++ b/loadshare/zones_test.go
@@ -3,8 +3,8 @@
 import "testing"
 
 func TestZoneIsCountedOnce(t *testing.T) {
-	// The instance that speaks for a zone dies, or is believed dead, and another one
-	// speaks. If both counted, the engines would look twice as loaded as they are, and
+	// The instance that sums up a zone dies, or is believed dead, and another one
+	// takes over. If both counted, the engines would look twice as loaded as they are, and
 	// prompts would be turned away beside idle engines.
 	zones := NewZones(KeyOf("own"))
 	zone, engine := KeyOf("other"), KeyOf("engine")
@@ -16,7 +16,7 @@
 		report *Report
 		want   int
 	}{
-		{"the first speaker", report(1, 1, true, 3), 3},
+		{"the first aggregator", report(1, 1, true, 3), 3},
 		{"its next word", report(1, 2, false, 4), 4},
 		{"another one, not whole yet", report(2, 1, false, 9), 4},
 		{"another one, whole", report(2, 2, true, 5), 5},
@@ -33,7 +33,7 @@
 func TestOwnZoneIsNotCountedAgain(t *testing.T) {
 	zones := NewZones(KeyOf("own"))
 	if zones.Take(start, &Report{Sender: 1, Zone: KeyOf("own"), Sequence: 1, Full: true, Loads: map[Key]Load{5: {Streams: 1}}}) {
-		t.Error("the own zone was taken in from its speaker")
+		t.Error("the own zone was taken in from its aggregator")
 	}
 }
 
@@ -50,7 +50,7 @@
 	}
 }
 
-func TestSpeakerThatStartsTellsAll(t *testing.T) {
+func TestAggregatorThatStartsTellsAll(t *testing.T) {
 	teller := NewTeller(1)
 	loads := map[Key]Load{5: {Streams: 1}}
 	teller.Next(start, loads)
