Have all that wait for a leader share the voter's own syncs

Played again with the logs of the voters: the core is killed at 29.9 s, back at 31.8 s, elects a leader at 32.6 s and loses it at 33.3 s, while 56 in 100 of the engines are being replaced. Each engine that leaves waits at a voter until the leader has its word, and each such wait looked for a leader by itself ten times a second, asking all other voters; and each instance that came to a voter anew told it of engines that had left long before, which counted as news again.

Change: those that wait share the syncs of their voter (control/delivery.go), at most one search at a time with a pause after it failed; an upstream that is known to leave is no news.

--- /dev/null
+++ b/control/delivery_test.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"celeryport/upstream"
+)
+
+func TestLeavingUpstreamsDoNotKeepVotersFromElecting(t *testing.T) {
+	// A third of the engines are replaced, and the voters are killed and come back. Each
+	// engine that leaves waits at a voter for a leader. If the voter asked all others for
+	// one on behalf of each, again and again, they would have no time to elect one, and
+	// neither settings nor engines were acknowledged for seconds.
+	f := newAttachingFleet(t, 3, 0)
+	first := f.apply(0, "a", testTree(1))
+	f.awaitInstalled(first.Revision)
+	for _, m := range f.members {
+		f.crash(m)
+	}
+	f.timing.Retry = time.Hour // each that looks for a leader does it once in this test
+	alone := f.members[0]
+	f.start(alone, nil) // without a majority
+	const engines = 60
+	ctx, end := context.WithCancel(t.Context())
+	var waiting sync.WaitGroup
+	for n := range engines {
+		waiting.Go(func() {
+			a := upstream.Announcement{Name: fmt.Sprint("e", n), Incarnation: 1, Sequence: 1, Address: fmt.Sprintf("10.0.0.%d:1", n), Targets: []string{"m"}, Leaving: true}
+			if err := alone.node.AnnounceSurely(ctx, a); err == nil {
+				t.Errorf("%s was acknowledged without a leader", a.Name)
+			}
+		})
+	}
+	f.await("all engines wait", func() bool {
+		waits := 0
+		err := alone.node.do(t.Context(), func(time.Time) { waits = len(alone.node.core.fanout.delivery.waiting) })
+		return err == nil && waits == engines
+	})
+	end()
+	waiting.Wait()
+	if calls := alone.node.clients.Stats().Calls.Load(); calls > engines/2 {
+		t.Errorf("%d engines that wait had %d calls sent to the other voters", engines, calls)
+	}
+	var left int
+	if err := alone.node.do(t.Context(), func(time.Time) { left = len(alone.node.core.fanout.delivery.waiting) }); err != nil || left > 0 {
+		t.Errorf("%d that gave up are still kept, %v", left, err)
+	}
+}
+
+func TestDeliveryEndsInOrder(t *testing.T) {
+	var d delivery
+	first, second := d.await(d.note()), d.await(d.note())
+	ended := func(c chan struct{}) bool {
+		select {
+		case <-c:
+			return true
+		default:
+			return false
+		}
+	}
+	d.takenUpTo(1)
+	if !ended(first) || ended(second) {
+		t.Error("a leader has the first and not the second, and the waits say otherwise")
+	}
+	d.takenUpTo(0) // an older answer, late
+	if ended(second) {
+		t.Error("an older answer ended a wait")
+	}
+	d.takenUpTo(2)
+	if !ended(second) || !ended(d.await(2)) {
+		t.Error("a leader has all, and somebody waits")
+	}
+}
--- a/control/fanout.go
+++ b/control/fanout.go
@@ -31,8 +31,8 @@
 	leaving bool             // an upstream leaves, which can't wait
 	urgent  uint64           // last batch that could not wait
 
-	leavesHeard  uint64 // how many attached instances told of an upstream that leaves
-	leavesPassed uint64 // of these, how many the leader has
+	delivery delivery // of what a leader must have
+	left     uint64   // mark of the last upstream that leaves of which an attached instance told
 }
 
 func newFanout(c *core) *fanout {
@@ -74,7 +74,7 @@
 	wait := time.Duration(request.WaitMs) * time.Millisecond
 	p := poll{request: request, arrivedAt: arrivedAt, due: now.Add(min(wait, f.core.timing.Sync)), reply: reply}
 	p.heardUpTo = f.takeHeard(now, &p)
-	p.leaves = len(request.heard) > 0 && f.leavesHeard > f.leavesPassed
+	p.leaves = len(request.heard) > 0 && f.left > f.delivery.taken
 	f.polls = append(f.polls, p)
 }
 
@@ -99,11 +99,12 @@
 	for _, r := range relayed {
 		f.core.logUpstream(r.Announcement)
 		f.core.heard.HearRelayed(now, r)
-		if f.core.known.HearRelayed(now, r) {
-			f.core.noteUpstream(r.Announcement)
+		if !f.core.known.HearRelayed(now, r) {
+			continue
 		}
+		f.core.noteUpstream(r.Announcement)
 		if r.Announcement.Leaving {
-			f.leavesHeard++
+			f.left = f.delivery.note()
 		}
 	}
 	return position
--- a/control/hearing.go
+++ b/control/hearing.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"context"
-
 	"github.com/cespare/xxhash/v2"
 
 	"celeryport/membership"
@@ -40,14 +38,3 @@
 	}
 	return best
 }
-
-// passOn has the leader take in what this voter heard, before who waits for it is told
-// so: an upstream that leaves counts on getting nothing new from then on.
-func (n *Node) passOn(ctx context.Context) error {
-	for {
-		err := n.syncOnce(ctx, 0)
-		if err == nil || !n.pause(ctx, n.opts.Timing.Retry) {
-			return err
-		}
-	}
-}
--- a/control/search.go
+++ b/control/search.go
@@ -167,8 +167,13 @@
 	answers <- answer
 }
 
-// take gives an answer to the control goroutine.
+// take gives an answer to the control goroutine. Settings in it are parsed here first,
+// which keeps them for the install: a document of a thousand routes takes a small
+// processor longer than an election may, and consensus would wait for it there.
 func (n *Node) take(ctx context.Context, a *searchAnswer) error {
+	if len(a.response.Text) > 0 {
+		_, _ = n.parsed.parse("accepted settings", a.response.Text) // the install meets the same error, and logs it
+	}
 	var taken error
 	err := n.do(ctx, func(now time.Time) { taken = n.core.takeSync(now, a) })
 	if err != nil {
--- a/control/syncclient.go
+++ b/control/syncclient.go
@@ -40,7 +40,9 @@
 		case <-ctx.Done():
 			return
 		case <-n.kick:
-			_ = n.syncOnce(ctx, 0) // a lost one is made good by the next regular sync
+			if n.syncOnce(ctx, 0) != nil { // a lost one is made good by the next regular sync
+				n.pause(ctx, n.opts.Timing.Retry)
+			}
 		}
 	}
 }
--- a/control/synctake.go
+++ b/control/synctake.go
@@ -54,7 +54,7 @@
 	}
 	if c.fanout != nil {
 		c.fanout.takeAttached(a.request.Attached, r)
-		c.fanout.leavesPassed = max(c.fanout.leavesPassed, a.request.leaves)
+		c.fanout.delivery.takenUpTo(a.request.mark)
 	}
 	if r.LeaseMs == 0 && len(r.Text) == 0 && !c.attaches() {
 		// It takes itself for the leader but can't reach a majority: another voter
--- a/control/synctarget.go
+++ b/control/synctarget.go
@@ -30,7 +30,7 @@
 	}
 	if c.fanout != nil {
 		request.Attached = attachedWire(c.fanout.roster.Statements(now))
-		request.leaves = c.fanout.leavesHeard
+		request.mark = c.fanout.delivery.noted
 	}
 	if c.position.stated {
 		request.Brief = briefOf(&c.self)
--- a/control/syncwire.go
+++ b/control/syncwire.go
@@ -29,8 +29,8 @@
 	Probe     bool                `json:"probe,omitempty"`    // only whether the voter hears a leader is asked; nothing else is set
 	Attached  []attachedInstance  `json:"attached,omitempty"` // of a voter: the instances attached to it
 
-	heard  []byte // heard directly and not yet taken by the leader; travels beside the JSON
-	leaves uint64 // of a voter: the upstreams that leave of which attached instances told, as far as heard contains them
+	heard []byte // heard directly and not yet taken by the leader; travels beside the JSON
+	mark  uint64 // of a voter: up to where its delivery is in this sync; stays here
 }
 
 // check refuses a sync that can't come from an instance that works as this one does.
--- a/forward/aggregate.go
+++ b/forward/aggregate.go
@@ -17,7 +17,7 @@
 const (
 	// aggregatePauseEach is what each instance of the fleet adds to the pause between two
 	// reports of a zone: so an instance gets no more of them the larger the fleet is.
-	aggregatePauseEach = 40 * time.Microsecond
+	aggregatePauseEach = 60 * time.Microsecond
 	// peerKept is how long an instance of the own zone that was heard counts as there:
 	// two full reports may be lost.
 	peerKept = 2*loadshare.FullInterval + 100*time.Millisecond
