Sharpen the tests of attached instances

Broken by hand, one at a time: waking for leaving upstreams, waking for settings, moving to a voter that hears a leader, draining that stays, telling of a higher incarnation. Two tests stayed green and were sharpened: nothing told waking at once from the next answer (TestUrgentNewsWakesAttachedInstances does), and an older statement after a goodbye was not tried (TestPassedStatementsDoNotTakeAnInstanceBack does now, and fails without the check of ages).

--- a/control/attached_test.go
+++ b/control/attached_test.go
@@ -332,3 +332,45 @@
 		t.Error("a damaged list was taken")
 	}
 }
+
+func TestUrgentNewsWakesAttachedInstances(t *testing.T) {
+	// An engine leaves, or settings change, while an instance's sync is held. If that waited
+	// for the next answer, the instance would go on sending calls to the engine, or serving
+	// by old settings, for half a second with each voter on the way.
+	now := time.Unix(1_700_000_000, 0)
+	c := newTestCore(t)
+	c.group = &group{core: c, machine: state.New()}
+	c.fanout = newFanout(c)
+	engine := upstream.Announcement{Name: "e", Incarnation: 1, Sequence: 1, Address: "10.0.0.1:9", Targets: []string{"m"}}
+	hold := func() chan *syncResponse {
+		reply := make(chan *syncResponse, 1)
+		c.fanout.accept(now, now, &syncRequest{
+			Instance: membership.Instance{Name: "front", Incarnation: 1, Revision: c.installed.revision()}, Epoch: c.fanout.epoch,
+			Members: c.members.revision, Upstreams: c.fanout.out.sender.Position(), WaitMs: 500, Attach: true,
+		}, reply)
+		return reply
+	}
+	c.hear(now, engine)
+	now = now.Add(relayInterval)
+	c.fanout.step(now)
+	held := hold()
+	engine.Sequence++
+	c.hear(now, engine)
+	now = now.Add(relayInterval)
+	if c.fanout.step(now); len(held) > 0 {
+		t.Error("an engine that announces itself again wakes instances")
+	}
+	engine.Sequence++
+	engine.Leaving = true
+	c.hear(now, engine)
+	if c.fanout.step(now); len(held) == 0 {
+		t.Error("an engine leaves, and the instance is not told at once")
+	}
+	held = hold()
+	if err := c.installed.install(7, testTree(7)); err != nil {
+		t.Fatal(err)
+	}
+	if c.fanout.step(now); len(held) == 0 {
+		t.Error("settings have changed, and the instance is not told at once")
+	}
+}
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -194,6 +194,12 @@
 	if got, _ := table.Find("a"); got.State != Draining {
 		t.Errorf("the instance is %s, want draining", got.State)
 	}
+	gone := Instance{Name: "b", Incarnation: 1, State: Gone}
+	table.Passed(now, 0, gone)
+	table.Passed(now, 500*time.Millisecond, Instance{Name: "b", Incarnation: 1})
+	if _, found := table.Find("b"); found {
+		t.Error("an instance that said goodbye lives again by an older statement")
+	}
 	if table.Passed(now, 0, Instance{Name: "a"}) != Stale {
 		t.Error("a former incarnation is taken")
 	}
