--- a/loadshare/zones.go
+++ b/loadshare/zones.go
@@ -5,8 +5,8 @@
 // Zones holds what the other availability zones of a fleet have under way, as one
 // instance of each, at a time, sums it up. It is not safe for concurrent use.
 //
-// In a fleet of hundreds each instance would else get a thousand datagrams a second from
-// the others, and spend on them most of the processor time that it uses.
+// In a large fleet each instance would else get every report of every other one, and
+// spend on them processor time that its calls wait for.
 type Zones struct {
 	own         Key
 	board       *Board
