--- a/arbiter/message.go
+++ b/arbiter/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,7 +23,14 @@
 	Left      time.Duration   `json:"left"`
 	Waited    time.Duration   `json:"waited"`
 	PromptID  uint64          `json:"prompt_id,omitempty"` // the same for all tries of a caller with one prompt
-	Tried     []loadshare.Key `json:"tried,omitempty"`     // engines that had the call already
+	Tried     []loadshare.Key `json:"tried,omitempty"`     // engines that may not be used for it
+	Leads     []loadshare.Key `json:"leads,omitempty"`     // engines that may lead it; none: any
+	Refused   []loadshare.Key `json:"refused,omitempty"`   // engines that refused to help with it
+}
+
+// mayLead reports whether an engine may lead the prompt.
+func (a *Ask) mayLead(key loadshare.Key) bool {
+	return len(a.Leads) == 0 || slices.Contains(a.Leads, key)
 }
 
 // Decision is what became of an ask.
--- a/arbiter/queue.go
+++ b/arbiter/queue.go
@@ -176,6 +176,7 @@
 	}
 	for i, key := range fleet.Keys {
 		fleet.Engines[i].Tried = slices.Contains(w.ask.Tried, key)
+		fleet.Engines[i].HelpOnly = !w.ask.mayLead(key)
 	}
 	plan, found := placement.Prompt(fleet.Profile, fleet.Engines, call)
 	answer := &Answer{ID: w.ask.ID, Part: plan.Part + plan.Apart, FirstEvent: plan.FirstEvent, Excess: plan.Excess, Age: w.age, Seen: plan.Seen}
--- a/forward/arbitration.go
+++ b/forward/arbitration.go
@@ -64,10 +64,14 @@
 	a := s.arbitration
 	a.mu.Lock()
 	answer := a.queue.Take(time.Now(), ask)
+	_, known := a.askers[ask.ID]
 	if answer == nil {
 		a.askers[ask.ID] = from
 	}
 	a.mu.Unlock()
+	if answer == nil && !known && from != nil {
+		s.fleet.refusedHelpElsewhere(ask.Refused)
+	}
 	if answer != nil {
 		s.sendAnswer(from, answer)
 		return
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -81,10 +81,14 @@
 
 func (x *exchange) noteFailedSend(o *outcome) {
 	x.server.options.Metrics.sent(x.service.Name, o.verdict.String())
-	eventSendFailed.Log(x.server.options.Log, event.Fields{
+	fields := event.Fields{
 		"call": x.call.ID, "upstream": x.target.name, "address": x.target.address, "verdict": o.verdict.String(),
 		"error": o.err.Error(), "events": x.events, "after_ms": time.Since(x.began).Milliseconds(),
-	})
+	}
+	if o.helper != nil {
+		fields["helper"] = o.helper.name
+	}
+	eventSendFailed.Log(x.server.options.Log, fields)
 }
 
 // end counts the call.
@@ -108,6 +112,9 @@
 		fields["objective_ms"] = x.route.Objective.Milliseconds()
 		fields["pause_limit_ms"] = x.route.LongPause.Milliseconds()
 	}
+	if x.rejections > 0 {
+		fields["rejections"] = x.rejections
+	}
 	if x.age > 0 {
 		fields["age_ms"] = x.age.Milliseconds()
 	}
--- a/forward/doubt.go
+++ b/forward/doubt.go
@@ -26,13 +26,11 @@
 	return wait
 }
 
-// pass keeps new work away for a moment, without a word about the node's health.
-func (d *doubt) pass(now time.Time) {
-	d.busy = now.Add(passPause)
-}
+// pass keeps new work away until a time; it says nothing of the node's health.
+func (d *doubt) pass(until time.Time) { d.busy = until }
 
-// passPause is some passes of an engine, after each of which it may have read a
-// part for another one.
+// passPause is how long a node that refused to help, but is there, gets no work: some
+// passes of an engine, after each of which it may have read a part for another one.
 const passPause = 150 * time.Millisecond
 
 // doublings keeps the shift small; mostDoubt is reached before.
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,7 +32,10 @@
 	ended        int             // of these, sends to incarnations that had ended
 	tried        []loadshare.Key // upstreams that failed the call
 	unusable     []loadshare.Key // that the arbiter named last and that may not be used
-	barred       []loadshare.Key // all of these
+	barred       []loadshare.Key // all of these, and engines that refused to help
+	refused      []loadshare.Key // engines that refused to help
+	leads        []loadshare.Key // engines that got the call
+	rejections   int             // sends that were rejected for want of a helper
 	firstAt      time.Time
 	lastEvent    int64 // that the caller has
 	hasEvent     bool
@@ -54,6 +58,35 @@
 // a crash of many engines calls would be given up at the second such one.
 const sendsUnsent = 4
 
+// mostRejections bounds the sends of one call that are rejected for want of a helper.
+// Each takes a round trip and names one engine that is not asked to help again.
+const mostRejections = 6
+
+// noteRejection notes which engine got the call, and the helper for whose want it was
+// rejected.
+func (x *exchange) noteRejection(w *work, o *outcome) {
+	if o.reached && !slices.Contains(x.leads, w.home.key) {
+		x.leads = append(x.leads, w.home.key)
+	}
+	if o.helper == nil {
+		return
+	}
+	if o.reached {
+		x.rejections++
+	}
+	x.refused = append(x.refused, o.helper.key)
+	x.barred = append(x.barred, o.helper.key)
+}
+
+// mayLead lists the engines that may lead the call: those that got it already once as
+// many did as its route allows. Empty: any.
+func (x *exchange) mayLead() []loadshare.Key {
+	if len(x.leads)-x.ended < x.route.MaxSends {
+		return nil
+	}
+	return x.leads
+}
+
 // run answers the call. ctx ends when the caller leaves.
 func (x *exchange) run(ctx context.Context) {
 	x.awaitSettings(ctx)
@@ -89,6 +122,7 @@
 			return
 		}
 		x.noteFailedSend(result)
+		x.noteRejection(next, result)
 		if !result.elsewhere {
 			x.tried = append(x.tried, next.home.key)
 		}
@@ -178,7 +212,7 @@
 	if !x.repeatable(o) {
 		return x.failure(o)
 	}
-	if o.reached && x.sends-x.ended >= x.route.MaxSends || unsent+x.ended >= sendsUnsent {
+	if o.reached && x.sends-x.ended-x.rejections >= x.route.MaxSends || unsent+x.ended >= sendsUnsent || x.rejections >= mostRejections {
 		return x.failure(o)
 	}
 	now := time.Now()
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -205,25 +206,36 @@
 	return total
 }
 
-// helperRefused notes that the node at an address did not help with a prompt. It
-// may be gone, or it helps as many others as it can: it gets no work for a moment,
-// and more is found out by a new connection. Taken for a failure each time, busy
-// helpers were passed over for seconds, until too few engines were left to take the
-// prompts and every second one was turned away.
-func (f *fleet) helperRefused(address string) {
+// refusedHelp notes that a node did not help with a prompt. It may be gone, or help as
+// many others as it can: it gets no work until a new connection tells which. Taken for a
+// failure each time, busy helpers were passed over for seconds, until too few engines were
+// left to read the prompts.
+func (f *fleet) refusedHelp(n *node) {
+	asked := time.Now()
 	f.mu.Lock()
-	var found *node
+	n.doubt.pass(asked.Add(connectTimeout))
+	f.mu.Unlock()
+	go func() {
+		if f.there(context.Background(), n) {
+			f.mu.Lock()
+			n.doubt.pass(asked.Add(passPause))
+			f.mu.Unlock()
+		}
+	}()
+}
+
+// refusedHelpElsewhere notes nodes that refused to help with a call of another instance.
+func (f *fleet) refusedHelpElsewhere(keys []loadshare.Key) {
+	f.mu.Lock()
+	var found []*node
 	for _, n := range f.nodes {
-		if n.address == address && !n.replaced {
-			found = n
+		if !n.replaced && slices.Contains(keys, n.key) {
+			found = append(found, n)
 		}
 	}
-	if found != nil {
-		found.doubt.pass(time.Now())
-	}
 	f.mu.Unlock()
-	if found != nil {
-		go f.there(context.Background(), found)
+	for _, n := range found {
+		f.refusedHelp(n)
 	}
 }
 
--- a/forward/place.go
+++ b/forward/place.go
@@ -97,6 +97,8 @@
 		Waited:    now.Sub(x.began),
 		PromptID:  x.call.PromptID,
 		Tried:     slices.Concat(x.tried, x.barred),
+		Leads:     x.mayLead(),
+		Refused:   x.refused,
 	}
 	return ask
 }
@@ -159,8 +161,10 @@
 	defer f.mu.Unlock()
 	f.sweep(now, view.Upstreams)
 	nodes, engines := f.candidates(now, view.Upstreams, x.service.Name)
+	leads := x.mayLead()
 	for i, n := range nodes {
-		engines[i].Tried = slices.Contains(x.tried, n.key)
+		engines[i].Tried = slices.Contains(x.tried, n.key) || slices.Contains(x.barred, n.key)
+		engines[i].HelpOnly = len(leads) > 0 && !slices.Contains(leads, n.key)
 	}
 	if len(nodes) == 0 && x.awaitsUpstreams(now) {
 		return nil, longestWait, nil
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -36,8 +36,9 @@
 // errNoMemory says that a helper did not set the memory aside.
 var errNoMemory = errors.New("no memory at a helper")
 
-// reserve sets the memory of a send aside at all helpers, or at none.
-func (f *fleet) reserve(ctx context.Context, w *work) error {
+// reserve sets the memory of a send aside at all helpers, or at none. With an error it
+// returns the helper that did not.
+func (f *fleet) reserve(ctx context.Context, w *work) (*node, error) {
 	failures := make([]error, len(w.memory))
 	var all sync.WaitGroup
 	for i, r := range w.memory {
@@ -52,11 +53,11 @@
 			"reservation": w.memory[i].name, "upstream": w.memory[i].node.name, "tokens": w.memory[i].tokens, "error": failure.Error(),
 		})
 		f.release(w)
-		return errors.CombineErrors(errNoMemory, failure)
+		return w.memory[i].node, errors.CombineErrors(errNoMemory, failure)
 	}
 	w.renewing, w.stopRenewing = context.WithCancel(context.WithoutCancel(ctx))
 	go f.renew(w)
-	return nil
+	return nil, nil
 }
 
 // renew keeps the leases of a send that takes long.
--- a/forward/send.go
+++ b/forward/send.go
@@ -21,7 +21,8 @@
 	reached bool        // bytes of the call may have reached the upstream
 	held    *heldAnswer // a whole answer of the upstream that is a failure
 
-	elsewhere bool // another engine than the one that the call was sent to is at fault
+	elsewhere bool  // another engine than the one that the call was sent to is at fault
+	helper    *node // that one, if it is known
 }
 
 // heldAnswer is an upstream's failure that the caller gets if no other send does
@@ -61,8 +62,8 @@
 	fleet, n := x.server.fleet, w.home
 	defer fleet.end(w)
 	if len(w.memory) > 0 {
-		if err := fleet.reserve(ctx, w); err != nil {
-			return &outcome{verdict: verdict.NotRun, err: err, elsewhere: true}
+		if helper, err := fleet.reserve(ctx, w); err != nil {
+			return &outcome{verdict: verdict.NotRun, err: err, elsewhere: true, helper: helper}
 		}
 		defer fleet.release(w)
 	}
@@ -207,8 +208,14 @@
 		s.x.server.fleet.misdirected(s.node)
 		return &outcome{verdict: verdict.NotRun, err: errElsewhere, reached: true}
 	case answer.NotRun && answer.AtFault != "" && answer.AtFault != s.node.address:
-		s.x.server.fleet.helperRefused(answer.AtFault)
-		return &outcome{verdict: verdict.NotRun, err: errors.Wrap(errNotRun, "for want of a helper"), reached: true, elsewhere: true}
+		helper := s.work.helperAt(answer.AtFault)
+		if helper != nil {
+			s.x.server.fleet.refusedHelp(helper)
+		}
+		return &outcome{
+			verdict: verdict.NotRun, err: errors.Wrapf(errNotRun, "for want of the helper at %s", answer.AtFault),
+			reached: true, elsewhere: true, helper: helper,
+		}
 	case answer.NotRun:
 		return &outcome{verdict: verdict.NotRun, err: errors.Wrapf(errNotRun, "status %d", head.Status), reached: true}
 	case err != nil:
--- a/forward/work.go
+++ b/forward/work.go
@@ -111,6 +111,16 @@
 	return load
 }
 
+// helperAt returns the helper at an address, nil if there is none.
+func (w *work) helperAt(address string) *node {
+	for _, n := range w.helpers {
+		if n.address == address {
+			return n
+		}
+	}
+	return nil
+}
+
 // helperList names the helpers, those that keep a part of the prompt first and in
 // the order in which their memory is filled.
 func (w *work) helperList() []Helper {
--- a/losses/call.go
+++ b/losses/call.go
@@ -56,6 +56,8 @@
 	switch l.Event {
 	case eventRefused:
 		switch {
+		case reason == string(verdict.ReasonNoUpstream) && numberOf(l, "rejections") > 0:
+			return NoHelper
 		case reason == string(verdict.ReasonNoUpstream):
 			return NoUpstream
 		case age > 0:
--- a/losses/cause.go
+++ b/losses/cause.go
@@ -9,6 +9,7 @@
 	Refused       Cause = "refused"         // turned away at its first try
 	RefusedAgain  Cause = "refused again"   // it had come back after a refusal
 	NoUpstream    Cause = "no upstream"     // nothing was there to take it
+	NoHelper      Cause = "no helper"       // engines rejected it for want of a helper
 	UpstreamFault Cause = "upstream failed" // its upstream failed it, and no other could take over
 	Cut           Cause = "cut"             // its answer broke off
 	CallerLeft    Cause = "caller left"     // before the answer was whole
@@ -19,7 +20,7 @@
 
 // Causes lists all causes in the order of the tables.
 func Causes() []Cause {
-	return []Cause{Refused, RefusedAgain, NoUpstream, UpstreamFault, Cut, CallerLeft, FirstLate, ReturnLate, PauseLong}
+	return []Cause{Refused, RefusedAgain, NoUpstream, NoHelper, UpstreamFault, Cut, CallerLeft, FirstLate, ReturnLate, PauseLong}
 }
 
 // share is the part of a call's value that is lost.
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -35,6 +35,7 @@
 		Refused:       logAt(1, 7002, usual+`,"status":503,"reason":"deadline"`),
 		RefusedAgain:  logAt(1, 7002, usual+`,"status":503,"reason":"deadline","age_ms":900`),
 		NoUpstream:    logAt(1, 7002, usual+`,"status":503,"reason":"no-upstream"`),
+		NoHelper:      logAt(1, 7002, usual+`,"status":503,"reason":"no-upstream","rejections":2`),
 		UpstreamFault: logAt(1, 7004, usual+`,"status":502,"reason":"upstream"`),
 		Cut:           logAt(1, 7004, usual+`,"reason":"upstream","events":3`),
 		CallerLeft:    logAt(1, 7005, usual),
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -14,6 +14,8 @@
 	Near  bool           // in the availability zone of this instance
 	Avoid bool           // failed of late, or was not heard of: only if there is no other
 	Tried bool           // had this call already
+	// HelpOnly says that the engine may read a part of the call but not lead it.
+	HelpOnly bool
 }
 
 // Call is what has to be placed.
--- a/placement/gather.go
+++ b/placement/gather.go
@@ -72,7 +72,7 @@
 		if at >= width && len(open) >= leastOpen {
 			break
 		}
-		if e := &engines[i]; hasRoom(p, e, call) && e.Load.Reading+part <= shortReading(p) && e.Load.Leading < shortLeading {
+		if e := &engines[i]; !e.HelpOnly && hasRoom(p, e, call) && e.Load.Reading+part <= shortReading(p) && e.Load.Leading < shortLeading {
 			open = append(open, i)
 		}
 	}
--- a/placement/home.go
+++ b/placement/home.go
@@ -20,7 +20,7 @@
 func homeWithMemory(p *settings.EngineProfile, engines []Engine, readers []int, call *Call, part time.Duration, k int) (Plan, bool) {
 	home := -1
 	for _, i := range readers {
-		if engines[i].Load.Streams < p.Slots && (home < 0 || engines[i].Load.Held < engines[home].Load.Held) {
+		if !engines[i].HelpOnly && engines[i].Load.Streams < p.Slots && (home < 0 || engines[i].Load.Held < engines[home].Load.Held) {
 			home = i
 		}
 	}
@@ -58,7 +58,7 @@
 	best, bestRank := -1, 0
 	for _, i := range readers {
 		e := &engines[i]
-		if !fits(p, e, call) || e.Load.Streams >= p.Slots {
+		if e.HelpOnly || !fits(p, e, call) || e.Load.Streams >= p.Slots {
 			continue
 		}
 		rank := homeRank(p, &e.Load, part)
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -93,6 +93,7 @@
 // they have slots at a turn of the mix, while others have one.
 func soonest(p *settings.EngineProfile, engines []Engine, usable []int, call *Call, reading time.Duration) (Plan, bool) {
 	plan := Plan{Part: reading}
+	usable = slices.DeleteFunc(slices.Clone(usable), func(i int) bool { return engines[i].HelpOnly })
 	if p.MemoryTokens > 0 && call.Prompt+call.Answer > p.MemoryTokens || len(usable) == 0 {
 		return Plan{Excess: call.Left}, false // no engine alone will ever take it
 	}
