Count what the arbiter gave away until it is read

Hypothesis: prompts that are read ten times later than predicted were given engines that the arbiter had given to others just before.

Cause: what was given away counted for 50 ms and 0.18 ms more for each instance; after that only the asker's own reports of loads say that the engines read. When the instance that sends an availability zone's loads on is killed, its zone is not heard for up to 1.3 s.

Ruled out: two arbiters. The plans name one home again and again, and one instance logged all of them.

Change: the reading of a grant counts until its predicted end (of two readings the longer one holds, so that nothing counts twice); its streams and memory as long as before. An ask names the one before it whose place came to nothing; that grant is void.

The test gives two places 100 ms apart without a report between; without the change both have the same home.

--- a/arbiter/message.go
+++ b/arbiter/message.go
@@ -14,7 +14,8 @@
 // Ask is a prompt that needs a place. It is sent again and again until the answer
 // comes; Left and Waited are those of each time, of this try alone.
 type Ask struct {
-	ID        string          `json:"id"` // of the call and the try
+	ID        string          `json:"id"`               // of the call and the try
+	Before    string          `json:"before,omitempty"` // ID of the call's ask whose place came to nothing
 	Service   string          `json:"service"`
 	Prompt    int             `json:"prompt"`
 	Answer    int             `json:"answer"`
--- a/forward/arbitration.go
+++ b/forward/arbitration.go
@@ -69,8 +69,8 @@
 		a.askers[ask.ID] = from
 	}
 	a.mu.Unlock()
-	if answer == nil && !known && from != nil {
-		s.fleet.refusedHelpElsewhere(ask.Refused)
+	if answer == nil && !known {
+		s.takeOutcome(from, ask)
 	}
 	if answer != nil {
 		s.sendAnswer(from, answer)
@@ -85,6 +85,16 @@
 	}
 }
 
+// takeOutcome learns from a new ask what became of the one before it.
+func (s *Server) takeOutcome(from net.Addr, ask *arbiter.Ask) {
+	if ask.Before != "" {
+		s.fleet.voidGrant(ask.Before)
+	}
+	if from != nil {
+		s.fleet.refusedHelpElsewhere(ask.Refused)
+	}
+}
+
 func (s *Server) sendAnswer(to net.Addr, answer *arbiter.Answer) {
 	if to == nil {
 		s.takeAnswer(answer)
--- a/forward/arbitration_world.go
+++ b/forward/arbitration_world.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"celeryport/arbiter"
@@ -56,14 +57,37 @@
 	for _, n := range f.nodes {
 		if load, given := loads[n.key]; given {
 			load.Reading += f.loadOf(w.now, n).Reading
-			n.granted = append(n.granted, grant{load: load, at: w.now, kept: grantsKept(len(view.Instances))})
+			n.granted = append(n.granted, grant{ask: ask.ID, load: load, at: w.now, kept: grantsKept(len(view.Instances))})
 		}
 	}
 }
 
 // grant is what the arbiter gave away at a node a moment ago.
 type grant struct {
+	ask  string // its ID
 	load loadshare.Load
 	at   time.Time
-	kept time.Duration // from then on
+	kept time.Duration // until the asker's own reports count its streams and memory
+}
+
+// loadAt returns what a grant still loads its node with; the last return is false when it
+// is nothing any more. The reading counts until its predicted end, since the longer of two
+// readings holds: the reports of the asker's availability zone may be missing for a second
+// after the loss of the instance that sends them on.
+func (g *grant) loadAt(now time.Time) (loadshare.Load, bool) {
+	passed := now.Sub(g.at)
+	left := g.load.After(passed)
+	if passed < g.kept {
+		return left, true
+	}
+	return loadshare.Load{Reading: left.Reading}, left.Reading > 0
+}
+
+// voidGrant forgets what an ask was given: its prompt is placed again.
+func (f *fleet) voidGrant(ask string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		n.granted = slices.DeleteFunc(n.granted, func(g grant) bool { return g.ask == ask })
+	}
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -28,6 +28,7 @@
 	deadline     time.Time
 	age          time.Duration   // of the call when it came, if the arbiter knows that it was turned away before
 	tries        int             // plans so far; each has reservations of its own
+	lastAsk      string          // ID of the ask that got the call its last place
 	sends        int             // that may have reached an upstream
 	ended        int             // of these, sends to incarnations that had ended
 	tried        []loadshare.Key // upstreams that failed the call
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -159,9 +159,9 @@
 	load := n.own(now).Add(f.board.Load(now, n.key)).Add(f.zones.Load(now, n.key))
 	kept := n.granted[:0]
 	for _, g := range n.granted {
-		if passed := now.Sub(g.at); passed < g.kept {
+		if left, counts := g.loadAt(now); counts {
 			kept = append(kept, g)
-			load = load.Add(g.load.After(passed))
+			load = load.Add(left)
 		}
 	}
 	n.granted = kept
--- /dev/null
+++ b/forward/grant_test.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"net"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"celeryport/arbiter"
+	"celeryport/loadshare"
+)
+
+// placeFor asks an arbiter for an instance whose reports of loads don't arrive.
+func placeFor(t *testing.T, s *Server, ask *arbiter.Ask) *arbiter.Answer {
+	t.Helper()
+	s.arbitration.mu.Lock()
+	s.arbitration.queue.Take(time.Now(), ask)
+	answers := s.arbitration.queue.Step(time.Now(), &arbiterWorld{server: s, now: time.Now()})
+	s.arbitration.mu.Unlock()
+	if len(answers) != 1 || answers[0].Decision != arbiter.Placed {
+		t.Fatalf("answers %+v", answers)
+	}
+	return answers[0]
+}
+
+// Guards against giving engines away twice while the loads of an availability zone are not
+// reported, because the instance that sends them on was killed.
+func TestEnginesAreNotGivenAwayTwiceWhileReportsAreMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, "front-1", "front-1")
+		first := longAsk()
+		given := placeFor(t, s, first)
+		time.Sleep(100 * time.Millisecond)
+		second := longAsk()
+		second.ID, second.Prompt = "front-2/call/0", 20_000
+		again := placeFor(t, s, second)
+		busy := append(slices.Clone(given.Helpers), given.Home)
+		if slices.Contains(busy, again.Home) {
+			t.Errorf("engine %d reads for %s of which 100 ms have passed, and gets a second prompt", again.Home, given.Part)
+		}
+	})
+}
+
+// Guards against engines that stand idle for a prompt that they refused to read.
+func TestPlaceThatCameToNothingIsFreeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, "front-1", "front-1")
+		given := placeFor(t, s, longAsk())
+		next := longAsk()
+		next.ID, next.Before, next.Tried = "front-1/call/1", "front-1/call/0", []loadshare.Key{given.Helpers[0]}
+		s.takeOutcome(&net.UDPAddr{}, next)
+		s.fleet.mu.Lock()
+		defer s.fleet.mu.Unlock()
+		for _, n := range s.fleet.nodes {
+			if left := s.fleet.loadOf(time.Now(), n); left != (loadshare.Load{}) {
+				t.Errorf("%s is loaded with %+v", n.name, left)
+			}
+		}
+	})
+}
--- a/forward/place.go
+++ b/forward/place.go
@@ -74,6 +74,7 @@
 	f := x.server.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	x.lastAsk = answer.ID
 	w, unusable := x.workFor(answer)
 	if len(unusable) > 0 {
 		x.unusable, x.barred = unusable, append(x.barred, unusable...)
@@ -88,6 +89,7 @@
 	now := time.Now()
 	ask := &arbiter.Ask{
 		ID:        fmt.Sprintf("%s/%s/%d", x.server.options.Process.Name, x.call.ID, x.tries),
+		Before:    x.lastAsk,
 		Service:   x.service.Name,
 		Prompt:    x.call.PromptTokens,
 		Answer:    x.call.AnswerTokens,
