Give work only to the node that was announced last at an address

Cause: an engine that crashed and the one that was started at its address under another name are both known until the first counts as silent. A long prompt was planned with both: one address stood twice in its list, and the engine rejected the call with 400 (not run).

Ruled out: reservations (most of these prompts had none), the length of the list (3 to 17 readers).

The list of what may get work is made in one place.

--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -10,27 +10,38 @@
 // candidates lists the nodes of a service and what is known of them. The lock must
 // be held.
 func (f *fleet) candidates(now time.Time, snapshot *upstream.Snapshot, service string) ([]*node, []placement.Engine) {
-	serving := snapshot.Serving(service)
-	nodes := make([]*node, 0, len(serving))
-	engines := make([]placement.Engine, 0, len(serving))
-	for _, at := range serving {
-		u := &snapshot.Upstreams[at]
-		n := f.node(u)
-		if n.replaced || u.Announcement.Leaving {
-			continue
-		}
+	nodes, upstreams := f.workers(snapshot, service)
+	engines := make([]placement.Engine, 0, len(nodes))
+	for i, n := range nodes {
 		load := f.loadOf(now, n)
-		nodes = append(nodes, n)
 		engines = append(engines, placement.Engine{
 			Load:  load,
 			Order: uint64(n.key),
 			Near:  n.zone == f.options.Process.AvailabilityZone,
-			Avoid: n.standing(now, load, f.silent(now, u)).avoid(),
+			Avoid: n.standing(now, load, f.silent(now, upstreams[i])).avoid(),
 		})
 	}
 	return nodes, engines
 }
 
+// workers lists the nodes of a service that may get work, and what they announced. The
+// lock must be held.
+func (f *fleet) workers(snapshot *upstream.Snapshot, service string) ([]*node, []*upstream.Upstream) {
+	serving := snapshot.Serving(service)
+	for _, at := range serving {
+		f.node(&snapshot.Upstreams[at]) // all are known before it is asked who has an address
+	}
+	nodes := make([]*node, 0, len(serving))
+	upstreams := make([]*upstream.Upstream, 0, len(serving))
+	for _, at := range serving {
+		u := &snapshot.Upstreams[at]
+		if n := f.node(u); f.mayWork(n, &u.Announcement) {
+			nodes, upstreams = append(nodes, n), append(upstreams, u)
+		}
+	}
+	return nodes, upstreams
+}
+
 // silent reports whether an upstream ceased to announce itself. An instance that has
 // just started knows most upstreams from what was remembered, and could not hear them
 // before: with those passed over, all calls of a fleet that is back from a loss of
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -16,17 +16,18 @@
 
 // fleet is what this instance knows of the upstreams from its own sends.
 type fleet struct {
-	options  *Options
-	mu       sync.Mutex
-	nodes    map[start]*node
-	swept    time.Time
-	peers    map[netip.AddrPort]time.Time // when instances of the own zone were heard last
-	began    time.Time                    // of this instance; silence before it says nothing
-	board    *loadshare.Board             // of the other instances of the own availability zone
-	zones    *loadshare.Zones             // of the other zones
-	news     chan struct{}                // the loads have changed
-	zoneNews chan struct{}                // the loads of the own zone have changed
-	random   *rand.Rand
+	options   *Options
+	mu        sync.Mutex
+	nodes     map[start]*node
+	occupants map[string]*node // who has an address: the node that was announced there last
+	swept     time.Time
+	peers     map[netip.AddrPort]time.Time // when instances of the own zone were heard last
+	began     time.Time                    // of this instance; silence before it says nothing
+	board     *loadshare.Board             // of the other instances of the own availability zone
+	zones     *loadshare.Zones             // of the other zones
+	news      chan struct{}                // the loads have changed
+	zoneNews  chan struct{}                // the loads of the own zone have changed
+	random    *rand.Rand
 }
 
 // sweepInterval is how often connections and nodes that are not needed any more
@@ -40,15 +41,16 @@
 	}
 	random := rand.New(rand.NewPCG(options.Random.Uint64(), options.Random.Uint64()))
 	return &fleet{
-		options:  options,
-		nodes:    map[start]*node{},
-		board:    loadshare.NewBoard(),
-		zones:    loadshare.NewZones(loadshare.KeyOf(options.Process.AvailabilityZone)),
-		peers:    map[netip.AddrPort]time.Time{},
-		news:     make(chan struct{}, 1),
-		zoneNews: make(chan struct{}, 1),
-		random:   random,
-		began:    time.Now(),
+		options:   options,
+		nodes:     map[start]*node{},
+		occupants: map[string]*node{},
+		board:     loadshare.NewBoard(),
+		zones:     loadshare.NewZones(loadshare.KeyOf(options.Process.AvailabilityZone)),
+		peers:     map[netip.AddrPort]time.Time{},
+		news:      make(chan struct{}, 1),
+		zoneNews:  make(chan struct{}, 1),
+		random:    random,
+		began:     time.Now(),
 	}
 }
 
@@ -62,16 +64,27 @@
 	id := startOf(a)
 	n := f.nodes[id]
 	if n == nil {
-		n = &node{start: id, address: a.Address, zone: a.AvailabilityZone, key: id.loadKey()}
+		n = &node{start: id, address: a.Address, zone: a.AvailabilityZone, key: id.loadKey(), announced: u.HeardAt}
 		if len(a.Targets) > 0 {
 			n.service = a.Targets[0]
 		}
 		f.retireBefore(id)
 		f.nodes[id] = n
+		if before := f.occupants[n.address]; before == nil || !n.announced.Before(before.announced) {
+			f.occupants[n.address] = n
+		}
 	}
 	return n
 }
 
+// mayWork reports whether a node may get work. Of several at one address only the one
+// that was announced there last is there: an engine that was started anew at the address
+// of a dead one does not answer for it, and rejects a prompt that lists its address twice.
+// The lock must be held.
+func (f *fleet) mayWork(n *node, a *upstream.Announcement) bool {
+	return !n.replaced && !a.Leaving && f.occupants[n.address] == n
+}
+
 // retireBefore ends what is under way at the former starts of an upstream that has
 // started again. It holds nothing of before, but an engine that crashed behind a cut
 // sends no reset: without this a stream would wait for its patience, 0.6 s or more,
@@ -101,12 +114,10 @@
 // inUse returns the nodes of a service that may get work, by the keys under which
 // loads are told. The lock must be held.
 func (f *fleet) inUse(snapshot *upstream.Snapshot, service string) map[loadshare.Key]*node {
-	nodes := make(map[loadshare.Key]*node, len(f.nodes))
-	for _, at := range snapshot.Serving(service) {
-		u := &snapshot.Upstreams[at]
-		if n := f.node(u); !n.replaced && !u.Announcement.Leaving {
-			nodes[n.key] = n
-		}
+	workers, _ := f.workers(snapshot, service)
+	nodes := make(map[loadshare.Key]*node, len(workers))
+	for _, n := range workers {
+		nodes[n.key] = n
 	}
 	return nodes
 }
@@ -135,6 +146,9 @@
 		n.idle = kept
 		if !listed[id] && n.load == (loadshare.Load{}) && len(n.reading) == 0 {
 			delete(f.nodes, id)
+			if f.occupants[n.address] == n {
+				delete(f.occupants, n.address)
+			}
 		}
 	}
 }
--- a/forward/node.go
+++ b/forward/node.go
@@ -25,20 +25,21 @@
 // node is one incarnation of an upstream.
 type node struct {
 	start
-	address  string
-	zone     string
-	service  string
-	key      loadshare.Key
-	idle     []*upstreamConn
-	busy     map[*upstreamConn]struct{} // connections with a call on them
-	load     loadshare.Load             // under way from here, but for the reading
-	reading  map[*work]time.Time        // until when it reads parts of prompts sent from here
-	replaced bool                       // another incarnation answers at the address
-	doubt    doubt
-	answered time.Time // last good answer to a call from here
-	failedAt time.Time // last failure of its own on a call from here, zero after a good answer
-	report   nodeReport
-	granted  []grant
+	address   string
+	zone      string
+	service   string
+	key       loadshare.Key
+	announced time.Time // when it was heard of last before it became known here
+	idle      []*upstreamConn
+	busy      map[*upstreamConn]struct{} // connections with a call on them
+	load      loadshare.Load             // under way from here, but for the reading
+	reading   map[*work]time.Time        // until when it reads parts of prompts sent from here
+	replaced  bool                       // another incarnation answers at the address
+	doubt     doubt
+	answered  time.Time // last good answer to a call from here
+	failedAt  time.Time // last failure of its own on a call from here, zero after a good answer
+	report    nodeReport
+	granted   []grant
 }
 
 // nodeReport is what a node said when this instance polled it.
