Place a call whose engine failed it late on free engines

Hypothesis: a long prompt whose engine goes down is given up without a second send, though its caller waits for ten seconds more.

Cause: a call that was sent once counts the whole time since it came against its objective. A stream that broke off, and a prompt whose engine was found silent after 3.6 s, had waited longer than their objective allows, so that no plan could be in time: they were refused at once, and the caller got a 502 or a broken stream, with engines idle.

Ruled out: the budget of repeats and the number of sends (both allowed one more).

Change: what is due of a begun stream is its next event, within the longest pause from the last one. A call that can't be in time any more, whether it was refused before or its engine failed it, goes to free engines if its first event comes within half of its time; it does not wait for them.

--- a/arbiter/queue.go
+++ b/arbiter/queue.go
@@ -35,7 +35,7 @@
 }
 
 func (w *waiting) overdue() bool {
-	return placement.Overdue(&placement.Call{Age: w.age, Objective: w.ask.Objective})
+	return placement.Overdue(&placement.Call{Age: w.age, Waited: w.age + w.ask.Waited, Objective: w.ask.Objective})
 }
 
 // compareBool orders false before true.
--- a/forward/grant_test.go
+++ b/forward/grant_test.go
@@ -9,6 +9,7 @@
 
 	"celeryport/arbiter"
 	"celeryport/loadshare"
+	"celeryport/settings"
 )
 
 // placeFor asks an arbiter for an instance whose reports of loads don't arrive.
@@ -59,3 +60,22 @@
 		}
 	})
 }
+
+// Guards against giving up a stream that broke off, since its first event is long past its
+// objective: what is due is its next event.
+func TestBegunStreamIsPlacedByItsNextEvent(t *testing.T) {
+	s := newTestServer(t, "front-1", "front-1")
+	now := time.Now()
+	x := &exchange{
+		server: s, call: &Call{ID: "call", PromptTokens: 180_000, PromptID: 7}, deadline: now.Add(10 * time.Second), began: now.Add(-5 * time.Second),
+		route:   &settings.Route{Objective: 4 * time.Second, LongPause: time.Second},
+		service: &s.options.Plane.View().Tree.Forwarding.Services[0],
+	}
+	if ask := x.newAsk(); ask.Objective != 4*time.Second || ask.Waited < 5*time.Second || ask.PromptID != 7 {
+		t.Errorf("before its first event %+v", ask)
+	}
+	x.firstAt, x.eventAt, x.events = now.Add(-2*time.Second), now, 3
+	if ask := x.newAsk(); ask.Objective != time.Second || ask.Waited > time.Second/2 || ask.PromptID != 0 {
+		t.Errorf("after an event %+v", ask)
+	}
+}
--- a/forward/place.go
+++ b/forward/place.go
@@ -87,24 +87,36 @@
 // newAsk returns the ask for the next send, with the times of now.
 func (x *exchange) newAsk() *arbiter.Ask {
 	now := time.Now()
+	objective, waited := x.nextEvent(now)
 	ask := &arbiter.Ask{
 		ID:        fmt.Sprintf("%s/%s/%d", x.server.options.Process.Name, x.call.ID, x.tries),
 		Before:    x.lastAsk,
 		Service:   x.service.Name,
 		Prompt:    x.call.PromptTokens,
 		Answer:    x.call.AnswerTokens,
-		Objective: x.route.Objective,
+		Objective: objective,
 		LongPause: x.longPause(),
 		Left:      x.deadline.Sub(now),
-		Waited:    now.Sub(x.began),
-		PromptID:  x.call.PromptID,
+		Waited:    waited,
 		Tried:     slices.Concat(x.tried, x.barred),
 		Leads:     x.mayLead(),
 		Refused:   x.refused,
 	}
+	if x.events == 0 {
+		ask.PromptID = x.call.PromptID
+	}
 	return ask
 }
 
+// nextEvent returns within which time the next event of the answer is due, and how much
+// of that has passed.
+func (x *exchange) nextEvent(now time.Time) (objective, waited time.Duration) {
+	if x.events > 0 {
+		return x.route.LongPause, now.Sub(x.eventAt)
+	}
+	return x.route.Objective, now.Sub(x.began)
+}
+
 // workFor returns the work that the arbiter's answer stands for, and the engines in it
 // that may not be used as far as is known here: the arbiter may have missed what this
 // instance knows, and an engine that leaves was promised to get nothing more. The lock
@@ -205,13 +217,14 @@
 		x.predicted = 0
 		return &work{home: nodes[at]}, 0, nil
 	}
+	objective, waited := x.nextEvent(now)
 	call := &placement.Call{
 		Prompt:    x.call.PromptTokens,
 		Answer:    x.call.AnswerTokens,
-		Objective: x.route.Objective,
+		Objective: objective,
 		LongPause: x.longPause(),
 		Left:      x.deadline.Sub(now),
-		Waited:    now.Sub(x.began),
+		Waited:    waited,
 		Draw:      [2]float64{x.server.fleet.random.Float64(), x.server.fleet.random.Float64()},
 	}
 	plan, found := placement.Prompt(profile, engines, call)
--- a/placement/prompt_test.go
+++ b/placement/prompt_test.go
@@ -365,6 +365,23 @@
 	}
 }
 
+// Guards against refusing a prompt whose engine failed it late, while other engines idle.
+func TestPromptsThatFailedLateGoToFreeEngines(t *testing.T) {
+	engines := testEngines(17)
+	failed := longCall
+	failed.Waited, failed.Left = failed.Objective, 11*time.Second
+	plan, found := Prompt(testProfile, engines, &failed)
+	if !found || plan.FirstEvent > failed.Left/2 {
+		t.Errorf("plan %+v (%t), want it read at once", plan, found)
+	}
+	for i := range engines {
+		engines[i].Load = loadshare.Load{Streams: 1, Leading: 1, Reading: 500 * time.Millisecond}
+	}
+	if plan, found := Prompt(testProfile, engines, &failed); found || plan.Wait > 0 {
+		t.Errorf("plan %+v (%t), want a refusal while no engine is free", plan, found)
+	}
+}
+
 func TestOverdueCallsDontWait(t *testing.T) {
 	// A caller was turned away and comes back when it is late already. If its prompt
 	// waited again it would go behind all that can be in time, until its caller leaves.
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -51,8 +51,11 @@
 	return min(call.Left, inTime)
 }
 
-// Overdue reports whether a call can't be answered in time any more when it comes.
-func Overdue(call *Call) bool { return call.Age > time.Duration(overdueAge*float64(call.Objective)) }
+// Overdue reports whether a call can't be answered in time any more: it came back late
+// after a refusal, or the engine that it was sent to failed it.
+func Overdue(call *Call) bool {
+	return call.Age > share(overdueAge, call.Objective) || call.Waited >= share(lateShare, call.Objective)
+}
 
 // spreadNow plans a long prompt on free engines.
 func spreadNow(p *settings.EngineProfile, engines []Engine, free []int, call *Call, reading time.Duration) (Plan, bool) {
