Let the test of a fleet that is back wait for its one call

Cause: all repeats are an hour away in this test, but the one call kept its usual timeout of 2 s; a voter that takes longer on a busy machine is never asked again. With that timeout set to a microsecond the test fails with the same message after 34.5 s. It is an hour now, as in the test before it. What is checked stays: settings come, and exactly one voter was asked.

--- a/control/search_test.go
+++ b/control/search_test.go
@@ -87,7 +87,7 @@
 	f.start(f.members[0], nil) // no leader without a majority
 	usual := f.timing
 	f.timing.Retry, f.timing.Stagger, f.timing.Search = time.Hour, time.Hour, time.Hour
-	f.timing.Look = time.Hour // also bounds the first connection, which may take longer on a busy machine
+	f.timing.Look, f.timing.Call = time.Hour, time.Hour // also bound the first connection and call, which may take longer on a busy machine
 	f.voters = nil
 	for i := range 3 {
 		f.voters = append(f.voters, settings.Member{ID: string(rune('a' + i)), Address: f.members[0].process.ControlListen})
