Leave out columns of loads that are zero

Hypothesis: most of what a voter sends to the instances of a large fleet says of upstreams what it said before.

Cause: each announcement of each upstream is passed to each instance, 5 bytes in a batch: three of them are loads that upstreams of a platform without announced loads never state.

Change: a column that holds nothing but zeros is left out; a receiver takes a missing one as zeros.

--- a/control/relay/load.go
+++ b/control/relay/load.go
@@ -45,9 +45,29 @@
 		loadAges.add(i, unitsOf(a.Load.Age, loadAgeUnit), unitsOf(old.Load.Age, loadAgeUnit))
 		s.addRates(b, u, &old)
 	}
+	b.Running, b.QueuedPrefill, b.Held = unlessZero(b.Running), unlessZero(b.QueuedPrefill), unlessZero(b.Held)
 	b.Sequences, b.Waiting, b.LongPrefill, b.LoadAges = sequences.column, waiting.column, longPrefill.column, loadAges.column
 }
 
+// unlessZero leaves out a column that holds nothing but zeros: upstreams that state no
+// load are most of what is relayed in a fleet that forwards calls.
+func unlessZero(column []uint32) []uint32 {
+	for _, value := range column {
+		if value != 0 {
+			return column
+		}
+	}
+	return nil
+}
+
+// valueAt returns a value of a column that may have been left out.
+func valueAt(column []uint32, at int) int {
+	if len(column) == 0 {
+		return 0
+	}
+	return int(column[at])
+}
+
 // usualStep is by how much a sequence grows between two batches as a rule: an
 // upstream announces itself once in the time of a sync or two.
 const usualStep = 1
--- a/control/relay/receiver.go
+++ b/control/relay/receiver.go
@@ -90,8 +90,11 @@
 // checkColumns refuses a batch whose columns don't belong together.
 func checkColumns(b *rpc.UpstreamBatch) error {
 	loads, news, rates := len(b.Refs), len(b.NewRefs), len(b.RateRefs)
-	for _, column := range [][]uint32{b.Ages, b.Running, b.QueuedPrefill, b.Held} {
-		if len(column) != loads {
+	if len(b.Ages) != loads {
+		return errors.New("columns of different lengths")
+	}
+	for _, column := range [][]uint32{b.Running, b.QueuedPrefill, b.Held} {
+		if len(column) != loads && len(column) != 0 {
 			return errors.New("columns of different lengths")
 		}
 	}
@@ -128,9 +131,9 @@
 			return nil, ErrGap
 		}
 		a.Sequence += usualStep
-		a.Load.Running = int(b.Running[i])
-		a.Load.QueuedPrefill = int(b.QueuedPrefill[i]) * prefillUnit
-		a.Load.HeldTokens = int(b.Held[i]) * heldUnit
+		a.Load.Running = valueAt(b.Running, i)
+		a.Load.QueuedPrefill = valueAt(b.QueuedPrefill, i) * prefillUnit
+		a.Load.HeldTokens = valueAt(b.Held, i) * heldUnit
 		refs[i] = ref
 		all[i] = upstream.Relayed{Announcement: a, Age: age + time.Duration(b.Ages[i])*ageUnit}
 	}
--- a/control/relay/relay_test.go
+++ b/control/relay/relay_test.go
@@ -47,6 +47,40 @@
 	}
 }
 
+// Guards against a voter whose link is filled by upstreams that say what they said before.
+func TestAnnouncementsWithoutLoadTakeTwoBytes(t *testing.T) {
+	s, r := NewSender(), NewReceiver()
+	const upstreams, most = 3000, 2.2 // bytes each: one for which, one for its age, and some for all
+	for second := range 3 {
+		now := testStart.Add(time.Duration(second) * time.Second)
+		var changes []upstream.Relayed
+		for i := range upstreams {
+			a := announcement(i, 1+second)
+			a.Load = upstream.Load{}
+			changes = append(changes, upstream.Relayed{Announcement: a, Age: 300 * time.Millisecond})
+		}
+		if err := s.Add(now, changes); err != nil {
+			t.Fatal(err)
+		}
+		delta, err := s.Since(now, r.Position())
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken, err := r.Take(delta, 0)
+		if err != nil || len(taken) != upstreams {
+			t.Fatalf("%d upstreams taken: %v", len(taken), err)
+		}
+		for _, one := range taken {
+			if one.Announcement.Sequence != uint64(1+second) || one.Announcement.Load != (upstream.Load{}) || one.Age != 300*time.Millisecond {
+				t.Fatalf("taken as %+v", one)
+			}
+		}
+		if each := float64(len(delta)) / upstreams; second > 0 && each > most {
+			t.Errorf("%.2f bytes for each upstream", each)
+		}
+	}
+}
+
 func TestReceiversNeverMixUpUpstreams(t *testing.T) {
 	// Deltas are lost, doubled and overtake each other, a receiver falls far
 	// behind, and upstreams restart. A receiver that took one upstream's load for
