--- a/cli/losses.go
+++ b/cli/losses.go
@@ -4,15 +4,23 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
 	urfave "github.com/urfave/cli/v3"
 
+	"celeryport/explain"
 	"celeryport/losses"
+	"celeryport/platform"
 )
 
-// flagLossesJSON asks for the tables as JSON.
-const flagLossesJSON = "json"
+const (
+	// flagLossesJSON asks for the tables as JSON.
+	flagLossesJSON = "json"
+	// flagLossesDocument names the platform's settings document, for the law of the engines.
+	flagLossesDocument = "document"
+)
 
 // lossesCommand says where answers in time were lost, from logs alone.
 func lossesCommand(stdout, stderr io.Writer) *urfave.Command {
@@ -20,7 +28,10 @@
 		Name:      "losses",
 		Usage:     "say which forwarded calls were not answered in time, by route, cause and moment, from the logs of all instances",
 		ArgsUsage: "LOG...",
-		Flags:     []urfave.Flag{&urfave.BoolFlag{Name: flagLossesJSON, Usage: "print JSON"}},
+		Flags: []urfave.Flag{
+			&urfave.BoolFlag{Name: flagLossesJSON, Usage: "print JSON"},
+			&urfave.StringFlag{Name: flagLossesDocument, Usage: "settings document `FILE` of the platform: print what engine time allowed instead"},
+		},
 		Action: func(_ context.Context, c *urfave.Command) error {
 			lines, unread, err := readLogs(c.Args().Slice())
 			if err != nil {
@@ -29,6 +40,9 @@
 			if unread > 0 {
 				fmt.Fprintf(stderr, "celeryport: %d lines are no whole log lines and were passed over\n", unread)
 			}
+			if file := c.String(flagLossesDocument); file != "" {
+				return reachFrom(stdout, lines, file, c.Bool(flagLossesJSON))
+			}
 			table := losses.Of(lines)
 			if c.Bool(flagLossesJSON) {
 				return writeJSON(stdout, table)
@@ -38,6 +52,31 @@
 	}
 }
 
+// reachFrom prints what each route with prompts was served in time, and what could have been.
+func reachFrom(out io.Writer, lines []explain.Line, file string, asJSON bool) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Err: errors.Wrap(err, "read the settings document")}
+	}
+	tree, err := platform.ParseDocument(file, text)
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Err: err}
+	}
+	services := tree.Forwarding.Engines()
+	if len(services) == 0 {
+		return &ExitError{Code: ExitUsage, Err: errors.Newf("%s names no service with engines", file)}
+	}
+	reach := losses.ReachOf(lines, tree.Forwarding.Service(services[0]).Engine)
+	if asJSON {
+		return writeJSON(out, reach)
+	}
+	var rows [][]string
+	for _, r := range reach {
+		rows = append(rows, []string{r.Route, strconv.Itoa(r.Calls), inPercent(r.Reached), inPercent(r.Reachable)})
+	}
+	return writeTable(out, []string{"route", "calls", "in time %", "reachable %"}, rows)
+}
+
 func writeLosses(out io.Writer, table *losses.Table) error {
 	heading := []string{"route", "calls", "prompt", "cause", "of calls", "lost %"}
 	for _, m := range losses.Moments() {
--- a/losses/call.go
+++ b/losses/call.go
@@ -22,6 +22,11 @@
 	prompt  float64 // tokens
 	value   float64 // tokens in, and ten for each token out; 1 without a prompt
 	cause   Cause
+
+	objective time.Duration
+	events    float64 // of the answer
+	engines   float64 // that could be used when it was placed last
+	returned  bool    // an earlier try was refused
 }
 
 // answerValue is what a token of an answer is worth in tokens of the prompt, as
@@ -45,6 +50,11 @@
 		arrived: l.At.Add(-durationOf(l, "total_ms")),
 		prompt:  numberOf(l, "prompt"),
 		cause:   causeOf(l),
+
+		objective: durationOf(l, "objective_ms"),
+		events:    numberOf(l, "events"),
+		engines:   numberOf(l, "engines"),
+		returned:  numberOf(l, "age_ms") > 0,
 	}
 	c.value = max(1, c.prompt+answerValue*numberOf(l, "answer"))
 	return c, true
--- a/losses/losses_test.go
+++ b/losses/losses_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
 
 	"celeryport/explain"
+	"celeryport/settings"
 )
 
 // logAt returns a log line that ends a call at a second.
@@ -17,13 +19,18 @@
 
 const usual = `,"route":"r","objective_ms":300,"pause_limit_ms":250,"prompt":5000,"answer":1000,"total_ms":100`
 
-func tableOf(t *testing.T, lines ...string) Table {
+func linesOf(t *testing.T, lines ...string) []explain.Line {
 	t.Helper()
 	read, unread, err := explain.Read(strings.NewReader(strings.Join(lines, "")))
 	if err != nil || unread > 0 {
 		t.Fatalf("%d lines not read, %v", unread, err)
 	}
-	return Of(read)
+	return read
+}
+
+func tableOf(t *testing.T, lines ...string) Table {
+	t.Helper()
+	return Of(linesOf(t, lines...))
 }
 
 func TestEachLossHasItsCause(t *testing.T) {
@@ -100,3 +107,23 @@
 		t.Errorf("%+v", table)
 	}
 }
+
+func TestReachSaysWhatEngineTimeAllowed(t *testing.T) {
+	// Two prompts of three engine seconds come at once to two engines, with an objective of
+	// two seconds: one of them can be in time, whole, and a third of the other.
+	profile := &settings.EngineProfile{ReadRate: 1000, Slots: 1}
+	prompt := `,"route":"long","objective_ms":1900,"pause_limit_ms":1000,"prompt":3000,"engines":2,"total_ms":0`
+	reach := ReachOf(linesOf(t,
+		logAt(1, 7003, prompt+`,"status":200,"first_ms":1500`),
+		logAt(1, 7002, prompt+`,"status":503,"reason":"deadline"`),
+		logAt(1.5, 7002, prompt+`,"status":503,"reason":"deadline","age_ms":500`)), profile)
+	if len(reach) != 1 || reach[0].Calls != 2 || reach[0].Reached != 0.5 {
+		t.Fatalf("%+v", reach)
+	}
+	if got := reach[0].Reachable; math.Abs(got-4./6) > 1e-9 {
+		t.Errorf("%g could have been in time, want 4 of 6 engine seconds", got)
+	}
+	if ReachOf(nil, profile) != nil {
+		t.Error("empty logs have something in reach")
+	}
+}
