--- a/arbiter/message.go
+++ b/arbiter/message.go
@@ -52,13 +52,13 @@
 type Answer struct {
 	ID         string          `json:"id"`
 	Decision   Decision        `json:"decision"`
-	Home       loadshare.Key   `json:"home,omitempty"`
+	Lead       loadshare.Key   `json:"lead,omitempty"`
 	Helpers    []loadshare.Key `json:"helpers,omitempty"`
 	Reserved   []Reserved      `json:"reserved,omitempty"`
 	Part       time.Duration   `json:"part,omitempty"` // for which each of these engines counts as reading
 	FirstEvent time.Duration   `json:"first_event,omitempty"`
 	Excess     time.Duration   `json:"excess,omitempty"`
-	Age        time.Duration   `json:"age,omitempty"` // of the prompt when it came, if it was turned away before
+	Age        time.Duration   `json:"age,omitempty"` // of the prompt when it came, if it was refused before
 	Seen       placement.Seen  `json:"seen"`
 }
 
--- a/arbiter/queue.go
+++ b/arbiter/queue.go
@@ -31,7 +31,7 @@
 	ask     *Ask
 	heardAt time.Time
 	reading time.Duration // on one engine
-	age     time.Duration // of the prompt when this try came, if an earlier one was turned away
+	age     time.Duration // of the prompt when this try came, if an earlier one was refused
 }
 
 func (w *waiting) overdue() bool {
@@ -187,7 +187,7 @@
 		answer.Decision = Hopeless
 	default:
 		answer.Decision = Placed
-		answer.Home = fleet.Keys[plan.Home]
+		answer.Lead = fleet.Keys[plan.Lead]
 		for _, i := range plan.Helpers {
 			answer.Helpers = append(answer.Helpers, fleet.Keys[i])
 		}
@@ -211,9 +211,9 @@
 // Loads returns what a placed prompt loads its engines with.
 func (a *Answer) Loads(p *settings.EngineProfile, ask *Ask) map[loadshare.Key]loadshare.Load {
 	loads := map[loadshare.Key]loadshare.Load{}
-	home := loadshare.Load{Streams: 1, Leading: 1, Reading: a.Part, Held: ask.Prompt + ask.Answer}
+	lead := loadshare.Load{Streams: 1, Leading: 1, Reading: a.Part, Held: ask.Prompt + ask.Answer}
 	if placement.Tight(p, ask.LongPause) {
-		home.Tight = 1
+		lead.Tight = 1
 	}
 	for _, key := range a.Helpers {
 		loads[key] = loadshare.Load{Helping: 1, Reading: a.Part}
@@ -222,8 +222,8 @@
 		load := loads[r.Engine]
 		load.Held = r.Tokens
 		loads[r.Engine] = load
-		home.Held -= r.Tokens
+		lead.Held -= r.Tokens
 	}
-	loads[a.Home] = home
+	loads[a.Lead] = lead
 	return loads
 }
--- a/arbiter/queue_test.go
+++ b/arbiter/queue_test.go
@@ -57,7 +57,7 @@
 		if answer.Decision != Placed {
 			t.Errorf("%s was refused", answer.ID)
 		}
-		for _, key := range append(answer.Helpers, answer.Home) {
+		for _, key := range append(answer.Helpers, answer.Lead) {
 			if used[key] != "" {
 				t.Errorf("engine %d reads for %s and for %s", key, used[key], answer.ID)
 			}
@@ -82,7 +82,7 @@
 }
 
 func TestHopelessPromptsAreAnsweredAtOnce(t *testing.T) {
-	// All engines have more to read than the objective allows. A caller that is told
+	// All engines have more to read than the objective allows. A caller that is reported
 	// nothing until then could have come back in time.
 	queue, w := NewQueue(), &world{engines: 4, loads: map[loadshare.Key]loadshare.Load{}}
 	for key := loadshare.Key(1); key <= 4; key++ {
@@ -110,7 +110,7 @@
 		}
 	}
 	if hopeless < 70 {
-		t.Errorf("%d of 100 are told at once that they won't be read in time, at most 10 can be", hopeless)
+		t.Errorf("%d of 100 are reported at once that they won't be read in time, at most 10 can be", hopeless)
 	}
 }
 
--- a/arbiter/returned.go
+++ b/arbiter/returned.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// returned remembers when the prompts came that were turned away. A caller that comes
+// returned remembers when the prompts came that were refused. A caller that comes
 // back has a new id for its call and may meet another instance, but the prompt is the
 // same, and its objective counts from the first try.
 //
@@ -16,7 +16,7 @@
 // wait in all.
 const returnKept = 30 * time.Second
 
-// note remembers a prompt that is turned away and came first at a time.
+// note remembers a prompt that is refused and came first at a time.
 func (r returned) note(first time.Time, prompt uint64) {
 	if _, known := r[prompt]; prompt != 0 && !known {
 		r[prompt] = first
--- a/arbiter/returned_test.go
+++ b/arbiter/returned_test.go
@@ -6,7 +6,7 @@
 )
 
 func TestPromptThatComesBackIsRecognised(t *testing.T) {
-	// A long prompt is turned away and its caller comes back, by another instance and
+	// A long prompt is refused and its caller comes back, by another instance and
 	// with a new call id. Taken for a new one it gets the whole objective once more and
 	// waits for engines, although its answer is late already and its caller leaves soon.
 	queue, w := NewQueue(), &world{engines: 1}
@@ -27,7 +27,7 @@
 }
 
 func TestNewPromptsHaveNoAge(t *testing.T) {
-	// Other callers' prompts, and those that can't be told apart, come after a refusal.
+	// Other callers' prompts, and those that can't be reported apart, come after a refusal.
 	// With an age that is not theirs they would be refused as late on arrival.
 	queue, w := NewQueue(), &world{engines: 1}
 	for i, id := range []uint64{77, 0} {
--- a/forward/aggregate.go
+++ b/forward/aggregate.go
@@ -33,7 +33,7 @@
 func (s *Server) aggregateZone(ctx context.Context, conn net.PacketConn) {
 	process := s.options.Process
 	id := fmt.Sprintf("%s/%d for its zone", process.Name, s.options.Plane.View().Incarnation)
-	teller := loadshare.NewTeller(loadshare.KeyOf(id))
+	reporter := loadshare.NewReporter(loadshare.KeyOf(id))
 	timer := time.NewTicker(loadshare.FullInterval)
 	defer timer.Stop()
 	aggregates := false
@@ -45,7 +45,7 @@
 			// Looked at with each full report only: all instances of the zone hear of each
 			// change, and one of them needs to act.
 			if aggregates = s.aggregates(time.Now()); !aggregates {
-				teller.Restart()
+				reporter.Restart()
 				continue
 			}
 		case <-s.fleet.zoneNews:
@@ -57,7 +57,7 @@
 			}
 		}
 		now := time.Now()
-		if report := teller.Next(now, s.fleet.zoneLoads(now)); report != nil {
+		if report := reporter.Next(now, s.fleet.zoneLoads(now)); report != nil {
 			report.Zone = loadshare.KeyOf(process.AvailabilityZone)
 			_, relays := recipients(s.options.Plane.View().Instances, process, report.Sequence)
 			s.sendTo(conn, relays, datagram.LoadsToRelay, report.Encode())
--- a/forward/arbitration_ask.go
+++ b/forward/arbitration_ask.go
@@ -16,7 +16,7 @@
 
 // arbiterOf returns the instance that decides for the long prompts of a service:
 // the one with the highest hash of both names that lives and has not failed to answer. All
-// instances agree on it without a word. It is nil when there is none.
+// instances agree on it without asking each other. It is nil when there is none.
 func (s *Server) arbiterOf(now time.Time, service string) *membership.Instance {
 	view := s.options.Plane.View()
 	key := loadshare.KeyOf(service)
--- a/forward/arbitration_test.go
+++ b/forward/arbitration_test.go
@@ -90,8 +90,8 @@
 		if !heard || answer == nil || answer.Decision != arbiter.Placed {
 			t.Fatalf("answered %+v (%t)", answer, heard)
 		}
-		if loaded := s.fleet.inUse(s.options.Plane.View().Upstreams, "model")[answer.Home].granted; len(loaded) != 1 {
-			t.Errorf("the arbiter counts %d grants at the home", len(loaded))
+		if loaded := s.fleet.inUse(s.options.Plane.View().Upstreams, "model")[answer.Lead].granted; len(loaded) != 1 {
+			t.Errorf("the arbiter counts %d grants at the lead", len(loaded))
 		}
 	})
 }
@@ -104,7 +104,7 @@
 		s.fleet.mu.Lock()
 		nodes, _ := s.fleet.candidates(time.Now(), s.options.Plane.View().Upstreams, "model")
 		for _, n := range nodes {
-			s.fleet.begin(time.Now(), &work{home: n, part: time.Second})
+			s.fleet.begin(time.Now(), &work{lead: n, part: time.Second})
 		}
 		s.fleet.mu.Unlock()
 		ctx, leave := context.WithTimeout(context.Background(), 300*time.Millisecond)
@@ -123,7 +123,7 @@
 
 func TestCallsWaitForTheFirstUpstreams(t *testing.T) {
 	// The whole fleet lost its power and is back, and no upstream has announced itself
-	// yet. Callers that are turned away come back a moment too early and are turned away
+	// yet. Callers that are refused come back a moment too early and are refused
 	// again, for good. Later on, a service without upstreams is refused at once.
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, "front-1", "front-1")
@@ -163,15 +163,15 @@
 	defer s.fleet.mu.Unlock()
 	leaving, staying := s.fleet.node(&upstreams[0]), s.fleet.node(&upstreams[1])
 	for name, answer := range map[string]*arbiter.Answer{
-		"home":   {Home: leaving.key, Helpers: []loadshare.Key{staying.key}},
-		"helper": {Home: staying.key, Helpers: []loadshare.Key{leaving.key}},
-		"memory": {Home: staying.key, Reserved: []arbiter.Reserved{{Engine: leaving.key, Tokens: 1}}},
+		"lead":   {Lead: leaving.key, Helpers: []loadshare.Key{staying.key}},
+		"helper": {Lead: staying.key, Helpers: []loadshare.Key{leaving.key}},
+		"memory": {Lead: staying.key, Reserved: []arbiter.Reserved{{Engine: leaving.key, Tokens: 1}}},
 	} {
 		if _, unusable := x.workFor(answer); !slices.Contains(unusable, leaving.key) || slices.Contains(unusable, staying.key) {
 			t.Errorf("the leaving engine is used as %s", name)
 		}
 	}
-	if _, unusable := x.workFor(&arbiter.Answer{Home: staying.key}); len(unusable) > 0 {
+	if _, unusable := x.workFor(&arbiter.Answer{Lead: staying.key}); len(unusable) > 0 {
 		t.Error("an engine that stays is not used")
 	}
 }
@@ -179,7 +179,7 @@
 func TestRememberedEnginesAreUsedAfterAStart(t *testing.T) {
 	// The whole fleet lost its power and is back. Voters remember eighteen engines, and
 	// two of them have announced themselves so far. If only these two are used, they are
-	// overrun, and callers are turned away while sixteen engines idle. An instance that
+	// overrun, and callers are refused while sixteen engines idle. An instance that
 	// runs for long takes silence for what it is.
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, "front-1", "front-1")
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -18,7 +18,7 @@
 			Load:  load,
 			Order: uint64(n.key),
 			Near:  n.zone == f.options.Process.AvailabilityZone,
-			Avoid: n.standing(now, load, f.silent(now, upstreams[i])).avoid(),
+			Avoid: n.health(now, load, f.silent(now, upstreams[i])).avoid(),
 		})
 	}
 	return nodes, engines
--- a/forward/events.go
+++ b/forward/events.go
@@ -12,7 +12,7 @@
 	eventUnreadable = event.Define(7001, logrus.WarnLevel, "call not read",
 		"A caller sent something that is no proper call, too much, or too slowly; nothing was forwarded. Fields: status, error.")
 	eventRefused = event.Define(7002, logrus.InfoLevel, "call refused",
-		"The call was not run and the caller was told so, with the time after which to come back. Fields: call, route, status, reason, message, retry_after_ms, sends, rejections (sends rejected for want of a helper), waited_ms, revision.")
+		"The call was not run and the caller was reported so, with the time after which to come back. Fields: call, route, status, reason, message, retry_after_ms, sends, rejections (sends rejected for want of a helper), waited_ms, revision.")
 	eventServed = event.Define(7003, logrus.InfoLevel, "call answered",
 		"The caller has the upstream's whole answer. Fields: call, route, status, upstream, sends, first_ms (from the call's first byte), placed_ms (until its last send had a place), pause_ms (the longest between two events) and paused_at_ms (when that began), predicted_ms (of the first event), prompt (tokens), readers (engines that read it), helpers (those of them that did not answer), total_ms, revision.")
 	eventFailed = event.Define(7004, logrus.WarnLevel, "call failed",
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -26,7 +26,7 @@
 	priority     int
 	revision     uint64
 	deadline     time.Time
-	age          time.Duration   // of the call when it came, if the arbiter knows that it was turned away before
+	age          time.Duration   // of the call when it came, if the arbiter knows that it was refused before
 	tries        int             // plans so far; each has reservations of its own
 	lastAsk      string          // ID of the ask that got the call its last place
 	sends        int             // that may have reached an upstream
@@ -66,8 +66,8 @@
 // noteRejection notes which engine got the call, and the helper for whose want it was
 // rejected.
 func (x *exchange) noteRejection(w *work, o *outcome) {
-	if o.reached && !slices.Contains(x.leads, w.home.key) {
-		x.leads = append(x.leads, w.home.key)
+	if o.reached && !slices.Contains(x.leads, w.lead.key) {
+		x.leads = append(x.leads, w.lead.key)
 	}
 	if o.helper == nil {
 		return
@@ -112,7 +112,7 @@
 			x.giveUp(last, err)
 			return
 		}
-		x.target, x.helpers, x.placedAt = next.home, next.helpers, time.Now()
+		x.target, x.helpers, x.placedAt = next.lead, next.helpers, time.Now()
 		result := x.send(ctx, next)
 		if result.err == nil {
 			x.served()
@@ -125,7 +125,7 @@
 		x.noteFailedSend(result)
 		x.noteRejection(next, result)
 		if !result.elsewhere {
-			x.tried = append(x.tried, next.home.key)
+			x.tried = append(x.tried, next.lead.key)
 		}
 		if !result.reached {
 			unsent++
@@ -149,7 +149,7 @@
 
 // awaitSettings has a call wait for the first settings of a process that has just
 // started: they come with the first answer of a voter, a moment later. After a restart of
-// all processes all calls would else be turned away until then.
+// all processes all calls would else be refused until then.
 func (x *exchange) awaitSettings(ctx context.Context) {
 	until := x.began.Add(settingsWait)
 	for !x.server.settled() && time.Now().Before(until) {
@@ -252,7 +252,7 @@
 	return verdict.Wrap(o.err, verdict.MayHaveRun, verdict.ReasonUpstream, "the upstream failed")
 }
 
-// busyRetry is when to come back after upstreams turned a call away. Their
+// busyRetry is when to come back after upstreams rejected a call. Their
 // queues turn over within about this time.
 const busyRetry = 150 * time.Millisecond
 
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -112,7 +112,7 @@
 }
 
 // inUse returns the nodes of a service that may get work, by the keys under which
-// loads are told. The lock must be held.
+// loads are reported. The lock must be held.
 func (f *fleet) inUse(snapshot *upstream.Snapshot, service string) map[loadshare.Key]*node {
 	workers, _ := f.workers(snapshot, service)
 	nodes := make(map[loadshare.Key]*node, len(workers))
@@ -153,7 +153,7 @@
 	}
 }
 
-// changed has the others told of the loads.
+// changed has the others reported of the loads.
 func (f *fleet) changed() {
 	wake(f.news)
 	wake(f.zoneNews)
@@ -227,12 +227,12 @@
 func (f *fleet) refusedHelp(n *node) {
 	asked := time.Now()
 	f.mu.Lock()
-	n.doubt.pass(asked.Add(connectTimeout))
+	n.suspicion.pass(asked.Add(connectTimeout))
 	f.mu.Unlock()
 	go func() {
 		if f.there(context.Background(), n) {
 			f.mu.Lock()
-			n.doubt.pass(asked.Add(passPause))
+			n.suspicion.pass(asked.Add(passPause))
 			f.mu.Unlock()
 		}
 	}()
@@ -271,7 +271,7 @@
 func (f *fleet) suspect(n *node, cause error) {
 	now := time.Now()
 	f.mu.Lock()
-	wait := n.doubt.raise(now)
+	wait := n.suspicion.raise(now)
 	for _, c := range n.idle {
 		c.close()
 	}
@@ -286,7 +286,7 @@
 func (f *fleet) answered(n *node) {
 	f.mu.Lock()
 	n.answered, n.failedAt = time.Now(), time.Time{}
-	cleared := n.doubt.clear()
+	cleared := n.suspicion.clear()
 	f.mu.Unlock()
 	if cleared {
 		eventCleared.Log(f.options.Log, event.Fields{"upstream": n.name, "address": n.address})
--- a/forward/grant_test.go
+++ b/forward/grant_test.go
@@ -36,9 +36,9 @@
 		second := longAsk()
 		second.ID, second.Prompt = "front-2/call/0", 20_000
 		again := placeFor(t, s, second)
-		busy := append(slices.Clone(given.Helpers), given.Home)
-		if slices.Contains(busy, again.Home) {
-			t.Errorf("engine %d reads for %s of which 100 ms have passed, and gets a second prompt", again.Home, given.Part)
+		busy := append(slices.Clone(given.Helpers), given.Lead)
+		if slices.Contains(busy, again.Lead) {
+			t.Errorf("engine %d reads for %s of which 100 ms have passed, and gets a second prompt", again.Lead, given.Part)
 		}
 	})
 }
--- a/forward/standing_test.go
+++ b/forward/health_test.go
@@ -10,25 +10,25 @@
 func TestNodesAreAvoidedForAReason(t *testing.T) {
 	// An engine goes dark, or only the path to it does, or only its announcements are
 	// lost. Callers of an instance that goes on with a dark engine wait in vain; if
-	// instances pass over sound engines, callers are turned away while these idle.
+	// instances pass over sound engines, callers are refused while these idle.
 	tests := []struct {
 		name string
-		standing
+		health
 		want bool
 	}{
-		{"nothing is known", standing{}, false},
-		{"it failed here", standing{failed: true, reported: true}, true},
-		{"one other instance failed", standing{doubts: 1}, false},
-		{"two instances failed", standing{doubts: 2}, true},
-		{"two instances failed, but it answers here", standing{doubts: 2, answered: true}, false},
-		{"two instances failed, but it answers others", standing{doubts: 2, reported: true, pace: 10}, false},
-		{"its announcements ceased", standing{silent: true}, true},
-		{"its announcements ceased, but it answers others", standing{silent: true, reported: true, pace: 10}, false},
-		{"it fails the calls of one instance", standing{failing: 1, reported: true, pace: 10}, false},
-		{"it fails the calls of two instances", standing{failing: 2, reported: true, pace: 10}, true},
-		{"it fails the calls of two instances, but not those from here", standing{failing: 2, answered: true}, false},
-		{"it is slow", standing{answered: true, reported: true, pace: 40}, true},
-		{"it helps as many as it can", standing{busy: true, answered: true}, true},
+		{"nothing is known", health{}, false},
+		{"it failed here", health{failed: true, reported: true}, true},
+		{"one other instance failed", health{suspicions: 1}, false},
+		{"two instances failed", health{suspicions: 2}, true},
+		{"two instances failed, but it answers here", health{suspicions: 2, answered: true}, false},
+		{"two instances failed, but it answers others", health{suspicions: 2, reported: true, pace: 10}, false},
+		{"its announcements ceased", health{silent: true}, true},
+		{"its announcements ceased, but it answers others", health{silent: true, reported: true, pace: 10}, false},
+		{"it fails the calls of one instance", health{failing: 1, reported: true, pace: 10}, false},
+		{"it fails the calls of two instances", health{failing: 2, reported: true, pace: 10}, true},
+		{"it fails the calls of two instances, but not those from here", health{failing: 2, answered: true}, false},
+		{"it is slow", health{answered: true, reported: true, pace: 40}, true},
+		{"it helps as many as it can", health{busy: true, answered: true}, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/forward/node.go
+++ b/forward/node.go
@@ -17,7 +17,7 @@
 
 func startOf(a *upstream.Announcement) start { return start{name: a.Name, incarnation: a.Incarnation} }
 
-// key returns the key under which the loads of the start are told.
+// key returns the key under which the loads of the start are reported.
 func (s start) loadKey() loadshare.Key {
 	return loadshare.KeyOf(fmt.Sprintf("%s/%d", s.name, s.incarnation))
 }
@@ -35,7 +35,7 @@
 	load      loadshare.Load             // under way from here, but for the reading
 	reading   map[*work]time.Time        // until when it reads parts of prompts sent from here
 	replaced  bool                       // another incarnation answers at the address
-	doubt     doubt
+	suspicion suspicion
 	answered  time.Time // last good answer to a call from here
 	failedAt  time.Time // last failure of its own on a call from here, zero after a good answer
 	report    nodeReport
@@ -56,8 +56,8 @@
 	for _, end := range n.reading {
 		load.Reading = max(load.Reading, end.Sub(now))
 	}
-	if n.doubt.holds(now) {
-		load.Doubts = 1
+	if n.suspicion.holds(now) {
+		load.Suspicions = 1
 	}
 	if now.Sub(n.failedAt) < failureKept || n.replaced {
 		load.Failing = 1
--- a/forward/patience_test.go
+++ b/forward/patience_test.go
@@ -8,7 +8,7 @@
 )
 
 // Engines that are three times as slow begin an answer behind a whole other one after
-// four seconds and more. Taken for hung after a fixed time, sound engines are told as
+// four seconds and more. Taken for hung after a fixed time, sound engines are reported as
 // failing, and their calls run again elsewhere, when the fleet is fullest.
 func TestSlowEnginesAreNotTakenForHung(t *testing.T) {
 	usual := settings.EngineProfile{Slots: 16, Stride: 34, Step: 1310 * time.Microsecond, UsualAnswer: 1300}
--- a/forward/place.go
+++ b/forward/place.go
@@ -130,7 +130,7 @@
 		}
 		return nodes[key]
 	}
-	w := x.newWork(find(answer.Home), answer.Part)
+	w := x.newWork(find(answer.Lead), answer.Part)
 	for _, key := range answer.Helpers {
 		w.helpers = append(w.helpers, find(key))
 	}
@@ -143,9 +143,9 @@
 
 // newWork returns a send to a node, which counts as reading for the time of its part,
 // and its helpers like it.
-func (x *exchange) newWork(home *node, part time.Duration) *work {
+func (x *exchange) newWork(lead *node, part time.Duration) *work {
 	return &work{
-		home:  home,
+		lead:  lead,
 		part:  part,
 		tight: placement.Tight(x.service.Engine, x.longPause()),
 		held:  x.call.PromptTokens + x.call.AnswerTokens,
@@ -215,7 +215,7 @@
 	if profile == nil || x.call.PromptTokens == 0 {
 		at, _ := placement.Service(engines, x.server.fleet.random.Float64())
 		x.predicted = 0
-		return &work{home: nodes[at]}, 0, nil
+		return &work{lead: nodes[at]}, 0, nil
 	}
 	objective, waited := x.nextEvent(now)
 	call := &placement.Call{
@@ -235,7 +235,7 @@
 	if !found {
 		return nil, 0, x.hopeless(plan.FirstEvent, plan.Excess)
 	}
-	w := x.newWork(nodes[plan.Home], plan.Part+plan.Apart)
+	w := x.newWork(nodes[plan.Lead], plan.Part+plan.Apart)
 	for _, at := range plan.Helpers {
 		w.helpers = append(w.helpers, nodes[at])
 	}
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -34,7 +34,7 @@
 	pollers = 2
 	// reportKept is how long a report counts: two polls and a timeout.
 	reportKept = 2*pollInterval + pollTimeout
-	// normalPace and the steps above it are what is told of an engine's pace; smaller
+	// normalPace and the steps above it are what is reported of an engine's pace; smaller
 	// differences are not worth a datagram.
 	normalPace = 10
 	paceStep   = 5
@@ -110,7 +110,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	since := now.Sub(n.report.polledAt)
-	if since < pollAgain || since < pollInterval && f.board.Load(now, n.key).Add(f.zones.Load(now, n.key)).Doubts == 0 {
+	if since < pollAgain || since < pollInterval && f.board.Load(now, n.key).Add(f.zones.Load(now, n.key)).Suspicions == 0 {
 		return false
 	}
 	n.report.polledAt = now
@@ -118,7 +118,7 @@
 }
 
 // fallsTo reports whether an instance is one of those that poll a node: those with
-// the highest hash of both names. All instances agree on it without a word, and
+// the highest hash of both names. All instances agree on it without asking each other, and
 // only the share of one that goes moves to others.
 func fallsTo(own string, n *node, instances []membership.Instance) bool {
 	mine, higher := weightFor(own, n.key), 0
@@ -170,8 +170,8 @@
 	}
 	f.mu.Lock()
 	n.report.heardAt = time.Now()
-	n.report.pace = toldPace(report.Pace)
-	cleared := n.doubt.clear()
+	n.report.pace = reportedPace(report.Pace)
+	cleared := n.suspicion.clear()
 	f.mu.Unlock()
 	if cleared {
 		eventCleared.Log(f.options.Log, event.Fields{"upstream": n.name, "address": n.address})
@@ -201,8 +201,8 @@
 // report.
 var errUnreadableReport = errors.New("the report can't be read")
 
-// toldPace rounds a pace to what is told, in tenths.
-func toldPace(pace float64) int {
+// reportedPace rounds a pace to what is reported, in tenths.
+func reportedPace(pace float64) int {
 	steps := math.Round((pace*normalPace - normalPace) / paceStep)
 	return min(math.MaxUint8, normalPace+paceStep*int(max(0, steps)))
 }
--- a/forward/refuse_test.go
+++ b/forward/refuse_test.go
@@ -81,18 +81,18 @@
 	}
 }
 
-func TestDoubtGrowsAndEnds(t *testing.T) {
-	var d doubt
+func TestSuspicionGrowsAndEnds(t *testing.T) {
+	var d suspicion
 	now := time.Unix(1_700_000_000, 0)
 	last := time.Duration(0)
 	for range 12 {
 		wait := d.raise(now)
-		if wait < last || wait > mostDoubt {
+		if wait < last || wait > mostSuspicion {
 			t.Fatalf("%s after %s", wait, last)
 		}
 		last = wait
 	}
-	if !d.holds(now) || d.holds(now.Add(mostDoubt)) {
+	if !d.holds(now) || d.holds(now.Add(mostSuspicion)) {
 		t.Error("it does not hold for its time")
 	}
 	if !d.clear() || d.holds(now) || d.clear() {
--- a/forward/telling.go
+++ b/forward/reporting.go
@@ -13,9 +13,9 @@
 	"celeryport/loadshare"
 )
 
-// tellPause gathers changes of the loads that come close together into one datagram.
+// reportPause gathers changes of the loads that come close together into one datagram.
 // It is short: instances that hear late of a call place theirs at the same engine.
-const tellPause = 2 * time.Millisecond
+const reportPause = 2 * time.Millisecond
 
 // ShareLoads tells the other instances what this one has under way and takes in
 // what they tell, until ctx ends. conn is a socket at the control address.
@@ -28,7 +28,7 @@
 	go s.aggregateZone(ctx, conn)
 	defer func() { _ = conn.Close() }() // ends hear
 	view := s.options.Plane.View()
-	teller := loadshare.NewTeller(loadshare.KeyOf(fmt.Sprintf("%s/%d", s.options.Process.Name, view.Incarnation)))
+	reporter := loadshare.NewReporter(loadshare.KeyOf(fmt.Sprintf("%s/%d", s.options.Process.Name, view.Incarnation)))
 	go s.pollEngines(ctx)
 	timer := time.NewTicker(loadshare.FullInterval)
 	defer timer.Stop()
@@ -38,13 +38,13 @@
 			return nil
 		case <-timer.C:
 		case <-s.fleet.news:
-			if !pause(ctx, tellPause) {
+			if !pause(ctx, reportPause) {
 				return nil
 			}
 		}
 		now := time.Now()
-		if report := teller.Next(now, s.fleet.ownLoads(now)); report != nil {
-			s.tell(conn, report)
+		if report := reporter.Next(now, s.fleet.ownLoads(now)); report != nil {
+			s.sendReport(conn, report)
 		}
 	}
 }
@@ -60,9 +60,9 @@
 	}
 }
 
-// tell sends a report to the other instances of the own availability zone that take
+// sendReport sends a report to the other instances of the own availability zone that take
 // calls. A failed send is made good by the next full report.
-func (s *Server) tell(conn net.PacketConn, report *loadshare.Report) {
+func (s *Server) sendReport(conn net.PacketConn, report *loadshare.Report) {
 	peers, _ := recipients(s.options.Plane.View().Instances, s.options.Process, report.Sequence)
 	s.sendTo(conn, peers, datagram.Loads, report.Encode())
 }
@@ -79,7 +79,7 @@
 func (s *Server) sendTo(conn net.PacketConn, to []netip.AddrPort, kind datagram.Kind, content []byte) {
 	data := datagram.Seal(s.options.Process.InstanceKey, kind, content)
 	for _, address := range to {
-		_, _ = conn.WriteTo(data, net.UDPAddrFromAddrPort(address)) // see tell
+		_, _ = conn.WriteTo(data, net.UDPAddrFromAddrPort(address)) // see sendReport
 	}
 }
 
--- a/forward/send.go
+++ b/forward/send.go
@@ -37,7 +37,7 @@
 // The ways in which a send fails.
 var (
 	errSilent     = errors.New("the upstream sends nothing and takes no connection")
-	errNotRun     = errors.New("the upstream turned the call away")
+	errNotRun     = errors.New("the upstream rejected the call")
 	errElsewhere  = errors.New("another incarnation answers at the address")
 	errNotGenuine = errors.New("the answer is not one of an upstream that ran the call")
 	errStray      = errors.New("the upstream sent answers of other calls")
@@ -59,7 +59,7 @@
 
 // send sends the call to a node and hands the answer to the caller.
 func (x *exchange) send(ctx context.Context, w *work) *outcome {
-	fleet, n := x.server.fleet, w.home
+	fleet, n := x.server.fleet, w.lead
 	defer fleet.end(w)
 	if len(w.memory) > 0 {
 		if helper, err := fleet.reserve(ctx, w); err != nil {
@@ -110,7 +110,7 @@
 }
 
 // hung reports whether the upstream should have begun to answer long ago, although
-// it may still take connections. It is told as failing; a call that may run again
+// it may still take connections. It is reported as failing; a call that may run again
 // goes elsewhere, any other waits on.
 func (s *sending) hung(sentAt time.Time) bool {
 	x := s.x
--- a/forward/skew_test.go
+++ b/forward/skew_test.go
@@ -33,9 +33,9 @@
 		return 0, err
 	}
 	a.asks++
-	answer := &arbiter.Answer{ID: ask.ID, Decision: arbiter.Placed, Home: a.leaving, Part: time.Second}
+	answer := &arbiter.Answer{ID: ask.ID, Decision: arbiter.Placed, Lead: a.leaving, Part: time.Second}
 	if slices.Contains(ask.Tried, a.leaving) {
-		answer.Home = a.staying
+		answer.Lead = a.staying
 	}
 	go a.server.takeAnswer(answer)
 	return len(data), nil
@@ -65,8 +65,8 @@
 		if err != nil || !decided {
 			t.Fatalf("the arbiter did not decide: %v", err)
 		}
-		if w.home.key != standIn.staying || standIn.asks != 2 {
-			t.Errorf("after %d asks the call goes to %s", standIn.asks, w.home.name)
+		if w.lead.key != standIn.staying || standIn.asks != 2 {
+			t.Errorf("after %d asks the call goes to %s", standIn.asks, w.lead.name)
 		}
 	})
 }
--- a/forward/work.go
+++ b/forward/work.go
@@ -9,9 +9,9 @@
 
 // work is a send that is under way.
 type work struct {
-	home    *node
+	lead    *node
 	helpers []*node       // that read a part of the prompt each
-	part    time.Duration // of the reading, at the home and each helper
+	part    time.Duration // of the reading, at the lead engine and each helper
 	memory  []*reservation
 
 	renewing     context.Context // ends with the send; set while memory is reserved
@@ -19,15 +19,15 @@
 
 	tight bool // its pauses have to be short
 	late  bool // its answer can't be in time any more
-	held  int  // tokens of memory at the home
+	held  int  // tokens of memory at the lead engine
 }
 
 // begin notes a send. The lock must be held.
 func (f *fleet) begin(now time.Time, w *work) {
-	w.home.load = w.home.load.Add(w.atHome())
+	w.lead.load = w.lead.load.Add(w.atLead())
 	if w.part > 0 {
-		f.beginReading(now, w, w.home)
-		w.home.load.Leading++
+		f.beginReading(now, w, w.lead)
+		w.lead.load.Leading++
 		for _, n := range w.helpers {
 			f.beginReading(now, w, n)
 			n.load.Helping++
@@ -62,8 +62,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endReading(w)
-	at := w.atHome()
-	w.home.load = w.home.load.Add(loadshare.Load{Streams: -at.Streams, Tight: -at.Tight, Late: -at.Late, Held: -at.Held})
+	at := w.atLead()
+	w.lead.load = w.lead.load.Add(loadshare.Load{Streams: -at.Streams, Tight: -at.Tight, Late: -at.Late, Held: -at.Held})
 	for _, r := range w.memory {
 		r.node.load.Held -= r.tokens
 	}
@@ -71,11 +71,11 @@
 }
 
 func (f *fleet) endReading(w *work) {
-	if _, reading := w.home.reading[w]; !reading {
+	if _, reading := w.lead.reading[w]; !reading {
 		return
 	}
-	delete(w.home.reading, w)
-	w.home.load.Leading--
+	delete(w.lead.reading, w)
+	w.lead.load.Leading--
 	for _, n := range w.helpers {
 		delete(n.reading, w)
 		n.load.Helping--
@@ -92,15 +92,15 @@
 		return
 	}
 	if w.tight {
-		w.home.load.Tight--
+		w.lead.load.Tight--
 	}
 	w.tight, w.late = false, true
-	w.home.load.Late++
+	w.lead.load.Late++
 	f.changed()
 }
 
-// atHome is what a send takes at its home besides the reading.
-func (w *work) atHome() loadshare.Load {
+// atLead is what a send takes at its lead engine besides the reading.
+func (w *work) atLead() loadshare.Load {
 	load := loadshare.Load{Streams: 1, Held: w.held}
 	if w.tight {
 		load.Tight = 1
--- a/forward/work_test.go
+++ b/forward/work_test.go
@@ -16,22 +16,22 @@
 	// any other call, although they stand idle.
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))})
-		home, helper := &node{key: 1}, &node{key: 2}
-		w := &work{home: home, helpers: []*node{helper}, part: 600 * time.Millisecond, tight: true}
+		lead, helper := &node{key: 1}, &node{key: 2}
+		w := &work{lead: lead, helpers: []*node{helper}, part: 600 * time.Millisecond, tight: true}
 		f.mu.Lock()
 		f.begin(time.Now(), w)
-		if home.own(time.Now()).Reading == 0 || helper.own(time.Now()).Reading == 0 {
+		if lead.own(time.Now()).Reading == 0 || helper.own(time.Now()).Reading == 0 {
 			t.Error("a prompt that is just sent counts as read")
 		}
 		f.mu.Unlock()
 		time.Sleep(time.Second)
 		f.mu.Lock()
-		if at := home.own(time.Now()); at.Reading != 0 || at.Streams != 1 || helper.own(time.Now()).Reading != 0 {
+		if at := lead.own(time.Now()); at.Reading != 0 || at.Streams != 1 || helper.own(time.Now()).Reading != 0 {
 			t.Errorf("after a second %+v and %+v are under way", at, helper.own(time.Now()))
 		}
 		f.mu.Unlock()
 		f.end(w)
-		if at := home.own(time.Now()); at != (loadshare.Load{}) || len(home.reading)+len(helper.reading) > 0 {
+		if at := lead.own(time.Now()); at != (loadshare.Load{}) || len(lead.reading)+len(helper.reading) > 0 {
 			t.Errorf("at the end %+v is left", at)
 		}
 	})
@@ -40,15 +40,15 @@
 func TestReadPartsDontKeepTheirEngineBusy(t *testing.T) {
 	// A long prompt is read by two engines, and one of them has other work first. The
 	// other one is done with its part long before the answer begins. If it counted as
-	// busy until then, it would stand idle, and callers would be turned away.
+	// busy until then, it would stand idle, and callers would be refused.
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))})
 		late, early := &node{key: 1}, &node{key: 2}
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		first := &work{home: late, part: time.Second}
+		first := &work{lead: late, part: time.Second}
 		f.begin(time.Now(), first)
-		second := &work{home: late, helpers: []*node{early}, part: 500 * time.Millisecond}
+		second := &work{lead: late, helpers: []*node{early}, part: 500 * time.Millisecond}
 		f.begin(time.Now(), second)
 		time.Sleep(600 * time.Millisecond)
 		if got := late.own(time.Now()).Reading; got != 900*time.Millisecond {
@@ -64,20 +64,20 @@
 	// A long prompt was read beside a short stream, which paused for a second. Its
 	// answer is late whatever happens now. If its engine was still kept free for it, the
 	// engine would read nothing until the slowed stream ends, and long prompts would be
-	// turned away by engines that stand idle.
+	// refused by engines that stand idle.
 	f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))})
-	home := &node{start: start{name: "e1"}, key: 1}
-	w := &work{home: home, tight: true, held: 100}
+	lead := &node{start: start{name: "e1"}, key: 1}
+	w := &work{lead: lead, tight: true, held: 100}
 	f.mu.Lock()
 	f.begin(time.Now(), w)
 	f.mu.Unlock()
 	f.late(w)
 	f.late(w)
-	if at := home.own(time.Now()); at.Streams != 1 || at.Tight != 0 || at.Late != 1 {
+	if at := lead.own(time.Now()); at.Streams != 1 || at.Tight != 0 || at.Late != 1 {
 		t.Errorf("a late stream counts as %+v", at)
 	}
 	f.end(w)
-	if at := home.own(time.Now()); at != (loadshare.Load{}) {
+	if at := lead.own(time.Now()); at != (loadshare.Load{}) {
 		t.Errorf("at the end %+v is left", at)
 	}
 }
--- a/loadshare/board.go
+++ b/loadshare/board.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// Board sums up what the other instances told. It is not safe for concurrent use.
+// Board sums up what the other instances reported. It is not safe for concurrent use.
 type Board struct {
 	senders map[Key]*sender
-	loads   map[Key]map[Key]told // by upstream, then by sender; only loads that are not nothing
+	loads   map[Key]map[Key]reported // by upstream, then by sender; only loads that are not nothing
 }
 
 type sender struct {
@@ -14,13 +14,13 @@
 	loaded   map[Key]bool // upstreams at which it has something under way
 }
 
-// told is a load and when it was told.
-type told struct {
+// reported is a load and when it was reported.
+type reported struct {
 	load Load
 	at   time.Time
 }
 
-func (t told) now(now time.Time) Load { return t.load.After(now.Sub(t.at)) }
+func (t reported) now(now time.Time) Load { return t.load.After(now.Sub(t.at)) }
 
 // Forget is the age from which on the word of an instance does not count any
 // more: twice the interval of full reports, so that one may be lost. An instance
@@ -33,7 +33,7 @@
 
 // NewBoard returns an empty board.
 func NewBoard() *Board {
-	return &Board{senders: map[Key]*sender{}, loads: map[Key]map[Key]told{}}
+	return &Board{senders: map[Key]*sender{}, loads: map[Key]map[Key]reported{}}
 }
 
 // Take takes in a report and reports whether it was news. Datagrams may overtake
@@ -53,18 +53,18 @@
 		b.clear(r.Sender, s)
 	}
 	for key, load := range r.Loads {
-		b.set(r.Sender, s, key, told{load: load, at: now})
+		b.set(r.Sender, s, key, reported{load: load, at: now})
 	}
 	return true
 }
 
-func (b *Board) set(id Key, s *sender, key Key, t told) {
+func (b *Board) set(id Key, s *sender, key Key, t reported) {
 	if t.load == (Load{}) {
 		b.drop(id, s, key)
 		return
 	}
 	if b.loads[key] == nil {
-		b.loads[key] = map[Key]told{}
+		b.loads[key] = map[Key]reported{}
 	}
 	b.loads[key][id] = t
 	s.loaded[key] = true
@@ -94,7 +94,7 @@
 	}
 }
 
-// Remove drops what a sender told.
+// Remove drops what a sender reported.
 func (b *Board) Remove(id Key) {
 	if s := b.senders[id]; s != nil {
 		b.clear(id, s)
--- a/loadshare/board_test.go
+++ b/loadshare/board_test.go
@@ -12,7 +12,7 @@
 
 func TestReportKeepsItsContent(t *testing.T) {
 	want := Report{Sender: 7, Sequence: 9, Full: true, Loads: map[Key]Load{
-		KeyOf("a"): {Streams: 4, Tight: 2, Late: 1, Reading: 150 * time.Millisecond, Held: 4 * heldUnit, Leading: 1, Helping: 5, Doubts: 1, Failing: 1, Pace: 40},
+		KeyOf("a"): {Streams: 4, Tight: 2, Late: 1, Reading: 150 * time.Millisecond, Held: 4 * heldUnit, Leading: 1, Helping: 5, Suspicions: 1, Failing: 1, Pace: 40},
 		KeyOf("b"): {Streams: 1},
 	}}
 	got, err := Decode(want.Encode())
@@ -46,10 +46,10 @@
 func TestBoardAgreesAgainAfterLosses(t *testing.T) {
 	// Datagrams are lost, doubled and overtake each other, and calls end while
 	// nobody hears of it. An engine whose load was never taken back would stay
-	// empty for good, and one whose load was never told would be overrun. Within
+	// empty for good, and one whose load was never reported would be overrun. Within
 	// one full report the others have to agree with the instance again.
 	rapid.Check(t, func(t *rapid.T) {
-		teller, board := NewTeller(1), NewBoard()
+		reporter, board := NewReporter(1), NewBoard()
 		now := start
 		loads := map[Key]Load{}
 		var held []*Report
@@ -66,7 +66,7 @@
 				delete(next, key)
 			}
 			loads = next
-			if r := teller.Next(now, loads); r != nil {
+			if r := reporter.Next(now, loads); r != nil {
 				held = append(held, r)
 			}
 			if len(held) > 0 && rapid.Bool().Draw(t, "deliver") {
@@ -75,7 +75,7 @@
 			}
 		}
 		now = now.Add(FullInterval)
-		board.Take(now, teller.Next(now, loads))
+		board.Take(now, reporter.Next(now, loads))
 		for key := Key(1); key <= 3; key++ {
 			if got := board.Load(now, key); got != loads[key] {
 				t.Fatalf("engine %d has the load %+v, the others think %+v", key, loads[key], got)
@@ -126,17 +126,17 @@
 }
 
 func TestPassingTimeIsNoNews(t *testing.T) {
-	// What is left to read shrinks by itself. If that was told, each instance would
+	// What is left to read shrinks by itself. If that was reported, each instance would
 	// send datagrams to all others all the time.
-	teller := NewTeller(1)
+	reporter := NewReporter(1)
 	load := Load{Streams: 1, Reading: 300 * time.Millisecond}
-	teller.Next(start, map[Key]Load{5: load})
+	reporter.Next(start, map[Key]Load{5: load})
 	at := start.Add(150 * time.Millisecond)
-	if r := teller.Next(at, map[Key]Load{5: load.After(150 * time.Millisecond)}); r != nil {
-		t.Errorf("told %+v", r.Loads)
+	if r := reporter.Next(at, map[Key]Load{5: load.After(150 * time.Millisecond)}); r != nil {
+		t.Errorf("reported %+v", r.Loads)
 	}
-	if r := teller.Next(at, map[Key]Load{5: {Streams: 1}}); r == nil || r.Loads[5].Reading != 0 {
-		t.Error("an engine that is free sooner was not told")
+	if r := reporter.Next(at, map[Key]Load{5: {Streams: 1}}); r == nil || r.Loads[5].Reading != 0 {
+		t.Error("an engine that is free sooner was not reported")
 	}
 }
 
@@ -176,7 +176,7 @@
 func FuzzDecode(f *testing.F) {
 	// Whatever arrives at the port of the loads must be refused or read, without a panic,
 	// and what was read must be written the same.
-	report := Report{Sender: 1, Zone: 2, Sequence: 3, Full: true, Loads: map[Key]Load{5: {Streams: 1, Doubts: 2, Failing: 1, Pace: 10}}}
+	report := Report{Sender: 1, Zone: 2, Sequence: 3, Full: true, Loads: map[Key]Load{5: {Streams: 1, Suspicions: 2, Failing: 1, Pace: 10}}}
 	f.Add(report.Encode())
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/loadshare/teller.go
+++ b/loadshare/reporter.go
@@ -2,31 +2,31 @@
 
 import "time"
 
-// Teller decides what an instance tells the others, and when. It is not safe for
+// Reporter decides what an instance tells the others, and when. It is not safe for
 // concurrent use.
-type Teller struct {
+type Reporter struct {
 	id       Key
 	sequence uint32
-	told     map[Key]told
+	reported map[Key]reported
 	fullAt   time.Time
 }
 
-// NewTeller returns the teller of one incarnation of an instance.
-func NewTeller(id Key) *Teller { return &Teller{id: id, told: map[Key]told{}} }
+// NewReporter returns the reporter of one incarnation of an instance.
+func NewReporter(id Key) *Reporter { return &Reporter{id: id, reported: map[Key]reported{}} }
 
 // Restart has the next report tell all loads, to those that may not know the last ones.
-func (t *Teller) Restart() { t.fullAt = time.Time{} }
+func (t *Reporter) Restart() { t.fullAt = time.Time{} }
 
 // Next returns the report that is due, given the present loads, or nil.
-func (t *Teller) Next(now time.Time, loads map[Key]Load) *Report {
+func (t *Reporter) Next(now time.Time, loads map[Key]Load) *Report {
 	full := now.Sub(t.fullAt) >= FullInterval
 	r := &Report{Sender: t.id, Full: full, Loads: map[Key]Load{}}
 	for key, load := range loads {
-		if full || !load.nearly(t.told[key].now(now)) {
+		if full || !load.nearly(t.reported[key].now(now)) {
 			r.Loads[key] = load
 		}
 	}
-	for key, last := range t.told {
+	for key, last := range t.reported {
 		if _, still := loads[key]; !still && !full && last.now(now) != (Load{}) {
 			r.Loads[key] = Load{}
 		}
@@ -36,7 +36,7 @@
 	}
 	if full {
 		t.fullAt = now
-		clear(t.told)
+		clear(t.reported)
 	}
 	t.note(now, r)
 	t.sequence++
@@ -45,12 +45,12 @@
 }
 
 // note remembers what the others know from now on.
-func (t *Teller) note(now time.Time, r *Report) {
+func (t *Reporter) note(now time.Time, r *Report) {
 	for key, load := range r.Loads {
 		if load == (Load{}) {
-			delete(t.told, key)
+			delete(t.reported, key)
 			continue
 		}
-		t.told[key] = told{load: load, at: now}
+		t.reported[key] = reported{load: load, at: now}
 	}
 }
--- a/loadshare/zones.go
+++ b/loadshare/zones.go
@@ -20,7 +20,7 @@
 
 // Take takes in a report of a zone and reports whether it was news. When another
 // instance begins to sum up a zone, its first full report takes the place of what the
-// former one told: both together would count each load twice.
+// former one reported: both together would count each load twice.
 func (z *Zones) Take(now time.Time, r *Report) bool {
 	if r.Zone == z.own {
 		return false // known from the instances themselves
--- a/loadshare/zones_test.go
+++ b/loadshare/zones_test.go
@@ -5,7 +5,7 @@
 func TestZoneIsCountedOnce(t *testing.T) {
 	// The instance that sums up a zone dies, or is believed dead, and another one
 	// takes over. If both counted, the engines would look twice as loaded as they are, and
-	// prompts would be turned away beside idle engines.
+	// prompts would be refused beside idle engines.
 	zones := NewZones(KeyOf("own"))
 	zone, engine := KeyOf("other"), KeyOf("engine")
 	report := func(sender Key, sequence uint32, full bool, streams int) *Report {
@@ -38,24 +38,24 @@
 }
 
 func TestSumKeepsCountsApart(t *testing.T) {
-	// Of a whole zone, twenty instances doubt an engine. If the count ran over into that
+	// Of a whole zone, twenty instances suspicion an engine. If the count ran over into that
 	// of its failures, an engine that answers would be passed over.
-	report := Report{Sender: 1, Zone: 2, Loads: map[Key]Load{5: {Doubts: 20, Failing: 1}}}
+	report := Report{Sender: 1, Zone: 2, Loads: map[Key]Load{5: {Suspicions: 20, Failing: 1}}}
 	got, err := Decode(report.Encode())
 	if err != nil || got.Zone != 2 {
 		t.Fatal(got, err)
 	}
-	if load := got.Loads[5]; load.Doubts != failingUnit-1 || load.Failing != 1 {
-		t.Errorf("20 doubts and one failure arrive as %+v", load)
+	if load := got.Loads[5]; load.Suspicions != failingUnit-1 || load.Failing != 1 {
+		t.Errorf("20 suspicions and one failure arrive as %+v", load)
 	}
 }
 
 func TestAggregatorThatStartsTellsAll(t *testing.T) {
-	teller := NewTeller(1)
+	reporter := NewReporter(1)
 	loads := map[Key]Load{5: {Streams: 1}}
-	teller.Next(start, loads)
-	teller.Restart()
-	if r := teller.Next(start, loads); r == nil || !r.Full || len(r.Loads) != 1 {
+	reporter.Next(start, loads)
+	reporter.Restart()
+	if r := reporter.Next(start, loads); r == nil || !r.Full || len(r.Loads) != 1 {
 		t.Errorf("after a pause it tells %+v", r)
 	}
 }
--- a/placement/herd_test.go
+++ b/placement/burst_test.go
@@ -43,7 +43,7 @@
 		r.busy++
 		return
 	}
-	load := &r.engines[plan.Home]
+	load := &r.engines[plan.Lead]
 	if load.Leading >= 3 || load.Streams >= testProfile.Slots {
 		r.busy++
 	}
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -33,9 +33,9 @@
 
 // Plan says where a call goes.
 type Plan struct {
-	Home       int           // engine that answers
+	Lead       int           // engine that answers
 	Helpers    []int         // engines that read a part of the prompt each
-	Part       time.Duration // reading at the home and each helper
+	Part       time.Duration // reading at the lead engine and each helper
 	Apart      time.Duration // after its part, until one of these engines may read the next
 	Reserved   []Reserved    // memory that the prompt needs at helpers, in the order in which it is filled
 	FirstEvent time.Duration // predicted, from now
--- a/placement/gather.go
+++ b/placement/gather.go
@@ -61,11 +61,11 @@
 	return min(1, max(0, float64(mean-calm)/float64(max(1, leastPause(p)-calm))))
 }
 
-// gatherHome returns the engine for a stream with tight pauses and its part of the
+// gatherLead returns the engine for a stream with tight pauses and its part of the
 // reading: the less busy one of two drawn among the engines where such streams
 // gather and, if too few of these have room, the next ones. With a single engine
 // left, all calls of the same moment would go there: some of them pass it over.
-func gatherHome(p *settings.EngineProfile, engines []Engine, usable []int, call *Call, part time.Duration) (int, bool) {
+func gatherLead(p *settings.EngineProfile, engines []Engine, usable []int, call *Call, part time.Duration) (int, bool) {
 	width := gatherWidth(p, engines, usable)
 	open := make([]int, 0, width)
 	for at, i := range usable {
--- a/placement/option.go
+++ b/placement/option.go
@@ -16,7 +16,7 @@
 
 func optionOf(p *settings.EngineProfile, engines []Engine, plan Plan, call *Call) option {
 	value := valueOf(call)
-	harm := harmOf(p, &engines[plan.Home].Load, plan.Part, value)
+	harm := harmOf(p, &engines[plan.Lead].Load, plan.Part, value)
 	for _, i := range plan.Helpers {
 		harm += harmOf(p, &engines[i].Load, plan.Part, value)
 	}
@@ -52,7 +52,7 @@
 // their parts: for a pass if any of them writes tight streams, so that no two parts are
 // read between two events of one of these.
 func apart(p *settings.EngineProfile, engines []Engine, plan *Plan) time.Duration {
-	tight := engines[plan.Home].Load.Tight
+	tight := engines[plan.Lead].Load.Tight
 	for _, i := range plan.Helpers {
 		tight = max(tight, engines[i].Load.Tight)
 	}
--- a/placement/pack.go
+++ b/placement/pack.go
@@ -8,11 +8,11 @@
 
 // pack puts a short prompt on one of the engines where short streams gather.
 func pack(p *settings.EngineProfile, engines []Engine, usable []int, call *Call, reading time.Duration) (Plan, bool) {
-	home, found := gatherHome(p, engines, usable, call, reading)
+	lead, found := gatherLead(p, engines, usable, call, reading)
 	if !found {
 		return Plan{}, false
 	}
-	return Plan{Home: home, Part: reading, FirstEvent: firstEvent(p, &engines[home], reading)}, true
+	return Plan{Lead: lead, Part: reading, FirstEvent: firstEvent(p, &engines[lead], reading)}, true
 }
 
 // packInParts puts a stream with tight pauses on an engine that is kept free of
@@ -24,17 +24,17 @@
 	best := Plan{}
 	for k := 2; k <= min(len(readers)+1, mostHelpers+1, call.Prompt/leastPart(p)); k++ {
 		part := reading / time.Duration(k)
-		home, found := gatherHome(p, engines, usable, call, part)
+		lead, found := gatherLead(p, engines, usable, call, part)
 		if !found {
 			continue
 		}
-		helpers := partHelpers(p, engines, readers, home)
+		helpers := partHelpers(p, engines, readers, lead)
 		if len(helpers) < k-1 {
 			break
 		}
-		first := engines[home].Load.Reading + part + 2*passOf(p, engines[home].Load.Streams+1)
+		first := engines[lead].Load.Reading + part + 2*passOf(p, engines[lead].Load.Streams+1)
 		if best.Part == 0 || first < best.FirstEvent {
-			best = Plan{Home: home, Helpers: helpers[:k-1], Part: part, FirstEvent: first}
+			best = Plan{Lead: lead, Helpers: helpers[:k-1], Part: part, FirstEvent: first}
 		}
 		if first <= early {
 			break
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -108,8 +108,8 @@
 	if first(b) < first(a) {
 		a = b
 	}
-	plan.Home, plan.FirstEvent = a, first(a)
-	if engines[plan.Home].Load.Streams < p.Slots {
+	plan.Lead, plan.FirstEvent = a, first(a)
+	if engines[plan.Lead].Load.Streams < p.Slots {
 		return within(plan, call.Left) // late for once, at an engine where nobody else is in time
 	}
 	return within(plan, min(call.Left, call.Objective))
--- a/placement/prompt_test.go
+++ b/placement/prompt_test.go
@@ -37,14 +37,14 @@
 
 // put adds a planned call to the loads, as instances do.
 func put(engines []Engine, plan *Plan, call *Call) {
-	home := &engines[plan.Home].Load
-	home.Streams++
-	home.Leading++
+	lead := &engines[plan.Lead].Load
+	lead.Streams++
+	lead.Leading++
 	if Tight(testProfile, call.LongPause) {
-		home.Tight++
+		lead.Tight++
 	}
-	home.Held += call.Prompt + call.Answer
-	home.Reading += plan.Part + plan.Apart
+	lead.Held += call.Prompt + call.Answer
+	lead.Reading += plan.Part + plan.Apart
 	for _, i := range plan.Helpers {
 		engines[i].Load.Reading += plan.Part + plan.Apart
 		engines[i].Load.Helping++
@@ -62,7 +62,7 @@
 			t.Fatal("a short prompt was refused")
 		}
 		put(engines, &plan, &shortCall)
-		engines[plan.Home].Load.Reading, engines[plan.Home].Load.Leading = 0, 0 // it is read before the next one comes
+		engines[plan.Lead].Load.Reading, engines[plan.Lead].Load.Leading = 0, 0 // it is read before the next one comes
 	}
 	used := 0
 	for i := range engines {
@@ -77,7 +77,7 @@
 	if !found {
 		t.Fatal("the long prompt was refused")
 	}
-	for _, i := range append([]int{plan.Home}, plan.Helpers...) {
+	for _, i := range append([]int{plan.Lead}, plan.Helpers...) {
 		if engines[i].Load.Tight > 0 {
 			t.Errorf("engine %d has %d short streams and reads a part of %s", i, engines[i].Load.Tight, plan.Part)
 		}
@@ -101,7 +101,7 @@
 			t.Fatal("a long prompt was refused")
 		}
 	}
-	put(engines, &Plan{Home: 0}, &shortCall)
+	put(engines, &Plan{Lead: 0}, &shortCall)
 	engines[0].Load.Reading, engines[0].Load.Leading = 0, 0
 	plan, found := Prompt(testProfile, engines, &tightLong)
 	if !found && plan.Wait == 0 {
@@ -115,8 +115,8 @@
 	if plan, found = Prompt(testProfile, engines, &tightLong); !found {
 		t.Fatalf("plan %+v: refused although five engines are free", plan)
 	}
-	if engines[plan.Home].Load.Reading+plan.Part > shortReading(testProfile) {
-		t.Errorf("its stream is on engine %d, which reads %s besides its part of %s", plan.Home, engines[plan.Home].Load.Reading, plan.Part)
+	if engines[plan.Lead].Load.Reading+plan.Part > shortReading(testProfile) {
+		t.Errorf("its stream is on engine %d, which reads %s besides its part of %s", plan.Lead, engines[plan.Lead].Load.Reading, plan.Part)
 	}
 }
 
@@ -129,8 +129,8 @@
 		engines[i].Load = loadshare.Load{Streams: 8, Tight: 8}
 	}
 	plan, found := Prompt(testProfile, engines, &longCall)
-	if !found || plan.Home < 3 || slices.ContainsFunc(plan.Helpers, func(i int) bool { return i < 3 }) {
-		t.Errorf("engines %v help engine %d (%t), 0 to 2 write short streams", plan.Helpers, plan.Home, found)
+	if !found || plan.Lead < 3 || slices.ContainsFunc(plan.Helpers, func(i int) bool { return i < 3 }) {
+		t.Errorf("engines %v help engine %d (%t), 0 to 2 write short streams", plan.Helpers, plan.Lead, found)
 	}
 }
 
@@ -158,7 +158,7 @@
 	}
 	long := longCall
 	long.Objective = 6 * time.Second
-	if plan, found := Prompt(testProfile, engines, &long); found && plan.Home < 3 || !found && plan.Wait == 0 {
+	if plan, found := Prompt(testProfile, engines, &long); found && plan.Lead < 3 || !found && plan.Wait == 0 {
 		t.Errorf("plan %+v (%t), engines 0 to 2 are those where short streams gather", plan, found)
 	}
 }
@@ -185,7 +185,7 @@
 	long := longCall
 	long.Prompt = 60_000
 	plan, found := Prompt(testProfile, engines, &long)
-	if !found || plan.Home != 5 || len(plan.Helpers) == 0 {
+	if !found || plan.Lead != 5 || len(plan.Helpers) == 0 {
 		t.Errorf("plan %+v (%t), want the stream on engine 5", plan, found)
 	}
 }
@@ -199,7 +199,7 @@
 		engines[i].Load = loadshare.Load{Streams: 6, Tight: 6}
 	}
 	plan, found := Prompt(testProfile, engines, &tightLong)
-	if !found || plan.Home > 2 || plan.Part > shortReading(testProfile) || len(plan.Helpers) == 0 {
+	if !found || plan.Lead > 2 || plan.Part > shortReading(testProfile) || len(plan.Helpers) == 0 {
 		t.Errorf("plan %+v (%t), want a short part at one of the first engines", plan, found)
 	}
 }
@@ -227,7 +227,7 @@
 
 func TestLateStreamsDoNotBarTheirEngines(t *testing.T) {
 	// Every engine has streams that are late whatever happens. Kept free for them, the
-	// engines stand idle while long prompts are turned away.
+	// engines stand idle while long prompts are refused.
 	engines := testEngines(16)
 	for i := range engines {
 		engines[i].Load = loadshare.Load{Streams: 4, Late: 4}
@@ -292,8 +292,8 @@
 	}
 	engines[5].Load.Held = 200_000
 	plan, found := Prompt(testProfile, engines, &longCall)
-	if !found || plan.Home != 5 {
-		t.Errorf("plan %+v (%t), want the engine with free memory as home", plan, found)
+	if !found || plan.Lead != 5 {
+		t.Errorf("plan %+v (%t), want the engine with free memory as lead", plan, found)
 	}
 }
 
@@ -310,7 +310,7 @@
 	put(engines, &first, &longCall)
 	second, found := Prompt(testProfile, engines, &longCall)
 	if found {
-		for _, i := range append([]int{second.Home}, second.Helpers...) {
+		for _, i := range append([]int{second.Lead}, second.Helpers...) {
 			if engines[i].Load.Reading > freeReading(testProfile) {
 				t.Errorf("engine %d gets a part while it has %s to read", i, engines[i].Load.Reading)
 			}
@@ -383,7 +383,7 @@
 }
 
 func TestOverdueCallsDontWait(t *testing.T) {
-	// A caller was turned away and comes back when it is late already. If its prompt
+	// A caller was refused and comes back when it is late already. If its prompt
 	// waited again it would go behind all that can be in time, until its caller leaves.
 	engines := testEngines(17)
 	overdue := longCall
@@ -408,7 +408,7 @@
 	engines[4].Load = loadshare.Load{Streams: 1}
 	plan, found := Prompt(testProfile, engines, &longCall)
 	if !found || slices.Contains(plan.Helpers, 3) || slices.Contains(plan.Helpers, 4) {
-		t.Errorf("engines %v help engine %d (%t), 3 and 4 write streams", plan.Helpers, plan.Home, found)
+		t.Errorf("engines %v help engine %d (%t), 3 and 4 write streams", plan.Helpers, plan.Lead, found)
 	}
 }
 
@@ -429,7 +429,7 @@
 			plan, found = Prompt(testProfile, engines, &tightLong)
 		}
 		if !found || slices.Contains(plan.Helpers, 5) || slices.Contains(plan.Helpers, 6) {
-			t.Fatalf("engines %v help engine %d (%t), 5 leads a prompt, 6 helps many", plan.Helpers, plan.Home, found)
+			t.Fatalf("engines %v help engine %d (%t), 5 leads a prompt, 6 helps many", plan.Helpers, plan.Lead, found)
 		}
 		for _, i := range plan.Helpers {
 			engines[i].Load.Reading += plan.Part // the next plan looks further
@@ -450,7 +450,7 @@
 			t.Fatal("a short prompt was refused")
 		}
 		put(engines, &plan, &call)
-		engines[plan.Home].Load.Reading, engines[plan.Home].Load.Leading = 0, 0
+		engines[plan.Lead].Load.Reading, engines[plan.Lead].Load.Leading = 0, 0
 	}
 	without := 0
 	for i := range engines {
@@ -493,8 +493,8 @@
 		if !found {
 			continue
 		}
-		for _, i := range append(second.Helpers, second.Home) {
-			if i == first.Home || slices.Contains(first.Helpers, i) {
+		for _, i := range append(second.Helpers, second.Lead) {
+			if i == first.Lead || slices.Contains(first.Helpers, i) {
 				t.Errorf("engine %d gets a second part %s after the first, of %s and with a pass of %s", i, passed, part, pass)
 			}
 		}
@@ -588,7 +588,7 @@
 		if !found {
 			return
 		}
-		seen := map[int]bool{plan.Home: true}
+		seen := map[int]bool{plan.Lead: true}
 		for _, i := range plan.Helpers {
 			if seen[i] || i < 0 || i >= len(engines) {
 				t.Fatalf("engine %d is named twice or unknown: %+v", i, plan)
--- a/placement/readers.go
+++ b/placement/readers.go
@@ -51,12 +51,12 @@
 
 // helpersOf lists the readers that may help, the best first. Engines read what they
 // help with before their own prompts, so that one that leads a prompt keeps that one
-// waiting. One that helps as many as it can would turn the whole call away.
-func helpersOf(p *settings.EngineProfile, engines []Engine, readers []int, home int) []int {
+// waiting. One that helps as many as it can would reject the whole call.
+func helpersOf(p *settings.EngineProfile, engines []Engine, readers []int, lead int) []int {
 	helpers := make([]int, 0, len(readers))
 	for _, i := range readers {
 		load := &engines[i].Load
-		if i != home && load.Leading == 0 && load.Helping < p.Slots-spareSlots {
+		if i != lead && load.Leading == 0 && load.Helping < p.Slots-spareSlots {
 			helpers = append(helpers, i)
 		}
 	}
@@ -67,9 +67,9 @@
 // that write least first. One that still reads for long would keep all the others of
 // the same prompt: they count as helping until its first event, and seven long prompts
 // waited for a second while five engines had nothing to read.
-func partHelpers(p *settings.EngineProfile, engines []Engine, readers []int, home int) []int {
+func partHelpers(p *settings.EngineProfile, engines []Engine, readers []int, lead int) []int {
 	helpers := make([]int, 0, len(readers))
-	for _, i := range helpersOf(p, engines, readers, home) {
+	for _, i := range helpersOf(p, engines, readers, lead) {
 		if engines[i].Load.Reading <= tightPart(p) {
 			helpers = append(helpers, i)
 		}
--- a/placement/scale_test.go
+++ b/placement/scale_test.go
@@ -60,7 +60,7 @@
 }
 
 func summary(p *Plan) string {
-	return fmt.Sprint(p.Home, p.Helpers, p.Reserved != nil, p.Wait > 0, p.Excess > 0)
+	return fmt.Sprint(p.Lead, p.Helpers, p.Reserved != nil, p.Wait > 0, p.Excess > 0)
 }
 
 func randomCall(random *rand.Rand) Call {
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -40,7 +40,7 @@
 }
 
 // limitOf returns by when the first event of a long prompt has to come. A call that
-// was turned away before, and is late already, may come late if engines are free: its
+// was refused before, and is late already, may come late if engines are free: its
 // caller has waited in vain once. It does not wait for them: calls that did were still
 // waiting when their callers gave up.
 func limitOf(call *Call) time.Duration {
@@ -63,7 +63,7 @@
 	var best option
 	for k := 1; k <= most; k++ {
 		part := reading / time.Duration(k)
-		plan, found := homeWithHelpers(p, engines, free, call, part, k)
+		plan, found := leadWithHelpers(p, engines, free, call, part, k)
 		if !found {
 			continue
 		}
@@ -78,7 +78,7 @@
 		return Plan{}, false
 	}
 	plan := best.plan
-	plan.FirstEvent = plan.Part + 2*passOf(p, engines[plan.Home].Load.Streams+1)
+	plan.FirstEvent = plan.Part + 2*passOf(p, engines[plan.Lead].Load.Streams+1)
 	plan.Apart = apart(p, engines, &plan)
 	return plan, best.harm <= bearable(call)
 }
