--- a/cli/operator.go
+++ b/cli/operator.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	urfave "github.com/urfave/cli/v3"
 
+	"celeryport/clock"
 	"celeryport/rpc"
 	"celeryport/verdict"
 )
@@ -98,7 +99,7 @@
 		if failed.Verdict != verdict.NotRun {
 			unknown = failed
 		}
-		if !sleep(ctx, askPause) {
+		if !clock.Pause(ctx, askPause) {
 			if unknown != nil {
 				return exitOf(unknown)
 			}
@@ -159,15 +160,3 @@
 		return &ExitError{Code: ExitUnknown, Err: e}
 	}
 }
-
-// sleep waits and reports whether there is time left.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/cli/settings_apply.go
+++ b/cli/settings_apply.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	urfave "github.com/urfave/cli/v3"
 
+	"celeryport/clock"
 	"celeryport/control"
 	"celeryport/control/state"
 	"celeryport/settings"
@@ -138,7 +139,7 @@
 		if a.operator.ask(ctx, control.CommandShow, nil, &status) == nil && status.InForce >= revision {
 			return true
 		}
-		if !sleep(ctx, askPause) {
+		if !clock.Pause(ctx, askPause) {
 			return false
 		}
 	}
--- a/control/delivery.go
+++ b/control/delivery.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"celeryport/clock"
 	"celeryport/verdict"
 )
 
@@ -61,7 +62,7 @@
 	}
 	for {
 		err := n.syncOnce(ctx, 0)
-		if err == nil || !n.pause(ctx, n.opts.Timing.Retry) {
+		if err == nil || !clock.Pause(ctx, n.opts.Timing.Retry) {
 			return err
 		}
 	}
--- a/control/founding.go
+++ b/control/founding.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/clock"
 	"celeryport/consensus"
 	"celeryport/event"
 )
@@ -44,7 +45,7 @@
 			var err error
 			return errors.CombineErrors(n.do(ctx, func(time.Time) { err = n.core.group.begin(founding) }), err)
 		}
-		if !n.pause(ctx, n.opts.Timing.Retry) {
+		if !clock.Pause(ctx, n.opts.Timing.Retry) {
 			return ctx.Err()
 		}
 	}
--- a/control/remembered.go
+++ b/control/remembered.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/clock"
 	"celeryport/event"
 	"celeryport/membership"
 	"celeryport/upstream"
@@ -38,7 +39,7 @@
 	}
 	var written []byte
 	failed := false
-	for n.pause(ctx, rememberInterval) {
+	for clock.Pause(ctx, rememberInterval) {
 		data, err := json.Marshal(rememberedOf(n.View()))
 		if err != nil {
 			return errors.Wrap(err, "encode what is remembered")
--- a/control/search.go
+++ b/control/search.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"celeryport/clock"
 	"celeryport/rpc"
 )
 
@@ -160,7 +161,7 @@
 		if answer.err == nil {
 			heard.Store(true)
 		}
-		if answer.err == nil || !request.Bare || heard.Load() || !n.pause(ctx, n.opts.Timing.Look) {
+		if answer.err == nil || !request.Bare || heard.Load() || !clock.Pause(ctx, n.opts.Timing.Look) {
 			break
 		}
 	}
--- a/control/syncclient.go
+++ b/control/syncclient.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/clock"
 	"celeryport/quota"
 	"celeryport/rpc"
 )
@@ -19,7 +20,7 @@
 	for {
 		err := n.syncOnce(ctx, n.opts.Timing.Sync)
 		if err != nil && !errors.Is(err, errAgain) {
-			if !n.pause(ctx, n.opts.Timing.Retry) {
+			if !clock.Pause(ctx, n.opts.Timing.Retry) {
 				return ctx.Err()
 			}
 		}
@@ -41,7 +42,7 @@
 			return
 		case <-n.kick:
 			if n.syncOnce(ctx, 0) != nil { // a lost one is made good by the next regular sync
-				n.pause(ctx, n.opts.Timing.Retry)
+				clock.Pause(ctx, n.opts.Timing.Retry)
 			}
 		}
 	}
@@ -55,18 +56,6 @@
 	}
 }
 
-// pause waits and reports whether to go on.
-func (n *Node) pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // errAgain ends a sync that reached nobody who took it in, but whose answer says
 // how the next one will.
 var errAgain = errors.New("the sync must be sent again")
--- a/control/voters.go
+++ b/control/voters.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/clock"
 	"celeryport/consensus"
 	"celeryport/verdict"
 )
@@ -109,7 +110,7 @@
 		if step == replaceDone && refused == nil {
 			return encode(status)
 		}
-		if !n.pause(ctx, n.opts.Timing.Retry) {
+		if !clock.Pause(ctx, n.opts.Timing.Retry) {
 			if waitsForInstance(refused) {
 				return nil, refused
 			}
--- a/forward/aggregate.go
+++ b/forward/aggregate.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"celeryport/clock"
 	"celeryport/datagram"
 	"celeryport/loadshare"
 	"celeryport/membership"
@@ -52,7 +53,7 @@
 			if !aggregates {
 				continue
 			}
-			if !pause(ctx, time.Duration(len(s.options.Plane.View().Instances))*aggregatePauseEach) {
+			if !clock.Pause(ctx, time.Duration(len(s.options.Plane.View().Instances))*aggregatePauseEach) {
 				return
 			}
 		}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/clock"
 	"celeryport/loadshare"
 	"celeryport/placement"
 	"celeryport/settings"
@@ -153,7 +154,7 @@
 func (x *exchange) awaitSettings(ctx context.Context) {
 	until := x.began.Add(settingsWait)
 	for !x.server.settled() && time.Now().Before(until) {
-		if !pause(ctx, settingsTick) {
+		if !clock.Pause(ctx, settingsTick) {
 			return
 		}
 	}
--- a/forward/place.go
+++ b/forward/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"celeryport/arbiter"
+	"celeryport/clock"
 	"celeryport/loadshare"
 	"celeryport/placement"
 	"celeryport/verdict"
@@ -25,7 +26,7 @@
 		if wait == 0 {
 			return w, err
 		}
-		if !pause(ctx, min(wait, longestWait)) {
+		if !clock.Pause(ctx, min(wait, longestWait)) {
 			return nil, ctx.Err()
 		}
 	}
--- a/forward/reporting.go
+++ b/forward/reporting.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"celeryport/arbiter"
+	"celeryport/clock"
 	"celeryport/datagram"
 	"celeryport/event"
 	"celeryport/loadshare"
@@ -38,7 +39,7 @@
 			return nil
 		case <-timer.C:
 		case <-s.fleet.news:
-			if !pause(ctx, reportPause) {
+			if !clock.Pause(ctx, reportPause) {
 				return nil
 			}
 		}
@@ -49,17 +50,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // sendReport sends a report to the other instances of the own availability zone that take
 // calls. A failed send is made good by the next full report.
 func (s *Server) sendReport(conn net.PacketConn, report *loadshare.Report) {
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/clock"
 	"celeryport/event"
 	"celeryport/httpwire"
 )
@@ -62,7 +63,7 @@
 
 // renew keeps the leases of a send that takes long.
 func (f *fleet) renew(w *work) {
-	for pause(w.renewing, renewEvery) {
+	for clock.Pause(w.renewing, renewEvery) {
 		for _, r := range w.memory {
 			if err := f.order(w.renewing, r, false); err != nil && w.renewing.Err() == nil {
 				eventNotReserved.Log(f.options.Log, event.Fields{
@@ -84,7 +85,7 @@
 	for _, r := range w.memory {
 		go func() {
 			for time.Now().Before(until) {
-				if f.order(context.Background(), r, true) == nil || !pause(context.Background(), releasePause) {
+				if f.order(context.Background(), r, true) == nil || !clock.Pause(context.Background(), releasePause) {
 					return
 				}
 			}
