Pack what is told of the fleet once for all that ask

Cause: an instance without settings asks a silent voter every 25 ms.

Change: the fleet is packed once and kept for 250 ms.

The test (1,000 upstreams in 25,000 bytes, as they go to a hundred instances in a second over 20 Mbit/s) fails without.

--- a/control/core.go
+++ b/control/core.go
@@ -45,6 +45,7 @@
 	fanout         *fanout           // nil on an instance without a log
 	choice         attachment.Choice // of the voter that an attached instance asks
 	views          viewState
+	fleetAnswer    fleetAnswer // given out last to those that no leader has taken in
 }
 
 // syncPosition is what this instance and a leader know of each other.
--- a/control/provisional.go
+++ b/control/provisional.go
@@ -12,9 +12,9 @@
 // by them is better than serving nobody; the first leader that is found brings the
 // newest, and revisions only ever grow.
 type provisional struct {
-	Revision uint64     `json:"revision"`
-	Text     []byte     `json:"text,omitempty"` // empty for an instance that has settings
-	Fleet    remembered `json:"fleet"`          // empty for one that knows as many upstreams
+	Revision uint64      `json:"revision"`
+	Text     []byte      `json:"text,omitempty"` // empty for an instance that has settings
+	Fleet    fleetAnswer `json:"fleet,omitzero"` // empty for one that knows as many upstreams
 }
 
 // provisionalFor answers an instance that no leader has taken in yet; nil if nothing is
@@ -26,10 +26,7 @@
 		return nil
 	}
 	p := &provisional{}
-	if c.views.urgent {
-		c.publish(now)
-	}
-	if fleet := rememberedOf(c.node.View()); len(fleet.Upstreams) > r.Known {
+	if fleet := c.fleetToTell(now); len(fleet.Upstreams) > r.Known {
 		p.Fleet = fleet
 	}
 	if r.Bare {
@@ -66,5 +63,5 @@
 		}
 		eventProvisional.Log(c.log, event.Fields{"revision": p.Revision, "upstreams": len(p.Fleet.Upstreams)})
 	}
-	c.takeRemembered(now, &p.Fleet)
+	c.takeRemembered(now, &p.Fleet.remembered)
 }
--- a/control/provisional_test.go
+++ b/control/provisional_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -89,7 +90,7 @@
 		t.Error("the fleet is sent again to an instance that knows it")
 	}
 	asks.accepted = true
-	asks.takeProvisional(now, &provisional{Fleet: remembered{Upstreams: []upstream.Announcement{{Name: "gone", Incarnation: 1}}}})
+	asks.takeProvisional(now, &provisional{Fleet: fleetAnswer{remembered: remembered{Upstreams: []upstream.Announcement{{Name: "gone", Incarnation: 1}}}}})
 	if got := asks.known.Size(); got != 2 {
 		t.Errorf("a leader has told the fleet, and %d upstreams are known, want 2", got)
 	}
@@ -131,3 +132,39 @@
 	}
 	return json.Unmarshal(data, into)
 }
+
+// Guards against voters that spend all their time on telling the fleet to hundreds of
+// instances that were killed at once.
+func TestFleetIsToldInFewBytes(t *testing.T) {
+	const upstreams = 1000
+	// A hundred instances are told within a second over a link of 20 Mbit/s.
+	const mostBytes = 25_000
+	knows, asks := newTestCore(t), newTestCore(t)
+	now := time.Now()
+	var fleet remembered
+	for n := range upstreams {
+		fleet.Upstreams = append(fleet.Upstreams, upstream.Announcement{
+			Name: fmt.Sprint("engine-", n), Incarnation: 1, Address: fmt.Sprintf("10.0.%d.%d:1", n/250, n%250), Targets: []string{"sarto"},
+		})
+	}
+	knows.takeRemembered(now, &fleet)
+	answer := knows.provisionalFor(now, &syncRequest{Seeking: true})
+	data, err := json.Marshal(answer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(data) > mostBytes {
+		t.Errorf("the fleet takes %d bytes", len(data))
+	}
+	var taken provisional
+	if err := json.Unmarshal(data, &taken); err != nil {
+		t.Fatal(err)
+	}
+	asks.takeProvisional(now, &taken)
+	if got := asks.known.Size(); got != upstreams {
+		t.Errorf("%d upstreams are known, want %d", got, upstreams)
+	}
+	if again := knows.provisionalFor(now, &syncRequest{Seeking: true, Known: upstreams}); again != nil {
+		t.Error("the fleet is sent again to an instance that knows it")
+	}
+}
--- a/control/search_test.go
+++ b/control/search_test.go
@@ -84,7 +84,11 @@
 	for _, m := range f.members {
 		f.crash(m)
 	}
-	f.start(f.members[0], nil) // no leader without a majority
+	bound, err := net.Listen("tcp", f.members[0].process.ControlListen) // who asks before it serves waits
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.start(f.members[0], bound) // no leader without a majority
 	usual := f.timing
 	f.timing.Retry, f.timing.Stagger, f.timing.Search = time.Hour, time.Hour, time.Hour
 	f.timing.Look, f.timing.Call = time.Hour, time.Hour // also bound the first connection and call, which may take longer on a busy machine
