--- a/arbiter/queue_test.go
+++ b/arbiter/queue_test.go
@@ -82,7 +82,7 @@
 }
 
 func TestHopelessPromptsAreAnsweredAtOnce(t *testing.T) {
-	// All engines have more to read than the objective allows. A caller that is reported
+	// All engines have more to read than the objective allows. A caller that is told
 	// nothing until then could have come back in time.
 	queue, w := NewQueue(), &world{engines: 4, loads: map[loadshare.Key]loadshare.Load{}}
 	for key := loadshare.Key(1); key <= 4; key++ {
--- a/arbiter/returned_test.go
+++ b/arbiter/returned_test.go
@@ -27,7 +27,7 @@
 }
 
 func TestNewPromptsHaveNoAge(t *testing.T) {
-	// Other callers' prompts, and those that can't be reported apart, come after a refusal.
+	// Other callers' prompts, and those that can't be told apart, come after a refusal.
 	// With an age that is not theirs they would be refused as late on arrival.
 	queue, w := NewQueue(), &world{engines: 1}
 	for i, id := range []uint64{77, 0} {
--- a/forward/arbitration.go
+++ b/forward/arbitration.go
@@ -24,7 +24,7 @@
 const (
 	// askResend is how often an ask is repeated; one datagram takes a few milliseconds.
 	askResend = 40 * time.Millisecond
-	// silentResends is how many repeats without asking each other tell that the arbiter is gone.
+	// silentResends is how many repeats without an answer say that the arbiter is gone.
 	silentResends = 3
 	// distrustFor is how long an instance that did not answer is passed over. Control
 	// notices a dead one within that time.
--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -41,7 +41,7 @@
 	Wait         time.Duration   // how long the caller waits, 0 if it does not say
 	PromptTokens int             // 0 if the call carries no prompt
 	AnswerTokens int             // at most
-	PromptID     uint64          // the same for all tries of a caller with one prompt, 0 if it can't be reported
+	PromptID     uint64          // the same for all tries of a caller with one prompt, 0 if it can't be told
 	ResumeAfter  int64           // last event that the caller has
 	Resumes      bool            // the caller has events up to ResumeAfter
 }
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -150,7 +150,7 @@
 	}
 }
 
-// changed has the others reported of the loads.
+// changed has the loads reported to the other instances.
 func (f *fleet) changed() {
 	wake(f.news)
 	wake(f.zoneNews)
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -39,10 +39,9 @@
 	return later(p, engines, readers, call, reading, limit)
 }
 
-// limitOf returns by when the first event of a long prompt has to come. A call that
-// was refused before, and is late already, may come late if engines are free: its
-// caller has waited in vain once. It does not wait for them: calls that did were still
-// waiting when their callers gave up.
+// limitOf returns by when the first event of a long prompt has to come. A call that can't be
+// in time any more may come late if engines are free: its caller has waited in vain once.
+// It does not wait for them: calls that did were still waiting when their callers gave up.
 func limitOf(call *Call) time.Duration {
 	inTime := time.Duration(lateShare*float64(call.Objective)) - call.Waited
 	if Overdue(call) {
