--- a/arbiter/queue_test.go
+++ b/arbiter/queue_test.go
@@ -160,3 +160,15 @@
 		t.Errorf("without engines: answers %+v", answers)
 	}
 }
+
+// Guards against leading a call by one more engine than its route allows.
+func TestOnlyEnginesThatHadTheCallLeadIt(t *testing.T) {
+	queue, w := NewQueue(), &world{engines: 18}
+	ask := askFor("a", 300_000)
+	ask.Leads = []loadshare.Key{17}
+	queue.Take(start, ask)
+	answers := queue.Step(start, w)
+	if len(answers) != 1 || answers[0].Decision != Placed || answers[0].Lead != 17 || len(answers[0].Helpers) == 0 {
+		t.Errorf("answers %+v, want engine 17 to lead and others to help", answers)
+	}
+}
--- /dev/null
+++ b/forward/rejection_test.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/loadshare"
+	"celeryport/placement"
+	"celeryport/settings"
+)
+
+// Guards against an arbiter that names a helper which other instances know to be gone.
+func TestArbiterPassesOverHelpersThatRefusedOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, "front-1", "front-1")
+		s.fleet.options.Dial = func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("gone") }
+		avoided := func() int {
+			s.fleet.mu.Lock()
+			defer s.fleet.mu.Unlock()
+			_, engines := s.fleet.candidates(time.Now(), s.options.Plane.View().Upstreams, "model")
+			return len(slices.DeleteFunc(slices.Clone(engines), func(e placement.Engine) bool { return !e.Avoid }))
+		}
+		avoided() // all engines are known
+		ask := longAsk()
+		ask.ID = "front-2/call/1"
+		s.fleet.mu.Lock()
+		for _, n := range s.fleet.nodes {
+			ask.Refused = []loadshare.Key{n.key}
+		}
+		s.fleet.mu.Unlock()
+		s.takeAsk(&net.UDPAddr{}, ask)
+		synctest.Wait()
+		if got := avoided(); got != 1 {
+			t.Errorf("%d engines are passed over, want the one that refused", got)
+		}
+	})
+}
+
+// Guards against sending a call to more engines than its route allows, and against asking
+// a helper that refused again.
+func TestRejectedCallIsPlacedWithoutTheHelperAtFault(t *testing.T) {
+	s := newTestServer(t, "front-1", "front-1")
+	x := &exchange{
+		server: s, call: &Call{ID: "call", PromptTokens: 180_000}, route: &settings.Route{MaxSends: 2},
+		service: &s.options.Plane.View().Tree.Forwarding.Services[0],
+	}
+	reject := func(lead, helper loadshare.Key) {
+		x.noteRejection(&work{lead: &node{key: lead}}, &outcome{reached: true, helper: &node{key: helper}})
+	}
+	reject(1, 7)
+	if ask := x.newAsk(); len(ask.Leads) != 0 || !slices.Equal(ask.Tried, []loadshare.Key{7}) || !slices.Equal(ask.Refused, []loadshare.Key{7}) {
+		t.Errorf("after one rejection %+v", ask)
+	}
+	reject(2, 8)
+	if ask := x.newAsk(); !slices.Equal(ask.Leads, []loadshare.Key{1, 2}) || !slices.Equal(ask.Tried, []loadshare.Key{7, 8}) {
+		t.Errorf("after as many engines as the route allows %+v", ask)
+	}
+}
