--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -83,7 +83,7 @@
 	x.server.options.Metrics.sent(x.service.Name, o.verdict.String())
 	fields := event.Fields{
 		"call": x.call.ID, "upstream": x.target.name, "address": x.target.address, "verdict": o.verdict.String(),
-		"error": o.err.Error(), "events": x.events, "after_ms": time.Since(x.began).Milliseconds(),
+		"error": o.err.Error(), "phase": o.phase.String(), "request": x.fingerprint.String(), "events": x.events, "after_ms": time.Since(x.began).Milliseconds(),
 	}
 	if o.helper != nil {
 		fields["helper"] = o.helper.name
--- a/forward/events.go
+++ b/forward/events.go
@@ -20,7 +20,7 @@
 	eventCallerLeft = event.Define(7005, logrus.InfoLevel, "caller left",
 		"The caller closed its connection before the end; the upstream's work was cut off. Fields: call, route, upstream, sends, events, total_ms.")
 	eventSendFailed = event.Define(7006, logrus.WarnLevel, "send failed",
-		"One send of a call brought no answer. Fields: call, upstream, address, verdict, error, helper (that refused its part, if one did), events, after_ms.")
+		"One send of a call brought no answer. Fields: call, upstream, address, verdict, error, phase (unanswered, started or answering), request (fingerprint of host, path, caller and body), helper (that refused its part, if one did), events, after_ms.")
 	eventSuspected = event.Define(7007, logrus.WarnLevel, "upstream suspected",
 		"An upstream took no connection, or answered nothing; it gets no new work for a while. Fields: upstream, address, error, for_ms.")
 	eventMisdirected = event.Define(7008, logrus.InfoLevel, "upstream replaced",
@@ -31,6 +31,8 @@
 		"The instance that places the long prompts of all did not answer; another one is asked, or the prompt is placed from what is known here. Fields: call (instance, call, try), arbiter, address.")
 	eventForeignDatagram = event.Define(7010, logrus.WarnLevel, "datagram refused",
 		"Something that is no report of an instance of this fleet came to the control port. Check that all instances have the same key. Fields: from, error.")
+	eventUpstreamEnded = event.Define(7013, logrus.WarnLevel, "upstream ended",
+		"The process of an upstream ended while calls were under way there. Fields: upstream, address, started and unanswered (fingerprints of the requests whose answer had begun without a body, and of those without any answer), answering (number of the others). A request that is in many of these lines may be what ends them.")
 	eventCleared = event.Define(7009, logrus.InfoLevel, "upstream works again",
 		"A suspected upstream answered. Fields: upstream, address.")
 )
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -10,6 +10,7 @@
 	"celeryport/clock"
 	"celeryport/loadshare"
 	"celeryport/placement"
+	"celeryport/quarantine"
 	"celeryport/settings"
 	"celeryport/verdict"
 )
@@ -20,6 +21,7 @@
 	writer       *callerWriter
 	call         *Call
 	body         []byte
+	fingerprint  quarantine.Fingerprint
 	began        time.Time
 	route        *settings.Route
 	service      *settings.ForwardedService
@@ -192,6 +194,7 @@
 		x.organisation = name
 		x.priority = tree.PriorityOf(name, x.priority)
 	}
+	x.fingerprint = quarantine.FingerprintOf(quarantine.ScopeOf(x.call.Host, x.call.Path, x.organisation), x.body)
 	x.service = tree.Forwarding.Service(x.route.Choose(x.server.draw()))
 	x.deadline = x.began.Add(x.route.Timeout)
 	if x.call.Wait > 0 {
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -13,6 +13,7 @@
 	firstByte   *prometheus.HistogramVec
 	duration    *prometheus.HistogramVec
 	sends       *prometheus.CounterVec
+	broken      *prometheus.CounterVec
 	connections prometheus.Gauge
 	unreadable  *prometheus.CounterVec
 }
@@ -36,6 +37,9 @@
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "forward_sends_total", Help: "Sends to upstreams by service and how they ended.",
 		}, []string{"service", "outcome"}),
+		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "forward_sends_broken_total", Help: "Sends whose upstream ended the connection, by service and how far the answer was.",
+		}, []string{"service", "phase"}),
 		connections: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "forward_caller_connections", Help: "Open connections of callers.",
 		}),
@@ -43,7 +47,7 @@
 			Name: "forward_unreadable_total", Help: "Requests that could not be read, by the status that answered them.",
 		}, []string{"status"}),
 	}
-	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.connections, m.unreadable)
+	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.unreadable)
 	return m
 }
 
@@ -59,6 +63,10 @@
 	}
 }
 
+func (m *Metrics) brokeOff(service string, p phase) {
+	m.broken.WithLabelValues(service, p.String()).Inc()
+}
+
 func (m *Metrics) sent(service, outcome string) {
 	m.sends.WithLabelValues(service, outcome).Inc()
 }
--- a/forward/send.go
+++ b/forward/send.go
@@ -19,6 +19,7 @@
 	verdict verdict.Verdict
 	err     error
 	reached bool        // bytes of the call may have reached the upstream
+	phase   phase       // how far the send had come
 	held    *heldAnswer // a whole answer of the upstream that is a failure
 
 	elsewhere bool  // another engine than the one that the call was sent to is at fault
@@ -53,7 +54,8 @@
 	work  *work
 	sent  chan error // result of writing the call
 	begun bool       // the first event came
-	clean bool       // the connection can carry another call
+	phase phase
+	clean bool // the connection can carry another call
 	idle  time.Duration
 }
 
@@ -79,7 +81,12 @@
 	stop := context.AfterFunc(ctx, conn.close)
 	fleet.occupy(n, conn)
 	result := s.exchange(ctx)
+	result.phase = s.phase
 	fleet.vacate(n, conn)
+	if ctx.Err() == nil && endedByPeer(result.err) {
+		x.server.options.Metrics.brokeOff(x.service.Name, s.phase)
+		fleet.brokeOff(n, brokenSend{request: x.fingerprint, phase: s.phase})
+	}
 	if !stop() || !s.clean {
 		conn.close()
 	} else {
@@ -103,6 +110,7 @@
 	if err != nil {
 		return s.failed(err)
 	}
+	s.phase = phaseStarted
 	if head.Status >= http.StatusOK && head.Status < http.StatusMultipleChoices {
 		return s.success(head, answer)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -49,7 +49,7 @@
 		x.writer.begin(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()})
 	}
 	if !s.begun {
-		s.begun = true
+		s.begun, s.phase = true, phaseAnswering
 		x.server.fleet.answering(s.work)
 		x.server.fleet.answered(s.node)
 	}
--- /dev/null
+++ b/quarantine/fingerprint_test.go
@@ -0,0 +1,22 @@
+package quarantine
+
+import "testing"
+
+func TestFingerprintTellsRequestsApart(t *testing.T) {
+	first := FingerprintOf(ScopeOf("a.example", "/draft/", "atelier"), []byte("measurements"))
+	if again := FingerprintOf(ScopeOf("a.example", "/draft/", "atelier"), []byte("measurements")); again != first {
+		t.Errorf("the same request is %s and %s", first, again)
+	}
+	others := map[string]Fingerprint{
+		"host":   FingerprintOf(ScopeOf("b.example", "/draft/", "atelier"), []byte("measurements")),
+		"path":   FingerprintOf(ScopeOf("a.example", "/draft/2", "atelier"), []byte("measurements")),
+		"caller": FingerprintOf(ScopeOf("a.example", "/draft/", "shop"), []byte("measurements")),
+		"body":   FingerprintOf(ScopeOf("a.example", "/draft/", "atelier"), []byte("measurement")),
+		"parts":  FingerprintOf(ScopeOf("a.example", "/draft", "/atelier"), []byte("measurements")),
+	}
+	for what, other := range others {
+		if other == first {
+			t.Errorf("requests that differ in %s share a fingerprint", what)
+		}
+	}
+}
