Reject requests that crash the upstreams which run them

Callers saw engines end one after the other: a request that crashes whichever engine begins to run it came again at any instance, and each try was a new call with the right to two engines.

Cause: nothing identified a request beyond one try of its caller. What a try did to its engines was forgotten with it, on this instance and on all others; the budget of repeats counts a service, not a request.

A request is now identified by host, path, caller and body. When an upstream ends (its connections break and its address refuses), the instance reports the requests that it had begun with. The voters count them in the replicated log, by incarnation, so that one crash counts once; three crashes of a request that had begun, or five of one that may have waited, quarantine it on all instances: it gets 503, not run, with the time for which it stays so. An answer clears a request; what was answered lately, and what an announced departure ends, is no evidence. Each instance rejects by its own evidence while there is no leader. Evidence ages (ten minutes, an hour once quarantined) and is bounded (1,024 requests).

Ruled out: that the connection's end alone tells (engines also break answers off), which is why the address is asked; counting without answers, which would reject what many callers send in the same words.

Old voters do not know the new entries of the log and stop at them, as they do at any unknown one: voters are upgraded before forwarding instances.

--- a/control/control.go
+++ b/control/control.go
@@ -9,6 +9,7 @@
 
 	"celeryport/claim"
 	"celeryport/membership"
+	"celeryport/quarantine"
 	"celeryport/quota"
 	"celeryport/settings"
 	"celeryport/upstream"
@@ -24,7 +25,8 @@
 	Upstreams   *upstream.Snapshot
 	Grants      []quota.Grant
 	Leader      string
-	HasQuorum   bool // a majority of the voters was reached lately
+	HasQuorum   bool             // a majority of the voters was reached lately
+	Quarantine  *quarantine.List // requests that no upstream may get
 }
 
 // Plane is the interface through which the traffic side uses control.
@@ -33,6 +35,8 @@
 	View() *View
 	// Announce hands in an announcement that an upstream made to this instance.
 	Announce(a upstream.Announcement)
+	// ReportEvidence hands in what this instance saw of a request whose upstream ended.
+	ReportEvidence(e quarantine.Evidence)
 	// Claim asks the voters for the right to send a request that may not be
 	// repeated. Only Won allows to send.
 	Claim(ctx context.Context, key claim.Key, holder claim.Holder) ClaimResult
--- a/control/core.go
+++ b/control/core.go
@@ -10,6 +10,7 @@
 	"celeryport/control/relay"
 	"celeryport/event"
 	"celeryport/membership"
+	"celeryport/quarantine"
 	"celeryport/quota"
 	"celeryport/settings"
 	"celeryport/upstream"
@@ -45,7 +46,8 @@
 	fanout         *fanout           // nil on an instance without a log
 	choice         attachment.Choice // of the voter that an attached instance asks
 	views          viewState
-	fleetAnswer    fleetAnswer // given out last to those that no leader has taken in
+	quarantined    *quarantine.List // requests that no upstream may get
+	fleetAnswer    fleetAnswer      // given out last to those that no leader has taken in
 }
 
 // syncPosition is what this instance and a leader know of each other.
--- a/control/events.go
+++ b/control/events.go
@@ -63,6 +63,12 @@
 		"The voter that this instance syncs with can't reach a leader. The instance goes on with what it knows and looks for another voter. Fields: voter, revision.")
 	eventPackFailed = event.Define(3032, logrus.ErrorLevel, "instances not packed",
 		"The list of instances could not be compressed, a fault of the program. It is sent as it is, which takes voters longer when a fleet starts; report it. Fields: error.")
+	eventEvidenceUndelivered = event.Define(3033, logrus.WarnLevel, "evidence waits for a leader",
+		"Evidence about requests that crash upstreams could not be brought to a leader; it is tried again. Until then other instances may send such a request on. Fields: error, waiting.")
+	eventEvidenceDropped = event.Define(3034, logrus.WarnLevel, "evidence dropped",
+		"More evidence about requests that crash upstreams came than could be delivered. Many upstreams end at once, or there is no leader. Fields: dropped, waiting.")
+	eventQuarantine = event.Define(3035, logrus.WarnLevel, "quarantined requests changed",
+		"Requests that crash the upstreams which run them are rejected on all instances; some came or went. List them with: celeryport quarantine list. Fields: requests (how many), version.")
 	eventRelayFailed = event.Define(3021, logrus.ErrorLevel, "upstreams not relayed",
 		"What was heard of upstreams could not be encoded for other instances, a fault of the program. They lose sight of the upstreams; report it.")
 	eventServeFailed = event.Define(3020, logrus.ErrorLevel, "control address failed",
--- /dev/null
+++ b/control/evidence.go
@@ -0,0 +1,165 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/clock"
+	"celeryport/control/state"
+	"celeryport/event"
+	"celeryport/quarantine"
+	"celeryport/verdict"
+)
+
+// commandReportEvidence is the command by which instances report evidence to the leader.
+const commandReportEvidence = "quarantine.report"
+
+const (
+	// mostEvidence bounds the evidence that waits on an instance, and that of one report.
+	mostEvidence = 256
+	// evidencePause collects evidence that comes close together, as when an upstream ends
+	// with many calls, into one entry of the log.
+	evidencePause = 10 * time.Millisecond
+	// evidenceTimeout bounds one try to reach the leader.
+	evidenceTimeout = 2 * time.Second
+)
+
+// evidenceReport is the body of commandReportEvidence.
+type evidenceReport struct {
+	Evidence []quarantine.Evidence `json:"evidence"`
+	Relayed  bool                  `json:"relayed,omitempty"` // a voter passed it on; the next one must lead
+}
+
+// ReportEvidence implements Plane. It does not wait; a background task delivers the
+// evidence, and tries again while there is no leader.
+func (n *Node) ReportEvidence(e quarantine.Evidence) {
+	select {
+	case n.evidence <- e:
+	default:
+		n.dropEvidence([]quarantine.Evidence{e})
+	}
+}
+
+func (n *Node) dropEvidence(dropped []quarantine.Evidence) {
+	if len(dropped) > 0 {
+		eventEvidenceDropped.Log(n.log, event.Fields{"dropped": len(dropped), "waiting": mostEvidence})
+	}
+}
+
+// runEvidence delivers the evidence of this instance until ctx ends.
+func (n *Node) runEvidence(ctx context.Context) error {
+	var waiting []quarantine.Evidence
+	failing := false
+	for {
+		if len(waiting) == 0 {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case e := <-n.evidence:
+				waiting = append(waiting, e)
+			}
+		}
+		if !clock.Pause(ctx, evidencePause) {
+			return ctx.Err()
+		}
+		waiting = n.gatherEvidence(waiting)
+		if err := n.deliverEvidence(ctx, waiting); err != nil {
+			if !failing {
+				eventEvidenceUndelivered.Log(n.log, event.Fields{"error": err, "waiting": len(waiting)})
+			}
+			failing = true
+			if !clock.Pause(ctx, n.opts.Timing.Retry) {
+				return ctx.Err()
+			}
+			continue
+		}
+		waiting, failing = nil, false
+	}
+}
+
+// gatherEvidence adds what came meanwhile, and drops the oldest above the bound.
+func (n *Node) gatherEvidence(waiting []quarantine.Evidence) []quarantine.Evidence {
+	for {
+		select {
+		case e := <-n.evidence:
+			waiting = append(waiting, e)
+			continue
+		default:
+		}
+		excess := max(0, len(waiting)-mostEvidence)
+		n.dropEvidence(waiting[:excess])
+		return waiting[excess:]
+	}
+}
+
+func (n *Node) deliverEvidence(ctx context.Context, evidence []quarantine.Evidence) error {
+	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
+	defer cancel()
+	body, err := encode(evidenceReport{Evidence: evidence})
+	if err != nil {
+		return err
+	}
+	_, err = n.handlers[commandReportEvidence](ctx, body)
+	return err
+}
+
+// reportEvidence is the handler of commandReportEvidence. An instance without a log knows
+// a voter and not the leader, so that a report may take two steps.
+func (n *Node) reportEvidence(ctx context.Context, body []byte) ([]byte, error) {
+	report, err := decode[evidenceReport](body)
+	if err != nil {
+		return nil, err
+	}
+	if err := report.check(); err != nil {
+		return nil, err
+	}
+	var leads, attaches bool
+	var address string
+	err = n.do(ctx, func(now time.Time) {
+		n.core.followLeadership(now)
+		leads, attaches, address = n.core.leader != nil, n.core.attaches(), n.core.leaderAddress()
+	})
+	if err != nil {
+		return nil, err
+	}
+	if leads {
+		return nil, n.proposeEvidence(ctx, report.Evidence)
+	}
+	if report.Relayed || address == "" || address == n.opts.controlAddress() {
+		return nil, errNotLeader
+	}
+	if body, err = encode(evidenceReport{Evidence: report.Evidence, Relayed: !attaches}); err != nil {
+		return nil, err
+	}
+	return n.Ask(ctx, address, commandReportEvidence, body)
+}
+
+func (r *evidenceReport) check() error {
+	if len(r.Evidence) == 0 || len(r.Evidence) > mostEvidence {
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "%d pieces of evidence, want 1 to %d", len(r.Evidence), mostEvidence)
+	}
+	for i := range r.Evidence {
+		if r.Evidence[i].Outcome > quarantine.Answered {
+			return verdict.Refuse(verdict.ReasonBadRequest, 0, "unknown outcome %d", r.Evidence[i].Outcome)
+		}
+	}
+	return nil
+}
+
+// proposeEvidence puts evidence into the log and waits until it is committed.
+func (n *Node) proposeEvidence(ctx context.Context, evidence []quarantine.Evidence) error {
+	done := make(chan proposalResult, 1)
+	command := state.Command{Evidence: evidence}
+	err := n.whileLeading(ctx, func(now time.Time, g *group) error {
+		command.At = now.Round(0).UTC()
+		g.propose(now, &command, done)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	_, err = n.awaitProposal(ctx, done)
+	return errors.Wrap(err, "evidence")
+}
--- /dev/null
+++ b/control/evidence_test.go
@@ -0,0 +1,117 @@
+package control
+
+import (
+	"net"
+	"testing"
+
+	"celeryport/control/state"
+	"celeryport/quarantine"
+	"celeryport/verdict"
+)
+
+var lethal = quarantine.Fingerprint{Scope: 1, Body: 7}
+
+// reportCrashes has three instances report one crash each.
+func (f *fleet) reportCrashes(at []*testNode) {
+	f.t.Helper()
+	for n, m := range at {
+		m.node.ReportEvidence(quarantine.Evidence{Request: lethal, Outcome: quarantine.EndedStarted, Upstream: uint64(n + 1)})
+	}
+}
+
+// awaitQuarantine waits until running instances reject the request, or no longer do.
+func (f *fleet) awaitQuarantine(at []*testNode, want bool) {
+	f.t.Helper()
+	for _, m := range at {
+		f.await("the quarantine", func() bool { return m.node.View().Quarantine.Contains(lethal) == want })
+	}
+}
+
+// Guards against a request that crashes three engines at each of many instances, since each
+// of them knows only its own.
+func TestCrashesAreCountedOverAllInstances(t *testing.T) {
+	t.Parallel()
+	f := newAttachingFleet(t, 3, 4)
+	f.awaitInstalled(f.apply(0, "a", testTree(1)).Revision)
+	f.reportCrashes(f.members[3:6])
+	f.awaitQuarantine(f.members[3:], true)
+	f.members[6].node.ReportEvidence(quarantine.Evidence{Request: lethal, Outcome: quarantine.Answered})
+	f.awaitQuarantine(f.members[3:], false)
+}
+
+// Guards against a request that crashes engines again after a restart of the fleet, when no
+// instance that takes calls remembers it.
+func TestQuarantineSurvivesTheLossOfAllProcesses(t *testing.T) {
+	t.Parallel()
+	f := newAttachingFleet(t, 3, 3)
+	f.awaitInstalled(f.apply(0, "a", testTree(1)).Revision)
+	f.reportCrashes(f.members[3:])
+	f.awaitQuarantine(f.members[3:], true)
+	for _, m := range f.members {
+		f.crash(m)
+	}
+	for _, m := range f.members[:3] {
+		f.start(m, nil)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh := f.add(len(f.members), false, listener)
+	f.awaitQuarantine([]*testNode{fresh}, true)
+}
+
+// Guards against evidence that is lost because it came while there was no leader.
+func TestEvidenceWaitsForALeader(t *testing.T) {
+	t.Parallel()
+	f := newAttachingFleet(t, 3, 3)
+	f.awaitInstalled(f.apply(0, "a", testTree(1)).Revision)
+	f.crash(f.leader())
+	f.reportCrashes(f.members[3:])
+	f.awaitQuarantine(f.members[3:], true)
+}
+
+// Guards against a report that fills the log of the voters, or that they can't read.
+func TestUnusableReportsAreRejected(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 0)
+	node := f.members[0].node
+	long := evidenceReport{Evidence: make([]quarantine.Evidence, mostEvidence+1)}
+	unknown := evidenceReport{Evidence: []quarantine.Evidence{{Outcome: quarantine.Answered + 1}}}
+	for name, report := range map[string]evidenceReport{"empty": {}, "long": long, "unknown outcome": unknown} {
+		body, err := encode(report)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = node.reportEvidence(t.Context(), body)
+		if err == nil || verdict.From(err).Reason != verdict.ReasonBadRequest {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Guards against a voter that differs from the others after it was restored from a snapshot.
+func TestSnapshotKeepsTheEvidence(t *testing.T) {
+	first, second := state.New(), state.New()
+	for index := range uint64(3) {
+		command := state.Command{Evidence: []quarantine.Evidence{{Request: lethal, Outcome: quarantine.EndedStarted, Upstream: index + 1}}}
+		data, err := command.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := first.Apply(index+1, 1, data); err != nil {
+			t.Fatal(err)
+		}
+		kept, err := first.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := second.Restore(kept); err != nil {
+			t.Fatal(err)
+		}
+		if second.QuarantineVersion() != first.QuarantineVersion() || second.Quarantine().Contains(lethal) != (index == 2) {
+			t.Errorf("after %d crashes version %d is restored as %d, quarantined: %t",
+				index+1, first.QuarantineVersion(), second.QuarantineVersion(), second.Quarantine().Contains(lethal))
+		}
+	}
+}
--- a/control/fanout.go
+++ b/control/fanout.go
@@ -144,11 +144,11 @@
 	return held, next
 }
 
-// hasNews reports whether an instance must learn something at once: settings or an
-// upstream that leaves. Instances that come and go wait for the next answer. When a
+// hasNews reports whether an instance must learn something at once: settings, an
+// upstream that leaves, or a request that crashes upstreams. Instances that come and go wait for the next answer. When a
 // whole fleet starts, each of them would else wake all the others.
 func (f *fanout) hasNews(r *syncRequest, revision uint64) bool {
-	return r.Epoch != f.epoch || r.Instance.Revision < revision || r.Upstreams < f.urgent
+	return r.Epoch != f.epoch || r.Instance.Revision < revision || r.Upstreams < f.urgent || f.core.group.quarantineAfter(r) != nil
 }
 
 func (f *fanout) answer(now time.Time, p *poll) *syncResponse {
@@ -170,6 +170,8 @@
 		Detached:  !f.inTouch(now),
 		Taken:     f.roster.IsTaken(r.Instance.Name),
 		leaves:    p.leaves,
+
+		Quarantine: f.core.group.quarantineAfter(r),
 	}
 	if r.Instance.Revision < revision {
 		response.Text = text
--- a/control/group.go
+++ b/control/group.go
@@ -8,6 +8,7 @@
 	"celeryport/consensus"
 	"celeryport/control/state"
 	"celeryport/event"
+	"celeryport/quarantine"
 	"celeryport/verdict"
 	"celeryport/wal"
 )
@@ -29,8 +30,9 @@
 	appliedTerm uint64                  // term of the last applied entry
 	compacted   uint64                  // index of the last snapshot
 	reads       reads
-	failed      error     // why the voter stopped
-	retryAt     time.Time // when to open the folder again
+	quarantined *quarantine.List // as of its version
+	failed      error            // why the voter stopped
+	retryAt     time.Time        // when to open the folder again
 }
 
 // farAway is when to come back for something that nothing is scheduled for.
@@ -156,6 +158,18 @@
 	return nil
 }
 
+// quarantineAfter returns the quarantined requests, nil if the sender of a sync knows them.
+func (g *group) quarantineAfter(r *syncRequest) *quarantine.List {
+	version := g.machine.QuarantineVersion()
+	if r.Quarantine == nil || version <= *r.Quarantine {
+		return nil
+	}
+	if g.quarantined.Version() != version {
+		g.quarantined = g.machine.Quarantine()
+	}
+	return g.quarantined
+}
+
 // reconfigure notes a committed change of the members.
 func (g *group) reconfigure(e *consensus.Entry) error {
 	c, err := consensus.DecodeConfiguration(e.Data)
--- a/control/leader.go
+++ b/control/leader.go
@@ -144,6 +144,7 @@
 		r.Instance.Revision < l.core.group.machine.Current().Number ||
 		r.Members < l.table.Revision() ||
 		r.Upstreams < out.urgent ||
+		l.core.group.quarantineAfter(r) != nil ||
 		len(r.Attached) > 0 && r.Upstreams < out.out.sender.Position()
 }
 
@@ -168,6 +169,7 @@
 		Unknown:   p.unknown,
 
 		SupersededAttached: p.superseded,
+		Quarantine:         group.quarantineAfter(r),
 	}
 	if r.Epoch != l.epoch || r.Claims != group.machine.Epoch().Number {
 		response.Voters, response.Claims = group.voters(), group.machine.Epoch()
--- a/control/node.go
+++ b/control/node.go
@@ -11,6 +11,7 @@
 
 	"celeryport/clock"
 	"celeryport/order"
+	"celeryport/quarantine"
 	"celeryport/rpc"
 	"celeryport/upstream"
 	"celeryport/verdict"
@@ -37,7 +38,8 @@
 	stopped    chan struct{} // closed when the control goroutine has ended
 	parsed     parsedText
 	refused    refusedAnnouncements
-	core       *core // owned by the control goroutine
+	evidence   chan quarantine.Evidence // not yet gathered for a report
+	core       *core                    // owned by the control goroutine
 }
 
 // task is work for the control goroutine.
@@ -76,6 +78,7 @@
 		tasks:    make(chan task, taskQueue),
 		stopped:  make(chan struct{}),
 		kick:     make(chan struct{}, 1),
+		evidence: make(chan quarantine.Evidence, mostEvidence),
 		refused:  refusedAnnouncements{logged: rate.Sometimes{Interval: refusedLogInterval}},
 	}
 	n.clock = n.opts.Clock
--- a/control/operations.go
+++ b/control/operations.go
@@ -36,6 +36,7 @@
 	n.handlers[CommandApply] = n.atLeader(CommandApply, n.applySettings)
 	n.handlers[commandPutDocument] = n.atLeader(commandPutDocument, n.putDocument)
 	n.handlers[commandReadDocument] = n.atLeader(commandReadDocument, n.readDocument)
+	n.handlers[commandReportEvidence] = n.reportEvidence
 	n.handlers[CommandShow] = n.atLeader(CommandShow, n.showSettings)
 	n.handlers[CommandInstances] = n.atLeader(CommandInstances, n.listInstances)
 	n.handlers[CommandUpstreams] = n.listUpstreams
--- a/control/publish.go
+++ b/control/publish.go
@@ -45,6 +45,7 @@
 		Grants:      c.grants,
 		Leader:      c.position.leader,
 		HasQuorum:   c.lease.valid(now),
+		Quarantine:  c.quarantined,
 	}
 	c.node.view.Store(view)
 }
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"celeryport/quarantine"
 )
 
 // Command is the data of one proposal in the log. Exactly one of its parts is
@@ -15,6 +17,8 @@
 	Apply    *Apply        `json:"apply,omitempty"`
 	Issuer   *TakeIssuer   `json:"issuer,omitempty"`
 	Document *PutDocument  `json:"document,omitempty"`
+
+	Evidence []quarantine.Evidence `json:"evidence,omitempty"` // about requests that crash upstreams
 }
 
 // Apply is an operator's order to replace the settings tree.
@@ -50,7 +54,7 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return nil, errors.Wrap(err, "decode a command")
 	}
-	if c.Apply == nil && c.Issuer == nil && c.Document == nil {
+	if c.Apply == nil && c.Issuer == nil && c.Document == nil && len(c.Evidence) == 0 {
 		return nil, errors.New("a command of an unknown kind; this version is too old for the log")
 	}
 	return &c, nil
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -3,11 +3,13 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"celeryport/claim"
+	"celeryport/quarantine"
 )
 
 // maxHistory is how many past revisions are described for operators who lost a
@@ -29,6 +31,8 @@
 	Orders  orderBook   `json:"orders"`
 	Issuer  Issuer      `json:"issuer"`
 	Epoch   claim.Epoch `json:"epoch"`
+
+	Quarantine quarantine.Book `json:"quarantine,omitzero"`
 }
 
 // New returns the empty state.
@@ -46,6 +50,18 @@
 // Issuer returns the present issuer of engine orders.
 func (m *Machine) Issuer() Issuer { return m.content.Issuer }
 
+// QuarantineVersion returns the log index at which the quarantined requests changed last;
+// 0 if there were none yet.
+func (m *Machine) QuarantineVersion() uint64 { return m.content.Quarantine.Version }
+
+// Quarantine returns the quarantined requests.
+func (m *Machine) Quarantine() *quarantine.List { return m.content.Quarantine.List() }
+
+// QuarantineRecords returns the evidence against each request, oldest first.
+func (m *Machine) QuarantineRecords() []quarantine.Record {
+	return slices.Clone(m.content.Quarantine.Records)
+}
+
 // History returns the newest revisions, oldest first, at most limit.
 func (m *Machine) History(limit int) []Revision {
 	from := max(0, len(m.content.History)-limit)
@@ -73,11 +89,15 @@
 		return Outcome{}, errors.Wrapf(err, "log entry %d", index)
 	}
 	m.content.Applied = index
-	m.advanceClock(command)
+	m.advanceClock(index, command)
 	if command.Issuer != nil {
 		m.takeIssuer(index, term, command.Issuer)
 		return Outcome{}, nil
 	}
+	if len(command.Evidence) > 0 {
+		m.content.Quarantine.Take(m.content.Clock, index, &quarantine.FleetLimits, command.Evidence)
+		return Outcome{}, nil
+	}
 	if command.Document != nil {
 		return m.put(index, command.Document), nil
 	}
@@ -98,12 +118,13 @@
 	return Outcome{Kind: Accepted, Revision: index, Current: index}
 }
 
-// advanceClock moves the replicated clock and forgets old order ids. A leader
+// advanceClock moves the replicated clock and forgets old order ids and evidence. A leader
 // whose wall clock is behind never moves it back.
-func (m *Machine) advanceClock(c *Command) {
+func (m *Machine) advanceClock(index uint64, c *Command) {
 	if c.At.After(m.content.Clock) {
 		m.content.Clock = c.At
 	}
+	m.content.Quarantine.Expire(m.content.Clock, index, &quarantine.FleetLimits)
 	if c.Lifetime > 0 {
 		m.content.Orders.forget(m.content.Clock.Add(-c.Lifetime), m.content.Current.Number)
 	}
--- a/control/synctake.go
+++ b/control/synctake.go
@@ -7,6 +7,7 @@
 	"celeryport/control/relay"
 	"celeryport/event"
 	"celeryport/membership"
+	"celeryport/quarantine"
 )
 
 // syncFailed forgets a leader that did not answer.
@@ -120,6 +121,18 @@
 		c.takeClaims(r)
 	}
 	c.takeGrants(r)
+	c.takeQuarantine(r.Quarantine)
+}
+
+// takeQuarantine takes in the quarantined requests, unless an answer that was held
+// meanwhile brings older ones.
+func (c *core) takeQuarantine(list *quarantine.List) {
+	if list.Version() <= c.quarantined.Version() {
+		return
+	}
+	c.quarantined = list
+	c.views.dirty()
+	eventQuarantine.Log(c.log, event.Fields{"requests": list.Size(), "version": list.Version()})
 }
 
 // noteInstallFailed logs a revision once, however often it is tried.
--- a/control/synctarget.go
+++ b/control/synctarget.go
@@ -14,6 +14,7 @@
 func (c *core) syncRequest(now time.Time, wait time.Duration) (syncRequest, string) {
 	c.self.Revision = c.installed.revision()
 	heard := c.heardDelta(now)
+	quarantined := c.quarantined.Version()
 	request := syncRequest{
 		Epoch:     c.position.epoch,
 		Members:   c.position.members,
@@ -27,6 +28,8 @@
 		Known:     c.known.Size(),
 		WaitMs:    wait.Milliseconds(),
 		Attach:    c.attaches(),
+
+		Quarantine: &quarantined,
 	}
 	if c.fanout != nil {
 		request.Attached = attachedWire(c.fanout.roster.Statements(now))
--- a/control/syncwire.go
+++ b/control/syncwire.go
@@ -6,6 +6,7 @@
 	"celeryport/claim"
 	"celeryport/consensus"
 	"celeryport/membership"
+	"celeryport/quarantine"
 	"celeryport/quota"
 )
 
@@ -29,6 +30,8 @@
 	Probe     bool                `json:"probe,omitempty"`    // only whether the voter hears a leader is asked; nothing else is set
 	Attached  []attachedInstance  `json:"attached,omitempty"` // of a voter: the instances attached to it
 
+	Quarantine *uint64 `json:"quarantine,omitempty"` // version of the quarantined requests that is known; nil: the sender has no use for them
+
 	heard []byte // heard directly and not yet taken by the leader; travels beside the JSON
 	mark  uint64 // of a voter: up to where its delivery is in this sync; stays here
 }
@@ -89,6 +92,8 @@
 	Taken       bool               `json:"taken,omitempty"`       // a leader has taken the attached instance in
 	Unknown     []string           `json:"unknown,omitempty"`     // attached instances that must be stated whole
 
+	Quarantine *quarantine.List `json:"quarantine,omitempty"` // when it is news
+
 	SupersededAttached map[string]uint64 `json:"superseded_attached,omitempty"` // attached instances of which a higher incarnation is known
 
 	upstreams []byte // heard by the leader and not yet taken; travels beside the JSON
--- a/entry/fake_plane_test.go
+++ b/entry/fake_plane_test.go
@@ -7,6 +7,7 @@
 	"celeryport/claim"
 	"celeryport/control"
 	"celeryport/ledger"
+	"celeryport/quarantine"
 	"celeryport/request"
 	"celeryport/upstream"
 	"celeryport/verdict"
@@ -22,6 +23,8 @@
 	drained bool
 }
 
+func (p *fakePlane) ReportEvidence(quarantine.Evidence) {}
+
 func (p *fakePlane) View() *control.View {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/forward/arbitration_test.go
+++ b/forward/arbitration_test.go
@@ -16,6 +16,7 @@
 	"celeryport/control"
 	"celeryport/loadshare"
 	"celeryport/membership"
+	"celeryport/quarantine"
 	"celeryport/settings"
 	"celeryport/upstream"
 )
@@ -24,6 +25,8 @@
 
 func (p fixedPlane) View() *control.View { return p.view }
 
+func (p fixedPlane) ReportEvidence(quarantine.Evidence) {}
+
 // newTestServer returns a server that knows the instances and eighteen engines, and
 // whose datagrams are all lost.
 func newTestServer(t *testing.T, self string, instances ...string) *Server {
--- a/forward/broken_send.go
+++ b/forward/broken_send.go
@@ -14,6 +14,7 @@
 type brokenSend struct {
 	request quarantine.Fingerprint
 	phase   phase
+	whole   bool // an answer comes whole or not at all, so that nothing shows when it begins
 }
 
 // endedByPeer reports whether an error says that the other side closed the connection or
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -26,6 +26,7 @@
 
 // pass hands on an upstream's own failure.
 func (x *exchange) pass(held *heldAnswer) {
+	x.server.fleet.suspects.served(time.Now(), x.fingerprint)
 	x.firstAt = time.Now()
 	x.writer.whole(&httpwire.ResponseHead{Status: held.status, Reason: held.reason, Fields: held.fields}, held.body)
 	x.end("upstream-failure")
@@ -51,6 +52,9 @@
 	more := event.Fields{
 		"status": status, "reason": failed.Reason, "message": failed.Error(), "retry_after_ms": failed.RetryAfter.Milliseconds(),
 	}
+	if failed.Reason == verdict.ReasonQuarantined {
+		more["request"] = x.fingerprint.String()
+	}
 	if failed.Verdict == verdict.NotRun {
 		x.end("refused-" + string(failed.Reason))
 		eventRefused.Log(x.server.options.Log, x.fields(more))
@@ -69,6 +73,7 @@
 }
 
 func (x *exchange) served() {
+	x.server.fleet.suspects.served(time.Now(), x.fingerprint)
 	x.end("served")
 	eventServed.Log(x.server.options.Log, x.fields(event.Fields{"status": http.StatusOK}))
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -102,6 +102,10 @@
 		x.refuse(err)
 		return
 	}
+	if x.quarantined() {
+		x.refuse(errQuarantined())
+		return
+	}
 	x.server.budgets.call(x.began, x.service.Name)
 	var last *outcome
 	unsent := 0
@@ -115,6 +119,11 @@
 			x.giveUp(last, err)
 			return
 		}
+		if x.quarantined() {
+			x.server.fleet.end(next)
+			x.giveUp(last, errQuarantined())
+			return
+		}
 		x.target, x.helpers, x.placedAt = next.lead, next.helpers, time.Now()
 		result := x.send(ctx, next)
 		if result.err == nil {
@@ -126,6 +135,7 @@
 			return
 		}
 		x.noteFailedSend(result)
+		x.awaitCheck(ctx, result)
 		x.noteRejection(next, result)
 		if !result.elsewhere {
 			x.tried = append(x.tried, next.lead.key)
@@ -144,6 +154,27 @@
 	}
 }
 
+// awaitCheck has a call whose upstream had begun to run it wait until it is known whether
+// the upstream ended: sent again before, a request that crashes its upstreams is always one
+// upstream ahead of the evidence against it.
+func (x *exchange) awaitCheck(ctx context.Context, o *outcome) {
+	if o.checked == nil || o.phase != phaseStarted {
+		return
+	}
+	bound := time.NewTimer(endCheckWait)
+	defer bound.Stop()
+	select {
+	case <-o.checked:
+	case <-bound.C:
+	case <-ctx.Done():
+	}
+}
+
+// quarantined reports whether the call crashes the upstreams that run it.
+func (x *exchange) quarantined() bool {
+	return x.server.fleet.suspects.rejects(time.Now(), x.fingerprint)
+}
+
 // settled reports whether this instance has settings to decide by.
 func (s *Server) settled() bool {
 	view := s.options.Plane.View()
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -25,6 +25,7 @@
 	news      chan struct{}                // the loads have changed
 	zoneNews  chan struct{}                // the loads of the own zone have changed
 	random    *rand.Rand
+	suspects  *suspects
 }
 
 // sweepInterval is how often connections and nodes that are not needed any more
@@ -47,6 +48,7 @@
 		news:      make(chan struct{}, 1),
 		zoneNews:  make(chan struct{}, 1),
 		random:    random,
+		suspects:  newSuspects(options),
 		began:     time.Now(),
 	}
 }
--- a/forward/node.go
+++ b/forward/node.go
@@ -40,7 +40,8 @@
 	failedAt  time.Time // last failure of its own on a call from here, zero after a good answer
 	report    nodeReport
 	granted   []grant
-	broken    []brokenSend // sends that broke off, until it is checked whether the node has ended
+	broken    []brokenSend  // sends that broke off, until it is checked whether the node has ended
+	checked   chan struct{} // closed when that is known
 }
 
 // nodeReport is what a node said when this instance polled it.
--- a/forward/options.go
+++ b/forward/options.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"celeryport/control"
+	"celeryport/quarantine"
 	"celeryport/settings"
 )
 
@@ -16,6 +17,9 @@
 type Plane interface {
 	// View returns the present view without blocking.
 	View() *control.View
+	// ReportEvidence hands in what this instance saw of a request whose upstream ended. It
+	// does not wait.
+	ReportEvidence(e quarantine.Evidence)
 }
 
 // Dial opens a connection to an upstream; tests replace it.
--- a/forward/send.go
+++ b/forward/send.go
@@ -18,9 +18,10 @@
 type outcome struct {
 	verdict verdict.Verdict
 	err     error
-	reached bool        // bytes of the call may have reached the upstream
-	phase   phase       // how far the send had come
-	held    *heldAnswer // a whole answer of the upstream that is a failure
+	reached bool            // bytes of the call may have reached the upstream
+	phase   phase           // how far the send had come
+	checked <-chan struct{} // closed when it is known whether the upstream ended; nil: it is not checked
+	held    *heldAnswer     // a whole answer of the upstream that is a failure
 
 	elsewhere bool  // another engine than the one that the call was sent to is at fault
 	helper    *node // that one, if it is known
@@ -85,7 +86,7 @@
 	fleet.vacate(n, conn)
 	if ctx.Err() == nil && endedByPeer(result.err) {
 		x.server.options.Metrics.brokeOff(x.service.Name, s.phase)
-		fleet.brokeOff(n, brokenSend{request: x.fingerprint, phase: s.phase})
+		result.checked = fleet.brokeOff(n, brokenSend{request: x.fingerprint, phase: s.phase, whole: !x.route.Stream})
 	}
 	if !stop() || !s.clean {
 		conn.close()
--- /dev/null
+++ b/forward/suspects_test.go
@@ -0,0 +1,103 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"celeryport/control"
+	"celeryport/loadshare"
+	"celeryport/quarantine"
+	"celeryport/upstream"
+)
+
+// evidencePlane keeps what is reported, and decides nothing by it.
+type evidencePlane struct {
+	view     *control.View
+	evidence []quarantine.Evidence
+}
+
+func (p *evidencePlane) View() *control.View { return p.view }
+
+func (p *evidencePlane) ReportEvidence(e quarantine.Evidence) { p.evidence = append(p.evidence, e) }
+
+func newTestSuspects() (*suspects, *evidencePlane) {
+	log, _ := test.NewNullLogger()
+	plane := &evidencePlane{view: &control.View{Upstreams: &upstream.Snapshot{}}}
+	return newSuspects(&Options{Plane: plane, Log: log}), plane
+}
+
+var (
+	lethal = quarantine.Fingerprint{Scope: 1, Body: 7}
+	began  = time.Unix(1_700_000_000, 0)
+)
+
+func crash(s *suspects, request quarantine.Fingerprint, times int) {
+	for n := range times {
+		s.ended(began, &node{key: loadshare.Key(n + 1)}, brokenSend{request: request, phase: phaseStarted})
+	}
+}
+
+// Guards against sending a request to engine after engine while there is no leader that
+// could count what it did.
+func TestOwnEvidenceRejectsUntilControlDecides(t *testing.T) {
+	s, plane := newTestSuspects()
+	crash(s, lethal, 2)
+	if s.rejects(began, lethal) {
+		t.Error("rejected after two crashes")
+	}
+	crash(s, lethal, 3)
+	if !s.rejects(began, lethal) || len(plane.evidence) != 5 {
+		t.Errorf("rejected after three crashes: %t; %d reported", s.rejects(began, lethal), len(plane.evidence))
+	}
+	if s.rejects(began.Add(ownLimits.Retention), lethal) {
+		t.Error("control did not confirm it, and it is rejected for ever")
+	}
+}
+
+// Guards against rejecting what many callers send in the same words, because engines ended
+// beside it now and then.
+func TestAnsweredRequestsAreNotBlamed(t *testing.T) {
+	s, plane := newTestSuspects()
+	s.served(began, lethal)
+	crash(s, lethal, 9)
+	if s.rejects(began, lethal) || len(plane.evidence) > 0 {
+		t.Errorf("evidence %+v", plane.evidence)
+	}
+}
+
+// Guards against a quarantine that outlasts the proof that the request is harmless.
+func TestAnswerIsReported(t *testing.T) {
+	s, plane := newTestSuspects()
+	crash(s, lethal, 1)
+	s.served(began, lethal)
+	if last := plane.evidence[len(plane.evidence)-1]; last.Outcome != quarantine.Answered {
+		t.Errorf("reported last: %+v", last)
+	}
+	s, plane = newTestSuspects()
+	plane.view.Quarantine = quarantine.NewList(1, []quarantine.Fingerprint{lethal})
+	s.served(began, lethal)
+	if len(plane.evidence) != 1 || plane.evidence[0].Outcome != quarantine.Answered {
+		t.Errorf("reported %+v", plane.evidence)
+	}
+	s.served(began, quarantine.Fingerprint{Body: 8})
+	if len(plane.evidence) != 1 {
+		t.Error("an answer that clears nothing was reported")
+	}
+}
+
+// Guards against blaming the last requests of engines that leave as they announced.
+func TestPlannedEndIsNoEvidence(t *testing.T) {
+	log, _ := test.NewNullLogger()
+	f := newTestFleet(log, nil)
+	registry := upstream.NewRegistry(time.Hour)
+	registry.Hear(began, upstream.Announcement{Name: "leaving", Incarnation: 1, Sequence: 1, Address: "10.0.0.1:1", Leaving: true})
+	registry.Hear(began, upstream.Announcement{Name: "ready", Incarnation: 1, Sequence: 1, Address: "10.0.0.2:1"})
+	f.options.Plane = fixedPlane{&control.View{Upstreams: registry.Snapshot(began)}}
+	for name, want := range map[string]bool{"leaving": true, "ready": false, "gone": false} {
+		if got := f.leaves(&node{start: start{name: name, incarnation: 1}}); got != want {
+			t.Errorf("%s leaves: %t", name, got)
+		}
+	}
+}
--- a/forward/upstream_end_test.go
+++ b/forward/upstream_end_test.go
@@ -14,9 +14,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 
+	"celeryport/control"
 	"celeryport/httpwire"
 	"celeryport/quarantine"
 	"celeryport/settings"
+	"celeryport/upstream"
 )
 
 func TestClosedConnectionIsNoEnd(t *testing.T) {
@@ -55,7 +57,7 @@
 }
 
 func newTestFleet(log logrus.FieldLogger, dial Dial) *fleet {
-	return newFleet(&Options{Process: &settings.Process{Name: "front"}, Random: rand.New(rand.NewPCG(1, 2)), Log: log, Dial: dial})
+	return newFleet(&Options{Process: &settings.Process{Name: "front"}, Random: rand.New(rand.NewPCG(1, 2)), Log: log, Dial: dial, Plane: fixedPlane{&control.View{Upstreams: &upstream.Snapshot{}}}})
 }
 
 func TestBrokenConnectionsAreTold(t *testing.T) {
--- /dev/null
+++ b/quarantine/book_test.go
@@ -0,0 +1,167 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0).UTC()
+
+func request(n uint64) Fingerprint { return Fingerprint{Scope: 1, Body: n} }
+
+// ended is evidence that an upstream ended after it had begun to run a request.
+func ended(body, upstream uint64) Evidence {
+	return Evidence{Request: request(body), Outcome: EndedStarted, Upstream: upstream}
+}
+
+func waiting(body, upstream uint64) Evidence {
+	return Evidence{Request: request(body), Outcome: EndedWaiting, Upstream: upstream}
+}
+
+func take(evidence ...Evidence) *Book {
+	b := &Book{}
+	for i, e := range evidence {
+		b.Take(start, uint64(i+1), &FleetLimits, []Evidence{e})
+	}
+	return b
+}
+
+// Guards against sending a request to a fourth engine after it crashed three.
+func TestThirdCrashQuarantines(t *testing.T) {
+	b := take(ended(7, 1), ended(7, 2))
+	if b.Quarantined(request(7)) || b.Version != 0 {
+		t.Error("two crashes are enough")
+	}
+	b.Take(start, 3, &FleetLimits, []Evidence{ended(7, 3)})
+	if !b.Quarantined(request(7)) || b.Version != 3 || !b.List().Contains(request(7)) {
+		t.Errorf("three crashes are not enough: %+v", b)
+	}
+}
+
+// Guards against counting one crash twice: two tries at one engine, or a report sent again.
+func TestOneCrashCountsOnce(t *testing.T) {
+	b := take(ended(7, 1), ended(7, 1), waiting(7, 1), ended(7, 2), ended(7, 2))
+	if b.Quarantined(request(7)) {
+		t.Errorf("two crashes count as %+v", b.Records)
+	}
+}
+
+// Guards against rejecting requests that waited beside one that crashes its engines.
+func TestWaitingBesideACrashIsWeakEvidence(t *testing.T) {
+	b := take(waiting(7, 1), waiting(7, 2), waiting(7, 3), waiting(7, 4))
+	if b.Quarantined(request(7)) {
+		t.Error("a request that only waited is quarantined")
+	}
+	b.Take(start, 5, &FleetLimits, []Evidence{waiting(7, 5)})
+	if !b.Quarantined(request(7)) {
+		t.Error("a request that ends engines before they begin to answer is never quarantined")
+	}
+}
+
+// Guards against rejecting a request that engines answer, because engines end beside it.
+func TestAnswerClearsARequest(t *testing.T) {
+	b := take(ended(7, 1), ended(7, 2), Evidence{Request: request(7), Outcome: Answered}, ended(7, 3))
+	if b.Quarantined(request(7)) {
+		t.Error("crashes before an answer count")
+	}
+	b = take(ended(7, 1), ended(7, 2), ended(7, 3))
+	b.Take(start, 9, &FleetLimits, []Evidence{{Request: request(7), Outcome: Answered}})
+	if b.Quarantined(request(7)) || b.Version != 9 {
+		t.Errorf("an answer does not end the quarantine: %+v", b)
+	}
+}
+
+// Guards against state that grows for as long as the fleet runs, and against requests that
+// are rejected for ever.
+func TestEvidenceAgesAndIsBounded(t *testing.T) {
+	b := take(ended(7, 1), ended(7, 2), ended(7, 3), ended(8, 1))
+	b.Expire(start.Add(FleetLimits.Suspected), 5, &FleetLimits)
+	if b.Known(request(8)) || !b.Quarantined(request(7)) {
+		t.Errorf("after %s %+v is left", FleetLimits.Suspected, b.Records)
+	}
+	b.Expire(start.Add(FleetLimits.Retention), 6, &FleetLimits)
+	if len(b.Records) != 0 || b.Version != 6 {
+		t.Errorf("after %s %+v is left", FleetLimits.Retention, b)
+	}
+	b = take(ended(7, 1), ended(7, 2), ended(7, 3))
+	for n := range 2 * FleetLimits.Records {
+		b.Take(start, uint64(n+4), &FleetLimits, []Evidence{ended(uint64(100+n), 1)})
+	}
+	if len(b.Records) != FleetLimits.Records || !b.Quarantined(request(7)) {
+		t.Errorf("%d records; the quarantined request is kept: %t", len(b.Records), b.Quarantined(request(7)))
+	}
+}
+
+// Guards against instances that disagree on what is quarantined after a restart from a
+// snapshot, and against a version that does not tell of a change.
+func TestBooksAgree(t *testing.T) {
+	limits := Limits{Started: 3, Any: 5, Suspected: 5 * time.Second, Retention: 20 * time.Second, Records: 4}
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := &Book{}, &Book{}
+		now := start
+		for position := range uint64(rapid.IntRange(1, 60).Draw(t, "steps")) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			before, version := a.List(), a.Version
+			e := Evidence{
+				Request:  request(rapid.Uint64Range(1, 6).Draw(t, "request")),
+				Outcome:  Outcome(rapid.IntRange(0, int(Answered)).Draw(t, "outcome")),
+				Upstream: rapid.Uint64Range(1, 8).Draw(t, "upstream"),
+			}
+			for _, book := range []*Book{a, b} {
+				book.Expire(now, position+1, &limits)
+				book.Take(now, position+1, &limits, []Evidence{e, e})
+			}
+			if after := a.List(); a.Version == version && !reflect.DeepEqual(before.requests, after.requests) {
+				t.Fatalf("the list changed from %v to %v, and the version did not", before.requests, after.requests)
+			}
+			data, err := json.Marshal(b)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b = &Book{}
+			if err := json.Unmarshal(data, b); err != nil {
+				t.Fatal(err)
+			}
+			if !reflect.DeepEqual(a.List(), b.List()) || len(a.Records) > limits.Records {
+				t.Fatalf("%+v and %+v differ", a, b)
+			}
+		}
+	})
+}
+
+func TestListSurvivesTheWire(t *testing.T) {
+	want := NewList(9, []Fingerprint{request(1), request(2)})
+	data, err := json.Marshal(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got List
+	if err := json.Unmarshal(data, &got); err != nil || !reflect.DeepEqual(&got, want) {
+		t.Errorf("%s is read as %+v (%v)", data, got, err)
+	}
+	var none *List
+	if none.Contains(request(1)) || none.Version() != 0 || none.Size() != 0 {
+		t.Error("no list is not empty")
+	}
+}
+
+// Guards against a memory of answers that forgets what is asked for all the time, or grows.
+func TestRecentForgetsTheOldest(t *testing.T) {
+	r := NewRecent(4)
+	for n := range uint64(10) {
+		r.Note(request(n))
+		r.Note(request(n))
+	}
+	for n := range uint64(10) {
+		if got := r.Contains(request(n)); got != (n >= 6) {
+			t.Errorf("request %d is remembered: %t", n, got)
+		}
+	}
+	if len(r.held) != 4 {
+		t.Errorf("%d are held", len(r.held))
+	}
+}
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -30,6 +30,7 @@
 	ReasonInternal      Reason = "internal"       // a fault of the system itself
 	ReasonConflict      Reason = "conflict"       // an operator's order lost against another
 	ReasonNotLeader     Reason = "not-leader"     // asked of an instance that does not lead the control group
+	ReasonQuarantined   Reason = "quarantined"    // crashed the upstreams that ran it
 	ReasonStorageFailed Reason = "storage-failed" // the data folder refused a write or a sync
 )
 
