Read and log the rate that an upstream names

It is decoded from every answer; a line is logged when an upstream names, changes or no longer names it, and a gauge counts the limited upstreams. Nothing decides by it yet.

--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -79,6 +79,7 @@
 	Genuine   bool          // it bears the mark of an upstream that ran the call
 	Encoded   bool          // its body is not what the upstream made
 	IdleFor   time.Duration // after which the upstream closes the idle connection, 0 if it does not say
+	Rate      *float64      // requests a second that the upstream takes from all instances together; nil: it names none
 	AtFault   string        // address of the engine that made a joint call fail, empty if none is named
 }
 
--- a/forward/events.go
+++ b/forward/events.go
@@ -35,6 +35,8 @@
 		"The process of an upstream ended while calls were under way there. Fields: upstream, address, started and unanswered (fingerprints of the requests whose answer had begun without a body, and of those without any answer), answering (number of the others). A request that is in many of these lines may be what ends them.")
 	eventEvidence = event.Define(7014, logrus.InfoLevel, "request suspected or cleared",
 		"An upstream ended with a request, or answered a request with which others had ended. Requests that end several upstreams are quarantined (3035). Fields: request (fingerprint), outcome (ended-waiting, ended-started, answered), upstream (key of the incarnation).")
+	eventRateNamed = event.Define(7015, logrus.InfoLevel, "upstream names a rate",
+		"An upstream in need names, or no longer names, how many requests a second it takes from all instances together. Fields: upstream, address, rate (requests a second; absent: no longer).")
 	eventCleared = event.Define(7009, logrus.InfoLevel, "upstream works again",
 		"A suspected upstream answered. Fields: upstream, address.")
 )
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -15,6 +15,7 @@
 	sends       *prometheus.CounterVec
 	broken      *prometheus.CounterVec
 	connections prometheus.Gauge
+	limited     prometheus.Gauge
 	unreadable  *prometheus.CounterVec
 }
 
@@ -43,11 +44,14 @@
 		connections: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "forward_caller_connections", Help: "Open connections of callers.",
 		}),
+		limited: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "forward_upstreams_limited", Help: "Upstreams whose last answer to this instance named a rate.",
+		}),
 		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "forward_unreadable_total", Help: "Requests that could not be read, by the status that answered them.",
 		}, []string{"status"}),
 	}
-	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.unreadable)
+	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.unreadable)
 	return m
 }
 
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -142,10 +142,12 @@
 		conn.close()
 		return 0, nil, err
 	}
+	decoded := f.options.Dialect.DecodeAnswer(answer)
+	f.noteRate(n, decoded)
 	if answer.Close || conn.reader.Buffered() > 0 {
 		conn.close()
 	} else {
-		f.keep(n, conn, f.options.Dialect.DecodeAnswer(answer).IdleFor)
+		f.keep(n, conn, decoded.IdleFor)
 	}
 	return answer.Status, content, nil
 }
--- a/forward/send.go
+++ b/forward/send.go
@@ -188,6 +188,7 @@
 			return nil, Answer{}, err
 		}
 		answer := s.x.server.options.Dialect.DecodeAnswer(head)
+		s.x.server.fleet.noteRate(s.node, answer)
 		if answer.CallID == s.x.call.ID || answer.CallID == "" && (answer.NotRun || answer.Elsewhere) {
 			return head, answer, nil
 		}
