Keep the rate that an upstream names, all instances together

Callers saw nothing yet; two engines in need that named 1.2 and 1 requests a second got 3.1 and 3.7, as if they had said nothing (15 and 13 in 4 s, allowed 12 and 11).

Cause: the field was not known to any part of the product, and nothing in it could hold such a rate: each instance places calls by itself, with loads that say what is under way and not how much is sent.

The rate is a fact about an incarnation that all instances keep (throttle): whoever hears it first tells all, and each tells another one at random every second, so that lost datagrams and instances that have just started are made up for. A few instances share a rate, chosen by a hash of their names with those of the upstream's zone first, so that nobody has to ask before a send; each has a token bucket. An upstream that names a rate gets what the bucket allows before the others are looked at, leads short prompts only, and helps nobody; the instance that places long prompts for all leaves it out. When all upstreams of a service are full, calls are refused at once. A rate ends when an answer no longer names it, or when none came for long.

Ruled out: an equal part for each instance (the bursts alone overrun a small rate, and none gets a request through for seconds), and counting over all instances by the reports of loads (calls of the same moment all see room).

--- a/datagram/datagram.go
+++ b/datagram/datagram.go
@@ -24,6 +24,11 @@
 	// LoadsToRelay is a loadshare.Report that the one who gets it sends on within its
 	// availability zone.
 	LoadsToRelay
+	// Rates is a throttle.Message.
+	Rates
+	// RatesToRelay is a throttle.Message that the one who gets it sends on within its
+	// availability zone.
+	RatesToRelay
 )
 
 // sumBytes is the size of the authentication code; guessing one takes 10^19
--- a/forward/address_test.go
+++ b/forward/address_test.go
@@ -25,7 +25,8 @@
 	})
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
-	nodes, _ := s.fleet.candidates(time.Now(), snapshot, "model")
+	free, _, _ := s.fleet.candidates(time.Now(), snapshot, "model")
+	nodes := free.nodes
 	names := map[string]bool{}
 	for _, n := range nodes {
 		names[n.name] = true
@@ -36,7 +37,7 @@
 	later := upstream.NewSnapshot(2, time.Now(), []upstream.Upstream{
 		announced("started-at-last", "10.0.1.3:80", 0), announced("then-gone", "10.0.1.3:80", 0),
 	})
-	if nodes, _ := s.fleet.candidates(time.Now(), later, "model"); len(nodes) != 1 || nodes[0].name != "started-at-last" {
+	if free, _, _ := s.fleet.candidates(time.Now(), later, "model"); len(free.nodes) != 1 || free.nodes[0].name != "started-at-last" {
 		t.Errorf("a late word of the dead engine brings it back: %d engines at one address", len(nodes))
 	}
 }
--- a/forward/arbitration_test.go
+++ b/forward/arbitration_test.go
@@ -105,8 +105,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, "front-1", "front-1")
 		s.fleet.mu.Lock()
-		nodes, _ := s.fleet.candidates(time.Now(), s.options.Plane.View().Upstreams, "model")
-		for _, n := range nodes {
+		free, _, _ := s.fleet.candidates(time.Now(), s.options.Plane.View().Upstreams, "model")
+		for _, n := range free.nodes {
 			s.fleet.begin(time.Now(), &work{lead: n, part: time.Second})
 		}
 		s.fleet.mu.Unlock()
@@ -197,10 +197,10 @@
 		usable := func() int {
 			s.fleet.mu.Lock()
 			defer s.fleet.mu.Unlock()
-			_, engines := s.fleet.candidates(time.Now(), snapshot, "model")
+			free, _, _ := s.fleet.candidates(time.Now(), snapshot, "model")
 			count := 0
-			for i := range engines {
-				if !engines[i].Avoid {
+			for i := range free.engines {
+				if !free.engines[i].Avoid {
 					count++
 				}
 			}
--- a/forward/arbitration_world.go
+++ b/forward/arbitration_world.go
@@ -25,9 +25,12 @@
 	f := w.server.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	nodes, engines := f.candidates(w.now, view.Upstreams, service)
-	fleet := &arbiter.Fleet{Profile: profile, Engines: engines}
-	for _, n := range nodes {
+	free, open, full := f.candidates(w.now, view.Upstreams, service)
+	if len(free.nodes) == 0 && len(open.nodes)+full > 0 {
+		return nil // each instance places by its own part of the rates
+	}
+	fleet := &arbiter.Fleet{Profile: profile, Engines: free.engines}
+	for _, n := range free.nodes {
 		fleet.Keys = append(fleet.Keys, n.key)
 	}
 	return fleet
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -45,6 +45,16 @@
 	s.calls = append(s.calls, now)
 }
 
+// arrival returns how many calls a second came for a service of late.
+func (b *budgets) arrival(now time.Time, service string) float64 {
+	if b.budget.Window <= 0 {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return float64(len(b.of(now, service).calls)) / b.budget.Window.Seconds()
+}
+
 // take asks for one repeat and reports whether it may be sent.
 func (b *budgets) take(now time.Time, service string) bool {
 	share := b.budget.Slack * slackUsed / float64(b.instances())
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -7,21 +7,45 @@
 	"celeryport/upstream"
 )
 
-// candidates lists the nodes of a service and what is known of them. The lock must
-// be held.
-func (f *fleet) candidates(now time.Time, snapshot *upstream.Snapshot, service string) ([]*node, []placement.Engine) {
+// candidates are nodes of a service, and what is known of them.
+type candidates struct {
+	nodes   []*node
+	engines []placement.Engine
+}
+
+func (c *candidates) add(n *node, e placement.Engine) {
+	c.nodes, c.engines = append(c.nodes, n), append(c.engines, e)
+}
+
+func (c *candidates) join(other *candidates) {
+	c.nodes, c.engines = append(c.nodes, other.nodes...), append(c.engines, other.engines...)
+}
+
+// candidates lists the nodes of a service that may get work: those that name no rate, those
+// whose rate leaves room for a request of this instance, and the number of the others. The
+// lock must be held.
+func (f *fleet) candidates(now time.Time, snapshot *upstream.Snapshot, service string) (free, open *candidates, full int) {
 	nodes, upstreams := f.workers(snapshot, service)
-	engines := make([]placement.Engine, 0, len(nodes))
+	free = &candidates{nodes: make([]*node, 0, len(nodes)), engines: make([]placement.Engine, 0, len(nodes))}
+	open = &candidates{}
 	for i, n := range nodes {
 		load := f.loadOf(now, n)
-		engines = append(engines, placement.Engine{
+		engine := placement.Engine{
 			Load:  load,
 			Order: uint64(n.key),
 			Near:  n.zone == f.options.Process.AvailabilityZone,
 			Avoid: n.health(now, load, f.silent(now, upstreams[i])).avoid(),
-		})
+		}
+		switch limited, may := f.limited(now, n); {
+		case !limited:
+			free.add(n, engine)
+		case may:
+			open.add(n, engine)
+		default:
+			full++
+		}
 	}
-	return nodes, engines
+	return free, open, full
 }
 
 // workers lists the nodes of a service that may get work, and what they announced. The
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -26,13 +26,16 @@
 	zoneNews  chan struct{}                // the loads of the own zone have changed
 	random    *rand.Rand
 	suspects  *suspects
+	rates     *rates
 }
 
 // sweepInterval is how often connections and nodes that are not needed any more
 // are dropped.
 const sweepInterval = time.Second
 
-func newFleet(options *Options) *fleet {
+// newFleet returns an empty fleet. arrival tells how many calls a second come here for a
+// service.
+func newFleet(options *Options, arrival func(now time.Time, service string) float64) *fleet {
 	if options.Dial == nil {
 		dialer := &net.Dialer{KeepAliveConfig: upstreamKeepAlive}
 		options.Dial = dialer.DialContext
@@ -49,6 +52,7 @@
 		zoneNews:  make(chan struct{}, 1),
 		random:    random,
 		suspects:  newSuspects(options),
+		rates:     newRates(arrival),
 		began:     time.Now(),
 	}
 }
@@ -110,13 +114,16 @@
 	n.idle = nil
 }
 
-// inUse returns the nodes of a service that may get work, by the keys under which
-// loads are reported. The lock must be held.
+// inUse returns the nodes of a service that may get any work, by the keys under which
+// loads are reported. Those that name a rate may not: one that was given away by another
+// instance is not counted here. The lock must be held.
 func (f *fleet) inUse(snapshot *upstream.Snapshot, service string) map[loadshare.Key]*node {
 	workers, _ := f.workers(snapshot, service)
 	nodes := make(map[loadshare.Key]*node, len(workers))
 	for _, n := range workers {
-		nodes[n.key] = n
+		if limited, _ := f.limited(time.Now(), n); !limited {
+			nodes[n.key] = n
+		}
 	}
 	return nodes
 }
@@ -145,6 +152,7 @@
 		n.idle = kept
 		if !listed[id] && n.load == (loadshare.Load{}) && len(n.reading) == 0 {
 			delete(f.nodes, id)
+			delete(f.rates.buckets, n.key)
 			if f.occupants[n.address] == n {
 				delete(f.occupants, n.address)
 			}
--- a/forward/node.go
+++ b/forward/node.go
@@ -41,7 +41,6 @@
 	report    nodeReport
 	granted   []grant
 	broken    []brokenSend  // sends that broke off, until it is checked whether the node has ended
-	rate      *float64      // requests a second that its last answer named; nil: none
 	checked   chan struct{} // closed when that is known
 }
 
--- a/forward/place.go
+++ b/forward/place.go
@@ -175,25 +175,73 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sweep(now, view.Upstreams)
-	nodes, engines := f.candidates(now, view.Upstreams, x.service.Name)
-	leads := x.mayLead()
-	for i, n := range nodes {
-		engines[i].Tried = slices.Contains(x.tried, n.key) || slices.Contains(x.barred, n.key)
-		engines[i].HelpOnly = len(leads) > 0 && !slices.Contains(leads, n.key)
+	free, open, full := f.candidates(now, view.Upstreams, x.service.Name)
+	x.mark(free)
+	x.mark(open)
+	w := x.planAlone(now, open)
+	if w != nil {
+		f.begin(now, w)
+		return w, 0, nil
 	}
-	if len(nodes) == 0 && x.awaitsUpstreams(now) {
+	if x.service.Engine == nil || x.call.PromptTokens == 0 || len(free.nodes) == 0 {
+		free.join(open)
+	}
+	if len(free.nodes) == 0 && full == 0 && x.awaitsUpstreams(now) {
 		return nil, longestWait, nil
 	}
-	if len(nodes) == 0 {
-		return nil, 0, verdict.Refuse(verdict.ReasonNoUpstream, busyRetry, "no upstream serves %s", x.service.Name)
+	if len(free.nodes) == 0 {
+		return nil, 0, x.noUpstream(full)
 	}
-	w, wait, err := x.plan(now, nodes, engines)
+	w, wait, err := x.plan(now, free.nodes, free.engines)
 	if w != nil {
 		f.begin(now, w)
 	}
 	return w, wait, err
 }
 
+// mark notes which candidates the call has met and which may not lead it.
+func (x *exchange) mark(c *candidates) {
+	leads := x.mayLead()
+	for i, n := range c.nodes {
+		c.engines[i].Tried = slices.Contains(x.tried, n.key) || slices.Contains(x.barred, n.key)
+		c.engines[i].HelpOnly = len(leads) > 0 && !slices.Contains(leads, n.key)
+	}
+}
+
+// noUpstream refuses a call that no upstream may get. full is how many serve it and take
+// no more requests for now.
+func (x *exchange) noUpstream(full int) error {
+	if full > 0 {
+		return verdict.Refuse(verdict.ReasonNoUpstream, fullRetry, "all upstreams of %s get as many requests as they take", x.service.Name)
+	}
+	return verdict.Refuse(verdict.ReasonNoUpstream, busyRetry, "no upstream serves %s", x.service.Name)
+}
+
+// fullRetry is when to come back while all upstreams get the rate that they name.
+const fullRetry = time.Second
+
+// planAlone gives a call that takes one upstream to one whose rate has room: the usual
+// placement, which prefers near upstreams and gathers prompts on a few, might leave it
+// without any.
+func (x *exchange) planAlone(now time.Time, open *candidates) *work {
+	if x.service.Engine == nil || x.call.PromptTokens == 0 {
+		if at := placement.IdleService(open.engines); at >= 0 {
+			x.predicted = 0
+			return &work{lead: open.nodes[at]}
+		}
+		return nil
+	}
+	call := x.placementCall(now)
+	for i, n := range open.nodes {
+		if plan, found := placement.Alone(x.service.Engine, &open.engines[i], call); found {
+			x.predicted, x.readers, x.seen = plan.FirstEvent, 1, plan.Seen
+			x.tries++
+			return x.newWork(n, plan.Part)
+		}
+	}
+	return nil
+}
+
 // awaitsUpstreams reports whether a call should wait until the first upstream of its
 // service is heard of: the process has just started, and they announce themselves
 // every second or so. After a loss of power of the whole fleet all calls would be turned
@@ -210,24 +258,29 @@
 	upstreamsWait = time.Second
 )
 
-// plan asks the placement.
-func (x *exchange) plan(now time.Time, nodes []*node, engines []placement.Engine) (*work, time.Duration, error) {
-	profile := x.service.Engine
-	if profile == nil || x.call.PromptTokens == 0 {
-		at, _ := placement.Service(engines, x.server.fleet.random.Float64())
-		x.predicted = 0
-		return &work{lead: nodes[at]}, 0, nil
-	}
+// placementCall returns what placement needs to know of the call.
+func (x *exchange) placementCall(now time.Time) *placement.Call {
 	objective, waited := x.nextEvent(now)
-	call := &placement.Call{
+	return &placement.Call{
 		Prompt:    x.call.PromptTokens,
 		Answer:    x.call.AnswerTokens,
 		Objective: objective,
 		LongPause: x.longPause(),
 		Left:      x.deadline.Sub(now),
 		Waited:    waited,
-		Draw:      [2]float64{x.server.fleet.random.Float64(), x.server.fleet.random.Float64()},
 	}
+}
+
+// plan asks the placement.
+func (x *exchange) plan(now time.Time, nodes []*node, engines []placement.Engine) (*work, time.Duration, error) {
+	profile := x.service.Engine
+	if profile == nil || x.call.PromptTokens == 0 {
+		at, _ := placement.Service(engines, x.server.fleet.random.Float64())
+		x.predicted = 0
+		return &work{lead: nodes[at]}, 0, nil
+	}
+	call := x.placementCall(now)
+	call.Draw = [2]float64{x.server.fleet.random.Float64(), x.server.fleet.random.Float64()}
 	plan, found := placement.Prompt(profile, engines, call)
 	x.predicted, x.readers, x.seen = plan.FirstEvent, 1+len(plan.Helpers), plan.Seen
 	if plan.Wait > 0 {
--- /dev/null
+++ b/forward/rates.go
@@ -0,0 +1,103 @@
+package forward
+
+import (
+	"time"
+
+	"celeryport/event"
+	"celeryport/loadshare"
+	"celeryport/membership"
+	"celeryport/settings"
+	"celeryport/throttle"
+)
+
+// rates is what this instance knows of the request rates that upstreams name, and what it
+// has used of its part of them. The lock of the fleet guards it.
+type rates struct {
+	table   *throttle.Table
+	buckets map[loadshare.Key]*throttle.Bucket
+	changes []throttle.Fact // heard here and not yet told to the others
+	news    chan struct{}   // there are changes
+	arrival func(now time.Time, service string) float64
+}
+
+func newRates(arrival func(time.Time, string) float64) *rates {
+	return &rates{
+		table:   throttle.NewTable(),
+		buckets: map[loadshare.Key]*throttle.Bucket{},
+		news:    make(chan struct{}, 1),
+		arrival: arrival,
+	}
+}
+
+// noteRate takes in the rate that an answer of a node names. An answer that is none of an
+// upstream that ran the call says nothing of it.
+func (f *fleet) noteRate(n *node, a Answer) {
+	if a.Rate == nil && !a.Genuine {
+		return
+	}
+	now := time.Now()
+	f.mu.Lock()
+	news := f.rates.table.Answered(now, n.key, a.Rate)
+	if news {
+		change := throttle.Fact{Upstream: n.key, Named: a.Rate != nil, At: now}
+		if change.Named {
+			change.Rate = *a.Rate
+		}
+		f.rates.changes = append(f.rates.changes, change)
+	}
+	f.mu.Unlock()
+	if !news {
+		return
+	}
+	wake(f.rates.news)
+	fields := event.Fields{"upstream": n.name, "address": n.address}
+	if a.Rate != nil {
+		fields["rate"] = *a.Rate
+	}
+	eventRateNamed.Log(f.options.Log, fields)
+}
+
+// limited reports whether a node names a rate, and if so whether this instance may send it
+// a request now. The lock must be held.
+func (f *fleet) limited(now time.Time, n *node) (named, open bool) {
+	rate, named := f.rates.table.Rate(now, n.key)
+	if !named {
+		delete(f.rates.buckets, n.key)
+		return false, true
+	}
+	bucket := f.rates.buckets[n.key]
+	if bucket == nil {
+		bucket = throttle.NewBucket(now)
+		f.rates.buckets[n.key] = bucket
+	}
+	rank, instances := rankAt(n, f.options.Process, f.options.Plane.View().Instances)
+	bucket.SetRate(now, throttle.Share(rate, rank, instances, f.rates.arrival(now, n.service)))
+	return true, bucket.Open(now)
+}
+
+// countLimited counts a request to a node that names a rate. The lock must be held.
+func (f *fleet) countLimited(now time.Time, n *node) {
+	if bucket := f.rates.buckets[n.key]; bucket != nil {
+		bucket.Take(now)
+	}
+}
+
+// rankAt returns the place of an instance in an order that differs with the upstream and
+// that all instances agree on, and how many there are. Those of the upstream's availability
+// zone come first.
+func rankAt(n *node, self *settings.Process, instances []membership.Instance) (rank, count int) {
+	own, near := weightFor(self.Name, n.key), self.AvailabilityZone == n.zone
+	count = 1
+	for i := range instances {
+		other := &instances[i]
+		if other.Address == "" || other.State != membership.Live || other.Name == self.Name {
+			continue
+		}
+		count++
+		otherNear := other.AvailabilityZone == n.zone
+		if otherNear && !near || otherNear == near && weightFor(other.Name, n.key) > own {
+			rank++
+		}
+	}
+	return rank, count
+}
--- a/forward/rejection_test.go
+++ b/forward/rejection_test.go
@@ -23,8 +23,8 @@
 		avoided := func() int {
 			s.fleet.mu.Lock()
 			defer s.fleet.mu.Unlock()
-			_, engines := s.fleet.candidates(time.Now(), s.options.Plane.View().Upstreams, "model")
-			return len(slices.DeleteFunc(slices.Clone(engines), func(e placement.Engine) bool { return !e.Avoid }))
+			free, _, _ := s.fleet.candidates(time.Now(), s.options.Plane.View().Upstreams, "model")
+			return len(slices.DeleteFunc(slices.Clone(free.engines), func(e placement.Engine) bool { return !e.Avoid }))
 		}
 		avoided() // all engines are known
 		ask := longAsk()
--- a/forward/reporting.go
+++ b/forward/reporting.go
@@ -27,6 +27,7 @@
 	go s.hear(conn)
 	go s.arbitrate(ctx)
 	go s.aggregateZone(ctx, conn)
+	go s.shareRates(ctx, conn)
 	defer func() { _ = conn.Close() }() // ends hear
 	view := s.options.Plane.View()
 	reporter := loadshare.NewReporter(loadshare.KeyOf(fmt.Sprintf("%s/%d", s.options.Process.Name, view.Incarnation)))
@@ -105,6 +106,8 @@
 		if kind == datagram.LoadsToRelay {
 			s.relay(content)
 		}
+	case datagram.Rates, datagram.RatesToRelay:
+		return s.takeRates(from, kind, content)
 	case datagram.Ask:
 		ask, err := arbiter.DecodeAsk(content)
 		if err != nil {
--- a/forward/restart_test.go
+++ b/forward/restart_test.go
@@ -19,7 +19,7 @@
 	// An engine crashes behind a cut and starts again under its old id. It knows nothing
 	// of the streams that it wrote and sends no reset: callers would wait in silence,
 	// and the engine would look as loaded and as doubtful as before.
-	f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))})
+	f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))}, noArrivals)
 	f.mu.Lock()
 	former := f.node(announced(100))
 	f.begin(time.Now(), &work{lead: former, part: time.Second, held: 5000})
@@ -54,7 +54,7 @@
 	// or one without the time of the start from another program. The streams of the
 	// present start must go on.
 	for _, late := range []uint64{upstream.Unstated, 100} {
-		f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))})
+		f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))}, noArrivals)
 		f.mu.Lock()
 		present := f.node(announced(200))
 		f.node(announced(late))
@@ -69,7 +69,7 @@
 	// An engine's first heartbeat is taken from a program that leaves out the time of
 	// the start; the engine's own follows. It may be the same start, so that the calls
 	// which it answers must not be broken off.
-	f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))})
+	f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))}, noArrivals)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	first := f.node(announced(upstream.Unstated))
--- a/forward/server.go
+++ b/forward/server.go
@@ -42,9 +42,9 @@
 		random:    options.Random,
 		conns:     map[*callerConn]struct{}{},
 	}
-	s.fleet = newFleet(&s.options)
-	s.arbitration = newArbitration()
 	s.budgets = newBudgets(options.Budget, s.instances)
+	s.fleet = newFleet(&s.options, s.budgets.arrival)
+	s.arbitration = newArbitration()
 	return s
 }
 
--- a/forward/upstream_end_test.go
+++ b/forward/upstream_end_test.go
@@ -57,9 +57,11 @@
 }
 
 func newTestFleet(log logrus.FieldLogger, dial Dial) *fleet {
-	return newFleet(&Options{Process: &settings.Process{Name: "front"}, Random: rand.New(rand.NewPCG(1, 2)), Log: log, Dial: dial, Plane: fixedPlane{&control.View{Upstreams: &upstream.Snapshot{}}}})
+	return newFleet(&Options{Process: &settings.Process{Name: "front"}, Random: rand.New(rand.NewPCG(1, 2)), Log: log, Dial: dial, Plane: fixedPlane{&control.View{Upstreams: &upstream.Snapshot{}}}}, noArrivals)
 }
 
+func noArrivals(time.Time, string) float64 { return 0 }
+
 func TestBrokenConnectionsAreTold(t *testing.T) {
 	reset := &net.OpError{Op: "read", Err: syscall.ECONNRESET}
 	for _, err := range []error{io.EOF, httpwire.ErrTruncated, errSilent, reset} {
--- a/forward/work.go
+++ b/forward/work.go
@@ -24,6 +24,7 @@
 
 // begin notes a send. The lock must be held.
 func (f *fleet) begin(now time.Time, w *work) {
+	f.countLimited(now, w.lead)
 	w.lead.load = w.lead.load.Add(w.atLead())
 	if w.part > 0 {
 		f.beginReading(now, w, w.lead)
--- a/forward/work_test.go
+++ b/forward/work_test.go
@@ -15,7 +15,7 @@
 	// ten seconds later, it seems to be read still, and its engines look too busy for
 	// any other call, although they stand idle.
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))})
+		f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))}, noArrivals)
 		lead, helper := &node{key: 1}, &node{key: 2}
 		w := &work{lead: lead, helpers: []*node{helper}, part: 600 * time.Millisecond, tight: true}
 		f.mu.Lock()
@@ -42,7 +42,7 @@
 	// other one is done with its part long before the answer begins. If it counted as
 	// busy until then, it would stand idle, and callers would be refused.
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))})
+		f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))}, noArrivals)
 		late, early := &node{key: 1}, &node{key: 2}
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -65,7 +65,7 @@
 	// answer is late whatever happens now. If its engine was still kept free for it, the
 	// engine would read nothing until the slowed stream ends, and long prompts would be
 	// refused by engines that stand idle.
-	f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))})
+	f := newFleet(&Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2))}, noArrivals)
 	lead := &node{start: start{name: "e1"}, key: 1}
 	w := &work{lead: lead, tight: true, held: 100}
 	f.mu.Lock()
--- a/placement/service.go
+++ b/placement/service.go
@@ -17,6 +17,17 @@
 	return best, best >= 0
 }
 
+// IdleService returns an instance of a plain service that has nothing under way, -1 if
+// there is none that may be taken.
+func IdleService(engines []Engine) int {
+	for i := range engines {
+		if e := &engines[i]; e.Load.Streams == 0 && !e.Avoid && !e.Tried && !e.HelpOnly {
+			return i
+		}
+	}
+	return -1
+}
+
 const (
 	// farCost keeps a call in its zone as long as the instance there is at most one
 	// call busier; crossing a zone costs about a millisecond each way.
--- /dev/null
+++ b/throttle/message.go
@@ -0,0 +1,67 @@
+package throttle
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/loadshare"
+)
+
+// MostInMessage is how many facts one message holds, so that it fits into a packet.
+const MostInMessage = 60
+
+const (
+	factBytes = 8 + 4 + 1 + 4
+	named     = 1
+)
+
+var errMalformed = errors.New("not a message of rates")
+
+// Message is one datagram.
+type Message struct {
+	Asks  bool // the sender wants to hear what it does not know
+	Facts []Fact
+}
+
+// Encode returns the content of the datagram. Times are sent as ages: the clocks of two
+// instances have nothing in common.
+func (m *Message) Encode(now time.Time) []byte {
+	data := make([]byte, 1, 1+factBytes*len(m.Facts))
+	if m.Asks {
+		data[0] = 1
+	}
+	for i := range m.Facts {
+		f := &m.Facts[i]
+		data = binary.LittleEndian.AppendUint64(data, uint64(f.Upstream))
+		data = binary.LittleEndian.AppendUint32(data, math.Float32bits(float32(f.Rate)))
+		flags := byte(0)
+		if f.Named {
+			flags = named
+		}
+		data = append(data, flags)
+		data = binary.LittleEndian.AppendUint32(data, uint32(max(0, now.Sub(f.At)).Milliseconds()))
+	}
+	return data
+}
+
+// Decode reads the content of a datagram that arrived at now.
+func Decode(now time.Time, data []byte) (*Message, error) {
+	if len(data) == 0 || data[0] > 1 || (len(data)-1)%factBytes != 0 || len(data) > 1+MostInMessage*factBytes {
+		return nil, errMalformed
+	}
+	m := &Message{Asks: data[0] == 1}
+	for rest := data[1:]; len(rest) > 0; rest = rest[factBytes:] {
+		rate := float64(math.Float32frombits(binary.LittleEndian.Uint32(rest[8:])))
+		if rest[12] > named || !(rate >= 0) || math.IsInf(rate, 0) {
+			return nil, errMalformed
+		}
+		age := time.Duration(binary.LittleEndian.Uint32(rest[13:])) * time.Millisecond
+		m.Facts = append(m.Facts, Fact{
+			Upstream: loadshare.Key(binary.LittleEndian.Uint64(rest)), Rate: rate, Named: rest[12] == named, At: now.Add(-age),
+		})
+	}
+	return m, nil
+}
