Let long prompts use the rates that engines name

Hypothesis: a request that an engine takes is best spent on a long prompt or a part of one. Four fifths of a rate are set aside for the instance that places long prompts for all; it counts each part as a request, and what long prompts leave goes to its own short ones.

Four fifths are kept: where few long prompts come, others still use the rest.

--- a/forward/arbitration_ask.go
+++ b/forward/arbitration_ask.go
@@ -18,13 +18,20 @@
 // the one with the highest hash of both names that lives and has not failed to answer. All
 // instances agree on it without asking each other. It is nil when there is none.
 func (s *Server) arbiterOf(now time.Time, service string) *membership.Instance {
-	view := s.options.Plane.View()
+	return firstArbiter(s.options.Plane.View().Instances, service, func(name string) bool {
+		return now.Before(s.arbitration.distrusted[name])
+	})
+}
+
+// firstArbiter returns the instance that decides for a service among those that are not
+// passed over.
+func firstArbiter(instances []membership.Instance, service string, passedOver func(name string) bool) *membership.Instance {
 	key := loadshare.KeyOf(service)
 	var best *membership.Instance
 	var most uint64
-	for i := range view.Instances {
-		candidate := &view.Instances[i]
-		if candidate.Address == "" || candidate.State == membership.Gone || now.Before(s.arbitration.distrusted[candidate.Name]) {
+	for i := range instances {
+		candidate := &instances[i]
+		if candidate.Address == "" || candidate.State == membership.Gone || passedOver != nil && passedOver(candidate.Name) {
 			continue
 		}
 		if weight := weightFor(candidate.Name, key); best == nil || weight > most {
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -114,16 +114,13 @@
 	n.idle = nil
 }
 
-// inUse returns the nodes of a service that may get any work, by the keys under which
-// loads are reported. Those that name a rate may not: one that was given away by another
-// instance is not counted here. The lock must be held.
+// inUse returns the nodes of a service that may get work, by the keys under which
+// loads are reported. The lock must be held.
 func (f *fleet) inUse(snapshot *upstream.Snapshot, service string) map[loadshare.Key]*node {
 	workers, _ := f.workers(snapshot, service)
 	nodes := make(map[loadshare.Key]*node, len(workers))
 	for _, n := range workers {
-		if limited, _ := f.limited(time.Now(), n); !limited {
-			nodes[n.key] = n
-		}
+		nodes[n.key] = n
 	}
 	return nodes
 }
--- a/forward/place.go
+++ b/forward/place.go
@@ -132,6 +132,7 @@
 		return nodes[key]
 	}
 	w := x.newWork(find(answer.Lead), answer.Part)
+	w.granted = true
 	for _, key := range answer.Helpers {
 		w.helpers = append(w.helpers, find(key))
 	}
--- a/forward/rates.go
+++ b/forward/rates.go
@@ -70,11 +70,29 @@
 		bucket = throttle.NewBucket(now)
 		f.rates.buckets[n.key] = bucket
 	}
-	rank, instances := rankAt(n, f.options.Process, f.options.Plane.View().Instances)
-	bucket.SetRate(now, throttle.Share(rate, rank, instances, f.rates.arrival(now, n.service)))
+	bucket.SetRate(now, f.shareOf(now, n, rate))
 	return true, bucket.Open(now)
 }
 
+// shareOf returns the part of a node's rate that this instance may use. Where the node reads
+// prompts, a part is set aside for the instance that places the long ones of all.
+func (f *fleet) shareOf(now time.Time, n *node, rate float64) float64 {
+	view := f.options.Plane.View()
+	rank, instances := rankAt(n, f.options.Process, view.Instances)
+	if engineProfile(view.Tree, n.service) == nil {
+		return throttle.Share(rate, rank, instances, f.rates.arrival(now, n.service))
+	}
+	share := throttle.Share((1-arbiterPart)*rate, rank, instances, f.rates.arrival(now, n.service))
+	if arbiter := firstArbiter(view.Instances, n.service, nil); arbiter != nil && arbiter.Name == f.options.Process.Name {
+		share += arbiterPart * rate
+	}
+	return share
+}
+
+// arbiterPart is the part of a rate that is set aside for long prompts. What these leave
+// goes to the short prompts of the instance that places them.
+const arbiterPart = 0.8
+
 // countLimited counts a request to a node that names a rate. The lock must be held.
 func (f *fleet) countLimited(now time.Time, n *node) {
 	if bucket := f.rates.buckets[n.key]; bucket != nil {
--- a/forward/work.go
+++ b/forward/work.go
@@ -20,11 +20,15 @@
 	tight bool // its pauses have to be short
 	late  bool // its answer can't be in time any more
 	held  int  // tokens of memory at the lead engine
+
+	granted bool // by the arbiter, which has counted it where a rate is named
 }
 
 // begin notes a send. The lock must be held.
 func (f *fleet) begin(now time.Time, w *work) {
-	f.countLimited(now, w.lead)
+	if !w.granted {
+		f.countLimited(now, w.lead)
+	}
 	w.lead.load = w.lead.load.Add(w.atLead())
 	if w.part > 0 {
 		f.beginReading(now, w, w.lead)
