Suspect requests whose upstream ends soon after the first events, too

Evidence counted only answers without any event, so that such a request was not recognised.

How long the upstream had been running the request decides now: up to 0.3 s is strong evidence, up to 1 s as weak as having waited there.

--- a/forward/events.go
+++ b/forward/events.go
@@ -32,7 +32,7 @@
 	eventForeignDatagram = event.Define(7010, logrus.WarnLevel, "datagram refused",
 		"Something that is no report of an instance of this fleet came to the control port. Check that all instances have the same key. Fields: from, error.")
 	eventUpstreamEnded = event.Define(7013, logrus.WarnLevel, "upstream ended",
-		"The process of an upstream ended while calls were under way there. Fields: upstream, address, started and unanswered (fingerprints of the requests whose answer had begun without a body, and of those without any answer), answering (number of the others). A request that is in many of these lines may be what ends them.")
+		"The process of an upstream ended while calls were under way there. Fields: upstream, address, started and unanswered (fingerprints of the requests whose answer had begun a moment ago, and of those without any answer), answering (number of the others). A request that is in many of these lines may be what ends them.")
 	eventEvidence = event.Define(7014, logrus.InfoLevel, "request suspected or cleared",
 		"An upstream ended with a request, or answered a request with which others had ended. Requests that end several upstreams are quarantined (3035). Fields: request (fingerprint), outcome (ended-waiting, ended-started, answered), upstream (key of the incarnation).")
 	eventRateNamed = event.Define(7015, logrus.InfoLevel, "upstream names a rate",
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -154,11 +154,11 @@
 	}
 }
 
-// awaitCheck has a call whose upstream had begun to run it wait until it is known whether
+// awaitCheck has a call whose upstream had just begun to run it wait until it is known whether
 // the upstream ended: sent again before, a request that crashes its upstreams is always one
 // upstream ahead of the evidence against it.
 func (x *exchange) awaitCheck(ctx context.Context, o *outcome) {
-	if o.checked == nil || o.phase != phaseStarted {
+	if o.checked == nil {
 		return
 	}
 	bound := time.NewTimer(endCheckWait)
--- a/forward/send.go
+++ b/forward/send.go
@@ -20,7 +20,7 @@
 	err     error
 	reached bool            // bytes of the call may have reached the upstream
 	phase   phase           // how far the send had come
-	checked <-chan struct{} // closed when it is known whether the upstream ended; nil: it is not checked
+	checked <-chan struct{} // closed when it is known whether the upstream ended, where that decides on a repeat; else nil
 	held    *heldAnswer     // a whole answer of the upstream that is a failure
 
 	elsewhere bool  // another engine than the one that the call was sent to is at fault
@@ -49,15 +49,16 @@
 
 // sending is one send under way.
 type sending struct {
-	x     *exchange
-	node  *node
-	conn  *upstreamConn
-	work  *work
-	sent  chan error // result of writing the call
-	begun bool       // the first event came
-	phase phase
-	clean bool // the connection can carry another call
-	idle  time.Duration
+	x      *exchange
+	node   *node
+	conn   *upstreamConn
+	work   *work
+	sent   chan error // result of writing the call
+	begun  bool       // the first event came
+	phase  phase
+	headAt time.Time // when the head of the answer came
+	clean  bool      // the connection can carry another call
+	idle   time.Duration
 }
 
 // send sends the call to a node and hands the answer to the caller.
@@ -86,7 +87,10 @@
 	fleet.vacate(n, conn)
 	if ctx.Err() == nil && endedByPeer(result.err) {
 		x.server.options.Metrics.brokeOff(x.service.Name, s.phase)
-		result.checked = fleet.brokeOff(n, brokenSend{request: x.fingerprint, phase: s.phase, whole: !x.route.Stream})
+		broken := brokenSend{request: x.fingerprint, phase: s.phase, ran: s.ran(), whole: !x.route.Stream}
+		if checked := fleet.brokeOff(n, broken); broken.mayBeCause() {
+			result.checked = checked
+		}
 	}
 	if !stop() || !s.clean {
 		conn.close()
@@ -99,6 +103,14 @@
 	return result
 }
 
+// ran returns how long ago the upstream was seen to begin with the call; 0 if it was not.
+func (s *sending) ran() time.Duration {
+	if s.headAt.IsZero() {
+		return 0
+	}
+	return time.Since(s.headAt)
+}
+
 // exchange writes the call and reads the answer.
 func (s *sending) exchange(ctx context.Context) *outcome {
 	x := s.x
@@ -111,7 +123,7 @@
 	if err != nil {
 		return s.failed(err)
 	}
-	s.phase = phaseStarted
+	s.phase, s.headAt = phaseStarted, time.Now()
 	if head.Status >= http.StatusOK && head.Status < http.StatusMultipleChoices {
 		return s.success(head, answer)
 	}
--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -55,18 +55,14 @@
 	return s.own.Quarantined(request)
 }
 
-// ended takes in that an upstream ended with a request, which had begun there or not.
-func (s *suspects) ended(now time.Time, n *node, b brokenSend) {
-	e := quarantine.Evidence{Request: b.request, Outcome: quarantine.EndedWaiting, Upstream: uint64(n.key)}
-	if b.phase == phaseStarted || b.whole {
-		e.Outcome = quarantine.EndedStarted
-	}
+// ended takes in that an upstream ended with a request.
+func (s *suspects) ended(now time.Time, n *node, request quarantine.Fingerprint, outcome quarantine.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.answered.Contains(b.request) {
+	if s.answered.Contains(request) {
 		return
 	}
-	s.report(now, e)
+	s.report(now, quarantine.Evidence{Request: request, Outcome: outcome, Upstream: uint64(n.key)})
 }
 
 // served takes in that a request was answered whole.
--- a/forward/suspects_test.go
+++ b/forward/suspects_test.go
@@ -35,7 +35,7 @@
 
 func crash(s *suspects, request quarantine.Fingerprint, times int) {
 	for n := range times {
-		s.ended(began, &node{key: loadshare.Key(n + 1)}, brokenSend{request: request, phase: phaseStarted})
+		s.ended(began, &node{key: loadshare.Key(n + 1)}, request, quarantine.EndedStarted)
 	}
 }
 
@@ -101,3 +101,24 @@
 		}
 	}
 }
+
+// Guards against blaming a request whose answer had been under way for long, and against
+// missing one whose upstream had sent some of it.
+func TestTimeSinceTheStartDecides(t *testing.T) {
+	for _, c := range []struct {
+		broken    brokenSend
+		outcome   quarantine.Outcome
+		suspected bool
+	}{
+		{brokenSend{phase: phaseUnanswered}, quarantine.EndedWaiting, true},
+		{brokenSend{phase: phaseUnanswered, whole: true}, quarantine.EndedStarted, true},
+		{brokenSend{phase: phaseStarted, ran: time.Millisecond}, quarantine.EndedStarted, true},
+		{brokenSend{phase: phaseAnswering, ran: crashWindow}, quarantine.EndedStarted, true},
+		{brokenSend{phase: phaseAnswering, ran: lateCrashWindow}, quarantine.EndedWaiting, true},
+		{brokenSend{phase: phaseAnswering, ran: lateCrashWindow + 1}, 0, false},
+	} {
+		if outcome, suspected := c.broken.evidence(); outcome != c.outcome || suspected != c.suspected {
+			t.Errorf("%+v: %s, %t", c.broken, outcome, suspected)
+		}
+	}
+}
--- a/forward/upstream_end.go
+++ b/forward/upstream_end.go
@@ -47,9 +47,9 @@
 	if f.leaves(n) {
 		return // it ended as it said it would
 	}
-	for _, b := range broken {
-		if b.phase != phaseAnswering {
-			f.suspects.ended(time.Now(), n, b)
+	for i := range broken {
+		if outcome, suspected := broken[i].evidence(); suspected {
+			f.suspects.ended(time.Now(), n, broken[i].request, outcome)
 		}
 	}
 }
@@ -64,18 +64,22 @@
 	return false
 }
 
-// logEnd logs which requests an upstream had when it ended. Those whose answer was under
-// way are only counted.
+// logEnd logs which requests an upstream had when it ended. Those whose answer had been under
+// way for longer are only counted.
 func (f *fleet) logEnd(n *node, broken []brokenSend) {
-	requests := map[phase][]string{}
-	for _, b := range broken {
-		requests[b.phase] = append(requests[b.phase], b.request.String())
-	}
-	for _, list := range requests {
-		slices.Sort(list)
+	var started, unanswered []string
+	for i := range broken {
+		switch b := &broken[i]; {
+		case b.phase == phaseUnanswered:
+			unanswered = append(unanswered, b.request.String())
+		case b.mayBeCause():
+			started = append(started, b.request.String())
+		}
 	}
+	slices.Sort(started)
+	slices.Sort(unanswered)
 	eventUpstreamEnded.Log(f.options.Log, event.Fields{
-		"upstream": n.name, "address": n.address, "answering": len(requests[phaseAnswering]),
-		"started": requests[phaseStarted], "unanswered": requests[phaseUnanswered],
+		"upstream": n.name, "address": n.address, "answering": len(broken) - len(started) - len(unanswered),
+		"started": started, "unanswered": unanswered,
 	})
 }
