List and release quarantined requests; wait for upgraded voters

Operators could not see what is quarantined, nor end it for a request that they know to be harmless. Tests: TestOperatorReleasesARequest, TestEvidenceWaitsUntilAllVotersAreUpgraded.

--- a/cli/commands.go
+++ b/cli/commands.go
@@ -18,6 +18,7 @@
 		upstreamsCommand(stdout, stderr),
 		orderCommand(stdout, stderr),
 		voterCommand(stdout, stderr),
+		quarantineCommand(stdout, stderr),
 		loadCommand(stdout, stderr),
 		standinCommand(stdout, stderr),
 		benchCommand(stdout, stderr),
--- a/control/core.go
+++ b/control/core.go
@@ -8,6 +8,7 @@
 	"celeryport/consensus"
 	"celeryport/control/attachment"
 	"celeryport/control/relay"
+	"celeryport/control/state"
 	"celeryport/event"
 	"celeryport/membership"
 	"celeryport/quarantine"
@@ -84,6 +85,7 @@
 		Region:           process.Region,
 		Voter:            process.Voter,
 		Revision:         c.installed.revision(),
+		LogVersion:       state.LogVersion,
 	}
 	if err := c.renewIncarnation(0); err != nil {
 		return nil, err
--- a/control/evidence_test.go
+++ b/control/evidence_test.go
@@ -3,12 +3,16 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"celeryport/control/state"
+	"celeryport/membership"
 	"celeryport/quarantine"
 	"celeryport/verdict"
 )
 
+var began = time.Unix(1_700_000_000, 0)
+
 var lethal = quarantine.Fingerprint{Scope: 1, Body: 7}
 
 // reportCrashes has three instances report one crash each.
@@ -71,6 +75,23 @@
 	f.awaitQuarantine(f.members[3:], true)
 }
 
+// Guards against voters that stop in the middle of an upgrade, at entries that they can't read.
+func TestEvidenceWaitsUntilAllVotersAreUpgraded(t *testing.T) {
+	l := &leader{table: membership.NewTable(began, DefaultTiming().Membership)}
+	voter := func(name string, version int) membership.Instance {
+		return membership.Instance{Name: name, Incarnation: 1, Voter: true, LogVersion: version}
+	}
+	l.table.Heard(began, voter("upgraded", state.LogVersion))
+	l.table.Heard(began, membership.Instance{Name: "forwards only", Incarnation: 1})
+	if !l.votersRead(state.LogVersion) {
+		t.Error("all voters are upgraded")
+	}
+	l.table.Heard(began, voter("old", 0))
+	if l.votersRead(state.LogVersion) {
+		t.Error("an old voter would stop")
+	}
+}
+
 // Guards against a report that fills the log of the voters, or that they can't read.
 func TestUnusableReportsAreRejected(t *testing.T) {
 	t.Parallel()
@@ -115,3 +136,30 @@
 		}
 	}
 }
+
+// Guards against a request that stays rejected although an operator knows that it is harmless.
+func TestOperatorReleasesARequest(t *testing.T) {
+	t.Parallel()
+	f := newAttachingFleet(t, 3, 3)
+	f.awaitInstalled(f.apply(0, "a", testTree(1)).Revision)
+	f.reportCrashes(f.members[3:])
+	f.awaitQuarantine(f.members[3:], true)
+	var status QuarantineStatus
+	f.ask(CommandQuarantineList, nil, &status)
+	if len(status.Records) != 1 || status.Records[0].Request != lethal || !status.Records[0].Quarantined {
+		t.Errorf("listed: %+v", status)
+	}
+	body, err := encode(ReleaseRequest{Request: lethal})
+	if err != nil {
+		t.Fatal(err)
+	}
+	leader := f.leader()
+	if _, err := leader.node.Ask(t.Context(), leader.process.ControlListen, CommandQuarantineRelease, body); err != nil {
+		t.Fatal(err)
+	}
+	f.awaitQuarantine(f.members[3:], false)
+	_, err = leader.node.Ask(t.Context(), leader.process.ControlListen, CommandQuarantineRelease, body)
+	if err == nil || verdict.From(err).Reason != verdict.ReasonNotFound {
+		t.Errorf("released again: %v", err)
+	}
+}
--- a/control/operations.go
+++ b/control/operations.go
@@ -37,6 +37,8 @@
 	n.handlers[commandPutDocument] = n.atLeader(commandPutDocument, n.putDocument)
 	n.handlers[commandReadDocument] = n.atLeader(commandReadDocument, n.readDocument)
 	n.handlers[commandReportEvidence] = n.reportEvidence
+	n.handlers[CommandQuarantineList] = n.atLeader(CommandQuarantineList, n.listQuarantine)
+	n.handlers[CommandQuarantineRelease] = n.atLeader(CommandQuarantineRelease, n.releaseQuarantined)
 	n.handlers[CommandShow] = n.atLeader(CommandShow, n.showSettings)
 	n.handlers[CommandInstances] = n.atLeader(CommandInstances, n.listInstances)
 	n.handlers[CommandUpstreams] = n.listUpstreams
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -9,6 +9,10 @@
 	"celeryport/quarantine"
 )
 
+// LogVersion is the version of the log entries that this program reads. Evidence came with
+// version 1.
+const LogVersion = 1
+
 // Command is the data of one proposal in the log. Exactly one of its parts is
 // set.
 type Command struct {
--- a/membership/instance.go
+++ b/membership/instance.go
@@ -35,5 +35,6 @@
 	Region           string `json:"region,omitempty"`
 	State            State  `json:"state"`
 	Voter            bool   `json:"voter"`
-	Revision         uint64 `json:"revision"` // settings revision that it confirmed
+	Revision         uint64 `json:"revision"`              // settings revision that it confirmed
+	LogVersion       int    `json:"log_version,omitempty"` // of a voter: newest version of log entries that it can read
 }
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -1,9 +1,12 @@
 package quarantine
 
 import (
+	"encoding/binary"
+	"encoding/hex"
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 )
 
 // Fingerprint identifies a request across retries and instances: two requests share it
@@ -29,5 +32,14 @@
 	return Fingerprint{Scope: scope, Body: xxhash.Sum64(body)}
 }
 
-// String returns the form that logs show.
+// String returns the form that logs and operators' commands show.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x%016x", f.Scope, f.Body) }
+
+// ParseFingerprint reads what String returns.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != 16 {
+		return Fingerprint{}, errors.Newf("%q is not a fingerprint of 32 hexadecimal digits", text)
+	}
+	return Fingerprint{Scope: binary.BigEndian.Uint64(data), Body: binary.BigEndian.Uint64(data[8:])}, nil
+}
--- a/quarantine/fingerprint_test.go
+++ b/quarantine/fingerprint_test.go
@@ -20,3 +20,15 @@
 		}
 	}
 }
+
+func TestFingerprintIsReadAsItIsShown(t *testing.T) {
+	want := FingerprintOf(ScopeOf("a.example", "/draft/", "atelier"), []byte("measurements"))
+	if got, err := ParseFingerprint(want.String()); err != nil || got != want {
+		t.Errorf("%s is read as %s (%v)", want, got, err)
+	}
+	for _, text := range []string{"", "12", want.String() + "00", "g" + want.String()[1:]} {
+		if got, err := ParseFingerprint(text); err == nil {
+			t.Errorf("%q is read as %s", text, got)
+		}
+	}
+}
