Believe that a rate has ended only two seconds after it was named last

An engine may leave the field out of a failure, or answers overtake each other: instances that then sent freely for a moment would overrun it.

--- a/throttle/table.go
+++ b/throttle/table.go
@@ -12,9 +12,9 @@
 const (
 	// mostFacts bounds a table; the oldest facts are evicted.
 	mostFacts = 1024
-	// settles is how long after an answer that named a rate one without it is not believed:
-	// answers to different instances overtake each other.
-	settles = 500 * time.Millisecond
+	// settles is how long after an answer that named a rate one without it is not believed.
+	// Answers to different instances overtake each other, and failures may not name it.
+	settles = 2 * time.Second
 )
 
 // Table is what one instance knows of the rates. It is not safe for concurrent use.
