Take in that an upstream leaves, whatever the number of its word

Cause: an engine that asks to be taken out of service without having announced it gets a number from the instance that it asks; a voter that had heard an ordinary announcement with that number took the leaving for old, told no leader, and the acknowledgement did not wait. Before the mend the test fails for the same and for a later number.

--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -106,11 +106,11 @@
 // renew takes a further announcement of a known incarnation. The same sequence
 // heard by two ways may still prove that the upstream lived later than known.
 func (r *Registry) renew(rec *record, a Announcement, heardAt time.Time) bool {
-	if a.Sequence < rec.announcement.Sequence {
-		return false
-	}
-	if a.Sequence == rec.announcement.Sequence {
-		return r.keepLaterHearing(rec, heardAt)
+	if a.Sequence <= rec.announcement.Sequence {
+		if a.Sequence == rec.announcement.Sequence {
+			rec.heardAt = later(rec.heardAt, heardAt)
+		}
+		return r.keepLeaving(rec, a)
 	}
 	// A sequence can only grow, so a leaving upstream stays leaving even if a
 	// faulty one takes it back: callers were told that nothing new comes.
@@ -122,12 +122,16 @@
 	return true
 }
 
-func (r *Registry) keepLaterHearing(rec *record, heardAt time.Time) bool {
-	if !heardAt.After(rec.heardAt) {
+// keepLeaving notes that an upstream leaves, whatever the sequence of its word: an instance
+// that takes it out of service on that word numbers it by what it has heard itself, and
+// another one may have heard more.
+func (r *Registry) keepLeaving(rec *record, a Announcement) bool {
+	if !a.Leaving || rec.announcement.Leaving {
 		return false
 	}
-	rec.heardAt = heardAt
-	return false
+	rec.announcement.Leaving = true
+	rec.version = r.nextVersion()
+	return true
 }
 
 func (r *Registry) nextVersion() uint64 {
--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -153,3 +153,22 @@
 		t.Fatalf("changes: %+v", changes)
 	}
 }
+
+// Guards against work for an upstream that leaves, when its word has the number of an
+// announcement that another instance heard first.
+func TestLeavingHoldsWhateverItsSequence(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	for name, known := range map[string]uint64{"earlier": 10, "same": 11, "later": 12} {
+		r := NewRegistry(time.Minute)
+		r.Hear(start, Announcement{Name: "e1", Incarnation: 1, Sequence: known})
+		_, version := r.ChangesSince(start, 0)
+		news := r.HearRelayed(start, Relayed{Announcement: Announcement{Name: "e1", Incarnation: 1, Sequence: 11, Leaving: true}})
+		found, _ := r.Find("e1")
+		if changes, _ := r.ChangesSince(start, version); !news || !found.Leaving || len(changes) != 1 {
+			t.Errorf("%s announcement known: news %t, leaving %t, %d changes for others", name, news, found.Leaving, len(changes))
+		}
+		if found.Sequence != max(known, 11) {
+			t.Errorf("%s announcement known: sequence %d", name, found.Sequence)
+		}
+	}
+}
