--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
 
-.PHONY: build test lint fmt demo bench generate tools
+.PHONY: build test lint fmt demo bench soak generate tools
 
 build:
 	go build -trimpath -o bin/celeryport ./cmd/celeryport
@@ -29,6 +29,13 @@
 demo: build
 	sh ./examples/demo/run.sh
 
+# SEEDS is a list of numbers, MINUTES how long each of them runs.
+SEEDS ?= 1,2,3
+MINUTES ?= 2
+
+soak:
+	SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$$(( $(MINUTES) * 60 )) go test -count=1 -timeout 0 -v -run '^TestSoak$$' ./platform/soak
+
 bench: build
 	bin/celeryport bench
 
