--- a/forward/place.go
+++ b/forward/place.go
@@ -179,25 +179,29 @@
 	free, open, full := f.candidates(now, view.Upstreams, x.service.Name)
 	x.mark(free)
 	x.mark(open)
-	w := x.planAlone(now, open)
+	w, wait, err := x.choose(now, free, open, full)
 	if w != nil {
 		f.begin(now, w)
+	}
+	return w, wait, err
+}
+
+// choose plans the call at the candidates. The lock of the fleet must be held.
+func (x *exchange) choose(now time.Time, free, open *candidates, full int) (*work, time.Duration, error) {
+	if w := x.planAlone(now, open); w != nil {
 		return w, 0, nil
 	}
 	if x.service.Engine == nil || x.call.PromptTokens == 0 || len(free.nodes) == 0 {
 		free.join(open)
 	}
-	if len(free.nodes) == 0 && full == 0 && x.awaitsUpstreams(now) {
+	switch {
+	case len(free.nodes) > 0:
+		return x.plan(now, free.nodes, free.engines)
+	case full == 0 && x.awaitsUpstreams(now):
 		return nil, longestWait, nil
-	}
-	if len(free.nodes) == 0 {
+	default:
 		return nil, 0, x.noUpstream(full)
 	}
-	w, wait, err := x.plan(now, free.nodes, free.engines)
-	if w != nil {
-		f.begin(now, w)
-	}
-	return w, wait, err
 }
 
 // mark notes which candidates the call has met and which may not lead it.
@@ -209,40 +213,6 @@
 	}
 }
 
-// noUpstream refuses a call that no upstream may get. full is how many serve it and take
-// no more requests for now.
-func (x *exchange) noUpstream(full int) error {
-	if full > 0 {
-		return verdict.Refuse(verdict.ReasonNoUpstream, fullRetry, "all upstreams of %s get as many requests as they take", x.service.Name)
-	}
-	return verdict.Refuse(verdict.ReasonNoUpstream, busyRetry, "no upstream serves %s", x.service.Name)
-}
-
-// fullRetry is when to come back while all upstreams get the rate that they name.
-const fullRetry = time.Second
-
-// planAlone gives a call that takes one upstream to one whose rate has room: the usual
-// placement, which prefers near upstreams and gathers prompts on a few, might leave it
-// without any.
-func (x *exchange) planAlone(now time.Time, open *candidates) *work {
-	if x.service.Engine == nil || x.call.PromptTokens == 0 {
-		if at := placement.IdleService(open.engines); at >= 0 {
-			x.predicted = 0
-			return &work{lead: open.nodes[at]}
-		}
-		return nil
-	}
-	call := x.placementCall(now)
-	for i, n := range open.nodes {
-		if plan, found := placement.Alone(x.service.Engine, &open.engines[i], call); found {
-			x.predicted, x.readers, x.seen = plan.FirstEvent, 1, plan.Seen
-			x.tries++
-			return x.newWork(n, plan.Part)
-		}
-	}
-	return nil
-}
-
 // awaitsUpstreams reports whether a call should wait until the first upstream of its
 // service is heard of: the process has just started, and they announce themselves
 // every second or so. After a loss of power of the whole fleet all calls would be turned
