Take a silent upstream for weak evidence

A request that met silence counted like one whose upstream closed the connection at its start. An instance that is cut off from the upstreams of a plain service finds all of them silent: a caller's two or three tries there would have quarantined its request. The case is in TestTimeSinceTheStartDecides and fails without the change.

--- a/forward/broken_send.go
+++ b/forward/broken_send.go
@@ -17,6 +17,7 @@
 	phase   phase
 	ran     time.Duration // since the head of the answer came; 0 before
 	whole   bool          // an answer comes whole or not at all, so that nothing shows when it begins
+	silent  bool          // nothing came any more: the upstream crashed, or the way to it is cut
 }
 
 const (
@@ -28,11 +29,15 @@
 )
 
 // mayBeCause reports whether the upstream ended a moment after it was seen to begin.
-func (b *brokenSend) mayBeCause() bool { return b.phase != phaseUnanswered && b.ran <= crashWindow }
+func (b *brokenSend) mayBeCause() bool {
+	return !b.silent && b.phase != phaseUnanswered && b.ran <= crashWindow
+}
 
 // evidence says what the end of the upstream tells of the request; false: nothing.
 func (b *brokenSend) evidence() (quarantine.Outcome, bool) {
 	switch {
+	case b.silent:
+		return quarantine.EndedWaiting, true
 	case b.phase == phaseUnanswered && b.whole:
 		return quarantine.EndedStarted, true
 	case b.phase == phaseUnanswered:
--- a/forward/send.go
+++ b/forward/send.go
@@ -87,7 +87,7 @@
 	fleet.vacate(n, conn)
 	if ctx.Err() == nil && endedByPeer(result.err) {
 		x.server.options.Metrics.brokeOff(x.service.Name, s.phase)
-		broken := brokenSend{request: x.fingerprint, phase: s.phase, ran: s.ran(), whole: !x.route.Stream}
+		broken := brokenSend{request: x.fingerprint, phase: s.phase, ran: s.ran(), whole: !x.route.Stream, silent: errors.Is(result.err, errSilent)}
 		if checked := fleet.brokeOff(n, broken); broken.mayBeCause() {
 			result.checked = checked
 		}
--- a/forward/suspects_test.go
+++ b/forward/suspects_test.go
@@ -112,7 +112,9 @@
 	}{
 		{brokenSend{phase: phaseUnanswered}, quarantine.EndedWaiting, true},
 		{brokenSend{phase: phaseUnanswered, whole: true}, quarantine.EndedStarted, true},
+		{brokenSend{phase: phaseUnanswered, whole: true, silent: true}, quarantine.EndedWaiting, true},
 		{brokenSend{phase: phaseStarted, ran: time.Millisecond}, quarantine.EndedStarted, true},
+		{brokenSend{phase: phaseStarted, ran: time.Millisecond, silent: true}, quarantine.EndedWaiting, true},
 		{brokenSend{phase: phaseAnswering, ran: crashWindow}, quarantine.EndedStarted, true},
 		{brokenSend{phase: phaseAnswering, ran: lateCrashWindow}, quarantine.EndedWaiting, true},
 		{brokenSend{phase: phaseAnswering, ran: lateCrashWindow + 1}, 0, false},
