Clear a request only by a whole answer, not by an upstream's failure

An engine that fails part of its requests answers a request that crashes the others with a failure; taken for an answer, it cleared all evidence on every instance, and the request crashed three engines more. Test: TestFailureOfAnUpstreamClearsNothing, which failed before.

--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -26,7 +26,6 @@
 
 // pass hands on an upstream's own failure.
 func (x *exchange) pass(held *heldAnswer) {
-	x.server.fleet.suspects.served(time.Now(), x.fingerprint)
 	x.firstAt = time.Now()
 	x.writer.whole(&httpwire.ResponseHead{Status: held.status, Reason: held.reason, Fields: held.fields}, held.body)
 	x.end("upstream-failure")
--- a/forward/suspects_test.go
+++ b/forward/suspects_test.go
@@ -1,9 +1,13 @@
 package forward
 
 import (
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"celeryport/control"
@@ -124,3 +128,21 @@
 		}
 	}
 }
+
+// Guards against taking a request for harmless because an upstream that fails its requests
+// answered it with a failure.
+func TestFailureOfAnUpstreamClearsNothing(t *testing.T) {
+	s, plane := newTestSuspects()
+	s.options.Dialect, s.options.Metrics = plainDialect{}, NewMetrics(prometheus.NewRegistry())
+	server := &Server{options: *s.options, fleet: &fleet{suspects: s}}
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	go func() { _, _ = io.Copy(io.Discard, theirs) }()
+	x := &exchange{server: server, writer: &callerWriter{conn: ours}, call: &Call{}, began: time.Now(), fingerprint: lethal}
+	crash(s, lethal, 2)
+	x.pass(&heldAnswer{status: http.StatusInternalServerError})
+	crash(s, lethal, 3)
+	if !s.rejects(began, lethal) {
+		t.Errorf("reported %+v", plane.evidence)
+	}
+}
