--- a/control/evidence_test.go
+++ b/control/evidence_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"celeryport/control/state"
 	"celeryport/membership"
 	"celeryport/quarantine"
@@ -92,6 +94,44 @@
 	}
 }
 
+// stateLogVersion has a voter say that it reads log entries up to a version.
+func (f *fleet) stateLogVersion(m *testNode, version int) {
+	f.t.Helper()
+	err := m.node.do(f.t.Context(), func(time.Time) {
+		m.node.core.self.LogVersion, m.node.core.position.stated = version, false
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// Guards against entries that a voter of the version before can't read.
+func TestLeaderProposesNoEvidenceBesideAnOldVoter(t *testing.T) {
+	t.Parallel()
+	f := newAttachingFleet(t, 3, 3)
+	f.awaitInstalled(f.apply(0, "a", testTree(1)).Revision)
+	leader := f.leader()
+	old := f.members[0]
+	if old == leader {
+		old = f.members[1]
+	}
+	f.stateLogVersion(old, 0)
+	f.await("the leader knows of the old voter", func() bool {
+		known := false
+		_ = leader.node.do(t.Context(), func(time.Time) {
+			known = leader.node.core.leader != nil && !leader.node.core.leader.votersRead(state.LogVersion)
+		})
+		return known
+	})
+	evidence := []quarantine.Evidence{{Request: lethal, Outcome: quarantine.EndedStarted, Upstream: 1}}
+	if err := leader.node.proposeEvidence(t.Context(), evidence); !errors.Is(err, errOldVoters) {
+		t.Errorf("beside an old voter: %v", err)
+	}
+	f.reportCrashes(f.members[3:])
+	f.stateLogVersion(old, state.LogVersion)
+	f.awaitQuarantine(f.members[3:], true)
+}
+
 // Guards against a report that fills the log of the voters, or that they can't read.
 func TestUnusableReportsAreRejected(t *testing.T) {
 	t.Parallel()
--- a/forward/suspects_test.go
+++ b/forward/suspects_test.go
@@ -1,10 +1,13 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -93,16 +96,20 @@
 
 // Guards against blaming the last requests of engines that leave as they announced.
 func TestPlannedEndIsNoEvidence(t *testing.T) {
-	log, _ := test.NewNullLogger()
-	f := newTestFleet(log, nil)
-	registry := upstream.NewRegistry(time.Hour)
-	registry.Hear(began, upstream.Announcement{Name: "leaving", Incarnation: 1, Sequence: 1, Address: "10.0.0.1:1", Leaving: true})
-	registry.Hear(began, upstream.Announcement{Name: "ready", Incarnation: 1, Sequence: 1, Address: "10.0.0.2:1"})
-	f.options.Plane = fixedPlane{&control.View{Upstreams: registry.Snapshot(began)}}
-	for name, want := range map[string]bool{"leaving": true, "ready": false, "gone": false} {
-		if got := f.leaves(&node{start: start{name: name, incarnation: 1}}); got != want {
-			t.Errorf("%s leaves: %t", name, got)
-		}
+	for name, want := range map[string]int{"leaving": 0, "ready": 1, "gone": 1} {
+		synctest.Test(t, func(t *testing.T) {
+			log, _ := test.NewNullLogger()
+			f := newTestFleet(log, func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED })
+			registry := upstream.NewRegistry(time.Hour)
+			registry.Hear(time.Now(), upstream.Announcement{Name: "leaving", Incarnation: 1, Sequence: 1, Address: "10.0.0.1:1", Leaving: true})
+			registry.Hear(time.Now(), upstream.Announcement{Name: "ready", Incarnation: 1, Sequence: 1, Address: "10.0.0.2:1"})
+			plane := &evidencePlane{view: &control.View{Upstreams: registry.Snapshot(time.Now())}}
+			f.options.Plane = plane
+			<-f.brokeOff(&node{start: start{name: name, incarnation: 1}}, brokenSend{request: lethal, phase: phaseStarted})
+			if len(plane.evidence) != want {
+				t.Errorf("the end of an engine that is %s brings %d pieces of evidence, want %d", name, len(plane.evidence), want)
+			}
+		})
 	}
 }
 
