State the version of log entries for voters only, and mend the test of old voters

TestLeaderProposesNoEvidenceBesideAnOldVoter failed as committed: a leader takes what an instance is from its first statement with an incarnation. The test states the next one. Instances without a log do not state a version, which is left out of the list that every one of them gets.

--- a/control/core.go
+++ b/control/core.go
@@ -85,7 +85,9 @@
 		Region:           process.Region,
 		Voter:            process.Voter,
 		Revision:         c.installed.revision(),
-		LogVersion:       state.LogVersion,
+	}
+	if process.Voter {
+		c.self.LogVersion = state.LogVersion
 	}
 	if err := c.renewIncarnation(0); err != nil {
 		return nil, err
--- a/control/evidence_test.go
+++ b/control/evidence_test.go
@@ -94,11 +94,13 @@
 	}
 }
 
-// stateLogVersion has a voter say that it reads log entries up to a version.
+// stateLogVersion has a voter state itself anew, as one that reads log entries up to a version.
 func (f *fleet) stateLogVersion(m *testNode, version int) {
 	f.t.Helper()
 	err := m.node.do(f.t.Context(), func(time.Time) {
-		m.node.core.self.LogVersion, m.node.core.position.stated = version, false
+		c := m.node.core
+		c.self.LogVersion, c.position.stated = version, false
+		c.self.Incarnation++
 	})
 	if err != nil {
 		f.t.Fatal(err)
