Keep a named rate as it is told to others

Rates lose digits on their way through a datagram, so that the next answer seemed to name another one. They are kept with the digits that are told. Test: TestToldRateIsNoNews, which failed before.

--- a/forward/rates.go
+++ b/forward/rates.go
@@ -39,11 +39,7 @@
 	f.mu.Lock()
 	news := f.rates.table.Answered(now, n.key, a.Rate)
 	if news {
-		change := throttle.Fact{Upstream: n.key, Named: a.Rate != nil, At: now}
-		if change.Named {
-			change.Rate = *a.Rate
-		}
-		f.rates.changes = append(f.rates.changes, change)
+		f.rates.changes = append(f.rates.changes, f.rates.table.Fact(n.key))
 	}
 	f.mu.Unlock()
 	if !news {
--- a/throttle/message.go
+++ b/throttle/message.go
@@ -26,6 +26,9 @@
 	Facts []Fact
 }
 
+// asTold returns a rate as it is after its way through a message.
+func asTold(rate float64) float64 { return float64(float32(rate)) }
+
 // Encode returns the content of the datagram. Times are sent as ages: the clocks of two
 // instances have nothing in common.
 func (m *Message) Encode(now time.Time) []byte {
--- a/throttle/table.go
+++ b/throttle/table.go
@@ -36,9 +36,10 @@
 		t.facts[upstream] = Fact{Upstream: upstream, At: now}
 		return true
 	}
-	t.facts[upstream] = Fact{Upstream: upstream, Rate: *rate, Named: true, At: now}
+	told := asTold(*rate)
+	t.facts[upstream] = Fact{Upstream: upstream, Rate: told, Named: true, At: now}
 	t.bound(now)
-	return !found || !known.Named || known.Rate != *rate
+	return !found || !known.Named || known.Rate != told
 }
 
 // Merge takes in facts of another instance; of two about one upstream the newer holds.
@@ -74,6 +75,9 @@
 	return slices.Collect(maps.Values(t.facts))
 }
 
+// Fact returns what is known of an upstream; the zero Fact if nothing is.
+func (t *Table) Fact(upstream loadshare.Key) Fact { return t.facts[upstream] }
+
 // Rate returns the rate that an upstream names; false if it names none.
 func (t *Table) Rate(now time.Time, upstream loadshare.Key) (float64, bool) {
 	f, found := t.facts[upstream]
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -144,6 +144,25 @@
 	})
 }
 
+// Guards against telling all instances of a rate again and again, because it loses digits on
+// its way through a datagram.
+func TestToldRateIsNoNews(t *testing.T) {
+	named := 1.8702828637465352
+	a, b := NewTable(), NewTable()
+	a.Answered(start, 7, &named)
+	told, err := Decode(start.Add(time.Second), (&Message{Facts: a.Facts(start)}).Encode(start))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Merge(start.Add(time.Second), told.Facts)
+	if b.Answered(start.Add(2*time.Second), 7, &named) {
+		t.Error("the rate is news to an instance that was told it")
+	}
+	if missing := b.Missing(start.Add(2*time.Second), told.Facts); len(missing) > 0 {
+		t.Errorf("others are told %+v again", missing)
+	}
+}
+
 // Guards against a table that grows with each engine that ever named a rate.
 func TestTableIsBounded(t *testing.T) {
 	table := NewTable()
