Log and count what upstreams say of rest and leaving, and sends that come in spite of it

Now 7016 tells the rest asked for, 7017 an answer that says that its upstream leaves, 7018 a statement that can't be read, and 7006 the kind of the send and whether the upstream had asked for rest; two counters sum it up.

--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -80,7 +80,10 @@
 	Encoded   bool          // its body is not what the upstream made
 	IdleFor   time.Duration // after which the upstream closes the idle connection, 0 if it does not say
 	Rate      *float64      // requests a second that the upstream takes from all instances together; nil: it names none
+	Rest      time.Duration // for which the upstream wants nothing more from this instance, 0 if it does not ask for it
+	Leaving   bool          // the upstream leaves: it finishes what it has and wants nothing new
 	AtFault   string        // address of the engine that made a joint call fail, empty if none is named
+	Unread    []string      // fields whose values could not be read, for the log
 }
 
 // EngineReport is what an engine says of itself.
--- a/forward/events.go
+++ b/forward/events.go
@@ -20,7 +20,7 @@
 	eventCallerLeft = event.Define(7005, logrus.InfoLevel, "caller left",
 		"The caller closed its connection before the end; the upstream's work was cut off. Fields: call, route, upstream, sends, events, total_ms.")
 	eventSendFailed = event.Define(7006, logrus.WarnLevel, "send failed",
-		"One send of a call brought no answer. Fields: call, upstream, address, verdict, error, phase (unanswered, started or answering), request (fingerprint of host, path, caller and body), helper (that refused its part, if one did), events, after_ms.")
+		"One send of a call brought no answer. Fields: call, upstream, address, verdict, error, kind (first, repeated, or granted: the arbiter chose the upstream), resting (the upstream had asked this instance for rest until later), leaving (it had said that it leaves), phase (unanswered, started or answering), request (fingerprint of host, path, caller and body), helper (that refused its part, if one did), events, after_ms.")
 	eventSuspected = event.Define(7007, logrus.WarnLevel, "upstream suspected",
 		"An upstream took no connection, or answered nothing; it gets no new work for a while. Fields: upstream, address, error, for_ms.")
 	eventMisdirected = event.Define(7008, logrus.InfoLevel, "upstream replaced",
@@ -37,6 +37,12 @@
 		"An upstream ended with a request, or answered a request with which others had ended. Requests that end several upstreams are quarantined (3035). Fields: request (fingerprint), outcome (ended-waiting, ended-started, answered), upstream (key of the incarnation).")
 	eventRateNamed = event.Define(7015, logrus.InfoLevel, "upstream names a rate",
 		"An upstream in need names, or no longer names, how many requests a second it takes from all instances together. Fields: upstream, address, rate (requests a second; absent: no longer).")
+	eventRestAsked = event.Define(7016, logrus.InfoLevel, "upstream asks for rest",
+		"An upstream rejected a request and wants nothing more from this instance for a time. Fields: upstream, address, wanted_ms, for_ms (what is kept of it).")
+	eventLeavingHeard = event.Define(7017, logrus.InfoLevel, "upstream says that it leaves",
+		"An answer of an upstream says that it leaves; this instance sends it nothing new. Fields: upstream, address.")
+	eventUnreadStatement = event.Define(7018, logrus.WarnLevel, "statement of an upstream not read",
+		"A field in which an upstream says something of itself has a value that can't be read; it counts as not stated. Logged once in 10 s for each upstream. Fields: upstream, address, fields.")
 	eventCleared = event.Define(7009, logrus.InfoLevel, "upstream works again",
 		"A suspected upstream answered. Fields: upstream, address.")
 )
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -125,7 +125,9 @@
 			return
 		}
 		x.target, x.helpers, x.placedAt = next.lead, next.helpers, time.Now()
+		kind := kindOf(next, x.sends)
 		result := x.send(ctx, next)
+		result.kind = kind
 		if result.err == nil {
 			x.served()
 			return
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -16,6 +16,8 @@
 	broken      *prometheus.CounterVec
 	connections prometheus.Gauge
 	limited     prometheus.Gauge
+	rests       *prometheus.CounterVec
+	resting     *prometheus.CounterVec
 	unreadable  *prometheus.CounterVec
 }
 
@@ -47,11 +49,17 @@
 		limited: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "forward_upstreams_limited", Help: "Upstreams whose last answer to this instance named a rate.",
 		}),
+		rests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "forward_rests_asked_total", Help: "Answers in which an upstream asked this instance for rest, by service.",
+		}, []string{"service"}),
+		resting: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "forward_sends_resting_total", Help: "Sends to upstreams that had asked this instance for rest until later, by service and kind of send.",
+		}, []string{"service", "kind"}),
 		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "forward_unreadable_total", Help: "Requests that could not be read, by the status that answered them.",
 		}, []string{"status"}),
 	}
-	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.unreadable)
+	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.resting, m.unreadable)
 	return m
 }
 
@@ -67,6 +75,12 @@
 	}
 }
 
+func (m *Metrics) askedForRest(service string) { m.rests.WithLabelValues(service).Inc() }
+
+func (m *Metrics) sentAtRest(service string, kind sendKind) {
+	m.resting.WithLabelValues(service, kind.String()).Inc()
+}
+
 func (m *Metrics) brokeOff(service string, p phase) {
 	m.broken.WithLabelValues(service, p.String()).Inc()
 }
--- a/forward/node.go
+++ b/forward/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryport/loadshare"
+	"celeryport/throttle"
 	"celeryport/upstream"
 )
 
@@ -42,6 +43,9 @@
 	granted   []grant
 	broken    []brokenSend  // sends that broke off, until it is checked whether the node has ended
 	checked   chan struct{} // closed when that is known
+	rest      throttle.Rest // that it asked this instance for
+	leaving   bool          // it said in an answer that it leaves
+	unreadAt  time.Time     // when a statement that can't be read was logged last
 }
 
 // nodeReport is what a node said when this instance polled it.
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -143,7 +143,7 @@
 		return 0, nil, err
 	}
 	decoded := f.options.Dialect.DecodeAnswer(answer)
-	f.noteRate(n, decoded)
+	f.noteAnswer(n, &decoded)
 	if answer.Close || conn.reader.Buffered() > 0 {
 		conn.close()
 	} else {
--- a/forward/send.go
+++ b/forward/send.go
@@ -18,8 +18,11 @@
 type outcome struct {
 	verdict verdict.Verdict
 	err     error
-	reached bool            // bytes of the call may have reached the upstream
-	phase   phase           // how far the send had come
+	reached bool  // bytes of the call may have reached the upstream
+	phase   phase // how far the send had come
+	kind    sendKind
+	resting bool            // the upstream had asked for rest when the call was sent
+	leaving bool            // it had said that it leaves
 	checked <-chan struct{} // closed when it is known whether the upstream ended, where that decides on a repeat; else nil
 	held    *heldAnswer     // a whole answer of the upstream that is a failure
 
@@ -78,12 +81,16 @@
 		}
 		return &outcome{verdict: verdict.NotRun, err: err}
 	}
+	resting, leaving := fleet.unwilling(n)
+	if resting {
+		x.server.options.Metrics.sentAtRest(x.service.Name, kindOf(w, x.sends))
+	}
 	x.sends++
 	s := &sending{x: x, node: n, conn: conn, work: w}
 	stop := context.AfterFunc(ctx, conn.close)
 	fleet.occupy(n, conn)
 	result := s.exchange(ctx)
-	result.phase = s.phase
+	result.phase, result.resting, result.leaving = s.phase, resting, leaving
 	fleet.vacate(n, conn)
 	if ctx.Err() == nil && endedByPeer(result.err) {
 		x.server.options.Metrics.brokeOff(x.service.Name, s.phase)
@@ -200,7 +207,7 @@
 			return nil, Answer{}, err
 		}
 		answer := s.x.server.options.Dialect.DecodeAnswer(head)
-		s.x.server.fleet.noteRate(s.node, answer)
+		s.x.server.fleet.noteAnswer(s.node, &answer)
 		if answer.CallID == s.x.call.ID || answer.CallID == "" && (answer.NotRun || answer.Elsewhere) {
 			return head, answer, nil
 		}
