Leave an upstream alone while it rests, by every way that leads to it

Cause: a rejection counted for the one call only. An engine that rejects everything has nothing under way, so it looked like the best one and drew the next call.

The rest is kept for each instance and start of an upstream (throttle.Rest). What gives memory back or keeps it for work under way still goes. After its end, which differs between instances by up to a quarter, one call finds out whether the upstream accepts requests; one with another send left, so that no caller loses by it. Others hear of a rest as of a failing upstream and avoid it when two say so. While all rest calls are refused at once, to come back when the first rest ends. At most 5 min are kept of what is asked.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -57,18 +57,33 @@
 
 // take asks for one repeat and reports whether it may be sent.
 func (b *budgets) take(now time.Time, service string) bool {
-	share := b.budget.Slack * slackUsed / float64(b.instances())
+	share := b.share()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(now, service)
-	allowed := b.budget.Ratio*ratioUsed*float64(len(s.calls)) + share
-	if float64(len(s.repeats)+1) > allowed {
+	if !s.allows(b.budget.Ratio, share) {
 		return false
 	}
 	s.repeats = append(s.repeats, now)
 	return true
 }
 
+// open reports whether a repeat could be sent now.
+func (b *budgets) open(now time.Time, service string) bool {
+	share := b.share()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(now, service).allows(b.budget.Ratio, share)
+}
+
+// share is this instance's part of the slack.
+func (b *budgets) share() float64 { return b.budget.Slack * slackUsed / float64(b.instances()) }
+
+// allows reports whether one more repeat is within the budget.
+func (s *serviceBudget) allows(ratio, share float64) bool {
+	return float64(len(s.repeats)+1) <= ratio*ratioUsed*float64(len(s.calls))+share
+}
+
 // of returns the window of a service up to now.
 func (b *budgets) of(now time.Time, service string) *serviceBudget {
 	s := b.services[service]
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -17,6 +17,18 @@
 	c.nodes, c.engines = append(c.nodes, n), append(c.engines, e)
 }
 
+// remove drops the nodes for which a condition holds.
+func (c *candidates) remove(condition func(n *node) bool) {
+	kept := 0
+	for i, n := range c.nodes {
+		if !condition(n) {
+			c.nodes[kept], c.engines[kept] = n, c.engines[i]
+			kept++
+		}
+	}
+	c.nodes, c.engines = c.nodes[:kept], c.engines[:kept]
+}
+
 func (c *candidates) join(other *candidates) {
 	c.nodes, c.engines = append(c.nodes, other.nodes...), append(c.engines, other.engines...)
 }
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -89,12 +89,6 @@
 		"call": x.call.ID, "upstream": x.target.name, "address": x.target.address, "verdict": o.verdict.String(),
 		"error": o.err.Error(), "phase": o.phase.String(), "kind": o.kind.String(), "request": x.fingerprint.String(), "events": x.events, "after_ms": time.Since(x.began).Milliseconds(),
 	}
-	if o.resting {
-		fields["resting"] = true
-	}
-	if o.leaving {
-		fields["leaving"] = true
-	}
 	if o.helper != nil {
 		fields["helper"] = o.helper.name
 	}
--- a/forward/events.go
+++ b/forward/events.go
@@ -20,7 +20,7 @@
 	eventCallerLeft = event.Define(7005, logrus.InfoLevel, "caller left",
 		"The caller closed its connection before the end; the upstream's work was cut off. Fields: call, route, upstream, sends, events, total_ms.")
 	eventSendFailed = event.Define(7006, logrus.WarnLevel, "send failed",
-		"One send of a call brought no answer. Fields: call, upstream, address, verdict, error, kind (first, repeated, or granted: the arbiter chose the upstream), resting (the upstream had asked this instance for rest until later), leaving (it had said that it leaves), phase (unanswered, started or answering), request (fingerprint of host, path, caller and body), helper (that refused its part, if one did), events, after_ms.")
+		"One send of a call brought no answer. Fields: call, upstream, address, verdict, error, kind (first, repeated, or granted: the arbiter chose the upstream), phase (unanswered, started or answering), request (fingerprint of host, path, caller and body), helper (that refused its part, if one did), events, after_ms.")
 	eventSuspected = event.Define(7007, logrus.WarnLevel, "upstream suspected",
 		"An upstream took no connection, or answered nothing; it gets no new work for a while. Fields: upstream, address, error, for_ms.")
 	eventMisdirected = event.Define(7008, logrus.InfoLevel, "upstream replaced",
@@ -43,6 +43,8 @@
 		"An answer of an upstream says that it leaves; this instance sends it nothing new. Fields: upstream, address.")
 	eventUnreadStatement = event.Define(7018, logrus.WarnLevel, "statement of an upstream not read",
 		"A field in which an upstream says something of itself has a value that can't be read; it counts as not stated. Logged once in 10 s for each upstream. Fields: upstream, address, fields.")
+	eventRestEnded = event.Define(7019, logrus.InfoLevel, "upstream accepts requests after its rest",
+		"An upstream that had asked for rest accepted the request that was to find out; it gets any number of them again. Fields: upstream, address.")
 	eventCleared = event.Define(7009, logrus.InfoLevel, "upstream works again",
 		"A suspected upstream answered. Fields: upstream, address.")
 )
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -147,7 +147,7 @@
 		}
 		clear(n.idle[len(kept):])
 		n.idle = kept
-		if !listed[id] && n.load == (loadshare.Load{}) && len(n.reading) == 0 {
+		if !listed[id] && n.load == (loadshare.Load{}) && len(n.reading) == 0 && !n.remembered(now) {
 			delete(f.nodes, id)
 			delete(f.rates.buckets, n.key)
 			if f.occupants[n.address] == n {
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -17,7 +17,8 @@
 	connections prometheus.Gauge
 	limited     prometheus.Gauge
 	rests       *prometheus.CounterVec
-	resting     *prometheus.CounterVec
+	withdrawn   *prometheus.CounterVec
+	resting     prometheus.Gauge
 	unreadable  *prometheus.CounterVec
 }
 
@@ -52,14 +53,17 @@
 		rests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "forward_rests_asked_total", Help: "Answers in which an upstream asked this instance for rest, by service.",
 		}, []string{"service"}),
-		resting: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "forward_sends_resting_total", Help: "Sends to upstreams that had asked this instance for rest until later, by service and kind of send.",
+		withdrawn: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "forward_sends_withdrawn_total", Help: "Sends not made because the upstream asked for rest, or said that it leaves, after it was chosen, by service and kind of send.",
 		}, []string{"service", "kind"}),
+		resting: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "forward_upstreams_resting", Help: "Upstreams that get nothing from this instance because they asked it for rest.",
+		}),
 		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "forward_unreadable_total", Help: "Requests that could not be read, by the status that answered them.",
 		}, []string{"status"}),
 	}
-	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.resting, m.unreadable)
+	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.withdrawn, m.resting, m.unreadable)
 	return m
 }
 
@@ -77,8 +81,8 @@
 
 func (m *Metrics) askedForRest(service string) { m.rests.WithLabelValues(service).Inc() }
 
-func (m *Metrics) sentAtRest(service string, kind sendKind) {
-	m.resting.WithLabelValues(service, kind.String()).Inc()
+func (m *Metrics) withdrew(service string, kind sendKind) {
+	m.withdrawn.WithLabelValues(service, kind.String()).Inc()
 }
 
 func (m *Metrics) brokeOff(service string, p phase) {
--- a/forward/node.go
+++ b/forward/node.go
@@ -44,7 +44,8 @@
 	broken    []brokenSend  // sends that broke off, until it is checked whether the node has ended
 	checked   chan struct{} // closed when that is known
 	rest      throttle.Rest // that it asked this instance for
-	leaving   bool          // it said in an answer that it leaves
+	trial     *work         // that finds out whether it accepts requests after its rest, nil if none does
+	leavingAt time.Time     // when it first said in an answer that it leaves, zero if it did not
 	unreadAt  time.Time     // when a statement that can't be read was logged last
 }
 
@@ -65,7 +66,7 @@
 	if n.suspicion.holds(now) {
 		load.Suspicions = 1
 	}
-	if now.Sub(n.failedAt) < failureKept || n.replaced {
+	if now.Sub(n.failedAt) < failureKept || n.replaced || n.unwilling(now) != nil {
 		load.Failing = 1
 	}
 	if now.Sub(n.report.heardAt) < reportKept {
--- a/forward/place.go
+++ b/forward/place.go
@@ -47,8 +47,14 @@
 // for some tenths of a second. Then it is asked again without the engines in question:
 // an instance that places long prompts by itself meanwhile gives parts to engines that
 // the arbiter gives away too, and whoever comes second there is seconds late.
+//
+// It isn't asked while all engines rest, or probably would reject the prompt: it would wait for
+// them in vain.
 func (x *exchange) placeLong(ctx context.Context) (*work, error, bool) {
 	for range asksAnew {
+		if rest := x.restOfAll(time.Now()); rest.inVain() {
+			return nil, nil, false
+		}
 		w, err, decided := x.askForPlace(ctx)
 		if decided || len(x.unusable) == 0 {
 			return w, err, decided
@@ -70,6 +76,10 @@
 	}
 	x.predicted, x.readers, x.seen, x.age = answer.FirstEvent, 1+len(answer.Helpers), answer.Seen, answer.Age
 	if answer.Decision == arbiter.Hopeless {
+		now := time.Now()
+		if rest := x.restOfAll(now); rest.inVain() {
+			return nil, x.refuseResting(now, rest), true
+		}
 		return nil, x.hopeless(answer.FirstEvent, answer.Excess), true
 	}
 	f := x.server.fleet
@@ -89,6 +99,10 @@
 func (x *exchange) newAsk() *arbiter.Ask {
 	now := time.Now()
 	objective, waited := x.nextEvent(now)
+	f := x.server.fleet
+	f.mu.Lock()
+	closed := f.closedTo(now, x.service.Name, x)
+	f.mu.Unlock()
 	ask := &arbiter.Ask{
 		ID:        fmt.Sprintf("%s/%s/%d", x.server.options.Process.Name, x.call.ID, x.tries),
 		Before:    x.lastAsk,
@@ -99,7 +113,7 @@
 		LongPause: x.longPause(),
 		Left:      x.deadline.Sub(now),
 		Waited:    waited,
-		Tried:     slices.Concat(x.tried, x.barred),
+		Tried:     slices.Concat(x.tried, x.barred, closed),
 		Leads:     x.mayLead(),
 		Refused:   x.refused,
 	}
@@ -123,10 +137,11 @@
 // instance knows, and an engine that leaves was promised to get nothing more. The lock
 // of the fleet must be held.
 func (x *exchange) workFor(answer *arbiter.Answer) (*work, []loadshare.Key) {
+	now := time.Now()
 	nodes := x.server.fleet.inUse(x.server.options.Plane.View().Upstreams, x.service.Name)
 	var unusable []loadshare.Key
 	find := func(key loadshare.Key) *node {
-		if nodes[key] == nil {
+		if nodes[key] == nil || nodes[key].closed(now) {
 			unusable = append(unusable, key)
 		}
 		return nodes[key]
@@ -177,9 +192,13 @@
 	defer f.mu.Unlock()
 	f.sweep(now, view.Upstreams)
 	free, open, full := f.candidates(now, view.Upstreams, x.service.Name)
+	rest := x.leaveOut(now, free, open)
 	x.mark(free)
 	x.mark(open)
-	w, wait, err := x.choose(now, free, open, full)
+	w, wait, err := x.choose(now, free, open, full, rest)
+	if wait > 0 && rest.inVain() {
+		return nil, 0, x.refuseResting(now, rest)
+	}
 	if w != nil {
 		f.begin(now, w)
 	}
@@ -187,7 +206,7 @@
 }
 
 // choose plans the call at the candidates. The lock of the fleet must be held.
-func (x *exchange) choose(now time.Time, free, open *candidates, full int) (*work, time.Duration, error) {
+func (x *exchange) choose(now time.Time, free, open *candidates, full int, rest restOf) (*work, time.Duration, error) {
 	if w := x.planAlone(now, open); w != nil {
 		return w, 0, nil
 	}
@@ -197,6 +216,8 @@
 	switch {
 	case len(free.nodes) > 0:
 		return x.plan(now, free.nodes, free.engines)
+	case rest.resting > 0 && full == 0:
+		return nil, 0, x.refuseResting(now, rest)
 	case full == 0 && x.awaitsUpstreams(now):
 		return nil, longestWait, nil
 	default:
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -109,6 +109,9 @@
 func (f *fleet) duePoll(now time.Time, n *node) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if n.unwilling(now) != nil {
+		return false
+	}
 	since := now.Sub(n.report.polledAt)
 	if since < pollAgain || since < pollInterval && f.board.Load(now, n.key).Add(f.zones.Load(now, n.key)).Suspicions == 0 {
 		return false
--- a/forward/rates_sharing.go
+++ b/forward/rates_sharing.go
@@ -53,6 +53,7 @@
 	f.mu.Lock()
 	facts := f.rates.table.Facts(now)
 	f.mu.Unlock()
+	s.options.Metrics.resting.Set(float64(f.resting(now)))
 	s.options.Metrics.limited.Set(float64(limitedOf(facts)))
 	if len(facts) == 0 && now.Sub(s.startedAt) > startTime {
 		return
--- a/forward/send.go
+++ b/forward/send.go
@@ -21,8 +21,6 @@
 	reached bool  // bytes of the call may have reached the upstream
 	phase   phase // how far the send had come
 	kind    sendKind
-	resting bool            // the upstream had asked for rest when the call was sent
-	leaving bool            // it had said that it leaves
 	checked <-chan struct{} // closed when it is known whether the upstream ended, where that decides on a repeat; else nil
 	held    *heldAnswer     // a whole answer of the upstream that is a failure
 
@@ -59,6 +57,7 @@
 	sent   chan error // result of writing the call
 	begun  bool       // the first event came
 	phase  phase
+	sentAt time.Time
 	headAt time.Time // when the head of the answer came
 	clean  bool      // the connection can carry another call
 	idle   time.Duration
@@ -81,16 +80,17 @@
 		}
 		return &outcome{verdict: verdict.NotRun, err: err}
 	}
-	resting, leaving := fleet.unwilling(n)
-	if resting {
-		x.server.options.Metrics.sentAtRest(x.service.Name, kindOf(w, x.sends))
+	if at, why := fleet.withdrawn(w); at != nil {
+		conn.close()
+		x.server.options.Metrics.withdrew(x.service.Name, kindOf(w, x.sends))
+		return withdrawnOutcome(w, at, why)
 	}
 	x.sends++
 	s := &sending{x: x, node: n, conn: conn, work: w}
 	stop := context.AfterFunc(ctx, conn.close)
 	fleet.occupy(n, conn)
 	result := s.exchange(ctx)
-	result.phase, result.resting, result.leaving = s.phase, resting, leaving
+	result.phase = s.phase
 	fleet.vacate(n, conn)
 	if ctx.Err() == nil && endedByPeer(result.err) {
 		x.server.options.Metrics.brokeOff(x.service.Name, s.phase)
@@ -110,6 +110,15 @@
 	return result
 }
 
+// withdrawnOutcome is that of a send of which an engine came to want nothing more before it was
+// sent.
+func withdrawnOutcome(w *work, at *node, why error) *outcome {
+	if at == w.lead {
+		return &outcome{verdict: verdict.NotRun, err: why}
+	}
+	return &outcome{verdict: verdict.NotRun, err: errors.Wrapf(why, "the helper at %s", at.address), elsewhere: true, helper: at}
+}
+
 // ran returns how long ago the upstream was seen to begin with the call; 0 if it was not.
 func (s *sending) ran() time.Duration {
 	if s.headAt.IsZero() {
@@ -123,8 +132,8 @@
 	x := s.x
 	s.conn.patient.deadline = x.deadline
 	s.conn.patient.silence = x.patience()
-	sentAt := time.Now()
-	s.conn.patient.there = func() bool { return !s.hung(sentAt) && x.server.fleet.there(ctx, s.node) }
+	s.sentAt = time.Now()
+	s.conn.patient.there = func() bool { return !s.hung() && x.server.fleet.there(ctx, s.node) }
 	s.write()
 	head, answer, err := s.readHead()
 	if err != nil {
@@ -140,9 +149,9 @@
 // hung reports whether the upstream should have begun to answer long ago, although
 // it may still take connections. It is reported as failing; a call that may run again
 // goes elsewhere, any other waits on.
-func (s *sending) hung(sentAt time.Time) bool {
+func (s *sending) hung() bool {
 	x := s.x
-	if s.begun || time.Since(sentAt) < x.overdue() {
+	if s.begun || time.Since(s.sentAt) < x.overdue() {
 		return false
 	}
 	x.server.fleet.failing(s.node)
@@ -209,6 +218,7 @@
 		answer := s.x.server.options.Dialect.DecodeAnswer(head)
 		s.x.server.fleet.noteAnswer(s.node, &answer)
 		if answer.CallID == s.x.call.ID || answer.CallID == "" && (answer.NotRun || answer.Elsewhere) {
+			s.x.server.fleet.noteAccepted(s.node, &answer, s.sentAt)
 			return head, answer, nil
 		}
 		if _, err := io.Copy(io.Discard, httpwire.NewBody(s.conn.reader, head.Body)); err != nil {
--- a/forward/statements.go
+++ b/forward/statements.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"celeryport/event"
-	"celeryport/throttle"
 )
 
 // unreadLogPause is the least time between two log lines on statements of one upstream that
@@ -32,31 +31,41 @@
 // noteRest notes that an upstream wants nothing from this instance for a time.
 func (f *fleet) noteRest(n *node, wanted time.Duration) {
 	f.mu.Lock()
-	n.rest.Asked(time.Now(), wanted)
+	kept := n.rest.Asked(time.Now(), wanted, f.random.Float64())
 	f.mu.Unlock()
+	f.changed()
 	f.options.Metrics.askedForRest(n.service)
 	eventRestAsked.Log(f.options.Log, event.Fields{
-		"upstream": n.name, "address": n.address, "wanted_ms": wanted.Milliseconds(), "for_ms": min(wanted, throttle.MostRest).Milliseconds(),
+		"upstream": n.name, "address": n.address, "wanted_ms": wanted.Milliseconds(), "for_ms": kept.Milliseconds(),
 	})
 }
 
-// noteLeaving notes that an upstream leaves.
-func (f *fleet) noteLeaving(n *node) {
+// noteAccepted notes that an upstream accepted a call that was sent at a time. An answer to a poll
+// would say nothing of that: it takes no slot.
+func (f *fleet) noteAccepted(n *node, a *Answer, sentAt time.Time) {
+	if a.Elsewhere || a.NotRun || a.Rest > 0 {
+		return
+	}
 	f.mu.Lock()
-	known := n.leaving
-	n.leaving = true
+	ended := n.rest.Accepted(sentAt)
 	f.mu.Unlock()
-	if !known {
-		eventLeavingHeard.Log(f.options.Log, event.Fields{"upstream": n.name, "address": n.address})
+	if ended {
+		eventRestEnded.Log(f.options.Log, event.Fields{"upstream": n.name, "address": n.address})
 	}
 }
 
-// unwilling reports whether an upstream has asked this instance for rest until later, and
-// whether it has said that it leaves.
-func (f *fleet) unwilling(n *node) (resting, leaving bool) {
+// noteLeaving notes that an upstream leaves.
+func (f *fleet) noteLeaving(n *node) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return n.rest.Holds(time.Now()), n.leaving
+	first := n.leavingAt.IsZero()
+	if first {
+		n.leavingAt = time.Now()
+	}
+	f.mu.Unlock()
+	if first {
+		f.changed()
+		eventLeavingHeard.Log(f.options.Log, event.Fields{"upstream": n.name, "address": n.address})
+	}
 }
 
 // noteUnread logs statements of an upstream that can't be read.
--- a/forward/work.go
+++ b/forward/work.go
@@ -29,6 +29,10 @@
 	if !w.granted {
 		f.countLimited(now, w.lead)
 	}
+	w.lead.beginTrial(now, w)
+	for _, n := range w.helpers {
+		n.beginTrial(now, w)
+	}
 	w.lead.load = w.lead.load.Add(w.atLead())
 	if w.part > 0 {
 		f.beginReading(now, w, w.lead)
@@ -67,6 +71,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endReading(w)
+	w.lead.endTrial(w)
+	for _, n := range w.helpers {
+		n.endTrial(w)
+	}
 	at := w.atLead()
 	w.lead.load = w.lead.load.Add(loadshare.Load{Streams: -at.Streams, Tight: -at.Tight, Late: -at.Late, Held: -at.Held})
 	for _, r := range w.memory {
