Send nothing more to an upstream whose answers say that it leaves

Nobody saw it yet.

Cause: the same as of the rests, what an answer says of its upstream was read nowhere. The start of the upstream is marked as leaving at this instance from the first such answer on and gets nothing more by any way, also when its announcements still say that it is ready, and for ten minutes after it is no longer listed. Others hear of it as of a failing upstream, and an instance that places long prompts gives it to nobody.

By hand: without the mark in mayWork TestArbiterGivesNobodyEnginesThatSayThat- TheyLeave fails, without the check before writing TestSendIsWithdrawnFrom- UnwillingEngines.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -85,7 +85,7 @@
 // of a dead one does not answer for it, and rejects a prompt that lists its address twice.
 // The lock must be held.
 func (f *fleet) mayWork(n *node, a *upstream.Announcement) bool {
-	return !n.replaced && !a.Leaving && f.occupants[n.address] == n
+	return !n.replaced && !a.Leaving && n.leavingAt.IsZero() && f.occupants[n.address] == n
 }
 
 // retireBefore ends what is under way at the former starts of an upstream that has
--- a/forward/willing.go
+++ b/forward/willing.go
@@ -9,18 +9,30 @@
 	"celeryport/verdict"
 )
 
-// An upstream that rejects a request may ask this instance for rest. Whatever sends to upstreams asks here first, when it chooses one and again when
+// An upstream that rejects a request may ask this instance for rest, and one that leaves says so
+// in its answers. Whatever sends to upstreams asks here first, when it chooses one and again when
 // it sends: between the two there may be a connection to open and memory to set aside.
 
-var errResting = errors.New("the upstream has asked for rest")
+var (
+	errResting = errors.New("the upstream has asked for rest")
+	errLeaving = errors.New("the upstream has said that it leaves")
+)
+
+// leavingKept is how long it is remembered of an upstream that is not listed any more that it
+// leaves: it may be listed again by a late announcement.
+const leavingKept = 10 * time.Minute
 
 // unwilling returns why a node wants no request from this instance, nil if it does. The lock must
 // be held.
 func (n *node) unwilling(now time.Time) error {
-	if n.rest.Holds(now) {
+	switch {
+	case !n.leavingAt.IsZero():
+		return errLeaving
+	case n.rest.Holds(now):
 		return errResting
+	default:
+		return nil
 	}
-	return nil
 }
 
 // closed reports whether a node gets no further request now: it wants none, or one is under way
@@ -32,7 +44,7 @@
 // remembered reports whether what a node has said of itself must be kept although it is not
 // listed any more. The lock must be held.
 func (n *node) remembered(now time.Time) bool {
-	return n.rest.Holds(now)
+	return n.rest.Holds(now) || !n.leavingAt.IsZero() && now.Sub(n.leavingAt) < leavingKept
 }
 
 // beginTrial notes that a send finds out whether a node accepts requests after its rest. The lock
--- a/forward/willing_test.go
+++ b/forward/willing_test.go
@@ -29,7 +29,7 @@
 // leaves, and reaches it after that.
 func TestSendIsWithdrawnFromUnwillingEngines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		for want, say := range map[error]Answer{errResting: {Rest: time.Second}} {
+		for want, say := range map[error]Answer{errResting: {Rest: time.Second}, errLeaving: {Leaving: true}} {
 			s, n := newRestServer(t)
 			other := &node{}
 			asLead, asHelper := &work{lead: n}, &work{lead: other, helpers: []*node{n}}
@@ -66,7 +66,7 @@
 // Guards against forgetting what an engine asked for when its announcements cease for a while.
 func TestUnlistedEngineIsRememberedWhileItIsUnwilling(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		for name, say := range map[string]Answer{"rest": {Rest: time.Minute}} {
+		for name, say := range map[string]Answer{"rest": {Rest: time.Minute}, "leaving": {Leaving: true}} {
 			s, n := newRestServer(t)
 			s.fleet.noteAnswer(n, &say)
 			sweep := func() {
@@ -79,7 +79,7 @@
 			if s.fleet.nodes[n.start] != n {
 				t.Errorf("%s: forgotten after 30s", name)
 			}
-			time.Sleep(time.Minute)
+			time.Sleep(leavingKept)
 			sweep()
 			if s.fleet.nodes[n.start] != nil {
 				t.Errorf("%s: never forgotten", name)
@@ -104,6 +104,17 @@
 	})
 }
 
+// Guards against giving an engine away to others that said that it leaves.
+func TestArbiterGivesNobodyEnginesThatSayThatTheyLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, n := newRestServer(t)
+		s.fleet.noteAnswer(n, &Answer{Leaving: true})
+		if keys := (&arbiterWorld{server: s, now: time.Now()}).Fleet("model").Keys; slices.Contains(keys, n.key) {
+			t.Error("the engine is given away")
+		}
+	})
+}
+
 // Guards against following an arbiter that does not know that an engine asked this instance for
 // rest.
 func TestPlaceAtARestingEngineIsNotTaken(t *testing.T) {
