Do not take the rate of another incarnation for that of the engine that was meant

Found while the words of engines were gathered in one place. A call for an engine that has ended is answered 421 by the process that has its address now; if that one names a rate, the rate was kept for the ended one, and told to all. No caller lost by it: the ended engine gets nothing anyhow.

TestWordsOfAnotherIncarnationSayNothing failed before.

--- a/forward/rates.go
+++ b/forward/rates.go
@@ -31,7 +31,7 @@
 
 // noteRate takes in the rate that an answer of a node names. An answer that is none of an
 // upstream that ran the call says nothing of it.
-func (f *fleet) noteRate(n *node, a Answer) {
+func (f *fleet) noteRate(n *node, a *Answer) {
 	if a.Rate == nil && !a.Genuine {
 		return
 	}
--- a/forward/statements.go
+++ b/forward/statements.go
@@ -13,10 +13,10 @@
 
 // noteAnswer takes in what an answer says of its upstream beside the call.
 func (f *fleet) noteAnswer(n *node, a *Answer) {
-	f.noteRate(n, *a)
 	if a.Elsewhere {
 		return // another incarnation speaks of itself
 	}
+	f.noteRate(n, a)
 	if a.Rest > 0 {
 		f.noteRest(n, a.Rest)
 	}
--- a/forward/willing_test.go
+++ b/forward/willing_test.go
@@ -115,6 +115,20 @@
 	})
 }
 
+// Guards against what another process says of itself at the address of an engine that has ended.
+func TestWordsOfAnotherIncarnationSayNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, n := newRestServer(t)
+		rate := 1.0
+		s.fleet.noteAnswer(n, &Answer{Elsewhere: true, NotRun: true, Rest: time.Second, Leaving: true, Rate: &rate})
+		s.fleet.mu.Lock()
+		defer s.fleet.mu.Unlock()
+		if _, named := s.fleet.rates.table.Rate(time.Now(), n.key); named || n.unwilling(time.Now()) != nil {
+			t.Error("they count for the engine that was meant")
+		}
+	})
+}
+
 // Guards against following an arbiter that does not know that an engine asked this instance for
 // rest.
 func TestPlaceAtARestingEngineIsNotTaken(t *testing.T) {
