Let instances that know no rates ask for them, too

Cause: gossip went one way. An instance that knows no rate sent nothing once it had run for 4 s, and waited until one of those that know chose it among all others. Ruled out: the tests' doors and the lock; the table had no fact.

Each instance now asks one other each second whatever it knows. The price is one datagram of some 40 bytes a second and instance while no upstream names a rate.

TestInstanceThatKnowsNoRatesAsksForThem fails without the change.

--- a/forward/rates_sharing.go
+++ b/forward/rates_sharing.go
@@ -46,8 +46,8 @@
 	s.sendRates(now, conn, relays, datagram.RatesToRelay, changes, false)
 }
 
-// gossipRates tells one other instance all that is known and asks for what is not. An
-// instance that has just started asks even though it knows nothing.
+// gossipRates tells one other instance all that is known and asks for what is not. An instance
+// that knows nothing asks too: left to those that know, it may be passed over for many seconds.
 func (s *Server) gossipRates(now time.Time, conn net.PacketConn) {
 	f := s.fleet
 	f.mu.Lock()
@@ -55,9 +55,6 @@
 	f.mu.Unlock()
 	s.options.Metrics.resting.Set(float64(f.resting(now)))
 	s.options.Metrics.limited.Set(float64(limitedOf(facts)))
-	if len(facts) == 0 && now.Sub(s.startedAt) > startTime {
-		return
-	}
 	if peer := s.randomPeer(); peer != nil {
 		s.sendRates(now, conn, addressesOf([]*membership.Instance{peer}), datagram.Rates, facts, true)
 	}
--- a/forward/rates_test.go
+++ b/forward/rates_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"celeryport/datagram"
 	"celeryport/loadshare"
 	"celeryport/settings"
+	"celeryport/throttle"
 )
 
 // Guards against long prompts, which one instance places for all, that overrun an engine
@@ -97,3 +102,36 @@
 		}
 	})
 }
+
+// sentPackets is a socket that keeps what is sent.
+type sentPackets struct {
+	net.PacketConn
+	sent [][]byte
+}
+
+func (p *sentPackets) WriteTo(data []byte, _ net.Addr) (int, error) {
+	p.sent = append(p.sent, data)
+	return len(data), nil
+}
+
+// Guards against an instance that missed the first word of a rate and hears of it only when those
+// that know it happen to choose it.
+func TestInstanceThatKnowsNoRatesAsksForThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, "front-1", "front-1", "other-1")
+		s.options.Metrics = NewMetrics(prometheus.NewRegistry())
+		time.Sleep(time.Minute)
+		conn := &sentPackets{}
+		s.gossipRates(time.Now(), conn)
+		if len(conn.sent) != 1 {
+			t.Fatalf("%d datagrams are sent", len(conn.sent))
+		}
+		kind, content, err := datagram.Open("key", conn.sent[0])
+		if err != nil || kind != datagram.Rates {
+			t.Fatalf("kind %v, %v", kind, err)
+		}
+		if message, err := throttle.Decode(time.Now(), content); err != nil || !message.Asks {
+			t.Errorf("it sends %+v (%v)", message, err)
+		}
+	})
+}
