--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -40,3 +40,19 @@
 		t.Error("an unknown call has a story")
 	}
 }
+
+// Guards against a story without the reason for which a call's upstream got nothing more.
+func TestStoryTellsWhatTheUpstreamAskedFor(t *testing.T) {
+	const log = `{"event":7016,"instance":"front-1","upstream":"i-7","for_ms":3000,"msg":"upstream asks for rest","time":"2026-01-01T10:00:00Z"}
+{"event":7017,"instance":"front-1","upstream":"i-7","msg":"upstream says that it leaves","time":"2026-01-01T10:00:00Z"}
+{"event":7006,"instance":"front-1","call":"c-1","upstream":"i-7","verdict":"not-run","error":"status 503","msg":"send failed","time":"2026-01-01T10:00:01Z"}
+{"event":7019,"instance":"front-1","upstream":"i-8","msg":"upstream accepts requests after its rest","time":"2026-01-01T10:00:02Z"}
+`
+	lines, _, err := Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if story, _ := Tell(lines, "c-1"); len(story.Upstream) != 2 {
+		t.Errorf("of its upstream the story tells %+v", story.Upstream)
+	}
+}
--- a/explain/story.go
+++ b/explain/story.go
@@ -16,9 +16,15 @@
 	eventSendFailed  = 7006
 	eventSuspected   = 7007
 	eventMisdirected = 7008
+	eventRestAsked   = 7016
+	eventSaysLeaving = 7017
+	eventRestEnded   = 7019
 	eventLeaves      = 3029
 )
 
+// upstreamEvents are those that tell what was believed of an upstream.
+var upstreamEvents = []int{eventSuspected, eventMisdirected, eventLeaves, eventRestAsked, eventSaysLeaving, eventRestEnded}
+
 // Story is what is known of one call.
 type Story struct {
 	Call     string
@@ -39,7 +45,7 @@
 	}
 	delete(upstreams, "")
 	for _, l := range lines {
-		about := slices.Contains([]int{eventSuspected, eventMisdirected, eventLeaves}, l.Event)
+		about := slices.Contains(upstreamEvents, l.Event)
 		if about && upstreams[textOf(l.Fields["upstream"])] {
 			story.Upstream = append(story.Upstream, l)
 		}
