Try rested upstreams with any call after a second, and repeat no order in a rest

Two faults of the mend, found by reading it again. Nobody saw them.

An upstream whose rest is over waits for a call that may be sent once more. After a second any call may go.

--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -75,7 +75,7 @@
 }
 
 // release gives the memory back, in the background, until the engine confirms it
-// or the lease has ended. Also what was refused is given back: an order without an
+// or the lease has ended. It isn't repeated while the engine rests. Also what was refused is given back: an order without an
 // answer may have been carried out.
 func (f *fleet) release(w *work) {
 	if w.stopRenewing != nil {
@@ -84,8 +84,11 @@
 	until := time.Now().Add(holdFor)
 	for _, r := range w.memory {
 		go func() {
-			for time.Now().Before(until) {
-				if f.order(context.Background(), r, true) == nil || !clock.Pause(context.Background(), releasePause) {
+			if f.order(context.Background(), r, true) == nil {
+				return
+			}
+			for time.Now().Before(until) && clock.Pause(context.Background(), releasePause) {
+				if !f.rests(r.node) && f.order(context.Background(), r, true) == nil {
 					return
 				}
 			}
--- a/forward/send.go
+++ b/forward/send.go
@@ -116,7 +116,7 @@
 	if at == w.lead {
 		return &outcome{verdict: verdict.NotRun, err: why}
 	}
-	return &outcome{verdict: verdict.NotRun, err: errors.Wrapf(why, "the helper at %s", at.address), elsewhere: true, helper: at}
+	return &outcome{verdict: verdict.NotRun, err: errors.Wrapf(why, "the helper at %s", at.address), elsewhere: true}
 }
 
 // ran returns how long ago the upstream was seen to begin with the call; 0 if it was not.
--- a/forward/willing.go
+++ b/forward/willing.go
@@ -47,6 +47,10 @@
 	return n.rest.Holds(now) || !n.leavingAt.IsZero() && now.Sub(n.leavingAt) < leavingKept
 }
 
+// awaitsTrial reports whether a node is to be tried by a call that may be sent once more. The lock
+// must be held.
+func (n *node) awaitsTrial(now time.Time) bool { return n.rest.Unsure(now) && !n.rest.Overdue(now) }
+
 // beginTrial notes that a send finds out whether a node accepts requests after its rest. The lock
 // must be held.
 func (n *node) beginTrial(now time.Time, w *work) {
@@ -86,6 +90,13 @@
 	return count
 }
 
+// rests reports whether a node has asked this instance for rest until later.
+func (f *fleet) rests(n *node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return n.rest.Holds(time.Now())
+}
+
 // withdrawn returns the engine of a send that has come to want nothing from this instance since
 // it was chosen, and why; nil if all still take it.
 func (f *fleet) withdrawn(w *work) (*node, error) {
@@ -105,7 +116,7 @@
 	last := x.isLastSend(now)
 	var keys []loadshare.Key
 	for _, n := range f.nodes {
-		if n.service == service && !n.replaced && len(keys) < mostClosedKeys && (n.closed(now) || last && n.rest.Unsure(now)) {
+		if n.service == service && !n.replaced && len(keys) < mostClosedKeys && (n.closed(now) || last && n.awaitsTrial(now)) {
 			keys = append(keys, n.key)
 		}
 	}
@@ -159,7 +170,7 @@
 	left := rest.open
 	for _, c := range lists {
 		c.remove(func(n *node) bool {
-			if left == 1 || !n.rest.Unsure(now) {
+			if left == 1 || !n.awaitsTrial(now) {
 				return false
 			}
 			left--
--- a/throttle/rest.go
+++ b/throttle/rest.go
@@ -11,6 +11,9 @@
 	// the same moment.
 	restSpread     = 0.25
 	mostRestSpread = time.Second
+	// trialWait is how long after a rest an upstream waits for a request that may be rejected
+	// without harm; then any other finds out whether it accepts them.
+	trialWait = time.Second
 )
 
 // Rest is what one instance owes an upstream that rejected a request and asked for rest: no
@@ -42,6 +45,9 @@
 // Unsure reports whether the rest is over and the upstream has accepted nothing since.
 func (r *Rest) Unsure(now time.Time) bool { return r.unsure && !r.Holds(now) }
 
+// Overdue reports whether nothing was found out for so long after the rest that any request may.
+func (r *Rest) Overdue(now time.Time) bool { return r.unsure && now.Sub(r.until) >= trialWait }
+
 // Accepted takes in that the upstream accepted a request, and reports whether the upstream may
 // get any number of requests again. One that was sent before the end of the rest says nothing.
 func (r *Rest) Accepted(sentAt time.Time) bool {
