--- a/forward/place.go
+++ b/forward/place.go
@@ -99,10 +99,6 @@
 func (x *exchange) newAsk() *arbiter.Ask {
 	now := time.Now()
 	objective, waited := x.nextEvent(now)
-	f := x.server.fleet
-	f.mu.Lock()
-	closed := f.closedTo(now, x.service.Name, x)
-	f.mu.Unlock()
 	ask := &arbiter.Ask{
 		ID:        fmt.Sprintf("%s/%s/%d", x.server.options.Process.Name, x.call.ID, x.tries),
 		Before:    x.lastAsk,
@@ -113,7 +109,7 @@
 		LongPause: x.longPause(),
 		Left:      x.deadline.Sub(now),
 		Waited:    waited,
-		Tried:     slices.Concat(x.tried, x.barred, closed),
+		Tried:     slices.Concat(x.tried, x.barred, x.closedEngines(now)),
 		Leads:     x.mayLead(),
 		Refused:   x.refused,
 	}
