Find upstreams by address, and choose who hears an upstream with less work

Cause looked for with a profile of 3,000 first announcements on connections of their own to one voter: supersede, which looks for others at the address of an upstream that is heard first, searched all records, in two registries; 210 of some 450 ms that the voter took. It grows with the square of the engines and is paid at each voter when a fleet starts. Second, the choice of the instance that hears an upstream hashed the names of all instances.

Now records are listed by address, and instances of other zones are not hashed once one of the own zone is found. 3,000 upstreams heard for the first time: 125 ms to 2.6 ms (BenchmarkFirstHearing); a choice among 300 instances 14.7 to 3.9 us (BenchmarkHearingAddress). The choices are the same as before.

One run of 'go test ./control -run Hear|Upstream|Attach' right after this change failed, and its output was cut off before the name of the test; six further runs passed. To be traced.

--- a/control/hearing.go
+++ b/control/hearing.go
@@ -21,17 +21,25 @@
 	return hearingAddress(n.View().Instances, name, availabilityZone)
 }
 
+// usualNames is room for the names of an upstream and of an instance, in bytes.
+const usualNames = 128
+
 func hearingAddress(instances []membership.Instance, name, availabilityZone string) string {
 	var best string
 	var bestNear bool
 	var most uint64
+	both := append(make([]byte, 0, usualNames), name...)
+	both = append(both, ' ')
 	for i := range instances {
 		one := &instances[i]
 		if one.State != membership.Live || one.Voter || one.Address == "" {
 			continue
 		}
 		near := one.AvailabilityZone == availabilityZone
-		weight := xxhash.Sum64String(name + " " + one.Name)
+		if bestNear && !near {
+			continue
+		}
+		weight := xxhash.Sum64(append(both, one.Name...))
 		if best == "" || near && !bestNear || near == bestNear && weight > most {
 			best, bestNear, most = one.ControlAddress, near, weight
 		}
--- /dev/null
+++ b/control/hearing_bench_test.go
@@ -0,0 +1,23 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"celeryport/membership"
+)
+
+// BenchmarkHearingAddress measures the choice of who hears an upstream, which a voter makes for
+// each announcement that comes to itself.
+func BenchmarkHearingAddress(b *testing.B) {
+	var instances []membership.Instance
+	for i := range 300 {
+		instances = append(instances, membership.Instance{
+			Name: fmt.Sprint("front-sala-", i), Address: "a", ControlAddress: fmt.Sprintf("10.0.%d.1:7340", i), AvailabilityZone: fmt.Sprint("zone-", i%3),
+		})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		hearingAddress(instances, "i-7f3a91c2", "zone-1")
+	}
+}
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -25,6 +25,7 @@
 	forget   time.Duration
 	version  uint64
 	records  map[string]*record
+	at       occupancy
 }
 
 // record is what is known of one upstream.
@@ -42,7 +43,7 @@
 // NewRegistry returns an empty registry; an upstream that was not heard for
 // longer than freshFor is silent.
 func NewRegistry(freshFor time.Duration) *Registry {
-	return &Registry{freshFor: freshFor, forget: forgetFactor * freshFor, records: map[string]*record{}}
+	return &Registry{freshFor: freshFor, forget: forgetFactor * freshFor, records: map[string]*record{}, at: occupancy{}}
 }
 
 // SetFreshFor changes the freshness limit.
@@ -70,9 +71,9 @@
 // Their own late announcements can't bring them back. Only the instance that
 // hears the new one itself decides this, since relayed news comes in any order.
 func (r *Registry) supersede(now time.Time, a Announcement) {
-	for _, rec := range r.records {
+	for _, rec := range r.at[a.Address] {
 		old := &rec.announcement
-		if old.Name == a.Name || old.Address != a.Address || old.Leaving || now.Sub(rec.heardAt) < successorGap {
+		if old.Name == a.Name || old.Leaving || now.Sub(rec.heardAt) < successorGap {
 			continue
 		}
 		old.Leaving = true
@@ -87,7 +88,9 @@
 	heardAt := now.Add(-max(0, relayed.Age))
 	known := r.records[a.Name]
 	if known == nil || a.Incarnation > known.announcement.Incarnation {
+		r.at.remove(known)
 		r.records[a.Name] = r.newRecord(a, heardAt)
+		r.at.add(r.records[a.Name])
 		return true
 	}
 	if a.Incarnation < known.announcement.Incarnation {
@@ -116,7 +119,9 @@
 	// faulty one takes it back: callers were told that nothing new comes.
 	a.Leaving = a.Leaving || rec.announcement.Leaving
 	rec.cache.apply(a.CacheEvents)
+	r.at.remove(rec)
 	rec.announcement = withoutEvents(a)
+	r.at.add(rec)
 	rec.heardAt = later(rec.heardAt, heardAt)
 	rec.version = r.nextVersion()
 	return true
@@ -156,6 +161,7 @@
 	for name, rec := range r.records {
 		if now.Sub(rec.heardAt) > r.forget {
 			delete(r.records, name)
+			r.at.remove(rec)
 			r.nextVersion()
 		}
 	}
--- a/upstream/registry_bench_test.go
+++ b/upstream/registry_bench_test.go
@@ -15,3 +15,22 @@
 		r.Snapshot(testStart)
 	}
 }
+
+// BenchmarkFirstHearing measures what it takes to hear of a fleet of 3,000 upstreams for the first
+// time.
+func BenchmarkFirstHearing(b *testing.B) {
+	const upstreams = 3000
+	announcements := make([]Announcement, upstreams)
+	for i := range announcements {
+		announcements[i] = Announcement{
+			Name: fmt.Sprintf("engine-%d", i), Incarnation: 1, Sequence: 1,
+			Address: fmt.Sprintf("10.%d.%d.1:80", i/250, i%250), Targets: []string{"sarto"},
+		}
+	}
+	for b.Loop() {
+		r := NewRegistry(testFreshFor)
+		for i := range announcements {
+			r.Hear(testStart, announcements[i])
+		}
+	}
+}
