Count what an instance heard as delivered only when it was taken in

Cause: an instance sends what it heard as batches after the one that its voter has. A voter that is asked for the first time, or a leader that has just begun to lead, lacks the batches before, takes nothing and says so by its position in the answer. Both who waits at an attached instance and who waits at a voter took the answer itself for the proof. It needs a change of voter in the moment in which an engine leaves, which is when voters fail.

Now the position decides: an attached instance sends again, a voter's delivery waits for the next sync, which is sent at once.

--- a/control/delivery.go
+++ b/control/delivery.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"celeryport/clock"
+	"celeryport/event"
 	"celeryport/verdict"
 )
 
@@ -55,17 +58,37 @@
 var errUndelivered = verdict.Refuse(verdict.ReasonNoQuorum, time.Second, "no leader took it in in time")
 
 // passOn has the leader take in what this instance knows by now, before who waits for it
-// is told so: an upstream that leaves counts on getting nothing new from then on.
+// is told so: an upstream that leaves counts on getting nothing new from then on. An answer alone
+// is no proof: a voter that is asked for the first time lacks what was sent to the one before, and
+// takes nothing until it is sent all.
 func (n *Node) passOn(ctx context.Context) error {
 	if n.opts.Process.Voter {
 		return n.awaitDelivery(ctx)
 	}
-	for {
-		err := n.syncOnce(ctx, 0)
-		if err == nil || !clock.Pause(ctx, n.opts.Timing.Retry) {
-			return err
+	var wanted uint64
+	err := n.do(ctx, func(now time.Time) { wanted = n.core.gathered(now) })
+	for err == nil {
+		synced := n.syncOnce(ctx, 0)
+		var taken bool
+		if err = n.do(ctx, func(time.Time) { taken = n.core.position.heardUpTo >= wanted }); err != nil {
+			break
+		}
+		if synced == nil && taken {
+			return nil
+		}
+		if !clock.Pause(ctx, n.opts.Timing.Retry) {
+			return errors.CombineErrors(errUndelivered, synced)
 		}
 	}
+	return err
+}
+
+// gathered returns the batch up to which whatever was heard by now goes out.
+func (c *core) gathered(now time.Time) uint64 {
+	if err := c.out.gather(now); err != nil {
+		eventRelayFailed.Log(c.log, event.Fields{"error": err})
+	}
+	return c.out.sender.Position()
 }
 
 // awaitDelivery waits until a sync of this voter has brought the leader all that is known
--- a/control/delivery_test.go
+++ b/control/delivery_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"celeryport/control/state"
 	"celeryport/upstream"
 )
 
@@ -75,3 +76,38 @@
 		t.Error("a leader has all, and somebody waits")
 	}
 }
+
+// Guards against telling an upstream that its leaving is known, when the answer came from a voter
+// or a leader that lacks what was sent to the one before and took nothing.
+func TestAnswerOfWhoLacksEarlierBatchesIsNoDelivery(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	c := newTestCore(t)
+	c.group = &group{core: c, machine: state.New()}
+	c.fanout = newFanout(c)
+	hear := func(sequence uint64) {
+		c.hear(now, upstream.Announcement{Name: "e", Incarnation: 1, Sequence: sequence, Address: "10.0.0.1:9", Targets: []string{"m"}, Leaving: sequence > 1})
+		c.gathered(now)
+	}
+	hear(1)
+	c.position = syncPosition{epoch: "old", heardUpTo: c.out.sender.Position()}
+	hear(2)
+	done := c.fanout.delivery.await(c.fanout.delivery.note())
+	answer := func(epoch string, upTo uint64) *searchAnswer {
+		request, _ := c.syncRequest(now, 0)
+		return &searchAnswer{target: "a", sentAt: now, request: &request, response: &syncResponse{Epoch: epoch, HeardUpTo: upTo}}
+	}
+	if err := c.takeSync(now, answer("new", 0)); err != nil {
+		t.Fatal(err)
+	}
+	if len(c.fanout.delivery.waiting) == 0 {
+		t.Error("it counts as delivered to a leader that took nothing")
+	}
+	if err := c.takeSync(now, answer("new", c.out.sender.Position())); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-done:
+	default:
+		t.Error("it does not count as delivered to a leader that has all")
+	}
+}
--- a/control/synctake.go
+++ b/control/synctake.go
@@ -55,7 +55,7 @@
 	}
 	if c.fanout != nil {
 		c.fanout.takeAttached(a.request.Attached, r)
-		c.fanout.delivery.takenUpTo(a.request.mark)
+		c.noteDelivered(a)
 	}
 	if r.LeaseMs == 0 && len(r.Text) == 0 && !c.attaches() {
 		// It takes itself for the leader but can't reach a majority: another voter
@@ -66,6 +66,18 @@
 	return nil
 }
 
+// noteDelivered tells those that wait for a leader to have what was sent. A leader that has just
+// begun to lead lacks the batches before, and takes nothing until it is sent all.
+func (c *core) noteDelivered(a *searchAnswer) {
+	if a.response.HeardUpTo >= a.request.upTo {
+		c.fanout.delivery.takenUpTo(a.request.mark)
+		return
+	}
+	if len(c.fanout.delivery.waiting) > 0 {
+		c.node.kickSync()
+	}
+}
+
 // noteTouch notes that a sync worked, and logs when this instance is in touch again or
 // its voter ceased to hear a leader.
 func (c *core) noteTouch(now time.Time, target string, r *syncResponse) {
--- a/control/synctarget.go
+++ b/control/synctarget.go
@@ -20,6 +20,7 @@
 		Members:   c.position.members,
 		Upstreams: c.received.Position(),
 		heard:     heard,
+		upTo:      c.out.sender.Position(),
 		Claims:    c.claimsEpoch(),
 		Demand:    c.demand,
 		Grants:    c.position.grants,
--- a/control/syncwire.go
+++ b/control/syncwire.go
@@ -34,6 +34,7 @@
 
 	heard []byte // heard directly and not yet taken by the leader; travels beside the JSON
 	mark  uint64 // of a voter: up to where its delivery is in this sync; stays here
+	upTo  uint64 // batch up to which heard brings whoever has the ones before; stays here
 }
 
 // check refuses a sync that can't come from an instance that works as this one does.
