--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -74,9 +74,9 @@
 	}
 }
 
-// release gives the memory back, in the background, until the engine confirms it
-// or the lease has ended. It isn't repeated while the engine rests. Also what was refused is given back: an order without an
-// answer may have been carried out.
+// release gives the memory back, in the background, until the engine confirms it or the lease has
+// ended; it isn't repeated while the engine rests. Also what was refused is given back: an order
+// without an answer may have been carried out.
 func (f *fleet) release(w *work) {
 	if w.stopRenewing != nil {
 		w.stopRenewing()
