Draw the spread of a Retry-After under the lock of its source

A race of that source gives at worst a wrong spread. It now draws from the server's source, which has a lock of its own.

--- a/forward/hopeless.go
+++ b/forward/hopeless.go
@@ -19,7 +19,7 @@
 // excess, spread a little so that those who were refused together don't meet
 // again. Callers wait a third of the time that they have left at most.
 func (x *exchange) comeBack(left, excess time.Duration) time.Duration {
-	spread := time.Duration(x.server.fleet.random.Float64() * float64(returnSpread))
+	spread := time.Duration(x.server.draw() * float64(returnSpread))
 	return max(busyRetry, min(excess+spread, left/3))
 }
 
