--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -28,6 +28,7 @@
 	random           *rand.Rand
 	suspects         *suspects
 	rates            *rates
+	closed           bool // connections are not kept any more
 }
 
 // sweepInterval is how often unneeded connections and nodes are removed.
@@ -227,6 +228,7 @@
 func (f *fleet) close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.closed = true
 	for _, n := range f.nodes {
 		for _, c := range n.idle {
 			c.close()
--- a/forward/fleet_conns.go
+++ b/forward/fleet_conns.go
@@ -44,7 +44,8 @@
 	return nil
 }
 
-// keep returns a connection to the idle connections after a complete answer.
+// keep returns a connection to the idle connections after a complete answer. Memory reservations
+// are released in the background, so that answers may arrive after the fleet was closed.
 func (f *fleet) keep(n *node, c *upstreamConn, idleFor time.Duration) {
 	c.idleAt = time.Now()
 	if idleFor > 0 {
@@ -53,7 +54,7 @@
 	c.liveness.reachable = nil
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n.replaced {
+	if n.replaced || f.closed {
 		c.close()
 		return
 	}
