Evacuate availability zones

Operators order that nothing more is sent to the upstreams of a zone, and later that it is used again. The order is in the replicated log beside the settings; every instance gets the list of evacuated zones as it gets quarantined requests, states which version it has applied, and the order is acknowledged when every instance that holds a lease has. Upstreams of the zone are neither chosen, nor sent to when they were chosen before; polls and releases of memory go on. `celeryport zone evacuate|restore|list`; the adapter translates its two calls, which were answered 404.

Ruled out: a key of the settings (a settings change would undo it, and it would need the operator's document to be edited); acknowledging on the majority alone (instances would still send for a moment).

--- a/cli/adapter.go
+++ b/cli/adapter.go
@@ -16,7 +16,7 @@
 		Parse:         platform.ParseDocument,
 		ControlPrefix: platform.ControlPrefix,
 		Control: func(node *control.Node) http.Handler {
-			return platform.ControlHandler(node, node)
+			return platform.ControlHandler(node, node, node)
 		},
 		Directory: func(addresses func(string) []string, keep time.Duration) http.Handler {
 			return platform.DirectoryHandler(addresses, keep)
--- a/cli/commands.go
+++ b/cli/commands.go
@@ -19,6 +19,7 @@
 		orderCommand(stdout, stderr),
 		voterCommand(stdout, stderr),
 		quarantineCommand(stdout, stderr),
+		zoneCommand(stdout, stderr),
 		loadCommand(stdout, stderr),
 		standinCommand(stdout, stderr),
 		benchCommand(stdout, stderr),
--- a/control/attachment/roster.go
+++ b/control/attachment/roster.go
@@ -39,7 +39,8 @@
 
 // Record records an instance's report about itself. It rejects a report as stale if a higher
 // incarnation of the name is known. The result urgent is true if the leader has to be
-// informed at once, because the instance started or changed its state.
+// informed at once, because the instance started, changed its state or applied an evacuation
+// that an operator waits for.
 func (r *Roster) Record(now time.Time, i membership.Instance) (verdict membership.Verdict, urgent bool) {
 	known := r.entries[i.Name]
 	if known != nil && i.Incarnation < max(known.instance.Incarnation, known.minIncarnation) {
@@ -49,7 +50,7 @@
 		r.entries[i.Name] = &entry{instance: i, heardAt: now, needsFull: true}
 		return membership.Accepted, true
 	}
-	urgent = known.instance.State != i.State
+	urgent = known.instance.State != i.State || known.instance.Evacuated != i.Evacuated
 	known.instance, known.heardAt = i, now
 	return membership.Accepted, urgent
 }
--- a/control/control.go
+++ b/control/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"celeryport/claim"
+	"celeryport/evacuation"
 	"celeryport/membership"
 	"celeryport/quarantine"
 	"celeryport/quota"
@@ -27,6 +28,7 @@
 	Leader      string
 	HasQuorum   bool             // whether a majority of the voters was reached recently
 	Quarantine  *quarantine.List // requests that must not be sent to any upstream
+	Evacuated   *evacuation.List // availability zones whose upstreams get no new work
 }
 
 // Plane is the interface of control for the goroutines that serve traffic.
--- a/control/core.go
+++ b/control/core.go
@@ -9,6 +9,7 @@
 	"celeryport/control/attachment"
 	"celeryport/control/relay"
 	"celeryport/control/state"
+	"celeryport/evacuation"
 	"celeryport/event"
 	"celeryport/membership"
 	"celeryport/quarantine"
@@ -46,8 +47,10 @@
 	fanout         *fanout           // nil on an instance without a log
 	choice         attachment.Choice // selects the voter that an attached instance syncs with
 	views          viewState
-	quarantined    *quarantine.List // requests that must not be sent to any upstream
-	fleetAnswer    fleetAnswer      // last one given to instances that no leader has accepted
+	quarantined    *quarantine.List     // requests that must not be sent to any upstream
+	evacuated      *evacuation.List     // availability zones whose upstreams get no new work
+	restoredAt     map[string]time.Time // when this instance learned that a zone is evacuated no longer
+	fleetAnswer    fleetAnswer          // last one given to instances that no leader has accepted
 }
 
 // syncPosition is what this instance and a leader have acknowledged of each other's
@@ -64,12 +67,13 @@
 func newCore(n *Node) (*core, error) {
 	process := n.opts.Process
 	c := &core{
-		node:      n,
-		log:       n.log,
-		timing:    n.opts.Timing,
-		installed: installed{folder: dataFolder{process.DataFolder, n.opts.FS}, parse: n.parsed.parse},
-		members:   newMemberList(),
-		seeds:     process.Voters,
+		node:       n,
+		log:        n.log,
+		timing:     n.opts.Timing,
+		installed:  installed{folder: dataFolder{process.DataFolder, n.opts.FS}, parse: n.parsed.parse},
+		members:    newMemberList(),
+		restoredAt: map[string]time.Time{},
+		seeds:      process.Voters,
 	}
 	if err := c.readInitialTree(); err != nil {
 		return nil, err
--- a/control/events.go
+++ b/control/events.go
@@ -69,6 +69,8 @@
 		"More evidence about requests that crash upstreams was reported than could be delivered. Many upstreams crash at once, or there is no leader. Fields: dropped, waiting.")
 	eventQuarantine = event.Define(3035, logrus.WarnLevel, "quarantined requests changed",
 		"Requests that crash upstreams are rejected on all instances; the set of these requests has changed. List them with: celeryport quarantine list. Fields: requests (how many), version.")
+	eventEvacuated = event.Define(3036, logrus.WarnLevel, "evacuated zones changed",
+		"An operator has evacuated an availability zone or restored one; this instance sends no new work to upstreams of the evacuated zones. List them with: celeryport zone list. Fields: zones, version.")
 	eventRelayFailed = event.Define(3021, logrus.ErrorLevel, "upstreams not relayed",
 		"Announcements of upstreams could not be encoded for other instances, which is a bug. The other instances lose track of the upstreams; report it.")
 	eventServeFailed = event.Define(3020, logrus.ErrorLevel, "control address failed",
--- a/control/evidence_batch.go
+++ b/control/evidence_batch.go
@@ -42,7 +42,7 @@
 	var batch *evidenceBatch
 	err := n.whileLeading(ctx, func(_ time.Time, _ *group) error {
 		l := n.core.leader
-		if !l.votersSupport(state.LogVersion) {
+		if !l.votersSupport(state.VersionEvidence) {
 			return errOldVoters
 		}
 		if l.evidence == nil {
--- a/control/fanout.go
+++ b/control/fanout.go
@@ -145,11 +145,12 @@
 }
 
 // hasUpdates reports whether an instance must be answered at once: because of new settings,
-// a leaving upstream, or a change of the quarantined requests. News of instances that join
+// a leaving upstream, or a change of the quarantined requests or evacuated zones. News of instances that join
 // or leave waits for the next response. Otherwise, when a whole fleet starts, each instance
 // would wake all the others.
 func (f *fanout) hasUpdates(r *syncRequest, revision uint64) bool {
-	return r.Epoch != f.epoch || r.Instance.Revision < revision || r.Upstreams < f.urgent || f.core.group.quarantineAfter(r) != nil
+	return r.Epoch != f.epoch || r.Instance.Revision < revision || r.Upstreams < f.urgent ||
+		f.core.group.quarantineAfter(r) != nil || f.core.evacuatedAfter(r) != nil
 }
 
 func (f *fanout) answer(now time.Time, p *poll) *syncResponse {
@@ -173,6 +174,7 @@
 		mayAnnounceLeaving: p.mayAnnounceLeaving,
 
 		Quarantine: f.core.group.quarantineAfter(r),
+		Evacuated:  f.core.evacuatedAfter(r),
 	}
 	if r.Instance.Revision < revision {
 		response.Text = text
--- a/control/leader.go
+++ b/control/leader.go
@@ -146,6 +146,7 @@
 		r.Members < l.table.Revision() ||
 		r.Upstreams < out.urgent ||
 		l.core.group.quarantineAfter(r) != nil ||
+		l.core.evacuatedAfter(r) != nil ||
 		len(r.Attached) > 0 && r.Upstreams < out.out.sender.Position()
 }
 
@@ -171,6 +172,7 @@
 
 		SupersededAttached: p.superseded,
 		Quarantine:         group.quarantineAfter(r),
+		Evacuated:          l.core.evacuatedAfter(r),
 	}
 	if r.Epoch != l.epoch || r.Claims != group.machine.Epoch().Number {
 		response.Voters, response.Claims = group.voters(), group.machine.Epoch()
--- a/control/listing.go
+++ b/control/listing.go
@@ -45,20 +45,9 @@
 		u := &snapshot.Upstreams[i]
 		all = append(all, UpstreamStatus{
 			Announcement: u.Announcement,
-			State:        stateName(u.StateAt(now)),
+			State:        u.StateAt(now).String(),
 			HeardAgoMs:   now.Sub(u.AnnouncedAt).Milliseconds(),
 		})
 	}
 	return encode(all)
 }
-
-func stateName(s upstream.State) string {
-	switch s {
-	case upstream.Fresh:
-		return "fresh"
-	case upstream.Leaving:
-		return "leaving"
-	default:
-		return "silent"
-	}
-}
--- a/control/memberlist.go
+++ b/control/memberlist.go
@@ -69,11 +69,11 @@
 	}
 }
 
-// markChanged records that an entry is about to change, unless only its confirmed revision
+// markChanged records that an entry is about to change, unless only what it has confirmed
 // changes, which others need not learn.
 func (l *memberList) markChanged(entry *memberEntry, i membership.Instance) {
 	old := entry.instance
-	old.Revision = i.Revision
+	old.Revision, old.Evacuated = i.Revision, i.Evacuated
 	if old != i {
 		l.revision++
 		entry.changed = l.revision
--- a/control/operations.go
+++ b/control/operations.go
@@ -20,6 +20,8 @@
 	CommandVoterList    = "voter.list"
 	CommandVoterReplace = "voter.replace"
 	CommandOrders       = "order.list"
+	CommandEvacuate     = "zone.evacuate"
+	CommandZones        = "zone.list"
 )
 
 // operateTimeout limits the execution of an operator's command on the instance.
@@ -39,6 +41,8 @@
 	n.handlers[commandReportEvidence] = n.reportEvidence
 	n.handlers[CommandQuarantineList] = n.atLeader(CommandQuarantineList, n.listQuarantine)
 	n.handlers[CommandQuarantineRelease] = n.atLeader(CommandQuarantineRelease, n.releaseQuarantined)
+	n.handlers[CommandEvacuate] = n.atLeader(CommandEvacuate, n.evacuate)
+	n.handlers[CommandZones] = n.atLeader(CommandZones, n.listZones)
 	n.handlers[CommandShow] = n.atLeader(CommandShow, n.showSettings)
 	n.handlers[CommandInstances] = n.atLeader(CommandInstances, n.listInstances)
 	n.handlers[CommandUpstreams] = n.listUpstreams
--- a/control/publish.go
+++ b/control/publish.go
@@ -36,16 +36,24 @@
 	c.views = viewState{at: now}
 	c.known.Expire(now)
 	c.members.expire(now, c.timing.Membership.Retention)
+	upstreams := c.known.Snapshot(now)
+	if len(c.evacuated.Names()) > 0 {
+		upstreams.MarkEvacuated(c.evacuated.Covers)
+	}
+	if len(c.restoredAt) > 0 {
+		upstreams.MarkRestored(c.restoredAt)
+	}
 	view := &View{
 		Incarnation: c.self.Incarnation,
 		Tree:        c.installed.tree,
 		LeaseUntil:  c.lease.until,
 		Instances:   c.members.list(),
-		Upstreams:   c.known.Snapshot(now),
+		Upstreams:   upstreams,
 		Grants:      c.grants,
 		Leader:      c.position.leader,
 		HasQuorum:   c.lease.valid(now),
 		Quarantine:  c.quarantined,
+		Evacuated:   c.evacuated,
 	}
 	c.node.view.Store(view)
 }
--- a/control/remembered.go
+++ b/control/remembered.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/clock"
+	"celeryport/evacuation"
 	"celeryport/event"
 	"celeryport/membership"
 	"celeryport/upstream"
@@ -28,6 +29,7 @@
 type remembered struct {
 	Instances []membership.Instance   `json:"instances"`
 	Upstreams []upstream.Announcement `json:"upstreams"`
+	Evacuated *evacuation.List        `json:"evacuated,omitempty"`
 }
 
 // runRemember writes the file whenever the fleet has changed. It runs outside the control
@@ -61,10 +63,10 @@
 
 // rememberedOf returns the fleet of a view without the fields that change all the time.
 func rememberedOf(v *View) remembered {
-	var r remembered
+	r := remembered{Evacuated: v.Evacuated}
 	for _, i := range v.Instances {
 		if i.State == membership.Live {
-			i.Revision = 0
+			i.Revision, i.Evacuated = 0, 0
 			r.Instances = append(r.Instances, i)
 		}
 	}
@@ -106,5 +108,6 @@
 		c.known.ApplyRelayed(now, upstream.Relayed{Announcement: a, Age: c.freshFor() + time.Second})
 	}
 	c.members.addUnknown(now, r.Instances)
+	c.applyEvacuated(now, r.Evacuated)
 	c.views.dirty()
 }
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -9,18 +9,23 @@
 	"celeryport/quarantine"
 )
 
-// LogVersion is the newest version of log entries that this build can read. Version 1 added
-// evidence.
-const LogVersion = 1
+// Versions of log entries, each with the kind of command that it added.
+const (
+	VersionEvidence   = 1
+	VersionEvacuation = 2
+	// LogVersion is the newest version that this build can read.
+	LogVersion = VersionEvacuation
+)
 
-// Command is the payload of one log entry. Exactly one of Apply, Issuer, Document and
-// Evidence is set.
+// Command is the payload of one log entry. Exactly one of Apply, Issuer, Document, Evidence
+// and Evacuate is set.
 type Command struct {
 	At       time.Time     `json:"at"`                 // wall-clock time of the proposing leader
 	Lifetime time.Duration `json:"lifetime,omitempty"` // retention of order ids, from the settings in force
 	Apply    *Apply        `json:"apply,omitempty"`
 	Issuer   *AssignIssuer `json:"issuer,omitempty"`
 	Document *PutDocument  `json:"document,omitempty"`
+	Evacuate *Evacuate     `json:"evacuate,omitempty"`
 
 	Evidence []quarantine.Evidence `json:"evidence,omitempty"` // against requests that crash upstreams
 }
@@ -39,6 +44,13 @@
 	Text    []byte `json:"text"`
 }
 
+// Evacuate is an operator's order to send no new work to the upstreams of an availability
+// zone, or to use them again.
+type Evacuate struct {
+	Zone      string `json:"zone"`
+	Evacuated bool   `json:"evacuated"`
+}
+
 // AssignIssuer makes a leader the only issuer of engine orders.
 type AssignIssuer struct {
 	Holder      string `json:"holder"`
@@ -58,7 +70,7 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return nil, errors.Wrap(err, "decode a command")
 	}
-	if c.Apply == nil && c.Issuer == nil && c.Document == nil && len(c.Evidence) == 0 {
+	if c.Apply == nil && c.Issuer == nil && c.Document == nil && c.Evacuate == nil && len(c.Evidence) == 0 {
 		return nil, errors.New("unknown kind of command: this build is too old for the log")
 	}
 	return &c, nil
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/claim"
+	"celeryport/evacuation"
 	"celeryport/quarantine"
 )
 
@@ -33,6 +34,7 @@
 	Epoch   claim.Epoch `json:"epoch"`
 
 	Quarantine quarantine.Registry `json:"quarantine,omitzero"`
+	Evacuated  *evacuation.List    `json:"evacuated,omitempty"`
 }
 
 // New returns the empty state.
@@ -62,6 +64,9 @@
 	return slices.Clone(m.content.Quarantine.Records)
 }
 
+// Evacuated returns the evacuated availability zones, nil if there were never any.
+func (m *Machine) Evacuated() *evacuation.List { return m.content.Evacuated }
+
 // History returns up to limit of the newest revisions, oldest first.
 func (m *Machine) History(limit int) []Revision {
 	from := max(0, len(m.content.History)-limit)
@@ -98,6 +103,10 @@
 		m.content.Quarantine.AddEvidence(m.content.Clock, index, &quarantine.FleetLimits, command.Evidence)
 		return Outcome{}, nil
 	}
+	if order := command.Evacuate; order != nil {
+		m.content.Evacuated = m.content.Evacuated.With(index, order.Zone, order.Evacuated)
+		return Outcome{Evacuated: evacuation.VersionOf(m.content.Evacuated)}, nil
+	}
 	if command.Document != nil {
 		return m.putDocument(index, command.Document), nil
 	}
--- a/control/state/outcome.go
+++ b/control/state/outcome.go
@@ -24,4 +24,6 @@
 	Revision uint64      `json:"revision"`         // created by the order, if accepted
 	Current  uint64      `json:"current"`          // accepted revision when the order was decided
 	Winner   *Revision   `json:"winner,omitempty"` // for Conflict: the revision that replaced the base
+
+	Evacuated uint64 `json:"evacuated,omitempty"` // for an evacuation: version of the list of evacuated zones
 }
--- a/control/syncapply.go
+++ b/control/syncapply.go
@@ -136,6 +136,7 @@
 	}
 	c.applyGrants(r)
 	c.applyQuarantine(r.Quarantine)
+	c.applyEvacuated(now, r.Evacuated)
 }
 
 // applyQuarantine replaces the quarantined requests, unless a delayed response brings an
--- a/control/synctarget.go
+++ b/control/synctarget.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/evacuation"
 	"celeryport/event"
 	"celeryport/settings"
 )
@@ -13,6 +14,7 @@
 // no leader is known.
 func (c *core) syncRequest(now time.Time, wait time.Duration) (syncRequest, string) {
 	c.self.Revision = c.installed.revision()
+	c.self.Evacuated = evacuation.VersionOf(c.evacuated)
 	heard := c.heardDelta(now)
 	quarantined := c.quarantined.Version()
 	request := syncRequest{
@@ -31,6 +33,7 @@
 		Attach:        c.attaches(),
 
 		Quarantine: &quarantined,
+		Evacuated:  c.self.Evacuated,
 	}
 	if c.fanout != nil {
 		request.Attached = attachedWire(c.fanout.roster.Reports(now))
--- a/control/syncwire.go
+++ b/control/syncwire.go
@@ -5,6 +5,7 @@
 
 	"celeryport/claim"
 	"celeryport/consensus"
+	"celeryport/evacuation"
 	"celeryport/membership"
 	"celeryport/quarantine"
 	"celeryport/quota"
@@ -32,6 +33,8 @@
 
 	Quarantine *uint64 `json:"quarantine,omitempty"` // known version of the quarantined requests; nil if the sender does not use them
 
+	Evacuated uint64 `json:"evacuated,omitempty"` // known version of the evacuated zones
+
 	heard         []byte // announcements received directly that the leader has not acknowledged; sent beside the JSON
 	deliveryMark  uint64 // of a voter: delivery mark that this sync covers; not sent
 	batchPosition uint64 // position of the receiver after it has applied heard, if it has all earlier batches; not sent
@@ -56,16 +59,17 @@
 	Incarnation uint64           `json:"i"`
 	State       membership.State `json:"s,omitempty"`
 	Revision    uint64           `json:"r,omitempty"`
+	Evacuated   uint64           `json:"e,omitempty"`
 }
 
 // briefOf returns the fields of an instance that may change.
 func briefOf(i *membership.Instance) *briefInstance {
-	return &briefInstance{Name: i.Name, Incarnation: i.Incarnation, State: i.State, Revision: i.Revision}
+	return &briefInstance{Name: i.Name, Incarnation: i.Incarnation, State: i.State, Revision: i.Revision, Evacuated: i.Evacuated}
 }
 
 // of returns the known instance with the fields of the brief form applied.
 func (b *briefInstance) of(known membership.Instance) membership.Instance {
-	known.Incarnation, known.State, known.Revision = b.Incarnation, b.State, b.Revision
+	known.Incarnation, known.State, known.Revision, known.Evacuated = b.Incarnation, b.State, b.Revision, b.Evacuated
 	return known
 }
 
@@ -94,6 +98,7 @@
 	Unknown     []string           `json:"unknown,omitempty"`     // attached instances that must be stated in full
 
 	Quarantine *quarantine.List `json:"quarantine,omitempty"` // set if changed
+	Evacuated  *evacuation.List `json:"evacuated,omitempty"`  // set if changed
 
 	SupersededAttached map[string]uint64 `json:"superseded_attached,omitempty"` // attached instances of which a higher incarnation is known, with that incarnation
 
--- a/forward/availability.go
+++ b/forward/availability.go
@@ -14,6 +14,8 @@
 var (
 	errResting = errors.New("the upstream has asked for rest")
 	errLeaving = errors.New("the upstream has said that it leaves")
+
+	errEvacuated = errors.New("the availability zone of the upstream is evacuated")
 )
 
 // leavingRetention is how long the statement of an upstream that it leaves is kept after the
@@ -100,9 +102,13 @@
 // and why; nil if all engines still accept the send.
 func (f *fleet) unavailableNode(w *work) (*node, error) {
 	now := time.Now()
+	evacuated := f.options.Plane.View().Evacuated
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, n := range append([]*node{w.lead}, w.helpers...) {
+		if evacuated.Covers(n.zone) {
+			return n, errEvacuated
+		}
 		if err := n.unavailable(now); err != nil {
 			return n, err
 		}
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -71,7 +71,7 @@
 	upstreams := make([]*upstream.Upstream, 0, len(serving))
 	for _, at := range serving {
 		u := &snapshot.Upstreams[at]
-		if n := f.node(u); f.eligible(n, &u.Announcement) {
+		if n := f.node(u); f.eligible(n, u) {
 			nodes, upstreams = append(nodes, n), append(upstreams, u)
 		}
 	}
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -86,8 +86,8 @@
 // announced last is eligible: an engine that was started at the address of a dead one does not
 // answer calls addressed to the dead one, and rejects a prompt that lists the address twice. The
 // lock must be held.
-func (f *fleet) eligible(n *node, a *upstream.Announcement) bool {
-	return !n.replaced && !a.Leaving && n.leavingAt.IsZero() && f.byAddress[n.address] == n
+func (f *fleet) eligible(n *node, u *upstream.Upstream) bool {
+	return !n.replaced && !u.Announcement.Leaving && !u.Evacuated && n.leavingAt.IsZero() && f.byAddress[n.address] == n
 }
 
 // retireEarlier retires the earlier incarnations of an upstream that has restarted. The new
--- a/membership/instance.go
+++ b/membership/instance.go
@@ -37,4 +37,5 @@
 	Voter            bool   `json:"voter"`
 	Revision         uint64 `json:"revision"`              // settings revision that the instance has confirmed
 	LogVersion       int    `json:"log_version,omitempty"` // newest version of log entries that a voter can read
+	Evacuated        uint64 `json:"evacuated,omitempty"`   // version of the list of evacuated zones that the instance has applied
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -102,10 +102,10 @@
 	known.holdsLease = false
 }
 
-// visibleChange reports whether two reports differ in more than the confirmed revision,
-// which is not published to other instances.
+// visibleChange reports whether two reports differ in more than what the instance has
+// confirmed, which is not published to other instances.
 func visibleChange(old, i Instance) bool {
-	old.Revision = i.Revision
+	old.Revision, old.Evacuated = i.Revision, i.Evacuated
 	return old != i
 }
 
@@ -158,15 +158,21 @@
 // Outstanding returns the instances that may still admit calls under a revision below the
 // given one, sorted by name. Expire must have been called with the current time before.
 func (t *Table) Outstanding(revision uint64) []Instance {
+	return t.outstanding(func(i *Instance) bool { return i.Revision < revision })
+}
+
+// outstanding returns the instances that may still admit calls and that satisfy a condition,
+// sorted by name.
+func (t *Table) outstanding(behind func(i *Instance) bool) []Instance {
 	var found []Instance
 	for _, m := range t.members {
-		if m.holdsLease && m.instance.Revision < revision {
+		if m.holdsLease && behind(&m.instance) {
 			found = append(found, m.instance)
 		}
 	}
-	for _, m := range t.retired {
-		if m.instance.Revision < revision {
-			found = append(found, m.instance)
+	for i := range t.retired {
+		if behind(&t.retired[i].instance) {
+			found = append(found, t.retired[i].instance)
 		}
 	}
 	sort.Slice(found, func(a, b int) bool { return found[a].Name < found[b].Name })
@@ -180,6 +186,14 @@
 	return t.Settled(now) && len(t.Outstanding(revision)) == 0
 }
 
+// EvacuationInForce reports whether every instance that may admit calls has applied the
+// evacuated zones of a version.
+func (t *Table) EvacuationInForce(now time.Time, version uint64) bool {
+	t.Expire(now)
+	behind := t.outstanding(func(i *Instance) bool { return i.Evacuated < version })
+	return t.Settled(now) && len(behind) == 0
+}
+
 // Revision returns the number of the newest visible change.
 func (t *Table) Revision() uint64 { return t.revision }
 
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -158,6 +158,14 @@
 	return rec.announcement, true
 }
 
+// Each calls a function for every known upstream, including silent and leaving ones, in no
+// particular order. The function must not keep or change the announcement.
+func (r *Registry) Each(visit func(a *Announcement)) {
+	for _, rec := range r.records {
+		visit(&rec.announcement)
+	}
+}
+
 // Size returns the number of known upstreams, including silent and leaving ones.
 func (r *Registry) Size() int { return len(r.records) }
 
