Give cold engines their reduced rate from all instances together

The end of an engine's cold time travels with announcements (relayed in full when it moves by more than 0.4 s, kept while only loads are relayed) and is read from answers. While it lasts, the service's reduced rate is shared out by the mechanism for rates that upstreams name, but without the preference for them. Engines of a restored zone count as cold until they announce themselves, for the service's cold time at most.

--- a/control/relay/receiver.go
+++ b/control/relay/receiver.go
@@ -135,7 +135,7 @@
 		a.Load.QueuedPrefill = valueAt(b.QueuedPrefill, i) * prefillUnit
 		a.Load.HeldTokens = valueAt(b.Held, i) * heldUnit
 		refs[i] = ref
-		all[i] = upstream.Relayed{Announcement: a, Age: age + time.Duration(b.Ages[i])*ageUnit}
+		all[i] = upstream.Relayed{Announcement: a, Age: age + time.Duration(b.Ages[i])*ageUnit, LoadOnly: true}
 	}
 	if err := applySparse(b, all); err != nil {
 		return nil, err
--- a/control/relay/relay_test.go
+++ b/control/relay/relay_test.go
@@ -166,3 +166,37 @@
 		}
 	}
 }
+
+// Guards against receivers that learn of a cold upstream late or not at all, because only its
+// load is relayed once it is known.
+func TestColdTimeReachesReceiversOfLoads(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s, r := NewSender(), NewReceiver()
+	registry := upstream.NewRegistry(time.Minute)
+	announce := func(sequence uint64, cold time.Duration) {
+		t.Helper()
+		a := upstream.Announcement{Name: "e", Incarnation: 1, Sequence: sequence, ColdFor: cold}
+		if err := s.Add(now, []upstream.Relayed{{Announcement: a}}); err != nil {
+			t.Fatal(err)
+		}
+		delta, err := s.Since(now, r.Position())
+		if err != nil {
+			t.Fatal(err)
+		}
+		relayed, err := r.Apply(delta, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range relayed {
+			registry.ApplyRelayed(now, c)
+		}
+	}
+	coldLeft := func() time.Duration { return max(0, registry.Snapshot(now).Upstreams[0].ColdUntil.Sub(now)) }
+	for n, cold := range []time.Duration{0, 0, 3 * time.Second, 2 * time.Second, time.Second, 0, 0, 3 * time.Second, 0} {
+		announce(uint64(n+1), cold)
+		if got := coldLeft(); (got - cold).Abs() > coldTolerance {
+			t.Errorf("announcement %d: cold for %s, want %s", n, got, cold)
+		}
+		now = now.Add(time.Second)
+	}
+}
--- a/control/relay/sender.go
+++ b/control/relay/sender.go
@@ -36,6 +36,19 @@
 	heardAt      time.Time
 }
 
+// coldTolerance is the difference in the end of an upstream's cold time that is not worth a full
+// announcement: ages are rounded, and heartbeats take different times.
+const coldTolerance = 400 * time.Millisecond
+
+func (u *tableEntry) coldUntil() time.Time { return u.heardAt.Add(u.announcement.ColdFor) }
+
+// coldEndMoves reports whether an upstream now states a noticeably different end of its cold
+// time. Ends in the past are equal.
+func (u *tableEntry) coldEndMoves(now, until time.Time) bool {
+	left, leftBefore := max(0, until.Sub(now)), max(0, u.coldUntil().Sub(now))
+	return (left - leftBefore).Abs() > coldTolerance
+}
+
 type batch struct {
 	number  uint64
 	at      time.Time
@@ -58,14 +71,16 @@
 	for _, c := range changes {
 		old := s.table[c.Announcement.Name]
 		heardAt := now.Add(-c.Age)
-		if old == nil || !sameIdentity(&old.announcement, &c.Announcement) {
+		if old == nil || !sameIdentity(&old.announcement, &c.Announcement) || old.coldEndMoves(now, heardAt.Add(c.Announcement.ColdFor)) {
 			if err := s.addNew(&b, c, heardAt); err != nil {
 				return err
 			}
 			continue
 		}
 		before[old.ref] = old.announcement
+		coldUntil := old.coldUntil()
 		old.announcement, old.heardAt = c.Announcement, heardAt
+		old.announcement.ColdFor = max(0, coldUntil.Sub(heardAt))
 		known = append(known, old)
 	}
 	s.addLoads(now, &b, known, before)
--- a/control/remembered.go
+++ b/control/remembered.go
@@ -73,7 +73,7 @@
 	for i := range v.Upstreams.Upstreams {
 		a := v.Upstreams.Upstreams[i].Announcement
 		if !a.Leaving {
-			a.Sequence, a.Load = 0, upstream.Load{}
+			a.Sequence, a.Load, a.ColdFor = 0, upstream.Load{}, 0
 			r.Upstreams = append(r.Upstreams, a)
 		}
 	}
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -33,12 +33,13 @@
 	c.nodes, c.engines = append(c.nodes, other.nodes...), append(c.engines, other.engines...)
 }
 
-// candidates lists the nodes of a service that are eligible for work: unlimited are those
-// without a named rate, withRoom those whose rate leaves room for a request of this instance, and
-// full counts the nodes whose rate is used up. The lock must be held.
-func (f *fleet) candidates(now time.Time, snapshot *upstream.Snapshot, service string) (unlimited, withRoom *candidates, full int) {
+// candidates lists the nodes of a service that are eligible for work: free are those
+// without a named rate, withRoom those whose named rate leaves room for a request of this
+// instance, and full counts the nodes whose rate is used up. A cold node is among the free
+// ones as long as this instance may send it a request. The lock must be held.
+func (f *fleet) candidates(now time.Time, snapshot *upstream.Snapshot, service string) (free, withRoom *candidates, full int) {
 	nodes, upstreams := f.eligibleNodes(snapshot, service)
-	unlimited = &candidates{nodes: make([]*node, 0, len(nodes)), engines: make([]placement.Engine, 0, len(nodes))}
+	free = &candidates{nodes: make([]*node, 0, len(nodes)), engines: make([]placement.Engine, 0, len(nodes))}
 	withRoom = &candidates{}
 	for i, n := range nodes {
 		load := f.loadOf(now, n)
@@ -48,16 +49,16 @@
 			SameZone: n.zone == f.options.Process.AvailabilityZone,
 			Avoid:    n.health(now, load, f.silent(now, upstreams[i])).avoid(),
 		}
-		switch limited, allowed := f.limited(now, n); {
-		case !limited:
-			unlimited.add(n, engine)
-		case allowed:
+		switch limit, open := f.limited(now, n); {
+		case !open:
+			full++
+		case limit == limitNamed:
 			withRoom.add(n, engine)
 		default:
-			full++
+			free.add(n, engine)
 		}
 	}
-	return unlimited, withRoom, full
+	return free, withRoom, full
 }
 
 // eligibleNodes lists the nodes of a service that are eligible for work, with the upstream entry
--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -71,17 +71,18 @@
 
 // Answer is what an upstream states in the head of its answer.
 type Answer struct {
-	CallID           string        // ID of the call that it answers
-	NotRun           bool          // the call was not run and never will be
-	WrongIncarnation bool          // the upstream is not the intended incarnation
-	Genuine          bool          // it carries the mark of an upstream that ran the call
-	Encoded          bool          // its body has a content encoding, so it is not as the upstream produced it
-	IdleFor          time.Duration // after which the upstream closes the idle connection, 0 if not stated
-	Rate             *float64      // requests per second that the upstream accepts from all instances together; nil: none named
-	Rest             time.Duration // rest period in which the upstream wants no requests from this instance, 0 if none
-	Leaving          bool          // the upstream is leaving: it finishes its current calls and accepts no new ones
-	AtFault          string        // address of the engine that caused a call on several engines to fail, empty if not stated
-	Unparsable       []string      // fields whose values could not be parsed, for the log
+	CallID           string         // ID of the call that it answers
+	NotRun           bool           // the call was not run and never will be
+	WrongIncarnation bool           // the upstream is not the intended incarnation
+	Genuine          bool           // it carries the mark of an upstream that ran the call
+	Encoded          bool           // its body has a content encoding, so it is not as the upstream produced it
+	IdleFor          time.Duration  // after which the upstream closes the idle connection, 0 if not stated
+	Rate             *float64       // requests per second that the upstream accepts from all instances together; nil: none named
+	Rest             time.Duration  // rest period in which the upstream wants no requests from this instance, 0 if none
+	Cold             *time.Duration // for how long the upstream is still cold, nil if not stated
+	Leaving          bool           // the upstream is leaving: it finishes its current calls and accepts no new ones
+	AtFault          string         // address of the engine that caused a call on several engines to fail, empty if not stated
+	Unparsable       []string       // fields whose values could not be parsed, for the log
 }
 
 // EngineReport is an engine's answer to a poll.
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -79,6 +79,7 @@
 			f.byAddress[n.address] = n
 		}
 	}
+	n.freshUntil, n.cold.announced, n.cold.restoredAt = u.FreshUntil, u.ColdUntil, u.RestoredAt
 	return n
 }
 
--- a/forward/node.go
+++ b/forward/node.go
@@ -33,6 +33,7 @@
 	service            string
 	key                loadshare.Key
 	announced          time.Time // time of its last announcement when the node was created
+	freshUntil         time.Time // as in upstream.Upstream
 	idle               []*upstreamConn
 	busy               map[*upstreamConn]struct{} // connections with a call on them
 	load               loadshare.Load             // load caused by this instance except for reading
@@ -48,7 +49,8 @@
 	rest               throttle.Rest // rest period that it asked this instance for
 	probe              *work         // send that probes whether it accepts requests after its rest period, or nil
 	leavingAt          time.Time     // when an answer first stated that it leaves, zero if none did
-	unparsableLoggedAt time.Time     // when an unparsable statement was last logged
+	cold               coldTime
+	unparsableLoggedAt time.Time // when an unparsable statement was last logged
 }
 
 // nodeReport is the result of this instance's polls of a node.
--- a/forward/rates.go
+++ b/forward/rates.go
@@ -53,13 +53,22 @@
 	eventRateNamed.Log(f.options.Log, fields)
 }
 
-// limited reports whether a node names a rate, and if so whether this instance may send it a
-// request now. The lock must be held.
-func (f *fleet) limited(now time.Time, n *node) (named, open bool) {
+// limited reports whether a node accepts requests at a limited rate only, and if so whether this
+// instance may send it one now. A rate that the node names has priority over the usual placement;
+// that of a cold node does not. The lock must be held.
+func (f *fleet) limited(now time.Time, n *node) (limit limit, open bool) {
 	rate, named := f.rates.table.Rate(now, n.key)
-	if !named {
+	cold, isCold := f.coldRate(now, n)
+	switch {
+	case named && isCold:
+		limit, rate = limitNamed, min(rate, cold)
+	case named:
+		limit = limitNamed
+	case isCold:
+		limit, rate = limitCold, cold
+	default:
 		delete(f.rates.buckets, n.key)
-		return false, true
+		return unlimited, true
 	}
 	bucket := f.rates.buckets[n.key]
 	if bucket == nil {
@@ -67,9 +76,18 @@
 		f.rates.buckets[n.key] = bucket
 	}
 	bucket.SetRate(now, f.rateShare(now, n, rate))
-	return true, bucket.Open(now)
+	return limit, bucket.Open(now)
 }
 
+// limit is why a node accepts requests at a limited rate only.
+type limit uint8
+
+const (
+	unlimited  limit = iota
+	limitNamed       // the upstream has named a rate
+	limitCold        // the upstream is cold
+)
+
 // rateShare returns this instance's share of a node's rate. If the node is an engine that reads
 // prompts, a part of the rate is reserved for the arbiter, which places the long prompts of all
 // instances.
@@ -90,7 +108,7 @@
 // unused goes to the short prompts of the arbiter's own calls.
 const arbiterRateShare = 0.8
 
-// consumeRate counts a request to a node that names a rate. The lock must be held.
+// consumeRate counts a request to a node with a limited rate. The lock must be held.
 func (f *fleet) consumeRate(now time.Time, n *node) {
 	if bucket := f.rates.buckets[n.key]; bucket != nil {
 		bucket.Take(now)
--- a/forward/statements.go
+++ b/forward/statements.go
@@ -20,6 +20,9 @@
 	if a.Rest > 0 {
 		f.recordRest(n, a.Rest)
 	}
+	if a.Cold != nil {
+		f.recordCold(n, *a.Cold)
+	}
 	if a.Leaving {
 		f.recordLeaving(n)
 	}
--- a/forward/work.go
+++ b/forward/work.go
@@ -29,6 +29,9 @@
 func (f *fleet) begin(now time.Time, w *work) {
 	if !w.granted {
 		f.consumeRate(now, w.lead)
+		for _, n := range w.helpers {
+			f.consumeRate(now, n)
+		}
 	}
 	w.lead.beginProbe(now, w)
 	for _, n := range w.helpers {
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -55,6 +55,8 @@
 	HealthPath     string
 	MaxConnections int            // accepted by one upstream from all clients together; 0: unknown
 	Engine         *EngineProfile // nil for a plain service
+	ColdTime       time.Duration  // how long an upstream is cold after its start
+	ColdRate       float64        // requests per second that a cold upstream accepts from all instances together; 0: no limit
 }
 
 // EngineProfile is the performance model of a service's engines.
--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -49,6 +49,10 @@
 	Leaving          bool         `json:"leaving,omitempty"`
 	Load             Load         `json:"load"`
 	CacheEvents      []CacheEvent `json:"cache_events,omitempty"`
+
+	// ColdFor is how long after the announcement the upstream is cold: it has started
+	// recently and accepts requests at a reduced rate only.
+	ColdFor time.Duration `json:"cold_for,omitempty"`
 }
 
 // Load is the load that an upstream reports for itself. Age is the age of the
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -13,6 +13,7 @@
 type Relayed struct {
 	Announcement Announcement  `json:"announcement"`
 	Age          time.Duration `json:"age"`
+	LoadOnly     bool          `json:"-"` // states no ColdFor; the last stated end of the cold time remains
 }
 
 // Registry holds the upstreams known to an instance. It performs no I/O and is
@@ -34,7 +35,8 @@
 type record struct {
 	announcement Announcement
 	receivedAt   time.Time
-	version      uint64 // version of the registry at the last change of the record
+	coldUntil    time.Time // end of the cold time that was stated last, zero if none
+	version      uint64    // version of the registry at the last change of the record
 	cache        cacheView
 }
 
@@ -100,11 +102,15 @@
 	if a.Incarnation < known.announcement.Incarnation {
 		return false
 	}
-	return r.update(known, a, receivedAt)
+	updated := r.update(known, a, receivedAt)
+	if updated && !relayed.LoadOnly {
+		known.coldUntil = coldEnd(receivedAt, a)
+	}
+	return updated
 }
 
 func (r *Registry) newRecord(a Announcement, receivedAt time.Time) *record {
-	rec := &record{receivedAt: receivedAt, version: r.nextVersion()}
+	rec := &record{receivedAt: receivedAt, coldUntil: coldEnd(receivedAt, a), version: r.nextVersion()}
 	rec.cache.apply(a.CacheEvents)
 	rec.announcement = withoutEvents(a)
 	return rec
@@ -197,11 +203,26 @@
 	sortByName(changed)
 	changes := make([]Relayed, len(changed))
 	for i, rec := range changed {
-		changes[i] = Relayed{Announcement: rec.announcement, Age: now.Sub(rec.receivedAt)}
+		changes[i] = rec.relayed(now)
 	}
 	return changes, r.version
 }
 
+// coldEnd returns the end of the cold time that an announcement states, zero if it states none.
+func coldEnd(receivedAt time.Time, a Announcement) time.Time {
+	if a.ColdFor <= 0 {
+		return time.Time{}
+	}
+	return receivedAt.Add(a.ColdFor)
+}
+
+// relayed returns the announcement for relaying, with the cold time that is left of it.
+func (rec *record) relayed(now time.Time) Relayed {
+	a := rec.announcement
+	a.ColdFor = max(0, rec.coldUntil.Sub(rec.receivedAt))
+	return Relayed{Announcement: a, Age: now.Sub(rec.receivedAt)}
+}
+
 func sortByName(records []*record) {
 	slices.SortFunc(records, func(a, b *record) int { return strings.Compare(a.announcement.Name, b.announcement.Name) })
 }
@@ -225,6 +246,7 @@
 		Announcement: rec.announcement,
 		AnnouncedAt:  rec.receivedAt,
 		FreshUntil:   rec.receivedAt.Add(freshFor),
+		ColdUntil:    rec.coldUntil,
 		LoadAt:       rec.receivedAt.Add(-rec.announcement.Load.Age),
 		Prefixes:     rec.cache.view(),
 	}
--- a/upstream/registry_test.go
+++ b/upstream/registry_test.go
@@ -173,3 +173,26 @@
 		}
 	}
 }
+
+// Guards against an end of an upstream's cold time that moves with each relayed load, and against
+// one that is lost when the announcement passes through several instances.
+func TestColdTimeIsRelayedWithItsEnd(t *testing.T) {
+	first, second := NewRegistry(testFreshFor), NewRegistry(testFreshFor)
+	first.Apply(testStart, Announcement{Name: "e", Incarnation: 1, Sequence: 1, ColdFor: 3 * time.Second})
+	later := testStart.Add(time.Second)
+	load := Relayed{Announcement: Announcement{Name: "e", Incarnation: 1, Sequence: 2}, LoadOnly: true}
+	first.ApplyRelayed(later, load)
+	changes, _ := first.ChangesSince(later.Add(time.Second), 0)
+	for _, c := range changes {
+		second.ApplyRelayed(later.Add(time.Second), c)
+	}
+	for name, r := range map[string]*Registry{"first": first, "second": second} {
+		if got, want := r.Snapshot(later).Upstreams[0].ColdUntil, testStart.Add(3*time.Second); !got.Equal(want) {
+			t.Errorf("%s: cold until %s, want %s", name, got, want)
+		}
+	}
+	first.Apply(later, Announcement{Name: "e", Incarnation: 1, Sequence: 3})
+	if got := first.Snapshot(later).Upstreams[0].ColdUntil; !got.IsZero() {
+		t.Errorf("still cold until %s after it said that it is warm", got)
+	}
+}
