Bound the bytes held for callers and keep slow readers' answers

A call whose body has no room is refused at once as not run; an answer waits for room while its upstream is not read, since the call has run. Memory for a body grows with what has arrived: a caller that stated 4 MB and sent nothing held 4 MB before. A caller that reads something within 5 s keeps its answer, for 30 s at most; before, each answer that took longer than 5 s to read was cut off.

The budget of entry moved to package bytebudget.

--- a/entry/limits_test.go
+++ b/entry/limits_test.go
@@ -104,18 +104,18 @@
 	warmUp(t)
 	inBubble(t, map[string]script{"e1": answers("ok")}, func(t *testing.T, b *testBed) {
 		held := int64(maxBodyBytes - 1000)
-		if !b.server.bodies.reserve(held) {
+		if !b.server.bodies.Reserve(held) {
 			t.Fatal("no memory available at the start")
 		}
 		got := b.do(completion(strings.Repeat("x", 2000), false))
 		if got.status != 429 || got.verdict != "not-run" || got.header.Get(headerRetryAfter) == "" {
 			t.Errorf("got %d %s: %s", got.status, got.verdict, got.body)
 		}
-		b.server.bodies.release(held)
+		b.server.bodies.Release(held)
 		if got := b.do(completion("p", false)); got.status != 200 {
 			t.Errorf("after the memory was released: %d", got.status)
 		}
-		if free := b.server.bodies.free.Load(); free != maxBodyBytes {
+		if free := b.server.bodies.Free(); free != maxBodyBytes {
 			t.Errorf("%d bytes are not released", maxBodyBytes-free)
 		}
 	})
--- a/entry/read_body.go
+++ b/entry/read_body.go
@@ -9,6 +9,10 @@
 	"celeryport/verdict"
 )
 
+// maxBodyBytes bounds the total size of the request bodies that one instance holds at a time. A
+// prompt is held up to three times: as received, decoded, and encoded for the engine.
+const maxBodyBytes = 256 << 20
+
 // bodyRetryAfter is the Retry-After when the instance had no memory for the body.
 const bodyRetryAfter = 500 * time.Millisecond
 
@@ -23,10 +27,10 @@
 	if declared < 0 {
 		declared = limit // chunked: any size up to the limit
 	}
-	if !s.bodies.reserve(declared) {
+	if !s.bodies.Reserve(declared) {
 		return nil, nil, verdict.Refuse(verdict.ReasonQueueFull, bodyRetryAfter, "no memory free for another request of this size")
 	}
-	releaseBody := func() { s.bodies.release(declared) }
+	releaseBody := func() { s.bodies.Release(declared) }
 	body, err := readUpTo(ctx, limit, declared)
 	if err != nil {
 		releaseBody()
--- a/entry/server.go
+++ b/entry/server.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"celeryport/bytebudget"
 	"celeryport/verdict"
 )
 
@@ -29,7 +30,7 @@
 	pools       *pools
 	disconnects *disconnectMonitor
 	sweeper     *sweeper
-	bodies      *byteBudget
+	bodies      *bytebudget.Budget
 	draining    drainState
 	address     atomic.Pointer[string]
 }
@@ -40,7 +41,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "worker pools")
 	}
-	s := &Server{options: options, pools: pools, disconnects: newDisconnectMonitor(), bodies: newByteBudget(maxBodyBytes)}
+	s := &Server{options: options, pools: pools, disconnects: newDisconnectMonitor(), bodies: bytebudget.New(maxBodyBytes)}
 	s.sender = newSender(&s.options)
 	s.driver = newDriver(&s.options, pools, s.sender)
 	s.sweeper = newSweeper(&s.options, s.driver, s.sender.canceller)
--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/bytebudget"
 	"celeryport/event"
 	"celeryport/httpwire"
 )
@@ -37,7 +38,9 @@
 			c.reject(err)
 			return
 		}
-		if !c.answer(received) {
+		reusable := c.answer(received)
+		received.held.Release()
+		if !reusable {
 			return
 		}
 	}
@@ -48,6 +51,7 @@
 	head  *httpwire.RequestHead
 	body  []byte
 	began time.Time // when its first byte arrived
+	held  *bytebudget.Holding
 }
 
 // receive reads the next call. The caller may be idle for a long time before a call, but once
@@ -78,11 +82,29 @@
 	if err := c.conn.SetReadDeadline(began.Add(limits.HeaderTimeout + bodyTimeout)); err != nil {
 		return nil, err
 	}
-	body, err := httpwire.NewBody(c.reader, head.Body).ReadAll(limits.BodyBytes)
+	held := c.server.bodies.Hold()
+	body, err := httpwire.NewBody(c.reader, head.Body).ReadAllReserving(limits.BodyBytes, reserveBody(held))
+	if errors.Is(err, errNoRoom) {
+		held.Release()
+		c.refuseUnread(head, began)
+		return nil, errIdle
+	}
 	if err != nil {
+		held.Release()
 		return nil, err
 	}
-	return &received{head: head, body: body, began: began}, nil
+	return &received{head: head, body: body, began: began, held: held}, nil
+}
+
+// refuseUnread refuses a call whose body was not read and ends the connection.
+func (c *callerConn) refuseUnread(head *httpwire.RequestHead, began time.Time) {
+	w := &callerWriter{conn: c.conn, close: true, method: head.Method}
+	x := &exchange{server: c.server, writer: w, call: &Call{}, began: began}
+	if call, err := c.server.options.Dialect.DecodeCall(head); err == nil {
+		x.call = call
+	}
+	x.refuse(errBodiesFull)
+	c.linger()
 }
 
 // bodyTimeout is the time that a body may take in addition to the limit of the header: a body of
--- a/forward/caller_writer.go
+++ b/forward/caller_writer.go
@@ -19,8 +19,13 @@
 	failure error // first write error of the connection
 }
 
-// writeTimeout bounds one write to a caller that does not read.
-const writeTimeout = 5 * time.Second
+const (
+	// writeTimeout is how long a caller may read nothing of an answer that waits for it.
+	writeTimeout = 5 * time.Second
+	// deliveryTimeout bounds the time for which a caller that reads slowly holds a part of an
+	// answer.
+	deliveryTimeout = 30 * time.Second
+)
 
 // whole writes a complete answer with its body.
 func (w *callerWriter) whole(head *httpwire.ResponseHead, body []byte) {
@@ -57,14 +62,29 @@
 
 func (w *callerWriter) flush() {
 	if w.failure == nil {
-		w.failure = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	}
-	if w.failure == nil {
-		_, w.failure = w.conn.Write(w.buffer)
+		w.failure = w.deliver(w.buffer)
 	}
 	w.begun = true
 	w.buffer = w.buffer[:0]
 }
 
+// deliver writes data for as long as the caller keeps reading some of it.
+func (w *callerWriter) deliver(data []byte) error {
+	until := time.Now().Add(deliveryTimeout)
+	for {
+		if err := w.conn.SetWriteDeadline(earlier(until, time.Now().Add(writeTimeout))); err != nil {
+			return err
+		}
+		n, err := w.conn.Write(data)
+		if err == nil {
+			return nil
+		}
+		if n == 0 || !isTimeout(err) || !time.Now().Before(until) {
+			return err
+		}
+		data = data[n:]
+	}
+}
+
 // reusable reports whether another call may follow on the connection.
 func (w *callerWriter) reusable() bool { return w.ended && !w.close }
--- a/forward/send.go
+++ b/forward/send.go
@@ -141,7 +141,7 @@
 	}
 	s.phase, s.headAt = phaseStarted, time.Now()
 	if head.Status >= http.StatusOK && head.Status < http.StatusMultipleChoices {
-		return s.handleSuccess(head, answer)
+		return s.handleSuccess(ctx, head, answer)
 	}
 	return s.handleRejection(head, answer)
 }
@@ -287,14 +287,18 @@
 }
 
 // handleSuccess forwards a successful answer to the caller.
-func (s *sending) handleSuccess(head *httpwire.ResponseHead, answer Answer) *outcome {
+func (s *sending) handleSuccess(ctx context.Context, head *httpwire.ResponseHead, answer Answer) *outcome {
 	if !answer.Genuine || answer.Encoded {
 		return &outcome{verdict: verdict.MayHaveRun, err: errNotGenuine, reached: true}
 	}
 	if s.x.route.Stream {
 		return s.stream(head, answer)
 	}
-	body, err := s.readAll(head)
+	held := s.x.server.answers.Hold()
+	defer held.Release()
+	ctx, cancel := context.WithDeadline(ctx, s.x.deadline)
+	defer cancel()
+	body, err := httpwire.NewBody(s.conn.reader, head.Body).ReadAllReserving(maxWholeAnswerBytes, awaitRoom(ctx, held))
 	if err != nil {
 		return s.brokenOutcome(err)
 	}
--- a/forward/server.go
+++ b/forward/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/bytebudget"
 	"celeryport/event"
 )
 
@@ -19,6 +20,8 @@
 	fleet       *fleet
 	budgets     *budgets
 	arbitration *arbitration
+	bodies      *bytebudget.Budget         // bytes of calls that were received or are being received
+	answers     *bytebudget.Budget         // bytes of answers that are held as a whole
 	draining    atomic.Pointer[drainState] // nil: calls are accepted
 	inFlight    atomic.Int64
 	startedAt   time.Time
@@ -41,6 +44,8 @@
 		startedAt: time.Now(),
 		random:    options.Random,
 		conns:     map[*callerConn]struct{}{},
+		bodies:    bytebudget.New(maxHeldBodies),
+		answers:   bytebudget.New(maxHeldAnswers),
 	}
 	s.budgets = newBudgets(options.Budget, s.instances)
 	s.fleet = newFleet(&s.options, s.budgets.callRate)
--- a/httpwire/body.go
+++ b/httpwire/body.go
@@ -170,23 +170,45 @@
 
 // ReadAll reads the whole body, which may have at most limit bytes.
 func (b *Body) ReadAll(limit int64) ([]byte, error) {
+	return b.ReadAllReserving(limit, func(int64) error { return nil })
+}
+
+// firstRead is the memory used for a body before any of it has arrived, so that a peer can't
+// claim much memory by stating a long body and sending nothing.
+const firstRead = 4 << 10
+
+// ReadAllReserving is like ReadAll, but calls reserve before it uses n more bytes of memory. An
+// error of reserve ends the reading.
+func (b *Body) ReadAllReserving(limit int64, reserve func(n int64) error) ([]byte, error) {
 	if b.framing.Kind == Sized && b.framing.Length > limit {
 		return nil, tooLarge()
 	}
-	var all []byte
+	most := limit + 1 // one more byte shows that the body is too large
 	if b.framing.Kind == Sized {
-		all = make([]byte, b.framing.Length)
-		n, err := io.ReadFull(b, all)
-		if err == nil || errors.Is(err, io.EOF) && int64(n) == b.framing.Length {
-			return all, nil
+		most = b.framing.Length
+	}
+	var all []byte
+	for int64(len(all)) < most {
+		if len(all) == cap(all) {
+			size := min(most, max(firstRead, 2*int64(cap(all))))
+			if err := reserve(size - int64(cap(all))); err != nil {
+				return nil, err
+			}
+			all = append(make([]byte, 0, size), all...)
+		}
+		n, err := b.Read(all[len(all):cap(all)])
+		all = all[:len(all)+n]
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
 		}
-		return nil, err
 	}
-	all, err := io.ReadAll(io.LimitReader(b, limit+1))
 	if int64(len(all)) > limit {
 		return nil, tooLarge()
 	}
-	return all, err
+	return all, nil
 }
 
 func tooLarge() error {
