Assign polled upstreams on a ring, not by all pairs

Hypothesis (issue): each instance compares itself with all others for each upstream once a second, with the lock of the fleet held; on 0.192 cores that stops it for 190 ms of every second. Change: instances and upstreams have positions on a ring; an instance polls what lies between itself and the second instance before it. One pass over the instances and one over the upstreams.

--- a/forward/polling.go
+++ b/forward/polling.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"iter"
 	"maps"
 	"math"
 	"net/http"
@@ -15,6 +16,7 @@
 	"celeryport/event"
 	"celeryport/loadshare"
 	"celeryport/membership"
+	"celeryport/polling"
 	"celeryport/upstream"
 )
 
@@ -71,6 +73,7 @@
 	if view == nil || view.Tree == nil || view.Tree.Forwarding == nil || view.Upstreams == nil {
 		return nil
 	}
+	assigned := polling.Assign(s.options.Process.Name, forwardingNames(view.Instances), pollersPerEngine)
 	f := s.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -78,7 +81,7 @@
 	for _, service := range view.Tree.Forwarding.Engines() {
 		for _, u := range newestAt(view.Upstreams, service) {
 			n := f.node(u)
-			if !n.replaced && !n.failedSince(u.AnnouncedAt) && isPoller(s.options.Process.Name, n, view.Instances) {
+			if !n.replaced && !n.failedSince(u.AnnouncedAt) && assigned.Includes(n.key) {
 				found = append(found, n)
 			}
 		}
@@ -121,19 +124,16 @@
 	return true
 }
 
-// isPoller reports whether an instance is one of those that poll a node: those with the highest
-// hash of both names. All instances compute the same assignment without communication, and when
-// an instance leaves, only its share moves to others.
-func isPoller(own string, n *node, instances []membership.Instance) bool {
-	mine, higher := rendezvousWeight(own, n.key), 0
-	for i := range instances {
-		other := &instances[i]
-		if other.Address == "" || other.Name == own || rendezvousWeight(other.Name, n.key) <= mine {
-			continue
+// forwardingNames returns the names of the instances that accept calls.
+func forwardingNames(instances []membership.Instance) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for i := range instances {
+			one := &instances[i]
+			if one.Address != "" && one.State != membership.Gone && !yield(one.Name) {
+				return
+			}
 		}
-		higher++
 	}
-	return higher < pollersPerEngine
 }
 
 func rendezvousWeight(instance string, key loadshare.Key) uint64 {
