Report loads only where there is something to report

Hypothesis: each instance sends a full report to its 196 peers every 0.4 s, so that a zone exchanges the square of its size, and each report repeats for every polled engine that it answers, so that each instance gets 1,003 entries of 19 bytes several times a second. Both held only while zones were small.

Change: an instance without calls reports nothing. That an engine answers polls is reported only where somebody needs it: it is slow, its announcements stop, or an instance suspects it. Five candidates of each zone show that they are alive, since one of them has to take over as its aggregator; the others need not. Peers, relays and candidates are derived from the member list once for each list, not for each datagram (package peering).

Candidates send 2.5 reports a second.

--- a/forward/aggregate.go
+++ b/forward/aggregate.go
@@ -1,18 +1,15 @@
 package forward
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"net"
 	"net/netip"
-	"slices"
 	"time"
 
 	"celeryport/clock"
 	"celeryport/datagram"
 	"celeryport/loadshare"
-	"celeryport/membership"
 )
 
 const (
@@ -59,43 +56,18 @@
 			}
 		}
 		now := time.Now()
-		if report := reporter.Next(now, s.fleet.zoneLoads(now)); report != nil {
+		if report := reporter.Next(now, s.fleet.zoneLoads(now), true); report != nil {
 			report.Zone = loadshare.KeyOf(process.AvailabilityZone)
-			_, relays := recipients(s.options.Plane.View().Instances, process, report.Sequence)
-			s.sendTo(conn, relays, datagram.LoadsToRelay, report.Encode())
+			s.sendTo(conn, s.peering().Relays(report.Sequence), datagram.LoadsToRelay, report.Encode())
 		}
 	}
 }
 
 // isAggregator reports whether this instance is the aggregator of its zone.
 func (s *Server) isAggregator(now time.Time) bool {
-	process, instances := s.options.Process, s.options.Plane.View().Instances
 	recent := s.fleet.peersSince(now.Add(-peerRetention))
 	return now.Sub(s.fleet.startedAt) >= aggregationDelay &&
-		aggregatorOf(instances, process.Name, process.AvailabilityZone, recent) == process.Name
-}
-
-// aggregatorOf returns the name of the instance that aggregates a zone: the one with the highest
-// hash of its name among self and the instances whose addresses are in recent, so that all
-// instances of the zone choose the same one. When the aggregator dies, the next instance notices
-// the missing reports before control does.
-func aggregatorOf(instances []membership.Instance, self, zone string, recent map[netip.AddrPort]bool) string {
-	var live []string
-	for i := range instances {
-		instance := &instances[i]
-		if instance.Address == "" || instance.AvailabilityZone != zone || instance.State == membership.Gone {
-			continue
-		}
-		if address, err := netip.ParseAddrPort(instance.ControlAddress); instance.Name == self || err == nil && recent[address] {
-			live = append(live, instance.Name)
-		}
-	}
-	if len(live) == 0 {
-		return ""
-	}
-	return slices.MaxFunc(live, func(a, b string) int {
-		return cmp.Or(cmp.Compare(rendezvousWeight(a, 0), rendezvousWeight(b, 0)), cmp.Compare(a, b))
-	})
+		s.peering().Aggregates(func(candidate netip.AddrPort) bool { return recent[candidate] })
 }
 
 // peersSince returns the addresses of the instances of the own zone whose last report arrived since
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -176,7 +176,11 @@
 	n.report.answeredAt = time.Now()
 	n.report.pace = reportedPace(report.Pace)
 	cleared := n.suspicion.clear()
+	suspected := f.board.Load(n.report.answeredAt, n.key).Add(f.zones.Load(n.report.answeredAt, n.key)).Suspicions > 0
 	f.mu.Unlock()
+	if suspected {
+		f.notifyChanged()
+	}
 	if cleared {
 		eventCleared.Log(f.options.Log, event.Fields{"upstream": n.name, "address": n.address})
 	}
--- a/forward/rates_sharing.go
+++ b/forward/rates_sharing.go
@@ -41,9 +41,9 @@
 	f.rates.changes = nil
 	f.mu.Unlock()
 	now := time.Now()
-	peers, relays := recipients(s.options.Plane.View().Instances, s.options.Process, uint32(now.UnixMilli()))
-	s.sendRates(now, conn, peers, datagram.Rates, changes, false)
-	s.sendRates(now, conn, relays, datagram.RatesToRelay, changes, false)
+	peering := s.peering()
+	s.sendRates(now, conn, peering.Peers(), datagram.Rates, changes, false)
+	s.sendRates(now, conn, peering.Relays(uint32(now.UnixMilli())), datagram.RatesToRelay, changes, false)
 }
 
 // gossipRates sends all known rates to one other instance and requests those missing here. An
@@ -57,7 +57,9 @@
 	s.options.Metrics.resting.Set(float64(f.resting(now)))
 	s.options.Metrics.limited.Set(float64(limitedOf(facts)))
 	if peer := s.randomPeer(); peer != nil {
-		s.sendRates(now, conn, addressesOf([]*membership.Instance{peer}), datagram.Rates, facts, true)
+		if address, err := netip.ParseAddrPort(peer.ControlAddress); err == nil {
+			s.sendRates(now, conn, []netip.AddrPort{address}, datagram.Rates, facts, true)
+		}
 	}
 }
 
@@ -120,8 +122,7 @@
 	conn := s.arbitration.conn
 	s.arbitration.mu.Unlock()
 	if kind == datagram.RatesToRelay {
-		peers, _ := recipients(s.options.Plane.View().Instances, s.options.Process, 0)
-		s.sendRates(now, conn, peers, datagram.Rates, message.Facts, false)
+		s.sendRates(now, conn, s.peering().Peers(), datagram.Rates, message.Facts, false)
 	}
 	s.sendRates(now, conn, []netip.AddrPort{addressOf(from)}, datagram.Rates, missing, false)
 	return nil
--- a/forward/reporting.go
+++ b/forward/reporting.go
@@ -45,7 +45,7 @@
 			}
 		}
 		now := time.Now()
-		if report := reporter.Next(now, s.fleet.ownLoads(now)); report != nil {
+		if report := reporter.Next(now, s.fleet.loadsToReport(now), s.peering().Candidate()); report != nil {
 			s.sendReport(conn, report)
 		}
 	}
@@ -54,8 +54,7 @@
 // sendReport sends a report to the other instances of the own availability zone that accept
 // calls. The next full report compensates for a failed send.
 func (s *Server) sendReport(conn net.PacketConn, report *loadshare.Report) {
-	peers, _ := recipients(s.options.Plane.View().Instances, s.options.Process, report.Sequence)
-	s.sendTo(conn, peers, datagram.Loads, report.Encode())
+	s.sendTo(conn, s.peering().Peers(), datagram.Loads, report.Encode())
 }
 
 // relay forwards a report of another zone to the instances of the own zone.
@@ -63,8 +62,7 @@
 	s.arbitration.mu.Lock()
 	conn := s.arbitration.conn
 	s.arbitration.mu.Unlock()
-	peers, _ := recipients(s.options.Plane.View().Instances, s.options.Process, 0)
-	s.sendTo(conn, peers, datagram.Loads, content)
+	s.sendTo(conn, s.peering().Peers(), datagram.Loads, content)
 }
 
 func (s *Server) sendTo(conn net.PacketConn, to []netip.AddrPort, kind datagram.Kind, content []byte) {
--- a/forward/server.go
+++ b/forward/server.go
@@ -26,6 +26,7 @@
 	inFlight    atomic.Int64
 	startedAt   time.Time
 	lastCall    atomic.Int64 // when the latest call arrived, in Unix nanoseconds
+	peerings    atomic.Pointer[cachedPeering]
 
 	mu       sync.Mutex
 	random   *rand.Rand
--- a/loadshare/board_test.go
+++ b/loadshare/board_test.go
@@ -67,7 +67,7 @@
 				delete(next, key)
 			}
 			loads = next
-			if r := reporter.Next(now, loads); r != nil {
+			if r := reporter.Next(now, loads, true); r != nil {
 				held = append(held, r)
 			}
 			if len(held) > 0 && rapid.Bool().Draw(t, "deliver") {
@@ -76,7 +76,7 @@
 			}
 		}
 		now = now.Add(FullInterval)
-		board.Accept(now, reporter.Next(now, loads))
+		board.Accept(now, reporter.Next(now, loads, true))
 		for key := Key(1); key <= 3; key++ {
 			if got := board.Load(now, key); got != loads[key] {
 				t.Fatalf("engine %d has the load %+v, the board has %+v", key, loads[key], got)
@@ -131,12 +131,12 @@
 	// continuously send datagrams to all others.
 	reporter := NewReporter(1)
 	load := Load{Streams: 1, PrefillTime: 300 * time.Millisecond}
-	reporter.Next(start, map[Key]Load{5: load})
+	reporter.Next(start, map[Key]Load{5: load}, true)
 	at := start.Add(150 * time.Millisecond)
-	if r := reporter.Next(at, map[Key]Load{5: load.After(150 * time.Millisecond)}); r != nil {
+	if r := reporter.Next(at, map[Key]Load{5: load.After(150 * time.Millisecond)}, true); r != nil {
 		t.Errorf("reported %+v", r.Loads)
 	}
-	if r := reporter.Next(at, map[Key]Load{5: {Streams: 1}}); r == nil || r.Loads[5].PrefillTime != 0 {
+	if r := reporter.Next(at, map[Key]Load{5: {Streams: 1}}, true); r == nil || r.Loads[5].PrefillTime != 0 {
 		t.Error("an engine that becomes free earlier was not reported")
 	}
 }
--- a/loadshare/reporter.go
+++ b/loadshare/reporter.go
@@ -18,9 +18,13 @@
 // reports.
 func (t *Reporter) Restart() { t.fullAt = time.Time{} }
 
-// Next returns the report that is due for the current loads, or nil.
-func (t *Reporter) Next(now time.Time, loads map[Key]Load) *Report {
+// Next returns the report that is due for the current loads, or nil. An instance without loads
+// reports nothing unless heartbeat is set; what it reported before expires by itself.
+func (t *Reporter) Next(now time.Time, loads map[Key]Load, heartbeat bool) *Report {
 	full := now.Sub(t.fullAt) >= FullInterval
+	if len(loads) == 0 && len(t.reported) == 0 && !heartbeat {
+		return nil
+	}
 	r := &Report{Sender: t.id, Full: full, Loads: map[Key]Load{}}
 	for key, load := range loads {
 		if full || !load.approxEqual(t.reported[key].now(now)) {
--- a/loadshare/zones_test.go
+++ b/loadshare/zones_test.go
@@ -53,9 +53,9 @@
 func TestRestartedAggregatorSendsAFullReport(t *testing.T) {
 	reporter := NewReporter(1)
 	loads := map[Key]Load{5: {Streams: 1}}
-	reporter.Next(start, loads)
+	reporter.Next(start, loads, true)
 	reporter.Restart()
-	if r := reporter.Next(start, loads); r == nil || !r.Full || len(r.Loads) != 1 {
+	if r := reporter.Next(start, loads, true); r == nil || !r.Full || len(r.Loads) != 1 {
 		t.Errorf("after a restart it reports %+v", r)
 	}
 }
