Let successive polls of an engine use one connection

An idle connection is used for half of the time after which its upstream closes it, 1 s where none is stated, and polls are a second and a tick apart. The margin is for calls that may not be sent twice; a poll that fails on an idle connection is repeated on a new one. Polls now use it for nine tenths of that time.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -145,7 +145,7 @@
 	for id, n := range f.nodes {
 		kept := n.idle[:0]
 		for _, c := range n.idle {
-			if listed[id] && c.usable(now) {
+			if listed[id] && c.worthKeeping(now) {
 				kept = append(kept, c)
 				continue
 			}
--- a/forward/fleet_conns.go
+++ b/forward/fleet_conns.go
@@ -7,14 +7,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// connect returns a connection to the node: a usable idle one, or a new one. fresh requires a
-// new one. An error means that nothing was sent.
-func (f *fleet) connect(ctx context.Context, n *node, fresh bool) (*upstreamConn, error) {
-	if c := f.takeIdle(n); c != nil {
-		if !fresh {
+// connect returns a connection to the node: an idle one that may be used again, or a new one. An
+// error means that nothing was sent.
+func (f *fleet) connect(ctx context.Context, n *node, share reuse) (*upstreamConn, error) {
+	if share > reuseNever {
+		if c := f.takeIdle(n, share); c != nil {
 			return c, nil
 		}
-		c.close()
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
@@ -30,13 +29,15 @@
 // another upstream needs for the whole call.
 const connectTimeout = 300 * time.Millisecond
 
-func (f *fleet) takeIdle(n *node) *upstreamConn {
+// takeIdle returns an idle connection that may be used again, nil if there is none. The others
+// that it comes across are closed.
+func (f *fleet) takeIdle(n *node, share reuse) *upstreamConn {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for len(n.idle) > 0 {
 		last := n.idle[len(n.idle)-1]
 		n.idle = n.idle[:len(n.idle)-1]
-		if last.usable(time.Now()) {
+		if last.usable(time.Now(), share) {
 			return last
 		}
 		last.close()
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -146,12 +146,12 @@
 // poll polls one node and records the result. Because an idle connection may be dead, only a
 // failure on a new connection counts against the node.
 func (s *Server) poll(ctx context.Context, n *node) {
-	report, err := s.pollOnce(ctx, n, false)
+	report, err := s.pollOnce(ctx, n, reuseForPolls)
 	if errors.Is(err, errUnreadableReport) {
 		return // the node was reached, but its report is neither evidence for nor against it
 	}
 	if err != nil && ctx.Err() == nil && !errors.Is(err, errWrongIncarnation) {
-		report, err = s.pollOnce(ctx, n, true)
+		report, err = s.pollOnce(ctx, n, reuseNever)
 	}
 	if ctx.Err() != nil {
 		return
@@ -186,11 +186,11 @@
 	}
 }
 
-func (s *Server) pollOnce(ctx context.Context, n *node, fresh bool) (*EngineReport, error) {
+func (s *Server) pollOnce(ctx context.Context, n *node, share reuse) (*EngineReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	head := s.options.Dialect.ReportMessage(n.address, n.name)
-	status, body, err := s.fleet.roundTrip(ctx, n, head, nil, fresh)
+	status, body, err := s.fleet.roundTrip(ctx, n, head, nil, share)
 	if err != nil {
 		return nil, err
 	}
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return err
 	}
-	status, _, err := f.roundTrip(ctx, r.node, head, body, false)
+	status, _, err := f.roundTrip(ctx, r.node, head, body, reuseForCalls)
 	if err != nil {
 		return err
 	}
@@ -116,13 +116,13 @@
 	return nil
 }
 
-// roundTrip sends a small request to a node, on a new connection if fresh is set, and returns
-// the status and the body of the answer.
-func (f *fleet) roundTrip(ctx context.Context, n *node, head *httpwire.RequestHead, body []byte, fresh bool) (int, []byte, error) {
-	conn, err := f.connect(ctx, n, fresh)
+// roundTrip sends a small request to a node and returns the status and the body of the answer.
+func (f *fleet) roundTrip(ctx context.Context, n *node, head *httpwire.RequestHead, body []byte, share reuse) (int, []byte, error) {
+	conn, err := f.connect(ctx, n, share)
 	if err != nil {
 		return 0, nil, err
 	}
+	conn.polled = share == reuseForPolls
 	deadline, _ := ctx.Deadline()
 	conn.liveness.deadline, conn.liveness.reachable = deadline, nil
 	if err := conn.conn.SetWriteDeadline(deadline); err != nil {
--- a/forward/send.go
+++ b/forward/send.go
@@ -72,7 +72,7 @@
 		}
 		defer fleet.release(w)
 	}
-	conn, err := fleet.connect(ctx, n, false)
+	conn, err := fleet.connect(ctx, n, reuseForCalls)
 	if err != nil {
 		if ctx.Err() == nil {
 			fleet.suspect(n, err)
@@ -84,6 +84,7 @@
 		x.server.options.Metrics.sendWithdrawn(x.service.Name, kindOf(w, x.sends))
 		return unavailableOutcome(w, unavailable, cause)
 	}
+	conn.polled = false
 	x.sends++
 	s := &sending{x: x, node: n, conn: conn, work: w}
 	stopWatch := context.AfterFunc(ctx, conn.close)
--- a/forward/upstream_conn.go
+++ b/forward/upstream_conn.go
@@ -16,6 +16,7 @@
 	liveness *livenessReader
 	idleAt   time.Time     // since when the connection is idle
 	idleFor  time.Duration // idle time after which the upstream closes it
+	polled   bool          // last used by a poll
 }
 
 // upstreamBuffer is large enough for the head and the first events of a typical answer.
@@ -29,21 +30,41 @@
 const (
 	// defaultIdleFor is the idle time that is assumed if the upstream does not state one.
 	defaultIdleFor = 2 * time.Second
-	// idleShare is the fraction of the idle time for which a connection is reused: a call that
-	// coincides with the upstream's close may have run, and then must not be repeated.
-	idleShare = 0.5
 )
 
-// usable reports whether a call may be sent on an idle connection: the upstream is not about to
-// close it, and no data has arrived on it in the meantime. Such data would belong to no call, or
-// be the end of the connection.
-func (c *upstreamConn) usable(now time.Time) bool {
-	if now.Sub(c.idleAt) > time.Duration(float64(c.idleFor)*idleShare) {
+// reuse is the fraction of its idle time for which an idle connection may be used again.
+type reuse float64
+
+const (
+	// reuseNever requires a new connection.
+	reuseNever reuse = 0
+	// reuseForCalls leaves a margin: a call that coincides with the upstream's close may have
+	// run, and then must not be repeated.
+	reuseForCalls reuse = 0.5
+	// reuseForPolls lets two polls in succession use one connection. A poll that fails on an
+	// idle connection is repeated on a new one.
+	reuseForPolls reuse = 0.9
+)
+
+// usable reports whether a message may be sent on an idle connection: the upstream is not about
+// to close it, and no data has arrived on it in the meantime. Such data would belong to no call,
+// or be the end of the connection.
+func (c *upstreamConn) usable(now time.Time, share reuse) bool {
+	if now.Sub(c.idleAt) > time.Duration(float64(c.idleFor)*float64(share)) {
 		return false
 	}
 	return c.reader.Buffered() == 0 && !readable(c.conn)
 }
 
+// worthKeeping reports whether an idle connection may still be used by the next call, or by the
+// next poll if it serves polls.
+func (c *upstreamConn) worthKeeping(now time.Time) bool {
+	if c.polled {
+		return c.usable(now, reuseForPolls)
+	}
+	return c.usable(now, reuseForCalls)
+}
+
 func (c *upstreamConn) close() { _ = c.conn.Close() } // the connection is not used again
 
 // readable reports whether a read would return at once, without consuming data.
