Name announcements, their receipt and poison requests by the field's terms

heardUpTo, receiveHeard, heardDelta, heardAt and hear say what was applied, received and announced; lethal requests are poison requests as in docs/GLOSSARY.md; streams that allow long pauses are tolerant. Names on the wire, in stored data and in settings stay. Behaviour unchanged.

--- a/control/attached_test.go
+++ b/control/attached_test.go
@@ -351,19 +351,19 @@
 		}, reply)
 		return reply
 	}
-	c.hear(now, engine)
+	c.receiveAnnouncement(now, engine)
 	now = now.Add(relayInterval)
 	c.fanout.step(now)
 	held := hold()
 	engine.Sequence++
-	c.hear(now, engine)
+	c.receiveAnnouncement(now, engine)
 	now = now.Add(relayInterval)
 	if c.fanout.step(now); len(held) > 0 {
 		t.Error("a repeated announcement of an engine wakes instances")
 	}
 	engine.Sequence++
 	engine.Leaving = true
-	c.hear(now, engine)
+	c.receiveAnnouncement(now, engine)
 	if c.fanout.step(now); len(held) == 0 {
 		t.Error("a leaving engine does not wake the instance")
 	}
--- a/control/attachment/roster.go
+++ b/control/attachment/roster.go
@@ -18,7 +18,7 @@
 // entry is an attached instance.
 type entry struct {
 	instance       membership.Instance
-	heardAt        time.Time
+	receivedAt     time.Time
 	minIncarnation uint64 // higher incarnation of the name that a leader knows, 0 if none
 	acknowledged   bool   // a leader has acknowledged this incarnation
 	needsFull      bool   // the leader may not know this incarnation and needs a full report
@@ -47,11 +47,11 @@
 		return membership.Stale, false
 	}
 	if known == nil || i.Incarnation > known.instance.Incarnation {
-		r.entries[i.Name] = &entry{instance: i, heardAt: now, needsFull: true}
+		r.entries[i.Name] = &entry{instance: i, receivedAt: now, needsFull: true}
 		return membership.Accepted, true
 	}
 	urgent = known.instance.State != i.State || known.instance.Evacuated != i.Evacuated
-	known.instance, known.heardAt = i, now
+	known.instance, known.receivedAt = i, now
 	return membership.Accepted, urgent
 }
 
@@ -82,7 +82,7 @@
 	reports := make([]Report, 0, len(r.entries))
 	for _, e := range r.entries {
 		if e.instance.Incarnation >= e.minIncarnation {
-			reports = append(reports, Report{Instance: e.instance, Full: e.needsFull, Age: now.Sub(e.heardAt)})
+			reports = append(reports, Report{Instance: e.instance, Full: e.needsFull, Age: now.Sub(e.receivedAt)})
 		}
 	}
 	slices.SortFunc(reports, func(a, b Report) int { return strings.Compare(a.Instance.Name, b.Instance.Name) })
@@ -91,7 +91,7 @@
 
 func (r *Roster) expire(now time.Time) {
 	for name, e := range r.entries {
-		if now.Sub(e.heardAt) > r.retention {
+		if now.Sub(e.receivedAt) > r.retention {
 			delete(r.entries, name)
 		}
 	}
--- a/control/core.go
+++ b/control/core.go
@@ -32,9 +32,9 @@
 	failedRevision uint64 // last revision that could not be installed
 	lease          lease
 	members        memberList
-	heard          *upstream.Registry // announcements received directly, to be sent to the leader
+	direct         *upstream.Registry // announcements received directly, to be sent to the leader
 	known          *upstream.Registry // all known announcements
-	out            outbox             // batches of the announcements in heard, for the leader
+	out            outbox             // batches of the announcements in direct, for the leader
 	received       *relay.Receiver    // batches from the leader
 	grants         []quota.Grant
 	initialTree    []byte // initial settings tree, for a group that has never accepted one
@@ -56,12 +56,12 @@
 // syncPosition is what this instance and a leader have acknowledged of each other's
 // updates.
 type syncPosition struct {
-	epoch     string
-	leader    string // control address; on an attached instance that of its voter
-	stated    bool   // the leader knows this incarnation in full
-	members   uint64
-	grants    uint64 // allocation round of the grants in use
-	heardUpTo uint64 // last batch of this instance that the leader has applied
+	epoch       string
+	leader      string // control address; on an attached instance that of its voter
+	stated      bool   // the leader knows this incarnation in full
+	members     uint64
+	grants      uint64 // allocation round of the grants in use
+	appliedUpTo uint64 // last batch of this instance that the leader has applied
 }
 
 func newCore(n *Node) (*core, error) {
@@ -96,8 +96,8 @@
 	if err := c.renewIncarnation(0); err != nil {
 		return nil, err
 	}
-	c.heard = upstream.NewRegistry(c.freshFor())
-	c.out = newOutbox(c.heard)
+	c.direct = upstream.NewRegistry(c.freshFor())
+	c.out = newOutbox(c.direct)
 	c.received = relay.NewReceiver()
 	c.known = upstream.NewRegistry(c.freshFor())
 	if c.group != nil {
@@ -138,9 +138,9 @@
 	}
 }
 
-// hear processes an announcement that an upstream made to this instance.
-func (c *core) hear(now time.Time, a upstream.Announcement) {
-	news := c.heard.Apply(now, a)
+// receiveAnnouncement processes an announcement that an upstream made to this instance.
+func (c *core) receiveAnnouncement(now time.Time, a upstream.Announcement) {
+	news := c.direct.Apply(now, a)
 	c.logUpstream(a)
 	c.known.Apply(now, a)
 	if !news {
--- a/control/delivery.go
+++ b/control/delivery.go
@@ -72,7 +72,7 @@
 	for err == nil {
 		synced := n.syncOnce(ctx, 0)
 		var delivered bool
-		if err = n.do(ctx, func(time.Time) { delivered = n.core.position.heardUpTo >= wanted }); err != nil {
+		if err = n.do(ctx, func(time.Time) { delivered = n.core.position.appliedUpTo >= wanted }); err != nil {
 			break
 		}
 		if synced == nil && delivered {
--- a/control/delivery_test.go
+++ b/control/delivery_test.go
@@ -84,17 +84,17 @@
 	c := newTestCore(t)
 	c.group = &group{core: c, machine: state.New()}
 	c.fanout = newFanout(c)
-	hear := func(sequence uint64) {
-		c.hear(now, upstream.Announcement{Name: "e", Incarnation: 1, Sequence: sequence, Address: "10.0.0.1:9", Targets: []string{"m"}, Leaving: sequence > 1})
+	announce := func(sequence uint64) {
+		c.receiveAnnouncement(now, upstream.Announcement{Name: "e", Incarnation: 1, Sequence: sequence, Address: "10.0.0.1:9", Targets: []string{"m"}, Leaving: sequence > 1})
 		c.gatherPosition(now)
 	}
-	hear(1)
-	c.position = syncPosition{epoch: "old", heardUpTo: c.out.sender.Position()}
-	hear(2)
+	announce(1)
+	c.position = syncPosition{epoch: "old", appliedUpTo: c.out.sender.Position()}
+	announce(2)
 	done := c.fanout.delivery.await(c.fanout.delivery.nextMark())
 	answer := func(epoch string, upTo uint64) *searchAnswer {
 		request, _ := c.syncRequest(now, 0)
-		return &searchAnswer{target: "a", sentAt: now, request: &request, response: &syncResponse{Epoch: epoch, HeardUpTo: upTo}}
+		return &searchAnswer{target: "a", sentAt: now, request: &request, response: &syncResponse{Epoch: epoch, AppliedUpTo: upTo}}
 	}
 	if err := c.applySync(now, answer("new", 0)); err != nil {
 		t.Fatal(err)
--- a/control/evidence_test.go
+++ b/control/evidence_test.go
@@ -15,13 +15,13 @@
 
 var began = time.Unix(1_700_000_000, 0)
 
-var lethal = quarantine.Fingerprint{Scope: 1, Body: 7}
+var poison = quarantine.Fingerprint{Scope: 1, Body: 7}
 
 // reportCrashes reports one crash through each of the given instances.
 func (f *fleet) reportCrashes(at []*testNode) {
 	f.t.Helper()
 	for n, m := range at {
-		m.node.ReportEvidence(quarantine.Evidence{Request: lethal, Outcome: quarantine.EndedStarted, Upstream: uint64(n + 1)})
+		m.node.ReportEvidence(quarantine.Evidence{Request: poison, Outcome: quarantine.EndedStarted, Upstream: uint64(n + 1)})
 	}
 }
 
@@ -30,7 +30,7 @@
 func (f *fleet) awaitQuarantine(at []*testNode, want bool) {
 	f.t.Helper()
 	for _, m := range at {
-		f.await("the quarantine", func() bool { return m.node.View().Quarantine.Contains(lethal) == want })
+		f.await("the quarantine", func() bool { return m.node.View().Quarantine.Contains(poison) == want })
 	}
 }
 
@@ -42,7 +42,7 @@
 	f.awaitInstalled(f.apply(0, "a", testTree(1)).Revision)
 	f.reportCrashes(f.members[3:6])
 	f.awaitQuarantine(f.members[3:], true)
-	f.members[6].node.ReportEvidence(quarantine.Evidence{Request: lethal, Outcome: quarantine.Answered})
+	f.members[6].node.ReportEvidence(quarantine.Evidence{Request: poison, Outcome: quarantine.Answered})
 	f.awaitQuarantine(f.members[3:], false)
 }
 
@@ -128,7 +128,7 @@
 		})
 		return known
 	})
-	evidence := []quarantine.Evidence{{Request: lethal, Outcome: quarantine.EndedStarted, Upstream: 1}}
+	evidence := []quarantine.Evidence{{Request: poison, Outcome: quarantine.EndedStarted, Upstream: 1}}
 	if err := leader.node.proposeEvidence(t.Context(), evidence); !errors.Is(err, errOldVoters) {
 		t.Errorf("with an old voter: %v", err)
 	}
@@ -161,7 +161,7 @@
 func TestSnapshotKeepsTheEvidence(t *testing.T) {
 	first, second := state.New(), state.New()
 	for index := range uint64(3) {
-		command := state.Command{Evidence: []quarantine.Evidence{{Request: lethal, Outcome: quarantine.EndedStarted, Upstream: index + 1}}}
+		command := state.Command{Evidence: []quarantine.Evidence{{Request: poison, Outcome: quarantine.EndedStarted, Upstream: index + 1}}}
 		data, err := command.Encode()
 		if err != nil {
 			t.Fatal(err)
@@ -176,9 +176,9 @@
 		if err := second.Restore(kept); err != nil {
 			t.Fatal(err)
 		}
-		if second.QuarantineVersion() != first.QuarantineVersion() || second.Quarantine().Contains(lethal) != (index == 2) {
+		if second.QuarantineVersion() != first.QuarantineVersion() || second.Quarantine().Contains(poison) != (index == 2) {
 			t.Errorf("after %d crashes version %d is restored as %d, quarantined: %t",
-				index+1, first.QuarantineVersion(), second.QuarantineVersion(), second.Quarantine().Contains(lethal))
+				index+1, first.QuarantineVersion(), second.QuarantineVersion(), second.Quarantine().Contains(poison))
 		}
 	}
 }
@@ -193,10 +193,10 @@
 	f.awaitQuarantine(f.members[3:], true)
 	var status QuarantineStatus
 	f.ask(CommandQuarantineList, nil, &status)
-	if len(status.Records) != 1 || status.Records[0].Request != lethal || !status.Records[0].Quarantined {
+	if len(status.Records) != 1 || status.Records[0].Request != poison || !status.Records[0].Quarantined {
 		t.Errorf("listed: %+v", status)
 	}
-	body, err := encode(ReleaseRequest{Request: lethal})
+	body, err := encode(ReleaseRequest{Request: poison})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/control/fanout.go
+++ b/control/fanout.go
@@ -73,8 +73,8 @@
 	}
 	wait := time.Duration(request.WaitMs) * time.Millisecond
 	p := poll{request: request, arrivedAt: arrivedAt, due: now.Add(min(wait, f.core.timing.Sync)), reply: reply}
-	p.heardUpTo = f.receiveHeard(now, &p)
-	p.mayAnnounceLeaving = len(request.heard) > 0 && f.leavingMark > f.delivery.acknowledged
+	p.appliedUpTo = f.receiveAnnouncements(now, &p)
+	p.mayAnnounceLeaving = len(request.announcements) > 0 && f.leavingMark > f.delivery.acknowledged
 	f.polls = append(f.polls, p)
 }
 
@@ -92,13 +92,13 @@
 	return true
 }
 
-// receiveHeard processes the announcements received by an attached instance, which are
+// receiveAnnouncements processes the announcements received by an attached instance, which are
 // forwarded to the leader like those that this voter received itself.
-func (f *fanout) receiveHeard(now time.Time, p *poll) uint64 {
+func (f *fanout) receiveAnnouncements(now time.Time, p *poll) uint64 {
 	relayed, position := receiveInbox(f.inboxes, now, p)
 	for _, r := range relayed {
 		f.core.logUpstream(r.Announcement)
-		f.core.heard.ApplyRelayed(now, r)
+		f.core.direct.ApplyRelayed(now, r)
 		if !f.core.known.ApplyRelayed(now, r) {
 			continue
 		}
@@ -167,7 +167,7 @@
 		Members:            f.membersSince(members),
 		MembersAt:          f.core.members.revision,
 		Settled:            f.core.members.settled,
-		HeardUpTo:          p.heardUpTo,
+		AppliedUpTo:        p.appliedUpTo,
 		HeldMs:             now.Sub(p.arrivedAt).Milliseconds(),
 		Detached:           !f.connected(now),
 		Accepted:           f.roster.Acknowledged(r.Instance.Name),
--- a/control/fuzz_test.go
+++ b/control/fuzz_test.go
@@ -19,12 +19,12 @@
 	f.Add(whole, []byte{})
 	f.Add([]byte(`{"attach":true,"brief":{"n":"a","i":3},"members":9,"upstreams":7}`), []byte{0x0a, 0x02})
 	f.Add([]byte(`{"attach":true,"probe":true}`), []byte{})
-	f.Fuzz(func(t *testing.T, stateText, heard []byte) {
+	f.Fuzz(func(t *testing.T, stateText, announcements []byte) {
 		var request syncRequest
 		if json.Unmarshal(stateText, &request) != nil || request.check() != nil {
 			return
 		}
-		request.heard = heard
+		request.announcements = announcements
 		c := newTestCore(t)
 		c.group = &group{core: c, machine: state.New()}
 		c.fanout = newFanout(c)
--- a/control/leader.go
+++ b/control/leader.go
@@ -32,11 +32,11 @@
 
 // poll is a sync whose response is held until there is a change.
 type poll struct {
-	request   *syncRequest
-	arrivedAt time.Time
-	heardUpTo uint64
-	due       time.Time
-	reply     chan<- *syncResponse
+	request     *syncRequest
+	arrivedAt   time.Time
+	appliedUpTo uint64
+	due         time.Time
+	reply       chan<- *syncResponse
 
 	unknown            []string          // attached instances that must be stated in full
 	superseded         map[string]uint64 // attached instances of which a higher incarnation is known, with that incarnation
@@ -101,7 +101,7 @@
 	l.allocation.recordDemand(now, request.Instance.Name, request.Demand, request.Grants)
 	wait := time.Duration(request.WaitMs) * time.Millisecond
 	p := poll{request: request, arrivedAt: arrivedAt, due: now.Add(min(wait, l.core.timing.Sync)), reply: reply}
-	p.heardUpTo = l.receiveHeard(now, &p)
+	p.appliedUpTo = l.receiveAnnouncements(now, &p)
 	p.unknown, p.superseded = l.acceptAttached(now, request.Attached)
 	l.polls = append(l.polls, p)
 }
@@ -160,15 +160,15 @@
 	}
 	group := l.core.group
 	response := &syncResponse{
-		Leader:    l.core.self.ControlAddress,
-		Epoch:     l.epoch,
-		Revision:  group.machine.Current().Number,
-		Members:   memberDelta{list: l.table.Changed(members)},
-		MembersAt: l.table.Revision(),
-		Settled:   l.table.Settled(now),
-		HeardUpTo: p.heardUpTo,
-		HeldMs:    now.Sub(p.arrivedAt).Milliseconds(),
-		Unknown:   p.unknown,
+		Leader:      l.core.self.ControlAddress,
+		Epoch:       l.epoch,
+		Revision:    group.machine.Current().Number,
+		Members:     memberDelta{list: l.table.Changed(members)},
+		MembersAt:   l.table.Revision(),
+		Settled:     l.table.Settled(now),
+		AppliedUpTo: p.appliedUpTo,
+		HeldMs:      now.Sub(p.arrivedAt).Milliseconds(),
+		Unknown:     p.unknown,
 
 		SupersededAttached: p.superseded,
 		Quarantine:         group.quarantineAfter(r),
--- a/control/node.go
+++ b/control/node.go
@@ -106,7 +106,7 @@
 		return
 	}
 	select {
-	case n.tasks <- func(now time.Time) { n.core.hear(now, a) }:
+	case n.tasks <- func(now time.Time) { n.core.receiveAnnouncement(now, a) }:
 	default:
 	}
 }
@@ -115,7 +115,7 @@
 // acknowledgement to the upstream is valid for every instance: the leader forwards a
 // leaving upstream to all instances at once.
 func (n *Node) AnnounceAndWait(ctx context.Context, a upstream.Announcement) error {
-	if err := n.do(ctx, func(now time.Time) { n.core.hear(now, a) }); err != nil {
+	if err := n.do(ctx, func(now time.Time) { n.core.receiveAnnouncement(now, a) }); err != nil {
 		return err
 	}
 	return n.propagate(ctx)
--- a/control/relay/load.go
+++ b/control/relay/load.go
@@ -35,7 +35,7 @@
 		a, old := &u.announcement, before[u.ref]
 		b.Refs = append(b.Refs, u.ref-last)
 		last = u.ref
-		b.Ages = append(b.Ages, unitsOf(now.Sub(u.heardAt), ageUnit))
+		b.Ages = append(b.Ages, unitsOf(now.Sub(u.receivedAt), ageUnit))
 		b.Running = append(b.Running, uint32(a.Load.Running))
 		b.QueuedPrefill = append(b.QueuedPrefill, tokenUnits(a.Load.QueuedPrefill, prefillUnit))
 		b.Held = append(b.Held, tokenUnits(a.Load.HeldTokens, heldUnit))
--- a/control/relay/sender.go
+++ b/control/relay/sender.go
@@ -16,7 +16,7 @@
 
 const (
 	maxBatches = 16        // a receiver that is further behind gets the full table
-	retention  = time.Hour // upstreams that were not heard from for this long are removed from the table
+	retention  = time.Hour // upstreams that have not announced themselves for this long are removed from the table
 )
 
 // Sender collects announcements into numbered batches. Each batch is encoded once for all
@@ -33,14 +33,14 @@
 type tableEntry struct {
 	ref          uint32
 	announcement upstream.Announcement
-	heardAt      time.Time
+	receivedAt   time.Time
 }
 
 // coldTolerance is the difference in the end of an upstream's cold time that is not worth a full
 // announcement: ages are rounded, and heartbeats take different times.
 const coldTolerance = 400 * time.Millisecond
 
-func (u *tableEntry) coldUntil() time.Time { return u.heardAt.Add(u.announcement.ColdFor) }
+func (u *tableEntry) coldUntil() time.Time { return u.receivedAt.Add(u.announcement.ColdFor) }
 
 // coldEndMoves reports whether an upstream now states a noticeably different end of its cold
 // time. Ends in the past are equal.
@@ -70,17 +70,17 @@
 	before := map[uint32]upstream.Announcement{}
 	for _, c := range changes {
 		old := s.table[c.Announcement.Name]
-		heardAt := now.Add(-c.Age)
-		if old == nil || !sameIdentity(&old.announcement, &c.Announcement) || old.coldEndMoves(now, heardAt.Add(c.Announcement.ColdFor)) {
-			if err := s.addNew(&b, c, heardAt); err != nil {
+		receivedAt := now.Add(-c.Age)
+		if old == nil || !sameIdentity(&old.announcement, &c.Announcement) || old.coldEndMoves(now, receivedAt.Add(c.Announcement.ColdFor)) {
+			if err := s.addNew(&b, c, receivedAt); err != nil {
 				return err
 			}
 			continue
 		}
 		before[old.ref] = old.announcement
 		coldUntil := old.coldUntil()
-		old.announcement, old.heardAt = c.Announcement, heardAt
-		old.announcement.ColdFor = max(0, coldUntil.Sub(heardAt))
+		old.announcement, old.receivedAt = c.Announcement, receivedAt
+		old.announcement.ColdFor = max(0, coldUntil.Sub(receivedAt))
 		known = append(known, old)
 	}
 	s.addLoads(now, &b, known, before)
@@ -141,7 +141,7 @@
 func (s *Sender) encodeTable(now time.Time) ([]byte, error) {
 	var b rpc.UpstreamBatch
 	for _, u := range s.sorted() {
-		if err := appendNew(&b, u.ref, &u.announcement, now.Sub(u.heardAt)); err != nil {
+		if err := appendNew(&b, u.ref, &u.announcement, now.Sub(u.receivedAt)); err != nil {
 			return nil, err
 		}
 	}
@@ -163,9 +163,9 @@
 
 // addNew assigns an upstream a new reference. References are never reused, so a receiver
 // that missed a batch cannot mistake one upstream for another.
-func (s *Sender) addNew(b *rpc.UpstreamBatch, c upstream.Relayed, heardAt time.Time) error {
+func (s *Sender) addNew(b *rpc.UpstreamBatch, c upstream.Relayed, receivedAt time.Time) error {
 	s.lastRef++
-	s.table[c.Announcement.Name] = &tableEntry{ref: s.lastRef, announcement: c.Announcement, heardAt: heardAt}
+	s.table[c.Announcement.Name] = &tableEntry{ref: s.lastRef, announcement: c.Announcement, receivedAt: receivedAt}
 	return appendNew(b, s.lastRef, &c.Announcement, c.Age)
 }
 
@@ -184,7 +184,7 @@
 
 func (s *Sender) expire(now time.Time) {
 	for name, u := range s.table {
-		if now.Sub(u.heardAt) > retention {
+		if now.Sub(u.receivedAt) > retention {
 			delete(s.table, name)
 		}
 	}
--- a/control/relaying.go
+++ b/control/relaying.go
@@ -50,7 +50,7 @@
 	if box.receiver == nil || box.incarnation != i.Incarnation {
 		box = inbox{incarnation: i.Incarnation, receiver: relay.NewReceiver()}
 	}
-	relayed, err := box.receiver.Apply(p.request.heard, now.Sub(p.arrivedAt))
+	relayed, err := box.receiver.Apply(p.request.announcements, now.Sub(p.arrivedAt))
 	if err != nil {
 		box.receiver = relay.NewReceiver()
 	}
@@ -58,9 +58,9 @@
 	return relayed, box.receiver.Position()
 }
 
-// receiveHeard applies the announcements sent by an instance and returns the position up
+// receiveAnnouncements applies the announcements sent by an instance and returns the position up
 // to which the leader has them.
-func (l *leader) receiveHeard(now time.Time, p *poll) uint64 {
+func (l *leader) receiveAnnouncements(now time.Time, p *poll) uint64 {
 	relayed, position := receiveInbox(l.inboxes, now, p)
 	for _, r := range relayed {
 		l.core.logUpstream(r.Announcement)
--- a/control/remembered.go
+++ b/control/remembered.go
@@ -97,7 +97,7 @@
 	}
 	if err != nil {
 		eventFleetStoreFailed.Log(c.log, event.Fields{"error": err})
-		return nil //nolint:nilerr // it only helps for the first seconds; everything is heard again
+		return nil //nolint:nilerr // it only helps for the first seconds; everything is announced again
 	}
 	c.addRemembered(now, &r)
 	return nil
--- a/control/service.go
+++ b/control/service.go
@@ -27,7 +27,7 @@
 	if err := request.check(); err != nil {
 		return nil, twirp.InvalidArgumentError("state", err.Error())
 	}
-	request.heard = in.Heard
+	request.announcements = in.Heard
 	response, err := s.node.handleSync(ctx, &request)
 	if err == nil && response.mayAnnounceLeaving {
 		err = s.node.propagate(ctx)
--- a/control/syncapply.go
+++ b/control/syncapply.go
@@ -71,7 +71,7 @@
 // updates. A new leader lacks the earlier batches and acknowledges nothing until it has
 // been sent all of them.
 func (c *core) acknowledgeDelivery(a *searchAnswer) {
-	if a.response.HeardUpTo >= a.request.batchPosition {
+	if a.response.AppliedUpTo >= a.request.batchPosition {
 		c.fanout.delivery.acknowledge(a.request.deliveryMark)
 		return
 	}
@@ -124,7 +124,7 @@
 
 func (c *core) applyDeltas(now, sentAt time.Time, r *syncResponse) {
 	c.position.members = max(c.position.members, r.MembersAt)
-	c.position.heardUpTo = r.HeardUpTo
+	c.position.appliedUpTo = r.AppliedUpTo
 	c.members.merge(now, r.Members.list)
 	if r.Settled {
 		c.members.settle(now)
@@ -191,7 +191,7 @@
 		return err
 	}
 	eventInstalled.Log(c.log, event.Fields{"revision": r.Revision})
-	c.heard.SetFreshFor(c.freshFor())
+	c.direct.SetFreshFor(c.freshFor())
 	c.known.SetFreshFor(c.freshFor())
 	if !c.attaches() {
 		c.node.requestSync() // confirm at once; an attached instance's next sync follows this response anyway
--- a/control/syncclient.go
+++ b/control/syncclient.go
@@ -93,7 +93,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.opts.Timing.Call)
 	defer cancel()
-	answer, err := n.clients.At(target).Sync(ctx, &rpc.SyncRequest{State: state, Heard: request.heard})
+	answer, err := n.clients.At(target).Sync(ctx, &rpc.SyncRequest{State: state, Heard: request.announcements})
 	if err != nil {
 		return nil, rpc.FromTwirp(err)
 	}
--- a/control/synctarget.go
+++ b/control/synctarget.go
@@ -15,13 +15,13 @@
 func (c *core) syncRequest(now time.Time, wait time.Duration) (syncRequest, string) {
 	c.self.Revision = c.installed.revision()
 	c.self.Evacuated = evacuation.VersionOf(c.evacuated)
-	heard := c.heardDelta(now)
+	announcements := c.announcementsDelta(now)
 	quarantined := c.quarantined.Version()
 	request := syncRequest{
 		Epoch:         c.position.epoch,
 		Members:       c.position.members,
 		Upstreams:     c.received.Position(),
-		heard:         heard,
+		announcements: announcements,
 		batchPosition: c.out.sender.Position(),
 		Claims:        c.claimsEpoch(),
 		Demand:        c.demand,
@@ -56,10 +56,10 @@
 // attaches reports whether this instance syncs with any voter instead of the leader.
 func (c *core) attaches() bool { return c.group == nil && c.node.opts.FanOut }
 
-// heardDelta encodes the announcements that the leader has not acknowledged.
-func (c *core) heardDelta(now time.Time) []byte {
+// announcementsDelta encodes the announcements that the leader has not acknowledged.
+func (c *core) announcementsDelta(now time.Time) []byte {
 	err := c.out.gather(now)
-	delta, sinceErr := c.out.sender.Since(now, c.position.heardUpTo)
+	delta, sinceErr := c.out.sender.Since(now, c.position.appliedUpTo)
 	if err = errors.CombineErrors(err, sinceErr); err != nil {
 		eventRelayFailed.Log(c.log, event.Fields{"error": err})
 		return nil
--- a/control/syncwire.go
+++ b/control/syncwire.go
@@ -35,9 +35,9 @@
 
 	Evacuated uint64 `json:"evacuated,omitempty"` // known version of the evacuated zones
 
-	heard         []byte // announcements received directly that the leader has not acknowledged; sent beside the JSON
+	announcements []byte // announcements received directly that the leader has not acknowledged; sent beside the JSON
 	deliveryMark  uint64 // of a voter: delivery mark that this sync covers; not sent
-	batchPosition uint64 // position of the receiver after it has applied heard, if it has all earlier batches; not sent
+	batchPosition uint64 // position of the receiver after it has applied announcements, if it has all earlier batches; not sent
 }
 
 // check rejects a sync that no correct instance of this version sends.
@@ -87,7 +87,7 @@
 	Settled     bool               `json:"settled,omitempty"` // the leader knows every live instance
 	MembersAt   uint64             `json:"members_at,omitempty"`
 	HeldMs      int64              `json:"held_ms,omitempty"`     // how long the leader held the sync
-	HeardUpTo   uint64             `json:"heard_up_to,omitempty"` // last batch of this instance that the leader has applied
+	AppliedUpTo uint64             `json:"heard_up_to,omitempty"` // last batch of this instance that the leader has applied
 	Grants      []quota.Grant      `json:"grants,omitempty"`
 	GrantsAt    uint64             `json:"grants_at,omitempty"`
 	Voters      []consensus.Member `json:"voters,omitempty"`
--- a/control/upstreams_test.go
+++ b/control/upstreams_test.go
@@ -40,14 +40,14 @@
 	f := newFleet(t, 3, 2)
 	first := f.apply(0, "a", testTree(1))
 	f.awaitInstalled(first.Revision)
-	heard := f.members[4]
+	receiver := f.members[4]
 	a := &upstream.Announcement{Name: "e1", Incarnation: 1, Address: "10.0.0.1:9", Targets: []string{"m"}}
-	f.awaitSeen(a, heard, upstream.Fresh)
+	f.awaitSeen(a, receiver, upstream.Fresh)
 	a.Load.Running = 7
-	f.awaitSeen(a, heard, upstream.Fresh)
+	f.awaitSeen(a, receiver, upstream.Fresh)
 	f.crash(f.leader())
 	a.Load.Running = 9
-	f.awaitSeen(a, heard, upstream.Fresh)
+	f.awaitSeen(a, receiver, upstream.Fresh)
 	a.Leaving = true
-	f.awaitSeen(a, heard, upstream.Leaving)
+	f.awaitSeen(a, receiver, upstream.Leaving)
 }
--- a/control/voter_bench_test.go
+++ b/control/voter_bench_test.go
@@ -16,7 +16,7 @@
 // with a voter.
 type attachedCaller struct {
 	name         string
-	heard        *upstream.Registry
+	direct       *upstream.Registry
 	out          outbox
 	acknowledged uint64 // batches of the instance that the voter has applied
 	upstreams    uint64 // last batch of the voter that the instance has applied
@@ -28,11 +28,11 @@
 	if err := a.out.gather(now); err != nil {
 		b.Fatal(err)
 	}
-	heard, err := a.out.sender.Since(now, a.acknowledged)
+	announcements, err := a.out.sender.Since(now, a.acknowledged)
 	if err != nil {
 		b.Fatal(err)
 	}
-	request := &syncRequest{Epoch: f.epoch, Attach: true, Upstreams: a.upstreams, Members: f.core.members.revision, heard: heard}
+	request := &syncRequest{Epoch: f.epoch, Attach: true, Upstreams: a.upstreams, Members: f.core.members.revision, announcements: announcements}
 	if a.stated {
 		request.Brief = &briefInstance{Name: a.name, Incarnation: 1}
 	} else {
@@ -43,7 +43,7 @@
 	f.accept(now, now, request, reply)
 	f.step(now)
 	response := <-reply
-	a.acknowledged, a.upstreams = response.HeardUpTo, f.out.sender.Position()
+	a.acknowledged, a.upstreams = response.AppliedUpTo, f.out.sender.Position()
 	state, err := json.Marshal(response)
 	if err != nil {
 		b.Fatal(err)
@@ -64,7 +64,7 @@
 	var callers []*attachedCaller
 	for i := range instances {
 		registry := upstream.NewRegistry(3 * time.Second)
-		callers = append(callers, &attachedCaller{name: fmt.Sprint("front-", i), heard: registry, out: newOutbox(registry)})
+		callers = append(callers, &attachedCaller{name: fmt.Sprint("front-", i), direct: registry, out: newOutbox(registry)})
 	}
 	announced := func(n, sequence int) upstream.Announcement {
 		return upstream.Announcement{
@@ -101,7 +101,7 @@
 			c.publish(now)
 			for i, caller := range callers {
 				for k := half; k < each; k += 2 {
-					caller.heard.Apply(now, announced(i*each+k, sequence))
+					caller.direct.Apply(now, announced(i*each+k, sequence))
 				}
 				size = caller.sync(b, c.fanout, now)
 			}
--- a/forward/suspects_test.go
+++ b/forward/suspects_test.go
@@ -36,7 +36,7 @@
 }
 
 var (
-	lethalRequest = quarantine.Fingerprint{Scope: 1, Body: 7}
+	poisonRequest = quarantine.Fingerprint{Scope: 1, Body: 7}
 	began         = time.Unix(1_700_000_000, 0)
 )
 
@@ -50,15 +50,15 @@
 // count the crashes.
 func TestLocalEvidenceRejectsUntilControlDecides(t *testing.T) {
 	s, plane := newTestSuspects()
-	recordCrashes(s, lethalRequest, 2)
-	if s.rejects(began, lethalRequest) {
+	recordCrashes(s, poisonRequest, 2)
+	if s.rejects(began, poisonRequest) {
 		t.Error("rejected after two crashes")
 	}
-	recordCrashes(s, lethalRequest, 3)
-	if !s.rejects(began, lethalRequest) || len(plane.evidence) != 5 {
-		t.Errorf("rejected after three crashes: %t; %d reported", s.rejects(began, lethalRequest), len(plane.evidence))
+	recordCrashes(s, poisonRequest, 3)
+	if !s.rejects(began, poisonRequest) || len(plane.evidence) != 5 {
+		t.Errorf("rejected after three crashes: %t; %d reported", s.rejects(began, poisonRequest), len(plane.evidence))
 	}
-	if s.rejects(began.Add(localLimits.Retention), lethalRequest) {
+	if s.rejects(began.Add(localLimits.Retention), poisonRequest) {
 		t.Error("rejected after the retention although control did not confirm the quarantine")
 	}
 }
@@ -67,9 +67,9 @@
 // while they had one in flight.
 func TestAnsweredRequestsAreNotBlamed(t *testing.T) {
 	s, plane := newTestSuspects()
-	s.recordServed(began, lethalRequest)
-	recordCrashes(s, lethalRequest, 9)
-	if s.rejects(began, lethalRequest) || len(plane.evidence) > 0 {
+	s.recordServed(began, poisonRequest)
+	recordCrashes(s, poisonRequest, 9)
+	if s.rejects(began, poisonRequest) || len(plane.evidence) > 0 {
 		t.Errorf("reported evidence: %+v", plane.evidence)
 	}
 }
@@ -77,14 +77,14 @@
 // Guards against a quarantine that outlasts the proof that the request is harmless.
 func TestAnswerIsReported(t *testing.T) {
 	s, plane := newTestSuspects()
-	recordCrashes(s, lethalRequest, 1)
-	s.recordServed(began, lethalRequest)
+	recordCrashes(s, poisonRequest, 1)
+	s.recordServed(began, poisonRequest)
 	if last := plane.evidence[len(plane.evidence)-1]; last.Outcome != quarantine.Answered {
 		t.Errorf("reported last: %+v", last)
 	}
 	s, plane = newTestSuspects()
-	plane.view.Quarantine = quarantine.NewList(1, []quarantine.Fingerprint{lethalRequest})
-	s.recordServed(began, lethalRequest)
+	plane.view.Quarantine = quarantine.NewList(1, []quarantine.Fingerprint{poisonRequest})
+	s.recordServed(began, poisonRequest)
 	if len(plane.evidence) != 1 || plane.evidence[0].Outcome != quarantine.Answered {
 		t.Errorf("reported %+v", plane.evidence)
 	}
@@ -105,7 +105,7 @@
 			registry.Apply(time.Now(), upstream.Announcement{Name: "ready", Incarnation: 1, Sequence: 1, Address: "10.0.0.2:1"})
 			plane := &evidencePlane{view: &control.View{Upstreams: registry.Snapshot(time.Now())}}
 			f.options.Plane = plane
-			<-f.recordBroken(&node{incarnationID: incarnationID{name: name, incarnation: 1}}, brokenSend{request: lethalRequest, phase: phaseStarted})
+			<-f.recordBroken(&node{incarnationID: incarnationID{name: name, incarnation: 1}}, brokenSend{request: poisonRequest, phase: phaseStarted})
 			if len(plane.evidence) != want {
 				t.Errorf("engine %s: its end is reported as evidence %d times, want %d", name, len(plane.evidence), want)
 			}
@@ -145,11 +145,11 @@
 	ours, theirs := net.Pipe()
 	defer theirs.Close()
 	go func() { _, _ = io.Copy(io.Discard, theirs) }()
-	x := &exchange{server: server, writer: &callerWriter{conn: ours}, call: &Call{}, began: time.Now(), fingerprint: lethalRequest}
-	recordCrashes(s, lethalRequest, 2)
+	x := &exchange{server: server, writer: &callerWriter{conn: ours}, call: &Call{}, began: time.Now(), fingerprint: poisonRequest}
+	recordCrashes(s, poisonRequest, 2)
 	x.forwardFailure(&failureAnswer{status: http.StatusInternalServerError})
-	recordCrashes(s, lethalRequest, 3)
-	if !s.rejects(began, lethalRequest) {
+	recordCrashes(s, poisonRequest, 3)
+	if !s.rejects(began, poisonRequest) {
 		t.Errorf("reported %+v", plane.evidence)
 	}
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -22,7 +22,7 @@
 	instance   Instance
 	changed    uint64    // table revision of the last visible change
 	grantedAt  time.Time // when the last lease was granted, zero if never
-	heardAt    time.Time
+	receivedAt time.Time
 	holdsLease bool // the lease may still be valid
 }
 
@@ -49,20 +49,20 @@
 // reports counts as the grant of one: no revision is considered in force while the instance
 // is live and has confirmed only an older revision.
 func (t *Table) RecordForwarded(now time.Time, age time.Duration, i Instance) Verdict {
-	heardAt := now.Add(-age)
+	receivedAt := now.Add(-age)
 	if known, found := t.members[i.Name]; found && known.instance.Incarnation == i.Incarnation {
-		if heardAt.Before(known.heardAt) {
+		if receivedAt.Before(known.receivedAt) {
 			return Accepted
 		}
 		if known.instance.State == Draining && i.State == Live {
 			i.State = Draining
 		}
 	}
-	if t.Record(heardAt, i) == Stale {
+	if t.Record(receivedAt, i) == Stale {
 		return Stale
 	}
 	if i.State != Gone {
-		t.RecordLease(heardAt, i.Name)
+		t.RecordLease(receivedAt, i.Name)
 	}
 	return Accepted
 }
@@ -85,7 +85,7 @@
 		known.holdsLease = false
 	}
 	known.instance = i
-	known.heardAt = now
+	known.receivedAt = now
 	if visible {
 		t.markChanged(known)
 	}
@@ -129,7 +129,7 @@
 			m.instance.State = Gone
 			t.markChanged(m)
 		}
-		if m.instance.State == Gone && now.Sub(m.heardAt) > t.timing.Retention {
+		if m.instance.State == Gone && now.Sub(m.receivedAt) > t.timing.Retention {
 			delete(t.members, name)
 		}
 	}
@@ -140,7 +140,7 @@
 }
 
 func (t *Table) silent(now time.Time, m *member) bool {
-	return now.Sub(m.heardAt) > t.timing.Lease+t.timing.Margin
+	return now.Sub(m.receivedAt) > t.timing.Lease+t.timing.Margin
 }
 
 func (t *Table) markChanged(m *member) {
--- a/placement/limits.go
+++ b/placement/limits.go
@@ -27,9 +27,9 @@
 	// calmFraction is the fraction of the pause budget up to which the mean queued prefill of
 	// the engines counts as calm. It is more than short prompts alone cause.
 	calmFraction = 0.25
-	// loosePauseFraction is the fraction of a pass filled with prefill that a stream must
+	// longPauseFraction is the fraction of a pass filled with prefill that a stream must
 	// tolerate as a pause to share an engine with long prefill.
-	loosePauseFraction = 0.8
+	longPauseFraction = 0.8
 	// deepChunkFactor is how many times as long a chunk in the middle of a long prompt takes as
 	// one at the start, because of attention over the preceding tokens.
 	deepChunkFactor = 2
@@ -77,7 +77,7 @@
 // minLoosePause returns the shortest allowed pause with which a stream may share an engine with
 // long prefill. It is also the maximum prefill time that may be queued beside such streams.
 func minLoosePause(p *settings.EngineProfile) time.Duration {
-	return fraction(loosePauseFraction, maxPassPrefill(p))
+	return fraction(longPauseFraction, maxPassPrefill(p))
 }
 
 // maxFreePrefill returns the queued prefill time up to which an engine counts as free: that of a
--- a/placement/option.go
+++ b/placement/option.go
@@ -36,7 +36,7 @@
 		harm += float64(load.Tight) * tightStreamValue(p)
 	}
 	if load.PrefillTime <= minLoosePause(p) && load.PrefillTime+part > minLoosePause(p) {
-		harm += float64(looseStreams(load)) * value
+		harm += float64(tolerantStreams(load)) * value
 	}
 	return harm
 }
--- a/placement/selection.go
+++ b/placement/selection.go
@@ -8,8 +8,8 @@
 	"celeryport/settings"
 )
 
-// looseStreams returns how many streams of an engine allow long pauses and are still in time.
-func looseStreams(load *loadshare.Load) int { return load.Streams - load.Tight - load.Late }
+// tolerantStreams returns how many streams of an engine allow long pauses and are still in time.
+func tolerantStreams(load *loadshare.Load) int { return load.Streams - load.Tight - load.Late }
 
 // prefillOrder sorts the usable engines in the order in which they should prefill long prompts:
 // fewest tight streams first, then those that are free earliest.
@@ -41,7 +41,7 @@
 func withoutLooseStreams(engines []Engine, helpers []int) []int {
 	idle := make([]int, 0, len(helpers))
 	for _, i := range helpers {
-		if looseStreams(&engines[i].Load) == 0 {
+		if tolerantStreams(&engines[i].Load) == 0 {
 			idle = append(idle, i)
 		}
 	}
