Observe the held sync of an instance without settings while it is held

Traced: a voter holds a sync for Timing.Sync; a test goroutine that looks later than that sees the next call. With a pause of 1.5 s before the observation the test fails each time (6 calls); with syncs that are held for a minute it passes with the same pause. The bound of 3 calls stays, and now holds at any time of the observation.

--- a/control/attached_test.go
+++ b/control/attached_test.go
@@ -215,7 +215,8 @@
 		f.crash(m)
 	}
 	f.crash(f.members[0])
-	f.start(f.members[0], nil) // no majority, so no leader, and no settings were ever accepted
+	f.timing.Sync = time.Minute // a held sync stays held until it is observed
+	f.start(f.members[0], nil)  // no majority, so no leader, and no settings were ever accepted
 	f.voters = f.voters[:1]
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
