Count datagrams and syncs by kind

Counters at the metrics address: datagrams and their bytes by kind and direction; syncs, statements, announcements, answers and relayed announcements in bytes.

--- a/control/core.go
+++ b/control/core.go
@@ -140,6 +140,7 @@
 
 // receiveAnnouncement processes an announcement that an upstream made to this instance.
 func (c *core) receiveAnnouncement(now time.Time, a upstream.Announcement) {
+	c.node.traffic.AnnouncementsTaken.Add(1)
 	news := c.direct.Apply(now, a)
 	c.logUpstream(a)
 	c.known.Apply(now, a)
--- a/control/node.go
+++ b/control/node.go
@@ -40,6 +40,7 @@
 	refused    refusedAnnouncements
 	evidence   chan quarantine.Evidence // not yet gathered into a report
 	core       *core                    // owned by the control goroutine
+	traffic    SyncTraffic
 }
 
 // task is work for the control goroutine.
--- a/control/service.go
+++ b/control/service.go
@@ -39,7 +39,9 @@
 	if err != nil {
 		return nil, rpc.ToTwirp(errors.Wrap(err, "encode a sync"))
 	}
-	return &rpc.SyncResponse{State: state, Upstreams: response.upstreams}, nil
+	out := &rpc.SyncResponse{State: state, Upstreams: response.upstreams}
+	s.node.traffic.recordAnswered(out)
+	return out, nil
 }
 
 // handleSync passes a sync to the control goroutine and waits for the response.
--- a/control/syncclient.go
+++ b/control/syncclient.go
@@ -93,10 +93,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.opts.Timing.Call)
 	defer cancel()
-	answer, err := n.clients.At(target).Sync(ctx, &rpc.SyncRequest{State: state, Heard: request.announcements})
+	out := &rpc.SyncRequest{State: state, Heard: request.announcements}
+	answer, err := n.clients.At(target).Sync(ctx, out)
 	if err != nil {
 		return nil, rpc.FromTwirp(err)
 	}
+	n.traffic.recordSent(out)
 	var response syncResponse
 	err = json.Unmarshal(answer.State, &response)
 	response.upstreams = answer.Upstreams
--- a/datagram/datagram.go
+++ b/datagram/datagram.go
@@ -31,6 +31,26 @@
 	RatesToRelay
 )
 
+// String returns the name of the kind in metrics.
+func (k Kind) String() string {
+	switch k {
+	case Loads:
+		return "loads"
+	case ArbiterRequest:
+		return "arbiter-request"
+	case ArbiterAnswer:
+		return "arbiter-answer"
+	case LoadsToRelay:
+		return "loads-to-relay"
+	case Rates:
+		return "rates"
+	case RatesToRelay:
+		return "rates-to-relay"
+	default:
+		return "other"
+	}
+}
+
 // macBytes is the size of the truncated HMAC; guessing one takes about 10^19 datagrams.
 const macBytes = 8
 
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"celeryport/datagram"
 )
 
 // Metrics are the counters and histograms of forwarded calls.
@@ -20,6 +22,8 @@
 	withdrawn   *prometheus.CounterVec
 	resting     prometheus.Gauge
 	unreadable  *prometheus.CounterVec
+	datagrams   *prometheus.CounterVec
+	bytes       *prometheus.CounterVec
 }
 
 // latencyBuckets range from a plain call of some milliseconds to the longest time limit of a
@@ -62,8 +66,14 @@
 		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "forward_unreadable_total", Help: "Requests that could not be read, by the status that answered them.",
 		}, []string{"status"}),
+		datagrams: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "forward_datagrams_total", Help: "Datagrams exchanged with other instances, by kind and direction.",
+		}, []string{"kind", "direction"}),
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "forward_datagram_bytes_total", Help: "Bytes of these datagrams, by kind and direction.",
+		}, []string{"kind", "direction"}),
 	}
-	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.withdrawn, m.resting, m.unreadable)
+	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.withdrawn, m.resting, m.unreadable, m.datagrams, m.bytes)
 	return m
 }
 
@@ -79,6 +89,18 @@
 	}
 }
 
+// datagram counts datagrams of one kind that were sent or received.
+func (m *Metrics) datagram(kind datagram.Kind, direction string, count, size int) {
+	m.datagrams.WithLabelValues(kind.String(), direction).Add(float64(count))
+	m.bytes.WithLabelValues(kind.String(), direction).Add(float64(count * size))
+}
+
+// Directions of datagrams.
+const (
+	datagramSent     = "sent"
+	datagramReceived = "received"
+)
+
 func (m *Metrics) restAsked(service string) { m.rests.WithLabelValues(service).Inc() }
 
 func (m *Metrics) sendWithdrawn(service string, kind sendKind) {
--- a/forward/reporting.go
+++ b/forward/reporting.go
@@ -67,6 +67,7 @@
 
 func (s *Server) sendTo(conn net.PacketConn, to []netip.AddrPort, kind datagram.Kind, content []byte) {
 	data := datagram.Seal(s.options.Process.InstanceKey, kind, content)
+	s.options.Metrics.datagram(kind, datagramSent, len(to), len(data))
 	for _, address := range to {
 		_, _ = conn.WriteTo(data, net.UDPAddrFromAddrPort(address)) // lost datagrams are compensated for by later ones
 	}
@@ -94,6 +95,7 @@
 	if err != nil {
 		return err
 	}
+	s.options.Metrics.datagram(kind, datagramReceived, 1, len(data))
 	switch kind {
 	case datagram.Loads, datagram.LoadsToRelay:
 		report, err := loadshare.Decode(content)
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -87,6 +87,7 @@
 		Name: "control_announcements_refused_total",
 		Help: "Announcements that name no upstream to use.",
 	}, func() float64 { return float64(node.RefusedAnnouncements()) }))
+	registerTraffic(f.metrics, node.SyncTraffic())
 	if p.Serves == settings.ServesForwarding {
 		f.server = forward.New(forward.Options{
 			Process: p,
