--- a/forward/arbitration_ask.go
+++ b/forward/arbitration_ask.go
@@ -136,7 +136,9 @@
 	if conn == nil || err != nil {
 		return // treated like a lost datagram
 	}
-	_, _ = conn.WriteTo(datagram.Seal(s.options.Process.InstanceKey, kind, content), to) // best effort
+	data := datagram.Seal(s.options.Process.InstanceKey, kind, content)
+	s.options.Metrics.datagram(kind, datagramSent, 1, len(data))
+	_, _ = conn.WriteTo(data, to) // best effort
 }
 
 // handleAnswer delivers an answer to the call that waits for it. A late answer is dropped
--- a/forward/arbitration_test.go
+++ b/forward/arbitration_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"celeryport/arbiter"
@@ -53,7 +54,7 @@
 	log.SetOutput(io.Discard)
 	return New(Options{
 		Process: &settings.Process{Name: self, InstanceKey: "key"},
-		Plane:   fixedPlane{view: view}, Log: log, Random: rand.New(rand.NewPCG(1, 2)),
+		Plane:   fixedPlane{view: view}, Log: log, Random: rand.New(rand.NewPCG(1, 2)), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 }
 
