--- a/forward/idle_reports_test.go
+++ b/forward/idle_reports_test.go
@@ -120,7 +120,7 @@
 		if !reported() {
 			t.Error("a slow pace is not reported")
 		}
-		time.Sleep(n.freshUntil.Sub(time.Now()) - silenceNotice/2)
+		time.Sleep(time.Until(n.freshUntil) - silenceNotice/2)
 		answer(normalPace)
 		if !reported() {
 			t.Error("the answer of an engine whose announcements stop is not reported")
--- a/polling/assignment_test.go
+++ b/polling/assignment_test.go
@@ -98,8 +98,14 @@
 		}
 	}
 	a := Assign(names[0], counted, testPollers)
+	polled := 0
 	for _, key := range keys {
-		a.Includes(key)
+		if a.Includes(key) {
+			polled++
+		}
+	}
+	if polled == len(keys) {
+		t.Errorf("one of %d instances polls all %d upstreams", len(names), polled)
 	}
 	if visited != len(names) {
 		t.Errorf("%d visits to %d instances", visited, len(names))
