Compress what instances are told of many joining ones

An answer that names more than a few instances was plain JSON of some 250 bytes for each: 985 instances that start tell each of the others, 240 MB in all. Lists of eight and more are compressed, once for all that ask after the same revision.

--- a/control/fanout.go
+++ b/control/fanout.go
@@ -23,8 +23,7 @@
 	core    *core
 	epoch   string
 	roster  *attachment.Roster
-	all     memberDelta // all instances, as of allAt
-	allAt   uint64      // revision of the member list; 0: not encoded yet
+	packed  packedMembers
 	polls   []poll
 	out     outbox           // batches of all known upstreams
 	inboxes map[string]inbox // announcements received by attached instances, by instance name
@@ -195,19 +194,20 @@
 // membersSince returns the instances that changed after a revision of the member list.
 func (f *fanout) membersSince(revision uint64) memberDelta {
 	members := &f.core.members
-	if revision > 0 {
-		return memberDelta{list: members.changed(revision)}
-	}
-	if f.allAt != members.revision {
-		list := members.changed(0)
-		all, err := packMembers(list)
-		if err != nil {
-			eventPackFailed.Log(f.core.log, event.Fields{"error": err})
-			return memberDelta{list: list}
-		}
-		f.all, f.allAt = all, members.revision
+	if delta, found := f.packed.find(members.revision, revision); found {
+		return delta
+	}
+	list := members.changed(revision)
+	if len(list) < minPackedMembers {
+		return memberDelta{list: list}
+	}
+	delta, err := packMembers(list)
+	if err != nil {
+		eventPackFailed.Log(f.core.log, event.Fields{"error": err})
+		return memberDelta{list: list}
 	}
-	return f.all
+	f.packed.add(members.revision, revision, delta)
+	return delta
 }
 
 // broadcast adds a batch of upstream changes when one is due, and at once if an upstream
--- a/control/memberdelta.go
+++ b/control/memberdelta.go
@@ -18,6 +18,32 @@
 	packed []byte // the list as compressed JSON; nil: not compressed
 }
 
+// minPackedMembers is the length from which a list is compressed. While a fleet starts or is
+// restarted in turns, each answer names many instances, and all of them go to every instance.
+const minPackedMembers = 8
+
+// packedMembers holds the compressed lists of the current revision of the member list, by the
+// revision after which their instances have changed.
+type packedMembers struct {
+	at     uint64
+	deltas map[uint64]memberDelta
+}
+
+func (p *packedMembers) find(at, since uint64) (memberDelta, bool) {
+	if p.at != at {
+		return memberDelta{}, false
+	}
+	delta, found := p.deltas[since]
+	return delta, found
+}
+
+func (p *packedMembers) add(at, since uint64, delta memberDelta) {
+	if p.at != at {
+		p.at, p.deltas = at, map[uint64]memberDelta{}
+	}
+	p.deltas[since] = delta
+}
+
 // packMembers returns a compressed list.
 func packMembers(list []membership.Instance) (memberDelta, error) {
 	text, err := json.Marshal(list)
