--- a/control/evacuate.go
+++ b/control/evacuate.go
@@ -2,16 +2,10 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"celeryport/clock"
 	"celeryport/control/state"
-	"celeryport/evacuation"
-	"celeryport/event"
-	"celeryport/membership"
-	"celeryport/upstream"
 	"celeryport/verdict"
 )
 
@@ -22,20 +16,6 @@
 	Evacuated bool   `json:"evacuated"`
 }
 
-// ZonesStatus is the response to CommandEvacuate and CommandZones.
-type ZonesStatus struct {
-	Version uint64       `json:"version"` // of the list of evacuated zones
-	Zones   []ZoneStatus `json:"zones"`   // by name
-}
-
-// ZoneStatus describes an availability zone that an instance or an upstream has named.
-type ZoneStatus struct {
-	Name      string `json:"name"`
-	Evacuated bool   `json:"evacuated"`
-	Instances int    `json:"instances"` // that are not gone
-	Upstreams int    `json:"upstreams"` // that are not leaving
-}
-
 // inForceInterval is how often a waiting command checks whether the instances have applied an
 // evacuation.
 const inForceInterval = 10 * time.Millisecond
@@ -89,8 +69,9 @@
 		var status ZonesStatus
 		err := n.whileLeading(ctx, func(now time.Time, _ *group) error {
 			l := n.core.leader
-			inForce = l.table.EvacuationInForce(now, version)
-			status = l.zonesStatus()
+			if inForce = l.table.EvacuationInForce(now, version); inForce {
+				status = l.zonesStatus()
+			}
 			return nil
 		})
 		if err != nil {
@@ -114,79 +95,3 @@
 	}
 	return encode(status)
 }
-
-// knowsZone reports whether an instance or upstream is or was in an availability zone. A zone
-// that was lost remains known, so that it can be evacuated.
-func (l *leader) knowsZone(zone string) bool {
-	return slices.ContainsFunc(l.zonesStatus().Zones, func(z ZoneStatus) bool { return z.Name == zone })
-}
-
-func (l *leader) zonesStatus() ZonesStatus {
-	evacuated := l.core.newestEvacuated()
-	zones := map[string]*ZoneStatus{}
-	zone := func(name string) *ZoneStatus {
-		if zones[name] == nil {
-			zones[name] = &ZoneStatus{Name: name, Evacuated: evacuated.Covers(name)}
-		}
-		return zones[name]
-	}
-	for _, name := range evacuated.Names() {
-		zone(name)
-	}
-	for _, i := range l.core.members.list() {
-		zone(i.AvailabilityZone).count(&i)
-	}
-	l.core.known.Each(func(a *upstream.Announcement) {
-		z := zone(a.AvailabilityZone)
-		if !a.Leaving {
-			z.Upstreams++
-		}
-	})
-	status := ZonesStatus{Version: evacuation.VersionOf(evacuated)}
-	for _, name := range slices.Sorted(maps.Keys(zones)) {
-		if name != "" {
-			status.Zones = append(status.Zones, *zones[name])
-		}
-	}
-	return status
-}
-
-func (z *ZoneStatus) count(i *membership.Instance) {
-	if i.State != membership.Gone {
-		z.Instances++
-	}
-}
-
-// newestEvacuated returns the latest evacuated zones known here, from the log or a leader.
-func (c *core) newestEvacuated() *evacuation.List {
-	if c.group == nil {
-		return c.evacuated
-	}
-	return evacuation.Newest(c.evacuated, c.group.machine.Evacuated())
-}
-
-// evacuatedAfter returns the evacuated zones, nil if the sender of the sync has the current
-// version.
-func (c *core) evacuatedAfter(r *syncRequest) *evacuation.List {
-	newest := c.newestEvacuated()
-	if evacuation.VersionOf(newest) <= r.Evacuated {
-		return nil
-	}
-	return newest
-}
-
-// applyEvacuated replaces the evacuated zones, unless a delayed response brings an older
-// version.
-func (c *core) applyEvacuated(now time.Time, list *evacuation.List) {
-	if evacuation.VersionOf(list) <= evacuation.VersionOf(c.evacuated) {
-		return
-	}
-	for _, zone := range c.evacuated.Names() {
-		if !list.Covers(zone) {
-			c.restoredAt[zone] = now
-		}
-	}
-	c.evacuated = list
-	c.views.dirty()
-	eventEvacuated.Log(c.log, event.Fields{"zones": list.Names(), "version": list.Version})
-}
