Wake an idle instance less, and keep the connections of polls

Polls are 0.9 s apart now and use a connection for all of its stated idle time. The arbiter's ticker woke each instance a hundred times a second; it sleeps until an ask waits.

Ruled out: a longer margin for all calls, which may not be sent twice.

--- a/forward/arbitration.go
+++ b/forward/arbitration.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"celeryport/arbiter"
+	"celeryport/clock"
 	"celeryport/datagram"
 )
 
@@ -20,6 +21,7 @@
 	askers       map[string]net.Addr            // address for the answer by ask ID; nil: an ask of this instance
 	pending      map[string]chan arbiter.Answer // channels of this instance's own asks by ID
 	unresponsive map[string]time.Time           // instances that did not answer, and until when they are skipped
+	waiting      chan struct{}                  // signals that an ask waits for an engine
 }
 
 const (
@@ -60,6 +62,7 @@
 		askers:       map[string]net.Addr{},
 		pending:      map[string]chan arbiter.Answer{},
 		unresponsive: map[string]time.Time{},
+		waiting:      make(chan struct{}, 1),
 	}
 }
 
@@ -86,6 +89,7 @@
 	_, waiting := a.askers[ask.ID]
 	a.mu.Unlock()
 	if waiting {
+		wake(a.waiting)
 		s.sendAnswer(from, &arbiter.Answer{ID: ask.ID, Decision: arbiter.Waiting})
 	}
 }
@@ -128,21 +132,25 @@
 	}
 }
 
-// arbitrate calls placeWaiting at each tick while asks wait, until ctx ends.
+// arbitrate calls placeWaiting at intervals while asks wait, until ctx ends.
 func (s *Server) arbitrate(ctx context.Context) {
-	ticker := time.NewTicker(arbitrationTick)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-s.arbitration.waiting:
 		}
-		s.arbitration.mu.Lock()
-		waits := s.arbitration.queue.HasPending()
-		s.arbitration.mu.Unlock()
-		if waits {
+		for s.arbitration.hasWaiting() {
+			if !clock.Pause(ctx, arbitrationTick) {
+				return
+			}
 			s.placeWaiting()
 		}
 	}
 }
+
+func (a *arbitration) hasWaiting() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.HasPending()
+}
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -21,10 +21,11 @@
 )
 
 const (
-	// pollInterval is how often an instance polls an engine: this adds one call per second to
-	// each engine per polling instance, and an unresponsive engine is detected before many calls
-	// are sent there.
-	pollInterval = time.Second
+	// pollInterval is how often an instance polls an engine: this adds about one call per second
+	// to each engine per polling instance, and an unresponsive engine is detected before many
+	// calls are sent there. With a tick it is below a second, the shortest idle time that an
+	// engine states for its connections.
+	pollInterval = 900 * time.Millisecond
 	// minPollInterval is the shortest time between two polls after another instance has failed
 	// to reach the engine.
 	minPollInterval = 300 * time.Millisecond
@@ -73,6 +74,9 @@
 	if view == nil || view.Tree == nil || view.Tree.Forwarding == nil || view.Upstreams == nil {
 		return nil
 	}
+	if !listed(s.options.Process.Name, view.Instances) {
+		return nil // this instance has just started and does not know which upstreams others poll
+	}
 	assigned := polling.Assign(s.options.Process.Name, forwardingNames(view.Instances), pollersPerEngine)
 	f := s.fleet
 	f.mu.Lock()
@@ -124,6 +128,10 @@
 	return true
 }
 
+func listed(name string, instances []membership.Instance) bool {
+	return slices.ContainsFunc(instances, func(i membership.Instance) bool { return i.Name == name })
+}
+
 // forwardingNames returns the names of the instances that accept calls.
 func forwardingNames(instances []membership.Instance) iter.Seq[string] {
 	return func(yield func(string) bool) {
--- a/forward/polling_test.go
+++ b/forward/polling_test.go
@@ -23,7 +23,7 @@
 	return &httpwire.RequestHead{Method: http.MethodGet, Target: "/report", Fields: httpwire.Fields{{Name: "Host", Value: address}}}
 }
 
-func (pollDialect) DecodeAnswer(*httpwire.ResponseHead) Answer { return Answer{} }
+func (pollDialect) DecodeAnswer(*httpwire.ResponseHead) Answer { return Answer{IdleFor: time.Second} }
 
 func (pollDialect) DecodeReport([]byte) (*EngineReport, error) {
 	return &EngineReport{Pace: 1, Incarnation: upstream.UnknownIncarnation}, nil
@@ -43,7 +43,8 @@
 }
 
 // Guards against a new connection to each engine for every poll, because the connection of the
-// last poll is idle for a moment longer than calls may use it.
+// last poll is idle for a moment longer than it may be used. The engine states the shortest idle
+// time that it can.
 func TestPollsUseOneConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, n := newServerWithNode(t)
@@ -64,7 +65,7 @@
 			if !answered.Equal(time.Now()) {
 				t.Fatal("the poll was not answered")
 			}
-			time.Sleep(pollInterval + pollTick)
+			time.Sleep(pollInterval + pollTick - time.Millisecond)
 		}
 		if opened != 1 {
 			t.Errorf("ten polls opened %d connections", opened)
--- a/forward/upstream_conn.go
+++ b/forward/upstream_conn.go
@@ -43,7 +43,7 @@
 	reuseForCalls reuse = 0.5
 	// reuseForPolls lets two polls in succession use one connection. A poll that fails on an
 	// idle connection is repeated on a new one.
-	reuseForPolls reuse = 0.9
+	reuseForPolls reuse = 1
 )
 
 // usable reports whether a message may be sent on an idle connection: the upstream is not about
