--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -95,7 +95,7 @@
 			Dialect: adapter.Dialect,
 			Metrics: forward.NewMetrics(f.metrics),
 			Log:     f.options.Log,
-			Budget:  forward.RepeatBudget{Ratio: p.RepeatRatio, Slack: float64(p.RepeatSlack), Window: p.RepeatWindow},
+			Budget:  forward.RepeatBudget{Ratio: p.RepeatRatio, Slack: p.RepeatSlack, Window: p.RepeatWindow},
 		})
 	}
 	return nil
--- a/settings/process.go
+++ b/settings/process.go
@@ -30,7 +30,7 @@
 	ReadTimeout      time.Duration // to receive a caller's whole request
 	DrainTimeout     time.Duration // maximum duration of a graceful shutdown
 	RepeatRatio      float64       // repeated sends as a fraction of a service's forwarded calls, over all instances
-	RepeatSlack      int           // repeated sends allowed beyond that ratio, over all instances
+	RepeatSlack      float64       // repeated sends allowed beyond that ratio, over all instances
 	RepeatWindow     time.Duration // sliding window of RepeatRatio and RepeatSlack
 	Pools            Pools
 }
--- a/settings/schema_process.go
+++ b/settings/schema_process.go
@@ -130,7 +130,7 @@
 			"Maximum duration of a graceful shutdown."),
 		key("repeat_ratio", number(0, 1), "0.2", func(p *Process) *float64 { return &p.RepeatRatio },
 			"Repeated sends of forwarded calls, as a fraction of the calls for a service, over all instances."),
-		key("repeat_slack", count(0, maxPool), "100", func(p *Process) *int { return &p.RepeatSlack },
+		key("repeat_slack", fractionalCount(maxPool), "100", func(p *Process) *float64 { return &p.RepeatSlack },
 			"Repeated sends allowed beyond that fraction, over all instances."),
 		key("repeat_window", duration(time.Second, maxTimeout), "10s", func(p *Process) *time.Duration { return &p.RepeatWindow },
 			"Sliding window over which repeat_ratio and repeat_slack are enforced."),
--- a/settings/unit.go
+++ b/settings/unit.go
@@ -55,6 +55,18 @@
 	}
 }
 
+// fractionalCount accepts a count that may be fractional, such as a share of a larger one.
+func fractionalCount(maximum float64) value[float64] {
+	return value[float64]{
+		allowed: fmt.Sprintf("a count such as 500, 4k or 34.5, from 0 to %.0f", maximum),
+		parse: func(text string) (float64, error) {
+			digits, scale := cutSuffix(text, countSuffixes)
+			n, err := parseNumber(digits, 0, maximum/float64(scale))
+			return n * float64(scale), err
+		},
+	}
+}
+
 // rate accepts a count per second, which may be fractional.
 func rate(maximum float64) value[float64] {
 	return value[float64]{
