--- a/forward/send.go
+++ b/forward/send.go
@@ -13,29 +13,6 @@
 	"celeryport/verdict"
 )
 
-// outcome is the result of one send. If err is nil, the caller has received the whole answer.
-type outcome struct {
-	verdict    verdict.Verdict
-	err        error
-	reached    bool  // bytes of the call may have reached the upstream
-	phase      phase // progress of the send
-	kind       sendKind
-	checked    <-chan struct{} // closed when it is known whether the upstream ended; nil unless a repeat depends on that
-	ownFailure *failureAnswer  // a complete failure answer of the upstream
-
-	otherAtFault bool  // an engine other than the one that received the call is at fault
-	helper       *node // the engine at fault, if known
-}
-
-// failureAnswer is a failure answer of an upstream. It is forwarded to the caller if no other send
-// succeeds.
-type failureAnswer struct {
-	status int
-	reason string
-	fields httpwire.Fields
-	body   []byte
-}
-
 // Errors of a failed send.
 var (
 	errSilent           = errors.New("the upstream sends nothing and takes no connection")
