--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -24,6 +24,7 @@
 	Timeout     time.Duration // total time allowed for a call
 	Objective   time.Duration // target time to the whole answer, or to the first event of a stream
 	PauseLimit  time.Duration // target for the longest pause between two events
+	Patience    time.Duration // gap without an event after which callers disconnect; 0: unknown
 	Priority    int           // 0 is the most urgent
 	MaxSends    int           // maximum number of upstreams that one call is sent to
 	Public      bool          // no API key is required
@@ -74,6 +75,7 @@
 	MeanPrompt      int           // mean prompt tokens
 	MeanAnswer      int           // mean answer tokens
 	MinPauseLimit   time.Duration // shortest PauseLimit of the routes to the service, 0 if none has one
+	MinPatience     time.Duration // shortest Patience of the routes to the service, 0 if none has one
 }
 
 // CallerLimits bounds the size and the duration of callers' requests.
--- a/settings/forwarding_index.go
+++ b/settings/forwarding_index.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strings"
+	"time"
 )
 
 // routeIndex maps each host to the indices of its routes, ordered by descending
@@ -38,26 +39,31 @@
 	for i := range f.Services {
 		f.services[f.Services[i].Name] = i
 	}
-	f.setMinPauseLimits()
+	f.setRouteMinimums()
 }
 
-// setMinPauseLimits sets the MinPauseLimit of each engine service to the shortest
-// PauseLimit of the routes to it.
-func (f *Forwarding) setMinPauseLimits() {
+// setRouteMinimums sets the MinPauseLimit and the MinPatience of each engine service to the
+// shortest of the routes to it.
+func (f *Forwarding) setRouteMinimums() {
 	for i := range f.Routes {
 		route := &f.Routes[i]
 		for _, to := range route.Shares {
-			service := f.Service(to.Service)
-			if service == nil || service.Engine == nil || route.PauseLimit <= 0 {
-				continue
-			}
-			if e := service.Engine; e.MinPauseLimit == 0 || route.PauseLimit < e.MinPauseLimit {
-				e.MinPauseLimit = route.PauseLimit
+			if service := f.Service(to.Service); service != nil && service.Engine != nil {
+				service.Engine.MinPauseLimit = minPositive(service.Engine.MinPauseLimit, route.PauseLimit)
+				service.Engine.MinPatience = minPositive(service.Engine.MinPatience, route.Patience)
 			}
 		}
 	}
 }
 
+// minPositive returns the shorter of two durations; one that is not positive counts as unknown.
+func minPositive(a, b time.Duration) time.Duration {
+	if a <= 0 || b > 0 && b < a {
+		return max(0, b)
+	}
+	return a
+}
+
 // Match returns the route of host with the longest prefix of path, nil if no
 // route matches.
 func (f *Forwarding) Match(host, path string) *Route {
--- a/settings/pauses_test.go
+++ b/settings/pauses_test.go
@@ -11,7 +11,7 @@
 func TestEngineServicesGetShortestPauseOfTheirRoutes(t *testing.T) {
 	route := func(name, service string, pause time.Duration) Route {
 		return Route{
-			Name: name, Host: "h", PathPrefix: "/" + name + "/", Stream: true, Timeout: time.Second, PauseLimit: pause,
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Stream: true, Timeout: time.Second, PauseLimit: pause, Patience: 8 * pause,
 			Shares: []ServiceShare{{Service: service, Weight: 1}},
 		}
 	}
@@ -31,5 +31,8 @@
 		if got := forwarding.Service(name).Engine.MinPauseLimit; got != want {
 			t.Errorf("the shortest pause of %s is %s, want %s", name, got, want)
 		}
+		if got := forwarding.Service(name).Engine.MinPatience; got != 8*want {
+			t.Errorf("the shortest patience of %s is %s, want %s", name, got, 8*want)
+		}
 	}
 }
