Keep long passes away from streams whose callers would disconnect

Cause: the harm of a part counted a stream as late at worst, however long the passes beside the part. A prompt of 514,439 tokens was prefilled by four engines for 3.5 s each; all streams there were silent for 2 s, which is the patience of their callers, and were lost. Late streams counted for nothing, so that their engines attracted part after part until their deadline.

Change: the pass beside a part follows from the engine's law. Where it exceeds three quarters of the shortest patience of the routes, only engines without tight or late streams are used; with more engines the parts may be short enough again. Engines for long prefill are sorted by tight and late streams together.

Harm only after 0.4 of the objective: contradicts the promise that a prompt is placed with half of its time left.

--- a/placement/selection.go
+++ b/placement/selection.go
@@ -17,7 +17,7 @@
 	candidates := slices.Clone(usable)
 	slices.SortStableFunc(candidates, func(a, b int) int {
 		x, y := &engines[a].Load, &engines[b].Load
-		return cmp.Or(cmp.Compare(x.Tight, y.Tight), cmp.Compare(x.PrefillTime, y.PrefillTime), cmp.Compare(x.Streams, y.Streams))
+		return cmp.Or(cmp.Compare(impatientStreams(x), impatientStreams(y)), cmp.Compare(x.PrefillTime, y.PrefillTime), cmp.Compare(x.Streams, y.Streams))
 	})
 	return candidates
 }
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -63,11 +63,18 @@
 	var best option
 	for k := 1; k <= most; k++ {
 		part := prefill / time.Duration(k)
-		plan, found := leadWithHelpers(p, engines, free, call, part, k)
+		candidates := free
+		if losesStreams(p, call.Prompt, part, k) {
+			candidates = withoutImpatientStreams(engines, free)
+		}
+		plan, found := leadWithHelpers(p, engines, candidates, call, part, k)
 		if !found {
 			continue
 		}
 		if len(plan.Helpers) < k-1 {
+			if len(candidates) < len(free) {
+				continue // with more engines the parts may be short enough for all of them
+			}
 			break
 		}
 		if candidate := newOption(p, engines, plan, call); best.plan.Part == 0 || candidate.cost < best.cost {
