Let a call use all usable engines while the loads are unknown

Cause: after a loss of all processes each instance sees no loads and packs short prompts onto the same first engines of the common order; long prompts start on the same engines too.

Change: placement.Call.Spread makes packShort and packSplit use all usable engines and rotates the order of engines of equal load by Draw. Without Spread nothing changes.

Test: TestLongPromptsOfUnknownLoadsStartApart.

--- a/placement/engine.go
+++ b/placement/engine.go
@@ -29,6 +29,7 @@
 	Age       time.Duration // the part of Waited that passed before it reached this instance
 	Ahead     time.Duration // prefill time per engine of the waiting calls ordered before this one
 	Draw      [2]float64    // uniform in [0, 1); makes instances with the same view choose different engines
+	Spread    bool          // the loads of other instances are unknown: use all usable engines, from a start given by Draw
 }
 
 // Plan is the placement of a call.
--- a/placement/pack.go
+++ b/placement/pack.go
@@ -19,7 +19,7 @@
 // helpers prefill most of its prompt: as many parts as it takes to make the lead engine's part
 // short.
 func packSplit(p *settings.EngineProfile, engines []Engine, usable []int, call *Call, prefill time.Duration) (Plan, bool) {
-	candidates := prefillOrder(engines, usable)
+	candidates := prefillOrder(engines, startOrder(usable, call))
 	early := time.Duration(earlyFraction * float64(call.Objective))
 	best := Plan{}
 	for k := 2; k <= min(len(candidates)+1, maxHelpers+1, call.Prompt/minPartTokens(p)); k++ {
--- a/placement/packing.go
+++ b/placement/packing.go
@@ -69,6 +69,9 @@
 // calls of the same moment would go to the few that are left.
 func packingLead(p *settings.EngineProfile, engines []Engine, usable []int, call *Call, part time.Duration) (int, bool) {
 	width := packingWidth(p, engines, usable)
+	if call.Spread {
+		width = len(usable)
+	}
 	open := make([]int, 0, width)
 	for at, i := range usable {
 		if at >= width && len(open) >= minCandidates {
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -27,7 +27,7 @@
 // hardly progresses, so a few such streams would exclude their engines for many seconds, and long
 // prompts would find one engine where many could prefill them.
 func spread(p *settings.EngineProfile, engines []Engine, usable []int, call *Call, prefill time.Duration) (Plan, bool) {
-	candidates := prefillOrder(engines, usable)
+	candidates := prefillOrder(engines, startOrder(usable, call))
 	limit := firstEventLimit(call)
 	plan, found := spreadNow(p, engines, freeEngines(p, engines, candidates), call, prefill)
 	if found && plan.FirstEvent <= limit {
--- /dev/null
+++ b/placement/start_order_test.go
@@ -0,0 +1,22 @@
+package placement
+
+import "testing"
+
+func TestLongPromptsOfUnknownLoadsStartApart(t *testing.T) {
+	// Guards against instances that know no loads and prefill their long prompts on the same
+	// first engines of the common order, while the others are idle.
+	for name, call := range map[string]Call{"long": longCall, "split": tightLong} {
+		leads := map[int]bool{}
+		for instance := range 13 {
+			call.Spread, call.Draw = true, [2]float64{float64(instance) / 13, 0}
+			plan, found := Prompt(testProfile, testEngines(26), &call)
+			if !found {
+				t.Fatalf("%s: a prompt was rejected", name)
+			}
+			leads[plan.Lead] = true
+		}
+		if len(leads) < 10 {
+			t.Errorf("%s: 13 instances start their prompts on %d engines", name, len(leads))
+		}
+	}
+}
