--- /dev/null
+++ b/recovery/view.go
@@ -0,0 +1,125 @@
+package recovery
+
+import (
+	"net/netip"
+	"time"
+
+	"celeryport/loadshare"
+)
+
+const (
+	// listenTime is how long after the list of instances last grew a view counts as complete
+	// without further evidence: each instance has then sent two full reports, so one may be lost.
+	listenTime = 2 * loadshare.FullInterval
+	// settleTime is how long the list of instances must not have grown before the reports received
+	// are compared with it. After a loss of all processes the list is empty first and grows as
+	// instances register, so it is short while it is young.
+	settleTime = loadshare.FullInterval
+	// maxIncomplete bounds the time that a view is incomplete. A list that keeps growing, as
+	// during a rolling start, must not keep short prompts off the packing for longer.
+	maxIncomplete = 4 * time.Second
+	// peerFraction is the fraction of the listed instances of the own zone whose full reports
+	// complete a view; some instances listed may be dead.
+	peerFraction = 0.9
+	// maxPause is the time without any activity after which an instance was frozen: the reports
+	// that it holds have expired.
+	maxPause = loadshare.ReportTTL
+)
+
+// Listed is what the list of live instances says about the other instances.
+type Listed struct {
+	Peers []netip.AddrPort // other instances of the own availability zone
+	Zones int              // other availability zones
+}
+
+// size returns the number of sources from which reports are expected.
+func (l Listed) size() int { return len(l.Peers) + l.Zones }
+
+// View tells whether an instance has received the loads that the other instances cause. It is not
+// safe for concurrent use.
+type View struct {
+	startedAt time.Time
+	grownAt   time.Time // when the list of instances last grew; zero while it is empty
+	activeAt  time.Time // last call of Observe
+	size      int       // largest size of the list so far
+	peers     map[netip.AddrPort]struct{}
+	zones     map[loadshare.Key]struct{}
+	complete  bool
+}
+
+// NewView returns the view of an instance that has just started.
+func NewView(now time.Time) *View {
+	v := &View{}
+	v.restart(now)
+	return v
+}
+
+func (v *View) restart(now time.Time) {
+	*v = View{startedAt: now, activeAt: now, peers: map[netip.AddrPort]struct{}{}, zones: map[loadshare.Key]struct{}{}}
+}
+
+// RecordReport records a report of an instance of the own zone. Only full reports count, because
+// the others name changes since a full report that this instance has not received.
+func (v *View) RecordReport(from netip.AddrPort, full bool) {
+	if full && !v.complete {
+		v.peers[from] = struct{}{}
+	}
+}
+
+// RecordZone records a report of the loads of another zone.
+func (v *View) RecordZone(zone loadshare.Key, full bool) {
+	if full && !v.complete {
+		v.zones[zone] = struct{}{}
+	}
+}
+
+// Observe records the current list of instances. known is false while this instance has not
+// received one. Observe is called at least once per loadshare.FullInterval, so that a gap shows
+// that the process was frozen; its view then starts anew.
+func (v *View) Observe(now time.Time, listed Listed, known bool) {
+	if now.Sub(v.activeAt) > maxPause {
+		v.restart(now)
+	}
+	v.activeAt = now
+	if v.complete || !known {
+		return
+	}
+	if v.grownAt.IsZero() || listed.size() > v.size {
+		v.grownAt, v.size = now, listed.size()
+	}
+}
+
+// Complete reports whether the view is complete. A complete view stays so until the process
+// is frozen.
+func (v *View) Complete(now time.Time, listed Listed) bool {
+	if !v.complete && v.sufficient(now, listed) {
+		v.complete = true
+		v.peers, v.zones = nil, nil
+	}
+	return v.complete
+}
+
+func (v *View) sufficient(now time.Time, listed Listed) bool {
+	switch {
+	case now.Sub(v.startedAt) >= maxIncomplete:
+		return true
+	case v.grownAt.IsZero() || listed.size() > v.size:
+		return false
+	case now.Sub(v.grownAt) >= listenTime:
+		return true
+	case now.Sub(v.grownAt) < settleTime || listed.size() == 0:
+		return false
+	}
+	return len(v.zones) >= listed.Zones && float64(v.heard(listed)) >= peerFraction*float64(len(listed.Peers))
+}
+
+// heard counts the listed instances of the own zone that sent a full report.
+func (v *View) heard(listed Listed) int {
+	count := 0
+	for _, peer := range listed.Peers {
+		if _, reported := v.peers[peer]; reported {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/recovery/view_test.go
@@ -0,0 +1,89 @@
+package recovery
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"celeryport/loadshare"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func listOf(peers, zones int) Listed {
+	listed := Listed{Zones: zones}
+	for i := range peers {
+		listed.Peers = append(listed.Peers, netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7340", i+1)))
+	}
+	return listed
+}
+
+func TestViewIsIncompleteUntilOthersHaveReported(t *testing.T) {
+	// Guards against an instance that takes the first reports of a few others, or the silence
+	// before the list of instances arrives, for the load of the whole fleet.
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	hear := func(v *View, peers, zones int) {
+		for _, peer := range listOf(peers, 0).Peers {
+			v.RecordReport(peer, true)
+		}
+		for zone := range zones {
+			v.RecordZone(loadshare.Key(zone+1), true)
+		}
+	}
+	for name, c := range map[string]struct {
+		listedAt    int // milliseconds; -1: never
+		peers       int // listed, beside two other zones
+		heard       int
+		zones       int
+		want, early int // milliseconds until the view is complete, and a time before
+	}{
+		"all heard":      {listedAt: 0, peers: 20, heard: 19, zones: 2, early: 390, want: 400},
+		"few heard":      {listedAt: 0, peers: 20, heard: 17, zones: 2, early: 790, want: 800},
+		"a zone missing": {listedAt: 0, peers: 20, heard: 20, zones: 1, early: 790, want: 800},
+		"listed late":    {listedAt: 900, peers: 20, heard: 0, zones: 0, early: 1690, want: 1700},
+		"never listed":   {listedAt: -1, early: 3990, want: 4000},
+	} {
+		v, listed := NewView(start), listOf(c.peers, 2)
+		hear(v, c.heard, c.zones)
+		for ms := 0; ms <= c.want; ms += 10 {
+			v.Observe(at(ms), listed, c.listedAt >= 0 && ms >= c.listedAt)
+			complete := v.Complete(at(ms), listed)
+			if complete && ms <= c.early || !complete && ms >= c.want {
+				t.Errorf("%s: complete %t after %d ms", name, complete, ms)
+				break
+			}
+		}
+	}
+}
+
+func TestViewOfAGrowingListIsNotCompletedByItsFirstEntries(t *testing.T) {
+	// After a loss of all processes the list names one other instance first, and the rest half a
+	// second later. The report of the first one must not complete the view.
+	v := NewView(start)
+	v.RecordReport(listOf(1, 0).Peers[0], true)
+	v.Observe(start, listOf(1, 0), true)
+	grown := listOf(20, 2)
+	if v.Complete(start.Add(500*time.Millisecond), grown) {
+		t.Error("complete although 19 listed instances have not reported")
+	}
+}
+
+func TestFrozenInstanceDoesNotTrustExpiredReports(t *testing.T) {
+	// Guards against an instance that was stopped for longer than reports live: its view has
+	// become empty meanwhile, and it would pack calls as in an idle fleet.
+	v, listed := NewView(start), listOf(20, 2)
+	v.Observe(start, listed, true)
+	if now := start.Add(listenTime); !v.Complete(now, listed) {
+		t.Fatal("incomplete after two full reports of all instances")
+	}
+	frozen := start.Add(10 * time.Second)
+	v.Observe(start.Add(listenTime), listed, true)
+	v.Observe(frozen, listed, true)
+	if v.Complete(frozen, listed) {
+		t.Error("complete just after the process was frozen")
+	}
+	if !v.Complete(frozen.Add(listenTime), listed) {
+		t.Error("incomplete long after the process was frozen")
+	}
+}
