Let the arbiter wait for the loads of the instances after its start

Cause: an arbiter that has just started places long prompts as if all engines were idle, beside the prompts and streams that others run there.

Change: a request waits while the view of the fleet is incomplete, for at most 0.3 s or a quarter of its objective, counted from its first transmission.

--- a/arbiter/queue.go
+++ b/arbiter/queue.go
@@ -7,6 +7,7 @@
 
 	"celeryport/loadshare"
 	"celeryport/placement"
+	"celeryport/recovery"
 	"celeryport/settings"
 )
 
@@ -15,6 +16,8 @@
 	Profile *settings.EngineProfile
 	Keys    []loadshare.Key
 	Engines []placement.Engine
+	// Incomplete means that the loads of some instances are not known yet.
+	Incomplete bool
 }
 
 // FleetSource supplies the state of the engines to the arbiter and records its placements.
@@ -28,7 +31,8 @@
 // pending is a request without a final answer.
 type pending struct {
 	request    *Request
-	receivedAt time.Time
+	acceptedAt time.Time     // arrival of its first transmission
+	receivedAt time.Time     // arrival of its latest transmission
 	prefill    time.Duration // prefill time on one engine
 	age        time.Duration // age of the prompt on arrival of this attempt, if an earlier one was rejected
 }
@@ -83,7 +87,11 @@
 	if s, found := q.answered[request.ID]; found {
 		return s.answer
 	}
-	q.pending[request.ID] = &pending{request: request, receivedAt: now, age: q.refusals.age(now.Add(-request.Waited), request.PromptID)}
+	acceptedAt := now
+	if former := q.pending[request.ID]; former != nil {
+		acceptedAt = former.acceptedAt
+	}
+	q.pending[request.ID] = &pending{request: request, acceptedAt: acceptedAt, receivedAt: now, age: q.refusals.age(now.Add(-request.Waited), request.PromptID)}
 	return nil
 }
 
@@ -99,6 +107,9 @@
 			answers = append(answers, q.recordAnswer(now, &Answer{ID: w.request.ID, Decision: Unknown}))
 			continue
 		}
+		if fleet.Incomplete && now.Sub(w.acceptedAt) < recovery.MaxLoadsWait(w.request.Objective) {
+			continue
+		}
 		answer := decide(now, w, fleet, ahead[w.request.Service])
 		if answer.Decision == Waiting {
 			ahead[w.request.Service] += w.prefill / time.Duration(max(1, len(fleet.Engines)))
--- a/arbiter/queue_test.go
+++ b/arbiter/queue_test.go
@@ -17,6 +17,7 @@
 	loads   map[loadshare.Key]loadshare.Load
 	engines int
 	granted int
+	unknown bool // the loads of some instances are not known
 }
 
 func (w *fakeFleets) Fleet(service string) *Fleet {
@@ -27,6 +28,7 @@
 		Slots: 16, MemoryTokens: 405_000, Stride: 34, Step: 1310 * time.Microsecond, PrefillRate: 154_000,
 		PairsPerM: 162 * time.Microsecond, Chunk: 2048, MinPauseLimit: 250 * time.Millisecond,
 	}}
+	fleet.Incomplete = w.unknown
 	for i := range w.engines {
 		key := loadshare.Key(i + 1)
 		fleet.Keys = append(fleet.Keys, key)
--- a/recovery/view.go
+++ b/recovery/view.go
@@ -26,6 +26,20 @@
 	maxPause = loadshare.ReportTTL
 )
 
+const (
+	// maxLoadsWait bounds how long a long prompt waits for the loads of the instances: most of
+	// them report within it.
+	maxLoadsWait = 300 * time.Millisecond
+	// loadsWaitFraction is the part of an objective that such a wait may take, one in so many.
+	loadsWaitFraction = 4
+)
+
+// MaxLoadsWait returns how long a long prompt with the given objective waits for the loads of the
+// instances before it is placed without them.
+func MaxLoadsWait(objective time.Duration) time.Duration {
+	return min(maxLoadsWait, objective/loadsWaitFraction)
+}
+
 // Listed is what the list of live instances says about the other instances.
 type Listed struct {
 	Peers []netip.AddrPort // other instances of the own availability zone
@@ -40,7 +54,7 @@
 type View struct {
 	startedAt time.Time
 	grownAt   time.Time // when the list of instances last grew; zero while it is empty
-	activeAt  time.Time // last call of Observe
+	activeAt  time.Time // last call of Tick
 	size      int       // largest size of the list so far
 	peers     map[netip.AddrPort]struct{}
 	zones     map[loadshare.Key]struct{}
@@ -55,7 +69,7 @@
 }
 
 func (v *View) restart(now time.Time) {
-	*v = View{startedAt: now, activeAt: now, peers: map[netip.AddrPort]struct{}{}, zones: map[loadshare.Key]struct{}{}}
+	*v = View{startedAt: now, peers: map[netip.AddrPort]struct{}{}, zones: map[loadshare.Key]struct{}{}}
 }
 
 // RecordReport records a report of an instance of the own zone. Only full reports count, because
@@ -73,14 +87,18 @@
 	}
 }
 
-// Observe records the current list of instances. known is false while this instance has not
-// received one. Observe is called at least once per loadshare.FullInterval, so that a gap shows
-// that the process was frozen; its view then starts anew.
-func (v *View) Observe(now time.Time, listed Listed, known bool) {
-	if now.Sub(v.activeAt) > maxPause {
+// Tick is called at least once per loadshare.FullInterval. A longer gap shows that the process was
+// frozen; its view then starts anew.
+func (v *View) Tick(now time.Time) {
+	if !v.activeAt.IsZero() && now.Sub(v.activeAt) > maxPause {
 		v.restart(now)
 	}
 	v.activeAt = now
+}
+
+// Observe records the current list of instances. known is false while this instance has not
+// received one.
+func (v *View) Observe(now time.Time, listed Listed, known bool) {
 	if v.complete || !known {
 		return
 	}
@@ -89,6 +107,12 @@
 	}
 }
 
+// AwaitsList reports whether a long prompt that began at the given time should wait for the list
+// of instances, without which no arbiter can be asked.
+func (v *View) AwaitsList(now, began time.Time, objective time.Duration) bool {
+	return !v.complete && v.grownAt.IsZero() && now.Sub(v.startedAt) < maxIncomplete && now.Sub(began) < MaxLoadsWait(objective)
+}
+
 // Complete reports whether the view is complete. A complete view stays so until the process
 // is frozen.
 func (v *View) Complete(now time.Time, listed Listed) bool {
--- a/recovery/view_test.go
+++ b/recovery/view_test.go
@@ -73,12 +73,14 @@
 	// Guards against an instance that was stopped for longer than reports live: its view has
 	// become empty meanwhile, and it would pack calls as in an idle fleet.
 	v, listed := NewView(start), listOf(20, 2)
+	v.Tick(start)
 	v.Observe(start, listed, true)
 	if now := start.Add(listenTime); !v.Complete(now, listed) {
 		t.Fatal("incomplete after two full reports of all instances")
 	}
 	frozen := start.Add(10 * time.Second)
-	v.Observe(start.Add(listenTime), listed, true)
+	v.Tick(start.Add(listenTime))
+	v.Tick(frozen)
 	v.Observe(frozen, listed, true)
 	if v.Complete(frozen, listed) {
 		t.Error("complete just after the process was frozen")
