Spread calls over all engines until the loads of the others are known

Cause: an instance that has just started packs its calls as in an idle fleet, and so do all others after a loss of all processes.

Change: the driver feeds recovery.View with the list of instances and the reports received, sets placement.Call.Spread while the view is incomplete, and lets a long prompt wait up to 0.3 s for the list of instances, without which there is no arbiter. A process that was frozen starts a new view.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"celeryport/loadshare"
+	"celeryport/recovery"
 	"celeryport/upstream"
 )
 
@@ -25,6 +26,8 @@
 	startedAt        time.Time                    // start of this instance; earlier silence of an upstream is not significant
 	board            *loadshare.Board             // loads of the other instances of the own availability zone
 	zones            *loadshare.Zones             // loads of the other zones
+	view             *recovery.View               // whether the loads of the other instances are known
+	spread           recovery.Spread              // where calls start while they are not
 	loadsChanged     chan struct{}                // signals that the own loads have changed
 	zoneLoadsChanged chan struct{}                // signals that the loads of the own zone have changed
 	random           *rand.Rand
@@ -43,6 +46,7 @@
 		dialer := &net.Dialer{KeepAliveConfig: upstreamKeepAlive}
 		options.Dial = dialer.DialContext
 	}
+	now := time.Now()
 	random := rand.New(rand.NewPCG(options.Random.Uint64(), options.Random.Uint64()))
 	return &fleet{
 		options:          options,
@@ -57,7 +61,8 @@
 		random:           random,
 		suspects:         newSuspects(options),
 		rates:            newRates(callRate),
-		startedAt:        time.Now(),
+		startedAt:        now,
+		view:             recovery.NewView(now),
 	}
 }
 
@@ -239,10 +244,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if r.Zone != 0 {
-		f.zones.Accept(now, r)
+		if f.zones.Accept(now, r) {
+			f.view.RecordZone(r.Zone, r.Full)
+		}
 		return
 	}
 	f.peers[from] = now
+	f.view.RecordReport(from, r.Full)
 	if f.board.Accept(now, r) && len(r.Loads) > 0 {
 		wake(f.zoneLoadsChanged)
 	}
--- a/forward/grant_test.go
+++ b/forward/grant_test.go
@@ -30,6 +30,7 @@
 func TestEnginesAreNotGivenAwayTwiceWhileReportsAreMissing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, "front-1", "front-1")
+		completeView(s)
 		first := longAsk()
 		given := placeFor(t, s, first)
 		time.Sleep(100 * time.Millisecond)
@@ -47,6 +48,7 @@
 func TestAbandonedGrantIsRevoked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, "front-1", "front-1")
+		completeView(s)
 		given := placeFor(t, s, longAsk())
 		next := longAsk()
 		next.ID, next.Previous, next.Tried = "front-1/call/1", "front-1/call/0", []loadshare.Key{given.Helpers[0]}
--- a/forward/place.go
+++ b/forward/place.go
@@ -17,6 +17,9 @@
 // the call. A prompt may have to wait until engines are free.
 func (x *exchange) place(ctx context.Context) (*work, error) {
 	if x.isLong() {
+		if !x.awaitInstances(ctx) {
+			return nil, ctx.Err()
+		}
 		if w, err, decided := x.placeLong(ctx); decided {
 			return w, err
 		}
@@ -272,6 +275,9 @@
 	}
 	call := x.placementCall(now)
 	call.Draw = [2]float64{x.server.fleet.random.Float64(), x.server.fleet.random.Float64()}
+	if call.Spread = !x.server.viewComplete(now); call.Spread {
+		call.Draw = x.server.nextStart()
+	}
 	plan, found := placement.Prompt(profile, engines, call)
 	x.predicted, x.readers, x.seen = plan.FirstEvent, 1+len(plan.Helpers), plan.Seen
 	if plan.Wait > 0 {
--- /dev/null
+++ b/forward/recovery_test.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"celeryport/loadshare"
+	"celeryport/membership"
+	"celeryport/settings"
+)
+
+// shortExchange returns a call with a short prompt that has just begun.
+func shortExchange(s *Server, id int) *exchange {
+	forwarding := s.options.Plane.View().Tree.Forwarding
+	return &exchange{
+		server: s, service: &forwarding.Services[0], route: shortRoute(),
+		call:  &Call{ID: fmt.Sprint(id), PromptTokens: 2000, AnswerTokens: 300},
+		began: time.Now(), deadline: time.Now().Add(10 * time.Second),
+	}
+}
+
+// completeView lets the time pass in which a server that has just started waits for the loads of
+// the others.
+func completeView(s *Server) {
+	s.tickView(time.Now())
+	time.Sleep(2 * loadshare.FullInterval)
+}
+
+// enginesOf places calls and returns how many engines lead them.
+func enginesOf(t *testing.T, s *Server, calls int) int {
+	t.Helper()
+	leads := map[loadshare.Key]bool{}
+	for id := range calls {
+		w, wait, err := shortExchange(s, id).tryPlace()
+		if w == nil {
+			t.Fatalf("not placed: wait %s, %v", wait, err)
+		}
+		leads[w.lead.key] = true
+		s.fleet.end(w)
+	}
+	return len(leads)
+}
+
+func TestRestartedInstanceDoesNotTakeItsEmptyViewForAnIdleFleet(t *testing.T) {
+	// Guards against an instance that packs its calls onto the first engines of the common order
+	// although it has not received the loads yet, and against one that spreads for good.
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, "front-1", "front-1", "other-1", "other-2")
+		if used := enginesOf(t, s, 18); used < 12 {
+			t.Errorf("just started: 18 calls are placed on %d of 18 engines", used)
+		}
+		time.Sleep(800 * time.Millisecond)
+		if used := enginesOf(t, s, 18); used > 4 {
+			t.Errorf("with a complete view: 18 calls are placed on %d engines, want those of the packing", used)
+		}
+	})
+}
+
+func TestReportsCompleteTheViewOfARestartedInstance(t *testing.T) {
+	// An instance that restarts alone hears the others within one full interval and must pack
+	// again from then on. Reports of changes alone must not complete its view.
+	for _, full := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newTestServer(t, "front-1", "front-1")
+			view := *s.options.Plane.View()
+			for i := range 3 {
+				view.Instances = append(view.Instances, membership.Instance{
+					Name: fmt.Sprint("other-", i), Address: "a", ControlAddress: fmt.Sprintf("10.0.0.%d:7340", i+2),
+				})
+			}
+			s.options.Plane = fixedPlane{view: &view}
+			s.tickView(time.Now())
+			for i := range 3 {
+				from := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7340", i+2))
+				s.fleet.applyReport(time.Now(), from, &loadshare.Report{Sender: loadshare.Key(i + 1), Sequence: 1, Full: full})
+			}
+			time.Sleep(loadshare.FullInterval)
+			s.fleet.mu.Lock()
+			defer s.fleet.mu.Unlock()
+			if complete := s.viewComplete(time.Now()); complete != full {
+				t.Errorf("complete: %t, after reports of all others with full %t", complete, full)
+			}
+		})
+	}
+}
+
+func shortRoute() *settings.Route {
+	return &settings.Route{Objective: 300 * time.Millisecond, PauseLimit: 250 * time.Millisecond, Stream: true}
+}
--- a/forward/reporting.go
+++ b/forward/reporting.go
@@ -45,6 +45,7 @@
 			}
 		}
 		now := time.Now()
+		s.tickView(now)
 		if report := reporter.Next(now, s.fleet.loadsToReport(now), s.peering().Candidate()); report != nil {
 			s.sendReport(conn, report)
 		}
--- a/peering/table.go
+++ b/peering/table.go
@@ -78,6 +78,9 @@
 // the result.
 func (t *Table) Peers() []netip.AddrPort { return t.peers }
 
+// Zones returns the number of other availability zones with instances.
+func (t *Table) Zones() int { return len(t.zones) }
+
 // Relays returns one instance of each other availability zone, which relays a report to its
 // zone. It changes with the sequence number of the report, so that the loss of an instance costs
 // its zone only one report in as many as it has instances.
