Report the residual load of engines after a start

The datagrams are unchanged. An instance whose list of instances is not there at the start polls as soon as it is, instead of an interval later.

--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryport/httpwire"
+	"celeryport/recovery"
 )
 
 // Dialect translates between the header fields of a protocol and the types of this package. It
@@ -89,4 +90,6 @@
 type EngineReport struct {
 	Pace        float64 // factor by which the engine is slower than usual
 	Incarnation uint64  // incarnation of the reporting engine, upstream.UnknownIncarnation if not stated
+	// State is the load of the engine, or nil if the report does not state it or can't be read.
+	State *recovery.EngineState
 }
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -193,7 +193,8 @@
 
 // loadOf returns the load of all instances on a node. The lock must be held.
 func (f *fleet) loadOf(now time.Time, n *node) loadshare.Load {
-	load := n.ownLoad(now).Add(f.board.Load(now, n.key)).Add(f.zones.Load(now, n.key))
+	others := f.othersLoad(now, n)
+	load := n.ownLoad(now).Add(others).Add(n.report.residual.Unconfirmed(now, others))
 	kept := n.granted[:0]
 	for _, g := range n.granted {
 		if left, counts := g.remainingLoad(now); counts {
@@ -205,6 +206,11 @@
 	return load
 }
 
+// othersLoad returns the load of the other instances on a node. The lock must be held.
+func (f *fleet) othersLoad(now time.Time, n *node) loadshare.Load {
+	return f.board.Load(now, n.key).Add(f.zones.Load(now, n.key))
+}
+
 // loadsToReport returns the loads caused by this instance and its evidence about upstreams, as
 // far as the other instances need it.
 func (f *fleet) loadsToReport(now time.Time) map[loadshare.Key]loadshare.Load {
--- a/forward/node.go
+++ b/forward/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryport/loadshare"
+	"celeryport/recovery"
 	"celeryport/throttle"
 	"celeryport/upstream"
 )
@@ -59,9 +60,11 @@
 	answeredAt time.Time // time of the last answer; zero if the last poll failed
 	failedAt   time.Time // time of the last failed poll; zero if none failed
 	pace       int       // as in loadshare.Load
+	residual   recovery.Residual
 }
 
-// ownLoad returns the load caused by this instance on the node.
+// ownLoad returns the load that this instance reports for the node: what it causes itself, and the
+// residual load.
 func (n *node) ownLoad(now time.Time) loadshare.Load {
 	load := n.load
 	for _, end := range n.reading {
@@ -76,5 +79,7 @@
 	if now.Sub(n.report.answeredAt) < reportRetention {
 		load.Pace = n.report.pace
 	}
+	residual := n.report.residual.Confirmed(now)
+	load.Streams, load.Held = load.Streams+residual.Streams, load.Held+residual.Held
 	return load
 }
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -56,7 +56,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			if now.Sub(chosenAt) >= pollInterval {
+			// The first poll must not wait for an interval because the list of instances was
+			// missing at the start: it shows the residual load.
+			if now.Sub(chosenAt) >= pollInterval || len(polled) == 0 && s.recovering(now) {
 				polled, chosenAt = s.nodesToPoll(), now
 			}
 			for _, n := range polled {
@@ -183,10 +185,11 @@
 	f.mu.Lock()
 	n.report.answeredAt = time.Now()
 	n.report.pace = reportedPace(report.Pace)
+	residual := s.recordResidual(n.report.answeredAt, n, report.State)
 	cleared := n.suspicion.clear()
 	suspected := f.board.Load(n.report.answeredAt, n.key).Add(f.zones.Load(n.report.answeredAt, n.key)).Suspicions > 0
 	f.mu.Unlock()
-	if suspected {
+	if suspected || residual {
 		f.notifyChanged()
 	}
 	if cleared {
--- a/forward/recovery.go
+++ b/forward/recovery.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"celeryport/clock"
+	"celeryport/loadshare"
+	"celeryport/placement"
+	"celeryport/polling"
 	"celeryport/recovery"
 )
 
@@ -31,6 +34,30 @@
 	s.viewComplete(now)
 }
 
+// recovering reports whether this instance has started so recently that engines may still run calls
+// of lost processes.
+func (s *Server) recovering(now time.Time) bool { return now.Sub(s.startedAt) < residualPeriod }
+
+// residualPeriod is how long after its start an instance records residual load: until the list of
+// instances is known, the view is complete, and two polls later.
+const residualPeriod = startupGrace + 2*pollInterval
+
+// recordResidual records the residual load of a node that was polled, and returns whether there is
+// any to report. The lock of the fleet must be held.
+func (s *Server) recordResidual(now time.Time, n *node, state *recovery.EngineState) bool {
+	view := s.options.Plane.View()
+	profile := engineProfile(view.Tree, n.service)
+	if profile == nil || !s.recovering(now) {
+		n.report.residual = recovery.Residual{}
+		return false
+	}
+	capacity := recovery.Capacity{Slots: profile.Slots, Tokens: profile.MemoryTokens}
+	capacity.Usual = max(placement.FullWait(profile), pollInterval) // the next poll renews it
+	reporter := polling.Assign(s.options.Process.Name, forwardingNames(view.Instances), 1).Includes(n.key)
+	n.report.residual.Record(now, state, capacity, n.load, s.fleet.othersLoad(now, n), s.viewComplete(now), reporter)
+	return n.report.residual.Confirmed(now) != (loadshare.Load{})
+}
+
 // nextStart returns where the next call starts among the engines while the loads are unknown. The
 // lock of the fleet must be held.
 func (s *Server) nextStart() [2]float64 {
--- a/forward/recovery_test.go
+++ b/forward/recovery_test.go
@@ -9,6 +9,7 @@
 
 	"celeryport/loadshare"
 	"celeryport/membership"
+	"celeryport/recovery"
 	"celeryport/settings"
 )
 
@@ -90,3 +91,33 @@
 func shortRoute() *settings.Route {
 	return &settings.Route{Objective: 300 * time.Millisecond, PauseLimit: 250 * time.Millisecond, Stream: true}
 }
+
+func TestResidualLoadOfLostProcessesIsReported(t *testing.T) {
+	// After a loss of all processes engines still run calls that no instance knows. Guards
+	// against calls placed there, and against a restarted instance that reports residual load
+	// before its view is complete or long after its start.
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, "front-1", "front-1")
+		s.tickView(time.Now())
+		s.fleet.mu.Lock()
+		defer s.fleet.mu.Unlock()
+		n := s.fleet.node(&s.options.Plane.View().Upstreams.Upstreams[0])
+		state := &recovery.EngineState{Active: 8, Queued: 1, Held: 50_000}
+		if s.recordResidual(time.Now(), n, state) || s.fleet.loadOf(time.Now(), n).Streams != 9 {
+			t.Errorf("incomplete view: load %+v, reported %+v", s.fleet.loadOf(time.Now(), n), n.ownLoad(time.Now()))
+		}
+		time.Sleep(2 * loadshare.FullInterval)
+		n.load.Streams = 3
+		if !s.recordResidual(time.Now(), n, state) || n.ownLoad(time.Now()).Streams != 9 {
+			t.Errorf("complete view: reported %+v, want 3 own streams and 6 others", n.ownLoad(time.Now()))
+		}
+		s.recordResidual(time.Now(), n, state)
+		if got := n.ownLoad(time.Now()).Streams; got != 9 {
+			t.Errorf("a second poll changes the residual load: %d streams", got)
+		}
+		time.Sleep(residualPeriod)
+		if s.recordResidual(time.Now(), n, state) || n.ownLoad(time.Now()).Streams != 3 {
+			t.Errorf("long after the start: reported %+v", n.ownLoad(time.Now()))
+		}
+	})
+}
