Serve the shortest prompts first after a start, and log when the loads are known

Change: a call that waited for the first settings takes its turn by its prefill time. Event 7025 says when the view of the loads has become complete.

--- a/forward/events.go
+++ b/forward/events.go
@@ -45,6 +45,8 @@
 		"A header field with which an upstream describes its state has a value that can't be parsed; it is ignored. Logged at most once in 10 s for each upstream. Fields: upstream, address, fields.")
 	eventRestEnded = event.Define(7019, logrus.InfoLevel, "upstream accepts requests after its rest period",
 		"An upstream that had asked for a rest period accepted the probing request; it gets requests without restriction again. Fields: upstream, address.")
+	eventLoadsKnown = event.Define(7025, logrus.InfoLevel, "loads of the other instances known",
+		"This instance has received the loads of the other instances after its start, or after it was frozen, and packs short prompts again. Fields: after_ms (since the start of the process), spread (calls spread over all engines since then).")
 	eventCleared = event.Define(7009, logrus.InfoLevel, "upstream works again",
 		"A suspected upstream answered. Fields: upstream, address.")
 )
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -54,6 +54,7 @@
 	helpers      []*node       // engines that read a part of the prompt of the last send
 	placedAt     time.Time     // when the last send was placed
 	ran          bool          // a send may have run
+	heldBack     bool          // it waited for the first settings, with the other calls of that time
 }
 
 // maxUnsent bounds the tries that reached no upstream because no connection could be opened or
@@ -106,6 +107,10 @@
 		x.refuse(errQuarantined())
 		return
 	}
+	if !x.awaitTurn(ctx) {
+		x.callerLeft()
+		return
+	}
 	x.server.budgets.recordCall(x.began, x.service.Name)
 	var last *outcome
 	unsent := 0
@@ -190,6 +195,7 @@
 func (x *exchange) awaitSettings(ctx context.Context) {
 	until := x.began.Add(maxSettingsWait)
 	for !x.server.hasSettings() && time.Now().Before(until) {
+		x.heldBack = true
 		if !clock.Pause(ctx, settingsPollInterval) {
 			return
 		}
@@ -208,7 +214,7 @@
 func (x *exchange) admit() error {
 	view := x.server.options.Plane.View()
 	if !x.server.hasSettings() {
-		return verdict.Refuse(verdict.ReasonNoLease, noSettingsRetry, "this instance has no settings yet")
+		return verdict.Refuse(verdict.ReasonNoLease, x.spreadRetry(noSettingsRetry), "this instance has no settings yet")
 	}
 	tree := view.Tree
 	x.revision = tree.Revision
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -27,6 +27,7 @@
 	board            *loadshare.Board             // loads of the other instances of the own availability zone
 	zones            *loadshare.Zones             // loads of the other zones
 	view             *recovery.View               // whether the loads of the other instances are known
+	viewLogged       bool                         // the view was complete at the last tick
 	spread           recovery.Spread              // where calls start while they are not
 	loadsChanged     chan struct{}                // signals that the own loads have changed
 	zoneLoadsChanged chan struct{}                // signals that the loads of the own zone have changed
--- a/forward/recovery.go
+++ b/forward/recovery.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryport/clock"
+	"celeryport/event"
 	"celeryport/loadshare"
 	"celeryport/placement"
 	"celeryport/polling"
@@ -26,12 +27,35 @@
 	return s.fleet.view.Complete(now, listed)
 }
 
-// tickView records that this process runs.
+// tickView records that this process runs, and logs when its view has become complete.
 func (s *Server) tickView(now time.Time) {
-	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
-	s.fleet.view.Tick(now)
-	s.viewComplete(now)
+	f := s.fleet
+	f.mu.Lock()
+	f.view.Tick(now)
+	complete := s.viewComplete(now)
+	changed := complete != f.viewLogged
+	f.viewLogged = complete
+	calls := f.spread.Calls()
+	f.mu.Unlock()
+	if changed && complete {
+		eventLoadsKnown.Log(s.options.Log, event.Fields{"after_ms": now.Sub(s.startedAt).Milliseconds(), "spread": calls})
+	}
+}
+
+// awaitTurn delays a call that was held back, so that of the calls that are placed at the same
+// moment the shortest ones are first. It returns false if the caller left. The arbiter orders
+// long prompts.
+func (x *exchange) awaitTurn(ctx context.Context) bool {
+	if !x.heldBack || x.service.Engine == nil || x.isLong() {
+		return true
+	}
+	return clock.Pause(ctx, recovery.Turn(placement.PrefillTime(x.service.Engine, x.call.PromptTokens), x.route.Objective))
+}
+
+// spreadRetry spreads a Retry-After evenly around its usual value, so that the callers that an
+// instance refuses at the same moment do not return together.
+func (x *exchange) spreadRetry(usual time.Duration) time.Duration {
+	return usual/2 + time.Duration(x.server.draw()*float64(usual))
 }
 
 // recovering reports whether this instance has started so recently that engines may still run calls
--- a/forward/recovery_test.go
+++ b/forward/recovery_test.go
@@ -7,10 +7,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"celeryport/control"
 	"celeryport/loadshare"
 	"celeryport/membership"
 	"celeryport/recovery"
 	"celeryport/settings"
+	"celeryport/verdict"
 )
 
 // shortExchange returns a call with a short prompt that has just begun.
@@ -121,3 +125,57 @@
 		}
 	})
 }
+
+func TestRefusedCallersOfARestartReturnApart(t *testing.T) {
+	// Guards against callers that are refused together after a restart and come back within
+	// 200 ms while the engines need 2 s for their backlog, and against other waits later on.
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, "front-1", "front-1")
+		latest := func() time.Duration {
+			longest := time.Duration(0)
+			for id := range 50 {
+				x := shortExchange(s, id)
+				var refusal *verdict.Error
+				if !errors.As(x.refuseTooLate(2*time.Second, 100*time.Millisecond), &refusal) {
+					t.Fatal("not a refusal")
+				}
+				longest = max(longest, refusal.RetryAfter)
+			}
+			return longest
+		}
+		if got := latest(); got < time.Second || got > 2100*time.Millisecond {
+			t.Errorf("just started: the last of 50 callers returns after %s, want nearly 2.1 s", got)
+		}
+		time.Sleep(residualPeriod)
+		if got := latest(); got > 300*time.Millisecond {
+			t.Errorf("long after the start: %s", got)
+		}
+	})
+}
+
+func TestHeldBackCallsArePlacedShortestFirst(t *testing.T) {
+	// Calls wait for the first settings of a new process and are released together. Guards
+	// against a longer prompt that is placed before a shorter one, and against a delay of calls
+	// that were not held back.
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, "front-1", "front-1")
+		delay := func(tokens int, heldBack bool) time.Duration {
+			x := shortExchange(s, tokens)
+			x.call.PromptTokens, x.heldBack = tokens, heldBack
+			began := time.Now()
+			x.awaitTurn(t.Context())
+			return time.Since(began)
+		}
+		if short, longer := delay(500, true), delay(1500, true); short >= longer || longer > 20*time.Millisecond {
+			t.Errorf("500 tokens wait %s, 1,500 tokens %s", short, longer)
+		}
+		if usual := delay(1500, false); usual > 0 {
+			t.Errorf("a call that was not held back waits %s", usual)
+		}
+		early := shortExchange(s, 1)
+		s.options.Plane = fixedPlane{view: &control.View{}}
+		if early.awaitSettings(t.Context()); !early.heldBack {
+			t.Error("a call that waited for the first settings does not count as held back")
+		}
+	})
+}
--- a/forward/refuse_late.go
+++ b/forward/refuse_late.go
@@ -3,12 +3,19 @@
 import (
 	"time"
 
+	"celeryport/recovery"
 	"celeryport/verdict"
 )
 
 // refuseTooLate refuses a call whose first event would arrive after its objective.
 func (x *exchange) refuseTooLate(first, excess time.Duration) error {
-	back := x.retryAfter(time.Until(x.deadline), excess)
+	left := time.Until(x.deadline)
+	var back time.Duration
+	if x.server.recovering(time.Now()) {
+		back = max(busyRetry, recovery.RetryAfter(excess, max(first, x.seen.Backlog), left, x.server.draw()))
+	} else {
+		back = x.retryAfter(left, excess)
+	}
 	waited := x.age + time.Since(x.began)
 	return verdict.Refuse(verdict.ReasonDeadline, back,
 		"no place in time: read %s from now at the soonest, after %s of an objective of %s; %d of %d engines write streams with short pauses, %s to read at each on the mean",
--- a/recovery/spread.go
+++ b/recovery/spread.go
@@ -20,6 +20,9 @@
 	return [2]float64{first, fractional(first + alternative)}
 }
 
+// Calls returns the number of calls placed so far.
+func (s *Spread) Calls() int { return s.calls }
+
 func fractional(x float64) float64 { return x - math.Floor(x) }
 
 const (
