Count the start of the view from the arrival of the list of instances

Cause: the view counted as complete 4 s after the start of the process. An election that takes longer than that delays the list of instances; all instances would then have taken their empty views for an idle fleet.

Change: a view without a list stays incomplete, and all limits count from the arrival of the list, those of residual load and Retry-After too.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"celeryport/loadshare"
@@ -28,6 +29,7 @@
 	zones            *loadshare.Zones             // loads of the other zones
 	view             *recovery.View               // whether the loads of the other instances are known
 	viewLogged       bool                         // the view was complete at the last tick
+	recoveringUntil  atomic.Int64                 // in Unix nanoseconds; 0 until the list of instances has arrived
 	spread           recovery.Spread              // where calls start while they are not
 	loadsChanged     chan struct{}                // signals that the own loads have changed
 	zoneLoadsChanged chan struct{}                // signals that the loads of the own zone have changed
--- a/forward/recovery.go
+++ b/forward/recovery.go
@@ -24,6 +24,9 @@
 func (s *Server) viewComplete(now time.Time) bool {
 	listed, known := s.listedInstances()
 	s.fleet.view.Observe(now, listed, known)
+	if until, known := s.fleet.view.RecoveringUntil(); known {
+		s.fleet.recoveringUntil.Store(until.UnixNano())
+	}
 	return s.fleet.view.Complete(now, listed)
 }
 
@@ -58,13 +61,12 @@
 	return usual/2 + time.Duration(x.server.draw()*float64(usual))
 }
 
-// recovering reports whether this instance has started so recently that engines may still run calls
-// of lost processes.
-func (s *Server) recovering(now time.Time) bool { return now.Sub(s.startedAt) < residualPeriod }
-
-// residualPeriod is how long after its start an instance records residual load: until the list of
-// instances is known, the view is complete, and two polls later.
-const residualPeriod = startupGrace + 2*pollInterval
+// recovering reports whether this instance has started so recently that effects of lost processes
+// last: engines may still run their calls, and their callers return.
+func (s *Server) recovering(now time.Time) bool {
+	until := s.fleet.recoveringUntil.Load()
+	return until == 0 || now.UnixNano() < until
+}
 
 // recordResidual records the residual load of a node that was polled, and returns whether there is
 // any to report. The lock of the fleet must be held.
--- a/recovery/view.go
+++ b/recovery/view.go
@@ -15,9 +15,12 @@
 	// are compared with it. After a loss of all processes the list is empty first and grows as
 	// instances register, so it is short while it is young.
 	settleTime = loadshare.FullInterval
-	// maxIncomplete bounds the time that a view is incomplete. A list that keeps growing, as
-	// during a rolling start, must not keep short prompts off the packing for longer.
+	// maxIncomplete bounds how long after the list arrived a view is incomplete. A list that keeps
+	// growing, as during a rolling start, must not keep short prompts off the packing for longer.
 	maxIncomplete = 4 * time.Second
+	// recoveryTime is how long after the list arrived the effects of lost processes last: until
+	// the view is complete, and two polls of the engines later.
+	recoveryTime = maxIncomplete + 2*time.Second
 	// peerFraction is the fraction of the listed instances of the own zone whose full reports
 	// complete a view; some instances listed may be dead.
 	peerFraction = 0.9
@@ -53,7 +56,8 @@
 // safe for concurrent use.
 type View struct {
 	startedAt time.Time
-	grownAt   time.Time // when the list of instances last grew; zero while it is empty
+	listedAt  time.Time // when the list of instances arrived; zero before
+	grownAt   time.Time // when the list last grew
 	activeAt  time.Time // last call of Tick
 	size      int       // largest size of the list so far
 	peers     map[netip.AddrPort]struct{}
@@ -102,7 +106,10 @@
 	if v.complete || !known {
 		return
 	}
-	if v.grownAt.IsZero() || listed.size() > v.size {
+	if v.listedAt.IsZero() {
+		v.listedAt, v.grownAt = now, now
+	}
+	if listed.size() > v.size {
 		v.grownAt, v.size = now, listed.size()
 	}
 }
@@ -110,7 +117,13 @@
 // AwaitsList reports whether a long prompt that began at the given time should wait for the list
 // of instances, without which no arbiter can be asked.
 func (v *View) AwaitsList(now, began time.Time, objective time.Duration) bool {
-	return !v.complete && v.grownAt.IsZero() && now.Sub(v.startedAt) < maxIncomplete && now.Sub(began) < MaxLoadsWait(objective)
+	return v.listedAt.IsZero() && now.Sub(v.startedAt) < maxIncomplete && now.Sub(began) < MaxLoadsWait(objective)
+}
+
+// RecoveringUntil returns until when the effects of lost processes last. The last result is false
+// while this is not known, because the list of instances has not arrived.
+func (v *View) RecoveringUntil() (time.Time, bool) {
+	return v.listedAt.Add(recoveryTime), !v.listedAt.IsZero()
 }
 
 // Complete reports whether the view is complete. A complete view stays so until the process
@@ -125,9 +138,11 @@
 
 func (v *View) sufficient(now time.Time, listed Listed) bool {
 	switch {
-	case now.Sub(v.startedAt) >= maxIncomplete:
+	case v.listedAt.IsZero():
+		return false // the others have nobody to send their reports to yet
+	case now.Sub(v.listedAt) >= maxIncomplete:
 		return true
-	case v.grownAt.IsZero() || listed.size() > v.size:
+	case listed.size() > v.size:
 		return false
 	case now.Sub(v.grownAt) >= listenTime:
 		return true
