--- a/recovery/burst_test.go
+++ b/recovery/burst_test.go
@@ -14,6 +14,10 @@
 	PairsPerM: 162 * time.Microsecond, Chunk: 2048, MinPauseLimit: 250 * time.Millisecond, MeanAnswer: 300,
 }
 
+var shortCall = placement.Call{
+	Prompt: 5_000, Answer: 1_300, Objective: 300 * time.Millisecond, LongPause: 250 * time.Millisecond, Remaining: 10 * time.Second,
+}
+
 // burst places 200 short calls at one moment at 66 instances that know no calls but their own,
 // and returns how many streams each of 26 engines gets beyond its slots.
 func burst(t *testing.T, instanceOf func(call int) int, spread bool) (excess, used int) {
@@ -31,11 +35,9 @@
 				views[rank][i].Order = uint64(i)
 			}
 		}
-		call := placement.Call{
-			Prompt: 5_000, Answer: 1_300, Objective: 300 * time.Millisecond, LongPause: 250 * time.Millisecond, Remaining: 10 * time.Second,
-			Spread: spread, Draw: [2]float64{random.Float64(), random.Float64()},
-		}
-		if spread {
+		call := shortCall
+		call.Draw = [2]float64{random.Float64(), random.Float64()}
+		if call.Spread = spread; spread {
 			call.Draw = starts[rank].Next(rank, instances)
 		}
 		plan, found := placement.Prompt(engineOf12Slots, views[rank], &call)
