Listen from the first report on, for the view and for the aggregate of a zone

Cause: the others of a zone report to a restarted instance only when control has named it to them, up to a sync later than it has their list. 0.8 s after the list it may have received nothing, and an aggregator would report its zone as idle to the other zones.

Change: both times count from the first full report that arrives; an instance that hears nobody waits 4 s, one that is alone in its zone not at all.

--- a/forward/aggregate.go
+++ b/forward/aggregate.go
@@ -20,10 +20,6 @@
 	// peerRetention is how long an instance of the own zone counts as live after its last
 	// report: two full reports may be lost.
 	peerRetention = 2*loadshare.FullInterval + 100*time.Millisecond
-	// aggregationDelay is how long an instance that has started listens before it aggregates its
-	// zone: until it has received a full report of each other instance. Otherwise its zone would
-	// appear idle.
-	aggregationDelay = loadshare.FullInterval + 50*time.Millisecond
 )
 
 // aggregateZone reports the total loads of this availability zone to the other zones while this
@@ -63,10 +59,11 @@
 	}
 }
 
-// isAggregator reports whether this instance is the aggregator of its zone.
+// isAggregator reports whether this instance is the aggregator of its zone. One that does not
+// know the loads of its zone yet must not be: the zone would appear idle.
 func (s *Server) isAggregator(now time.Time) bool {
 	recent := s.fleet.peersSince(now.Add(-peerRetention))
-	return now.Sub(s.fleet.startedAt) >= aggregationDelay &&
+	return s.zoneKnown(now) &&
 		s.peering().Aggregates(func(candidate netip.AddrPort) bool { return recent[candidate] })
 }
 
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -254,12 +254,12 @@
 	defer f.mu.Unlock()
 	if r.Zone != 0 {
 		if f.zones.Accept(now, r) {
-			f.view.RecordZone(r.Zone, r.Full)
+			f.view.RecordZone(now, r.Zone, r.Full)
 		}
 		return
 	}
 	f.peers[from] = now
-	f.view.RecordReport(from, r.Full)
+	f.view.RecordReport(now, from, r.Full)
 	if f.board.Accept(now, r) && len(r.Loads) > 0 {
 		wake(f.zoneLoadsChanged)
 	}
--- a/forward/recovery.go
+++ b/forward/recovery.go
@@ -30,6 +30,15 @@
 	return s.fleet.view.Complete(now, listed)
 }
 
+// zoneKnown reports whether this instance knows the loads of its own zone.
+func (s *Server) zoneKnown(now time.Time) bool {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	listed, known := s.listedInstances()
+	s.fleet.view.Observe(now, listed, known)
+	return s.fleet.view.ZoneKnown(now, listed)
+}
+
 // tickView records that this process runs, and logs when its view has become complete.
 func (s *Server) tickView(now time.Time) {
 	f := s.fleet
--- a/forward/recovery_test.go
+++ b/forward/recovery_test.go
@@ -57,6 +57,7 @@
 		if used := enginesOf(t, s, 18); used < 12 {
 			t.Errorf("just started: 18 calls are placed on %d of 18 engines", used)
 		}
+		s.fleet.applyReport(time.Now(), netip.MustParseAddrPort("10.0.0.1:7340"), &loadshare.Report{Sender: 1, Sequence: 1, Full: true})
 		time.Sleep(800 * time.Millisecond)
 		if used := enginesOf(t, s, 18); used > 4 {
 			t.Errorf("with a complete view: 18 calls are placed on %d engines, want those of the packing", used)
@@ -180,3 +181,21 @@
 		}
 	})
 }
+
+func TestUnknownZoneIsNotAggregated(t *testing.T) {
+	// Guards against a restarted aggregator that reports its zone as idle to the other zones,
+	// because the others of the zone have not learned of it yet and do not report to it.
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, "front-1", "front-1", "other-1")
+		s.tickView(time.Now())
+		time.Sleep(500 * time.Millisecond)
+		if s.isAggregator(time.Now()) {
+			t.Error("aggregates its zone without any report of it")
+		}
+		s.fleet.applyReport(time.Now(), netip.MustParseAddrPort("10.0.0.1:7340"), &loadshare.Report{Sender: 1, Sequence: 1, Full: true})
+		time.Sleep(time.Second) // the other instance has ended meanwhile
+		if !s.isAggregator(time.Now()) {
+			t.Error("nobody aggregates the zone")
+		}
+	})
+}
--- a/recovery/bench_test.go
+++ b/recovery/bench_test.go
@@ -14,10 +14,10 @@
 	listed := listOf(37, 8)
 	v := NewView(start)
 	for _, peer := range listed.Peers[:30] {
-		v.RecordReport(peer, true)
+		v.RecordReport(start, peer, true)
 	}
 	for zone := range 8 {
-		v.RecordZone(loadshare.Key(zone), true)
+		v.RecordZone(start, loadshare.Key(zone), true)
 	}
 	v.Observe(start, listed, true)
 	now := start.Add(settleTime)
--- a/recovery/view.go
+++ b/recovery/view.go
@@ -8,9 +8,13 @@
 )
 
 const (
-	// listenTime is how long after the list of instances last grew a view counts as complete
-	// without further evidence: each instance has then sent two full reports, so one may be lost.
+	// listenTime is how long after the list of instances last grew, and after the first report,
+	// a view counts as complete without further evidence: each instance has then sent two full
+	// reports, so one may be lost. Until the first report the others may not know this instance.
 	listenTime = 2 * loadshare.FullInterval
+	// zoneListenTime is how long after the first report of its zone an instance has received a
+	// full report of each other instance of the zone.
+	zoneListenTime = loadshare.FullInterval + 50*time.Millisecond
 	// settleTime is how long the list of instances must not have grown before the reports received
 	// are compared with it. After a loss of all processes the list is empty first and grows as
 	// instances register, so it is short while it is young.
@@ -58,6 +62,8 @@
 	startedAt time.Time
 	listedAt  time.Time // when the list of instances arrived; zero before
 	grownAt   time.Time // when the list last grew
+	heardAt   time.Time // arrival of the first full report
+	peerAt    time.Time // arrival of the first full report of the own zone
 	activeAt  time.Time // last call of Tick
 	size      int       // largest size of the list so far
 	peers     map[netip.AddrPort]struct{}
@@ -78,15 +84,28 @@
 
 // RecordReport records a report of an instance of the own zone. Only full reports count, because
 // the others name changes since a full report that this instance has not received.
-func (v *View) RecordReport(from netip.AddrPort, full bool) {
-	if full && !v.complete {
+func (v *View) RecordReport(now time.Time, from netip.AddrPort, full bool) {
+	if !full {
+		return
+	}
+	v.heardAt, v.peerAt = firstOf(v.heardAt, now), firstOf(v.peerAt, now)
+	if !v.complete {
 		v.peers[from] = struct{}{}
 	}
 }
 
+// firstOf returns the time of the first event, given that of the one recorded before, if any.
+func firstOf(recorded, now time.Time) time.Time {
+	if recorded.IsZero() {
+		return now
+	}
+	return recorded
+}
+
 // RecordZone records a report of the loads of another zone.
-func (v *View) RecordZone(zone loadshare.Key, full bool) {
+func (v *View) RecordZone(now time.Time, zone loadshare.Key, full bool) {
 	if full && !v.complete {
+		v.heardAt = firstOf(v.heardAt, now)
 		v.zones[zone] = struct{}{}
 	}
 }
@@ -144,7 +163,7 @@
 		return true
 	case listed.size() > v.size:
 		return false
-	case now.Sub(v.grownAt) >= listenTime:
+	case now.Sub(v.grownAt) >= listenTime && (listed.size() == 0 || !v.heardAt.IsZero() && now.Sub(v.heardAt) >= listenTime):
 		return true
 	case now.Sub(v.grownAt) < settleTime || listed.size() == 0:
 		return false
@@ -152,6 +171,19 @@
 	return len(v.zones) >= listed.Zones && float64(v.heard(listed)) >= peerFraction*float64(len(listed.Peers))
 }
 
+// ZoneKnown reports whether this instance knows the loads of its own zone well enough to report
+// them to the other zones: it has listened for a full report of each instance since the first
+// one arrived. The others do not report to it before they know of it.
+func (v *View) ZoneKnown(now time.Time, listed Listed) bool {
+	switch {
+	case v.listedAt.IsZero():
+		return false
+	case now.Sub(v.listedAt) >= maxIncomplete || len(listed.Peers) == 0:
+		return true
+	}
+	return !v.peerAt.IsZero() && now.Sub(v.peerAt) >= zoneListenTime
+}
+
 // heard counts the listed instances of the own zone that sent a full report.
 func (v *View) heard(listed Listed) int {
 	count := 0
--- a/recovery/view_test.go
+++ b/recovery/view_test.go
@@ -25,10 +25,10 @@
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	hear := func(v *View, peers, zones int) {
 		for _, peer := range listOf(peers, 0).Peers {
-			v.RecordReport(peer, true)
+			v.RecordReport(start, peer, true)
 		}
 		for zone := range zones {
-			v.RecordZone(loadshare.Key(zone+1), true)
+			v.RecordZone(start, loadshare.Key(zone+1), true)
 		}
 	}
 	for name, c := range map[string]struct {
@@ -41,8 +41,9 @@
 		"all heard":      {listedAt: 0, peers: 20, heard: 19, zones: 2, early: 390, want: 400},
 		"few heard":      {listedAt: 0, peers: 20, heard: 17, zones: 2, early: 790, want: 800},
 		"a zone missing": {listedAt: 0, peers: 20, heard: 20, zones: 1, early: 790, want: 800},
-		"listed late":    {listedAt: 900, peers: 20, heard: 0, zones: 0, early: 1690, want: 1700},
-		"listed at last": {listedAt: 9000, peers: 20, heard: 0, zones: 0, early: 9790, want: 9800},
+		"listed late":    {listedAt: 900, peers: 20, heard: 1, early: 1690, want: 1700},
+		"listed at last": {listedAt: 9000, peers: 20, heard: 1, early: 9790, want: 9800},
+		"nobody heard":   {listedAt: 0, peers: 20, early: 3990, want: 4000},
 	} {
 		v, listed := NewView(start), listOf(c.peers, 2)
 		hear(v, c.heard, c.zones)
@@ -61,7 +62,7 @@
 	// After a loss of all processes the list names one other instance first, and the rest half a
 	// second later. The report of the first one must not complete the view.
 	v := NewView(start)
-	v.RecordReport(listOf(1, 0).Peers[0], true)
+	v.RecordReport(start, listOf(1, 0).Peers[0], true)
 	v.Observe(start, listOf(1, 0), true)
 	grown := listOf(20, 2)
 	if v.Complete(start.Add(500*time.Millisecond), grown) {
@@ -89,6 +90,7 @@
 	v, listed := NewView(start), listOf(20, 2)
 	v.Tick(start)
 	v.Observe(start, listed, true)
+	v.RecordReport(start, listed.Peers[0], true)
 	if now := start.Add(listenTime); !v.Complete(now, listed) {
 		t.Fatal("incomplete after two full reports of all instances")
 	}
@@ -99,7 +101,26 @@
 	if v.Complete(frozen, listed) {
 		t.Error("complete just after the process was frozen")
 	}
+	v.RecordReport(frozen, listed.Peers[0], true)
 	if !v.Complete(frozen.Add(listenTime), listed) {
 		t.Error("incomplete long after the process was frozen")
 	}
 }
+
+func TestZoneIsNotReportedBeforeItIsKnown(t *testing.T) {
+	// Guards against an instance that restarts as the aggregator of its zone and reports the zone
+	// as idle, because the others do not report to it before control has named it to them.
+	v, listed := NewView(start), listOf(20, 2)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	v.Observe(start, listed, true)
+	v.RecordReport(at(500), listed.Peers[0], true)
+	for ms, want := range map[int]bool{450: false, 500: false, 940: false, 950: true} {
+		if got := v.ZoneKnown(at(ms), listed); got != want {
+			t.Errorf("%d ms after the list, 500 ms before the first report: known %t", ms, got)
+		}
+	}
+	alone := NewView(start)
+	if alone.Observe(start, listOf(0, 2), true); !alone.ZoneKnown(start, listOf(0, 2)) {
+		t.Error("an instance that is alone in its zone does not report it")
+	}
+}
