Shorten the tests of the behaviour after a start

The tests were longer than the code. Cases of one failure share a table, and fakes are shared; each failure still has its test.

--- a/forward/recovery_test.go
+++ b/forward/recovery_test.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
-	"fmt"
+	"context"
+	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,90 +13,74 @@
 
 	"celeryport/control"
 	"celeryport/loadshare"
-	"celeryport/membership"
 	"celeryport/recovery"
 	"celeryport/settings"
 	"celeryport/verdict"
 )
 
-// shortExchange returns a call with a short prompt that has just begun.
-func shortExchange(s *Server, id int) *exchange {
-	forwarding := s.options.Plane.View().Tree.Forwarding
+// newShortCall returns a call with a short prompt that has just begun.
+func newShortCall(s *Server) *exchange {
 	return &exchange{
-		server: s, service: &forwarding.Services[0], route: shortRoute(),
-		call:  &Call{ID: fmt.Sprint(id), PromptTokens: 2000, AnswerTokens: 300},
-		began: time.Now(), deadline: time.Now().Add(10 * time.Second),
+		server: s, service: &s.options.Plane.View().Tree.Forwarding.Services[0],
+		route: &settings.Route{Objective: 300 * time.Millisecond, PauseLimit: 250 * time.Millisecond},
+		call:  &Call{PromptTokens: 2000, AnswerTokens: 300}, began: time.Now(), deadline: time.Now().Add(10 * time.Second),
 	}
 }
 
-// completeView lets the time pass in which a server that has just started waits for the loads of
-// the others.
-func completeView(s *Server) {
+// hear has a server receive a full report of another instance of its zone.
+func hear(s *Server) {
 	s.tickView(time.Now())
-	time.Sleep(2 * loadshare.FullInterval)
+	s.fleet.applyReport(time.Now(), netip.MustParseAddrPort("10.0.0.1:7340"), &loadshare.Report{Sender: 1, Sequence: 1, Full: true})
 }
 
-// enginesOf places calls and returns how many engines lead them.
-func enginesOf(t *testing.T, s *Server, calls int) int {
-	t.Helper()
-	leads := map[loadshare.Key]bool{}
-	for id := range calls {
-		w, wait, err := shortExchange(s, id).tryPlace()
-		if w == nil {
-			t.Fatalf("not placed: wait %s, %v", wait, err)
-		}
-		leads[w.lead.key] = true
-		s.fleet.end(w)
-	}
-	return len(leads)
+// completeView lets the time pass in which a new server waits for the loads of the others.
+func completeView(s *Server) {
+	hear(s)
+	time.Sleep(2 * loadshare.FullInterval)
 }
 
 func TestRestartedInstanceDoesNotTakeItsEmptyViewForAnIdleFleet(t *testing.T) {
 	// Guards against an instance that packs its calls onto the first engines of the common order
 	// although it has not received the loads yet, and against one that spreads for good.
 	synctest.Test(t, func(t *testing.T) {
-		s := newTestServer(t, "front-1", "front-1", "other-1", "other-2")
-		if used := enginesOf(t, s, 18); used < 12 {
+		s := newTestServer(t, "front-1", "front-1", "other-1")
+		enginesOf18 := func() int {
+			leads := map[loadshare.Key]bool{}
+			for range 18 {
+				w, wait, err := newShortCall(s).tryPlace()
+				if w == nil {
+					t.Fatalf("not placed: wait %s, %v", wait, err)
+				}
+				leads[w.lead.key] = true
+				s.fleet.end(w)
+			}
+			return len(leads)
+		}
+		if used := enginesOf18(); used < 12 {
 			t.Errorf("just started: 18 calls are placed on %d of 18 engines", used)
 		}
-		s.fleet.applyReport(time.Now(), netip.MustParseAddrPort("10.0.0.1:7340"), &loadshare.Report{Sender: 1, Sequence: 1, Full: true})
-		time.Sleep(800 * time.Millisecond)
-		if used := enginesOf(t, s, 18); used > 4 {
+		completeView(s)
+		if used := enginesOf18(); used > 4 {
 			t.Errorf("with a complete view: 18 calls are placed on %d engines, want those of the packing", used)
 		}
 	})
 }
 
-func TestReportsCompleteTheViewOfARestartedInstance(t *testing.T) {
-	// An instance that restarts alone hears the others within one full interval and must pack
-	// again from then on. Reports of changes alone must not complete its view.
-	for _, full := range []bool{true, false} {
-		synctest.Test(t, func(t *testing.T) {
-			s := newTestServer(t, "front-1", "front-1")
-			view := *s.options.Plane.View()
-			for i := range 3 {
-				view.Instances = append(view.Instances, membership.Instance{
-					Name: fmt.Sprint("other-", i), Address: "a", ControlAddress: fmt.Sprintf("10.0.0.%d:7340", i+2),
-				})
-			}
-			s.options.Plane = fixedPlane{view: &view}
-			s.tickView(time.Now())
-			for i := range 3 {
-				from := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7340", i+2))
-				s.fleet.applyReport(time.Now(), from, &loadshare.Report{Sender: loadshare.Key(i + 1), Sequence: 1, Full: full})
-			}
-			time.Sleep(loadshare.FullInterval)
-			s.fleet.mu.Lock()
-			defer s.fleet.mu.Unlock()
-			if complete := s.viewComplete(time.Now()); complete != full {
-				t.Errorf("complete: %t, after reports of all others with full %t", complete, full)
-			}
-		})
-	}
-}
-
-func shortRoute() *settings.Route {
-	return &settings.Route{Objective: 300 * time.Millisecond, PauseLimit: 250 * time.Millisecond, Stream: true}
+func TestUnknownZoneIsNotAggregated(t *testing.T) {
+	// Guards against a restarted aggregator that reports its zone as idle to the other zones,
+	// because the others of the zone have not learned of it yet and do not report to it.
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, "front-1", "front-1", "other-1")
+		s.tickView(time.Now())
+		time.Sleep(500 * time.Millisecond)
+		if s.isAggregator(time.Now()) {
+			t.Error("aggregates its zone without any report of it")
+		}
+		hear(s)
+		if time.Sleep(time.Second); !s.isAggregator(time.Now()) {
+			t.Error("nobody aggregates the zone after the other instance has ended")
+		}
+	})
 }
 
 func TestResidualLoadOfLostProcessesIsReported(t *testing.T) {
@@ -102,100 +88,90 @@
 	// against calls placed there, and against a restarted instance that reports residual load
 	// before its view is complete or long after its start.
 	synctest.Test(t, func(t *testing.T) {
-		s := newTestServer(t, "front-1", "front-1")
+		s, n := newServerWithNode(t)
 		s.tickView(time.Now())
-		s.fleet.mu.Lock()
-		defer s.fleet.mu.Unlock()
-		n := s.fleet.node(&s.options.Plane.View().Upstreams.Upstreams[0])
-		state := &recovery.EngineState{Active: 8, Queued: 1, Held: 50_000}
-		if s.recordResidual(time.Now(), n, state) || s.fleet.loadOf(time.Now(), n).Streams != 9 {
-			t.Errorf("incomplete view: load %+v, reported %+v", s.fleet.loadOf(time.Now(), n), n.ownLoad(time.Now()))
+		check := func(when string, used, reported int) {
+			s.fleet.mu.Lock()
+			defer s.fleet.mu.Unlock()
+			s.recordResidual(time.Now(), n, &recovery.EngineState{Active: 8, Queued: 1, Held: 50_000})
+			if a, b := s.fleet.loadOf(time.Now(), n).Streams, n.ownLoad(time.Now()).Streams; a != used || b != reported {
+				t.Errorf("%s: places by %d streams and reports %d, want %d and %d", when, a, b, used, reported)
+			}
 		}
-		time.Sleep(2 * loadshare.FullInterval)
+		check("incomplete view", 9, 0)
+		completeView(s)
 		n.load.Streams = 3
-		if !s.recordResidual(time.Now(), n, state) || n.ownLoad(time.Now()).Streams != 9 {
-			t.Errorf("complete view: reported %+v, want 3 own streams and 6 others", n.ownLoad(time.Now()))
-		}
-		s.recordResidual(time.Now(), n, state)
-		if got := n.ownLoad(time.Now()).Streams; got != 9 {
-			t.Errorf("a second poll changes the residual load: %d streams", got)
-		}
+		check("complete view", 9, 9)
+		check("second poll", 9, 9)
 		time.Sleep(6 * time.Second)
-		if s.recordResidual(time.Now(), n, state) || n.ownLoad(time.Now()).Streams != 3 {
-			t.Errorf("long after the start: reported %+v", n.ownLoad(time.Now()))
-		}
+		check("long after the start", 3, 3)
 	})
 }
 
-func TestRefusedCallersOfARestartReturnApart(t *testing.T) {
-	// Guards against callers that are refused together after a restart and come back within
-	// 200 ms while the engines need 2 s for their backlog, and against other waits later on.
+// changingPlane is a control plane whose view changes.
+type changingPlane struct {
+	fixedPlane
+	current atomic.Pointer[control.View]
+}
+
+func (p *changingPlane) View() *control.View { return p.current.Load() }
+
+func TestEnginesArePolledAsSoonAsTheInstancesAreKnown(t *testing.T) {
+	// The list of instances arrives some tenths of a second after the start of the process. If
+	// the engines were polled a whole interval later, calls of lost processes would have ended
+	// or delayed new ones before they are known.
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, "front-1", "front-1")
-		s.tickView(time.Now())
-		latest := func() time.Duration {
-			longest := time.Duration(0)
-			for id := range 50 {
-				x := shortExchange(s, id)
-				var refusal *verdict.Error
-				if !errors.As(x.refuseTooLate(2*time.Second, 100*time.Millisecond), &refusal) {
-					t.Fatal("not a refusal")
-				}
-				longest = max(longest, refusal.RetryAfter)
-			}
-			return longest
-		}
-		if got := latest(); got < time.Second || got > 2100*time.Millisecond {
-			t.Errorf("just started: the last of 50 callers returns after %s, want nearly 2.1 s", got)
-		}
-		time.Sleep(6 * time.Second)
-		if got := latest(); got > 300*time.Millisecond {
-			t.Errorf("long after the start: %s", got)
+		known, plane := s.options.Plane.View(), &changingPlane{}
+		plane.current.Store(&control.View{Tree: known.Tree, Upstreams: known.Upstreams})
+		s.options.Plane, s.options.Dialect = plane, pollDialect{}
+		var polled atomic.Int64
+		s.options.Dial = func(context.Context, string, string) (net.Conn, error) {
+			polled.Add(1)
+			return nil, errors.New("no network")
+		}
+		go s.pollEngines(t.Context())
+		time.Sleep(350 * time.Millisecond)
+		plane.current.Store(known)
+		if time.Sleep(2 * pollTick); polled.Load() < 18 {
+			t.Errorf("%d of 18 engines are polled 200 ms after the instances are known", polled.Load())
 		}
 	})
 }
 
-func TestHeldBackCallsArePlacedShortestFirst(t *testing.T) {
-	// Calls wait for the first settings of a new process and are released together. Guards
-	// against a longer prompt that is placed before a shorter one, and against a delay of calls
-	// that were not held back.
+func TestCallersOfARestartComeInTurn(t *testing.T) {
+	// Guards against callers that are refused together after a restart and come back within
+	// 200 ms while the engines need 2 s, and against calls that were held back together and are
+	// placed in random order.
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, "front-1", "front-1")
-		delay := func(tokens int, heldBack bool) time.Duration {
-			x := shortExchange(s, tokens)
-			x.call.PromptTokens, x.heldBack = tokens, heldBack
-			began := time.Now()
+		s.tickView(time.Now())
+		turn := func(tokens int) time.Duration {
+			x, began := newShortCall(s), time.Now()
+			x.call.PromptTokens, x.heldBack = tokens, true
 			x.awaitTurn(t.Context())
 			return time.Since(began)
 		}
-		if short, longer := delay(500, true), delay(1500, true); short >= longer || longer > 20*time.Millisecond {
+		if short, longer := turn(500), turn(1500); short >= longer || longer > 20*time.Millisecond {
 			t.Errorf("500 tokens wait %s, 1,500 tokens %s", short, longer)
 		}
-		if usual := delay(1500, false); usual > 0 {
-			t.Errorf("a call that was not held back waits %s", usual)
+		for _, least := range []time.Duration{time.Second, 0} {
+			longest := time.Duration(0)
+			for range 50 {
+				var refusal *verdict.Error
+				if errors.As(newShortCall(s).refuseTooLate(2*time.Second, 100*time.Millisecond), &refusal) {
+					longest = max(longest, refusal.RetryAfter)
+				}
+			}
+			if longest < least || longest > 2*least+300*time.Millisecond {
+				t.Errorf("the last of 50 callers returns after %s, want at least %s", longest, least)
+			}
+			time.Sleep(6 * time.Second)
 		}
-		early := shortExchange(s, 1)
+		early := newShortCall(s)
 		s.options.Plane = fixedPlane{view: &control.View{}}
 		if early.awaitSettings(t.Context()); !early.heldBack {
 			t.Error("a call that waited for the first settings does not count as held back")
 		}
 	})
 }
-
-func TestUnknownZoneIsNotAggregated(t *testing.T) {
-	// Guards against a restarted aggregator that reports its zone as idle to the other zones,
-	// because the others of the zone have not learned of it yet and do not report to it.
-	synctest.Test(t, func(t *testing.T) {
-		s := newTestServer(t, "front-1", "front-1", "other-1")
-		s.tickView(time.Now())
-		time.Sleep(500 * time.Millisecond)
-		if s.isAggregator(time.Now()) {
-			t.Error("aggregates its zone without any report of it")
-		}
-		s.fleet.applyReport(time.Now(), netip.MustParseAddrPort("10.0.0.1:7340"), &loadshare.Report{Sender: 1, Sequence: 1, Full: true})
-		time.Sleep(time.Second) // the other instance has ended meanwhile
-		if !s.isAggregator(time.Now()) {
-			t.Error("nobody aggregates the zone")
-		}
-	})
-}
