--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -6,9 +6,11 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"celeryport/loadshare"
+	"celeryport/recovery"
 	"celeryport/upstream"
 )
 
@@ -25,6 +27,10 @@
 	startedAt        time.Time                    // start of this instance; earlier silence of an upstream is not significant
 	board            *loadshare.Board             // loads of the other instances of the own availability zone
 	zones            *loadshare.Zones             // loads of the other zones
+	view             *recovery.View               // whether the loads of the other instances are known
+	viewLogged       bool                         // the view was complete at the last tick
+	recoveringUntil  atomic.Int64                 // in Unix nanoseconds; 0 until the list of instances has arrived
+	spread           recovery.Spread              // where calls start while they are not
 	loadsChanged     chan struct{}                // signals that the own loads have changed
 	zoneLoadsChanged chan struct{}                // signals that the loads of the own zone have changed
 	random           *rand.Rand
@@ -43,6 +49,7 @@
 		dialer := &net.Dialer{KeepAliveConfig: upstreamKeepAlive}
 		options.Dial = dialer.DialContext
 	}
+	now := time.Now()
 	random := rand.New(rand.NewPCG(options.Random.Uint64(), options.Random.Uint64()))
 	return &fleet{
 		options:          options,
@@ -57,7 +64,8 @@
 		random:           random,
 		suspects:         newSuspects(options),
 		rates:            newRates(callRate),
-		startedAt:        time.Now(),
+		startedAt:        now,
+		view:             recovery.NewView(now),
 	}
 }
 
@@ -188,7 +196,8 @@
 
 // loadOf returns the load of all instances on a node. The lock must be held.
 func (f *fleet) loadOf(now time.Time, n *node) loadshare.Load {
-	load := n.ownLoad(now).Add(f.board.Load(now, n.key)).Add(f.zones.Load(now, n.key))
+	others := f.othersLoad(now, n)
+	load := n.ownLoad(now).Add(others).Add(n.report.residual.Unconfirmed(now, others))
 	kept := n.granted[:0]
 	for _, g := range n.granted {
 		if left, counts := g.remainingLoad(now); counts {
@@ -200,6 +209,11 @@
 	return load
 }
 
+// othersLoad returns the load of the other instances on a node. The lock must be held.
+func (f *fleet) othersLoad(now time.Time, n *node) loadshare.Load {
+	return f.board.Load(now, n.key).Add(f.zones.Load(now, n.key))
+}
+
 // loadsToReport returns the loads caused by this instance and its evidence about upstreams, as
 // far as the other instances need it.
 func (f *fleet) loadsToReport(now time.Time) map[loadshare.Key]loadshare.Load {
@@ -239,10 +253,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if r.Zone != 0 {
-		f.zones.Accept(now, r)
+		if f.zones.Accept(now, r) {
+			f.view.RecordZone(now, r.Zone, r.Full)
+		}
 		return
 	}
 	f.peers[from] = now
+	f.view.RecordReport(now, from, r.Full)
 	if f.board.Accept(now, r) && len(r.Loads) > 0 {
 		wake(f.zoneLoadsChanged)
 	}
