--- /dev/null
+++ b/endings/condition.go
@@ -0,0 +1,33 @@
+package endings
+
+import "time"
+
+const (
+	// overdueAfter is the age of an announcement from which it is overdue: 1.5 intervals of 1.2 s.
+	overdueAfter = 1800 * time.Millisecond
+	// minUptime is the time after its start from which an engine without a cold time counts as
+	// stable. Most engines that fail at start do so within it.
+	minUptime = time.Second
+)
+
+// Condition is the evidence on whether an engine is likely to terminate soon.
+type Condition struct {
+	Leaving    bool          // it leaves, or its availability zone is evacuated
+	Suspected  bool          // this instance or another one failed to reach it, and it has not answered since
+	Cold       bool          // it states that it is cold
+	LastSignAt time.Time     // when it last announced itself or answered; zero if that is not significant
+	StartedAt  time.Time     // zero if it is not known to have started recently
+	ColdTime   time.Duration // how long it is cold after its start; 0 if not configured
+}
+
+// Frail reports whether the engine should not prefill parts of prompts of other engines, whose
+// answers would fail with it.
+func (c *Condition) Frail(now time.Time) bool {
+	uptime := minUptime
+	if c.ColdTime > 0 {
+		uptime = c.ColdTime
+	}
+	return c.Leaving || c.Suspected || c.Cold ||
+		!c.LastSignAt.IsZero() && now.Sub(c.LastSignAt) > overdueAfter ||
+		!c.StartedAt.IsZero() && now.Sub(c.StartedAt) < uptime
+}
