Consider terminations when a long prompt is split

Cause: more engines per prompt mean an earlier first event but also more engines whose termination fails the prompt. Placement took them for reliable.

Change: placement.Call.EndRate adds the expected loss to the cost of an option: the probability that one of its engines terminates until the first event, times the value of the prompt and of the streams that its prefill delays. placement.Engine.Frail keeps an engine from helping, unless more than half of the usable engines are frail or too few others are free: then a prompt waits for the others only if it would still be early after the wait. The arbiter passes the rate on.

Ruled out: a wait for a fixed part of the objective.

--- a/arbiter/queue.go
+++ b/arbiter/queue.go
@@ -15,6 +15,7 @@
 	Profile *settings.EngineProfile
 	Keys    []loadshare.Key
 	Engines []placement.Engine
+	EndRate float64 // terminations of engines per engine-second
 }
 
 // FleetSource supplies the state of the engines to the arbiter and records its placements.
@@ -172,6 +173,7 @@
 		Waited:    w.request.Waited + w.age + since,
 		Age:       w.age,
 		Ahead:     ahead,
+		EndRate:   fleet.EndRate,
 	}
 	for i, key := range fleet.Keys {
 		fleet.Engines[i].Tried = slices.Contains(w.request.Tried, key)
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -16,6 +16,9 @@
 	Tried    bool           // has already received this call
 	// HelpOnly marks an engine that may prefill a part of the prompt but not lead the call.
 	HelpOnly bool
+	// Frail marks an engine that is likely to terminate soon. It does not help with prompts of
+	// other engines unless too few others are left.
+	Frail bool
 }
 
 // Call is a call to be placed.
@@ -28,6 +31,7 @@
 	Waited    time.Duration // time since the caller first sent it, as far as known
 	Age       time.Duration // the part of Waited that passed before it reached this instance
 	Ahead     time.Duration // prefill time per engine of the waiting calls ordered before this one
+	EndRate   float64       // terminations per engine-second; 0 if unknown
 	Draw      [2]float64    // uniform in [0, 1); makes instances with the same view choose different engines
 }
 
--- a/placement/option.go
+++ b/placement/option.go
@@ -11,7 +11,7 @@
 type option struct {
 	plan Plan
 	harm float64 // cost to the streams on the engines, in prompt tokens
-	cost float64 // harm plus the cost of the prompt itself being late
+	cost float64 // harm plus the cost of the prompt itself being late or failing
 }
 
 func newOption(p *settings.EngineProfile, engines []Engine, plan Plan, call *Call) option {
@@ -24,7 +24,8 @@
 	// A first event planned for the end of the objective is often late, because prompts placed
 	// by other instances come in between.
 	risk := min(1, max(0, (first-earlyFraction)/(1-earlyFraction)))
-	return option{plan: plan, harm: harm, cost: harm + value*(risk+latenessWeight*first)}
+	loss := endLoss(p, engines, &plan, call, value+harm)
+	return option{plan: plan, harm: harm, cost: harm + value*(risk+latenessWeight*first) + loss}
 }
 
 // streamHarm returns the cost of delaying the streams of an engine by a part. Streams that the
--- a/placement/prompt.go
+++ b/placement/prompt.go
@@ -35,7 +35,7 @@
 // plan then says when to plan again, or else the earliest possible first event.
 func Prompt(p *settings.EngineProfile, engines []Engine, call *Call) (Plan, bool) {
 	usable := usableEngines(engines)
-	plan, found := planPrompt(p, engines, usable, call)
+	plan, found := planAvoidingFrail(p, engines, usable, call)
 	plan.Seen = summarise(engines, usable)
 	return plan, found
 }
--- a/placement/selection.go
+++ b/placement/selection.go
@@ -50,12 +50,13 @@
 
 // eligibleHelpers returns the engines that may help, best first. An engine prefills parts it
 // helps with before its own prompts, so an engine that leads a prompt would delay it by helping.
-// An engine that already helps as many prompts as it can would reject the whole call.
+// An engine that already helps as many prompts as it can would reject the whole call. One that
+// terminates fails the call, so frail engines do not help.
 func eligibleHelpers(p *settings.EngineProfile, engines []Engine, candidates []int, lead int) []int {
 	helpers := make([]int, 0, len(candidates))
 	for _, i := range candidates {
 		load := &engines[i].Load
-		if i != lead && load.Leading == 0 && load.Helping < p.Slots-spareSlots {
+		if i != lead && !engines[i].Frail && load.Leading == 0 && load.Helping < p.Slots-spareSlots {
 			helpers = append(helpers, i)
 		}
 	}
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -36,7 +36,7 @@
 	if Overdue(call) {
 		return Plan{FirstEvent: prefill, Excess: call.Remaining}, false // waiting would put it behind all calls that can still be in time
 	}
-	return planRetry(p, engines, candidates, call, prefill, limit)
+	return planRetry(p, engines, steadyEngines(engines, candidates), call, prefill, limit)
 }
 
 // firstEventLimit returns the latest acceptable time to the first event of a long prompt. An
