Observe terminations of engines, and have the arbiter plan with them

Cause: placement can take terminations into account, but nobody told it of them.

Change: about once a second, with the choice of the engines to poll, each instance records in its own view which engines left, restarted, were superseded at their address, fell silent or can't be reached; broken sends and answers of another incarnation are recorded at once. An instance that places a prompt alone uses its own view. No message is sent for it.

--- a/forward/arbitration_fleet.go
+++ b/forward/arbitration_fleet.go
@@ -30,7 +30,7 @@
 	if len(unlimited.nodes) == 0 && full > 0 {
 		return nil // each instance places its own prompts within its share of the rates
 	}
-	fleet := &arbiter.Fleet{Profile: profile, Engines: unlimited.engines}
+	fleet := &arbiter.Fleet{Profile: profile, Engines: unlimited.engines, EndRate: f.endRate(w.now, service)}
 	for _, n := range unlimited.nodes {
 		fleet.Keys = append(fleet.Keys, n.key)
 	}
--- /dev/null
+++ b/forward/endings.go
@@ -0,0 +1,108 @@
+package forward
+
+import (
+	"time"
+
+	"celeryport/control"
+	"celeryport/endings"
+	"celeryport/loadshare"
+	"celeryport/upstream"
+)
+
+// observeEndings records the engines that terminated since the last observation, as far as it
+// shows in the view: leaves, changed incarnations and engines that are silent or can't be reached.
+func (f *fleet) observeEndings(now time.Time, view *control.View) {
+	if view == nil || view.Tree == nil || view.Tree.Forwarding == nil || view.Upstreams == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, service := range view.Tree.Forwarding.Engines() {
+		history := f.endings[service]
+		if history == nil {
+			history = endings.NewHistory()
+			f.endings[service] = history
+		}
+		serving, live := view.Upstreams.Serving(service), 0
+		for _, at := range serving {
+			f.node(&view.Upstreams.Upstreams[at]) // register all nodes before superseded looks up addresses
+		}
+		for _, at := range serving {
+			u := &view.Upstreams.Upstreams[at]
+			n := f.node(u)
+			switch {
+			case n.replaced || n.leaves(u) || f.superseded(n):
+				history.Record(now, n.key)
+			case f.silent(now, u) || n.suspicion.failures > 0 || f.othersSuspect(now, n):
+				history.Suspect(now, n.key)
+			default:
+				history.Clear(n.key)
+				live++
+			}
+		}
+		history.Observe(now, live)
+	}
+}
+
+// leaves reports whether a node leaves according to its announcement or to one of its answers. The
+// lock must be held.
+func (n *node) leaves(u *upstream.Upstream) bool {
+	return u.Announcement.Leaving || !n.leavingAt.IsZero()
+}
+
+// superseded reports whether another upstream was announced at a node's address later. The lock
+// must be held.
+func (f *fleet) superseded(n *node) bool {
+	latest := f.byAddress[n.address]
+	return latest != nil && latest != n
+}
+
+// othersSuspect reports whether enough other instances failed to reach a node to take it for
+// terminated. A single one may be cut off from it. The lock must be held.
+func (f *fleet) othersSuspect(now time.Time, n *node) bool {
+	return f.board.Load(now, n.key).Add(f.zones.Load(now, n.key)).Suspicions >= suspicionQuorum
+}
+
+// recordEnding records that the process of a node has ended. The lock must be held.
+func (f *fleet) recordEnding(now time.Time, n *node) {
+	if history := f.endings[n.service]; history != nil {
+		history.Record(now, n.key)
+	}
+}
+
+// endRate returns the recent terminations per engine-second of a service's engines. The lock must
+// be held.
+func (f *fleet) endRate(now time.Time, service string) float64 {
+	if history := f.endings[service]; history != nil {
+		return history.Rate(now)
+	}
+	return 0
+}
+
+// frail reports whether a node is likely to terminate soon. coldTime is the cold time of its
+// service. The lock must be held.
+func (f *fleet) frail(now time.Time, n *node, u *upstream.Upstream, load *loadshare.Load, coldTime time.Duration) bool {
+	condition := endings.Condition{
+		Leaving:   n.leaves(u) || u.Evacuated,
+		Suspected: n.suspicion.failures > 0 || load.Suspicions > 0,
+		Cold:      n.cold.active(now, coldTime),
+		StartedAt: n.startedAt,
+		ColdTime:  coldTime,
+	}
+	if now.Sub(f.startedAt) >= startupGrace {
+		condition.LastSignAt = later(u.AnnouncedAt, later(n.answered, n.report.answeredAt))
+	}
+	return condition.Frail(now)
+}
+
+// coldTime returns how long engines of a service are cold after their start, 0 if not configured.
+func (f *fleet) coldTime(service string) time.Duration {
+	view := f.options.Plane.View()
+	if view.Tree == nil || view.Tree.Forwarding == nil {
+		return 0
+	}
+	if found := view.Tree.Forwarding.Service(service); found != nil {
+		return found.ColdTime
+	}
+	return 0
+}
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"celeryport/endings"
 	"celeryport/loadshare"
 	"celeryport/upstream"
 )
@@ -30,7 +31,8 @@
 	random           *rand.Rand
 	suspects         *suspects
 	rates            *rates
-	closed           bool // connections are not kept any more
+	endings          map[string]*endings.History // recent terminations of the engines of each service
+	closed           bool                        // connections are not kept any more
 }
 
 // sweepInterval is how often unneeded connections and nodes are removed.
@@ -57,6 +59,7 @@
 		random:           random,
 		suspects:         newSuspects(options),
 		rates:            newRates(callRate),
+		endings:          map[string]*endings.History{},
 		startedAt:        time.Now(),
 	}
 }
@@ -76,6 +79,9 @@
 		if len(a.Targets) > 0 {
 			n.service = a.Targets[0]
 		}
+		if now := time.Now(); now.Sub(f.startedAt) >= startupGrace {
+			n.startedAt = now // earlier, this instance learns of engines that have been running
+		}
 		f.retireEarlier(id)
 		f.nodes[id] = n
 		f.byName[id.name] = append(f.byName[id.name], n)
@@ -111,6 +117,7 @@
 // retire marks a node as replaced and closes its connections. The lock must be held.
 func (f *fleet) retire(n *node) {
 	n.replaced = true
+	f.recordEnding(time.Now(), n)
 	for c := range n.busy {
 		c.close()
 	}
--- a/forward/node.go
+++ b/forward/node.go
@@ -32,6 +32,7 @@
 	zone               string
 	service            string
 	key                loadshare.Key
+	startedAt          time.Time // when this instance first saw it, zero if it may have run before
 	announced          time.Time // time of its last announcement when the node was created
 	freshUntil         time.Time // as in upstream.Upstream
 	idle               []*upstreamConn
--- a/forward/place.go
+++ b/forward/place.go
@@ -249,7 +249,7 @@
 	maxUpstreamsWait = time.Second
 )
 
-// placementCall returns the placement input for the call.
+// placementCall returns the placement input for the call. The lock of the fleet must be held.
 func (x *exchange) placementCall(now time.Time) *placement.Call {
 	objective, waited := x.nextEvent(now)
 	return &placement.Call{
@@ -259,6 +259,7 @@
 		LongPause: x.longPause(),
 		Remaining: x.deadline.Sub(now),
 		Waited:    waited,
+		EndRate:   x.server.fleet.endRate(now, x.service.Name),
 	}
 }
 
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -58,6 +58,7 @@
 		case now := <-ticker.C:
 			if now.Sub(chosenAt) >= pollInterval {
 				polled, chosenAt = s.nodesToPoll(), now
+				s.fleet.observeEndings(now, s.options.Plane.View())
 			}
 			for _, n := range polled {
 				if s.fleet.duePoll(now, n) {
--- a/forward/upstream_end.go
+++ b/forward/upstream_end.go
@@ -36,6 +36,9 @@
 	ended := !f.reachable(context.Background(), n)
 	f.mu.Lock()
 	ended = ended || n.replaced
+	if ended {
+		f.recordEnding(time.Now(), n)
+	}
 	broken := n.broken
 	n.broken = nil
 	f.mu.Unlock()
