Withdraw plans whose engines ended or announced that they leave

Cause: between the placement and the send, an instance opens a connection and reserves memory. It checked only then whether an engine had asked for rest, had said in an answer that it leaves, or was evacuated. Placements of the arbiter were checked for all of this except engines that this instance knows to have ended.

Change: a send is also withdrawn if one of its engines was replaced, was superseded at its address, announced that it leaves, or was found to have ended after the placement. A placement of the arbiter that names an engine that ended and has not answered since is not used; the arbiter is asked again without it. An engine that had ended before the placement and was chosen as a last resort is still used.

Tested: TestPlansWithEndedEnginesAreWithdrawn fails in the respective case without each of the checks. go test -race ./forward ./platform pass.

--- a/forward/availability.go
+++ b/forward/availability.go
@@ -1,9 +1,13 @@
 package forward
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"celeryport/upstream"
 )
 
 // An upstream that rejects a request may ask this instance for a rest period, and one that is
@@ -15,6 +19,8 @@
 	errResting = errors.New("the upstream has asked for rest")
 	errLeaving = errors.New("the upstream has said that it leaves")
 
+	errEnded = errors.New("the process of the upstream has ended")
+
 	errEvacuated = errors.New("the availability zone of the upstream is evacuated")
 )
 
@@ -98,11 +104,22 @@
 	return n.rest.Active(time.Now())
 }
 
-// unavailableNode returns an engine of a send that has become unavailable since it was chosen,
-// and why; nil if all engines still accept the send.
+// endedSince reports whether a node's process has ended since a time. The lock must be held.
+func (n *node) endedSince(at time.Time) bool { return n.replaced || n.endedAt.After(at) }
+
+// terminated reports whether a node's process is known to have ended and has not answered since.
+// The lock must be held.
+func (n *node) terminated(now time.Time) bool {
+	return n.suspicion.active(now) && n.endedAt.After(later(n.answered, n.report.answeredAt))
+}
+
+// unavailableNode returns an engine of a send that has become unavailable or has ended since it
+// was chosen, and why; nil if all engines still accept the send. If a helper has ended, the lead
+// engine would find out only after the stall of a whole prefill.
 func (f *fleet) unavailableNode(w *work) (*node, error) {
 	now := time.Now()
-	evacuated := f.options.Plane.View().Evacuated
+	view := f.options.Plane.View()
+	evacuated := view.Evacuated
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, n := range append([]*node{w.lead}, w.helpers...) {
@@ -112,6 +129,23 @@
 		if err := n.unavailable(now); err != nil {
 			return n, err
 		}
+		if n.endedSince(w.begunAt) || f.superseded(n) {
+			return n, errEnded
+		}
+		if announcedLeaving(view.Upstreams, n.incarnationID) {
+			return n, errLeaving
+		}
 	}
 	return nil, nil
 }
+
+// announcedLeaving reports whether an upstream's incarnation has announced that it is leaving.
+func announcedLeaving(snapshot *upstream.Snapshot, id incarnationID) bool {
+	if snapshot == nil {
+		return false
+	}
+	at, found := slices.BinarySearchFunc(snapshot.Upstreams, id.name, func(u upstream.Upstream, name string) int {
+		return cmp.Compare(u.Announcement.Name, name)
+	})
+	return found && incarnationOf(&snapshot.Upstreams[at].Announcement) == id && snapshot.Upstreams[at].Announcement.Leaving
+}
--- a/forward/endings_test.go
+++ b/forward/endings_test.go
@@ -8,7 +8,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"celeryport/arbiter"
 	"celeryport/control"
+	"celeryport/loadshare"
 	"celeryport/settings"
 	"celeryport/upstream"
 )
@@ -70,6 +74,47 @@
 	})
 }
 
+// Guards against sending a plan of which an engine ended or announced that it leaves after it was
+// placed, and against using an engine for it that is known to have ended.
+func TestPlansWithEndedEnginesAreWithdrawn(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(s *Server, n *node)
+		want error
+	}{
+		"ended":    {func(s *Server, n *node) { n.endedAt = time.Now(); n.suspicion.raise(time.Now()) }, errEnded},
+		"replaced": {func(s *Server, n *node) { s.fleet.recordReplaced(n) }, errEnded},
+		"leaves": {func(s *Server, _ *node) {
+			showUpstreams(s, func(u []upstream.Upstream) { u[0].Announcement.Leaving = true })
+		}, errLeaving},
+		"superseded": {func(s *Server, n *node) {
+			s.fleet.node(&upstream.Upstream{AnnouncedAt: time.Now(), Announcement: upstream.Announcement{Name: "next", Address: n.address}})
+		}, errEnded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, n := newServerWithNode(t)
+				n.endedAt = time.Now() // it ended and was back before the call was placed
+				time.Sleep(time.Second)
+				lead := &node{address: "10.0.9.9:80"}
+				w := &work{lead: lead, helpers: []*node{n}}
+				s.fleet.begin(time.Now(), w)
+				if unavailable, cause := s.fleet.unavailableNode(w); unavailable != nil {
+					t.Fatalf("withdrawn without a change: %v", cause)
+				}
+				time.Sleep(time.Millisecond)
+				c.end(s, n)
+				if unavailable, cause := s.fleet.unavailableNode(w); unavailable != n || !errors.Is(cause, c.want) {
+					t.Errorf("not withdrawn: %v", cause)
+				}
+				x := &exchange{server: s, call: &Call{}, service: &settings.ForwardedService{Name: "model", Engine: &settings.EngineProfile{}}, route: &settings.Route{}}
+				if _, unusable := x.workFromAnswer(&arbiter.Answer{Lead: n.key}); !slices.Equal(unusable, []loadshare.Key{n.key}) {
+					t.Error("the engine is used for a placement of the arbiter")
+				}
+			})
+		})
+	}
+}
+
 // BenchmarkEndings measures an observation, which an instance makes about once a second, and the
 // arbiter's view of a fleet of 600 engines.
 func BenchmarkEndings(b *testing.B) {
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -58,7 +58,7 @@
 			Name: "forward_rests_asked_total", Help: "Answers in which an upstream asked this instance for rest, by service.",
 		}, []string{"service"}),
 		withdrawn: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "forward_sends_withdrawn_total", Help: "Sends not made because the upstream asked for rest, or said that it leaves, after it was chosen, by service and kind of send.",
+			Name: "forward_sends_withdrawn_total", Help: "Sends not made because the upstream asked for rest, said that it leaves, or ended, after it was chosen, by service and kind of send.",
 		}, []string{"service", "kind"}),
 		resting: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "forward_upstreams_resting", Help: "Upstreams that get nothing from this instance because they asked it for rest.",
--- a/forward/place.go
+++ b/forward/place.go
@@ -131,14 +131,14 @@
 }
 
 // workFromAnswer converts an answer of the arbiter to a send, and returns the engines in it that
-// this instance must not use: the arbiter may not have seen yet that an engine rests or leaves,
-// and a leaving engine must get no new requests. The lock of the fleet must be held.
+// this instance must not use: the arbiter may not have seen yet that an engine rests, leaves or
+// has ended, and a leaving engine must get no new requests. The lock of the fleet must be held.
 func (x *exchange) workFromAnswer(answer *arbiter.Answer) (*work, []loadshare.Key) {
 	now := time.Now()
 	nodes := x.server.fleet.inUse(x.server.options.Plane.View().Upstreams, x.service.Name)
 	var unusable []loadshare.Key
 	find := func(key loadshare.Key) *node {
-		if nodes[key] == nil || nodes[key].blocked(now) {
+		if nodes[key] == nil || nodes[key].blocked(now) || nodes[key].terminated(now) {
 			unusable = append(unusable, key)
 		}
 		return nodes[key]
--- a/forward/upstream_end.go
+++ b/forward/upstream_end.go
@@ -37,7 +37,8 @@
 	f.mu.Lock()
 	ended = ended || n.replaced
 	if ended {
-		f.recordEnding(time.Now(), n)
+		n.endedAt = time.Now()
+		f.recordEnding(n.endedAt, n)
 	}
 	broken := n.broken
 	n.broken = nil
@@ -46,7 +47,7 @@
 		return
 	}
 	f.logEnd(n, broken)
-	if f.leaves(n) {
+	if announcedLeaving(f.options.Plane.View().Upstreams, n.incarnationID) {
 		return // a planned end is no evidence against its requests
 	}
 	for i := range broken {
@@ -56,16 +57,6 @@
 	}
 }
 
-// leaves reports whether a node announced that it is leaving.
-func (f *fleet) leaves(n *node) bool {
-	for _, u := range f.options.Plane.View().Upstreams.Upstreams {
-		if incarnationOf(&u.Announcement) == n.incarnationID {
-			return u.Announcement.Leaving
-		}
-	}
-	return false
-}
-
 // logEnd logs the requests that an upstream had in flight when it ended. Those whose answer had
 // been in progress for longer are only counted.
 func (f *fleet) logEnd(n *node, broken []brokenSend) {
--- a/forward/work.go
+++ b/forward/work.go
@@ -22,11 +22,13 @@
 	late       bool // its answer is already late
 	heldTokens int  // tokens of memory at the lead engine
 
-	granted bool // placed by the arbiter, which has counted it against named rates
+	granted bool      // placed by the arbiter, which has counted it against named rates
+	begunAt time.Time // when it was placed
 }
 
 // begin registers a send as in flight. The lock must be held.
 func (f *fleet) begin(now time.Time, w *work) {
+	w.begunAt = now
 	if !w.granted {
 		f.consumeRate(now, w.lead)
 		for _, n := range w.helpers {
