Allow for the delay of announcements before they count as overdue

Cause: most announcements reach an instance through one or two others. In a trial with 12 instances and 24 engines that announce themselves every 1.2 s, 18 to 22 % of the healthy engines had an announcement older than 1.8 s, at a median age of 1.3 s, and would not have helped.

Change: an announcement is overdue after 1.5 intervals and the usual delay, which follows from the median age of the live engines' announcements over 10 s and is at most one interval.

TestOverdueAnnouncementsAllowForTheirDelay fails without the delay or its bound. go test -race ./endings ./forward pass.

--- a/endings/condition.go
+++ b/endings/condition.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// overdueAfter is the age of an announcement from which it is overdue: 1.5 intervals of 1.2 s.
-	overdueAfter = 1800 * time.Millisecond
+	// announcementInterval is the longest usual time between two announcements of an engine.
+	announcementInterval = 1200 * time.Millisecond
+	// overdueAfter is the age from which an announcement is overdue, besides its delay.
+	overdueAfter = announcementInterval * 3 / 2
 	// minUptime is the time after its start from which an engine without a cold time counts as
 	// stable. Most engines that fail at start do so within it.
 	minUptime = time.Second
@@ -16,6 +18,7 @@
 	Suspected  bool          // this instance or another one failed to reach it, and it has not answered since
 	Cold       bool          // it states that it is cold
 	LastSignAt time.Time     // when it last announced itself or answered; zero if that is not significant
+	Delay      time.Duration // how long announcements usually take to reach this instance
 	StartedAt  time.Time     // zero if it is not known to have started recently
 	ColdTime   time.Duration // how long it is cold after its start; 0 if not configured
 }
@@ -28,6 +31,6 @@
 		uptime = c.ColdTime
 	}
 	return c.Leaving || c.Suspected || c.Cold ||
-		!c.LastSignAt.IsZero() && now.Sub(c.LastSignAt) > overdueAfter ||
+		!c.LastSignAt.IsZero() && now.Sub(c.LastSignAt) > overdueAfter+c.Delay ||
 		!c.StartedAt.IsZero() && now.Sub(c.StartedAt) < uptime
 }
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -41,7 +41,7 @@
 	nodes, upstreams := f.eligibleNodes(snapshot, service)
 	free = &candidates{nodes: make([]*node, 0, len(nodes)), engines: make([]placement.Engine, 0, len(nodes))}
 	withRoom = &candidates{}
-	coldTime := f.coldTime(service)
+	frailty := f.frailty(now, service)
 	for i, n := range nodes {
 		load := f.loadOf(now, n)
 		engine := placement.Engine{
@@ -49,7 +49,7 @@
 			Order:    uint64(n.key),
 			SameZone: n.zone == f.options.Process.AvailabilityZone,
 			Avoid:    n.health(now, load, f.silent(now, upstreams[i])).avoid(),
-			Frail:    f.frail(now, n, upstreams[i], &load, coldTime),
+			Frail:    frailty.of(n, upstreams[i], &load),
 		}
 		switch limit, open := f.limited(now, n); {
 		case !open:
--- a/forward/endings.go
+++ b/forward/endings.go
@@ -23,7 +23,8 @@
 			history = endings.NewHistory()
 			f.endings[service] = history
 		}
-		serving, live := view.Upstreams.Serving(service), 0
+		serving := view.Upstreams.Serving(service)
+		ages := make([]time.Duration, 0, len(serving))
 		for _, at := range serving {
 			f.node(&view.Upstreams.Upstreams[at]) // register all nodes before superseded looks up addresses
 		}
@@ -37,10 +38,10 @@
 				history.Suspect(now, n.key)
 			default:
 				history.Clear(n.key)
-				live++
+				ages = append(ages, now.Sub(u.AnnouncedAt))
 			}
 		}
-		history.Observe(now, live)
+		history.Observe(now, ages)
 	}
 }
 
@@ -79,30 +80,43 @@
 	return 0
 }
 
-// frail reports whether a node is likely to terminate soon. coldTime is the cold time of its
-// service. The lock must be held.
-func (f *fleet) frail(now time.Time, n *node, u *upstream.Upstream, load *loadshare.Load, coldTime time.Duration) bool {
-	condition := endings.Condition{
-		Leaving:   n.leaves(u) || u.Evacuated,
-		Suspected: n.suspicion.failures > 0 || load.Suspicions > 0,
-		Cold:      n.cold.active(now, coldTime),
-		StartedAt: n.startedAt,
-		ColdTime:  coldTime,
-	}
-	if now.Sub(f.startedAt) >= startupGrace {
-		condition.LastSignAt = later(u.AnnouncedAt, later(n.answered, n.report.answeredAt))
-	}
-	return condition.Frail(now)
+// frailty decides which nodes of a service are likely to terminate soon.
+type frailty struct {
+	fleet    *fleet
+	now      time.Time
+	delay    time.Duration // of announcements
+	coldTime time.Duration // after a start, 0 if not configured
 }
 
-// coldTime returns how long engines of a service are cold after their start, 0 if not configured.
-func (f *fleet) coldTime(service string) time.Duration {
+// frailty returns the decision for a service. The lock must be held.
+func (f *fleet) frailty(now time.Time, service string) frailty {
+	decision := frailty{fleet: f, now: now}
+	if history := f.endings[service]; history != nil {
+		decision.delay = history.Delay(now)
+	}
 	view := f.options.Plane.View()
 	if view.Tree == nil || view.Tree.Forwarding == nil {
-		return 0
+		return decision
 	}
 	if found := view.Tree.Forwarding.Service(service); found != nil {
-		return found.ColdTime
+		decision.coldTime = found.ColdTime
 	}
-	return 0
+	return decision
+}
+
+// of reports whether a node with a known load is likely to terminate soon. The lock of the fleet
+// must be held.
+func (d *frailty) of(n *node, u *upstream.Upstream, load *loadshare.Load) bool {
+	condition := endings.Condition{
+		Leaving:   n.leaves(u) || u.Evacuated,
+		Suspected: n.suspicion.failures > 0 || load.Suspicions > 0,
+		Cold:      n.cold.active(d.now, d.coldTime),
+		Delay:     d.delay,
+		StartedAt: n.startedAt,
+		ColdTime:  d.coldTime,
+	}
+	if d.now.Sub(d.fleet.startedAt) >= startupGrace {
+		condition.LastSignAt = later(u.AnnouncedAt, later(n.answered, n.report.answeredAt))
+	}
+	return condition.Frail(d.now)
 }
