Expose the observed terminations of engines as a metric

Cause: nobody could see the rate that the placement of long prompts is based on.

Tested: go test -race ./metrics ./forward pass.

--- a/forward/endings.go
+++ b/forward/endings.go
@@ -42,6 +42,7 @@
 			}
 		}
 		history.Observe(now, ages)
+		f.options.Metrics.observedEndRate(service, history.Rate(now))
 	}
 }
 
--- a/forward/endings_test.go
+++ b/forward/endings_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"celeryport/arbiter"
 	"celeryport/control"
@@ -130,7 +131,7 @@
 		b.Fatal(err)
 	}
 	view := &control.View{Tree: tree, Upstreams: registry.Snapshot(time.Now())}
-	s := New(Options{Process: &settings.Process{}, Plane: fixedPlane{view: view}})
+	s := New(Options{Process: &settings.Process{}, Plane: fixedPlane{view: view}, Metrics: NewMetrics(prometheus.NewRegistry())})
 	b.Run("observe", func(b *testing.B) {
 		for b.Loop() {
 			s.fleet.observeEndings(time.Now(), view)
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -21,6 +21,7 @@
 	rests       *prometheus.CounterVec
 	withdrawn   *prometheus.CounterVec
 	resting     prometheus.Gauge
+	endRate     *prometheus.GaugeVec
 	unreadable  *prometheus.CounterVec
 	datagrams   *prometheus.CounterVec
 	bytes       *prometheus.CounterVec
@@ -63,6 +64,9 @@
 		resting: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "forward_upstreams_resting", Help: "Upstreams that get nothing from this instance because they asked it for rest.",
 		}),
+		endRate: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "forward_engine_end_rate", Help: "Terminations per engine-second that this instance observed in the last ten seconds, by service.",
+		}, []string{"service"}),
 		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "forward_unreadable_total", Help: "Requests that could not be read, by the status that answered them.",
 		}, []string{"status"}),
@@ -73,7 +77,7 @@
 			Name: "forward_datagram_bytes_total", Help: "Bytes of these datagrams, by kind and direction.",
 		}, []string{"kind", "direction"}),
 	}
-	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.withdrawn, m.resting, m.unreadable, m.datagrams, m.bytes)
+	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.withdrawn, m.resting, m.endRate, m.unreadable, m.datagrams, m.bytes)
 	return m
 }
 
@@ -103,6 +107,10 @@
 
 func (m *Metrics) restAsked(service string) { m.rests.WithLabelValues(service).Inc() }
 
+func (m *Metrics) observedEndRate(service string, rate float64) {
+	m.endRate.WithLabelValues(service).Set(rate)
+}
+
 func (m *Metrics) sendWithdrawn(service string, kind sendKind) {
 	m.withdrawn.WithLabelValues(service, kind.String()).Inc()
 }
