Do not let one instance that is cut off make a zone's engines frail

Cause: an engine was frail as long as any instance failed to reach it. One instance of hundreds that is cut off from a zone would keep all engines of the zone from helping everywhere.

Change: the doubt of a single other instance counts until the engine is heard of again. Several of them, or this instance itself, count as before.

Tested: TestFrailEngines fails without the rule and without the doubt. go test -race ./endings ./placement ./arbiter ./forward ./platform ./metrics ./cli pass.

--- a/endings/condition.go
+++ b/endings/condition.go
@@ -15,7 +15,8 @@
 // Condition is the evidence on whether an engine is likely to terminate soon.
 type Condition struct {
 	Leaving    bool          // it leaves, or its availability zone is evacuated
-	Suspected  bool          // this instance or another one failed to reach it, and it has not answered since
+	Suspected  bool          // this instance or several others failed to reach it, and it has not answered since
+	DoubtedAt  time.Time     // when this instance learnt that a single other one failed to reach it; zero if none did
 	Cold       bool          // it states that it is cold
 	LastSignAt time.Time     // when it last announced itself or answered; zero if that is not significant
 	Delay      time.Duration // how long announcements usually take to reach this instance
@@ -30,7 +31,9 @@
 	if c.ColdTime > 0 {
 		uptime = c.ColdTime
 	}
-	return c.Leaving || c.Suspected || c.Cold ||
+	// A single instance may be cut off from a whole zone whose engines still announce themselves.
+	doubted := !c.DoubtedAt.IsZero() && !c.LastSignAt.After(c.DoubtedAt)
+	return c.Leaving || c.Suspected || doubted || c.Cold ||
 		!c.LastSignAt.IsZero() && now.Sub(c.LastSignAt) > overdueAfter+c.Delay ||
 		!c.StartedAt.IsZero() && now.Sub(c.StartedAt) < uptime
 }
--- a/endings/endings_test.go
+++ b/endings/endings_test.go
@@ -89,6 +89,8 @@
 	}{
 		"leaving":    {Condition{Leaving: true}, true},
 		"suspected":  {Condition{Suspected: true}, true},
+		"doubted":    {Condition{DoubtedAt: start, LastSignAt: start}, true},
+		"cut off":    {Condition{DoubtedAt: start.Add(-1), LastSignAt: start}, false}, // from the instance that doubts it
 		"cold":       {Condition{Cold: true}, true},
 		"overdue":    {Condition{LastSignAt: start.Add(-overdueAfter - 1)}, true},
 		"relayed":    {Condition{LastSignAt: start.Add(-overdueAfter - 1), Delay: 1}, false},
--- a/forward/endings.go
+++ b/forward/endings.go
@@ -105,12 +105,19 @@
 	return decision
 }
 
-// of reports whether a node with a known load is likely to terminate soon. The lock of the fleet
-// must be held.
+// of reports whether a node with a known load is likely to terminate soon, and records since when
+// other instances fail to reach it. The lock of the fleet must be held.
 func (d *frailty) of(n *node, u *upstream.Upstream, load *loadshare.Load) bool {
+	switch {
+	case load.Suspicions == 0:
+		n.doubtedAt = time.Time{}
+	case n.doubtedAt.IsZero():
+		n.doubtedAt = d.now
+	}
 	condition := endings.Condition{
 		Leaving:   n.leaves(u) || u.Evacuated,
-		Suspected: n.suspicion.failures > 0 || load.Suspicions > 0,
+		Suspected: n.suspicion.failures > 0 || load.Suspicions >= suspicionQuorum,
+		DoubtedAt: n.doubtedAt,
 		Cold:      n.cold.active(d.now, d.coldTime),
 		Delay:     d.delay,
 		StartedAt: n.startedAt,
--- a/forward/node.go
+++ b/forward/node.go
@@ -47,6 +47,7 @@
 	granted            []grant
 	broken             []brokenSend  // broken sends not yet checked for the end of the node
 	checked            chan struct{} // closed when that check is finished
+	doubtedAt          time.Time     // since when any instance suspects it, zero if none does
 	endedAt            time.Time     // when its process was last found to have ended, zero if never
 	rest               throttle.Rest // rest period that it asked this instance for
 	probe              *work         // send that probes whether it accepts requests after its rest period, or nil
