--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"celeryport/endings"
 	"celeryport/loadshare"
 	"celeryport/recovery"
 	"celeryport/upstream"
@@ -36,7 +37,8 @@
 	random           *rand.Rand
 	suspects         *suspects
 	rates            *rates
-	closed           bool // connections are not kept any more
+	endings          map[string]*endings.History // recent terminations of the engines of each service
+	closed           bool                        // connections are not kept any more
 }
 
 // sweepInterval is how often unneeded connections and nodes are removed.
@@ -66,6 +68,7 @@
 		rates:            newRates(callRate),
 		startedAt:        now,
 		view:             recovery.NewView(now),
+		endings:          map[string]*endings.History{},
 	}
 }
 
@@ -84,6 +87,9 @@
 		if len(a.Targets) > 0 {
 			n.service = a.Targets[0]
 		}
+		if now := time.Now(); now.Sub(f.startedAt) >= startupGrace {
+			n.startedAt = now // earlier, this instance learns of engines that have been running
+		}
 		f.retireEarlier(id)
 		f.nodes[id] = n
 		f.byName[id.name] = append(f.byName[id.name], n)
@@ -119,6 +125,7 @@
 // retire marks a node as replaced and closes its connections. The lock must be held.
 func (f *fleet) retire(n *node) {
 	n.replaced = true
+	f.recordEnding(time.Now(), n)
 	for c := range n.busy {
 		c.close()
 	}
--- a/forward/node.go
+++ b/forward/node.go
@@ -33,6 +33,7 @@
 	zone               string
 	service            string
 	key                loadshare.Key
+	startedAt          time.Time // when this instance first saw it, zero if it may have run before
 	announced          time.Time // time of its last announcement when the node was created
 	freshUntil         time.Time // as in upstream.Upstream
 	idle               []*upstreamConn
@@ -47,6 +48,8 @@
 	granted            []grant
 	broken             []brokenSend  // broken sends not yet checked for the end of the node
 	checked            chan struct{} // closed when that check is finished
+	doubtedAt          time.Time     // since when any instance suspects it, zero if none does
+	endedAt            time.Time     // when its process was last found to have ended, zero if never
 	rest               throttle.Rest // rest period that it asked this instance for
 	probe              *work         // send that probes whether it accepts requests after its rest period, or nil
 	leavingAt          time.Time     // when an answer first stated that it leaves, zero if none did
--- a/forward/place.go
+++ b/forward/place.go
@@ -134,14 +134,14 @@
 }
 
 // workFromAnswer converts an answer of the arbiter to a send, and returns the engines in it that
-// this instance must not use: the arbiter may not have seen yet that an engine rests or leaves,
-// and a leaving engine must get no new requests. The lock of the fleet must be held.
+// this instance must not use: the arbiter may not have seen yet that an engine rests, leaves or
+// has ended, and a leaving engine must get no new requests. The lock of the fleet must be held.
 func (x *exchange) workFromAnswer(answer *arbiter.Answer) (*work, []loadshare.Key) {
 	now := time.Now()
 	nodes := x.server.fleet.inUse(x.server.options.Plane.View().Upstreams, x.service.Name)
 	var unusable []loadshare.Key
 	find := func(key loadshare.Key) *node {
-		if nodes[key] == nil || nodes[key].blocked(now) {
+		if nodes[key] == nil || nodes[key].blocked(now) || nodes[key].terminated(now) {
 			unusable = append(unusable, key)
 		}
 		return nodes[key]
@@ -252,7 +252,7 @@
 	maxUpstreamsWait = time.Second
 )
 
-// placementCall returns the placement input for the call.
+// placementCall returns the placement input for the call. The lock of the fleet must be held.
 func (x *exchange) placementCall(now time.Time) *placement.Call {
 	objective, waited := x.nextEvent(now)
 	return &placement.Call{
@@ -262,6 +262,7 @@
 		LongPause: x.longPause(),
 		Remaining: x.deadline.Sub(now),
 		Waited:    waited,
+		EndRate:   x.server.fleet.endRate(now, x.service.Name),
 	}
 }
 
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -60,6 +60,7 @@
 			// missing at the start: it shows the residual load.
 			if now.Sub(chosenAt) >= pollInterval || len(polled) == 0 && s.recovering(now) {
 				polled, chosenAt = s.nodesToPoll(), now
+				s.fleet.observeEndings(now, s.options.Plane.View())
 			}
 			for _, n := range polled {
 				if s.fleet.duePoll(now, n) {
