Move calls from silent engines before their callers disconnect

Cause: a call stayed at an engine that was silent until the caller disconnected.

Change: livenessReader asks package failover what to do while no data arrives. The next send is placed and counted against the repeat budget before the old connection closes, so that a call without another engine keeps its place. Data that waits in the socket is read first; otherwise an instance that was suspended, or that wrote to a slow caller, would move streams that are not silent. A move is no evidence against the engine. Event 7022 and two metrics show the moves and the attempts that were withheld.

--- a/forward/events.go
+++ b/forward/events.go
@@ -45,6 +45,8 @@
 		"A header field with which an upstream describes its state has a value that can't be parsed; it is ignored. Logged at most once in 10 s for each upstream. Fields: upstream, address, fields.")
 	eventRestEnded = event.Define(7019, logrus.InfoLevel, "upstream accepts requests after its rest period",
 		"An upstream that had asked for a rest period accepted the probing request; it gets requests without restriction again. Fields: upstream, address.")
+	eventMoved = event.Define(7022, logrus.InfoLevel, "call moved",
+		"The upstream of a stream was silent for so long that the caller would have disconnected; the call was sent to another engine, after the last event that the caller has. Many of these lines for one upstream show that it prefills a long prompt, or hangs. Fields: call, route, upstream, to, cause (unanswered, prefill or silent), silent_ms, patience_ms, predicted_ms (of the next event), events, after_ms.")
 	eventCleared = event.Define(7009, logrus.InfoLevel, "upstream works again",
 		"A suspected upstream answered. Fields: upstream, address.")
 )
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -54,6 +54,9 @@
 	helpers      []*node       // engines that read a part of the prompt of the last send
 	placedAt     time.Time     // when the last send was placed
 	ran          bool          // a send may have run
+	next         *work         // the send to which the call moves, already registered as in flight
+	moves        int           // moves away from silent upstreams
+	movedEvents  int           // events at the last move
 }
 
 // maxUnsent bounds the tries that reached no upstream because no connection could be opened or
@@ -107,10 +110,11 @@
 		return
 	}
 	x.server.budgets.recordCall(x.began, x.service.Name)
+	defer x.cancelMove()
 	var last *outcome
 	unsent := 0
 	for {
-		next, err := x.place(ctx)
+		next, err := x.nextSend(ctx)
 		if ctx.Err() != nil && err != nil {
 			x.callerLeft()
 			return
@@ -136,6 +140,11 @@
 			x.callerLeft()
 			return
 		}
+		if x.next != nil {
+			x.recordMove(next, result)
+			last = result
+			continue
+		}
 		x.recordFailedSend(result)
 		x.awaitEndCheck(ctx, result)
 		x.recordRejection(next, result)
--- a/forward/fleet_conns.go
+++ b/forward/fleet_conns.go
@@ -52,7 +52,7 @@
 	if idleFor > 0 {
 		c.idleFor = idleFor
 	}
-	c.liveness.reachable = nil
+	c.liveness.watch = nil
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if n.replaced || f.closed {
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"celeryport/datagram"
+	"celeryport/failover"
 )
 
 // Metrics are the counters and histograms of forwarded calls.
@@ -20,6 +21,8 @@
 	limited     prometheus.Gauge
 	rests       *prometheus.CounterVec
 	withdrawn   *prometheus.CounterVec
+	moves       *prometheus.CounterVec
+	unmoved     *prometheus.CounterVec
 	resting     prometheus.Gauge
 	unreadable  *prometheus.CounterVec
 	datagrams   *prometheus.CounterVec
@@ -60,6 +63,12 @@
 		withdrawn: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "forward_sends_withdrawn_total", Help: "Sends not made because the upstream asked for rest, or said that it leaves, after it was chosen, by service and kind of send.",
 		}, []string{"service", "kind"}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "forward_moves_total", Help: "Calls moved to another engine because theirs was silent, by service and cause.",
+		}, []string{"service", "cause"}),
+		unmoved: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "forward_moves_withheld_total", Help: "Attempts to move a call from a silent engine that found no engine or no repeat, by service and reason.",
+		}, []string{"service", "reason"}),
 		resting: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "forward_upstreams_resting", Help: "Upstreams that get nothing from this instance because they asked it for rest.",
 		}),
@@ -73,7 +82,7 @@
 			Name: "forward_datagram_bytes_total", Help: "Bytes of these datagrams, by kind and direction.",
 		}, []string{"kind", "direction"}),
 	}
-	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.withdrawn, m.resting, m.unreadable, m.datagrams, m.bytes)
+	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.resting, m.unreadable, m.datagrams, m.bytes)
 	return m
 }
 
@@ -107,6 +116,14 @@
 	m.withdrawn.WithLabelValues(service, kind.String()).Inc()
 }
 
+func (m *Metrics) moved(service string, cause failover.Cause) {
+	m.moves.WithLabelValues(service, cause.String()).Inc()
+}
+
+func (m *Metrics) moveWithheld(service string, reason moveObstacle) {
+	m.unmoved.WithLabelValues(service, string(reason)).Inc()
+}
+
 func (m *Metrics) sendBroken(service string, p phase) {
 	m.broken.WithLabelValues(service, p.String()).Inc()
 }
--- /dev/null
+++ b/forward/move.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"celeryport/event"
+	"celeryport/failover"
+	"celeryport/loadshare"
+	"celeryport/placement"
+)
+
+// moveObstacle is the reason why a call stays at a silent engine.
+type moveObstacle string
+
+const (
+	// noEngine means that no other engine can answer before the caller disconnects.
+	noEngine moveObstacle = "no-engine"
+	// noRepeat means that the repeat budget is used up.
+	noRepeat moveObstacle = "no-repeat"
+)
+
+// prepareMove places the call on another engine while the present send still runs, so that a call
+// that finds no place keeps its old one. It returns false if the call has to stay.
+func (s *sending) prepareMove(state *failover.Send, cause failover.Cause) bool {
+	x, now := s.x, time.Now()
+	w, obstacle := s.placeMove(now, state)
+	if w == nil {
+		x.server.options.Metrics.moveWithheld(x.service.Name, obstacle)
+		return false
+	}
+	x.next = w
+	x.server.options.Metrics.moved(x.service.Name, cause)
+	eventMoved.Log(x.server.options.Log, event.Fields{
+		"call": x.call.ID, "route": x.route.Name, "upstream": s.node.name, "to": w.lead.name, "cause": cause.String(),
+		"silent_ms": now.Sub(state.CallerAt).Milliseconds(), "patience_ms": state.Patience.Milliseconds(),
+		"predicted_ms": x.predicted.Milliseconds(), "events": x.events, "after_ms": now.Sub(x.began).Milliseconds(),
+	})
+	return true
+}
+
+// placeMove registers a send of the call to another engine that answers in time, and counts it
+// against the repeat budget. Without such an engine it changes nothing.
+func (s *sending) placeMove(now time.Time, state *failover.Send) (*work, moveObstacle) {
+	x, fleet := s.x, s.x.server.fleet
+	kept := x.keepPlacement()
+	x.tried, x.sentTo = appendCopy(x.tried, s.node.key), appendCopy(x.sentTo, s.node.key)
+	w, _, err := x.tryPlace()
+	x.tried, x.sentTo = kept.tried, kept.sentTo
+	obstacle := noEngine
+	if err == nil && w != nil {
+		if state.InTime(now, x.predicted) && fleet.recommended(now, w.lead) {
+			if x.server.budgets.takeRepeat(now, x.service.Name) {
+				if x.overdue(now) {
+					fleet.recordLate(w)
+				}
+				return w, ""
+			}
+			obstacle = noRepeat
+		}
+		fleet.end(w)
+	}
+	x.predicted, x.readers, x.seen, x.plans = kept.predicted, kept.readers, kept.seen, kept.plans
+	return nil, obstacle
+}
+
+// keptPlacement is the part of an exchange that an attempt to place it changes.
+type keptPlacement struct {
+	tried, sentTo  []loadshare.Key
+	predicted      time.Duration
+	readers, plans int
+	seen           placement.Seen
+}
+
+func (x *exchange) keepPlacement() keptPlacement {
+	return keptPlacement{tried: x.tried, sentTo: x.sentTo, predicted: x.predicted, readers: x.readers, plans: x.plans, seen: x.seen}
+}
+
+// appendCopy appends a key without changing the array of the list.
+func appendCopy(list []loadshare.Key, key loadshare.Key) []loadshare.Key {
+	return append(slices.Clip(list), key)
+}
+
+// recommended reports whether a node is not only the last resort of the placement.
+func (f *fleet) recommended(now time.Time, n *node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !n.health(now, f.loadOf(now, n), false).avoid()
+}
+
+// overdue reports whether the answer is late because of the silence that has not ended yet.
+func (x *exchange) overdue(now time.Time) bool {
+	limit, waited := x.nextEvent(now)
+	return limit > 0 && waited > limit
+}
+
+// recordMove records that a call left a silent engine. The engine may only be busy: the move is
+// no evidence against it.
+func (x *exchange) recordMove(from *work, o *outcome) {
+	x.server.options.Metrics.sent(x.service.Name, movedOutcome)
+	x.moves++
+	x.movedEvents = x.events
+	x.recordRejection(from, o)
+	x.tried = append(x.tried, from.lead.key)
+}
+
+// movedOutcome is the outcome of a send in the metrics if the call moved.
+const movedOutcome = "moved"
+
+// nextSend returns the send to which the call moves, or places the call.
+func (x *exchange) nextSend(ctx context.Context) (*work, error) {
+	if w := x.next; w != nil {
+		x.next = nil
+		return w, nil
+	}
+	return x.place(ctx)
+}
+
+// cancelMove removes the send to which the call was about to move when it ended.
+func (x *exchange) cancelMove() {
+	if x.next != nil {
+		x.server.fleet.end(x.next)
+		x.next = nil
+	}
+}
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -124,7 +124,7 @@
 	}
 	conn.polled = share == reuseForPolls
 	deadline, _ := ctx.Deadline()
-	conn.liveness.deadline, conn.liveness.reachable = deadline, nil
+	conn.liveness.deadline, conn.liveness.watch = deadline, nil
 	if err := conn.conn.SetWriteDeadline(deadline); err != nil {
 		conn.close()
 		return 0, nil, err
--- a/forward/send.go
+++ b/forward/send.go
@@ -21,6 +21,7 @@
 	errNotGenuine       = errors.New("the answer is not one of an upstream that ran the call")
 	errStray            = errors.New("the upstream sent answers of other calls")
 	errOwnFailure       = errors.New("the upstream answered with a failure")
+	errMoved            = errors.New("the call moves to another engine because its upstream is silent")
 	errEventOrder       = errors.New("the events of the answer do not follow each other")
 )
 
@@ -35,6 +36,7 @@
 	phase  phase
 	sentAt time.Time
 	headAt time.Time // when the head of the answer arrived
+	heard  time.Time // when the last event arrived, also one that the caller had already
 	clean  bool      // the connection can carry another call
 	idle   time.Duration
 }
@@ -109,9 +111,8 @@
 func (s *sending) exchange(ctx context.Context) *outcome {
 	x := s.x
 	s.conn.liveness.deadline = x.deadline
-	s.conn.liveness.silence = x.silenceTimeout()
 	s.sentAt = time.Now()
-	s.conn.liveness.reachable = func() bool { return !s.hung() && x.server.fleet.reachable(ctx, s.node) }
+	s.conn.liveness.watch = newSilenceWatch(ctx, s)
 	s.write()
 	head, answer, err := s.readHead()
 	if err != nil {
--- a/forward/upstream_conn.go
+++ b/forward/upstream_conn.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"celeryport/failover"
 )
 
 // upstreamConn is a connection to one incarnation of an upstream. It carries one call at a time.
@@ -88,21 +90,28 @@
 }
 
 // livenessReader reads from an upstream until the deadline of the call. Whenever no data has
-// arrived for a while it checks whether the upstream is still reachable: one that lost its power
-// or its network sends no reset.
+// arrived for a while it lets its watch act: an upstream that lost its power or its network sends
+// no reset, and one that is busy for longer than the caller waits sends nothing in time.
 type livenessReader struct {
-	conn      net.Conn
-	deadline  time.Time
-	silence   time.Duration // time without data after which reachable is called; 0: never
-	reachable func() bool
+	conn     net.Conn
+	deadline time.Time
+	watch    *silenceWatch // nil: only the deadline ends a read
 }
 
+// minListen is the shortest time for which a read listens. After this instance was suspended or
+// wrote to a slow caller, the time to act has passed although data is waiting.
+const minListen = 5 * time.Millisecond
+
 // Read implements io.Reader.
 func (r *livenessReader) Read(p []byte) (int, error) {
+	var next failover.Decision
+	if r.watch != nil {
+		next = r.watch.forecast(time.Now())
+	}
 	for {
 		until := r.deadline
-		if r.silence > 0 && r.reachable != nil {
-			until = earlier(until, time.Now().Add(r.silence))
+		if at, wakes := wakeAt(time.Now(), next); wakes {
+			until = earlier(until, at)
 		}
 		if err := r.conn.SetReadDeadline(until); err != nil {
 			return 0, err
@@ -111,12 +120,24 @@
 		if n > 0 || !isTimeout(err) || !until.Before(r.deadline) {
 			return n, err
 		}
-		if !r.reachable() {
-			return 0, errSilent
+		if next, err = r.watch.act(readable(r.conn)); err != nil {
+			return 0, err
 		}
 	}
 }
 
+// wakeAt returns when to act on a decision; false if it names no time.
+func wakeAt(now time.Time, d failover.Decision) (time.Time, bool) {
+	soonest := now.Add(minListen)
+	if d.Action == failover.Wait && d.Until.IsZero() {
+		return time.Time{}, false
+	}
+	if d.Action != failover.Wait || d.Until.Before(soonest) {
+		return soonest, true
+	}
+	return d.Until, true
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
