Move prompts that the arbiter places, and test moves that find no place

Cause: a short prompt above 16,000 tokens counts as long at a pause limit of 200 ms, but its caller has the same patience of 2 s. Such calls stayed at a silent engine.

Change: the new place of a long prompt is asked of the arbiter, for at most 0.1 s, which counts as part of the time to resume. The count of plans is not restored after an attempt without a place: the next ask would have the ID of the old one and get its answer.

--- a/failover/model.go
+++ b/failover/model.go
@@ -10,7 +10,8 @@
 // Model holds the durations that an engine profile implies for one call.
 type Model struct {
 	Profile *settings.EngineProfile
-	Tokens  int // tokens to prefill if the call is sent again
+	Tokens  int           // tokens to prefill if the call is sent again
+	Place   time.Duration // time to choose another engine
 }
 
 const (
@@ -45,7 +46,7 @@
 // ResumeTime returns the time from a move to the next event on a typical other engine: the rest
 // of a pass, the prefill and one pass of an engine with all slots taken.
 func (m Model) ResumeTime() time.Duration {
-	return sendTime + m.Pass()/2 + (1+queuedPrompts)*m.prefill() + m.Pass()
+	return m.Place + sendTime + m.Pass()/2 + (1+queuedPrompts)*m.prefill() + m.Pass()
 }
 
 // MinResumeTime returns the shortest time from a move to the next event.
--- a/forward/move.go
+++ b/forward/move.go
@@ -23,9 +23,9 @@
 
 // prepareMove places the call on another engine while the present send still runs, so that a call
 // that finds no place keeps its old one. It returns false if the call has to stay.
-func (s *sending) prepareMove(state *failover.Send, cause failover.Cause) bool {
+func (s *sending) prepareMove(ctx context.Context, state *failover.Send, cause failover.Cause) bool {
 	x, now := s.x, time.Now()
-	w, obstacle := s.placeMove(now, state)
+	w, obstacle := s.placeMove(ctx, state)
 	if w == nil {
 		x.server.options.Metrics.moveWithheld(x.service.Name, obstacle)
 		return false
@@ -41,16 +41,18 @@
 }
 
 // placeMove registers a send of the call to another engine that answers in time, and counts it
-// against the repeat budget. Without such an engine it changes nothing.
-func (s *sending) placeMove(now time.Time, state *failover.Send) (*work, moveObstacle) {
+// against the repeat budget. Without such an engine, or if data has arrived in the meantime, it
+// changes nothing.
+func (s *sending) placeMove(ctx context.Context, state *failover.Send) (*work, moveObstacle) {
 	x, fleet := s.x, s.x.server.fleet
 	kept := x.keepPlacement()
 	x.tried, x.sentTo = appendCopy(x.tried, s.node.key), appendCopy(x.sentTo, s.node.key)
-	w, _, err := x.tryPlace()
+	w := x.findMove(ctx)
 	x.tried, x.sentTo = kept.tried, kept.sentTo
 	obstacle := noEngine
-	if err == nil && w != nil {
-		if state.InTime(now, x.predicted) && fleet.recommended(now, w.lead) {
+	if w != nil {
+		now := time.Now()
+		if !readable(s.conn.conn) && state.InTime(now, x.predicted) && fleet.recommended(now, w.lead) {
 			if x.server.budgets.takeRepeat(now, x.service.Name) {
 				if x.overdue(now) {
 					fleet.recordLate(w)
@@ -61,20 +63,41 @@
 		}
 		fleet.end(w)
 	}
-	x.predicted, x.readers, x.seen, x.plans = kept.predicted, kept.readers, kept.seen, kept.plans
+	x.predicted, x.readers, x.seen = kept.predicted, kept.readers, kept.seen
 	return nil, obstacle
 }
 
-// keptPlacement is the part of an exchange that an attempt to place it changes.
+// maxMoveArbitration bounds the wait for the arbiter: some ticks of its queue. An ask that it has
+// not answered by then waits for free engines.
+const maxMoveArbitration = 100 * time.Millisecond
+
+// findMove places the call, a long prompt through the arbiter. It returns nil if no engine can
+// take the call now.
+func (x *exchange) findMove(ctx context.Context) *work {
+	if !x.isLong() {
+		w, _, _ := x.tryPlace() // a refusal means that the call stays
+		return w
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxMoveArbitration)
+	defer cancel()
+	w, err := x.place(ctx)
+	if err != nil {
+		return nil // the call stays where it is
+	}
+	return w
+}
+
+// keptPlacement is the part of an exchange that an attempt to place it changes. The count of plans
+// is not restored: it makes the names of asks and reservations unique.
 type keptPlacement struct {
-	tried, sentTo  []loadshare.Key
-	predicted      time.Duration
-	readers, plans int
-	seen           placement.Seen
+	tried, sentTo []loadshare.Key
+	predicted     time.Duration
+	readers       int
+	seen          placement.Seen
 }
 
 func (x *exchange) keepPlacement() keptPlacement {
-	return keptPlacement{tried: x.tried, sentTo: x.sentTo, predicted: x.predicted, readers: x.readers, plans: x.plans, seen: x.seen}
+	return keptPlacement{tried: x.tried, sentTo: x.sentTo, predicted: x.predicted, readers: x.readers, seen: x.seen}
 }
 
 // appendCopy appends a key without changing the array of the list.
--- a/forward/silence_watch.go
+++ b/forward/silence_watch.go
@@ -28,6 +28,9 @@
 	}}
 	if x.movableService() {
 		w.state.Model = failover.Model{Profile: x.service.Engine, Tokens: x.call.PromptTokens}
+		if x.isLong() {
+			w.state.Model.Place = maxMoveArbitration
+		}
 		w.state.Patience, w.state.PauseLimit = x.route.Patience, x.route.PauseLimit
 		w.state.Draw = x.server.draw()
 	}
@@ -35,11 +38,9 @@
 }
 
 // movableService reports whether the calls of the route and service may move: the patience of
-// the callers is known, and the engines have a performance profile. A long prompt stays where
-// the arbiter placed it: its patience is four objectives or more, and another prefill would
-// occupy several engines for seconds.
+// the callers is known, and the engines have a performance profile.
 func (x *exchange) movableService() bool {
-	return x.route.Patience > 0 && x.service.Engine != nil && x.call.PromptTokens > 0 && !x.isLong()
+	return x.route.Patience > 0 && x.service.Engine != nil && x.call.PromptTokens > 0
 }
 
 // forecast returns what to do if no data arrives from now on. It takes no lock, because it is
@@ -67,7 +68,7 @@
 		}
 		w.state.HeardAt = time.Now()
 	case d.Action == failover.Move && !pending:
-		if w.ctx.Err() == nil && w.s.prepareMove(&w.state, d.Cause) {
+		if w.ctx.Err() == nil && w.s.prepareMove(w.ctx, &w.state, d.Cause) {
 			return failover.Decision{}, errMoved
 		}
 		w.state.NotBefore = now.Add(moveRetryInterval)
