Do not record an engine as failing while its known prefill explains the delay

Change: on routes with a known patience, an engine with queued prefill is not recorded. The call is still sent elsewhere after the time-out.

Test: TestDelayByKnownPrefillIsNoFailure failed without the condition, and with the record removed altogether. go test -race ./failover ./placement ./forward ./platform ./arbiter passed.

--- a/forward/send.go
+++ b/forward/send.go
@@ -126,14 +126,16 @@
 }
 
 // hung reports whether the upstream should have begun its answer long ago, although it may still
-// accept connections. The upstream is recorded as failing; a call that may run again is sent to
-// another one, any other call keeps waiting.
+// accept connections. The upstream is recorded as failing unless its known prefill explains the
+// delay; a call that may run again is sent to another one, any other call keeps waiting.
 func (s *sending) hung() bool {
 	x := s.x
 	if s.begun || time.Since(s.sentAt) < x.hangTimeout() {
 		return false
 	}
-	x.server.fleet.recordFailure(s.node)
+	if x.route.Patience <= 0 || x.server.fleet.prefillTime(time.Now(), s.node) <= 0 {
+		x.server.fleet.recordFailure(s.node)
+	}
 	return x.route.Repeat != settings.RepeatNever
 }
 
--- a/forward/send_timeouts_test.go
+++ b/forward/send_timeouts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"celeryport/settings"
@@ -22,3 +23,29 @@
 		}
 	}
 }
+
+// Guards against keeping new work from an engine that is known to prefill a long prompt, and
+// against using one that hangs without a reason.
+func TestDelayByKnownPrefillIsNoFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, test := range []struct {
+			patience time.Duration
+			prefill  bool
+			failing  bool
+		}{{2 * time.Second, true, false}, {2 * time.Second, false, true}, {0, true, true}} {
+			s, n := newServerWithNode(t)
+			silent := newSilentSend(t, s, n, 0)
+			silent.begun, silent.x.route.Patience = false, test.patience
+			if test.prefill {
+				n.reading = map[*work]time.Time{silent.work: time.Now().Add(time.Hour)}
+			}
+			silent.sentAt = time.Now().Add(-silent.x.hangTimeout())
+			if !silent.hung() {
+				t.Fatal("the engine does not count as hung")
+			}
+			if failing := !n.failedAt.IsZero(); failing != test.failing {
+				t.Errorf("patience %s, prefill %t: recorded as failing: %t", test.patience, test.prefill, failing)
+			}
+		}
+	})
+}
