Ask the arbiter anew in each attempt to move a prompt

Cause: an ask kept its name after a refusal, and the arbiter repeats its answer to a name for 1 s. All further attempts of the call got the first refusal.

Change: each attempt counts as a plan, so that its ask has a new name.

Tests: TestEachAttemptToMoveIsANewAsk failed without the change.

--- a/forward/move.go
+++ b/forward/move.go
@@ -80,6 +80,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxMoveArbitration)
 	defer cancel()
+	x.plans++ // the arbiter repeats its answer to an ask of the same name for a second
 	w, err := x.place(ctx)
 	if err != nil {
 		return nil // the call stays where it is
--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -112,3 +112,26 @@
 		}
 	})
 }
+
+// Guards against getting the arbiter's refusal of the first attempt again and again: it repeats
+// its answer to an ask of the same name for a second, longer than the caller waits.
+func TestEachAttemptToMoveIsANewAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, n := newServerWithNode(t)
+		x := newSilentSend(t, s, n, 1500*time.Millisecond).x
+		x.call.PromptTokens = 100_000
+		before := x.newAsk().ID
+		s.fleet.mu.Lock()
+		s.fleet.eligibleNodes(s.options.Plane.View().Upstreams, "model")
+		for _, other := range s.fleet.nodes {
+			other.load.Streams, other.load.Leading = 3*x.service.Engine.Slots, 9
+		}
+		s.fleet.mu.Unlock()
+		if w := x.findMove(context.Background()); w != nil {
+			t.Fatal("a full engine takes the prompt")
+		}
+		if after := x.newAsk().ID; after == before {
+			t.Errorf("the next ask has the same name %s", after)
+		}
+	})
+}
