--- a/failover/send.go
+++ b/failover/send.go
@@ -28,9 +28,10 @@
 	// delays of this instance: 0.1 s of 2 s.
 	marginFraction = 0.05
 	// spreadFraction is the fraction of the patience over which the moves of an engine's streams
-	// are spread: 0.3 s of 2 s. Instances learn of each other's sends within some tens of
-	// milliseconds, so that later moves avoid the engines that the first ones chose.
-	spreadFraction = 0.15
+	// are spread: 0.2 s of 2 s. Instances learn of each other's sends within some tens of
+	// milliseconds, so that later moves avoid the engines that the first ones chose. A wider
+	// spread would begin before the end of the stall of 1.5 s after a helper has terminated.
+	spreadFraction = 0.1
 	// lateSpreadFraction replaces it when the engine's own event was due at the end of the
 	// interval.
 	lateSpreadFraction = 0.025
