--- a/forward/events.go
+++ b/forward/events.go
@@ -47,6 +47,8 @@
 		"An upstream that had asked for a rest period accepted the probing request; it gets requests without restriction again. Fields: upstream, address.")
 	eventLoadsKnown = event.Define(7025, logrus.InfoLevel, "loads of the other instances known",
 		"This instance has received the loads of the other instances after its start, or after it was frozen, and packs short prompts again. Fields: after_ms (since the start of the process), spread (calls spread over all engines since then).")
+	eventMoved = event.Define(7022, logrus.InfoLevel, "call moved",
+		"The upstream of a stream was silent for so long that the caller would have disconnected; the call was sent to another engine, after the last event that the caller has. Many of these lines for one upstream show that it prefills a long prompt, or hangs. Fields: call, route, upstream, to, cause (unanswered, prefill or silent), silent_ms, patience_ms, predicted_ms (of the next event), events, after_ms.")
 	eventCleared = event.Define(7009, logrus.InfoLevel, "upstream works again",
 		"A suspected upstream answered. Fields: upstream, address.")
 )
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -55,6 +55,9 @@
 	placedAt     time.Time     // when the last send was placed
 	ran          bool          // a send may have run
 	heldBack     bool          // it waited for the first settings, with the other calls of that time
+	next         *work         // the send to which the call moves, already registered as in flight
+	moves        int           // moves away from silent upstreams
+	movedEvents  int           // events at the last move
 }
 
 // maxUnsent bounds the tries that reached no upstream because no connection could be opened or
@@ -112,10 +115,11 @@
 		return
 	}
 	x.server.budgets.recordCall(x.began, x.service.Name)
+	defer x.cancelMove()
 	var last *outcome
 	unsent := 0
 	for {
-		next, err := x.place(ctx)
+		next, err := x.nextSend(ctx)
 		if ctx.Err() != nil && err != nil {
 			x.callerLeft()
 			return
@@ -141,6 +145,11 @@
 			x.callerLeft()
 			return
 		}
+		if x.next != nil {
+			x.recordMove(next, result)
+			last = result
+			continue
+		}
 		x.recordFailedSend(result)
 		x.awaitEndCheck(ctx, result)
 		x.recordRejection(next, result)
