--- a/forward/upstream_conn.go
+++ b/forward/upstream_conn.go
@@ -120,10 +120,23 @@
 		if n > 0 || !isTimeout(err) || !until.Before(r.deadline) {
 			return n, err
 		}
-		if next, err = r.watch.act(readable(r.conn)); err != nil {
+		pending, err := r.pending()
+		if err != nil {
 			return 0, err
 		}
+		if next, err = r.watch.act(pending); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// pending reports whether data waits to be read. It first renews the read deadline: once that has
+// passed, every connection seems to have data.
+func (r *livenessReader) pending() (bool, error) {
+	if err := r.conn.SetReadDeadline(r.deadline); err != nil {
+		return false, err
 	}
+	return readable(r.conn), nil
 }
 
 // wakeAt returns when to act on a decision; false if it names no time.
