Sends to ended engines no longer count against the repeat budget

Cause: a send that was answered 421 was charged to the repeat budget of the instance. With 66 instances and few calls of a service, the part of one instance is about one repeat in 10 s, so the second 421 ended the call as "no upstream took the call" although other engines were running. Likewise a call was refused after four refused connections in a row.

Change: package resend decides by the cause of a failed send whether another may follow. Sends that no running upstream has seen (421, connection refused, withdrawn before sending) count neither against the budget nor against the sends of the route; they are bounded by 24 per call and by 50 ms of time left.

--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -117,8 +117,8 @@
 		fields["objective_ms"] = x.route.Objective.Milliseconds()
 		fields["pause_limit_ms"] = x.route.PauseLimit.Milliseconds()
 	}
-	if x.rejections > 0 {
-		fields["rejections"] = x.rejections
+	if rejections := x.failed.Rejections(); rejections > 0 {
+		fields["rejections"] = rejections
 	}
 	if x.age > 0 {
 		fields["age_ms"] = x.age.Milliseconds()
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -5,12 +5,11 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"celeryport/clock"
 	"celeryport/loadshare"
 	"celeryport/placement"
 	"celeryport/quarantine"
+	"celeryport/resend"
 	"celeryport/settings"
 	"celeryport/verdict"
 )
@@ -33,13 +32,12 @@
 	plans        int             // plans made so far; part of the names of asks and reservations
 	lastAsk      string          // ID of the ask that led to the last placement
 	sends        int             // sends that may have reached an upstream
-	misdirected  int             // of these, sends that reached an address after the incarnation there had ended
+	failed       resend.Tally    // failed sends by cause
 	tried        []loadshare.Key // upstreams that failed the call
 	unusable     []loadshare.Key // engines in the arbiter's last answer that must not be used
 	excluded     []loadshare.Key // all unusable and refused engines so far
 	refused      []loadshare.Key // engines that refused to help
 	sentTo       []loadshare.Key // engines that received the call as lead
-	rejections   int             // sends that were rejected because a helper refused its part
 	firstAt      time.Time
 	lastEvent    int64 // last event that the caller has received
 	hasEvent     bool
@@ -56,28 +54,15 @@
 	ran          bool          // a send may have run
 }
 
-// maxUnsent bounds the tries that reached no upstream because no connection could be opened or
-// another incarnation answered; each takes up to a connect timeout. Incarnations that had
-// already ended don't count as upstreams that a call was sent to: otherwise, after a crash of
-// many engines, calls would fail at the second such engine.
-const maxUnsent = 4
-
-// maxRejections bounds the sends of one call that are rejected because a helper refused its
-// part. Each takes a round trip and names one engine that is not asked to help again.
-const maxRejections = 6
-
 // recordRejection records which engine received the call, and the helper because of which it was
 // rejected.
 func (x *exchange) recordRejection(w *work, o *outcome) {
-	if o.reached && !slices.Contains(x.sentTo, w.lead.key) {
+	if o.reached && o.cause() != resend.Ended && !slices.Contains(x.sentTo, w.lead.key) {
 		x.sentTo = append(x.sentTo, w.lead.key)
 	}
 	if o.helper == nil {
 		return
 	}
-	if o.reached {
-		x.rejections++
-	}
 	x.refused = append(x.refused, o.helper.key)
 	x.excluded = append(x.excluded, o.helper.key)
 }
@@ -85,7 +70,7 @@
 // allowedLeads lists the engines that may lead the call: once the call was sent to as many
 // engines as its route allows, only these. Nil means any engine.
 func (x *exchange) allowedLeads() []loadshare.Key {
-	if len(x.sentTo)-x.misdirected < x.route.MaxSends {
+	if len(x.sentTo) < x.route.MaxSends {
 		return nil
 	}
 	return x.sentTo
@@ -108,7 +93,6 @@
 	}
 	x.server.budgets.recordCall(x.began, x.service.Name)
 	var last *outcome
-	unsent := 0
 	for {
 		next, err := x.place(ctx)
 		if ctx.Err() != nil && err != nil {
@@ -142,14 +126,8 @@
 		if !result.otherAtFault {
 			x.tried = append(x.tried, next.lead.key)
 		}
-		if !result.reached {
-			unsent++
-		}
-		if errors.Is(result.err, errWrongIncarnation) {
-			x.misdirected++
-		}
 		last = result
-		if err := x.mayRepeat(result, unsent); err != nil {
+		if err := x.mayRepeat(result); err != nil {
 			x.abandon(last, err)
 			return
 		}
@@ -246,23 +224,20 @@
 // instance at once, but not all in the same moment.
 const drainingRetry = 50 * time.Millisecond
 
-// mayRepeat returns nil if another send may follow a failed one, and the error for the caller
-// otherwise.
-func (x *exchange) mayRepeat(o *outcome, unsent int) error {
-	if !x.repeatable(o) {
-		return x.failure(o)
-	}
-	if o.reached && x.sends-x.misdirected-x.rejections >= x.route.MaxSends || unsent+x.misdirected >= maxUnsent || x.rejections >= maxRejections {
-		return x.failure(o)
-	}
-	now := time.Now()
-	if o.reached && !x.server.budgets.takeRepeat(now, x.service.Name) {
+// mayRepeat records a failed send. It returns nil if another send may follow it, and the error for
+// the caller otherwise.
+func (x *exchange) mayRepeat(o *outcome) error {
+	cause, now := o.cause(), time.Now()
+	x.failed.Record(cause)
+	decision := x.failed.Decide(cause, resend.Limits{MaxSends: x.route.MaxSends, Left: x.deadline.Sub(now)})
+	switch {
+	case !x.repeatable(o) || !decision.Repeat:
 		return x.failure(o)
-	}
-	if !now.Before(x.deadline) {
+	case decision.Charged && !x.server.budgets.takeRepeat(now, x.service.Name):
 		return x.failure(o)
+	default:
+		return nil
 	}
-	return nil
 }
 
 // repeatable reports whether a call may be sent again after the outcome of a send.
--- /dev/null
+++ b/resend/cause.go
@@ -0,0 +1,27 @@
+package resend
+
+// Cause is why a send failed, as far as it matters for sending the call again.
+type Cause uint8
+
+const (
+	// Counted means that a running upstream may have received the call. It is the zero value: a
+	// send of unknown outcome counts against all limits.
+	Counted Cause = iota
+	// HelperAtFault means that a running upstream rejected the call because another one refused
+	// its part.
+	HelperAtFault
+	// Ended means that the addressed incarnation has ended: another one answers at its address,
+	// or nothing accepts connections there.
+	Ended
+	// Withdrawn means that nothing was sent because the upstream had become unavailable.
+	Withdrawn
+	// Unreachable means that nothing was sent because a connection or a reservation failed, which
+	// may take as long as its time-out.
+	Unreachable
+
+	causes = int(Unreachable) + 1
+)
+
+// charged reports whether the send that follows counts against the repeat budget: only if a
+// running upstream had to handle the failed one.
+func (c Cause) charged() bool { return c == Counted || c == HelperAtFault }
--- /dev/null
+++ b/resend/tally.go
@@ -0,0 +1,63 @@
+package resend
+
+import "time"
+
+const (
+	// maxRejections bounds the sends that are rejected because a helper refused its part. Each
+	// takes a round trip and names one engine that is not asked to help again.
+	maxRejections = 6
+	// maxMissed bounds the sends that met an ended or withdrawn upstream. Each takes a round trip;
+	// a rack or an availability zone that loses its power may hold a third of a service.
+	maxMissed = 24
+	// maxUnreachable bounds the sends that could not connect; each may take a connect time-out.
+	maxUnreachable = 4
+	// minTimeLeft is the time below which a call no longer looks for a running upstream: a round
+	// trip between zones and the shortest calls of a plain service take about half of it.
+	minTimeLeft = 50 * time.Millisecond
+)
+
+// Tally counts the failed sends of one call by cause. Its zero value is ready for use.
+type Tally struct {
+	counts [causes]int
+}
+
+// Record adds a failed send.
+func (t *Tally) Record(c Cause) { t.counts[c]++ }
+
+// Counted returns how many failed sends count against the sends of the route.
+func (t *Tally) Counted() int { return t.counts[Counted] }
+
+// Rejections returns how many sends were rejected because a helper refused its part.
+func (t *Tally) Rejections() int { return t.counts[HelperAtFault] }
+
+// Ended returns how many sends met an incarnation that had ended.
+func (t *Tally) Ended() int { return t.counts[Ended] }
+
+// Limits are the limits of one call.
+type Limits struct {
+	MaxSends int           // sends that running upstreams may receive
+	Left     time.Duration // time until the deadline of the call
+}
+
+// Decision is whether a call is sent again.
+type Decision struct {
+	Repeat  bool
+	Charged bool // the repeat counts against the repeat budget
+}
+
+// Decide returns whether a call may be sent again after a send that failed with the given cause,
+// which has been recorded.
+func (t *Tally) Decide(last Cause, l Limits) Decision {
+	d := Decision{Charged: last.charged()}
+	switch last {
+	case Counted:
+		d.Repeat = l.Left > 0 && t.Counted() < l.MaxSends
+	case HelperAtFault:
+		d.Repeat = l.Left > 0 && t.Rejections() < maxRejections
+	case Ended, Withdrawn:
+		d.Repeat = l.Left >= minTimeLeft && t.counts[Ended]+t.counts[Withdrawn] < maxMissed
+	case Unreachable:
+		d.Repeat = l.Left >= minTimeLeft && t.counts[Unreachable] < maxUnreachable
+	}
+	return d
+}
