Calls wait for the restart of the only upstream of a plain service

Cause: a call that found its only upstream ended was refused within a round trip. After a crash, connections are refused until the process is back; after that it answers 421 until its announcement, which takes up to an interval of 1.2 s, arrives. In both cases the call had not run and would have been served a moment later.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -33,6 +33,7 @@
 	lastAsk      string          // ID of the ask that led to the last placement
 	sends        int             // sends that may have reached an upstream
 	failed       resend.Tally    // failed sends by cause
+	missedAt     time.Time       // when the last send failed, if it found no running upstream
 	tried        []loadshare.Key // upstreams that failed the call
 	unusable     []loadshare.Key // engines in the arbiter's last answer that must not be used
 	excluded     []loadshare.Key // all unusable and refused engines so far
@@ -229,6 +230,10 @@
 func (x *exchange) mayRepeat(o *outcome) error {
 	cause, now := o.cause(), time.Now()
 	x.failed.Record(cause)
+	x.missedAt = time.Time{}
+	if cause.Missed() {
+		x.missedAt = now
+	}
 	decision := x.failed.Decide(cause, resend.Limits{MaxSends: x.route.MaxSends, Left: x.deadline.Sub(now)})
 	switch {
 	case !x.repeatable(o) || !decision.Repeat:
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -110,7 +110,9 @@
 
 // retire marks a node as replaced and closes its connections. The lock must be held.
 func (f *fleet) retire(n *node) {
-	n.replaced = true
+	if !n.replaced {
+		n.replaced, n.replacedAt = true, time.Now()
+	}
 	for c := range n.busy {
 		c.close()
 	}
@@ -120,6 +122,18 @@
 	n.idle = nil
 }
 
+// lastReplaced returns when a node of a service was last found to be replaced, zero if none was. The
+// lock must be held.
+func (f *fleet) lastReplaced(service string) time.Time {
+	var last time.Time
+	for _, n := range f.nodes {
+		if n.service == service && n.replacedAt.After(last) {
+			last = n.replacedAt
+		}
+	}
+	return last
+}
+
 // inUse returns the nodes of a service that are eligible for work, by the keys under which loads
 // are reported. The lock must be held.
 func (f *fleet) inUse(snapshot *upstream.Snapshot, service string) map[loadshare.Key]*node {
--- a/forward/node.go
+++ b/forward/node.go
@@ -39,6 +39,7 @@
 	load               loadshare.Load             // load caused by this instance except for reading
 	reading            map[*work]time.Time        // until when it reads parts of prompts sent by this instance
 	replaced           bool                       // another incarnation answers at the address
+	replacedAt         time.Time                  // when that was first known
 	suspicion          suspicion
 	answered           time.Time // last successful answer to a call of this instance
 	failedAt           time.Time // last call of this instance that it failed itself, zero after a successful answer
--- a/forward/place.go
+++ b/forward/place.go
@@ -10,6 +10,7 @@
 	"celeryport/clock"
 	"celeryport/loadshare"
 	"celeryport/placement"
+	"celeryport/resend"
 	"celeryport/verdict"
 )
 
@@ -235,10 +236,22 @@
 
 // shouldAwaitUpstreams reports whether a call should wait for the first announcement of an
 // upstream of its service. Upstreams announce themselves about once a second; without the wait,
-// all calls that arrive just after a power loss of the whole fleet would be refused until the
-// first announcements arrive.
+// all calls that arrive just after a power loss of the whole fleet, or after a restart of the only
+// upstream, would be refused until the first announcements arrive. The lock of the fleet must be
+// held.
 func (x *exchange) shouldAwaitUpstreams(now time.Time) bool {
-	return now.Sub(x.server.startedAt) < startupGrace && now.Sub(x.began) < maxUpstreamsWait
+	if now.Sub(x.server.startedAt) < startupGrace && now.Sub(x.began) < maxUpstreamsWait {
+		return true
+	}
+	return x.absence().AwaitsAnnouncement(now)
+}
+
+// absence returns what the call knows about the absence of upstreams. The lock of the fleet must be
+// held.
+func (x *exchange) absence() *resend.Absence {
+	return &resend.Absence{
+		Began: x.began, MissedAt: x.missedAt, Misses: x.failed.Missed(), ReplacedAt: x.server.fleet.lastReplaced(x.service.Name),
+	}
 }
 
 const (
@@ -267,6 +280,15 @@
 	profile := x.service.Engine
 	if profile == nil || x.call.PromptTokens == 0 {
 		at, _ := placement.Service(engines, x.server.fleet.random.Float64())
+		if engines[at].Tried && nodes[at].suspicion.active(now) {
+			pause, giveUp := x.absence().PauseBeforeRetry(now)
+			if giveUp {
+				return nil, 0, x.refuseNoUpstream(0)
+			}
+			if pause > 0 {
+				return nil, pause, nil
+			}
+		}
 		x.predicted = 0
 		return &work{lead: nodes[at]}, 0, nil
 	}
--- a/resend/cause.go
+++ b/resend/cause.go
@@ -25,3 +25,6 @@
 // charged reports whether the send that follows counts against the repeat budget: only if a
 // running upstream had to handle the failed one.
 func (c Cause) charged() bool { return c == Counted || c == HelperAtFault }
+
+// Missed reports whether the send found no running upstream.
+func (c Cause) Missed() bool { return c == Ended || c == Unreachable }
--- a/resend/tally.go
+++ b/resend/tally.go
@@ -30,8 +30,8 @@
 // Rejections returns how many sends were rejected because a helper refused its part.
 func (t *Tally) Rejections() int { return t.counts[HelperAtFault] }
 
-// Ended returns how many sends met an incarnation that had ended.
-func (t *Tally) Ended() int { return t.counts[Ended] }
+// Missed returns how many sends found no running upstream.
+func (t *Tally) Missed() int { return t.counts[Ended] + t.counts[Unreachable] }
 
 // Limits are the limits of one call.
 type Limits struct {
