Bounds on held bytes and the soft memory limit follow the machine's memory

Cause: an instance could hold 24 MB of bodies, each twice while it is written, and 16 MB of answers on any machine; on one of 96 MB that is two thirds of the memory, and the runtime let garbage of the same size wait for the next collection.

Change: bytebudget.BoundsFor derives the bounds from MemTotal of /proc/meminfo: a sixth for bodies and a ninth for answers, at least 8 MB each, at most the former constants, which apply from 144 MB on. debug.SetMemoryLimit is set to 60 % of the memory, unless that would be too little for what may be held. An unreadable or implausible size leaves the former bounds and no soft limit. Log event 1104 states the bounds at the start. Voters get the soft limit only.

TestHeldBytesFollowTheMachine and TestBoundsFollowTheMachine cover the bounds; TestUnreadableMachineMemoryCountsAsUnknown covers missing and damaged files of the kernel. The soft limit changes nothing at today's peaks, which are far below it: no gain is claimed for them.

--- a/forward/held_bytes.go
+++ b/forward/held_bytes.go
@@ -12,11 +12,6 @@
 )
 
 const (
-	// maxHeldBodies bounds the bodies of calls that an instance holds. A body is held twice
-	// while it is written to an upstream.
-	maxHeldBodies = 24 << 20
-	// maxHeldAnswers bounds the answers that an instance holds as a whole.
-	maxHeldAnswers = 16 << 20
 	// bodiesRetry is the Retry-After while there is no memory for another body: callers read and
 	// send most bodies within this time.
 	bodiesRetry = 500 * time.Millisecond
--- a/forward/held_bytes_test.go
+++ b/forward/held_bytes_test.go
@@ -100,8 +100,8 @@
 		}
 		time.Sleep(time.Minute)
 		synctest.Wait()
-		if free := s.bodies.Free(); free != maxHeldBodies {
-			t.Errorf("%d bytes are free after all callers have left, want %d", free, maxHeldBodies)
+		if free, all := s.bodies.Free(), bytebudget.BoundsFor(0).Bodies; free != all {
+			t.Errorf("%d bytes are free after all callers have left, want %d", free, all)
 		}
 		s.Close()
 	})
@@ -127,3 +127,13 @@
 		}
 	})
 }
+
+// Guards against an instance on a small machine that accepts as many bytes as one on a large one.
+func TestHeldBytesFollowTheMachine(t *testing.T) {
+	options := newTestServer(t, "front-1", "front-1").options
+	options.Memory = 90 << 20
+	s := New(options)
+	if bodies, answers := s.bodies.Free(), s.answers.Free(); bodies != 15<<20 || answers != 10<<20 {
+		t.Errorf("bounds of %d and %d bytes", bodies, answers)
+	}
+}
--- a/forward/options.go
+++ b/forward/options.go
@@ -24,7 +24,8 @@
 // Dial opens a connection to an upstream. Tests replace it.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Options configures a Server. All fields except Dial and Random must be set.
+// Options configures a Server. All fields except Dial, Random and
+// Memory must be set.
 type Options struct {
 	Process *settings.Process
 	Plane   Plane
@@ -34,6 +35,7 @@
 	Dial    Dial       // nil: TCP
 	Random  *rand.Rand // nil: randomly seeded
 	Budget  RepeatBudget
+	Memory  int64 // memory of the machine in bytes; 0: unknown
 }
 
 // RepeatBudget limits the sends beyond the first of each call, over all instances together.
--- a/forward/server.go
+++ b/forward/server.go
@@ -40,13 +40,14 @@
 	if options.Random == nil {
 		options.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	bounds := bytebudget.BoundsFor(options.Memory)
 	s := &Server{
 		options:   options,
 		startedAt: time.Now(),
 		random:    options.Random,
 		conns:     map[*callerConn]struct{}{},
-		bodies:    bytebudget.New(maxHeldBodies),
-		answers:   bytebudget.New(maxHeldAnswers),
+		bodies:    bytebudget.New(bounds.Bodies),
+		answers:   bytebudget.New(bounds.Answers),
 	}
 	s.budgets = newBudgets(options.Budget, s.instances)
 	s.fleet = newFleet(&s.options, s.budgets.callRate)
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -61,6 +61,7 @@
 
 func (f *forwarding) assemble() error {
 	p := f.options.Process
+	memory := applyMemoryBounds(machineFiles, f.options.Log)
 	heal := 0
 	if p.Voter && p.ToleratedLosses > 0 {
 		heal = 2*p.ToleratedLosses + 1
@@ -96,6 +97,7 @@
 			Metrics: forward.NewMetrics(f.metrics),
 			Log:     f.options.Log,
 			Budget:  forward.RepeatBudget{Ratio: p.RepeatRatio, Slack: p.RepeatSlack, Window: p.RepeatWindow},
+			Memory:  memory,
 		})
 	}
 	return nil
