losses: count the calls that were not served at all, on the scale of nines

Cause: the table of "celeryport losses" weighs calls by their value and mixes late answers with missing ones, so that it does not show which fraction of the calls was served at all.

Change: a second table gives for each route and for all of them the calls, those that were not served, the served share and its nines, and the same by cause. A refused call that returns counts once: the log line of a returned call takes the refusal before it out of the count. Without a loss the nines are a lower bound that the number of calls supports, marked with ">". The JSON output gains the field "not_served".

--- a/cli/losses.go
+++ b/cli/losses.go
@@ -48,7 +48,11 @@
 			if c.Bool(flagLossesJSON) {
 				return writeJSON(stdout, table)
 			}
-			return writeLosses(stdout, &table)
+			if err := writeLosses(stdout, &table); err != nil {
+				return err
+			}
+			fmt.Fprintln(stdout)
+			return writeUnserved(stdout, &table)
 		},
 	}
 }
@@ -101,6 +105,24 @@
 	return writeTable(out, heading, rows)
 }
 
+// writeUnserved prints the calls that were not served at all, by route and cause.
+func writeUnserved(out io.Writer, table *losses.Table) error {
+	var rows [][]string
+	for i := range table.Unserved {
+		u := &table.Unserved[i]
+		rows = append(rows, []string{
+			u.Route, strconv.Itoa(u.Calls), "(not served)", strconv.Itoa(u.Count), strconv.FormatFloat(100*u.Share(), 'f', 3, 64), u.Nines.String(),
+		})
+		for _, cause := range u.Causes() {
+			count := u.ByCause[cause]
+			rows = append(rows, []string{
+				"", "", string(cause), strconv.Itoa(count), "", losses.NinesOf(u.Calls, count).String(),
+			})
+		}
+	}
+	return writeTable(out, []string{"route", "calls", "cause", "of calls", "served %", "nines"}, rows)
+}
+
 func formatPercents(by map[losses.Moment]float64) []string {
 	cells := make([]string, 0, len(losses.Moments()))
 	for _, m := range losses.Moments() {
--- a/losses/call.go
+++ b/losses/call.go
@@ -19,6 +19,7 @@
 type call struct {
 	route   string
 	arrived time.Time
+	ended   time.Time
 	prompt  float64 // tokens
 	value   float64 // prompt tokens plus answerValue per answer token; at least 1
 	cause   Cause
@@ -47,6 +48,7 @@
 	c := call{
 		route:   route,
 		arrived: l.At.Add(-durationOf(l, "total_ms")),
+		ended:   l.At,
 		prompt:  numberOf(l, "prompt"),
 		cause:   causeOf(l),
 
--- a/losses/table.go
+++ b/losses/table.go
@@ -28,8 +28,9 @@
 // Table holds all losses. A retried call counts at each attempt, since attempts have
 // separate ids, so the total value is slightly overstated if many calls are refused.
 type Table struct {
-	Routes []RouteDemand `json:"routes"`
-	Rows   []Row         `json:"rows"`
+	Routes   []RouteDemand `json:"routes"`
+	Rows     []Row         `json:"rows"`
+	Unserved []Unserved    `json:"not_served"` // for each route, then for all
 }
 
 // TableOf computes the losses of all calls that end in the lines.
@@ -72,7 +73,10 @@
 		r.ByMoment[moment] += lost
 		o.Lost += lost
 	}
-	return buildTable(demands, rows)
+	t := buildTable(demands, rows)
+	slices.SortStableFunc(calls, func(a, b call) int { return a.ended.Compare(b.ended) })
+	t.Unserved = unservedOf(calls, t.Routes)
+	return t
 }
 
 func buildTable(demands map[string]*RouteDemand, rows map[string]*Row) Table {
