Sends no longer copy the body of a long call

Cause: each send joined the head and the body of the call in a new buffer, so that a prompt of some megabytes was held twice until it was written, once more for each further send, and the copy was not counted against the bound on held bodies.

Change: messages above 16 KB are written as two buffers (writev on TCP); shorter ones are still joined, because a second packet costs more than the copy.

--- a/forward/send.go
+++ b/forward/send.go
@@ -155,16 +155,17 @@
 	if len(x.body) > 0 || x.call.Method == http.MethodPost || x.call.Method == http.MethodPut {
 		head.Body = httpwire.Framing{Kind: httpwire.Sized, Length: int64(len(x.body))}
 	}
-	message := append(head.Append(nil), x.body...)
+	buffers := message(head.Append(nil), x.body)
+	size := sizeOf(buffers)
 	s.sent = make(chan error, 1)
 	send := func() {
 		err := s.conn.conn.SetWriteDeadline(x.deadline)
 		if err == nil {
-			_, err = s.conn.conn.Write(message)
+			_, err = buffers.WriteTo(s.conn.conn)
 		}
 		s.sent <- err
 	}
-	if len(message) > asyncWriteSize {
+	if size > asyncWriteSize {
 		go send()
 		return
 	}
