--- a/forward/fleet_bench_test.go
+++ b/forward/fleet_bench_test.go
@@ -31,3 +31,18 @@
 		})
 	}
 }
+
+// BenchmarkAbsence measures what a call does that finds no upstream of its service: the look for
+// upstreams that have restarted and are about to announce themselves.
+func BenchmarkAbsence(b *testing.B) {
+	const engines = 600
+	options := Options{Process: &settings.Process{}, Random: rand.New(rand.NewPCG(1, 2)), Plane: fixedPlane{view: &control.View{}}}
+	f := newFleet(&options, func(time.Time, string) float64 { return 0 })
+	for n := range engines {
+		f.node(&upstream.Upstream{Announcement: upstream.Announcement{Name: fmt.Sprint("engine-", n), Incarnation: 7, Address: fmt.Sprint(n), Targets: []string{"m"}}})
+	}
+	x := &exchange{server: &Server{fleet: f}, service: &settings.ForwardedService{Name: "m"}}
+	for b.Loop() {
+		x.absence().AwaitsAnnouncement(time.Now())
+	}
+}
--- a/resend/tally_test.go
+++ b/resend/tally_test.go
@@ -49,3 +49,12 @@
 		}
 	}
 }
+
+func BenchmarkDecide(b *testing.B) {
+	limits := Limits{MaxSends: 2, Left: time.Second}
+	for b.Loop() {
+		var t Tally
+		t.Record(Ended)
+		t.Decide(Ended, limits)
+	}
+}
