Write the burn page without templates, so that the linker drops unused methods

The help of 8 commands and the exit codes of usage errors are the same with and without the tag. A plain "go build" works as before, without the saving.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,11 @@
 
 .PHONY: build test lint fmt demo bench soak generate tools
 
+# The tag selects help texts without templates, which keep a fifth of the binary from being linked.
+TAGS := urfave_cli_no_template
 # Without cgo the process does not map the C library, about 1.5 MB of resident memory.
 build:
-	CGO_ENABLED=0 go build -trimpath -o bin/celeryport ./cmd/celeryport
+	CGO_ENABLED=0 go build -trimpath -tags=$(TAGS) -o bin/celeryport ./cmd/celeryport
 
 test:
 	go test -race -p 4 ./...
--- a/burn/chart.go
+++ b/burn/chart.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"html/template"
 	"strconv"
 	"strings"
 	"time"
@@ -37,7 +36,7 @@
 //
 // It uses a library that only writes SVG elements. A plotting library parses its fonts when the
 // process starts, which costs each instance several megabytes although few draw charts.
-func (o *Objective) chart() template.HTML {
+func (o *Objective) chart() markup {
 	var b bytes.Buffer
 	canvas := svg.New(&b)
 	canvas.Start(chartWidth, chartHeight)
@@ -77,11 +76,11 @@
 }
 
 // stripXMLHeader removes everything before the svg element, since an XML declaration
-// is not allowed inside HTML. The conversion to template.HTML is safe because the
+// is not allowed inside HTML. The conversion to markup is safe because the
 // drawing contains only numbers and constant texts.
-func stripXMLHeader(drawing string) template.HTML {
+func stripXMLHeader(drawing string) markup {
 	if i := strings.Index(drawing, "<svg"); i > 0 {
 		drawing = drawing[i:]
 	}
-	return template.HTML(drawing)
+	return markup(drawing)
 }
