Shorten the tests of silent engines

Cause: the tests were longer than the code that they test.

Change: they share one table and one fake engine.

--- a/forward/send_timeouts_test.go
+++ b/forward/send_timeouts_test.go
@@ -28,23 +28,15 @@
 // against using one that hangs without a reason.
 func TestDelayByKnownPrefillIsNoFailure(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		for _, test := range []struct {
-			patience time.Duration
-			prefill  bool
-			failing  bool
-		}{{2 * time.Second, true, false}, {2 * time.Second, false, true}, {0, true, true}} {
-			s, n := newServerWithNode(t)
-			silent := newSilentSend(t, s, n, 0)
-			silent.begun, silent.x.route.Patience = false, test.patience
-			if test.prefill {
-				n.reading = map[*work]time.Time{silent.work: time.Now().Add(time.Hour)}
-			}
-			silent.sentAt = time.Now().Add(-silent.x.hangTimeout())
-			if !silent.hung() {
-				t.Fatal("the engine does not count as hung")
-			}
-			if failing := !n.failedAt.IsZero(); failing != test.failing {
-				t.Errorf("patience %s, prefill %t: recorded as failing: %t", test.patience, test.prefill, failing)
+		for _, patience := range []time.Duration{0, 2 * time.Second} {
+			for _, prefill := range []time.Duration{0, time.Hour} {
+				silent, _ := newSilentSend(t, 0, 100)
+				silent.begun, silent.x.route.Patience, silent.sentAt = false, patience, time.Now().Add(-silent.x.hangTimeout())
+				silent.node.reading = map[*work]time.Time{silent.work: time.Now().Add(prefill)}
+				hung, failing := silent.hung(), !silent.node.failedAt.IsZero()
+				if want := patience == 0 || prefill == 0; !hung || failing != want {
+					t.Errorf("patience %s, prefill %s: hung %t, recorded as failing: %t", patience, prefill, hung, failing)
+				}
 			}
 		}
 	})
