--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -120,6 +120,9 @@
 	if x.rejections > 0 {
 		fields["rejections"] = x.rejections
 	}
+	if x.moves > 0 {
+		fields["moves"] = x.moves
+	}
 	if x.age > 0 {
 		fields["age_ms"] = x.age.Milliseconds()
 	}
--- a/forward/events.go
+++ b/forward/events.go
@@ -14,7 +14,7 @@
 	eventRefused = event.Define(7002, logrus.InfoLevel, "call refused",
 		"The call was not run; the caller was informed and got the time after which to retry. Fields: call, route, status, reason, message, retry_after_ms, sends, rejections (sends rejected because a helper refused its part), waited_ms, revision.")
 	eventServed = event.Define(7003, logrus.InfoLevel, "call answered",
-		"The caller received the upstream's whole answer. Fields: call, route, status, upstream, sends, first_ms (from the call's first byte), placed_ms (until its last send was placed), pause_ms (longest pause between two events) and paused_at_ms (start of that pause), predicted_ms (of the first event), prompt (tokens), readers (engines that read the prompt), helpers (the readers other than the answering engine), total_ms, revision.")
+		"The caller received the upstream's whole answer. Fields: call, route, status, upstream, sends, moves (away from silent engines, see 7022), first_ms (from the call's first byte), placed_ms (until its last send was placed), pause_ms (longest pause between two events) and paused_at_ms (start of that pause), predicted_ms (of the first event), prompt (tokens), readers (engines that read the prompt), helpers (the readers other than the answering engine), total_ms, revision.")
 	eventFailed = event.Define(7004, logrus.WarnLevel, "call failed",
 		"The caller did not receive a whole answer, and the call may have run. Fields: call, route, reason, message, upstream, sends, events, total_ms, revision.")
 	eventCallerLeft = event.Define(7005, logrus.InfoLevel, "caller left",
