Order waiting long prompts by the shares of their organisations

Cause: the arbiter places the shortest prompts first. An organisation that sends many times its share of long prompts takes all engines from the others.

The arbiter puts prompts of organisations that demand more than their share after those of the others, ordered by their weighted usage, which a waiting prompt reduces with its age. Requests carry the organisation; without it, from older builds or with shares off, the order is unchanged.

--- a/arbiter/message.go
+++ b/arbiter/message.go
@@ -23,10 +23,12 @@
 	LongPause      time.Duration   `json:"long_pause"`
 	Remaining      time.Duration   `json:"left"`
 	Waited         time.Duration   `json:"waited"`
-	PromptID       uint64          `json:"prompt_id,omitempty"` // the same for all attempts of a caller with one prompt
-	Tried          []loadshare.Key `json:"tried,omitempty"`     // engines that must not be used for it
-	LeadCandidates []loadshare.Key `json:"leads,omitempty"`     // engines that may lead it; empty: any
-	Refused        []loadshare.Key `json:"refused,omitempty"`   // engines that refused to help with it
+	PromptID       uint64          `json:"prompt_id,omitempty"`    // the same for all attempts of a caller with one prompt
+	Tried          []loadshare.Key `json:"tried,omitempty"`        // engines that must not be used for it
+	LeadCandidates []loadshare.Key `json:"leads,omitempty"`        // engines that may lead it; empty: any
+	Refused        []loadshare.Key `json:"refused,omitempty"`      // engines that refused to help with it
+	Organisation   string          `json:"organisation,omitempty"` // empty if organisations have no shares, and in older builds
+	Assured        bool            `json:"assured,omitempty"`      // ordered like a prompt of an organisation within its share
 }
 
 // mayLead reports whether an engine may lead the prompt.
--- a/arbiter/queue.go
+++ b/arbiter/queue.go
@@ -31,6 +31,7 @@
 	receivedAt time.Time
 	prefill    time.Duration // prefill time on one engine
 	age        time.Duration // age of the prompt on arrival of this attempt, if an earlier one was rejected
+	score      float64       // rank by the share of the organisation, lowest first
 }
 
 func (w *pending) overdue() bool {
@@ -60,6 +61,7 @@
 	pending  map[string]*pending
 	answered map[string]answered
 	refusals refusals
+	shares   Shares // nil: organisations have no shares
 }
 
 const (
@@ -93,7 +95,7 @@
 	var answers []*Answer
 	fleets := map[string]*Fleet{}
 	ahead := map[string]time.Duration{}
-	for _, w := range q.sortPending(source, fleets) {
+	for _, w := range q.sortPending(now, source, fleets) {
 		fleet := fleets[w.request.Service]
 		if fleet == nil || len(fleet.Engines) == 0 {
 			answers = append(answers, q.recordAnswer(now, &Answer{ID: w.request.ID, Decision: Unknown}))
@@ -118,9 +120,9 @@
 
 // sortPending returns the pending requests, those with the shortest prefill first: the value of
 // a prompt grows linearly with its length, but the prefill grows with the square of it. So this
-// order serves the most value if more prompts arrive than the engines can prefill. Overdue
-// prompts come last.
-func (q *Queue) sortPending(source FleetSource, fleets map[string]*Fleet) []*pending {
+// order serves the most value if more prompts arrive than the engines can prefill. Prompts of
+// organisations above their share come after those, and overdue prompts come last.
+func (q *Queue) sortPending(now time.Time, source FleetSource, fleets map[string]*Fleet) []*pending {
 	list := make([]*pending, 0, len(q.pending))
 	for _, w := range q.pending {
 		fleet, known := fleets[w.request.Service]
@@ -131,10 +133,11 @@
 		if fleet != nil {
 			w.prefill = placement.PrefillTime(fleet.Profile, w.request.Prompt)
 		}
+		w.score = q.score(now, w)
 		list = append(list, w)
 	}
 	slices.SortFunc(list, func(a, b *pending) int {
-		return cmp.Or(compareBool(a.overdue(), b.overdue()), cmp.Compare(a.prefill, b.prefill), cmp.Compare(a.request.ID, b.request.ID))
+		return cmp.Or(compareBool(a.overdue(), b.overdue()), cmp.Compare(a.score, b.score), cmp.Compare(a.prefill, b.prefill), cmp.Compare(a.request.ID, b.request.ID))
 	})
 	return list
 }
--- a/quota/allocate.go
+++ b/quota/allocate.go
@@ -94,6 +94,7 @@
 		total.FleetInFlightTokens += d.InFlightTokens
 		total.FleetDemand += d.TokensPerSecond
 		total.FleetUsage += d.Usage
+		total.FleetServed += d.ServedPerSecond
 		total.FleetWaitingTokens += d.WaitingTokens
 		total.FleetSpanTokens += d.SpanTokens
 		total.FleetOverdueSpans += d.OverdueSpanTokens
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -19,7 +19,9 @@
 
 	OverdueSpanTokens int `json:"overdue_span_tokens,omitempty"` // of SpanTokens, those that have waited long
 
-	Mix Mix `json:"mix"` // incoming prompt tokens per second, over a minute
+	Mix Mix `json:"mix,omitzero"` // incoming prompt tokens per second, over a minute
+
+	ServedPerSecond float64 `json:"served_per_second,omitempty"` // of TokensPerSecond, what was sent to upstreams; only stated where organisations have shares
 
 	// Granted limits that this instance may still use. They keep an allocator that has just
 	// started from granting the same part twice.
@@ -43,5 +45,7 @@
 	FleetWaitingTokens int     `json:"fleet_waiting_tokens,omitempty"` // sum of WaitingTokens
 	FleetSpanTokens    int     `json:"fleet_span_tokens,omitempty"`    // sum of SpanTokens
 	FleetOverdueSpans  int     `json:"fleet_overdue_spans,omitempty"`  // sum of OverdueSpanTokens
-	FleetMix           Mix     `json:"fleet_mix"`                      // sum of Mix
+	FleetMix           Mix     `json:"fleet_mix,omitzero"`             // sum of Mix
+	FleetServed        float64 `json:"fleet_served,omitempty"`         // sum of ServedPerSecond
+	FleetShare         float64 `json:"fleet_share,omitempty"`          // weighted max-min share of the FleetServed of all organisations
 }
