Carry the demands of organisations through the voters

Cause: instances that forward calls sync with any voter, which dropped the demands in their syncs and sent no grants. Only voters and instances of the completions API had the totals of the fleet.

Change: a voter sums the demands of its attached instances (fairshare.Pool) and states them to the leader as its own, so the work of the leader does not grow with instances times organisations. The leader adds max-min shares by the weights of the settings; a voter passes on the totals of the organisations that an instance has stated. Attached instances state a demand once, the voter keeps it for the lease of a grant (3 s). Parts of limits are not passed on. Zero fields of demands and grants are left out of the JSON.

--- a/admission/account.go
+++ b/admission/account.go
@@ -47,6 +47,9 @@
 // CountOffered counts the tokens of an incoming request, whether admitted or not.
 func (a *Account) CountOffered(now time.Time, tokens int) { a.offered.Add(now, float64(tokens)) }
 
+// OfferedPerSecond returns the recent rate of the tokens counted by CountOffered.
+func (a *Account) OfferedPerSecond(now time.Time) float64 { return a.offered.PerSecond(now) }
+
 // Share returns the decayed fleet-wide usage divided by the weight. The organisation with the
 // smallest share goes first.
 func (a *Account) Share(now time.Time) float64 {
--- a/control/control.go
+++ b/control/control.go
@@ -25,6 +25,7 @@
 	Instances   []membership.Instance
 	Upstreams   *upstream.Snapshot
 	Grants      []quota.Grant
+	GrantRound  uint64 // changes when new grants have arrived
 	Leader      string
 	HasQuorum   bool             // whether a majority of the voters was reached recently
 	Quarantine  *quarantine.List // requests that must not be sent to any upstream
--- a/control/core.go
+++ b/control/core.go
@@ -39,6 +39,8 @@
 	grants         []quota.Grant
 	initialTree    []byte // initial settings tree, for a group that has never accepted one
 	demand         []quota.Demand
+	grantedAt      time.Time // when the last grants arrived
+	grantRound     uint64    // number of grants that have arrived
 	position       syncPosition
 	voters         []consensus.Member
 	seeds          []settings.Member // voters named by the process settings, which may change
--- a/control/fanout.go
+++ b/control/fanout.go
@@ -7,7 +7,9 @@
 	"celeryport/consensus"
 	"celeryport/control/attachment"
 	"celeryport/event"
+	"celeryport/fairshare"
 	"celeryport/membership"
+	"celeryport/quota"
 )
 
 // fanout is the part of a voter, leading or not, that answers the syncs of the instances
@@ -30,8 +32,10 @@
 	leaving bool             // an upstream is leaving, so the next batch must not be delayed
 	urgent  uint64           // last batch that could not be delayed
 
-	delivery    delivery // updates that a leader must acknowledge
-	leavingMark uint64   // mark of the last leaving upstream that an attached instance reported
+	delivery    delivery        // updates that a leader must acknowledge
+	demands     *fairshare.Pool // demands of the attached instances
+	grantRound  uint64          // number of the last response with grants
+	leavingMark uint64          // mark of the last leaving upstream that an attached instance reported
 }
 
 func newFanout(c *core) *fanout {
@@ -41,6 +45,7 @@
 		roster:  attachment.NewRoster(c.timing.Membership.Lease + c.timing.Membership.Margin),
 		out:     newOutbox(c.known),
 		inboxes: map[string]inbox{},
+		demands: fairshare.NewPool(),
 	}
 }
 
@@ -70,6 +75,7 @@
 	if news {
 		f.core.node.requestSync()
 	}
+	f.demands.Record(now, request.Instance.Name, request.Demand)
 	wait := time.Duration(request.WaitMs) * time.Millisecond
 	p := poll{request: request, arrivedAt: arrivedAt, due: now.Add(min(wait, f.core.timing.Sync)), reply: reply}
 	p.appliedUpTo = f.receiveAnnouncements(now, &p)
@@ -179,6 +185,7 @@
 		response.Text = text
 	}
 	if !response.Detached {
+		f.grant(now, response, r.Instance.Name)
 		response.LeaseMs = f.core.timing.Membership.Lease.Milliseconds()
 	}
 	if epoch := f.core.group.machine.Epoch(); r.Epoch != f.epoch || r.Claims != epoch.Number {
@@ -191,6 +198,18 @@
 	return response
 }
 
+// grant adds the totals of the fleet to a response, unless the leader has sent none for so long that
+// they are out of date.
+func (f *fanout) grant(now time.Time, response *syncResponse, instance string) {
+	if now.Sub(f.core.grantedAt) > quota.DefaultLease {
+		return
+	}
+	if grants := f.demands.Select(now, instance, f.core.grants); len(grants) > 0 {
+		f.grantRound++
+		response.Grants, response.GrantsAt = grants, f.grantRound
+	}
+}
+
 // membersSince returns the instances that changed after a revision of the member list.
 func (f *fanout) membersSince(revision uint64) memberDelta {
 	members := &f.core.members
--- a/control/grants.go
+++ b/control/grants.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"celeryport/fairshare"
 	"celeryport/quota"
 	"celeryport/settings"
 )
@@ -91,6 +92,7 @@
 	}
 	a.grants = map[string][]quota.Grant{}
 	for _, g := range quota.Allocate(limitsOf(tree), statements) {
+		fairshare.Fill(g.Grants, weightsOf(tree))
 		a.grants[g.Instance] = g.Grants
 	}
 	a.at = now
@@ -106,6 +108,17 @@
 	}
 }
 
+// weightsOf returns the weights of the organisations in the settings.
+func weightsOf(tree *settings.Tree) func(organisation string) float64 {
+	weights := map[string]float64{}
+	if tree != nil {
+		for i := range tree.Organisations {
+			weights[tree.Organisations[i].Name] = tree.Organisations[i].Weight
+		}
+	}
+	return func(organisation string) float64 { return weights[organisation] }
+}
+
 func limitsOf(tree *settings.Tree) []quota.Limit {
 	if tree == nil {
 		return nil
--- a/control/publish.go
+++ b/control/publish.go
@@ -50,6 +50,7 @@
 		Instances:   c.members.list(),
 		Upstreams:   upstreams,
 		Grants:      c.grants,
+		GrantRound:  c.grantRound,
 		Leader:      c.position.leader,
 		HasQuorum:   c.lease.valid(now),
 		Quarantine:  c.quarantined,
--- a/control/syncapply.go
+++ b/control/syncapply.go
@@ -134,7 +134,7 @@
 		c.voters = r.Voters
 		c.applyClaimEpoch(r)
 	}
-	c.applyGrants(r)
+	c.applyGrants(now, r)
 	c.applyQuarantine(r.Quarantine)
 	c.applyEvacuated(now, r.Evacuated)
 }
@@ -161,12 +161,14 @@
 
 // applyGrants replaces the grants, unless a delayed response brings older ones. A new
 // leader issues none at first; those of its predecessor expire by themselves.
-func (c *core) applyGrants(r *syncResponse) {
+func (c *core) applyGrants(now time.Time, r *syncResponse) {
 	if r.GrantsAt == 0 || r.GrantsAt < c.position.grants {
 		return
 	}
 	c.grants = r.Grants
 	c.position.grants = r.GrantsAt
+	c.grantedAt = now
+	c.grantRound++
 }
 
 // applyClaimEpoch publishes the voters on claims.
--- a/control/synctarget.go
+++ b/control/synctarget.go
@@ -36,6 +36,7 @@
 		Evacuated:  c.self.Evacuated,
 	}
 	if c.fanout != nil {
+		request.Demand = c.fanout.demands.Sum(now, c.demand)
 		request.Attached = attachedWire(c.fanout.roster.Reports(now))
 		request.deliveryMark = c.fanout.delivery.lastMark
 	}
@@ -47,6 +48,9 @@
 	if c.group != nil && !c.position.stated {
 		request.VoterID = c.group.id
 	}
+	if c.attaches() {
+		c.demand = nil // the voter keeps it until it expires
+	}
 	if c.defunct {
 		return request, ""
 	}
--- a/fairshare/ledger.go
+++ b/fairshare/ledger.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"celeryport/admission"
@@ -20,15 +22,20 @@
 	// maxStated bounds the organisations that one instance states: with about 100 bytes each way, 16
 	// of them once a second are 3 KB/s of the 5 KB/s that an instance may use for control.
 	maxStated = 16
+	// maxWatched bounds the organisations that an arbiter states besides: 64 names are 2 KB, and the
+	// totals of those that are limited come back. An organisation beyond them counts as within its
+	// share; one that floods the arbiter is always among the latest.
+	maxWatched = 64
 )
 
 // entry is the state of one organisation at one instance.
 type entry struct {
-	account *admission.Account
-	served  admission.Rate
-	seenAt  time.Time
-	grant   quota.Grant
-	until   time.Time // end of the validity of the grant
+	account   *admission.Account
+	served    admission.Rate
+	calledAt  time.Time // last call at this instance
+	watchedAt time.Time // last call at another instance that this one decides on
+	grant     quota.Grant
+	until     time.Time // end of the validity of the grant
 }
 
 // Ledger holds the demand and the served engine time of the organisations whose calls one instance
@@ -44,30 +51,36 @@
 
 // Watch states an organisation to the control group from now on although it has no call here, so
 // that its totals are granted. The arbiter needs those of the prompts that wait.
-func (l *Ledger) Watch(now time.Time, organisation string) { l.seen(now, organisation) }
+func (l *Ledger) Watch(now time.Time, organisation string, weight float64) {
+	l.at(now, organisation, weight).watchedAt = now
+}
 
 // Offered counts an incoming call.
 func (l *Ledger) Offered(now time.Time, organisation string, weight float64, cost time.Duration) {
-	e := l.seen(now, organisation)
-	e.account.Weight = weight
+	e := l.at(now, organisation, weight)
+	e.calledAt = now
 	e.account.CountOffered(now, int(cost.Microseconds()))
 }
 
 // Served counts a call that was placed.
 func (l *Ledger) Served(now time.Time, organisation string, cost time.Duration) {
-	e := l.seen(now, organisation)
+	e := l.entries[organisation]
+	if e == nil {
+		return // forgotten since the call arrived
+	}
 	e.account.Usage.Add(now, float64(cost.Microseconds()))
 	e.served.Add(now, float64(cost.Microseconds()))
 }
 
-func (l *Ledger) seen(now time.Time, organisation string) *entry {
+// at returns the entry of an organisation. A weight that is not set counts as 1.
+func (l *Ledger) at(now time.Time, organisation string, set float64) *entry {
 	l.sweep(now)
 	e := l.entries[organisation]
 	if e == nil {
 		e = &entry{account: admission.NewAccount(organisation), served: admission.Rate{Window: servedWindow}}
 		l.entries[organisation] = e
 	}
-	e.seenAt = now
+	e.account.Weight = weight(set)
 	return e
 }
 
@@ -78,28 +91,43 @@
 	}
 	l.sweptAt = now
 	for name, e := range l.entries {
-		if now.Sub(e.seenAt) > retainedFor {
+		if now.Sub(e.calledAt) > retainedFor && now.Sub(e.watchedAt) > retainedFor {
 			delete(l.entries, name)
 		}
 	}
 }
 
-// Demands returns what this instance states to the control group: the organisations that it has
-// seen in the last seconds, those with the greatest demand if there are too many.
+// Demands returns what this instance states to the control group: of the organisations that it has
+// seen in the last seconds those with the greatest demand, and the latest of those that it watches.
 func (l *Ledger) Demands(now time.Time) []quota.Demand {
-	var demands []quota.Demand
+	var called, watched []*entry
 	for _, e := range l.entries {
-		if now.Sub(e.seenAt) > statedFor {
-			continue
+		switch {
+		case now.Sub(e.calledAt) <= statedFor:
+			called = append(called, e)
+		case now.Sub(e.watchedAt) <= statedFor:
+			watched = append(watched, e)
 		}
+	}
+	slices.SortFunc(called, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(b.account.OfferedPerSecond(now), a.account.OfferedPerSecond(now)), strings.Compare(a.account.Name, b.account.Name))
+	})
+	slices.SortFunc(watched, func(a, b *entry) int {
+		return cmp.Or(b.watchedAt.Compare(a.watchedAt), strings.Compare(a.account.Name, b.account.Name))
+	})
+	var demands []quota.Demand
+	for _, e := range slices.Concat(called[:min(len(called), maxStated)], watched[:min(len(watched), maxWatched)]) {
 		d := e.account.Demand(now)
 		d.ServedPerSecond = e.served.PerSecond(now)
-		demands = append(demands, d)
+		demands = append(demands, rounded(d))
 	}
-	slices.SortFunc(demands, func(a, b quota.Demand) int {
-		return cmp.Or(cmp.Compare(b.TokensPerSecond, a.TokensPerSecond), cmp.Compare(a.Organisation, b.Organisation))
-	})
-	return demands[:min(len(demands), maxStated)]
+	return demands
+}
+
+// rounded drops fractions of a microsecond, which are most of the digits of an encoded demand.
+func rounded(d quota.Demand) quota.Demand {
+	d.TokensPerSecond, d.ServedPerSecond, d.Usage = math.Round(d.TokensPerSecond), math.Round(d.ServedPerSecond), math.Round(d.Usage)
+	return d
 }
 
 // Apply applies the grants that have just arrived. Those that are implausible or come from a build
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -8,10 +8,10 @@
 // Demand is one instance's demand for one organisation since its last statement.
 type Demand struct {
 	Organisation    string  `json:"organisation"`
-	TokensPerSecond float64 `json:"tokens_per_second"` // incoming, whether admitted or not
-	InFlight        int     `json:"in_flight"`         // requests admitted and not finished
-	InFlightTokens  int     `json:"in_flight_tokens"`  // prompt tokens admitted and not finished
-	Waiting         int     `json:"waiting"`           // queued requests
+	TokensPerSecond float64 `json:"tokens_per_second"`          // incoming, whether admitted or not
+	InFlight        int     `json:"in_flight,omitempty"`        // requests admitted and not finished
+	InFlightTokens  int     `json:"in_flight_tokens,omitempty"` // prompt tokens admitted and not finished
+	Waiting         int     `json:"waiting,omitempty"`          // queued requests
 
 	Usage         float64 `json:"usage,omitempty"`          // tokens sent to upstreams with decay, see admission.Usage
 	WaitingTokens int     `json:"waiting_tokens,omitempty"` // prompt tokens of the queued long requests
@@ -33,11 +33,11 @@
 // organisation. Limits apply only where the settings define them.
 type Grant struct {
 	Organisation        string        `json:"organisation"`
-	Rank                int           `json:"rank"`  // of the instance among those that reported a demand, sorted by name
-	Peers               int           `json:"peers"` // number of these instances
-	TokensPerSecond     float64       `json:"tokens_per_second"`
-	InFlight            int           `json:"in_flight"`
-	FleetInFlightTokens int           `json:"fleet_in_flight_tokens"`
+	Rank                int           `json:"rank,omitempty"`  // of the instance among those that reported a demand, sorted by name
+	Peers               int           `json:"peers,omitempty"` // number of these instances
+	TokensPerSecond     float64       `json:"tokens_per_second,omitempty"`
+	InFlight            int           `json:"in_flight,omitempty"`
+	FleetInFlightTokens int           `json:"fleet_in_flight_tokens,omitempty"`
 	FleetDemand         float64       `json:"fleet_demand"` // incoming tokens per second over all instances
 	Lease               time.Duration `json:"lease"`        // validity, from when the demand was sent
 
