Refuse short prompts of organisations above twice their share while no slot is free

Cause: while all engines are full, an organisation that sends far more than its share takes each slot that becomes free from the others.

Change: with [limits] organisation_shares = true an instance counts the engine time of incoming and placed calls by organisation, states it once a second, and refuses the first send of a short prompt if the served rate of its organisation is above twice its share and no engine has a free slot below the normal limit. One in 20 such calls of each organisation and route proceeds. Asks to the arbiter name the organisation, and one in 20 long prompts ranks as within the share. Unknown totals refuse and reorder nothing. Metrics show demand, served rate, share and refusals by organisation. Default: false.

Tested: TestShortPromptsAboveTwiceTheShareAreRefusedWhileNoSlotIsFree, TestNothingIsSentWhileSharesAreOff, TestArbiterStatesTheOrganisationsOfItsAsks and the tests of fairshare.Admit and Floor; seen to fail without the check of free slots, the exemption of resumed responses (38 of 40 refused), the watch of the arbiter, the floor (0 instead of 1/20) and the drawn credit (1/3).

--- a/forward/arbitration.go
+++ b/forward/arbitration.go
@@ -78,6 +78,7 @@
 	}
 	a.mu.Unlock()
 	if answer == nil && !known {
+		s.watchShares(ask.Organisation)
 		s.applyAskOutcome(from, ask)
 	}
 	if answer != nil {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -54,6 +54,8 @@
 	helpers      []*node       // engines that read a part of the prompt of the last send
 	placedAt     time.Time     // when the last send was placed
 	ran          bool          // a send may have run
+	assured      bool          // a long prompt with the minimum guarantee of its organisation
+	withinShare  bool          // a short prompt that was not refused because of its organisation's share
 }
 
 // maxUnsent bounds the tries that reached no upstream because no connection could be opened or
@@ -107,6 +109,7 @@
 		return
 	}
 	x.server.budgets.recordCall(x.began, x.service.Name)
+	x.countOffered(x.began)
 	var last *outcome
 	unsent := 0
 	for {
@@ -125,6 +128,7 @@
 			return
 		}
 		x.target, x.helpers, x.placedAt = next.lead, next.helpers, time.Now()
+		x.countPlaced(x.placedAt)
 		kind := kindOf(next, x.sends)
 		result := x.send(ctx, next)
 		result.kind = kind
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -24,6 +24,7 @@
 	unreadable  *prometheus.CounterVec
 	datagrams   *prometheus.CounterVec
 	bytes       *prometheus.CounterVec
+	shares      shareMetrics
 }
 
 // latencyBuckets range from a plain call of some milliseconds to the longest time limit of a
@@ -74,6 +75,7 @@
 		}, []string{"kind", "direction"}),
 	}
 	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.withdrawn, m.resting, m.unreadable, m.datagrams, m.bytes)
+	m.shares = newShareMetrics(registry)
 	return m
 }
 
--- a/forward/place.go
+++ b/forward/place.go
@@ -115,6 +115,7 @@
 		LeadCandidates: x.allowedLeads(),
 		Refused:        x.refused,
 	}
+	x.askShares(&ask.Organisation, &ask.Assured)
 	if x.events == 0 {
 		ask.PromptID = x.call.PromptID
 	}
@@ -193,6 +194,11 @@
 	rest := x.excludeBlocked(now, unlimited, withRoom)
 	x.markCandidates(unlimited)
 	x.markCandidates(withRoom)
+	if len(withRoom.nodes) == 0 && len(unlimited.nodes) > 0 {
+		if err := x.refuseAboveShare(now, unlimited.engines); err != nil {
+			return nil, 0, err
+		}
+	}
 	w, wait, err := x.choose(now, unlimited, withRoom, full, rest)
 	if wait > 0 && rest.allLikelyReject() {
 		return nil, 0, x.refuseResting(now, rest)
--- a/forward/server.go
+++ b/forward/server.go
@@ -20,6 +20,7 @@
 	fleet       *fleet
 	budgets     *budgets
 	arbitration *arbitration
+	shares      *shares                    // nil: organisations have no shares
 	bodies      *bytebudget.Budget         // bytes of calls that were received or are being received
 	answers     *bytebudget.Budget         // bytes of answers that are held as a whole
 	draining    atomic.Pointer[drainState] // nil: calls are accepted
@@ -51,6 +52,9 @@
 	s.budgets = newBudgets(options.Budget, s.instances)
 	s.fleet = newFleet(&s.options, s.budgets.callRate)
 	s.arbitration = newArbitration()
+	if s.shares = newShares(&s.options); s.shares != nil {
+		s.arbitration.queue.UseShares(s.shares)
+	}
 	return s
 }
 
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -132,6 +132,9 @@
 			return errors.Wrap(err, "listen for the loads of others")
 		}
 		group.Go(func() error { return f.server.ShareLoads(ctx, packets) })
+		if p.OrganisationShares {
+			group.Go(func() error { return reportDemands(ctx, f.node, shareInterval, f.server.Demands) })
+		}
 	}
 	handlers := map[string]http.Handler{}
 	if p.Readiness != "" && f.server != nil {
@@ -172,6 +175,10 @@
 	return nil
 }
 
+// shareInterval is the interval of demand reports for organisation shares: three fit into the lease
+// of a grant.
+const shareInterval = time.Second
+
 const (
 	auxiliaryReadTimeout = 3 * time.Second
 	auxiliaryIdleTimeout = 30 * time.Second
--- a/instance/run.go
+++ b/instance/run.go
@@ -15,6 +15,7 @@
 	"celeryport/entry"
 	"celeryport/event"
 	"celeryport/metrics"
+	"celeryport/quota"
 	"celeryport/upstream/client"
 )
 
@@ -77,7 +78,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	copyContext, stopCopying := context.WithCancel(ctx)
 	group.Go(func() error { return errors.Wrap(server.Serve(listener), "serve callers") })
-	group.Go(func() error { return reportDemands(copyContext, node, server) })
+	group.Go(func() error { return reportDemands(copyContext, node, demandInterval, server.Demands) })
 	group.Go(func() error { return parts.runCopier(copyContext) })
 	group.Go(func() error {
 		parts.reports.RunMerges(copyContext)
@@ -135,8 +136,8 @@
 
 // reportDemands periodically reports the demand of each organisation at this instance to
 // control.
-func reportDemands(ctx context.Context, node *control.Node, server *entry.Server) error {
-	ticker := time.NewTicker(demandInterval)
+func reportDemands(ctx context.Context, node *control.Node, interval time.Duration, demands func() []quota.Demand) error {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -144,7 +145,7 @@
 			return nil
 		case <-ticker.C:
 		}
-		if err := node.SetDemand(ctx, server.Demands()); err != nil && ctx.Err() == nil {
+		if err := node.SetDemand(ctx, demands()); err != nil && ctx.Err() == nil {
 			return errors.Wrap(err, "state demands")
 		}
 	}
