Report the shares of organisations, and state small organisations as one sum

Cause: an instance states a bounded number of organisations. Without the others, the totals of the fleet lack most calls of small organisations, and the shares of large ones are too great. Operators could not see the shares.

Change: statements hold 8 organisations by name and the sum of the rest, less than 1 KB.

--- a/cli/report.go
+++ b/cli/report.go
@@ -17,6 +17,7 @@
 	flagSince        = "since"
 	flagOrganisation = "organisation"
 	flagClass        = "class"
+	flagShares       = "shares"
 )
 
 // reportCommand prints the usage report.
@@ -24,7 +25,7 @@
 	return &urfave.Command{
 		Name:  "report",
 		Usage: "report how many requests were received, served, refused and failed, by organisation, class and service",
-		Flags: connectFlags(append(filterFlags(), outputFlag(outputTable, outputJSON, outputCSV))...),
+		Flags: connectFlags(append(filterFlags(), &urfave.BoolFlag{Name: flagShares, Usage: "report the shares of the engines that the organisations of forwarded calls have now, instead of requests"}, outputFlag(outputTable, outputJSON, outputCSV))...),
 		Action: func(ctx context.Context, c *urfave.Command) error {
 			query, err := reportQuery(c, time.Now())
 			if err != nil {
@@ -34,6 +35,9 @@
 			if err != nil {
 				return err
 			}
+			if c.Bool(flagShares) {
+				return reportShares(ctx, o, stdout, c.String(outputName))
+			}
 			var report ledger.Report
 			if err := o.call(ctx, accounting.CommandReport, query, &report); err != nil {
 				return readOnlyError(err)
--- a/control/demand_test.go
+++ b/control/demand_test.go
@@ -24,6 +24,7 @@
 			}
 		}
 	}
+	var status SharesStatus
 	f.await("the totals at every attached instance", func() bool {
 		state()
 		for n, m := range attached {
@@ -38,4 +39,11 @@
 		}
 		return true
 	})
+	f.await("the totals in the report", func() bool {
+		state() // an instance that moves to another voter counts at both until its former statement expires
+		f.ask(CommandShares, nil, &status)
+		return len(status.Organisations) == 2 && status.Organisations[0] == ShareStatus{
+			Organisation: "everywhere", Demand: 400 / engineRate, Served: 200 / engineRate, Share: 200 / engineRate,
+		}
+	})
 }
--- a/control/fanout.go
+++ b/control/fanout.go
@@ -185,7 +185,7 @@
 		response.Text = text
 	}
 	if !response.Detached {
-		f.grant(now, response, r.Instance.Name)
+		f.grant(now, response, r)
 		response.LeaseMs = f.core.timing.Membership.Lease.Milliseconds()
 	}
 	if epoch := f.core.group.machine.Epoch(); r.Epoch != f.epoch || r.Claims != epoch.Number {
@@ -198,13 +198,13 @@
 	return response
 }
 
-// grant adds the totals of the fleet to a response, unless the leader has sent none for so long that
+// grant adds the totals of the fleet to the response to a sync that states demands, unless the leader has sent none for so long that
 // they are out of date.
-func (f *fanout) grant(now time.Time, response *syncResponse, instance string) {
-	if now.Sub(f.core.grantedAt) > quota.DefaultLease {
+func (f *fanout) grant(now time.Time, response *syncResponse, r *syncRequest) {
+	if len(r.Demand) == 0 || now.Sub(f.core.grantedAt) > quota.DefaultLease {
 		return
 	}
-	if grants := f.demands.Select(now, instance, f.core.grants); len(grants) > 0 {
+	if grants := f.demands.Select(now, r.Instance.Name, f.core.grants); len(grants) > 0 {
 		f.grantRound++
 		response.Grants, response.GrantsAt = grants, f.grantRound
 	}
--- a/control/grants.go
+++ b/control/grants.go
@@ -119,6 +119,14 @@
 	return func(organisation string) float64 { return weights[organisation] }
 }
 
+// totals returns the grants of any instance: all have the same totals of the fleet.
+func (a *allocation) totals() []quota.Grant {
+	for _, grants := range a.grants {
+		return grants
+	}
+	return nil
+}
+
 func limitsOf(tree *settings.Tree) []quota.Limit {
 	if tree == nil {
 		return nil
--- a/control/operations.go
+++ b/control/operations.go
@@ -22,6 +22,7 @@
 	CommandOrders       = "order.list"
 	CommandEvacuate     = "zone.evacuate"
 	CommandZones        = "zone.list"
+	CommandShares       = "shares"
 )
 
 // operateTimeout limits the execution of an operator's command on the instance.
@@ -43,6 +44,7 @@
 	n.handlers[CommandQuarantineRelease] = n.atLeader(CommandQuarantineRelease, n.releaseQuarantined)
 	n.handlers[CommandEvacuate] = n.atLeader(CommandEvacuate, n.evacuate)
 	n.handlers[CommandZones] = n.atLeader(CommandZones, n.listZones)
+	n.handlers[CommandShares] = n.atLeader(CommandShares, n.listShares)
 	n.handlers[CommandShow] = n.atLeader(CommandShow, n.showSettings)
 	n.handlers[CommandInstances] = n.atLeader(CommandInstances, n.listInstances)
 	n.handlers[CommandUpstreams] = n.listUpstreams
--- a/fairshare/fill.go
+++ b/fairshare/fill.go
@@ -16,6 +16,10 @@
 // defaultWeight is the weight of an organisation whose settings have none.
 const defaultWeight = 1
 
+// restWeight gives the sum of small organisations all that it demands: each of them demands less
+// than the organisations that are stated by name at its instance.
+const restWeight = 1e12
+
 // Fill sets the share of each organisation in grants that contain the totals of the whole fleet.
 // Without any served rate, as from instances that do not use shares, it changes nothing.
 func Fill(grants []quota.Grant, weightOf func(organisation string) float64) {
@@ -24,6 +28,9 @@
 	for i := range grants {
 		g := &grants[i]
 		wants[i].weight = weight(weightOf(g.Organisation))
+		if g.Organisation == Rest {
+			wants[i].weight = restWeight
+		}
 		if !plausible(g.FleetServed, maxRate) || !plausible(g.FleetDemand, maxRate) {
 			continue
 		}
--- a/fairshare/ledger.go
+++ b/fairshare/ledger.go
@@ -19,9 +19,9 @@
 	statedFor = 5 * time.Second
 	// retainedFor is how long after its last call the usage of an organisation is kept here.
 	retainedFor = time.Minute
-	// maxStated bounds the organisations that one instance states: with about 100 bytes each way, 16
-	// of them once a second are 3 KB/s of the 5 KB/s that an instance may use for control.
-	maxStated = 16
+	// maxStated bounds the organisations that one instance states by name: with about 100 bytes each
+	// way, 8 of them once a second are 1.6 KB/s of the 5 KB/s that an instance may use for control.
+	maxStated = 8
 	// maxWatched bounds the organisations that an arbiter states besides: 64 names are 2 KB, and the
 	// totals of those that are limited come back. An organisation beyond them counts as within its
 	// share; one that floods the arbiter is always among the latest.
@@ -31,6 +31,7 @@
 // entry is the state of one organisation at one instance.
 type entry struct {
 	account   *admission.Account
+	refused   admission.Rate // calls
 	served    admission.Rate
 	calledAt  time.Time // last call at this instance
 	watchedAt time.Time // last call at another instance that this one decides on
@@ -72,12 +73,19 @@
 	e.served.Add(now, float64(cost.Microseconds()))
 }
 
+// Refused counts a call that was refused because of the share of its organisation.
+func (l *Ledger) Refused(now time.Time, organisation string) {
+	if e := l.entries[organisation]; e != nil {
+		e.refused.Add(now, 1)
+	}
+}
+
 // at returns the entry of an organisation. A weight that is not set counts as 1.
 func (l *Ledger) at(now time.Time, organisation string, set float64) *entry {
 	l.sweep(now)
 	e := l.entries[organisation]
 	if e == nil {
-		e = &entry{account: admission.NewAccount(organisation), served: admission.Rate{Window: servedWindow}}
+		e = &entry{account: admission.NewAccount(organisation), served: admission.Rate{Window: servedWindow}, refused: admission.Rate{Window: servedWindow}}
 		l.entries[organisation] = e
 	}
 	e.account.Weight = weight(set)
@@ -112,20 +120,44 @@
 	slices.SortFunc(called, func(a, b *entry) int {
 		return cmp.Or(cmp.Compare(b.account.OfferedPerSecond(now), a.account.OfferedPerSecond(now)), strings.Compare(a.account.Name, b.account.Name))
 	})
+	var demands []quota.Demand
+	if len(called) > maxStated {
+		demands = append(demands, restOf(now, called[maxStated:]))
+		called = called[:maxStated]
+	}
 	slices.SortFunc(watched, func(a, b *entry) int {
 		return cmp.Or(b.watchedAt.Compare(a.watchedAt), strings.Compare(a.account.Name, b.account.Name))
 	})
-	var demands []quota.Demand
-	for _, e := range slices.Concat(called[:min(len(called), maxStated)], watched[:min(len(watched), maxWatched)]) {
+	for _, e := range slices.Concat(called, watched[:min(len(watched), maxWatched)]) {
 		d := e.account.Demand(now)
 		d.ServedPerSecond = e.served.PerSecond(now)
+		d.RefusedPerSecond = e.refused.PerSecond(now)
 		demands = append(demands, rounded(d))
 	}
 	return demands
 }
 
+// Rest is the name under which an instance states the sum of the organisations that it does not
+// state by name. Without it, the totals would lack most of the calls of small organisations, and
+// the shares of the large ones would seem greater than they are.
+const Rest = "*"
+
+// restOf returns the sum of the demands of some organisations.
+func restOf(now time.Time, entries []*entry) quota.Demand {
+	rest := quota.Demand{Organisation: Rest}
+	for _, e := range entries {
+		rest.TokensPerSecond += e.account.OfferedPerSecond(now)
+		rest.ServedPerSecond += e.served.PerSecond(now)
+	}
+	return rounded(rest)
+}
+
+// refusedPrecision is the number of steps in which a refused call per second is stated.
+const refusedPrecision = 10
+
 // rounded drops fractions of a microsecond, which are most of the digits of an encoded demand.
 func rounded(d quota.Demand) quota.Demand {
+	d.RefusedPerSecond = math.Round(d.RefusedPerSecond*refusedPrecision) / refusedPrecision
 	d.TokensPerSecond, d.ServedPerSecond, d.Usage = math.Round(d.TokensPerSecond), math.Round(d.ServedPerSecond), math.Round(d.Usage)
 	return d
 }
--- a/fairshare/ledger_test.go
+++ b/fairshare/ledger_test.go
@@ -50,7 +50,7 @@
 // Guards against statements that grow with the organisations of the fleet, and against usage that is
 // kept for ever.
 func TestStatementsAndStateAreBounded(t *testing.T) {
-	const organisations, maxBytes = 260, 2500
+	const organisations, maxBytes = 260, 1000
 	l := NewLedger()
 	for n := range organisations {
 		name := fmt.Sprint("organisation-", n)
@@ -59,9 +59,16 @@
 	}
 	demands := l.Demands(start.Add(time.Second))
 	data, err := json.Marshal(demands)
-	if err != nil || len(data) > maxBytes || demands[0].Organisation != "organisation-259" {
+	if err != nil || len(data) > maxBytes || demands[0].Organisation != Rest || demands[1].Organisation != "organisation-259" {
 		t.Errorf("%d bytes, %v, first %+v", len(data), err, demands[0])
 	}
+	total := 0.0
+	for _, d := range demands {
+		total += d.ServedPerSecond
+	}
+	if want := 33.67e6 / 4 * math.Exp(-0.25); math.Abs(total/want-1) > 1e-3 {
+		t.Errorf("the demands add up to %v, want %v", total, want)
+	}
 	if demands := l.Demands(start.Add(statedFor + time.Second)); len(demands) > 0 {
 		t.Errorf("%d organisations without calls are stated", len(demands))
 	}
--- a/fairshare/maxmin_test.go
+++ b/fairshare/maxmin_test.go
@@ -45,3 +45,16 @@
 		}
 	}
 }
+
+// Guards against small organisations that lose their part because instances do not state them by
+// name: a flooding one would seem to be within its share.
+func TestOrganisationsWithoutNamesKeepTheirDemand(t *testing.T) {
+	grants := []quota.Grant{
+		{Organisation: "flood", FleetDemand: 1000, FleetServed: 70},
+		{Organisation: Rest, FleetDemand: 80, FleetServed: 30},
+	}
+	Fill(grants, func(string) float64 { return 1 })
+	if grants[0].FleetShare != 20 || grants[1].FleetShare != 80 {
+		t.Errorf("shares %v and %v, want 20 and 80", grants[0].FleetShare, grants[1].FleetShare)
+	}
+}
--- a/fairshare/pool.go
+++ b/fairshare/pool.go
@@ -36,7 +36,8 @@
 // implausible reports whether a demand holds a number that no correct instance states. It then
 // counts as absent.
 func implausible(d quota.Demand) bool {
-	return d.Organisation == "" || !plausible(d.TokensPerSecond, maxRate) || !plausible(d.ServedPerSecond, maxRate) || !plausible(d.Usage, maxUsage)
+	return d.Organisation == "" || !plausible(d.TokensPerSecond, maxRate) || !plausible(d.ServedPerSecond, maxRate) ||
+		!plausible(d.RefusedPerSecond, maxRate) || !plausible(d.Usage, maxUsage)
 }
 
 // Sum returns the demands of the instances that have stated them within the lease of a grant,
@@ -64,6 +65,7 @@
 			}
 			sum.TokensPerSecond += d.TokensPerSecond
 			sum.ServedPerSecond += d.ServedPerSecond
+			sum.RefusedPerSecond += d.RefusedPerSecond
 			sum.Usage += d.Usage
 		}
 	}
@@ -86,7 +88,7 @@
 	for i := range grants {
 		g := &grants[i]
 		wanted := func(d quota.Demand) bool {
-			return d.Organisation == g.Organisation && (d.TokensPerSecond > 0 || limited(g))
+			return d.Organisation == g.Organisation && g.Organisation != Rest && (d.TokensPerSecond > 0 || limited(g))
 		}
 		if g.FleetShare > 0 && slices.ContainsFunc(s.demands, wanted) {
 			selected = append(selected, quota.Grant{
--- a/forward/shares.go
+++ b/forward/shares.go
@@ -131,6 +131,7 @@
 		return nil
 	}
 	h.metrics.refused(x.organisation)
+	h.ledger.Refused(now, x.organisation)
 	back := x.retryAfter(x.deadline.Sub(now), decision.Excess)
 	return verdict.Refuse(verdict.ReasonShare, back, "organisation %s is above twice its share of the engines, and none has a free slot", x.organisation)
 }
--- a/quota/allocate.go
+++ b/quota/allocate.go
@@ -95,6 +95,7 @@
 		total.FleetDemand += d.TokensPerSecond
 		total.FleetUsage += d.Usage
 		total.FleetServed += d.ServedPerSecond
+		total.FleetRefused += d.RefusedPerSecond
 		total.FleetWaitingTokens += d.WaitingTokens
 		total.FleetSpanTokens += d.SpanTokens
 		total.FleetOverdueSpans += d.OverdueSpanTokens
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -21,7 +21,8 @@
 
 	Mix Mix `json:"mix,omitzero"` // incoming prompt tokens per second, over a minute
 
-	ServedPerSecond float64 `json:"served_per_second,omitempty"` // of TokensPerSecond, what was sent to upstreams; only stated where organisations have shares
+	ServedPerSecond  float64 `json:"served_per_second,omitempty"`  // of TokensPerSecond, what was sent to upstreams; only stated where organisations have shares
+	RefusedPerSecond float64 `json:"refused_per_second,omitempty"` // calls refused because of the share
 
 	// Granted limits that this instance may still use. They keep an allocator that has just
 	// started from granting the same part twice.
@@ -48,4 +49,5 @@
 	FleetMix           Mix     `json:"fleet_mix,omitzero"`             // sum of Mix
 	FleetServed        float64 `json:"fleet_served,omitempty"`         // sum of ServedPerSecond
 	FleetShare         float64 `json:"fleet_share,omitempty"`          // weighted max-min share of the FleetServed of all organisations
+	FleetRefused       float64 `json:"fleet_refused,omitempty"`        // sum of RefusedPerSecond
 }
