Refuse by demand above twice the share, and only above the share itself

Cause: short prompts were refused if the served rate was above twice the share.

Change: refused are the calls of an organisation that demands more than twice its share and is served more than its share, while no slot is free.

--- a/fairshare/admit.go
+++ b/fairshare/admit.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// refusedRatio is the ratio of the served rate to the share above which short prompts are refused
-// while no slot is free. It is above limitedRatio because a refusal loses the call, while the order
-// of the arbiter only delays it.
+// refusedRatio is the ratio of demand to share above which short prompts are refused while no slot is
+// free. It is above limitedRatio because a refusal loses the call, while the order of the arbiter only
+// delays it.
 const refusedRatio = 2
 
 // Verdict is the decision on a short prompt.
@@ -16,8 +16,9 @@
 	Excess  time.Duration // pause after which the organisation is within its limit
 }
 
-// Admit decides on a short prompt of an organisation. While any slot is free, and within twice its
-// share, no call is refused; of the others one in 20 proceeds.
+// Admit decides on a short prompt of an organisation. It is refused if the organisation demands more
+// than twice its share and already gets its share, unless any slot is free; one in 20 of these calls
+// proceeds.
 func Admit(now time.Time, s Standing, slotFree bool, floor *Floor, key FloorKey, draw float64) Verdict {
 	if slotFree {
 		return Verdict{}
@@ -29,12 +30,15 @@
 	return Verdict{Refused: true, Excess: excess}
 }
 
-// excess returns the time in which the served rate decays to the limit for short prompts without
-// further calls; 0 within the limit.
+// excess returns the time in which the served rate decays to the share without further calls; 0 if
+// the calls of the organisation are not refused. The served rate alone does not tell: an organisation
+// with half of the fleet as its share can take all slots without being served twice its share.
 func (s Standing) excess() time.Duration {
-	limit := refusedRatio * s.Share
-	if !s.Known || s.Served <= limit {
+	if !s.Known || s.Demand <= refusedRatio*s.Share || s.Served <= s.Share {
 		return 0
 	}
-	return min(servedWindow, time.Duration(math.Log(s.Served/limit)*float64(servedWindow)))
+	if s.Share <= 0 {
+		return servedWindow
+	}
+	return min(servedWindow, time.Duration(math.Log(s.Served/s.Share)*float64(servedWindow)))
 }
--- a/fairshare/admit_test.go
+++ b/fairshare/admit_test.go
@@ -22,10 +22,11 @@
 		free     bool
 		refused  bool
 	}{
-		"above twice its share":  {above, false, true},
-		"a slot is free":         {above, true, false},
-		"within twice its share": {Standing{Known: true, Demand: 20e6, Served: 1.9e6, Share: 1e6}, false, false},
-		"unknown totals":         {Standing{Demand: 20e6, Served: 5e6, Share: 1e6}, false, false},
+		"above twice its share":             {above, false, true},
+		"a slot is free":                    {above, true, false},
+		"demands less than twice its share": {Standing{Known: true, Demand: 1.9e6, Served: 1.9e6, Share: 1e6}, false, false},
+		"gets less than its share":          {Standing{Known: true, Demand: 20e6, Served: 0.9e6, Share: 1e6}, false, false},
+		"unknown totals":                    {Standing{Demand: 20e6, Served: 5e6, Share: 1e6}, false, false},
 	}
 	for name, c := range cases {
 		v := Admit(start, c.standing, c.free, NewFloor(), key, 0)
--- a/forward/share_metrics.go
+++ b/forward/share_metrics.go
@@ -19,7 +19,7 @@
 func newShareMetrics(registry prometheus.Registerer) shareMetrics {
 	m := shareMetrics{
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "forward_share_refusals_total", Help: "Short prompts refused because their organisation was above twice its share, by organisation.",
+			Name: "forward_share_refusals_total", Help: "Short prompts refused because of the share of their organisation, by organisation.",
 		}, []string{"organisation"}),
 		rates: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "forward_share_engines", Help: "Engines' worth of work of the whole fleet, by organisation and kind: demand, served, share.",
--- a/forward/shares.go
+++ b/forward/shares.go
@@ -133,7 +133,7 @@
 	h.metrics.refused(x.organisation)
 	h.ledger.Refused(now, x.organisation)
 	back := x.retryAfter(x.deadline.Sub(now), decision.Excess)
-	return verdict.Refuse(verdict.ReasonShare, back, "organisation %s is above twice its share of the engines, and none has a free slot", x.organisation)
+	return verdict.Refuse(verdict.ReasonShare, back, "organisation %s demands more than twice its share of the engines and gets its share; no engine has a free slot", x.organisation)
 }
 
 // askShares adds to an ask what the arbiter needs for the order by shares.
