--- a/settings/broken_test.go
+++ b/settings/broken_test.go
@@ -41,6 +41,7 @@
 	"process-missing-section":      {{"listen", "address", "missing"}, {"control", "address", "missing"}},
 	"process-raw-quotes":           {{"keys", "instance", "begins with `"}},
 	"process-unknown-key":          {{"process", "availability_zoen", "unknown key"}},
+	"process-bad-shares":           {{"limits", "organisation_shares", `"yes"`}},
 }
 
 // Guards against a check that stops at the first fault, or omits the position or
