Test the place of assured prompts and of prompts without an organisation

Tested: TestAssuredAndUnknownPromptsKeepTheirPlace; without the exemption of assured prompts the longer prompt of another organisation is placed first.

--- a/arbiter/shares_test.go
+++ b/arbiter/shares_test.go
@@ -147,3 +147,39 @@
 		t.Errorf("only %d are late without shares: the flood is too small to show the difference", unordered)
 	}
 }
+
+// limitedOnly reports every organisation but one as within its share.
+type limitedOnly string
+
+func (o limitedOnly) Standing(_ time.Time, organisation string) fairshare.Standing {
+	if organisation != string(o) {
+		return fairshare.Standing{}
+	}
+	return fairshare.Standing{Known: true, Demand: 20, Served: 2, Share: 1, Usage: 100}
+}
+
+// Guards against a limited organisation that gets nothing at all, and against prompts from older
+// builds, without an organisation, that rank behind all others.
+func TestAssuredAndUnknownPromptsKeepTheirPlace(t *testing.T) {
+	cases := map[string]struct {
+		organisation string
+		assured      bool
+		first        string
+	}{
+		"limited":     {"flood", false, "longer"},
+		"assured":     {"flood", true, "shorter"},
+		"older build": {"", false, "shorter"},
+		"unknown":     {"new", false, "shorter"},
+	}
+	for name, c := range cases {
+		queue, w := NewQueue(), &fakeFleets{engines: 17}
+		queue.UseShares(limitedOnly("flood"))
+		shorter, longer := newRequest("shorter", 300_000), newRequest("longer", 310_000)
+		shorter.Organisation, shorter.Assured, longer.Organisation = c.organisation, c.assured, "other"
+		queue.Accept(start, shorter)
+		queue.Accept(start, longer)
+		if answers := queue.Step(start, w); len(answers) == 0 || answers[0].ID != c.first {
+			t.Errorf("%s: answers %+v, want %s placed first", name, answers, c.first)
+		}
+	}
+}
