--- a/fairshare/fill.go
+++ b/fairshare/fill.go
@@ -41,7 +41,7 @@
 		return
 	}
 	for i, part := range maxMin(capacity, wants) {
-		grants[i].FleetShare = part
+		grants[i].FleetShare = math.Round(part)
 	}
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -8,10 +8,10 @@
 // Demand is one instance's demand for one organisation since its last statement.
 type Demand struct {
 	Organisation    string  `json:"organisation"`
-	TokensPerSecond float64 `json:"tokens_per_second"`          // incoming, whether admitted or not
-	InFlight        int     `json:"in_flight,omitempty"`        // requests admitted and not finished
-	InFlightTokens  int     `json:"in_flight_tokens,omitempty"` // prompt tokens admitted and not finished
-	Waiting         int     `json:"waiting,omitempty"`          // queued requests
+	TokensPerSecond float64 `json:"tokens_per_second,omitempty"` // incoming, whether admitted or not
+	InFlight        int     `json:"in_flight,omitempty"`         // requests admitted and not finished
+	InFlightTokens  int     `json:"in_flight_tokens,omitempty"`  // prompt tokens admitted and not finished
+	Waiting         int     `json:"waiting,omitempty"`           // queued requests
 
 	Usage         float64 `json:"usage,omitempty"`          // tokens sent to upstreams with decay, see admission.Usage
 	WaitingTokens int     `json:"waiting_tokens,omitempty"` // prompt tokens of the queued long requests
