Count admitted calls towards the minimum of an organisation

Cause: one in 20 refused calls was assured in addition to those admitted while a slot was free. Of a flood of 250 calls a second these were 12 a second, which took the slots that are kept for the others.

Change: a call is assured only while less than one in 20 calls of its organisation and route is admitted; after any number of admitted calls, one of the next 40 is assured.

Tested: TestAdmittedCallsCountTowardsTheFloor (fails without counting admitted calls, and with a debt without bound).

--- a/fairshare/admit.go
+++ b/fairshare/admit.go
@@ -17,14 +17,17 @@
 }
 
 // Admit decides on a short prompt of an organisation. It is refused if the organisation demands more
-// than twice its share and already gets its share, unless any slot is free; one in 20 of these calls
-// proceeds.
+// than twice its share and already gets its share, unless any slot is free. Such a call proceeds
+// if less than one in 20 calls of its key would be admitted otherwise.
 func Admit(now time.Time, s Standing, slotFree bool, floor *Floor, key FloorKey, draw float64) Verdict {
-	if slotFree {
+	excess := s.excess()
+	if slotFree || excess == 0 {
+		if s.Limited() {
+			floor.Admitted(now, key, draw)
+		}
 		return Verdict{}
 	}
-	excess := s.excess()
-	if excess == 0 || floor.Take(now, key, draw) {
+	if floor.Take(now, key, draw) {
 		return Verdict{}
 	}
 	return Verdict{Refused: true, Excess: excess}
--- a/fairshare/admit_test.go
+++ b/fairshare/admit_test.go
@@ -88,3 +88,25 @@
 		Admit(start, above, placement.HasFreeSlot(profile, engines), floor, key, 0)
 	}
 }
+
+// Guards against assured calls that are added to those admitted while a slot is free: of a flood they
+// would fill the slots that are kept for the others.
+func TestAdmittedCallsCountTowardsTheFloor(t *testing.T) {
+	floor, assured := NewFloor(), 0
+	for n := range 2000 {
+		slotFree := n%10 == 0
+		if !Admit(start, above, slotFree, floor, key, 0).Refused && !slotFree {
+			assured++
+		}
+	}
+	if assured > 0 {
+		t.Errorf("%d calls are assured although a tenth is admitted", assured)
+	}
+	refusedInARow := 0
+	for Admit(start, above, false, floor, key, 0).Refused {
+		refusedInARow++
+	}
+	if refusedInARow > 40 {
+		t.Errorf("%d calls in a row are refused", refusedInARow)
+	}
+}
