--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -57,6 +57,8 @@
 	next         *work         // the send to which the call moves, already registered as in flight
 	moves        int           // moves away from silent upstreams
 	movedEvents  int           // events at the last move
+	assured      bool          // a long prompt with the minimum guarantee of its organisation
+	withinShare  bool          // a short prompt that was not refused because of its organisation's share
 }
 
 // recordRejection records which engine received the call, and the helper because of which it was
@@ -102,6 +104,7 @@
 	}
 	x.server.budgets.recordCall(x.began, x.service.Name)
 	defer x.cancelMove()
+	x.countOffered(x.began)
 	var last *outcome
 	for {
 		next, err := x.nextSend(ctx)
@@ -119,6 +122,7 @@
 			return
 		}
 		x.target, x.helpers, x.placedAt = next.lead, next.helpers, time.Now()
+		x.countPlaced(x.placedAt)
 		kind := kindOf(next, x.sends)
 		result := x.send(ctx, next)
 		result.kind = kind
