--- a/failover/send.go
+++ b/failover/send.go
@@ -8,7 +8,7 @@
 	Began     time.Time     // when the send began
 	EventAt   time.Time     // when the last event of this send arrived; zero: none yet
 	CallerAt  time.Time     // when the caller sent the call or received its last event
-	HeardAt   time.Time     // when the upstream last sent data or was found reachable
+	AliveAt   time.Time     // when the upstream last sent data or was found reachable
 	Silence   time.Duration // time without data after which to check reachability; 0: never
 	Predicted time.Duration // predicted time from Began to the first event
 	Prefill   time.Duration // time until the engine has prefilled all prompts known to it; 0: none or unknown
@@ -51,7 +51,7 @@
 	}
 	var until time.Time
 	if s.Silence > 0 {
-		until = s.HeardAt.Add(s.Silence)
+		until = s.AliveAt.Add(s.Silence)
 		if !now.Before(until) {
 			return Decision{Action: Check}
 		}
--- a/failover/send_test.go
+++ b/failover/send_test.go
@@ -18,7 +18,7 @@
 // silentSend returns a send whose last event arrived at start.
 func silentSend(draw float64) Send {
 	return Send{
-		Model: Model{Profile: profile, Tokens: 5000}, Began: start.Add(-time.Second), EventAt: start, CallerAt: start, HeardAt: start,
+		Model: Model{Profile: profile, Tokens: 5000}, Began: start.Add(-time.Second), EventAt: start, CallerAt: start, AliveAt: start,
 		Silence: 600 * time.Millisecond, Predicted: 150 * time.Millisecond,
 		Patience: 2 * time.Second, PauseLimit: 200 * time.Millisecond, Repeatable: true, SendsLeft: 1, Budget: true, Draw: draw,
 	}
@@ -35,7 +35,7 @@
 		case Move:
 			at, s.NotBefore = append(at, passed), now.Add(50*time.Millisecond)
 		case Check:
-			s.HeardAt = now
+			s.AliveAt = now
 		case Wait:
 		}
 	}
--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -31,7 +31,7 @@
 		route: &settings.Route{Repeat: settings.RepeatRest, Stream: true, MaxSends: 2, Objective: 300 * time.Millisecond, PauseLimit: 250 * time.Millisecond, Patience: 2 * time.Second},
 		began: now.Add(-2 * silent), deadline: now.Add(8 * time.Second), eventAt: now.Add(-silent), firstAt: now.Add(-2 * silent),
 	}
-	sent := &sending{x: x, node: n, conn: newUpstreamConn(near), work: x.newWork(n, 0), begun: true, sentAt: x.began, heard: x.eventAt}
+	sent := &sending{x: x, node: n, conn: newUpstreamConn(near), work: x.newWork(n, 0), begun: true, sentAt: x.began, lastEventAt: x.eventAt}
 	return sent, newSilenceWatch(context.Background(), sent)
 }
 
--- a/forward/recovery_test.go
+++ b/forward/recovery_test.go
@@ -27,15 +27,15 @@
 	}
 }
 
-// hear has a server receive a full report of another instance of its zone.
-func hear(s *Server) {
+// receiveFullReport has a server receive a full report of another instance of its zone.
+func receiveFullReport(s *Server) {
 	s.tickView(time.Now())
 	s.fleet.applyReport(time.Now(), netip.MustParseAddrPort("10.0.0.1:7340"), &loadshare.Report{Sender: 1, Sequence: 1, Full: true})
 }
 
 // completeView lets the time pass in which a new server waits for the loads of the others.
 func completeView(s *Server) {
-	hear(s)
+	receiveFullReport(s)
 	time.Sleep(2 * loadshare.FullInterval)
 }
 
@@ -76,7 +76,7 @@
 		if s.isAggregator(time.Now()) {
 			t.Error("aggregates its zone without any report of it")
 		}
-		hear(s)
+		receiveFullReport(s)
 		if time.Sleep(time.Second); !s.isAggregator(time.Now()) {
 			t.Error("nobody aggregates the zone after the other instance has ended")
 		}
--- a/forward/send.go
+++ b/forward/send.go
@@ -27,18 +27,18 @@
 
 // sending is the progress of one send on its connection.
 type sending struct {
-	x      *exchange
-	node   *node
-	conn   *upstreamConn
-	work   *work
-	sent   chan error // result of writing the call
-	begun  bool       // the first event has arrived
-	phase  phase
-	sentAt time.Time
-	headAt time.Time // when the head of the answer arrived
-	heard  time.Time // when the last event arrived, also one that the caller had already
-	clean  bool      // the connection can carry another call
-	idle   time.Duration
+	x           *exchange
+	node        *node
+	conn        *upstreamConn
+	work        *work
+	sent        chan error // result of writing the call
+	begun       bool       // the first event has arrived
+	phase       phase
+	sentAt      time.Time
+	headAt      time.Time // when the head of the answer arrived
+	lastEventAt time.Time // when the last event arrived, also one that the caller had already
+	clean       bool      // the connection can carry another call
+	idle        time.Duration
 }
 
 // send sends the call to a node and forwards the answer to the caller.
--- a/forward/silence_watch.go
+++ b/forward/silence_watch.go
@@ -46,7 +46,7 @@
 // forecast returns what to do if no data arrives from now on. It takes no lock, because it is
 // called for each read; act decides again with the load of the engine.
 func (w *silenceWatch) forecast(now time.Time) failover.Decision {
-	w.state.HeardAt = now
+	w.state.AliveAt = now
 	w.state.Prefill, w.state.Budget = 0, true
 	w.refresh()
 	return w.state.Decide(now)
@@ -66,7 +66,7 @@
 		if w.s.hung() || !x.server.fleet.reachable(w.ctx, w.s.node) {
 			return failover.Decision{}, errSilent
 		}
-		w.state.HeardAt = time.Now()
+		w.state.AliveAt = time.Now()
 	case d.Action == failover.Move && !pending:
 		if w.ctx.Err() == nil && w.s.prepareMove(w.ctx, &w.state, d.Cause) {
 			return failover.Decision{}, errMoved
@@ -79,7 +79,7 @@
 // refresh updates the part of the state that changes with the progress of the call.
 func (w *silenceWatch) refresh() {
 	x := w.s.x
-	w.state.EventAt, w.state.CallerAt = w.s.heard, x.began
+	w.state.EventAt, w.state.CallerAt = w.s.lastEventAt, x.began
 	if x.events > 0 {
 		w.state.CallerAt = x.eventAt
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -35,7 +35,7 @@
 // forwardEvent forwards one event, unless the caller has received it already.
 func (s *sending) forwardEvent(head *httpwire.ResponseHead, e *httpwire.Event) error {
 	x := s.x
-	s.heard = time.Now()
+	s.lastEventAt = time.Now()
 	if e.HasID && x.hasEvent {
 		if e.ID <= x.lastEvent {
 			return nil
--- a/recovery/view.go
+++ b/recovery/view.go
@@ -168,7 +168,7 @@
 	case now.Sub(v.grownAt) < settleTime || listed.size() == 0:
 		return false
 	}
-	return len(v.zones) >= listed.Zones && float64(v.heard(listed)) >= peerFraction*float64(len(listed.Peers))
+	return len(v.zones) >= listed.Zones && float64(v.countReported(listed)) >= peerFraction*float64(len(listed.Peers))
 }
 
 // ZoneKnown reports whether this instance knows the loads of its own zone well enough to report
@@ -184,8 +184,8 @@
 	return !v.peerAt.IsZero() && now.Sub(v.peerAt) >= zoneListenTime
 }
 
-// heard counts the listed instances of the own zone that sent a full report.
-func (v *View) heard(listed Listed) int {
+// countReported counts the listed instances of the own zone that sent a full report.
+func (v *View) countReported(listed Listed) int {
 	count := 0
 	for _, peer := range listed.Peers {
 		if _, reported := v.peers[peer]; reported {
--- a/recovery/view_test.go
+++ b/recovery/view_test.go
@@ -27,21 +27,21 @@
 	for name, c := range map[string]struct {
 		listedAt int // milliseconds
 		growing  bool
-		heard    int // of 20 instances of the zone
+		reported int // of 20 instances of the zone
 		partial  bool
 		zones    int // of two
 		want     int // milliseconds until the view is complete
 	}{
-		"all heard":         {heard: 19, zones: 2, want: 400},
-		"few heard":         {heard: 17, zones: 2, want: 800},
-		"a zone missing":    {heard: 20, zones: 1, want: 800},
-		"changes only":      {heard: 20, partial: true, want: 4000},
-		"nobody heard":      {want: 4000},
-		"listed at last":    {listedAt: 9000, heard: 1, want: 9800},
-		"a list that grows": {growing: true, heard: 1, want: 4000},
+		"all reported":      {reported: 19, zones: 2, want: 400},
+		"few reported":      {reported: 17, zones: 2, want: 800},
+		"a zone missing":    {reported: 20, zones: 1, want: 800},
+		"changes only":      {reported: 20, partial: true, want: 4000},
+		"none reported":     {want: 4000},
+		"listed at last":    {listedAt: 9000, reported: 1, want: 9800},
+		"a list that grows": {growing: true, reported: 1, want: 4000},
 	} {
 		v, listed := NewView(start), listOf(20, 2)
-		for _, peer := range listed.Peers[:c.heard] {
+		for _, peer := range listed.Peers[:c.reported] {
 			v.RecordReport(start, peer, !c.partial)
 		}
 		for zone := range c.zones {
