--- a/control/fanout.go
+++ b/control/fanout.go
@@ -198,8 +198,8 @@
 	return response
 }
 
-// grant adds the totals of the fleet to the response to a sync that states demands, unless the leader has sent none for so long that
-// they are out of date.
+// grant adds the totals of the fleet to the response to a sync that states demands, unless the
+// leader has sent none for so long that they are out of date.
 func (f *fanout) grant(now time.Time, response *syncResponse, r *syncRequest) {
 	if len(r.Demand) == 0 || now.Sub(f.core.grantedAt) > quota.DefaultLease {
 		return
--- a/fairshare/pool.go
+++ b/fairshare/pool.go
@@ -78,7 +78,8 @@
 }
 
 // Select returns the totals of the organisations that an instance has stated lately, from the grants
-// of the voter. Of those without a demand of their own only the limited ones matter. The parts of limits in these belong to the voter and are left out.
+// of the voter. Of those without a demand of their own only the limited ones matter. The parts of
+// limits in the grants belong to the voter and are left out.
 func (p *Pool) Select(now time.Time, instance string, grants []quota.Grant) []quota.Grant {
 	s, found := p.statements[instance]
 	if !found || now.Sub(s.at) > quota.DefaultLease {
