--- a/fairshare/admit.go
+++ b/fairshare/admit.go
@@ -34,7 +34,7 @@
 }
 
 // excess returns the time in which the served rate decays to the share without further calls; 0 if
-// the calls of the organisation are not refused. The served rate alone does not tell: an organisation
+// the calls of the organisation are not refused. The served rate alone does not show it: an organisation
 // with half of the fleet as its share can take all slots without being served twice its share.
 func (s Standing) excess() time.Duration {
 	if !s.Known || s.Demand <= refusedRatio*s.Share || s.Served <= s.Share {
--- a/forward/endings_test.go
+++ b/forward/endings_test.go
@@ -23,7 +23,7 @@
 }
 
 // Guards against an arbiter that plans as if engines never terminated, that counts an engine as
-// terminated after it is heard of again, and that has a new engine help at once.
+// terminated after it has answered again, and that has a new engine help at once.
 func TestArbiterKnowsTerminationsAndNewEngines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, "front-1", "front-1")
--- a/recovery/burst_test.go
+++ b/recovery/burst_test.go
@@ -62,8 +62,8 @@
 	if excess, used := burst(t, evenly, true); excess > 0 || used < 26 {
 		t.Errorf("%d streams beyond the slots, on %d engines", excess, used)
 	}
-	// Callers that choose instances at random give some instances more calls than others. Uniform
-	// random starts put 1,800 of these 200,000 streams beyond the slots.
+	// Callers that choose instances at random give some instances more calls than others, so that
+	// a few streams exceed the slots; uniform random starts would exceed them many times as often.
 	total := 0
 	for seed := range uint64(1000) {
 		random := rand.New(rand.NewPCG(seed, 2))
--- a/recovery/residual.go
+++ b/recovery/residual.go
@@ -16,7 +16,7 @@
 // streams returns the number of calls at the engine.
 func (s EngineState) streams() int { return s.Active + s.Queued }
 
-// Capacity is what an engine can hold, to tell implausible reports.
+// Capacity is what an engine can hold, to recognise implausible reports.
 type Capacity struct {
 	Slots  int
 	Tokens int           // KV memory
@@ -43,7 +43,7 @@
 // safe for concurrent use.
 //
 // While the view of an instance is incomplete, the rest of what the engine reports may be calls of
-// instances that it has not heard of yet. It counts for this instance alone then, and only as far
+// instances that are not yet known to it. It counts for this instance alone then, and only as far
 // as the loads that arrive meanwhile do not explain it. With a complete view the rest is
 // reported to the others, by one instance for each engine, because reports are added up.
 type Residual struct {
@@ -54,7 +54,7 @@
 
 // Record compares the state that an engine has just reported with the known load: own is the load
 // of this instance, others that of the other instances, without residual load of this
-// instance. reporter tells whether this instance reports for the engine. A nil state means that
+// instance. reporter states whether this instance reports for the engine. A nil state means that
 // the engine reports none.
 func (r *Residual) Record(now time.Time, state *EngineState, capacity Capacity, own, others loadshare.Load, complete, reporter bool) {
 	*r = Residual{}
--- a/recovery/residual_test.go
+++ b/recovery/residual_test.go
@@ -37,7 +37,7 @@
 }
 
 func TestUnreceivedReportsAreNotResidualLoad(t *testing.T) {
-	// An instance that restarts alone sees calls of others that it has not heard of. If it
+	// An instance that restarts alone sees calls of others that it does not know of. If it
 	// reported them, all instances would count them twice.
 	var r Residual
 	r.Record(start, &EngineState{Active: 10}, capacity, loadshare.Load{}, loadshare.Load{}, false, true)
--- a/recovery/view.go
+++ b/recovery/view.go
@@ -56,7 +56,7 @@
 // size returns the number of sources from which reports are expected.
 func (l Listed) size() int { return len(l.Peers) + l.Zones }
 
-// View tells whether an instance has received the loads that the other instances cause. It is not
+// View records whether an instance has received the loads that the other instances cause. It is not
 // safe for concurrent use.
 type View struct {
 	startedAt time.Time
