--- a/forward/arbitration_ask.go
+++ b/forward/arbitration_ask.go
@@ -41,9 +41,9 @@
 	return best
 }
 
-// askArbiter asks the arbiter to place a prompt. The last result is false when no arbiter
-// answers; a nil answer with true means that the caller has left.
-func (s *Server) askArbiter(ctx context.Context, service string, ask func() *arbiter.Request) (*arbiter.Answer, bool) {
+// askArbiter asks the arbiter to place a prompt, and returns its answer and name. The last result
+// is false when no arbiter answers; a nil answer with true means that the caller has left.
+func (s *Server) askArbiter(ctx context.Context, service string, ask func() *arbiter.Request) (*arbiter.Answer, string, bool) {
 	a := s.arbitration
 	answers := make(chan arbiter.Answer, answerBuffer)
 	id := ask().ID
@@ -60,18 +60,18 @@
 		chosen := s.arbiterOf(time.Now(), service)
 		a.mu.Unlock()
 		if chosen == nil {
-			return nil, false
+			return nil, "", false
 		}
 		answer, responded := s.askInstance(ctx, chosen, ask, answers)
 		if responded {
-			return answer, true
+			return answer, chosen.Name, true
 		}
 		a.mu.Lock()
 		a.unresponsive[chosen.Name] = time.Now().Add(unresponsiveFor)
 		a.mu.Unlock()
 		eventArbiterSilent.Log(s.options.Log, event.Fields{"call": id, "arbiter": chosen.Name, "address": chosen.ControlAddress})
 	}
-	return nil, false
+	return nil, "", false
 }
 
 // askInstance sends an ask to one instance until it answers. The last result is false when the
--- a/forward/arbitration_test.go
+++ b/forward/arbitration_test.go
@@ -71,7 +71,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, "front-1", "other-1", "other-2", "other-3")
 		began := time.Now()
-		answer, responded := s.askArbiter(context.Background(), "model", longAsk)
+		answer, _, responded := s.askArbiter(context.Background(), "model", longAsk)
 		if responded {
 			t.Errorf("unexpected answer %+v", answer)
 		}
@@ -89,7 +89,7 @@
 func TestArbiterAnswersItsOwnCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, "front-1", "front-1")
-		answer, responded := s.askArbiter(context.Background(), "model", longAsk)
+		answer, _, responded := s.askArbiter(context.Background(), "model", longAsk)
 		if !responded || answer == nil || answer.Decision != arbiter.Placed {
 			t.Fatalf("answered %+v (%t)", answer, responded)
 		}
@@ -112,7 +112,7 @@
 		s.fleet.mu.Unlock()
 		ctx, leave := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer leave()
-		answer, responded := s.askArbiter(ctx, "model", longAsk)
+		answer, _, responded := s.askArbiter(ctx, "model", longAsk)
 		if answer != nil || !responded {
 			t.Errorf("answered %+v (%t)", answer, responded)
 		}
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -123,6 +123,9 @@
 	if x.moves > 0 {
 		fields["moves"] = x.moves
 	}
+	if x.arbiter != "" {
+		fields["arbiter"] = x.arbiter
+	}
 	if x.age > 0 {
 		fields["age_ms"] = x.age.Milliseconds()
 	}
--- a/forward/evacuation_test.go
+++ b/forward/evacuation_test.go
@@ -36,7 +36,7 @@
 		s, n := newServerWithNode(t)
 		placed := &work{lead: n}
 		ask := longAsk()
-		answer, _ := s.askArbiter(context.Background(), "model", func() *arbiter.Request { return ask })
+		answer, _, _ := s.askArbiter(context.Background(), "model", func() *arbiter.Request { return ask })
 		evacuate(s)
 		if unavailable, cause := s.fleet.unavailableNode(placed); unavailable != n || !errors.Is(cause, errEvacuated) {
 			t.Errorf("a send placed before goes on: %v", cause)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -31,6 +31,7 @@
 	age          time.Duration   // time since the first try of the call, if the arbiter knows that it was refused before
 	plans        int             // plans made so far; part of the names of asks and reservations
 	lastAsk      string          // ID of the ask that led to the last placement
+	arbiter      string          // instance that decided on the last placement of a long prompt, empty if this one did itself
 	sends        int             // sends that may have reached an upstream
 	failed       resend.Tally    // failed sends by cause
 	missedAt     time.Time       // when the last send failed, if it found no running upstream
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -37,6 +37,7 @@
 	random           *rand.Rand
 	suspects         *suspects
 	rates            *rates
+	paths            map[string]*servicePaths    // of this instance to the upstreams of each service
 	endings          map[string]*endings.History // recent terminations of the engines of each service
 	closed           bool                        // connections are not kept any more
 }
@@ -68,6 +69,7 @@
 		rates:            newRates(callRate),
 		startedAt:        now,
 		view:             recovery.NewView(now),
+		paths:            map[string]*servicePaths{},
 		endings:          map[string]*endings.History{},
 	}
 }
--- a/forward/fleet_conns.go
+++ b/forward/fleet_conns.go
@@ -19,8 +19,12 @@
 	defer cancel()
 	conn, err := f.options.Dial(ctx, "tcp", n.address)
 	if err != nil {
+		if !errors.Is(err, context.Canceled) { // the caller left
+			f.recordNotConnected(n, err)
+		}
 		return nil, errors.Wrap(err, "connect")
 	}
+	f.recordConnected(n)
 	return newUpstreamConn(conn), nil
 }
 
--- a/forward/fleet_health.go
+++ b/forward/fleet_health.go
@@ -49,9 +49,11 @@
 	defer cancel()
 	conn, err := f.options.Dial(ctx, "tcp", n.address)
 	if err != nil {
+		f.recordNotConnected(n, err)
 		f.suspect(n, err)
 		return false
 	}
+	f.recordConnected(n)
 	f.keep(n, newUpstreamConn(conn), 0)
 	return true
 }
--- a/forward/idle_arbiter_test.go
+++ b/forward/idle_arbiter_test.go
@@ -31,7 +31,7 @@
 		})
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		defer cancel()
-		answer, responded := s.askArbiter(ctx, "model", longAsk)
+		answer, _, responded := s.askArbiter(ctx, "model", longAsk)
 		if !responded || answer == nil || answer.Decision != arbiter.Placed {
 			t.Errorf("answered %+v (%t)", answer, responded)
 		}
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -24,6 +24,7 @@
 	moves       *prometheus.CounterVec
 	unmoved     *prometheus.CounterVec
 	resting     prometheus.Gauge
+	lostPaths   *prometheus.GaugeVec
 	endRate     *prometheus.GaugeVec
 	unreadable  *prometheus.CounterVec
 	datagrams   *prometheus.CounterVec
@@ -74,6 +75,9 @@
 		resting: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "forward_upstreams_resting", Help: "Upstreams that get nothing from this instance because they asked it for rest.",
 		}),
+		lostPaths: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "forward_paths_lost", Help: "1 while this instance has lost its network paths to the upstreams of a service, by service.",
+		}, []string{"service"}),
 		endRate: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "forward_engine_end_rate", Help: "Terminations per engine-second that this instance observed in the last ten seconds, by service.",
 		}, []string{"service"}),
@@ -87,7 +91,7 @@
 			Name: "forward_datagram_bytes_total", Help: "Bytes of these datagrams, by kind and direction.",
 		}, []string{"kind", "direction"}),
 	}
-	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.resting, m.endRate, m.unreadable, m.datagrams, m.bytes)
+	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.resting, m.lostPaths, m.endRate, m.unreadable, m.datagrams, m.bytes)
 	m.shares = newShareMetrics(registry)
 	return m
 }
@@ -118,6 +122,14 @@
 
 func (m *Metrics) restAsked(service string) { m.rests.WithLabelValues(service).Inc() }
 
+func (m *Metrics) pathsLost(service string, lost bool) {
+	value := 0.0
+	if lost {
+		value = 1
+	}
+	m.lostPaths.WithLabelValues(service).Set(value)
+}
+
 func (m *Metrics) observedEndRate(service string, rate float64) {
 	m.endRate.WithLabelValues(service).Set(rate)
 }
--- a/forward/place.go
+++ b/forward/place.go
@@ -72,7 +72,8 @@
 // x.excluded.
 func (x *exchange) requestPlacement(ctx context.Context) (*work, error, bool) {
 	x.unusable = nil
-	answer, responded := x.server.askArbiter(ctx, x.service.Name, x.newAsk)
+	answer, by, responded := x.server.askArbiter(ctx, x.service.Name, x.newAsk)
+	x.arbiter = by
 	if !responded {
 		return nil, nil, false
 	}
