--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -96,6 +96,7 @@
 			Dialect: adapter.Dialect,
 			Metrics: forward.NewMetrics(f.metrics),
 			Log:     f.options.Log,
+			Dial:    f.options.Dial,
 			Budget:  forward.RepeatBudget{Ratio: p.RepeatRatio, Slack: p.RepeatSlack, Window: p.RepeatWindow},
 			Memory:  memory,
 		})
--- a/instance/options.go
+++ b/instance/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"celeryport/forward"
 	"celeryport/settings"
 )
 
@@ -14,6 +15,7 @@
 	Log     logrus.FieldLogger
 	Traffic net.Listener             // nil to listen on Process.Listen
 	Control net.Listener             // nil to listen on Process.ControlListen
+	Dial    forward.Dial             // opens the connections of forwarded calls to upstreams; nil: TCP
 	Adapter *Adapter                 // for instances that do not serve completions
 	Changes <-chan *settings.Process // process settings that change while the instance runs; nil if they never change
 }
