Let other instances handle the calls of one that lost its paths to the upstreams

Callers of an instance whose paths to all upstreams hang, are reset, or refuse new connections, were refused, or waited until their deadline, although the instances beside it reached all upstreams.

Cause: an instance had no way to an upstream but its own connections. It took each refused or timed-out connection for the end of one upstream, tried the next one, and gave up after up to 24 of them.

Change: reach decides from new connections whether the instance has lost its paths to a service; a connection that takes much longer than usual, or a poll without an answer, makes it try a few other upstreams at once. While the paths are lost, another instance of the zone, or of another zone, handles the call: over an authenticated connection to its control address it gets the caller's own request, how long it has waited, how many sends are left, and the settings revision that it needs at least. The first instance passes the answer on, resumes streams, and knows from the answer whether the call may have run. Handed-over calls are never handed over again. The instance tries one upstream every 0.1 s and takes the direct way as soon as a connection succeeds. An instance without others beside it behaves as before.

--- a/control/run.go
+++ b/control/run.go
@@ -76,8 +76,13 @@
 
 func (n *Node) server() *http.Server {
 	keys := rpc.Keys{Instance: n.opts.Process.InstanceKey, Operators: n.opts.Process.OperatorKeys}
+	own := http.NewServeMux()
+	own.Handle("/", rpc.Authenticate(keys, rpc.NewControlServer(&service{node: n})))
+	if n.opts.Transit != nil {
+		own.Handle(rpc.TransitPath, rpc.AuthenticateTransit(keys, n.opts.Transit))
+	}
 	return &http.Server{
-		Handler:           n.withExtra(rpc.Authenticate(keys, rpc.NewControlServer(&service{node: n}))),
+		Handler:           n.withExtra(own),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -17,9 +17,10 @@
 
 // callerConn is one connection of a caller. Its calls are answered one after the other.
 type callerConn struct {
-	server *Server
-	conn   net.Conn
-	reader *bufio.Reader
+	server  *Server
+	conn    net.Conn
+	reader  *bufio.Reader
+	transit bool // the caller is another instance that hands over calls
 }
 
 // callerBuffer is large enough for the head of a typical call.
@@ -70,7 +71,11 @@
 	if err := c.conn.SetReadDeadline(began.Add(limits.HeaderTimeout)); err != nil {
 		return nil, err
 	}
-	head, err := httpwire.ReadRequestHead(c.reader, limits.HeaderBytes)
+	headerBytes := limits.HeaderBytes
+	if c.transit {
+		headerBytes += transitHeadBytes
+	}
+	head, err := httpwire.ReadRequestHead(c.reader, headerBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -100,6 +105,9 @@
 func (c *callerConn) refuseUnread(head *httpwire.RequestHead, began time.Time) {
 	w := &callerWriter{conn: c.conn, close: true, method: head.Method}
 	x := &exchange{server: c.server, writer: w, call: &Call{}, began: began}
+	if c.beginTransit(x, head) != nil {
+		return // the other instance takes the connection for lost
+	}
 	if call, err := c.server.options.Dialect.DecodeCall(head); err == nil {
 		x.call = call
 	}
@@ -120,20 +128,36 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	w := &callerWriter{conn: c.conn, close: r.head.Close || s.draining.Load() != nil, method: r.head.Method}
+	x := &exchange{server: s, writer: w, call: &Call{}, body: r.body, began: r.began}
+	if c.beginTransit(x, r.head) != nil {
+		return false // the other instance takes the connection for lost
+	}
 	call, err := s.options.Dialect.DecodeCall(r.head)
 	if err != nil {
-		x := &exchange{server: s, writer: w, call: &Call{}, began: r.began}
 		x.refuse(err)
 		return w.reusable()
 	}
+	x.call = call
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	watch := c.watch(cancel)
-	x := &exchange{server: s, writer: w, call: call, body: r.body, began: r.began}
 	x.run(ctx)
 	return watch.stop() && w.reusable()
 }
 
+// beginTransit takes what another instance states about a call that it hands over from the call's
+// head.
+func (c *callerConn) beginTransit(x *exchange, head *httpwire.RequestHead) error {
+	if !c.transit {
+		return nil
+	}
+	var err error
+	if x.transit, head.Fields, err = takeTransitCall(head.Fields); err == nil {
+		x.began = x.began.Add(-x.transit.waited)
+	}
+	return err
+}
+
 // reject answers a call that could not be read, if the caller is still connected, and ends the
 // connection, because the start of the next call on it is unknown.
 func (c *callerConn) reject(err error) {
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"celeryport/event"
 	"celeryport/httpwire"
 	"celeryport/verdict"
@@ -47,6 +49,10 @@
 		status = http.StatusBadGateway
 	}
 	fields := x.server.options.Dialect.RefusalFields(x.call, failed.RetryAfter)
+	if x.transit != nil {
+		refusal := transitRefusal{declined: errors.Is(err, errDeclined), verdict: failed.Verdict, reason: failed.Reason, retryAfter: failed.RetryAfter}
+		fields = append(fields, refusal.encode())
+	}
 	x.writer.whole(&httpwire.ResponseHead{Status: status, Fields: append(fields, textFields...)}, []byte(failed.Message+"\n"))
 	more := event.Fields{
 		"status": status, "reason": failed.Reason, "message": failed.Error(), "retry_after_ms": failed.RetryAfter.Milliseconds(),
@@ -54,6 +60,10 @@
 	if failed.Reason == verdict.ReasonQuarantined {
 		more["request"] = x.fingerprint.String()
 	}
+	if errors.Is(err, errDeclined) {
+		x.server.options.Metrics.transit(transitRefusedHere)
+		return
+	}
 	if failed.Verdict == verdict.NotRun {
 		x.end("refused-" + string(failed.Reason))
 		eventRefused.Log(x.server.options.Log, x.fields(more))
@@ -97,6 +107,10 @@
 
 // end records the metrics of the finished call.
 func (x *exchange) end(outcome string) {
+	if x.transit != nil {
+		x.server.options.Metrics.transit(transitHandled) // counted by the instance that received it
+		return
+	}
 	name := ""
 	if x.route != nil {
 		name = x.route.Name
@@ -123,6 +137,12 @@
 	if x.moves > 0 {
 		fields["moves"] = x.moves
 	}
+	if x.handler != "" {
+		fields["handler"] = x.handler
+	}
+	if x.transit != nil {
+		fields["received_by"] = x.transit.from
+	}
 	if x.arbiter != "" {
 		fields["arbiter"] = x.arbiter
 	}
--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -14,6 +14,9 @@
 	DecodeCall(head *httpwire.RequestHead) (*Call, error)
 	// SendHead returns the request head with which a call is sent to an upstream.
 	SendHead(call *Call, send *Send) *httpwire.RequestHead
+	// TransitHead returns the request head with which another instance gets a call that it handles
+	// for this one: the caller's own, with the last event that the caller has received.
+	TransitHead(call *Call, resumeAfter int64, resumes bool) *httpwire.RequestHead
 	// DecodeAnswer decodes what the head of an upstream's answer states.
 	DecodeAnswer(head *httpwire.ResponseHead) Answer
 	// OrderMessage returns the request that carries an order to the engine at an address.
--- a/forward/events.go
+++ b/forward/events.go
@@ -12,9 +12,9 @@
 	eventUnreadable = event.Define(7001, logrus.WarnLevel, "call not read",
 		"A caller sent a malformed or too large call, or sent it too slowly; nothing was forwarded. Fields: status, error.")
 	eventRefused = event.Define(7002, logrus.InfoLevel, "call refused",
-		"The call was not run; the caller was informed and got the time after which to retry. Fields: call, route, status, reason, message, retry_after_ms, sends, rejections (sends rejected because a helper refused its part), arbiter (instance that placed the long prompt), waited_ms, revision.")
+		"The call was not run; the caller was informed and got the time after which to retry. Fields: call, route, status, reason, message, retry_after_ms, sends, rejections (sends rejected because a helper refused its part), arbiter (instance that placed the long prompt), handler (instance that handled the call for this one), received_by (instance for which this one handled the call), waited_ms, revision.")
 	eventServed = event.Define(7003, logrus.InfoLevel, "call answered",
-		"The caller received the upstream's whole answer. Fields: call, route, status, upstream, sends, moves (away from silent engines, see 7022), first_ms (from the call's first byte), placed_ms (until its last send was placed), pause_ms (longest pause between two events) and paused_at_ms (start of that pause), predicted_ms (of the first event), prompt (tokens), readers (engines that read the prompt), helpers (the readers other than the answering engine), arbiter (instance that placed the long prompt), total_ms, revision.")
+		"The caller received the upstream's whole answer. Fields: call, route, status, upstream, sends, moves (away from silent engines, see 7022), first_ms (from the call's first byte), placed_ms (until its last send was placed), pause_ms (longest pause between two events) and paused_at_ms (start of that pause), predicted_ms (of the first event), prompt (tokens), readers (engines that read the prompt), helpers (the readers other than the answering engine), arbiter (instance that placed the long prompt), handler (instance that handled the call for this one), received_by (instance for which this one handled the call), total_ms, revision.")
 	eventFailed = event.Define(7004, logrus.WarnLevel, "call failed",
 		"The caller did not receive a whole answer, and the call may have run. Fields: call, route, reason, message, upstream, sends, events, total_ms, revision.")
 	eventCallerLeft = event.Define(7005, logrus.InfoLevel, "caller left",
@@ -51,6 +51,10 @@
 		"None of several upstreams of a service took a new connection of this instance, and none was reached in between: this instance has lost its network paths to them, or all of them ended. Fields: service, upstream and address (the last one tried), upstreams (known for the service), error.")
 	eventPathsRestored = event.Define(7027, logrus.InfoLevel, "paths to upstreams restored",
 		"An upstream of the service took a new connection again. Fields: service, upstream, address, after_ms (since the paths were lost).")
+	eventTransitDeclined = event.Define(7028, logrus.InfoLevel, "call not taken by another instance",
+		"This instance has lost its paths to the upstreams, and another instance did not handle a call for it: it was not reached, has lost them too, stops, or has older settings. The next one is asked. Fields: call, handler, address, error.")
+	eventTransitFailed = event.Define(7029, logrus.WarnLevel, "call not answered through another instance",
+		"The connection to an instance that handled a call for this one broke before the answer was complete. Fields: call, handler, verdict, error, events, after_ms.")
 	eventMoved = event.Define(7022, logrus.InfoLevel, "call moved",
 		"The upstream of a stream was silent for so long that the caller would have disconnected; the call was sent to another engine, after the last event that the caller has. Many of these lines for one upstream show that it prefills a long prompt, or hangs. Fields: call, route, upstream, to, cause (unanswered, prefill or silent), silent_ms, patience_ms, predicted_ms (of the next event), events, after_ms.")
 	eventCleared = event.Define(7009, logrus.InfoLevel, "upstream works again",
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -16,50 +16,53 @@
 
 // exchange handles one call from its admission to its answer.
 type exchange struct {
-	server       *Server
-	writer       *callerWriter
-	call         *Call
-	body         []byte
-	fingerprint  quarantine.Fingerprint
-	began        time.Time
-	route        *settings.Route
-	service      *settings.ForwardedService
-	organisation string
-	priority     int
-	revision     uint64
-	deadline     time.Time
-	age          time.Duration   // time since the first try of the call, if the arbiter knows that it was refused before
-	plans        int             // plans made so far; part of the names of asks and reservations
-	lastAsk      string          // ID of the ask that led to the last placement
-	arbiter      string          // instance that decided on the last placement of a long prompt, empty if this one did itself
-	sends        int             // sends that may have reached an upstream
-	failed       resend.Tally    // failed sends by cause
-	missedAt     time.Time       // when the last send failed, if it found no running upstream
-	tried        []loadshare.Key // upstreams that failed the call
-	unusable     []loadshare.Key // engines in the arbiter's last answer that must not be used
-	excluded     []loadshare.Key // all unusable and refused engines so far
-	refused      []loadshare.Key // engines that refused to help
-	sentTo       []loadshare.Key // engines that received the call as lead
-	firstAt      time.Time
-	lastEvent    int64 // last event that the caller has received
-	hasEvent     bool
-	events       int
-	target       *node
-	predicted    time.Duration // predicted time from the last send to the first event
-	readers      int           // engines that read the prompt
-	seen         placement.Seen
-	longestPause time.Duration // longest pause between two events
-	pausedAt     time.Time     // when the longest pause began
-	eventAt      time.Time     // time of the last event
-	helpers      []*node       // engines that read a part of the prompt of the last send
-	placedAt     time.Time     // when the last send was placed
-	ran          bool          // a send may have run
-	heldBack     bool          // it waited for the first settings, with the other calls of that time
-	next         *work         // the send to which the call moves, already registered as in flight
-	moves        int           // moves away from silent upstreams
-	movedEvents  int           // events at the last move
-	assured      bool          // a long prompt with the minimum guarantee of its organisation
-	withinShare  bool          // a short prompt that was not refused because of its organisation's share
+	server        *Server
+	writer        *callerWriter
+	call          *Call
+	body          []byte
+	fingerprint   quarantine.Fingerprint
+	began         time.Time
+	route         *settings.Route
+	service       *settings.ForwardedService
+	organisation  string
+	priority      int
+	revision      uint64
+	deadline      time.Time
+	age           time.Duration   // time since the first try of the call, if the arbiter knows that it was refused before
+	plans         int             // plans made so far; part of the names of asks and reservations
+	lastAsk       string          // ID of the ask that led to the last placement
+	arbiter       string          // instance that decided on the last placement of a long prompt, empty if this one did itself
+	sends         int             // sends that may have reached an upstream
+	failed        resend.Tally    // failed sends by cause
+	missedAt      time.Time       // when the last send failed, if it found no running upstream
+	tried         []loadshare.Key // upstreams that failed the call
+	unusable      []loadshare.Key // engines in the arbiter's last answer that must not be used
+	excluded      []loadshare.Key // all unusable and refused engines so far
+	refused       []loadshare.Key // engines that refused to help
+	sentTo        []loadshare.Key // engines that received the call as lead
+	firstAt       time.Time
+	lastEvent     int64 // last event that the caller has received
+	hasEvent      bool
+	events        int
+	target        *node
+	predicted     time.Duration // predicted time from the last send to the first event
+	readers       int           // engines that read the prompt
+	seen          placement.Seen
+	longestPause  time.Duration // longest pause between two events
+	pausedAt      time.Time     // when the longest pause began
+	eventAt       time.Time     // time of the last event
+	helpers       []*node       // engines that read a part of the prompt of the last send
+	placedAt      time.Time     // when the last send was placed
+	ran           bool          // a send may have run
+	heldBack      bool          // it waited for the first settings, with the other calls of that time
+	next          *work         // the send to which the call moves, already registered as in flight
+	moves         int           // moves away from silent upstreams
+	movedEvents   int           // events at the last move
+	transit       *transitCall  // set if this instance handles the call for another one
+	peersDeclined bool          // no other instance handles the call for this one
+	handler       string        // the other instance that handled the last send, empty if none did
+	assured       bool          // a long prompt with the minimum guarantee of its organisation
+	withinShare   bool          // a short prompt that was not refused because of its organisation's share
 }
 
 // recordRejection records which engine received the call, and the helper because of which it was
@@ -78,7 +81,7 @@
 // allowedLeads lists the engines that may lead the call: once the call was sent to as many
 // engines as its route allows, only these. Nil means any engine.
 func (x *exchange) allowedLeads() []loadshare.Key {
-	if len(x.sentTo) < x.route.MaxSends {
+	if len(x.sentTo) < x.maxSends() {
 		return nil
 	}
 	return x.sentTo
@@ -103,11 +106,25 @@
 		x.callerLeft()
 		return
 	}
-	x.server.budgets.recordCall(x.began, x.service.Name)
+	if x.transit == nil {
+		x.server.budgets.recordCall(x.began, x.service.Name)
+		x.countOffered(x.began)
+	}
 	defer x.cancelMove()
-	x.countOffered(x.began)
 	var last *outcome
 	for {
+		if x.handBack() {
+			return
+		}
+		if x.usesPeers() {
+			if result := x.sendThroughPeers(ctx); result != nil {
+				if x.concludeTransit(ctx, result) {
+					return
+				}
+				last = result
+				continue
+			}
+		}
 		next, err := x.nextSend(ctx)
 		if ctx.Err() != nil && err != nil {
 			x.callerLeft()
@@ -141,6 +158,9 @@
 			continue
 		}
 		x.recordFailedSend(result)
+		if !result.reached {
+			x.server.fleet.awaitPaths(x.service.Name)
+		}
 		x.awaitEndCheck(ctx, result)
 		x.recordRejection(next, result)
 		if !result.otherAtFault {
@@ -229,6 +249,9 @@
 	}
 	x.fingerprint = quarantine.FingerprintOf(quarantine.ScopeOf(x.call.Host, x.call.Path, x.organisation), x.body)
 	x.service = tree.Forwarding.Service(x.route.Choose(x.server.draw()))
+	if err := x.decline(); err != nil {
+		return err
+	}
 	x.deadline = x.began.Add(x.route.Timeout)
 	if x.call.Wait > 0 {
 		x.deadline = earlier(x.deadline, x.began.Add(x.call.Wait))
@@ -254,7 +277,7 @@
 	if cause.Missed() {
 		x.missedAt = now
 	}
-	decision := x.failed.Decide(cause, resend.Limits{MaxSends: x.route.MaxSends, Left: x.deadline.Sub(now)})
+	decision := x.failed.Decide(cause, resend.Limits{MaxSends: x.maxSends(), Left: x.deadline.Sub(now)})
 	switch {
 	case !x.repeatable(o) || !decision.Repeat:
 		return x.failure(o)
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -37,6 +37,8 @@
 	random           *rand.Rand
 	suspects         *suspects
 	rates            *rates
+	transits         *transits
+	lostServices     atomic.Int32                // services to which the paths are lost
 	paths            map[string]*servicePaths    // of this instance to the upstreams of each service
 	endings          map[string]*endings.History // recent terminations of the engines of each service
 	closed           bool                        // connections are not kept any more
@@ -69,6 +71,7 @@
 		rates:            newRates(callRate),
 		startedAt:        now,
 		view:             recovery.NewView(now),
+		transits:         newTransits(options),
 		paths:            map[string]*servicePaths{},
 		endings:          map[string]*endings.History{},
 	}
--- a/forward/fleet_conns.go
+++ b/forward/fleet_conns.go
@@ -17,14 +17,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := f.options.Dial(ctx, "tcp", n.address)
+	conn, err := f.open(ctx, n)
 	if err != nil {
-		if !errors.Is(err, context.Canceled) { // the caller left
-			f.recordNotConnected(n, err)
-		}
 		return nil, errors.Wrap(err, "connect")
 	}
-	f.recordConnected(n)
 	return newUpstreamConn(conn), nil
 }
 
--- a/forward/fleet_health.go
+++ b/forward/fleet_health.go
@@ -47,13 +47,11 @@
 func (f *fleet) reachable(ctx context.Context, n *node) bool {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := f.options.Dial(ctx, "tcp", n.address)
+	conn, err := f.open(ctx, n)
 	if err != nil {
-		f.recordNotConnected(n, err)
 		f.suspect(n, err)
 		return false
 	}
-	f.recordConnected(n)
 	f.keep(n, newUpstreamConn(conn), 0)
 	return true
 }
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -25,6 +25,7 @@
 	unmoved     *prometheus.CounterVec
 	resting     prometheus.Gauge
 	lostPaths   *prometheus.GaugeVec
+	transits    *prometheus.CounterVec
 	endRate     *prometheus.GaugeVec
 	unreadable  *prometheus.CounterVec
 	datagrams   *prometheus.CounterVec
@@ -78,6 +79,9 @@
 		lostPaths: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "forward_paths_lost", Help: "1 while this instance has lost its network paths to the upstreams of a service, by service.",
 		}, []string{"service"}),
+		transits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "forward_transit_calls_total", Help: "Calls that other instances handled for this one (sent), that one of them did not take (declined), that this instance handled for others (handled), and that it did not take (refused).",
+		}, []string{"outcome"}),
 		endRate: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "forward_engine_end_rate", Help: "Terminations per engine-second that this instance observed in the last ten seconds, by service.",
 		}, []string{"service"}),
@@ -91,7 +95,7 @@
 			Name: "forward_datagram_bytes_total", Help: "Bytes of these datagrams, by kind and direction.",
 		}, []string{"kind", "direction"}),
 	}
-	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.resting, m.lostPaths, m.endRate, m.unreadable, m.datagrams, m.bytes)
+	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
 	m.shares = newShareMetrics(registry)
 	return m
 }
@@ -130,6 +134,16 @@
 	m.lostPaths.WithLabelValues(service).Set(value)
 }
 
+// Outcomes of calls between a receiving and a handling instance.
+const (
+	transitSent        = "sent"
+	transitDeclined    = "declined"
+	transitHandled     = "handled"
+	transitRefusedHere = "refused"
+)
+
+func (m *Metrics) transit(outcome string) { m.transits.WithLabelValues(outcome).Inc() }
+
 func (m *Metrics) observedEndRate(service string, rate float64) {
 	m.endRate.WithLabelValues(service).Set(rate)
 }
--- a/forward/options.go
+++ b/forward/options.go
@@ -21,10 +21,10 @@
 	ReportEvidence(e quarantine.Evidence)
 }
 
-// Dial opens a connection to an upstream. Tests replace it.
+// Dial opens a connection. Tests replace it.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Options configures a Server. All fields except Dial, Random and
+// Options configures a Server. All fields except Dial, DialPeer, Random and
 // Memory must be set.
 type Options struct {
 	Process *settings.Process
@@ -32,10 +32,12 @@
 	Dialect Dialect
 	Metrics *Metrics
 	Log     logrus.FieldLogger
-	Dial    Dial       // nil: TCP
-	Random  *rand.Rand // nil: randomly seeded
-	Budget  RepeatBudget
-	Memory  int64 // memory of the machine in bytes; 0: unknown
+	// Dial opens connections to upstreams, and DialPeer to other instances; nil: TCP.
+	Dial     Dial
+	DialPeer Dial
+	Random   *rand.Rand // nil: randomly seeded
+	Budget   RepeatBudget
+	Memory   int64 // memory of the machine in bytes; 0: unknown
 }
 
 // RepeatBudget limits the sends beyond the first of each call, over all instances together.
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -13,6 +13,7 @@
 	phase      phase // progress of the send
 	kind       sendKind
 	checked    <-chan struct{} // closed when it is known whether the upstream ended; nil unless a repeat depends on that
+	final      bool            // another instance handled the call to its end
 	ownFailure *failureAnswer  // a complete failure answer of the upstream
 
 	otherAtFault bool  // an engine other than the one that received the call is at fault
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -62,6 +62,8 @@
 				polled, chosenAt = s.nodesToPoll(), now
 				s.fleet.observeEndings(now, s.options.Plane.View())
 			}
+			s.fleet.probeLostPaths()
+			s.fleet.transits.sweep(now)
 			for _, n := range polled {
 				if s.fleet.duePoll(now, n) {
 					go s.poll(ctx, n)
@@ -120,7 +122,7 @@
 func (f *fleet) duePoll(now time.Time, n *node) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n.unavailable(now) != nil {
+	if n.unavailable(now) != nil || f.pathsLostLocked(n.service) {
 		return false
 	}
 	since := now.Sub(n.report.polledAt)
@@ -201,6 +203,9 @@
 func (s *Server) pollOnce(ctx context.Context, n *node, share reuse) (*EngineReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	if share > reuseNever {
+		defer s.fleet.watchPoll(n)()
+	}
 	head := s.options.Dialect.ReportMessage(n.address, n.name)
 	status, body, err := s.fleet.roundTrip(ctx, n, head, nil, share)
 	if err != nil {
--- a/forward/send.go
+++ b/forward/send.go
@@ -53,7 +53,7 @@
 	}
 	conn, err := fleet.connect(ctx, n, reuseForCalls)
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, errPathsLost) {
 			fleet.suspect(n, err)
 		}
 		return &outcome{verdict: verdict.NotRun, err: err}
--- a/forward/send_timeouts.go
+++ b/forward/send_timeouts.go
@@ -24,6 +24,23 @@
 	return max(minSilenceTimeout, x.predicted+x.predicted/2)
 }
 
+// lostPathsMargin is how much later than predicted data may arrive on a connection that may be lost
+// with the paths to all upstreams.
+const lostPathsMargin = 100 * time.Millisecond
+
+// silenceOnLostPaths replaces silenceTimeout while the paths to the upstreams are lost. begun means
+// that the answer has begun.
+func (x *exchange) silenceOnLostPaths(begun bool) time.Duration {
+	switch {
+	case x.service.Engine == nil:
+		return lostPathsMargin
+	case begun:
+		return max(lostPathsMargin, x.route.PauseLimit/2)
+	default:
+		return x.predicted + lostPathsMargin
+	}
+}
+
 const (
 	// hangFactor is how many times the predicted time of the first event an answer may take to
 	// begin before the upstream counts as hung. Predictions are accurate to within 0.1 s except
--- a/forward/server.go
+++ b/forward/server.go
@@ -82,8 +82,10 @@
 // closed.
 const acceptPause = 10 * time.Millisecond
 
-func (s *Server) serveConn(conn net.Conn) {
-	c := newCallerConn(s, conn)
+func (s *Server) serveConn(conn net.Conn) { s.serveCaller(newCallerConn(s, conn)) }
+
+// serveCaller serves a connection until it ends.
+func (s *Server) serveCaller(c *callerConn) {
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
--- a/forward/silence_watch.go
+++ b/forward/silence_watch.go
@@ -63,7 +63,7 @@
 	}
 	switch d := w.state.Decide(now); {
 	case d.Action == failover.Check:
-		if w.s.hung() || !x.server.fleet.reachable(w.ctx, w.s.node) {
+		if w.unresponsive() {
 			return failover.Decision{}, errSilent
 		}
 		w.state.AliveAt = time.Now()
@@ -76,15 +76,40 @@
 	return w.state.Decide(time.Now()), nil
 }
 
+// unresponsive reports whether the send is to end because nothing more is expected of its upstream.
+//
+// While the paths to the upstreams are lost, a new connection tells nothing about the upstream, and
+// the send's own connection may be lost or live on: a call that can be sent again leaves it, any
+// other call waits, because its answer may still arrive.
+func (w *silenceWatch) unresponsive() bool {
+	x, fleet := w.s.x, w.s.x.server.fleet
+	if !fleet.pathsLost(x.service.Name) {
+		if w.s.hung() {
+			return true
+		}
+		if fleet.reachable(w.ctx, w.s.node) {
+			return false
+		}
+		if !fleet.awaitPaths(x.service.Name) {
+			return true
+		}
+	}
+	return x.mayMove() && w.state.SendsLeft > 0 && x.server.budgets.allowsRepeat(time.Now(), x.service.Name)
+}
+
 // refresh updates the part of the state that changes with the progress of the call.
 func (w *silenceWatch) refresh() {
 	x := w.s.x
+	w.state.Silence = x.silenceTimeout()
+	if x.server.fleet.anyPathsLost() && x.server.fleet.pathsLost(x.service.Name) {
+		w.state.Silence = x.silenceOnLostPaths(w.s.begun)
+	}
 	w.state.EventAt, w.state.CallerAt = w.s.lastEventAt, x.began
 	if x.events > 0 {
 		w.state.CallerAt = x.eventAt
 	}
 	w.state.Repeatable = x.mayMove()
-	w.state.SendsLeft = x.route.MaxSends - x.failed.Counted() - 1 // the present send counts too
+	w.state.SendsLeft = x.maxSends() - x.failed.Counted() - 1 // the present send counts too
 	w.state.Moved = x.moves > 0 && x.movedEvents == x.events
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -36,37 +36,53 @@
 func (s *sending) forwardEvent(head *httpwire.ResponseHead, e *httpwire.Event) error {
 	x := s.x
 	s.lastEventAt = time.Now()
-	if e.HasID && x.hasEvent {
-		if e.ID <= x.lastEvent {
-			return nil
-		}
-		if e.ID != x.lastEvent+1 {
-			return errEventOrder
-		}
-	}
-	if !x.writer.begun {
-		// The head is written with the first event: until then another upstream can still answer
-		// the call without the caller noticing.
-		x.writer.begin(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()})
+	if wanted, err := x.accepts(e); err != nil || !wanted {
+		return err
 	}
+	x.beginAnswer(head)
 	if !s.begun {
 		s.begun, s.phase = true, phaseAnswering
 		x.server.fleet.recordAnswering(s.work)
 		x.server.fleet.recordAnswer(s.node)
 	}
+	x.deliver(e)
+	if x.late() {
+		x.server.fleet.recordLate(s.work)
+	}
+	return x.writer.failure
+}
+
+// accepts reports whether an event is the next one for the caller; the caller may have received it
+// already. An error means that events are missing before it.
+func (x *exchange) accepts(e *httpwire.Event) (bool, error) {
+	if !e.HasID || !x.hasEvent || e.ID == x.lastEvent+1 {
+		return true, nil
+	}
+	if e.ID <= x.lastEvent {
+		return false, nil
+	}
+	return false, errEventOrder
+}
+
+// beginAnswer prepares the head of the answer if that has not been done. It is written with the first
+// event: until then another upstream can still answer the call without the caller noticing.
+func (x *exchange) beginAnswer(head *httpwire.ResponseHead) {
+	if !x.writer.begun {
+		x.writer.begin(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()})
+	}
+}
+
+// deliver writes an event to the caller.
+func (x *exchange) deliver(e *httpwire.Event) {
 	if x.firstAt.IsZero() {
 		x.firstAt = time.Now()
 	}
 	x.recordPause()
-	if x.late() {
-		x.server.fleet.recordLate(s.work)
-	}
 	x.writer.part(e.Raw)
 	x.events++
 	if e.HasID {
 		x.lastEvent, x.hasEvent = e.ID, true
 	}
-	return x.writer.failure
 }
 
 // recordPause updates the longest pause between two events and its start.
@@ -99,9 +115,7 @@
 // streamEnded completes the caller's answer.
 func (s *sending) streamEnded(head *httpwire.ResponseHead, answer Answer) *outcome {
 	x := s.x
-	if !x.writer.begun {
-		x.writer.begin(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()})
-	}
+	x.beginAnswer(head)
 	x.writer.end()
 	s.finish(head, answer)
 	x.server.options.Metrics.sent(x.service.Name, verdict.Ran.String())
--- /dev/null
+++ b/forward/transit_send.go
@@ -0,0 +1,264 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/event"
+	"celeryport/httpwire"
+	"celeryport/membership"
+	"celeryport/verdict"
+)
+
+// An instance that has lost its paths to the upstreams of a service lets other instances handle the
+// calls to it. The other instance handles such a call like one of its own callers; this one passes on
+// its answer. A call is handed over once only.
+
+// usesPeers reports whether other instances are to handle the call.
+func (x *exchange) usesPeers() bool {
+	return x.transit == nil && x.next == nil && !x.peersDeclined && x.server.fleet.pathsLost(x.service.Name)
+}
+
+// sendThroughPeers lets another instance handle the call. It returns nil if none does; the call has
+// then reached no upstream through them.
+func (x *exchange) sendThroughPeers(ctx context.Context) *outcome {
+	s := x.server
+	var tried []string
+	for time.Now().Before(x.deadline) {
+		peer := s.fleet.transits.choose(s.options.Plane.View().Instances, tried, s.draw())
+		if peer == nil {
+			break
+		}
+		tried = append(tried, peer.Name)
+		result, err := x.sendThrough(ctx, peer)
+		if ctx.Err() != nil {
+			return &outcome{verdict: verdict.MayHaveRun, err: ctx.Err()}
+		}
+		if err == nil {
+			return result
+		}
+		s.fleet.transits.decline(peer.Name)
+		s.options.Metrics.transit(transitDeclined)
+		eventTransitDeclined.Log(s.options.Log, event.Fields{"call": x.call.ID, "handler": peer.Name, "address": peer.ControlAddress, "error": err.Error()})
+	}
+	x.peersDeclined = true
+	return nil
+}
+
+// sendThrough sends the call to another instance and passes its answer on. An error means that the
+// other instance does not handle the call, and that no upstream received it.
+func (x *exchange) sendThrough(ctx context.Context, peer *membership.Instance) (*outcome, error) {
+	transits := x.server.fleet.transits
+	conn, err := transits.connect(ctx, peer.ControlAddress)
+	if err != nil {
+		return nil, err
+	}
+	t := &transitSend{x: x, peer: peer, conn: conn}
+	stopWatch := context.AfterFunc(ctx, t.close)
+	result, err := t.exchange(ctx)
+	if !stopWatch() || !t.clean {
+		t.close()
+	} else {
+		transits.keep(peer.ControlAddress, conn)
+	}
+	if err != nil {
+		return nil, err
+	}
+	x.sends++
+	x.handler = peer.Name
+	x.ran = x.ran || result.verdict != verdict.NotRun
+	x.server.options.Metrics.transit(transitSent)
+	return result, nil
+}
+
+// transitSend is one send of a call to another instance.
+type transitSend struct {
+	x     *exchange
+	peer  *membership.Instance
+	conn  *transitConn
+	clean bool // the connection can carry another call
+}
+
+func (t *transitSend) close() { _ = t.conn.conn.Close() } // the connection is not used again
+
+var errTransitDeclined = errors.New("the instance does not handle the call")
+
+// exchange writes the call and passes the answer on.
+func (t *transitSend) exchange(ctx context.Context) (*outcome, error) {
+	x := t.x
+	if err := t.write(); err != nil {
+		return nil, errors.Wrap(err, "write the call") // an incomplete call is not handled
+	}
+	reader := bufio.NewReaderSize(&peerReader{ctx: ctx, t: t}, upstreamBuffer)
+	// The connection's own reader is empty between two calls.
+	head, err := httpwire.ReadResponseHead(reader, defaultHeaderBytes, x.call.Method)
+	if err != nil {
+		return &outcome{verdict: verdict.MayHaveRun, err: errors.Wrap(err, "read the answer of another instance"), reached: true}, nil
+	}
+	if refusal := decodeTransitRefusal(head.Fields); refusal != nil {
+		return t.refused(head, reader, refusal)
+	}
+	answer := x.server.options.Dialect.DecodeAnswer(head)
+	switch {
+	case answer.CallID != x.call.ID || !answer.Genuine:
+		return &outcome{verdict: verdict.MayHaveRun, err: errNotGenuine, reached: true}, nil
+	case head.Status < http.StatusOK || head.Status >= http.StatusMultipleChoices:
+		return t.failed(head, reader), nil
+	case x.route.Stream:
+		return t.stream(head, reader), nil
+	default:
+		return t.whole(ctx, head, reader), nil
+	}
+}
+
+func (t *transitSend) write() error {
+	x := t.x
+	head := x.server.options.Dialect.TransitHead(x.call, x.lastEvent, x.hasEvent)
+	info := transitCall{
+		from: x.server.options.Process.Name, revision: x.revision, sends: max(1, x.maxSends()-x.failed.Counted()), waited: time.Since(x.began),
+	}
+	head.Fields = append(head.Fields, info.encode())
+	head.Body = httpwire.Framing{Kind: httpwire.Sized, Length: int64(len(x.body))}
+	if err := t.conn.conn.SetWriteDeadline(x.deadline); err != nil {
+		return err
+	}
+	buffers := message(head.Append(nil), x.body)
+	_, err := buffers.WriteTo(t.conn.conn)
+	return err
+}
+
+// refused handles an answer that the other instance generated itself.
+func (t *transitSend) refused(head *httpwire.ResponseHead, reader *bufio.Reader, r *transitRefusal) (*outcome, error) {
+	text, err := httpwire.NewBody(reader, head.Body).ReadAll(defaultHeaderBytes)
+	t.clean = err == nil && !head.Close && reader.Buffered() == 0
+	switch {
+	case r.declined && r.verdict == verdict.NotRun:
+		return nil, errors.Wrapf(errTransitDeclined, "%s", text)
+	case r.declined:
+		return &outcome{verdict: r.verdict, err: errors.Wrapf(errTransitDeclined, "%s", text), reached: true}, nil
+	}
+	failed := verdict.New(r.verdict, r.reason, "%s: %s", t.peer.Name, text).After(r.retryAfter)
+	return &outcome{verdict: r.verdict, err: failed, reached: true, final: true}, nil
+}
+
+// failed handles a failure answer of an upstream.
+func (t *transitSend) failed(head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
+	body, err := httpwire.NewBody(reader, head.Body).ReadAll(maxWholeAnswerBytes)
+	if err != nil {
+		return t.broken(err)
+	}
+	t.clean = !head.Close && reader.Buffered() == 0
+	o := &outcome{verdict: verdict.Ran, err: errors.Wrapf(errOwnFailure, "status %d", head.Status), reached: true, final: true}
+	o.ownFailure = &failureAnswer{status: head.Status, reason: head.Reason, fields: head.Fields.EndToEnd(), body: body}
+	return o
+}
+
+func (t *transitSend) broken(err error) *outcome {
+	return &outcome{verdict: verdict.MayHaveRun, err: errors.Wrap(err, "read the answer of another instance"), reached: true}
+}
+
+func (t *transitSend) whole(ctx context.Context, head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
+	x := t.x
+	held := x.server.answers.Hold()
+	defer held.Release()
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	body, err := httpwire.NewBody(reader, head.Body).ReadAllReserving(maxWholeAnswerBytes, awaitRoom(ctx, held))
+	if err != nil {
+		return t.broken(err)
+	}
+	t.clean = !head.Close && reader.Buffered() == 0
+	x.firstAt = time.Now()
+	x.writer.whole(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()}, body)
+	return &outcome{verdict: verdict.Ran, reached: true}
+}
+
+func (t *transitSend) stream(head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
+	x := t.x
+	body := httpwire.NewBody(reader, head.Body)
+	events := httpwire.NewEventReader(body, maxEventBytes)
+	for {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) && body.Complete() {
+			x.beginAnswer(head)
+			x.writer.end()
+			t.clean = !head.Close && reader.Buffered() == 0
+			return &outcome{verdict: verdict.Ran, reached: true, err: x.writer.failure}
+		}
+		if err != nil {
+			return t.broken(err)
+		}
+		if wanted, err := x.accepts(&e); err != nil || !wanted {
+			if err != nil {
+				return t.broken(err)
+			}
+			continue
+		}
+		x.beginAnswer(head)
+		x.deliver(&e)
+		if x.writer.failure != nil {
+			return t.broken(x.writer.failure)
+		}
+	}
+}
+
+// peerReader reads the answer of another instance until the deadline of the call. While nothing
+// arrives it checks at intervals whether the instance still runs.
+type peerReader struct {
+	ctx context.Context
+	t   *transitSend
+}
+
+// Read implements io.Reader.
+func (r *peerReader) Read(p []byte) (int, error) {
+	t := r.t
+	if t.conn.reader.Buffered() > 0 {
+		return t.conn.reader.Read(p)
+	}
+	for {
+		if err := t.conn.conn.SetReadDeadline(earlier(t.x.deadline, time.Now().Add(minSilenceTimeout))); err != nil {
+			return 0, err
+		}
+		n, err := t.conn.conn.Read(p)
+		if n > 0 || !isTimeout(err) || !time.Now().Before(t.x.deadline) {
+			return n, err
+		}
+		if !t.x.server.fleet.transits.reachable(r.ctx, t.peer.ControlAddress) {
+			return 0, errSilent
+		}
+	}
+}
+
+// concludeTransit ends the call if its send through another instance was the last one, and reports
+// whether it did.
+func (x *exchange) concludeTransit(ctx context.Context, result *outcome) bool {
+	switch {
+	case result.err == nil:
+		x.recordServed()
+	case ctx.Err() != nil:
+		x.callerLeft()
+	case result.final:
+		x.abandon(result, result.err)
+	default:
+		x.logTransitFailed(result)
+		err := x.mayRepeat(result)
+		if err == nil {
+			return false
+		}
+		x.abandon(result, err)
+	}
+	return true
+}
+
+func (x *exchange) logTransitFailed(o *outcome) {
+	x.server.options.Metrics.sent(x.service.Name, o.verdict.String())
+	eventTransitFailed.Log(x.server.options.Log, event.Fields{
+		"call": x.call.ID, "handler": x.handler, "verdict": o.verdict.String(), "error": o.err.Error(),
+		"events": x.events, "after_ms": time.Since(x.began).Milliseconds(),
+	})
+}
--- a/forward/upstream_conn.go
+++ b/forward/upstream_conn.go
@@ -117,7 +117,7 @@
 			return 0, err
 		}
 		n, err := r.conn.Read(p)
-		if n > 0 || !isTimeout(err) || !until.Before(r.deadline) {
+		if n > 0 || !isTimeout(err) || r.watch == nil || !time.Now().Before(r.deadline) {
 			return n, err
 		}
 		pending, err := r.pending()
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -67,7 +67,10 @@
 		heal = 2*p.ToleratedLosses + 1
 	}
 	adapter := f.options.Adapter
-	var controlHandler http.Handler
+	var controlHandler, transitHandler http.Handler
+	if p.Serves == settings.ServesForwarding {
+		transitHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.server.ServeTransit(w, r) })
+	}
 	node, err := control.New(control.Options{
 		Process: p,
 		Log:     f.options.Log,
@@ -76,6 +79,7 @@
 		Timing:  forwardingTiming(),
 		Heal:    heal,
 		FanOut:  true,
+		Transit: transitHandler,
 		ExtraAt: adapter.ControlPrefix,
 		Extra:   http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { controlHandler.ServeHTTP(w, r) }),
 	})
--- a/reach/paths.go
+++ b/reach/paths.go
@@ -80,6 +80,14 @@
 	return false
 }
 
+// Missing returns how many further upstreams have to fail before the paths count as lost.
+func (p *Paths) Missing() int {
+	if p.Lost() {
+		return 0
+	}
+	return max(0, Quorum-len(p.failed))
+}
+
 // Suspected reports whether a connection to the upstream failed since the last success.
 func (p *Paths) Suspected(key loadshare.Key) bool {
 	_, failed := p.failed[key]
--- a/reach/paths_test.go
+++ b/reach/paths_test.go
@@ -87,3 +87,17 @@
 		t.Error("doubt after a success")
 	}
 }
+
+// Guards against opening more connections than the decision takes.
+func TestMissingCountsTheUpstreamsThatDecide(t *testing.T) {
+	var p Paths
+	for key := range loadshare.Key(Quorum) {
+		if got := p.Missing(); got != Quorum-int(key) {
+			t.Errorf("%d missing after %d failures", got, key)
+		}
+		p.Failed(start, key, 14)
+	}
+	if p.Missing() != 0 {
+		t.Error("some are missing although the paths are lost")
+	}
+}
