Keep instances without paths from deciding for the others

Cause: what an instance concludes from its own path was told on as if it were the state of the upstream.

Change: an instance without paths declines to place prompts; up to six instances may decline (a round trip each) before one places its prompts itself, and each is asked again after a second. As long as it is open whether an upstream or the own path failed, failures are neither reported to others nor counted as terminations.

--- a/forward/arbitration.go
+++ b/forward/arbitration.go
@@ -34,7 +34,13 @@
 	// unresponsiveFor is how long an instance that did not answer is skipped. Control detects a
 	// dead instance within that time.
 	unresponsiveFor = 3 * time.Second
-	// maxArbiters is how many instances are asked before this one places the prompt itself: a
+	// declinedFor is how long an instance that declined to place prompts is skipped: it may be able
+	// to again as soon as its paths to the engines are back.
+	declinedFor = time.Second
+	// maxDeclines is how many instances may decline, which takes a round trip each, before this one
+	// places the prompt itself: most of an availability zone may be cut off from the engines.
+	maxDeclines = 6
+	// maxArbiters is how many instances may be silent before this one places the prompt itself: a
 	// quarter of a second at most, a sixteenth of the objective of long prompts.
 	maxArbiters = 2
 	// arbitrationTick is how often waiting asks are checked again.
--- a/forward/arbitration_ask.go
+++ b/forward/arbitration_ask.go
@@ -55,7 +55,7 @@
 		delete(a.pending, id)
 		a.mu.Unlock()
 	}()
-	for range maxArbiters {
+	for silent, declined := 0, 0; silent < maxArbiters && declined < maxDeclines; {
 		a.mu.Lock()
 		chosen := s.arbiterOf(time.Now(), service)
 		a.mu.Unlock()
@@ -63,12 +63,22 @@
 			return nil, "", false
 		}
 		answer, responded := s.askInstance(ctx, chosen, ask, answers)
-		if responded {
+		if responded && (answer == nil || answer.Decision != arbiter.Unknown) {
 			return answer, chosen.Name, true
 		}
+		skipFor := unresponsiveFor
+		if responded {
+			declined++
+			skipFor = declinedFor
+		} else {
+			silent++
+		}
 		a.mu.Lock()
-		a.unresponsive[chosen.Name] = time.Now().Add(unresponsiveFor)
+		a.unresponsive[chosen.Name] = time.Now().Add(skipFor)
 		a.mu.Unlock()
+		if responded {
+			continue
+		}
 		eventArbiterSilent.Log(s.options.Log, event.Fields{"call": id, "arbiter": chosen.Name, "address": chosen.ControlAddress})
 	}
 	return nil, "", false
@@ -86,7 +96,7 @@
 			return nil, true
 		}
 		if answer != nil {
-			return answer, answer.Decision != arbiter.Unknown
+			return answer, true
 		}
 		if responded {
 			unanswered = -1
--- a/forward/endings.go
+++ b/forward/endings.go
@@ -34,6 +34,8 @@
 			switch {
 			case n.replaced || n.leaves(u) || f.superseded(n):
 				history.Record(now, n.key)
+			case n.suspicion.failures > 0 && f.pathsDoubtful(now, service):
+				// not known: this instance's own paths may have failed
 			case f.silent(now, u) || n.suspicion.failures > 0 || f.othersSuspect(now, n):
 				history.Suspect(now, n.key)
 			default:
--- a/forward/fleet_loads.go
+++ b/forward/fleet_loads.go
@@ -35,6 +35,9 @@
 	loads := map[loadshare.Key]loadshare.Load{}
 	for _, n := range f.nodes {
 		load := n.ownLoad(now)
+		if f.pathsDoubtful(now, n.service) {
+			n.withholdFailures(now, &load)
+		}
 		if load.Pace > 0 && !f.needsPace(now, n) {
 			load.Pace = 0
 		}
@@ -45,6 +48,16 @@
 	return loads
 }
 
+// withholdFailures removes the failures from a load that may be due to this instance's own paths: the
+// other instances would avoid a node that they reach. What the node stated itself remains. The lock
+// must be held.
+func (n *node) withholdFailures(now time.Time, load *loadshare.Load) {
+	load.Suspicions = 0
+	if !n.replaced && n.unavailable(now) == nil {
+		load.Failing = 0
+	}
+}
+
 // needsPace reports whether the other instances need to know that an upstream answered a poll of
 // this instance: it is slow, its announcements have stopped or are about to, or an instance
 // suspects it. If every answered poll was reported, each instance would receive a report of each
