Take a connection that broke with all paths for no evidence against its request

An instance whose connections were all reset reported each request that had just begun to be answered as the possible cause of the end of its engine: the engine took no new connection. Three such reports quarantine a request for all instances.

Cause: the check whether an engine ended asks only whether this instance reaches it.

Change: before it concludes that the engine ended, the check waits until it is known whether the own paths are lost, a few milliseconds where connections are refused. The engine then counts neither as ended nor as terminated, and its requests are not suspected.

Test: with all connections refused, one report before, none now; a single engine that refuses is reported as before, within the time for which a call waits for the check.

--- a/forward/paths_test.go
+++ b/forward/paths_test.go
@@ -204,3 +204,31 @@
 		}
 	})
 }
+// Guards against a quarantine of requests whose connections broke because the paths to all engines
+// were lost, and against missing a request that crashes its engine.
+func TestLostPathIsNoEvidenceAgainstARequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		fails func(string) (failed, hangs bool)
+		want  int
+	}{
+		"partition": {refuseAll, 0},
+		"crash":     {func(address string) (failed, hangs bool) { return address == "10.0.1.0:80", false }, 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s, network := newPathServer(t)
+			defer s.Close()
+			plane := &evidencePlane{view: s.options.Plane.View()}
+			s.options.Plane = plane
+			network.set(c.fails)
+			s.fleet.mu.Lock()
+			nodes, _ := s.fleet.eligibleNodes(plane.view.Upstreams, "model")
+			s.fleet.mu.Unlock()
+			began := time.Now()
+			<-s.fleet.recordBroken(nodes[0], brokenSend{request: poisonRequest, phase: phaseStarted})
+			if len(plane.evidence) != c.want || time.Since(began) > endCheckWait {
+				t.Errorf("%s: reported %v after %s", name, plane.evidence, time.Since(began))
+			}
+			time.Sleep(time.Second) // ends the probes
+		})
+	}
+}
--- a/forward/upstream_end.go
+++ b/forward/upstream_end.go
@@ -33,7 +33,8 @@
 func (f *fleet) checkEnd(n *node, done chan<- struct{}) {
 	defer close(done)
 	clock.Pause(context.Background(), endCheckPause)
-	ended := !f.reachable(context.Background(), n)
+	// If this instance's paths are lost, a node that can't be reached has not ended for all it knows.
+	ended := !f.reachable(context.Background(), n) && !f.awaitPaths(n.service)
 	f.mu.Lock()
 	ended = ended || n.replaced
 	if ended {
