Refuse calls of a service without upstreams before their callers leave

Cause: the wait for the restart of an upstream is bounded by a second, not by the deadline of the call; the fourth pause of 0.4 s passes a deadline of 0.58 s.

Change: a call gives up as soon as the next try could not be answered before its deadline, and is refused as not run with the time to come back.

Test: without the check the call still waits at its deadline; with it, it gives up 0.35 s after it began.

--- a/forward/await_upstreams.go
+++ b/forward/await_upstreams.go
@@ -22,7 +22,7 @@
 // held.
 func (x *exchange) absence() *resend.Absence {
 	return &resend.Absence{
-		Began: x.began, MissedAt: x.missedAt, Misses: x.failed.Missed(), ReplacedAt: x.server.fleet.lastReplaced(x.service.Name),
+		Began: x.began, Deadline: x.deadline, MissedAt: x.missedAt, Misses: x.failed.Missed(), ReplacedAt: x.server.fleet.lastReplaced(x.service.Name),
 	}
 }
 
--- a/resend/restart.go
+++ b/resend/restart.go
@@ -20,6 +20,7 @@
 // listed.
 type Absence struct {
 	Began      time.Time // when the call began
+	Deadline   time.Time // of the call; zero: none
 	MissedAt   time.Time // when its last send found no running upstream; zero if it found one
 	Misses     int       // how many sends found none
 	ReplacedAt time.Time // when another process was first seen at the address of an upstream; zero if never
@@ -32,12 +33,18 @@
 		return 0, false
 	}
 	left := firstPause<<min(maxDoublings, max(0, a.Misses-1)) - now.Sub(a.MissedAt)
-	return max(0, left), now.Add(left).Sub(a.Began) > maxRestartWait
+	retryAt := now.Add(max(0, left))
+	return max(0, left), retryAt.Sub(a.Began) > maxRestartWait || a.tooLate(retryAt)
+}
+
+// tooLate reports whether a send at the given time can't be answered before the deadline.
+func (a *Absence) tooLate(at time.Time) bool {
+	return !a.Deadline.IsZero() && a.Deadline.Sub(at) < minTimeLeft
 }
 
 // AwaitsAnnouncement reports whether a call that finds no upstream waits for an announcement:
 // another process answers at the address of one, so that it has restarted and is about to
 // announce itself.
 func (a *Absence) AwaitsAnnouncement(now time.Time) bool {
-	return !a.ReplacedAt.IsZero() && now.Sub(a.ReplacedAt) < announcedWithin && now.Sub(a.Began) < maxRestartWait
+	return !a.ReplacedAt.IsZero() && now.Sub(a.ReplacedAt) < announcedWithin && now.Sub(a.Began) < maxRestartWait && !a.tooLate(now)
 }
--- a/resend/restart_test.go
+++ b/resend/restart_test.go
@@ -28,6 +28,25 @@
 	}
 }
 
+// Guards against calls that wait for the restart of an upstream until their callers leave.
+func TestCallGivesUpWhileItsCallerWaits(t *testing.T) {
+	began := time.Unix(1000, 0)
+	deadline := began.Add(580 * time.Millisecond)
+	for now, tries := began, 1; ; tries++ {
+		a := Absence{Began: began, Deadline: deadline, MissedAt: now, Misses: tries}
+		pause, giveUp := a.PauseBeforeRetry(now)
+		if giveUp {
+			if now.Sub(began) > 400*time.Millisecond || tries < 3 {
+				t.Errorf("gives up after %d tries in %s", tries, now.Sub(began))
+			}
+			return
+		}
+		if now = now.Add(pause); !now.Before(deadline) {
+			t.Fatalf("still waits at the deadline, after %d tries", tries)
+		}
+	}
+}
+
 // Guards against waiting for upstreams that never restarted, and against waiting for ever.
 func TestOnlyRestartedUpstreamsAreAwaited(t *testing.T) {
 	began := time.Unix(1000, 0)
