Test calls that other instances handle, and decline them without settings

An instance that has no settings yet, or stops, refused a call that another one handed over, instead of declining it so that the next one is asked. Found by the test of this commit: 503, "this instance has no settings yet", while another instance could handle the call.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -89,7 +89,9 @@
 
 // run handles the call until it is answered or abandoned. ctx ends when the caller leaves.
 func (x *exchange) run(ctx context.Context) {
-	x.awaitSettings(ctx)
+	if x.transit == nil {
+		x.awaitSettings(ctx)
+	}
 	if ctx.Err() != nil {
 		x.callerLeft()
 		return
@@ -226,6 +228,9 @@
 // admit determines the call's route, organisation, service and deadline, or returns a refusal.
 func (x *exchange) admit() error {
 	view := x.server.options.Plane.View()
+	if err := x.declineUnread(view.Tree); err != nil {
+		return err
+	}
 	if !x.server.hasSettings() {
 		return verdict.Refuse(verdict.ReasonNoLease, x.spreadRetry(noSettingsRetry), "this instance has no settings yet")
 	}
@@ -249,8 +254,8 @@
 	}
 	x.fingerprint = quarantine.FingerprintOf(quarantine.ScopeOf(x.call.Host, x.call.Path, x.organisation), x.body)
 	x.service = tree.Forwarding.Service(x.route.Choose(x.server.draw()))
-	if err := x.decline(); err != nil {
-		return err
+	if x.transit != nil && x.server.fleet.pathsLost(x.service.Name) {
+		return decline(verdict.ReasonNoUpstream, "this instance can't reach the upstreams either")
 	}
 	x.deadline = x.began.Add(x.route.Timeout)
 	if x.call.Wait > 0 {
--- a/forward/transit_serve.go
+++ b/forward/transit_serve.go
@@ -11,6 +11,7 @@
 
 	"celeryport/event"
 	"celeryport/rpc"
+	"celeryport/settings"
 	"celeryport/verdict"
 )
 
@@ -49,20 +50,20 @@
 // errDeclined means that this instance does not handle a call for another one.
 var errDeclined = errors.New("this instance does not handle the call")
 
-// decline returns why this instance does not handle a call for another one, nil if it does.
-func (x *exchange) decline() error {
-	refuse := func(reason verdict.Reason, text string) error {
-		return verdict.Wrap(errDeclined, verdict.NotRun, reason, "%s", text)
-	}
+func decline(reason verdict.Reason, text string) error {
+	return verdict.Wrap(errDeclined, verdict.NotRun, reason, "%s", text)
+}
+
+// declineUnread returns why this instance handles no call for another one now, nil if it does or if
+// the call is one of its own callers.
+func (x *exchange) declineUnread(tree *settings.Tree) error {
 	switch {
 	case x.transit == nil:
 		return nil
-	case x.revision < x.transit.revision:
-		return refuse(verdict.ReasonNoLease, "the settings here are older")
+	case tree == nil || tree.Forwarding == nil || tree.Revision < x.transit.revision:
+		return decline(verdict.ReasonNoLease, "the settings here are older")
 	case x.server.draining.Load() != nil:
-		return refuse(verdict.ReasonDraining, "this instance stops")
-	case x.server.fleet.pathsLost(x.service.Name):
-		return refuse(verdict.ReasonNoUpstream, "this instance can't reach the upstreams either")
+		return decline(verdict.ReasonDraining, "this instance stops")
 	default:
 		return nil
 	}
