Judge paths by most upstreams, not by single connections

Paths are lost if at least four upstreams failed, and twice as many as were reached since the first of them; they are restored when four are reached one after the other. A success while they are lost makes the instance try the others at once.

A rack of five that had ended then counted as lost paths (reach test), so twice as many are asked for.

--- a/forward/paths.go
+++ b/forward/paths.go
@@ -16,8 +16,8 @@
 // out to be lost: the call need not wait for its time-out.
 var errPathsLost = errors.New("the paths to the upstreams of the service are lost")
 
-// errSlow is the evidence of a connection that takes much longer than usual.
-var errSlow = errors.New("the connection takes long")
+// errSlow is the evidence of a connection, or of a poll, that takes much longer than usual.
+var errSlow = errors.New("the connection or the answer takes long")
 
 // slowGrace is how long the result of a connection that seems slow is awaited: after a suspension of
 // this process the time has passed although the result is there.
@@ -131,7 +131,8 @@
 	p := f.pathsOf(n.service)
 	p.latency.Record(took)
 	lostFor := p.LostFor(now)
-	restored := p.Connected()
+	restored := p.Connected(n.key, f.known(n.service))
+	undecided := f.pathsLostLocked(n.service)
 	if restored {
 		f.lostServices.Add(-1)
 		f.clearSuspicions(n.service)
@@ -144,6 +145,14 @@
 		})
 		f.notifyChanged()
 	}
+	if undecided {
+		f.probePaths(n.service, reach.Quorum)
+	}
+}
+
+// known returns how many upstreams a service has.
+func (f *fleet) known(service string) int {
+	return len(f.options.Plane.View().Upstreams.Serving(service))
 }
 
 // clearSuspicions forgets failures that were due to lost paths: otherwise the nodes would get no work
@@ -157,12 +166,12 @@
 	}
 }
 
-// recordNotConnected records that a node accepted no new connection. As long as that leaves open
+// recordNotConnected records that a node accepted no new connection, or did not answer a poll. As long as that leaves open
 // whether the node or the paths failed, it tries up to the given number of other nodes.
 func (f *fleet) recordNotConnected(n *node, cause error, probes int) {
 	now := time.Now()
 	f.mu.Lock()
-	known := len(f.options.Plane.View().Upstreams.Serving(n.service))
+	known := f.known(n.service)
 	p := f.pathsOf(n.service)
 	lost := p.Failed(now, n.key, known)
 	peers := f.peersExist()
@@ -228,37 +237,31 @@
 	}
 }
 
-// probePaths opens connections to a number of upstreams of a service, in the background; those that
-// have not failed recently go first. The connections are kept for calls.
-func (f *fleet) probePaths(service string, count int) {
+// probePaths opens connections to at most a number of upstreams of a service, in the background, as
+// far as they help to decide whether the paths are lost. The connections are kept for calls.
+func (f *fleet) probePaths(service string, most int) {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.pathsOf(service)
-	undecided := 0
+	nodes, _ := f.eligibleNodes(f.options.Plane.View().Upstreams, service)
+	missing := p.Missing(now, len(nodes))
 	for key := range p.probed {
-		if p.Lost() || !p.Suspected(key) {
-			undecided++
+		if !p.Decided(key) {
+			missing--
 		}
 	}
-	if p.Lost() {
-		count = min(count, reach.Quorum-undecided)
-	} else {
-		count = min(count, p.Missing()-undecided)
-	}
-	nodes, _ := f.eligibleNodes(f.options.Plane.View().Upstreams, service)
 	f.random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
-	for _, again := range []bool{false, true} {
-		for _, n := range nodes {
-			if count <= 0 || again && !p.Lost() {
-				return
-			}
-			if p.Suspected(n.key) != again || p.probed[n.key] || n.unavailable(time.Now()) != nil {
-				continue
-			}
-			count--
-			p.probed[n.key] = true
-			go f.probe(p, n)
+	for _, n := range nodes {
+		if missing <= 0 || most <= 0 {
+			return
 		}
+		if p.Decided(n.key) || p.probed[n.key] || n.unavailable(now) != nil {
+			continue
+		}
+		missing, most = missing-1, most-1
+		p.probed[n.key] = true
+		go f.probe(p, n)
 	}
 }
 
@@ -286,7 +289,7 @@
 	if !watched {
 		return func() {}
 	}
-	timer := time.AfterFunc(slow, func() { f.probePaths(n.service, reach.Quorum) })
+	timer := time.AfterFunc(slow, func() { f.recordNotConnected(n, errSlow, reach.Quorum) })
 	return func() { timer.Stop() }
 }
 
@@ -325,5 +328,14 @@
 	}
 }
 
+// pathsSevered reports whether this instance has reached no upstream of a service since its paths were
+// lost.
+func (f *fleet) pathsSevered(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.paths[service]
+	return p != nil && p.Severed() && f.peersExist()
+}
+
 // peersExist reports whether other instances can handle calls for this one.
 func (f *fleet) peersExist() bool { return f.transits.exist(f.options.Plane.View().Instances) }
--- a/forward/paths_test.go
+++ b/forward/paths_test.go
@@ -165,6 +165,7 @@
 		}
 		network.set(reachAll)
 		_ = dialEngine(s, 0) // succeeds
+		time.Sleep(5 * time.Millisecond)
 		if fleet := (&arbiterFleetSource{server: s, now: time.Now()}).Fleet("model"); fleet == nil || len(fleet.Engines) != 18 {
 			t.Error("the instance does not arbitrate although its paths are back")
 		}
@@ -204,6 +205,7 @@
 		}
 	})
 }
+
 // Guards against a quarantine of requests whose connections broke because the paths to all engines
 // were lost, and against missing a request that crashes its engine.
 func TestLostPathIsNoEvidenceAgainstARequest(t *testing.T) {
--- a/forward/upstream_end.go
+++ b/forward/upstream_end.go
@@ -33,8 +33,10 @@
 func (f *fleet) checkEnd(n *node, done chan<- struct{}) {
 	defer close(done)
 	clock.Pause(context.Background(), endCheckPause)
-	// If this instance's paths are lost, a node that can't be reached has not ended for all it knows.
-	ended := !f.reachable(context.Background(), n) && !f.awaitPaths(n.service)
+	ended := !f.reachable(context.Background(), n)
+	if ended && f.awaitPaths(n.service) && f.pathsSevered(n.service) {
+		ended = false // for all that this instance knows, the node runs and only the path to it is lost
+	}
 	f.mu.Lock()
 	ended = ended || n.replaced
 	if ended {
