Cut the paths of single instances in the soak

The links of the soak stand before an engine for all instances alike, so that no run could show what an instance does that has lost its own paths.

A poll without an answer makes an instance try one other upstream instead of three.

--- a/cli/commands.go
+++ b/cli/commands.go
@@ -4,12 +4,15 @@
 	"io"
 
 	urfave "github.com/urfave/cli/v3"
+
+	"celeryport/forward"
 )
 
-// commands returns all top-level commands.
-func commands(stdout, stderr io.Writer) []*urfave.Command {
+// commands returns all top-level commands. Instances open their connections to upstreams with dial; nil:
+// TCP.
+func commands(stdout, stderr io.Writer, dial forward.Dial) []*urfave.Command {
 	return []*urfave.Command{
-		serveCommand(stdout, stderr),
+		serveCommand(stdout, stderr, dial),
 		settingsCommand(stdout, stderr),
 		reportCommand(stdout, stderr),
 		burnCommand(stdout, stderr),
--- a/cli/run.go
+++ b/cli/run.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	urfave "github.com/urfave/cli/v3"
+
+	"celeryport/forward"
 )
 
 // Exit codes of all commands.
@@ -34,12 +36,18 @@
 
 // Run executes a command line and returns its exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	return RunWithDial(ctx, args, stdout, stderr, nil)
+}
+
+// RunWithDial is like Run, but instances that forward calls open their connections to upstreams with
+// dial; nil: TCP. Tests use it to cut the paths of single processes.
+func RunWithDial(ctx context.Context, args []string, stdout, stderr io.Writer, dial forward.Dial) int {
 	app := &urfave.Command{
 		Name:      "celeryport",
 		Usage:     "serving layer for prompts of widely different lengths",
 		Writer:    stdout,
 		ErrWriter: stderr,
-		Commands:  commands(stdout, stderr),
+		Commands:  commands(stdout, stderr, dial),
 		ExitErrHandler: func(context.Context, *urfave.Command, error) {
 		},
 	}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	urfave "github.com/urfave/cli/v3"
 
+	"celeryport/forward"
 	"celeryport/instance"
 	"celeryport/logsink"
 	"celeryport/settings"
@@ -23,7 +24,7 @@
 const settingsVariable = "CELERYPORT_NODE_FILE"
 
 // serveCommand runs an instance.
-func serveCommand(stdout, stderr io.Writer) *urfave.Command {
+func serveCommand(stdout, stderr io.Writer, dial forward.Dial) *urfave.Command {
 	return &urfave.Command{
 		Name:  "serve",
 		Usage: "run an instance; SIGTERM shuts it down gracefully, a second SIGTERM aborts the requests in flight",
@@ -42,7 +43,7 @@
 			if process.Serves == settings.ServesCompletions {
 				return serve(ctx, instance.Run, instance.Options{Process: process, Log: newLog(stderr, process.LogLevel)})
 			}
-			return serveForwarding(ctx, path, process, stdout)
+			return serveForwarding(ctx, path, process, stdout, dial)
 		},
 	}
 }
@@ -70,7 +71,7 @@
 
 // serveForwarding runs an instance that forwards calls or serves control only. Its
 // log goes to standard output through a buffer that never blocks calls.
-func serveForwarding(ctx context.Context, path string, process *settings.Process, stdout io.Writer) error {
+func serveForwarding(ctx context.Context, path string, process *settings.Process, stdout io.Writer, dial forward.Dial) error {
 	sink := logsink.New(stdout)
 	defer sink.Close()
 	log := newLog(sink, process.LogLevel).WithField("instance", process.Name)
@@ -79,6 +80,7 @@
 	return serve(ctx, instance.RunForwarding, instance.Options{
 		Process: process,
 		Log:     log,
+		Dial:    dial,
 		Adapter: platformAdapter(),
 		Changes: watchSettings(watchCtx, path, log),
 	})
--- a/forward/paths.go
+++ b/forward/paths.go
@@ -289,7 +289,7 @@
 	if !watched {
 		return func() {}
 	}
-	timer := time.AfterFunc(slow, func() { f.recordNotConnected(n, errSlow, reach.Quorum) })
+	timer := time.AfterFunc(slow, func() { f.recordNotConnected(n, errSlow, 1) })
 	return func() { timer.Stop() }
 }
 
