Move what instances exchange about handed-over calls to package transit

The connections between instances and the fields of calls and refusals stood in package forward; they are a subsystem of their own: transit.Pool, transit.Call and transit.Refusal, beside transit.Peers. Idle connections to other instances end with the server. No change of behaviour otherwise.

--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -13,6 +13,7 @@
 	"celeryport/bytebudget"
 	"celeryport/event"
 	"celeryport/httpwire"
+	"celeryport/transit"
 )
 
 // callerConn is one connection of a caller. Its calls are answered one after the other.
@@ -152,8 +153,8 @@
 		return nil
 	}
 	var err error
-	if x.transit, head.Fields, err = takeTransitCall(head.Fields); err == nil {
-		x.began = x.began.Add(-x.transit.waited)
+	if x.transit, head.Fields, err = transit.TakeCall(head.Fields); err == nil {
+		x.began = x.began.Add(-x.transit.Waited)
 	}
 	return err
 }
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -10,6 +10,7 @@
 
 	"celeryport/event"
 	"celeryport/httpwire"
+	"celeryport/transit"
 	"celeryport/verdict"
 )
 
@@ -50,8 +51,8 @@
 	}
 	fields := x.server.options.Dialect.RefusalFields(x.call, failed.RetryAfter)
 	if x.transit != nil {
-		refusal := transitRefusal{declined: errors.Is(err, errDeclined), verdict: failed.Verdict, reason: failed.Reason, retryAfter: failed.RetryAfter}
-		fields = append(fields, refusal.encode())
+		refusal := transit.Refusal{Declined: errors.Is(err, errDeclined), Verdict: failed.Verdict, Reason: failed.Reason, RetryAfter: failed.RetryAfter}
+		fields = append(fields, refusal.Field())
 	}
 	x.writer.whole(&httpwire.ResponseHead{Status: status, Fields: append(fields, textFields...)}, []byte(failed.Message+"\n"))
 	more := event.Fields{
@@ -141,7 +142,7 @@
 		fields["handler"] = x.handler
 	}
 	if x.transit != nil {
-		fields["received_by"] = x.transit.from
+		fields["received_by"] = x.transit.From
 	}
 	if x.arbiter != "" {
 		fields["arbiter"] = x.arbiter
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -11,6 +11,7 @@
 	"celeryport/quarantine"
 	"celeryport/resend"
 	"celeryport/settings"
+	"celeryport/transit"
 	"celeryport/verdict"
 )
 
@@ -58,7 +59,7 @@
 	next          *work         // the send to which the call moves, already registered as in flight
 	moves         int           // moves away from silent upstreams
 	movedEvents   int           // events at the last move
-	transit       *transitCall  // set if this instance handles the call for another one
+	transit       *transit.Call // set if this instance handles the call for another one
 	peersDeclined bool          // no other instance handles the call for this one
 	handler       string        // the other instance that handled the last send, empty if none did
 	assured       bool          // a long prompt with the minimum guarantee of its organisation
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -12,6 +12,7 @@
 	"celeryport/endings"
 	"celeryport/loadshare"
 	"celeryport/recovery"
+	"celeryport/transit"
 	"celeryport/upstream"
 )
 
@@ -37,7 +38,7 @@
 	random           *rand.Rand
 	suspects         *suspects
 	rates            *rates
-	transits         *transits
+	transits         *transit.Pool
 	lostServices     atomic.Int32                // services to which the paths are lost
 	paths            map[string]*servicePaths    // of this instance to the upstreams of each service
 	endings          map[string]*endings.History // recent terminations of the engines of each service
@@ -50,10 +51,13 @@
 // newFleet returns an empty fleet. callRate returns the recent rate of calls per second at this
 // instance for a service.
 func newFleet(options *Options, callRate func(now time.Time, service string) float64) *fleet {
+	dialer := &net.Dialer{KeepAliveConfig: upstreamKeepAlive}
 	if options.Dial == nil {
-		dialer := &net.Dialer{KeepAliveConfig: upstreamKeepAlive}
 		options.Dial = dialer.DialContext
 	}
+	if options.DialPeer == nil {
+		options.DialPeer = dialer.DialContext
+	}
 	now := time.Now()
 	random := rand.New(rand.NewPCG(options.Random.Uint64(), options.Random.Uint64()))
 	return &fleet{
@@ -71,7 +75,7 @@
 		rates:            newRates(callRate),
 		startedAt:        now,
 		view:             recovery.NewView(now),
-		transits:         newTransits(options),
+		transits:         transit.NewPool(options.Process.Name, options.Process.AvailabilityZone, options.Process.InstanceKey, transit.Dial(options.DialPeer)),
 		paths:            map[string]*servicePaths{},
 		endings:          map[string]*endings.History{},
 	}
@@ -224,6 +228,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.closed = true
+	f.transits.Close()
 	for _, n := range f.nodes {
 		for _, c := range n.idle {
 			c.close()
--- a/forward/move.go
+++ b/forward/move.go
@@ -10,6 +10,7 @@
 	"celeryport/loadshare"
 	"celeryport/placement"
 	"celeryport/resend"
+	"celeryport/socket"
 )
 
 // moveObstacle is the reason why a call stays at a silent engine.
@@ -53,7 +54,7 @@
 	obstacle := noEngine
 	if w != nil {
 		now := time.Now()
-		if !readable(s.conn.conn) && state.InTime(now, x.predicted) && fleet.recommended(now, w.lead) {
+		if !socket.Readable(s.conn.conn) && state.InTime(now, x.predicted) && fleet.recommended(now, w.lead) {
 			if x.server.budgets.takeRepeat(now, x.service.Name) {
 				if x.overdue(now) {
 					fleet.recordLate(w)
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -63,7 +63,7 @@
 				s.fleet.observeEndings(now, s.options.Plane.View())
 			}
 			s.fleet.probeLostPaths()
-			s.fleet.transits.sweep(now)
+			s.fleet.transits.Sweep(now)
 			for _, n := range polled {
 				if s.fleet.duePoll(now, n) {
 					go s.poll(ctx, n)
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -12,6 +12,7 @@
 	"celeryport/event"
 	"celeryport/httpwire"
 	"celeryport/membership"
+	"celeryport/transit"
 	"celeryport/verdict"
 )
 
@@ -30,7 +31,7 @@
 	s := x.server
 	var tried []string
 	for time.Now().Before(x.deadline) {
-		peer := s.fleet.transits.choose(s.options.Plane.View().Instances, tried, s.draw())
+		peer := s.fleet.transits.Choose(s.options.Plane.View().Instances, tried, s.draw())
 		if peer == nil {
 			break
 		}
@@ -42,7 +43,7 @@
 		if err == nil {
 			return result
 		}
-		s.fleet.transits.decline(peer.Name)
+		s.fleet.transits.Decline(peer.Name)
 		s.options.Metrics.transit(transitDeclined)
 		eventTransitDeclined.Log(s.options.Log, event.Fields{"call": x.call.ID, "handler": peer.Name, "address": peer.ControlAddress, "error": err.Error()})
 	}
@@ -54,7 +55,7 @@
 // other instance does not handle the call, and that no upstream received it.
 func (x *exchange) sendThrough(ctx context.Context, peer *membership.Instance) (*outcome, error) {
 	transits := x.server.fleet.transits
-	conn, err := transits.connect(ctx, peer.ControlAddress)
+	conn, err := transits.Connect(ctx, peer.ControlAddress)
 	if err != nil {
 		return nil, err
 	}
@@ -64,7 +65,7 @@
 	if !stopWatch() || !t.clean {
 		t.close()
 	} else {
-		transits.keep(peer.ControlAddress, conn)
+		transits.Keep(peer.ControlAddress, conn)
 	}
 	if err != nil {
 		return nil, err
@@ -80,11 +81,11 @@
 type transitSend struct {
 	x     *exchange
 	peer  *membership.Instance
-	conn  *transitConn
+	conn  *transit.Conn
 	clean bool // the connection can carry another call
 }
 
-func (t *transitSend) close() { _ = t.conn.conn.Close() } // the connection is not used again
+func (t *transitSend) close() { _ = t.conn.Close() } // the connection is not used again
 
 var errTransitDeclined = errors.New("the instance does not handle the call")
 
@@ -100,7 +101,7 @@
 	if err != nil {
 		return &outcome{verdict: verdict.MayHaveRun, err: errors.Wrap(err, "read the answer of another instance"), reached: true}, nil
 	}
-	if refusal := decodeTransitRefusal(head.Fields); refusal != nil {
+	if refusal := transit.DecodeRefusal(head.Fields); refusal != nil {
 		return t.refused(head, reader, refusal)
 	}
 	answer := x.server.options.Dialect.DecodeAnswer(head)
@@ -119,31 +120,31 @@
 func (t *transitSend) write() error {
 	x := t.x
 	head := x.server.options.Dialect.TransitHead(x.call, x.lastEvent, x.hasEvent)
-	info := transitCall{
-		from: x.server.options.Process.Name, revision: x.revision, sends: max(1, x.maxSends()-x.failed.Counted()), waited: time.Since(x.began),
+	info := transit.Call{
+		From: x.server.options.Process.Name, Revision: x.revision, Sends: max(1, x.maxSends()-x.failed.Counted()), Waited: time.Since(x.began),
 	}
-	head.Fields = append(head.Fields, info.encode())
+	head.Fields = append(head.Fields, info.Field())
 	head.Body = httpwire.Framing{Kind: httpwire.Sized, Length: int64(len(x.body))}
-	if err := t.conn.conn.SetWriteDeadline(x.deadline); err != nil {
+	if err := t.conn.SetWriteDeadline(x.deadline); err != nil {
 		return err
 	}
 	buffers := message(head.Append(nil), x.body)
-	_, err := buffers.WriteTo(t.conn.conn)
+	_, err := buffers.WriteTo(t.conn)
 	return err
 }
 
 // refused handles an answer that the other instance generated itself.
-func (t *transitSend) refused(head *httpwire.ResponseHead, reader *bufio.Reader, r *transitRefusal) (*outcome, error) {
+func (t *transitSend) refused(head *httpwire.ResponseHead, reader *bufio.Reader, r *transit.Refusal) (*outcome, error) {
 	text, err := httpwire.NewBody(reader, head.Body).ReadAll(defaultHeaderBytes)
 	t.clean = err == nil && !head.Close && reader.Buffered() == 0
 	switch {
-	case r.declined && r.verdict == verdict.NotRun:
+	case r.Declined && r.Verdict == verdict.NotRun:
 		return nil, errors.Wrapf(errTransitDeclined, "%s", text)
-	case r.declined:
-		return &outcome{verdict: r.verdict, err: errors.Wrapf(errTransitDeclined, "%s", text), reached: true}, nil
+	case r.Declined:
+		return &outcome{verdict: r.Verdict, err: errors.Wrapf(errTransitDeclined, "%s", text), reached: true}, nil
 	}
-	failed := verdict.New(r.verdict, r.reason, "%s: %s", t.peer.Name, text).After(r.retryAfter)
-	return &outcome{verdict: r.verdict, err: failed, reached: true, final: true}, nil
+	failed := verdict.New(r.Verdict, r.Reason, "%s: %s", t.peer.Name, text).After(r.RetryAfter)
+	return &outcome{verdict: r.Verdict, err: failed, reached: true, final: true}, nil
 }
 
 // failed handles a failure answer of an upstream.
@@ -217,18 +218,18 @@
 // Read implements io.Reader.
 func (r *peerReader) Read(p []byte) (int, error) {
 	t := r.t
-	if t.conn.reader.Buffered() > 0 {
-		return t.conn.reader.Read(p)
+	if t.conn.Reader.Buffered() > 0 {
+		return t.conn.Reader.Read(p)
 	}
 	for {
-		if err := t.conn.conn.SetReadDeadline(earlier(t.x.deadline, time.Now().Add(minSilenceTimeout))); err != nil {
+		if err := t.conn.SetReadDeadline(earlier(t.x.deadline, time.Now().Add(minSilenceTimeout))); err != nil {
 			return 0, err
 		}
-		n, err := t.conn.conn.Read(p)
+		n, err := t.conn.Read(p)
 		if n > 0 || !isTimeout(err) || !time.Now().Before(t.x.deadline) {
 			return n, err
 		}
-		if !t.x.server.fleet.transits.reachable(r.ctx, t.peer.ControlAddress) {
+		if !t.x.server.fleet.transits.Reachable(r.ctx, t.peer.ControlAddress) {
 			return 0, errSilent
 		}
 	}
--- a/forward/transit_serve.go
+++ b/forward/transit_serve.go
@@ -60,7 +60,7 @@
 	switch {
 	case x.transit == nil:
 		return nil
-	case tree == nil || tree.Forwarding == nil || tree.Revision < x.transit.revision:
+	case tree == nil || tree.Forwarding == nil || tree.Revision < x.transit.Revision:
 		return decline(verdict.ReasonNoLease, "the settings here are older")
 	case x.server.draining.Load() != nil:
 		return decline(verdict.ReasonDraining, "this instance stops")
@@ -86,7 +86,7 @@
 // maxSends returns how many upstreams may receive the call.
 func (x *exchange) maxSends() int {
 	if x.transit != nil {
-		return min(x.route.MaxSends, x.transit.sends)
+		return min(x.route.MaxSends, x.transit.Sends)
 	}
 	return x.route.MaxSends
 }
--- a/forward/upstream_conn.go
+++ b/forward/upstream_conn.go
@@ -3,12 +3,10 @@
 import (
 	"bufio"
 	"net"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"celeryport/failover"
+	"celeryport/socket"
 )
 
 // upstreamConn is a connection to one incarnation of an upstream. It carries one call at a time.
@@ -55,7 +53,7 @@
 	if now.Sub(c.idleAt) > time.Duration(float64(c.idleFor)*float64(share)) {
 		return false
 	}
-	return c.reader.Buffered() == 0 && !readable(c.conn)
+	return c.reader.Buffered() == 0 && !socket.Readable(c.conn)
 }
 
 // worthKeeping reports whether an idle connection may still be used by the next call, or by the
@@ -69,26 +67,6 @@
 
 func (c *upstreamConn) close() { _ = c.conn.Close() } // the connection is not used again
 
-// readable reports whether a read would return at once, without consuming data.
-func readable(conn net.Conn) bool {
-	syscallConn, ok := conn.(syscall.Conn)
-	if !ok {
-		return false // an in-memory connection of a test
-	}
-	raw, err := syscallConn.SyscallConn()
-	if err != nil {
-		return true
-	}
-	ready := true
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		ready = peekErr != unix.EAGAIN
-		return true
-	})
-	return ready || err != nil
-}
-
 // livenessReader reads from an upstream until the deadline of the call. Whenever no data has
 // arrived for a while it lets its watch act: an upstream that lost its power or its network sends
 // no reset, and one that is busy for longer than the caller waits sends nothing in time.
@@ -136,7 +114,7 @@
 	if err := r.conn.SetReadDeadline(r.deadline); err != nil {
 		return false, err
 	}
-	return readable(r.conn), nil
+	return socket.Readable(r.conn), nil
 }
 
 // wakeAt returns when to act on a decision; false if it names no time.
--- /dev/null
+++ b/transit/pool.go
@@ -0,0 +1,179 @@
+package transit
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/membership"
+	"celeryport/rpc"
+	"celeryport/socket"
+)
+
+// Dial opens a connection to another instance.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Pool chooses the instances that handle calls of this one, and holds the connections to them. It is
+// safe for concurrent use.
+type Pool struct {
+	key  string
+	dial Dial
+
+	mu    sync.Mutex
+	peers *Peers
+	idle  map[string][]*Conn // by control address
+}
+
+// Conn is a connection to another instance. It carries one call at a time.
+type Conn struct {
+	net.Conn
+	Reader *bufio.Reader
+	idleAt time.Time
+}
+
+const (
+	// idleFor is how long an idle connection is kept: shorter than the idle time that any
+	// settings allow callers.
+	idleFor = time.Second
+	// connectTimeout bounds a new connection to another instance, which takes two round
+	// trips between availability zones.
+	connectTimeout = 100 * time.Millisecond
+)
+
+// bufferSize is large enough for the head and the first events of a typical answer.
+const bufferSize = 4 << 10
+
+var errNotAccepted = errors.New("the instance handles no calls of others")
+
+// NewPool returns a pool of the instance with a name in an availability zone. key is the secret that
+// all instances share.
+func NewPool(self, zone, key string, dial Dial) *Pool {
+	return &Pool{key: key, dial: dial, idle: map[string][]*Conn{}, peers: NewPeers(self, zone)}
+}
+
+// Exist reports whether there is any other instance that handles calls.
+func (p *Pool) Exist(instances []membership.Instance) bool { return p.peers.Exist(instances) }
+
+// Choose returns the instance that is asked next to handle a call; see Peers.
+func (p *Pool) Choose(instances []membership.Instance, tried []string, draw float64) *membership.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peers.Choose(time.Now(), instances, tried, draw)
+}
+
+// Decline records that an instance declined a call or was not reached.
+func (p *Pool) Decline(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers.Decline(time.Now(), name)
+}
+
+// Connect returns an idle connection to an instance or opens one. An error means that nothing was
+// sent.
+func (p *Pool) Connect(ctx context.Context, address string) (*Conn, error) {
+	if c := p.takeIdle(address); c != nil {
+		return c, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to another instance")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	reader, err := p.upgrade(conn, address)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		_ = conn.Close() // nothing was sent on it
+		return nil, err
+	}
+	return &Conn{Conn: conn, Reader: reader}, nil
+}
+
+// upgrade turns a connection to a control address into one that carries calls.
+func (p *Pool) upgrade(conn net.Conn, address string) (*bufio.Reader, error) {
+	if _, err := io.WriteString(conn, rpc.TransitUpgrade(address, p.key)); err != nil {
+		return nil, err
+	}
+	reader := bufio.NewReaderSize(conn, bufferSize)
+	answer, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the answer of another instance")
+	}
+	_ = answer.Body.Close() // it has none if the status is the expected one
+	if answer.StatusCode != http.StatusSwitchingProtocols {
+		return nil, errors.Wrapf(errNotAccepted, "status %d", answer.StatusCode)
+	}
+	return reader, nil
+}
+
+func (p *Pool) takeIdle(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	for len(list) > 0 {
+		last := list[len(list)-1]
+		list = list[:len(list)-1]
+		p.idle[address] = list
+		if time.Since(last.idleAt) < idleFor && last.Reader.Buffered() == 0 && !socket.Readable(last.Conn) {
+			return last
+		}
+		_ = last.Close() // it is not used again
+	}
+	return nil
+}
+
+// Keep returns a connection to the idle ones after a complete answer.
+func (p *Pool) Keep(address string, c *Conn) {
+	if c.Reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+		_ = c.Close() // it is not used again
+		return
+	}
+	c.idleAt = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[address] = append(p.idle[address], c)
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() { p.Sweep(time.Now().Add(idleFor)) }
+
+// Sweep closes the connections that have been idle for long.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.idleAt) < idleFor {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close() // it is not used again
+		}
+		clear(list[len(kept):])
+		if p.idle[address] = kept; len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+// Reachable reports whether an instance still accepts connections.
+func (p *Pool) Reachable(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close() // only the connection was of interest
+	return true
+}
