Count handed-over calls for the rates of the instance that sends them

Instances share the rate that an upstream names by their recent calls. Calls that another instance handles were counted at the one that received them, which sends nothing, and not at the one that sends them: its own callers would be refused although the rate has room. Found by looking for what else follows from a lost path. The repeat budget counts each call once, where its caller is.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -20,8 +20,10 @@
 
 // serviceBudget holds the times of the calls and repeats within the window.
 type serviceBudget struct {
-	calls   []time.Time
-	repeats []time.Time
+	calls      []time.Time // of own callers
+	repeats    []time.Time
+	handled    []time.Time // calls handled for other instances; they count in the budgets of those
+	handedOver []time.Time // of the calls, those that other instances handled
 }
 
 const (
@@ -44,14 +46,32 @@
 	s.calls = append(s.calls, now)
 }
 
-// callRate returns how many calls per second recently arrived for a service.
+// recordHandled records a call that this instance handles for another one.
+func (b *budgets) recordHandled(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.window(now, service)
+	s.handled = append(s.handled, now)
+}
+
+// recordHandedOver records that another instance handled a recorded call.
+func (b *budgets) recordHandedOver(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.window(now, service)
+	s.handedOver = append(s.handedOver, now)
+}
+
+// callRate returns how many calls per second this instance recently sent to a service's upstreams
+// itself. Instances share the rates that upstreams name by it.
 func (b *budgets) callRate(now time.Time, service string) float64 {
 	if b.budget.Window <= 0 {
 		return 0
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return float64(len(b.window(now, service).calls)) / b.budget.Window.Seconds()
+	s := b.window(now, service)
+	return float64(max(0, len(s.calls)+len(s.handled)-len(s.handedOver))) / b.budget.Window.Seconds()
 }
 
 // takeRepeat reports whether one more repeat may be sent and counts it if so.
@@ -93,6 +113,8 @@
 	begin := now.Add(-b.budget.Window)
 	s.calls = dropBefore(s.calls, begin)
 	s.repeats = dropBefore(s.repeats, begin)
+	s.handled = dropBefore(s.handled, begin)
+	s.handedOver = dropBefore(s.handedOver, begin)
 	return s
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -112,6 +112,8 @@
 	if x.transit == nil {
 		x.server.budgets.recordCall(x.began, x.service.Name)
 		x.countOffered(x.began)
+	} else {
+		x.server.budgets.recordHandled(time.Now(), x.service.Name)
 	}
 	defer x.cancelMove()
 	var last *outcome
