Do not count sends that are lost with the paths against the route

The handler waited for an answer that could not come.

Such a send counts apart (resend.PathLost, three at most, each against the repeat budget): the upstream did nothing wrong, and the call may run again. A call whose last send broke waits until it is known whether the paths are lost, if it would fail otherwise.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -167,6 +167,7 @@
 			x.server.fleet.awaitPaths(x.service.Name)
 		}
 		x.awaitEndCheck(ctx, result)
+		result.pathLost = x.lostOnPath(ctx, result)
 		x.recordRejection(next, result)
 		if !result.otherAtFault {
 			x.tried = append(x.tried, next.lead.key)
@@ -195,6 +196,24 @@
 	}
 }
 
+// lostOnPath reports whether the answer was lost with this instance's paths to the upstreams. If the
+// call could not be sent again otherwise, it waits until that is known.
+func (x *exchange) lostOnPath(ctx context.Context, o *outcome) bool {
+	if o.ended == nil || !x.mayMove() {
+		return false
+	}
+	if !x.server.fleet.pathsLost(x.service.Name) && x.failed.Counted()+1 >= x.maxSends() {
+		bound := time.NewTimer(endCheckWait + maxPathsWait)
+		defer bound.Stop()
+		select {
+		case <-o.ended:
+		case <-bound.C:
+		case <-ctx.Done():
+		}
+	}
+	return x.server.fleet.pathsLost(x.service.Name)
+}
+
 // quarantined reports whether the call's request is quarantined because it crashes the upstreams
 // that run it.
 func (x *exchange) quarantined() bool {
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -13,6 +13,8 @@
 	phase      phase // progress of the send
 	kind       sendKind
 	checked    <-chan struct{} // closed when it is known whether the upstream ended; nil unless a repeat depends on that
+	ended      <-chan struct{} // closed when it is known whether the upstream of a broken send ended; nil unless the send broke
+	pathLost   bool            // the answer was lost with this instance's paths to the upstreams
 	final      bool            // another instance handled the call to its end
 	ownFailure *failureAnswer  // a complete failure answer of the upstream
 
--- a/forward/outcome_cause.go
+++ b/forward/outcome_cause.go
@@ -13,6 +13,8 @@
 	switch {
 	case errors.Is(o.err, errWrongIncarnation):
 		return resend.Misdirected
+	case o.pathLost:
+		return resend.PathLost
 	case o.reached && o.otherAtFault:
 		return resend.HelperAtFault
 	case o.reached:
--- a/forward/send.go
+++ b/forward/send.go
@@ -74,8 +74,9 @@
 	if ctx.Err() == nil && endedByPeer(result.err) {
 		x.server.options.Metrics.sendBroken(x.service.Name, s.phase)
 		broken := brokenSend{request: x.fingerprint, phase: s.phase, runTime: s.runTime(), whole: !x.route.Stream, silent: errors.Is(result.err, errSilent)}
-		if checked := fleet.recordBroken(n, broken); broken.mayBeCause() {
-			result.checked = checked
+		result.ended = fleet.recordBroken(n, broken)
+		if broken.mayBeCause() {
+			result.checked = result.ended
 		}
 	}
 	if !stopWatch() || !s.clean {
--- a/forward/silence_watch.go
+++ b/forward/silence_watch.go
@@ -94,7 +94,7 @@
 			return true
 		}
 	}
-	return x.mayMove() && w.state.SendsLeft > 0 && x.server.budgets.allowsRepeat(time.Now(), x.service.Name)
+	return x.mayMove() && x.server.budgets.allowsRepeat(time.Now(), x.service.Name)
 }
 
 // refresh updates the part of the state that changes with the progress of the call.
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -142,7 +142,7 @@
 	case r.Declined && r.Verdict == verdict.NotRun:
 		return nil, errors.Wrapf(errTransitDeclined, "%s", text)
 	case r.Declined:
-		return &outcome{verdict: r.Verdict, err: errors.Wrapf(errTransitDeclined, "%s", text), reached: true}, nil
+		return &outcome{verdict: r.Verdict, err: errors.Wrapf(errTransitDeclined, "%s", text), reached: true, pathLost: true}, nil
 	}
 	failed := verdict.New(r.Verdict, r.Reason, "%s: %s", t.peer.Name, text).After(r.RetryAfter)
 	return &outcome{verdict: r.Verdict, err: failed, reached: true, final: true}, nil
--- a/resend/cause.go
+++ b/resend/cause.go
@@ -20,13 +20,18 @@
 	// Unreachable means that nothing was sent because a connection or a reservation failed, which
 	// may take as long as its time-out.
 	Unreachable
+	// PathLost means that a running upstream may have received the call, and that the answer was lost
+	// with the sender's network paths to all upstreams of the service.
+	PathLost
 
-	causes = int(Unreachable) + 1
+	causes = int(PathLost) + 1
 )
 
 // charged reports whether the send that follows counts against the repeat budget: only if a
 // running upstream had to handle the failed one, if only to reject it.
-func (c Cause) charged() bool { return c == Counted || c == HelperAtFault || c == Misdirected }
+func (c Cause) charged() bool {
+	return c == Counted || c == HelperAtFault || c == Misdirected || c == PathLost
+}
 
 // Missed reports whether the send found no running upstream.
 func (c Cause) Missed() bool { return c == Misdirected || c == Ended || c == Unreachable }
--- a/resend/tally.go
+++ b/resend/tally.go
@@ -11,6 +11,9 @@
 	maxMissed = 24
 	// maxUnreachable bounds the sends that could not connect; each may take a connect time-out.
 	maxUnreachable = 4
+	// maxPathLost bounds the sends that were lost with the paths of their senders: an instance and
+	// those that handle its call may be cut off at the same moment.
+	maxPathLost = 3
 	// minTimeLeft is the time below which a call no longer looks for a running upstream: a round
 	// trip between zones and the shortest calls of a plain service take about half of it.
 	minTimeLeft = 50 * time.Millisecond
@@ -56,6 +59,8 @@
 		d.Repeat = l.Left > 0 && t.Rejections() < maxRejections
 	case Misdirected, Ended, Withdrawn:
 		d.Repeat = l.Left >= minTimeLeft && t.counts[Misdirected]+t.counts[Ended]+t.counts[Withdrawn] < maxMissed
+	case PathLost:
+		d.Repeat = l.Left >= minTimeLeft && t.counts[PathLost] < maxPathLost
 	case Unreachable:
 		d.Repeat = l.Left >= minTimeLeft && t.counts[Unreachable] < maxUnreachable
 	}
