--- a/forward/paths.go
+++ b/forward/paths.go
@@ -166,14 +166,16 @@
 	}
 }
 
-// recordNotConnected records that a node accepted no new connection, or did not answer a poll. As long as that leaves open
-// whether the node or the paths failed, it tries up to the given number of other nodes.
+// recordNotConnected records that a node accepted no new connection, or did not answer a poll. As
+// long as that leaves open whether the node or the paths failed, it tries up to the given number of
+// other nodes.
 func (f *fleet) recordNotConnected(n *node, cause error, probes int) {
 	now := time.Now()
 	f.mu.Lock()
 	known := f.known(n.service)
 	p := f.pathsOf(n.service)
 	lost := p.Failed(now, n.key, known)
+	undecided := !p.Lost()
 	peers := f.peersExist()
 	if lost {
 		f.lostServices.Add(1)
@@ -195,17 +197,11 @@
 			f.probeOtherServices(n.service)
 			f.notifyChanged()
 		}
-	case peers && !p.isLost(f):
+	case undecided && peers:
 		f.probePaths(n.service, probes)
 	}
 }
 
-func (p *servicePaths) isLost(f *fleet) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return p.Lost()
-}
-
 // awaitPaths waits until it is known whether failures of a service's upstreams are due to the paths,
 // at most about as long as a slow connection takes, and returns whether they are.
 func (f *fleet) awaitPaths(service string) (lost bool) {
