Place a handed-over stream by its pause, not by its age

Cause: the handling instance knew when the call had arrived, not that its caller already had events, and took the time since the first byte for the wait for the first event.

Change: a handed-over call states how many events its caller has and how long ago the last one came. The handler places it within the pause limit of the route, as the first instance would.

--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -154,6 +154,7 @@
 	}
 	var err error
 	if x.transit, head.Fields, err = transit.TakeCall(head.Fields); err == nil {
+		x.events, x.eventAt = x.transit.Events, x.began.Add(-x.transit.Paused)
 		x.began = x.began.Add(-x.transit.Waited)
 	}
 	return err
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -123,6 +123,10 @@
 	head := x.server.options.Dialect.TransitHead(x.call, x.lastEvent, x.hasEvent)
 	info := transit.Call{
 		From: x.server.options.Process.Name, Revision: x.revision, Sends: max(1, x.maxSends()-x.failed.Counted()), Waited: time.Since(x.began),
+		Events: x.events,
+	}
+	if x.events > 0 {
+		info.Paused = time.Since(x.eventAt)
 	}
 	head.Fields = append(head.Fields, info.Field())
 	head.Body = httpwire.Framing{Kind: httpwire.Sized, Length: int64(len(x.body))}
--- a/transit/call.go
+++ b/transit/call.go
@@ -19,6 +19,8 @@
 	Revision uint64        // oldest settings revision with which the call may be handled
 	Sends    int           // how many upstreams may still receive the call
 	Waited   time.Duration // since the call arrived
+	Events   int           // events that the caller has received
+	Paused   time.Duration // since the last of these
 }
 
 // Field returns the field of the call.
@@ -28,6 +30,8 @@
 	values.Set("revision", strconv.FormatUint(c.Revision, 10))
 	values.Set("sends", strconv.Itoa(c.Sends))
 	values.Set("waited_ms", strconv.FormatInt(c.Waited.Milliseconds(), 10))
+	values.Set("events", strconv.Itoa(c.Events))
+	values.Set("paused_ms", strconv.FormatInt(c.Paused.Milliseconds(), 10))
 	return httpwire.Field{Name: callField, Value: values.Encode()}
 }
 
@@ -37,11 +41,19 @@
 	if err != nil {
 		return nil, fields, errors.Wrap(err, "decode the fields of a call of another instance")
 	}
-	revision, err := strconv.ParseUint(values.Get("revision"), 10, 64)
-	sends, sendsErr := strconv.Atoi(values.Get("sends"))
-	waited, waitedErr := strconv.ParseInt(values.Get("waited_ms"), 10, 64)
-	if err := errors.CombineErrors(err, errors.CombineErrors(sendsErr, waitedErr)); err != nil {
-		return nil, fields, errors.Wrap(err, "decode the fields of a call of another instance")
+	var failed error
+	number := func(name string) int64 {
+		n, err := strconv.ParseInt(values.Get(name), 10, 64)
+		failed = errors.CombineErrors(failed, err)
+		return max(0, n)
+	}
+	call := &Call{
+		From: values.Get("from"), Revision: uint64(number("revision")), Sends: max(1, int(number("sends"))),
+		Waited: time.Duration(number("waited_ms")) * time.Millisecond,
+		Events: int(number("events")), Paused: time.Duration(number("paused_ms")) * time.Millisecond,
+	}
+	if failed != nil {
+		return nil, fields, errors.Wrap(failed, "decode the fields of a call of another instance")
 	}
 	kept := make(httpwire.Fields, 0, len(fields))
 	for _, f := range fields {
@@ -49,7 +61,5 @@
 			kept = append(kept, f)
 		}
 	}
-	return &Call{
-		From: values.Get("from"), Revision: revision, Sends: max(1, sends), Waited: max(0, time.Duration(waited)*time.Millisecond),
-	}, kept, nil
+	return call, kept, nil
 }
