--- a/transit/peers.go
+++ b/transit/peers.go
@@ -43,26 +43,38 @@
 	if len(tried) >= MaxPeers {
 		return nil
 	}
-	var own, others []*membership.Instance
+	own, others := 0, 0
+	for i := range instances {
+		switch {
+		case !p.eligible(now, &instances[i], tried):
+		case instances[i].AvailabilityZone == p.zone:
+			own++
+		default:
+			others++
+		}
+	}
+	fromOwn := own > 0 && (len(tried) < ownZonePeers || others == 0)
+	left := others
+	if fromOwn {
+		left = own
+	}
+	at := min(left-1, int(draw*float64(left)))
 	for i := range instances {
 		one := &instances[i]
-		if !p.handles(one) || slices.Contains(tried, one.Name) || now.Before(p.declined[one.Name]) {
+		if (one.AvailabilityZone == p.zone) != fromOwn || !p.eligible(now, one, tried) {
 			continue
 		}
-		if one.AvailabilityZone == p.zone {
-			own = append(own, one)
-		} else {
-			others = append(others, one)
+		if at == 0 {
+			return one
 		}
+		at--
 	}
-	from := own
-	if len(own) == 0 || len(tried) >= ownZonePeers && len(others) > 0 {
-		from = others
-	}
-	if len(from) == 0 {
-		return nil
-	}
-	return from[min(len(from)-1, int(draw*float64(len(from))))]
+	return nil
+}
+
+// eligible reports whether an instance may be asked now.
+func (p *Peers) eligible(now time.Time, one *membership.Instance, tried []string) bool {
+	return p.handles(one) && !slices.Contains(tried, one.Name) && !now.Before(p.declined[one.Name])
 }
 
 // Exist reports whether there is any other instance that handles calls.
--- a/transit/peers_test.go
+++ b/transit/peers_test.go
@@ -86,3 +86,15 @@
 		t.Error("wrong statement whether there are peers")
 	}
 }
+
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []int{100, 985, 1970} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			instances := fleet(5, size/5)
+			p := NewPeers("z0-0", "z0")
+			for b.Loop() {
+				p.Choose(now, instances, nil, 0.5)
+			}
+		})
+	}
+}
