Let neither callers nor upstreams state the fields of handed-over calls

A caller's field of the same name came before the instance's own and decided with which settings and how many sends its call was handled; a field in the answer of an upstream passed for a refusal of the handling instance, with its word that the call had not run.

The instance's own field comes first and all of that name are dropped; an answer with the mark of an upstream is never a refusal.

--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -97,15 +97,14 @@
 		return nil, errors.Wrap(err, "write the call") // an incomplete call is not handled
 	}
 	reader := bufio.NewReaderSize(&peerReader{ctx: ctx, t: t}, upstreamBuffer)
-	// The connection's own reader is empty between two calls.
 	head, err := httpwire.ReadResponseHead(reader, defaultHeaderBytes, x.call.Method)
 	if err != nil {
 		return &outcome{verdict: verdict.MayHaveRun, err: errors.Wrap(err, "read the answer of another instance"), reached: true}, nil
 	}
-	if refusal := transit.DecodeRefusal(head.Fields); refusal != nil {
-		return t.refused(head, reader, refusal)
-	}
 	answer := x.server.options.Dialect.DecodeAnswer(head)
+	if refusal := transit.DecodeRefusal(head.Fields); refusal != nil && !answer.Genuine {
+		return t.refused(head, reader, refusal) // only answers of upstreams are genuine
+	}
 	switch {
 	case answer.CallID != x.call.ID || !answer.Genuine:
 		return &outcome{verdict: verdict.MayHaveRun, err: errNotGenuine, reached: true}, nil
@@ -128,7 +127,7 @@
 	if x.events > 0 {
 		info.Paused = time.Since(x.eventAt)
 	}
-	head.Fields = append(head.Fields, info.Field())
+	head.Fields = append(httpwire.Fields{info.Field()}, head.Fields...) // before a field of that name from the caller
 	head.Body = httpwire.Framing{Kind: httpwire.Sized, Length: int64(len(x.body))}
 	if err := t.conn.SetWriteDeadline(x.deadline); err != nil {
 		return err
--- a/transit/call.go
+++ b/transit/call.go
@@ -3,6 +3,7 @@
 import (
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,7 +58,7 @@
 	}
 	kept := make(httpwire.Fields, 0, len(fields))
 	for _, f := range fields {
-		if f.Name != callField {
+		if !strings.EqualFold(f.Name, callField) {
 			kept = append(kept, f)
 		}
 	}
