Try the paths to all services when those to one are lost

Since paths are judged by most upstreams, the connections that an instance opens to the other services when it has lost the paths to one were none: nothing was doubtful there yet. Calls to them that may not be repeated went on to be written on connections that were lost as well. Found by reading the diff.

Test: paths to a second service count as lost with those to the first (not before), and stay sound if only one service is cut off.

--- a/forward/path_probes.go
+++ b/forward/path_probes.go
@@ -19,7 +19,7 @@
 	}
 	f.mu.Unlock()
 	for _, service := range services {
-		f.probePaths(service, reach.Quorum)
+		f.probePaths(service, reach.Quorum, reach.Quorum)
 	}
 }
 
@@ -34,19 +34,19 @@
 	}
 	f.mu.Unlock()
 	for _, service := range services {
-		f.probePaths(service, 1)
+		f.probePaths(service, 0, 1)
 	}
 }
 
-// probePaths opens connections to at most a number of upstreams of a service, in the background, as
-// far as they help to decide whether the paths are lost. The connections are kept for calls.
-func (f *fleet) probePaths(service string, most int) {
+// probePaths opens connections to between least and most upstreams of a service, in the background:
+// as many as decide whether the paths are lost. The connections are kept for calls.
+func (f *fleet) probePaths(service string, least, most int) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.pathsOf(service)
 	nodes, _ := f.eligibleNodes(f.options.Plane.View().Upstreams, service)
-	missing := p.Missing(now, len(nodes))
+	missing := max(least, p.Missing(now, len(nodes)))
 	for key := range p.probed {
 		if !p.Decided(key) {
 			missing--
--- a/forward/paths.go
+++ b/forward/paths.go
@@ -146,7 +146,7 @@
 		f.notifyChanged()
 	}
 	if undecided {
-		f.probePaths(n.service, reach.Quorum)
+		f.probePaths(n.service, 0, reach.Quorum)
 	}
 }
 
@@ -198,7 +198,7 @@
 			f.notifyChanged()
 		}
 	case undecided && peers:
-		f.probePaths(n.service, probes)
+		f.probePaths(n.service, 0, probes)
 	}
 }
 
--- a/forward/paths_test.go
+++ b/forward/paths_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -10,6 +12,7 @@
 	"time"
 
 	"celeryport/arbiter"
+	"celeryport/upstream"
 )
 
 // pathNetwork is a network in which upstreams refuse or hang.
@@ -104,6 +107,45 @@
 	}
 }
 
+// Guards against calls to a second service, which may not be repeated, that are written on connections
+// which were lost together with those to the first one.
+func TestLostPathsToOneServiceAreLookedForAtTheOthers(t *testing.T) {
+	for name, c := range map[string]struct {
+		fails func(address string) (failed, hangs bool)
+		want  bool
+	}{
+		"all paths": {refuseAll, true},
+		"one service": {func(address string) (failed, hangs bool) {
+			return strings.HasPrefix(address, "10.0.1."), false
+		}, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s, network := newPathServer(t)
+			showUpstreams(s, func(upstreams []upstream.Upstream) []upstream.Upstream {
+				for i := range 3 {
+					shop := upstreams[i]
+					shop.Announcement.Name, shop.Announcement.Address = fmt.Sprint("shop-", i), fmt.Sprintf("10.0.2.%d:80", i)
+					shop.Announcement.Targets = []string{"shop"}
+					upstreams = append(upstreams, shop)
+				}
+				return upstreams
+			})
+			s.fleet.mu.Lock()
+			s.fleet.pathsOf("shop") // it has been called before
+			s.fleet.mu.Unlock()
+			network.set(c.fails)
+			_ = dialEngine(s, 0) // fails
+			s.fleet.awaitPaths("model")
+			time.Sleep(10 * time.Millisecond)
+			if !s.fleet.pathsLost("model") || s.fleet.pathsLost("shop") != c.want {
+				t.Errorf("%s: lost are the paths to the model %t, to the shop %t", name, s.fleet.pathsLost("model"), s.fleet.pathsLost("shop"))
+			}
+			s.Close()
+			time.Sleep(time.Second) // ends the probes
+		})
+	}
+}
+
 // Guards against taking the end of some engines for a lost path, and against many connections to find
 // that out.
 func TestEndedEnginesAreNoLostPath(t *testing.T) {
