--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -61,7 +61,7 @@
 
 func (f *forwarding) assemble() error {
 	p := f.options.Process
-	memory := applyMemoryBounds(machineFiles, p.Serves, f.options.Log)
+	memory := applyMemoryBounds(machineFiles, f.options.Log)
 	heal := 0
 	if p.Voter && p.ToleratedLosses > 0 {
 		heal = 2*p.ToleratedLosses + 1
--- a/instance/memory.go
+++ b/instance/memory.go
@@ -10,7 +10,6 @@
 
 	"celeryport/bytebudget"
 	"celeryport/event"
-	"celeryport/settings"
 )
 
 // machineFiles is where the kernel reports the memory of the machine.
@@ -25,15 +24,9 @@
 
 // applyMemoryBounds sets the soft limit and the garbage collector of the Go runtime from the memory
 // of the machine, and returns that memory in bytes, 0 if it can't be read.
-//
-// Instances that take part in control only keep the default growth between collections: they spend
-// their processor on the announcements of all upstreams.
-func applyMemoryBounds(folder string, serves settings.Duty, log logrus.FieldLogger) int64 {
+func applyMemoryBounds(folder string, log logrus.FieldLogger) int64 {
 	machine, err := machineMemory(folder)
 	bounds := bytebudget.BoundsFor(machine)
-	if serves == settings.ServesControl {
-		bounds.GCPercent = 0
-	}
 	if bounds.Process > 0 && os.Getenv(variableSoftLimit) == "" {
 		debug.SetMemoryLimit(bounds.Process)
 	}
--- a/instance/memory_test.go
+++ b/instance/memory_test.go
@@ -7,7 +7,6 @@
 	"runtime/debug"
 	"testing"
 
-	"celeryport/settings"
 	"github.com/sirupsen/logrus"
 )
 
@@ -42,23 +41,13 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	for _, test := range []struct {
-		set    string
-		serves settings.Duty
-		want   int
-	}{
-		{"", settings.ServesForwarding, 50},
-		{"70", settings.ServesForwarding, 70},
-		{"", settings.ServesControl, 70},
-		{"70", settings.ServesControl, 70},
-	} {
-		set, want := test.set, test.want
+	for set, want := range map[string]int{"": 50, "70": 70} {
 		t.Setenv(variableGCPercent, set)
 		t.Setenv(variableSoftLimit, set)
 		percent, limit := debug.SetGCPercent(70), debug.SetMemoryLimit(-1)
-		applyMemoryBounds(folder, test.serves, log)
+		applyMemoryBounds(folder, log)
 		if got := debug.SetGCPercent(percent); got != want {
-			t.Errorf("%s with GOGC=%q: the percentage is %d, want %d", test.serves, set, got, want)
+			t.Errorf("with GOGC=%q the percentage is %d, want %d", set, got, want)
 		}
 		if got := debug.SetMemoryLimit(limit); (got != limit) != (set == "") {
 			t.Errorf("with GOMEMLIMIT=%q the soft limit is %d", set, got)
