--- a/forward/silence_watch.go
+++ b/forward/silence_watch.go
@@ -78,7 +78,7 @@
 
 // unresponsive reports whether the send is to end because nothing more is expected of its upstream.
 //
-// While the paths to the upstreams are lost, a new connection tells nothing about the upstream, and
+// While the paths to the upstreams are lost, a new connection shows nothing about the upstream, and
 // the send's own connection may be lost or live on: a call that can be sent again leaves it, any
 // other call waits, because its answer may still arrive.
 func (w *silenceWatch) unresponsive() bool {
--- a/reach/paths.go
+++ b/reach/paths.go
@@ -22,7 +22,7 @@
 //
 // It answers the load of an instance that is partitioned from all or most of the upstreams while
 // callers and the other instances still reach it: all its calls would try one upstream after the
-// other, or crowd at the few that it still reaches.
+// other, or overload the few that it still reaches.
 type Paths struct {
 	failed  map[loadshare.Key]time.Time // upstreams whose last connection failed
 	reached map[loadshare.Key]struct{}  // others that were reached since the first of these failed
