Grant no requests in flight that another instance still holds

Callers saw: nothing yet; an organisation with a limit could for one heartbeat have one or two requests more in flight than its limit.

Cause: parts are divided as fractions and rounded afterwards. Instances that give up a fraction of a unit are rounded down, and the units that this set free went to others at once, although the first instances still hold them until their next statement. divide keeps this rule for fractions, roundToLimit didn't for whole units.

Change: units above what an instance holds are given only while there are units that nobody holds. A test with fixed numbers states the rule; it fails before the change (2 units granted, 1 free).

--- a/quota/allocate.go
+++ b/quota/allocate.go
@@ -133,5 +133,5 @@
 		held[i] = float64(max(o.held[i].InFlight, d.InFlight))
 	}
 	parts := divide(float64(o.limit.InFlight), want, held)
-	return roundToLimit(parts, o.limit.InFlight)
+	return roundToLimit(parts, held, o.limit.InFlight)
 }
--- a/quota/allocate_test.go
+++ b/quota/allocate_test.go
@@ -73,6 +73,20 @@
 	}
 }
 
+// Guards against units that instances give up by rounding being granted to others while they are
+// still held.
+func TestRoundingGrantsNothingThatIsStillHeld(t *testing.T) {
+	held := []float64{3, 3, 3, 3, 3, 3, 3}
+	parts := []float64{2.2, 2.2, 2.2, 2.2, 2.2, 3.5, 3.5}
+	raised := 0
+	for i, units := range roundToLimit(parts, held, 22) {
+		raised += max(0, units-int(held[i]))
+	}
+	if raised > 1 {
+		t.Errorf("instances were granted %d units above what they hold, 1 is free", raised)
+	}
+}
+
 func TestDivideFollowsDemandAndSharesWhatNobodyWants(t *testing.T) {
 	cases := []struct {
 		name  string
--- a/quota/divide.go
+++ b/quota/divide.go
@@ -57,26 +57,37 @@
 }
 
 // roundToLimit rounds the parts down and gives the remaining units to the largest remainders, as
-// long as the sum stays within the limit.
-func roundToLimit(parts []float64, limit int) []int {
+// long as the sum stays within the limit. Together the instances get only as many units above
+// what they hold, in whole units, as no instance holds: a unit that another instance gives up by rounding is
+// still held there until its next statement.
+func roundToLimit(parts, held []float64, limit int) []int {
 	const slack = 1e-6
 	units := make([]int, len(parts))
 	left := min(limit, int(math.Floor(sum(parts)+slack)))
+	free := limit - int(sum(held))
 	for i, p := range parts {
 		units[i] = int(math.Floor(p + slack))
 		left -= units[i]
+		free -= max(0, units[i]-int(held[i]))
 	}
 	for ; left > 0; left-- {
 		best := -1
 		for i, p := range parts {
 			remainder := p - float64(units[i])
-			if remainder > slack && (best < 0 || remainder > parts[best]-float64(units[best])) {
+			raises := units[i] >= int(held[i])
+			if remainder <= slack || raises && free <= 0 {
+				continue
+			}
+			if best < 0 || remainder > parts[best]-float64(units[best]) {
 				best = i
 			}
 		}
 		if best < 0 {
 			break
 		}
+		if units[best] >= int(held[best]) {
+			free--
+		}
 		units[best]++
 	}
 	return units
