Move the tracking of an instance's paths to a package of its own

It is package paths now, with its own lock below that of the fleet.

Two things change with it. Await is woken by each result instead of looking every 2 ms, and while failures are being cleared after the paths are back they still count as doubtful, because clearing them no longer happens under the lock under which the paths are marked as restored.

Measured: the tests of forward, reach and paths with -race.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -65,7 +65,7 @@
 	}
 	x.fingerprint = quarantine.FingerprintOf(quarantine.ScopeOf(x.call.Host, x.call.Path, x.organisation), x.body)
 	x.service = tree.Forwarding.Service(x.route.Choose(x.server.draw()))
-	if x.transit != nil && x.server.fleet.pathsLost(x.service.Name) {
+	if x.transit != nil && x.server.fleet.paths.Lost(x.service.Name) {
 		return decline(verdict.ReasonNoUpstream, "this instance can't reach the upstreams either")
 	}
 	x.deadline = x.began.Add(x.route.Timeout)
--- a/forward/arbitration_fleet.go
+++ b/forward/arbitration_fleet.go
@@ -25,7 +25,7 @@
 	f := w.server.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.pathsLostLocked(service) {
+	if f.paths.Lost(service) {
 		return nil // its view of the engines is that of a partition
 	}
 	unlimited, withRoom, full := f.candidates(w.now, view.Upstreams, service)
--- a/forward/endings.go
+++ b/forward/endings.go
@@ -34,7 +34,7 @@
 			switch {
 			case n.replaced || n.leaves(u) || f.superseded(n):
 				history.Record(now, n.key)
-			case n.suspicion.failures > 0 && f.pathsDoubtful(now, service):
+			case n.suspicion.failures > 0 && f.paths.Doubtful(now, service):
 				// not known: this instance's own paths may have failed
 			case f.silent(now, u) || n.suspicion.failures > 0 || f.othersSuspect(now, n):
 				history.Suspect(now, n.key)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -176,7 +176,7 @@
 func (x *exchange) continuesAfter(ctx context.Context, w *work, result *outcome) bool {
 	x.recordFailedSend(result)
 	if !result.reached {
-		x.server.fleet.awaitPaths(x.service.Name)
+		x.server.fleet.paths.Await(x.service.Name)
 	}
 	x.awaitEndCheck(ctx, result)
 	result.pathLost = x.lostOnPath(ctx, result)
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -11,6 +12,7 @@
 
 	"celeryport/endings"
 	"celeryport/loadshare"
+	"celeryport/paths"
 	"celeryport/recovery"
 	"celeryport/transit"
 	"celeryport/upstream"
@@ -39,8 +41,7 @@
 	suspects         *suspects
 	rates            *rates
 	transits         *transit.Pool
-	lostServices     atomic.Int32                // services to which the paths are lost
-	paths            map[string]*servicePaths    // of this instance to the upstreams of each service
+	paths            *paths.Monitor
 	endings          map[string]*endings.History // recent terminations of the engines of each service
 	closed           bool                        // connections are not kept any more
 }
@@ -60,7 +61,7 @@
 	}
 	now := time.Now()
 	random := rand.New(rand.NewPCG(options.Random.Uint64(), options.Random.Uint64()))
-	return &fleet{
+	f := &fleet{
 		options:          options,
 		nodes:            map[incarnationID]*node{},
 		byName:           map[string][]*node{},
@@ -76,9 +77,17 @@
 		startedAt:        now,
 		view:             recovery.NewView(now),
 		transits:         transit.NewPool(options.Process.Name, options.Process.AvailabilityZone, options.Process.InstanceKey, transit.Dial(options.DialPeer)),
-		paths:            map[string]*servicePaths{},
 		endings:          map[string]*endings.History{},
 	}
+	f.paths = paths.NewMonitor(dialThrough(options), pathFleet{f})
+	return f
+}
+
+// dialThrough returns the function that opens connections to upstreams.
+func dialThrough(options *Options) paths.Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		return options.Dial(ctx, network, address)
+	}
 }
 
 // upstreamKeepAlive detects connections whose peer is gone: an idle one is closed after about
--- a/forward/fleet_conns.go
+++ b/forward/fleet_conns.go
@@ -17,7 +17,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := f.open(ctx, n)
+	conn, err := f.paths.Open(ctx, n.path())
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
--- a/forward/fleet_health.go
+++ b/forward/fleet_health.go
@@ -47,7 +47,7 @@
 func (f *fleet) reachable(ctx context.Context, n *node) bool {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := f.open(ctx, n)
+	conn, err := f.paths.Open(ctx, n.path())
 	if err != nil {
 		f.suspect(n, err)
 		return false
--- a/forward/fleet_loads.go
+++ b/forward/fleet_loads.go
@@ -35,7 +35,7 @@
 	loads := map[loadshare.Key]loadshare.Load{}
 	for _, n := range f.nodes {
 		load := n.ownLoad(now)
-		if f.pathsDoubtful(now, n.service) {
+		if f.paths.Doubtful(now, n.service) {
 			n.withholdFailures(now, &load)
 		}
 		if load.Pace > 0 && !f.needsPace(now, n) {
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -62,7 +62,7 @@
 				polled, chosenAt = s.nodesToPoll(), now
 				s.fleet.observeEndings(now, s.options.Plane.View())
 			}
-			s.fleet.probeLostPaths()
+			s.fleet.paths.ProbeLost()
 			s.fleet.transits.Sweep(now)
 			for _, n := range polled {
 				if s.fleet.duePoll(now, n) {
@@ -122,7 +122,7 @@
 func (f *fleet) duePoll(now time.Time, n *node) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n.unavailable(now) != nil || f.pathsLostLocked(n.service) {
+	if n.unavailable(now) != nil || f.paths.Lost(n.service) {
 		return false
 	}
 	since := now.Sub(n.report.polledAt)
@@ -204,7 +204,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	if share > reuseNever {
-		defer s.fleet.watchPoll(n)()
+		defer s.fleet.paths.WatchAnswer(n.path())()
 	}
 	head := s.options.Dialect.ReportMessage(n.address, n.name)
 	status, body, err := s.fleet.roundTrip(ctx, n, head, nil, share)
--- a/forward/repeat.go
+++ b/forward/repeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"celeryport/paths"
 	"celeryport/resend"
 	"celeryport/settings"
 	"celeryport/verdict"
@@ -31,8 +32,8 @@
 	if o.ended == nil || !x.mayMove() {
 		return false
 	}
-	if !x.server.fleet.pathsLost(x.service.Name) && x.failed.Counted()+1 >= x.maxSends() {
-		bound := time.NewTimer(endCheckWait + maxPathsWait)
+	if !x.server.fleet.paths.Lost(x.service.Name) && x.failed.Counted()+1 >= x.maxSends() {
+		bound := time.NewTimer(endCheckWait + paths.MaxWait)
 		defer bound.Stop()
 		select {
 		case <-o.ended:
@@ -40,7 +41,7 @@
 		case <-ctx.Done():
 		}
 	}
-	return x.server.fleet.pathsLost(x.service.Name)
+	return x.server.fleet.paths.Lost(x.service.Name)
 }
 
 // mayRepeat records a failed send. It returns nil if another send may follow it, and the error for
--- a/forward/send.go
+++ b/forward/send.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/httpwire"
+	"celeryport/paths"
 	"celeryport/settings"
 	"celeryport/verdict"
 )
@@ -53,7 +54,7 @@
 	}
 	conn, err := fleet.connect(ctx, n, reuseForCalls)
 	if err != nil {
-		if ctx.Err() == nil && !errors.Is(err, errPathsLost) {
+		if ctx.Err() == nil && !errors.Is(err, paths.ErrLost) {
 			fleet.suspect(n, err)
 		}
 		return &outcome{verdict: verdict.NotRun, err: err}
--- a/forward/silence_watch.go
+++ b/forward/silence_watch.go
@@ -83,14 +83,14 @@
 // other call waits, because its answer may still arrive.
 func (w *silenceWatch) unresponsive() bool {
 	x, fleet := w.s.x, w.s.x.server.fleet
-	if !fleet.pathsLost(x.service.Name) {
+	if !fleet.paths.Lost(x.service.Name) {
 		if w.s.hung() {
 			return true
 		}
 		if fleet.reachable(w.ctx, w.s.node) {
 			return false
 		}
-		if !fleet.awaitPaths(x.service.Name) {
+		if !fleet.paths.Await(x.service.Name) {
 			return true
 		}
 	}
@@ -101,7 +101,7 @@
 func (w *silenceWatch) refresh() {
 	x := w.s.x
 	w.state.Silence = x.silenceTimeout()
-	if x.server.fleet.anyPathsLost() && x.server.fleet.pathsLost(x.service.Name) {
+	if x.server.fleet.paths.AnyLost() && x.server.fleet.paths.Lost(x.service.Name) {
 		w.state.Silence = x.silenceOnLostPaths(w.s.begun)
 	}
 	w.state.EventAt, w.state.CallerAt = w.s.lastEventAt, x.began
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -22,7 +22,7 @@
 
 // usesPeers reports whether other instances are to handle the call.
 func (x *exchange) usesPeers() bool {
-	return x.transit == nil && x.next == nil && !x.peersDeclined && x.server.fleet.pathsLost(x.service.Name)
+	return x.transit == nil && x.next == nil && !x.peersDeclined && x.server.fleet.paths.Lost(x.service.Name)
 }
 
 // sendThroughPeers lets another instance handle the call. It returns nil if none does; the call has
--- a/forward/transit_serve.go
+++ b/forward/transit_serve.go
@@ -72,7 +72,7 @@
 // handBack ends a call of another instance if the paths to the upstreams were lost while this one
 // handled it, and reports whether it did. The other instance may send it elsewhere.
 func (x *exchange) handBack() bool {
-	if x.transit == nil || !x.server.fleet.pathsLost(x.service.Name) {
+	if x.transit == nil || !x.server.fleet.paths.Lost(x.service.Name) {
 		return false
 	}
 	v := verdict.NotRun
--- a/forward/upstream_end.go
+++ b/forward/upstream_end.go
@@ -34,7 +34,7 @@
 	defer close(done)
 	clock.Pause(context.Background(), endCheckPause)
 	ended := !f.reachable(context.Background(), n)
-	if ended && f.awaitPaths(n.service) && f.pathsSevered(n.service) {
+	if ended && f.paths.Await(n.service) && f.paths.Severed(n.service) {
 		ended = false // for all that this instance knows, the node runs and only the path to it is lost
 	}
 	f.mu.Lock()
--- /dev/null
+++ b/paths/state.go
@@ -0,0 +1,28 @@
+package paths
+
+import (
+	"context"
+
+	"celeryport/loadshare"
+	"celeryport/reach"
+)
+
+// state is the state of the paths to the upstreams of one service.
+type state struct {
+	reach.Paths
+	latency   reach.Latency
+	opening   map[*context.CancelCauseFunc]struct{} // connections that are being opened
+	probed    map[loadshare.Key]bool                // upstreams to which a probing connection is being opened
+	restoring bool                                  // the paths are back, but failures have not been cleared yet
+	changed   chan struct{}                         // closed at the next change
+}
+
+func newState() *state {
+	return &state{opening: map[*context.CancelCauseFunc]struct{}{}, probed: map[loadshare.Key]bool{}, changed: make(chan struct{})}
+}
+
+// notify wakes those that wait for a change.
+func (s *state) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
