Report a request as not run only if no engine may have run it

Callers saw: a refusal that says "not run" although an earlier engine may have run the request, if the last engine refused it too late for another send. They may send such a request again, and its effect is duplicated.

Cause: the verdict over all sends was computed where refusals were known to follow other sends, not where requests end; checkRetry returned the error of the last send as it was.

Evidence: a new test with two sends fails before the change ("not-run").

Change: the scheduler combines the verdicts in fail, through which each refusal of an accepted request goes, and leaves the error of the single send unchanged.

The forwarding road has its own accounting of sends (exchange.mayHaveRun) and is not affected.

--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -73,7 +73,7 @@
 	}
 	err := s.checkRetry(now, j, outcome, spread)
 	if err != nil {
-		s.fail(now, j, err)
+		s.fail(j, err)
 		return
 	}
 	s.scheduleRetry(now, j)
@@ -121,14 +121,15 @@
 }
 
 // fail ends a job with a refusal.
-func (s *Scheduler) fail(now time.Time, j *job, err *verdict.Error) {
+func (s *Scheduler) fail(j *job, err *verdict.Error) {
 	r := j.request
 	if j.phase == waiting {
 		s.dequeue(j)
 	}
-	_ = now
+	overall := *err // the error may be that of a single send
+	overall.Verdict = j.overallVerdict(err.Verdict)
 	s.deleteJob(j)
-	s.refuse(r, err)
+	s.refuse(r, &overall)
 }
 
 // deleteJob removes a job that is in no queue and has no sends.
--- a/dispatch/offer.go
+++ b/dispatch/offer.go
@@ -142,7 +142,7 @@
 		return
 	}
 	after := s.queueWait(now, j)
-	s.fail(now, j, verdict.Refuse(verdict.ReasonQueueFull, max(s.config.Step, after), "%d requests of class %s wait", limit, j.class.name))
+	s.fail(j, verdict.Refuse(verdict.ReasonQueueFull, max(s.config.Step, after), "%d requests of class %s wait", limit, j.class.name))
 }
 
 func (s *Scheduler) newJob(r *request.Request, a *admission.Account) *job {
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -23,7 +23,7 @@
 		return nil
 	}
 	if !j.account.Budget.Spend() {
-		return budgetExhausted(j, err)
+		return budgetExhausted(err)
 	}
 	return nil
 }
@@ -39,8 +39,8 @@
 	return !outcome.Delivered || outcome.Resumable
 }
 
-func budgetExhausted(j *job, err *verdict.Error) *verdict.Error {
-	refusal := verdict.Wrap(err, j.overallVerdict(err.Verdict), verdict.ReasonRetryBudget, "too many failures to try again")
+func budgetExhausted(err *verdict.Error) *verdict.Error {
+	refusal := verdict.Wrap(err, err.Verdict, verdict.ReasonRetryBudget, "too many failures to try again")
 	refusal.RetryAfter = time.Second
 	return refusal
 }
--- a/dispatch/retry_test.go
+++ b/dispatch/retry_test.go
@@ -102,6 +102,25 @@
 	t.Fatal("no final answer")
 }
 
+// Guards against a refusal of the last engine that is passed on as "not run" although an engine before
+// it may have run the request.
+func TestRefusalTooLateForAnotherSendIsNotReportedAsNotRun(t *testing.T) {
+	s := newTestScheduler(4)
+	r := prompt("a", 1000, epoch)
+	s.Offer(epoch, r)
+	take(s)
+	s.Finish(epoch, "a", Outcome{Err: verdict.New(verdict.MayHaveRun, verdict.ReasonUpstream, "cut")})
+	now := epoch.Add(time.Second)
+	s.Tick(now)
+	if sent := take(s); len(sent) != 1 || sent[0].Kind != Send {
+		t.Fatalf("got %+v, want a second send", sent)
+	}
+	s.Finish(r.Deadline.Add(-time.Millisecond), "a", Outcome{Err: verdict.New(verdict.NotRun, verdict.ReasonUpstream, "refused")})
+	if last := take(s); len(last) != 1 || last[0].Kind != Refuse || last[0].Err.Verdict != verdict.MayHaveRun {
+		t.Fatalf("got %+v, want a refusal that says that the request may have run", last)
+	}
+}
+
 // A request returns from a failed engine while ten younger ones wait. If it
 // were queued at the end, it would wait for all of them and lose its position
 // through no fault of its caller.
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -34,7 +34,7 @@
 		if j.mayHaveRun {
 			err = verdict.New(verdict.MayHaveRun, verdict.ReasonTimeout, "the deadline passed after it was sent")
 		}
-		s.fail(now, j, err)
+		s.fail(j, err)
 	}
 }
 
@@ -81,8 +81,7 @@
 	}
 	after := max(s.config.Step, s.queueWait(now, j))
 	err := verdict.Refuse(verdict.ReasonDeadline, after, "can't be answered in time any more")
-	err.Verdict = j.overallVerdict(err.Verdict)
-	s.fail(now, j, err)
+	s.fail(j, err)
 }
 
 // unservable reports whether the request would miss its deadline even if it were
