Keep proposing evidence after the control goroutine was busy

Callers saw: requests that crash engines are not listed any more, until the leader changes.

Cause: the leader gives the task that proposes a batch of evidence two seconds to be taken. If the control goroutine is busy for longer, the task is dropped, but the batch stays the open one of the leader: all further evidence joins it, and nothing proposes it.

Evidence: a new test, in virtual time, fails before the change.

Change: the task waits for as long as the node runs. Those who wait for the batch keep their own time limits.

Measured: tests of control about evidence, with -race.

--- a/control/evidence_batch.go
+++ b/control/evidence_batch.go
@@ -69,14 +69,13 @@
 	}
 }
 
-// commitBatch proposes the batch of a leader after batchDelay.
+// commitBatch proposes the batch of a leader after batchDelay, and then as soon as the control goroutine
+// has time for it: until it is taken, all further evidence joins it.
 func (n *Node) commitBatch(l *leader) {
-	ctx, cancel := context.WithTimeout(context.Background(), evidenceTimeout)
-	defer cancel()
-	clock.Pause(ctx, batchDelay)
+	clock.Pause(context.Background(), batchDelay)
 	var batch *evidenceBatch
 	done := make(chan proposalResult, 1)
-	err := n.do(ctx, func(now time.Time) {
+	err := n.do(context.Background(), func(now time.Time) {
 		batch, l.evidence = l.evidence, nil
 		if n.core.leader != l {
 			done <- proposalResult{err: errNotLeader}
@@ -85,8 +84,10 @@
 		n.core.group.propose(now, &state.Command{At: now.Round(0).UTC(), Evidence: batch.evidence}, done)
 	})
 	if err != nil {
-		return // the node has stopped or accepted no task in time; waiting callers end with the node or their context
+		return // the node has stopped, and with it all that wait for the batch
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), evidenceTimeout)
+	defer cancel()
 	_, batch.err = n.awaitProposal(ctx, done)
 	close(batch.done)
 }
--- a/control/evidence_test.go
+++ b/control/evidence_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -137,6 +138,28 @@
 	f.awaitQuarantine(f.members[3:], true)
 }
 
+// Guards against a leader that commits no more evidence, ever, once its control goroutine was busy for
+// longer than evidenceTimeout.
+func TestBatchIsProposedAfterALongWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &leader{evidence: &evidenceBatch{done: make(chan struct{})}}
+		n := &Node{tasks: make(chan task), stopped: make(chan struct{}), core: &core{}}
+		go n.commitBatch(l)
+		time.Sleep(2 * evidenceTimeout)
+		synctest.Wait()
+		select {
+		case run := <-n.tasks:
+			run(time.Now())
+		default:
+		}
+		synctest.Wait()
+		if l.evidence != nil {
+			t.Error("the batch still collects evidence")
+		}
+		close(n.stopped)
+	})
+}
+
 // Guards against a report that fills the log of the voters or that they cannot decode.
 func TestUnusableReportsAreRejected(t *testing.T) {
 	t.Parallel()
