Move the repeat budgets to package resend

They decide, without I/O, whether a send may follow another one, as the rest of that package does. forward keeps only their use. Behaviour is unchanged.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -121,10 +121,10 @@
 		return false
 	}
 	if x.transit == nil {
-		x.server.budgets.recordCall(x.began, x.service.Name)
+		x.server.budgets.RecordCall(x.began, x.service.Name)
 		x.countOffered(x.began)
 	} else {
-		x.server.budgets.recordHandled(time.Now(), x.service.Name)
+		x.server.budgets.RecordHandled(time.Now(), x.service.Name)
 	}
 	return true
 }
--- a/forward/options.go
+++ b/forward/options.go
@@ -10,6 +10,7 @@
 
 	"celeryport/control"
 	"celeryport/quarantine"
+	"celeryport/resend"
 	"celeryport/settings"
 )
 
@@ -36,17 +37,10 @@
 	Dial     Dial
 	DialPeer Dial
 	Random   *rand.Rand // nil: randomly seeded
-	Budget   RepeatBudget
+	Budget   resend.Budget
 	Memory   int64 // memory of the machine in bytes; 0: unknown
 }
 
-// RepeatBudget limits the sends beyond the first of each call, over all instances together.
-type RepeatBudget struct {
-	Ratio  float64       // repeats per call of a service
-	Slack  float64       // repeats beyond the ratio, over all instances
-	Window time.Duration // length of the sliding window
-}
-
 // Defaults for limits that the settings leave out.
 const (
 	defaultHeaderBytes   = 16 << 10
--- a/forward/resting.go
+++ b/forward/resting.go
@@ -31,7 +31,7 @@
 // isLastSend reports whether the call will not be sent again if its next send is rejected. Such
 // a call must not be used to probe whether an upstream accepts requests again.
 func (x *exchange) isLastSend(now time.Time) bool {
-	return x.failed.Counted()+1 >= x.route.MaxSends || !x.server.budgets.allowsRepeat(now, x.service.Name)
+	return x.failed.Counted()+1 >= x.route.MaxSends || !x.server.budgets.AllowsRepeat(now, x.service.Name)
 }
 
 // restSummary describes the nodes of a service while some of them rest.
--- a/forward/server.go
+++ b/forward/server.go
@@ -12,13 +12,14 @@
 
 	"celeryport/bytebudget"
 	"celeryport/event"
+	"celeryport/resend"
 )
 
 // Server accepts callers' connections and forwards their calls.
 type Server struct {
 	options     Options
 	fleet       *fleet
-	budgets     *budgets
+	budgets     *resend.Budgets
 	arbitration *arbitration
 	shares      *shares                    // nil: organisations have no shares
 	bodies      *bytebudget.Budget         // bytes of calls that were received or are being received
@@ -50,8 +51,8 @@
 		bodies:    bytebudget.New(bounds.Bodies),
 		answers:   bytebudget.New(bounds.Answers),
 	}
-	s.budgets = newBudgets(options.Budget, s.instances)
-	s.fleet = newFleet(&s.options, s.budgets.callRate)
+	s.budgets = resend.NewBudgets(options.Budget, s.instances)
+	s.fleet = newFleet(&s.options, s.budgets.CallRate)
 	s.arbitration = newArbitration()
 	if s.shares = newShares(&s.options); s.shares != nil {
 		s.arbitration.queue.UseShares(s.shares)
--- a/forward/silence_watch.go
+++ b/forward/silence_watch.go
@@ -59,7 +59,7 @@
 	w.refresh()
 	if w.state.Patience > 0 {
 		w.state.Prefill = x.server.fleet.prefillTime(now, w.s.node)
-		w.state.Budget = x.server.budgets.allowsRepeat(now, x.service.Name)
+		w.state.Budget = x.server.budgets.AllowsRepeat(now, x.service.Name)
 	}
 	switch d := w.state.Decide(now); {
 	case d.Action == failover.Check:
@@ -94,7 +94,7 @@
 			return true
 		}
 	}
-	return x.mayMove() && x.server.budgets.allowsRepeat(time.Now(), x.service.Name)
+	return x.mayMove() && x.server.budgets.AllowsRepeat(time.Now(), x.service.Name)
 }
 
 // refresh updates the part of the state that changes with the progress of the call.
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -74,7 +74,7 @@
 	x.handler = peer.Name
 	x.ran = x.ran || result.verdict != verdict.NotRun
 	x.server.options.Metrics.transit(transitSent)
-	x.server.budgets.recordHandedOver(time.Now(), x.service.Name)
+	x.server.budgets.RecordHandedOver(time.Now(), x.service.Name)
 	return result, nil
 }
 
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -18,6 +18,7 @@
 	"celeryport/event"
 	"celeryport/forward"
 	"celeryport/membership"
+	"celeryport/resend"
 	"celeryport/settings"
 )
 
@@ -101,7 +102,7 @@
 			Metrics: forward.NewMetrics(f.metrics),
 			Log:     f.options.Log,
 			Dial:    f.options.Dial,
-			Budget:  forward.RepeatBudget{Ratio: p.RepeatRatio, Slack: p.RepeatSlack, Window: p.RepeatWindow},
+			Budget:  resend.Budget{Ratio: p.RepeatRatio, Slack: p.RepeatSlack, Window: p.RepeatWindow},
 			Memory:  memory,
 		})
 	}
--- a/forward/budget.go
+++ b/resend/budgets.go
@@ -1,18 +1,25 @@
-package forward
+package resend
 
 import (
 	"sync"
 	"time"
 )
 
-// budgets limits, per service, how many sends may follow the first sends of calls. All instances
+// Budget limits the sends beyond the first of each call, over all instances together.
+type Budget struct {
+	Ratio  float64       // repeats per call of a service
+	Slack  float64       // repeats beyond the ratio, over all instances
+	Window time.Duration // length of the sliding window
+}
+
+// Budgets limits, per service, how many sends may follow the first sends of calls. All instances
 // together have to stay within the limit without coordinating each repeat, so each instance uses
 // only its share: a ratio of its own calls plus an equal part of the slack.
 //
 // Without the limit, a service that begins to fail would receive all its calls twice just when
 // it is least able to handle them.
-type budgets struct {
-	budget    RepeatBudget
+type Budgets struct {
+	budget    Budget
 	instances func() int
 	mu        sync.Mutex
 	services  map[string]*serviceBudget
@@ -34,37 +41,38 @@
 	slackFraction = 0.7
 )
 
-func newBudgets(budget RepeatBudget, instances func() int) *budgets {
-	return &budgets{budget: budget, instances: instances, services: map[string]*serviceBudget{}}
+// NewBudgets returns the budgets of one instance. instances returns how many share them.
+func NewBudgets(budget Budget, instances func() int) *Budgets {
+	return &Budgets{budget: budget, instances: instances, services: map[string]*serviceBudget{}}
 }
 
-// recordCall records the first send of a call.
-func (b *budgets) recordCall(now time.Time, service string) {
+// RecordCall records the first send of a call.
+func (b *Budgets) RecordCall(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.window(now, service)
 	s.calls = append(s.calls, now)
 }
 
-// recordHandled records a call that this instance handles for another one.
-func (b *budgets) recordHandled(now time.Time, service string) {
+// RecordHandled records a call that this instance handles for another one.
+func (b *Budgets) RecordHandled(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.window(now, service)
 	s.handled = append(s.handled, now)
 }
 
-// recordHandedOver records that another instance handled a recorded call.
-func (b *budgets) recordHandedOver(now time.Time, service string) {
+// RecordHandedOver records that another instance handled a recorded call.
+func (b *Budgets) RecordHandedOver(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.window(now, service)
 	s.handedOver = append(s.handedOver, now)
 }
 
-// callRate returns how many calls per second this instance recently sent to a service's upstreams
+// CallRate returns how many calls per second this instance recently sent to a service's upstreams
 // itself. Instances share the rates that upstreams name by it.
-func (b *budgets) callRate(now time.Time, service string) float64 {
+func (b *Budgets) CallRate(now time.Time, service string) float64 {
 	if b.budget.Window <= 0 {
 		return 0
 	}
@@ -74,8 +82,8 @@
 	return float64(max(0, len(s.calls)+len(s.handled)-len(s.handedOver))) / b.budget.Window.Seconds()
 }
 
-// takeRepeat reports whether one more repeat may be sent and counts it if so.
-func (b *budgets) takeRepeat(now time.Time, service string) bool {
+// TakeRepeat reports whether one more repeat may be sent and counts it if so.
+func (b *Budgets) TakeRepeat(now time.Time, service string) bool {
 	share := b.share()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -87,8 +95,8 @@
 	return true
 }
 
-// allowsRepeat reports whether a repeat could be sent now, without counting one.
-func (b *budgets) allowsRepeat(now time.Time, service string) bool {
+// AllowsRepeat reports whether a repeat could be sent now, without counting one.
+func (b *Budgets) AllowsRepeat(now time.Time, service string) bool {
 	share := b.share()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -96,7 +104,7 @@
 }
 
 // share returns this instance's part of the slack.
-func (b *budgets) share() float64 { return b.budget.Slack * slackFraction / float64(b.instances()) }
+func (b *Budgets) share() float64 { return b.budget.Slack * slackFraction / float64(b.instances()) }
 
 // allows reports whether one more repeat is within the budget.
 func (s *serviceBudget) allows(ratio, share float64) bool {
@@ -104,7 +112,7 @@
 }
 
 // window returns the record of a service, with entries before the current window removed.
-func (b *budgets) window(now time.Time, service string) *serviceBudget {
+func (b *Budgets) window(now time.Time, service string) *serviceBudget {
 	s := b.services[service]
 	if s == nil {
 		s = &serviceBudget{}
