Accept connections at the control address no faster than they are read (a trial)

Its three voters, at 99 % of 0.12 cores, get some 330 new connections a second each from 2,999 upstreams that announce themselves, no settings are ever acknowledged, and 1,600 connections are open at the busiest.

Hypothesis: the voters answer announcements in the order of their arrival, later than the second after which an upstream turns to the next voter.

Change: package backlog hands out at most eight connections that have not been read, shortens the queue of the kernel, and closes connections whose callers have left.

--- a/control/run.go
+++ b/control/run.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"celeryport/backlog"
 	"celeryport/event"
 	"celeryport/rpc"
 )
@@ -105,7 +106,12 @@
 }
 
 func (n *Node) serve(server *http.Server, listener net.Listener) error {
-	err := server.Serve(listener)
+	bounded, err := backlog.Listen(listener)
+	if err != nil {
+		return err
+	}
+	server.ConnState = bounded.Track
+	err = server.Serve(bounded)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
