--- /dev/null
+++ b/delivery/writer.go
@@ -0,0 +1,108 @@
+// Package delivery writes answers to callers that may read slowly.
+package delivery
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/httpwire"
+)
+
+// Writer writes the answer of one call.
+type Writer struct {
+	Conn    net.Conn
+	Method  string // of the call
+	Close   bool   // close the connection after the answer
+	buffer  []byte
+	begun   bool
+	ended   bool  // the answer was written completely
+	failure error // first write error of the connection
+}
+
+// Begun reports whether the caller may have received a part of the answer.
+func (w *Writer) Begun() bool { return w.begun }
+
+// Failure returns the first write error of the connection.
+func (w *Writer) Failure() error { return w.failure }
+
+const (
+	// WriteTimeout is how long a caller may read nothing of an answer that waits for it.
+	WriteTimeout = 5 * time.Second
+	// Timeout bounds the time for which a caller that reads slowly holds a part of an
+	// answer.
+	Timeout = 30 * time.Second
+)
+
+// Whole writes a complete answer with its body.
+func (w *Writer) Whole(head *httpwire.ResponseHead, body []byte) {
+	head.Body = httpwire.Framing{Kind: httpwire.Sized, Length: int64(len(body))}
+	head.Close = w.Close
+	w.buffer = head.Append(w.buffer[:0])
+	if w.Method != http.MethodHead {
+		w.buffer = append(w.buffer, body...)
+	}
+	w.flush()
+	w.ended = w.failure == nil
+}
+
+// Begin prepares the head of a chunked answer; it is sent with the first part.
+func (w *Writer) Begin(head *httpwire.ResponseHead) {
+	head.Body = httpwire.Framing{Kind: httpwire.Chunked}
+	head.Close = w.Close
+	w.buffer = head.Append(w.buffer[:0])
+	w.begun = true
+}
+
+// Part writes one part of a chunked answer.
+func (w *Writer) Part(data []byte) {
+	w.buffer = httpwire.AppendChunk(w.buffer, data)
+	w.flush()
+}
+
+// End completes a chunked answer. Without it the caller can tell that the answer is truncated.
+func (w *Writer) End() {
+	w.buffer = append(w.buffer, httpwire.LastChunk...)
+	w.flush()
+	w.ended = w.failure == nil
+}
+
+func (w *Writer) flush() {
+	if w.failure == nil {
+		w.failure = w.deliver(w.buffer)
+	}
+	w.begun = true
+	w.buffer = w.buffer[:0]
+}
+
+// deliver writes data for as long as the caller keeps reading some of it.
+func (w *Writer) deliver(data []byte) error {
+	until := time.Now().Add(Timeout)
+	for {
+		if err := w.Conn.SetWriteDeadline(timeOut(until, time.Now())); err != nil {
+			return err
+		}
+		n, err := w.Conn.Write(data)
+		if err == nil {
+			return nil
+		}
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(until) {
+			return err
+		}
+		data = data[n:]
+	}
+}
+
+// Reusable reports whether another call may follow on the connection.
+func (w *Writer) Reusable() bool { return w.ended && !w.Close }
+
+// timeOut returns when the next write times out.
+func timeOut(until, now time.Time) time.Time {
+	if next := now.Add(WriteTimeout); next.Before(until) {
+		return next
+	}
+	return until
+}
--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/bytebudget"
+	"celeryport/delivery"
 	"celeryport/event"
 	"celeryport/httpwire"
 	"celeryport/transit"
@@ -104,7 +105,7 @@
 
 // refuseUnread refuses a call whose body was not read and ends the connection.
 func (c *callerConn) refuseUnread(head *httpwire.RequestHead, began time.Time) {
-	w := &callerWriter{conn: c.conn, close: true, method: head.Method}
+	w := &delivery.Writer{Conn: c.conn, Close: true, Method: head.Method}
 	x := &exchange{server: c.server, writer: w, call: &Call{}, began: began}
 	if c.beginTransit(x, head) != nil {
 		return // the other instance takes the connection for lost
@@ -128,7 +129,7 @@
 	s := c.server
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	w := &callerWriter{conn: c.conn, close: r.head.Close || s.draining.Load() != nil, method: r.head.Method}
+	w := &delivery.Writer{Conn: c.conn, Close: r.head.Close || s.draining.Load() != nil, Method: r.head.Method}
 	x := &exchange{server: s, writer: w, call: &Call{}, body: r.body, began: r.began}
 	if c.beginTransit(x, r.head) != nil {
 		return false // the other instance takes the connection for lost
@@ -136,14 +137,14 @@
 	call, err := s.options.Dialect.DecodeCall(r.head)
 	if err != nil {
 		x.refuse(err)
-		return w.reusable()
+		return w.Reusable()
 	}
 	x.call = call
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	watch := c.watch(cancel)
 	x.run(ctx)
-	return watch.stop() && w.reusable()
+	return watch.stop() && w.Reusable()
 }
 
 // beginTransit takes what another instance states about a call that it hands over from the call's
@@ -176,8 +177,8 @@
 	}
 	c.server.options.Metrics.rejected(status)
 	eventUnreadable.Log(c.server.options.Log, event.Fields{"status": status, "error": err.Error()})
-	w := &callerWriter{conn: c.conn, close: true}
-	w.whole(&httpwire.ResponseHead{Status: status, Fields: textFields}, []byte(err.Error()+"\n"))
+	w := &delivery.Writer{Conn: c.conn, Close: true}
+	w.Whole(&httpwire.ResponseHead{Status: status, Fields: textFields}, []byte(err.Error()+"\n"))
 	c.linger()
 }
 
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -17,7 +17,7 @@
 // abandon ends the call after its last send, with the upstream's own failure answer if there is
 // one.
 func (x *exchange) abandon(last *outcome, err error) {
-	if last != nil && last.ownFailure != nil && !x.writer.begun {
+	if last != nil && last.ownFailure != nil && !x.writer.Begun() {
 		x.forwardFailure(last.ownFailure)
 		return
 	}
@@ -30,7 +30,7 @@
 // forwardFailure forwards an upstream's own failure answer to the caller.
 func (x *exchange) forwardFailure(failed *failureAnswer) {
 	x.firstAt = time.Now()
-	x.writer.whole(&httpwire.ResponseHead{Status: failed.status, Reason: failed.reason, Fields: failed.fields}, failed.body)
+	x.writer.Whole(&httpwire.ResponseHead{Status: failed.status, Reason: failed.reason, Fields: failed.fields}, failed.body)
 	x.end("upstream-failure")
 	eventServed.Log(x.server.options.Log, x.fields(event.Fields{"status": failed.status}))
 }
@@ -39,8 +39,8 @@
 // begun.
 func (x *exchange) refuse(err error) {
 	failed := verdict.From(err)
-	if x.writer.begun {
-		x.writer.close = true
+	if x.writer.Begun() {
+		x.writer.Close = true
 		x.end("broken-off")
 		eventFailed.Log(x.server.options.Log, x.fields(event.Fields{"reason": failed.Reason, "message": failed.Error()}))
 		return
@@ -54,7 +54,7 @@
 		refusal := transit.Refusal{Declined: errors.Is(err, errDeclined), Verdict: failed.Verdict, Reason: failed.Reason, RetryAfter: failed.RetryAfter}
 		fields = append(fields, refusal.Field())
 	}
-	x.writer.whole(&httpwire.ResponseHead{Status: status, Fields: append(fields, textFields...)}, []byte(failed.Message+"\n"))
+	x.writer.Whole(&httpwire.ResponseHead{Status: status, Fields: append(fields, textFields...)}, []byte(failed.Message+"\n"))
 	more := event.Fields{
 		"status": status, "reason": failed.Reason, "message": failed.Error(), "retry_after_ms": failed.RetryAfter.Milliseconds(),
 	}
@@ -89,7 +89,7 @@
 }
 
 func (x *exchange) callerLeft() {
-	x.writer.close = true
+	x.writer.Close = true
 	x.end("caller-left")
 	eventCallerLeft.Log(x.server.options.Log, x.fields(nil))
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"celeryport/delivery"
 	"celeryport/loadshare"
 	"celeryport/placement"
 	"celeryport/quarantine"
@@ -16,7 +17,7 @@
 // exchange handles one call from its admission to its answer.
 type exchange struct {
 	server        *Server
-	writer        *callerWriter
+	writer        *delivery.Writer
 	call          *Call
 	body          []byte
 	fingerprint   quarantine.Fingerprint
--- a/forward/refuse_test.go
+++ b/forward/refuse_test.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"celeryport/delivery"
 	"celeryport/httpwire"
 	"celeryport/verdict"
 )
@@ -39,7 +40,7 @@
 	for _, test := range tests {
 		ours, theirs := net.Pipe()
 		go func() {
-			x := &exchange{server: server, writer: &callerWriter{conn: ours}, call: &Call{}, began: time.Now()}
+			x := &exchange{server: server, writer: &delivery.Writer{Conn: ours}, call: &Call{}, began: time.Now()}
 			x.refuse(test.err)
 		}()
 		head, err := httpwire.ReadResponseHead(bufio.NewReader(theirs), defaultHeaderBytes, http.MethodGet)
--- a/forward/repeat.go
+++ b/forward/repeat.go
@@ -71,7 +71,7 @@
 	}
 	switch x.route.Repeat {
 	case settings.RepeatWhole:
-		return !x.writer.begun
+		return !x.writer.Begun()
 	case settings.RepeatRest:
 		return o.verdict != verdict.Ran || o.ownFailure == nil
 	default:
--- a/forward/send.go
+++ b/forward/send.go
@@ -290,7 +290,7 @@
 	x := s.x
 	x.server.fleet.recordAnswer(s.node)
 	x.firstAt = time.Now()
-	x.writer.whole(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()}, body)
+	x.writer.Whole(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()}, body)
 	x.server.options.Metrics.sent(x.service.Name, verdict.Ran.String())
 	return &outcome{verdict: verdict.Ran, reached: true}
 }
--- a/forward/silence_watch.go
+++ b/forward/silence_watch.go
@@ -120,7 +120,7 @@
 	case settings.RepeatRest:
 		return x.events == 0 || x.hasEvent
 	case settings.RepeatWhole:
-		return !x.writer.begun
+		return !x.writer.Begun()
 	default:
 		return false
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -49,7 +49,7 @@
 	if x.late() {
 		x.server.fleet.recordLate(s.work)
 	}
-	return x.writer.failure
+	return x.writer.Failure()
 }
 
 // accepts reports whether an event is the next one for the caller; the caller may have received it
@@ -67,8 +67,8 @@
 // beginAnswer prepares the head of the answer if that has not been done. It is written with the first
 // event: until then another upstream can still answer the call without the caller noticing.
 func (x *exchange) beginAnswer(head *httpwire.ResponseHead) {
-	if !x.writer.begun {
-		x.writer.begin(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()})
+	if !x.writer.Begun() {
+		x.writer.Begin(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()})
 	}
 }
 
@@ -78,7 +78,7 @@
 		x.firstAt = time.Now()
 	}
 	x.recordPause()
-	x.writer.part(e.Raw)
+	x.writer.Part(e.Raw)
 	x.events++
 	if e.HasID {
 		x.lastEvent, x.hasEvent = e.ID, true
@@ -116,8 +116,8 @@
 func (s *sending) streamEnded(head *httpwire.ResponseHead, answer Answer) *outcome {
 	x := s.x
 	x.beginAnswer(head)
-	x.writer.end()
+	x.writer.End()
 	s.finish(head, answer)
 	x.server.options.Metrics.sent(x.service.Name, verdict.Ran.String())
-	return &outcome{verdict: verdict.Ran, reached: true, err: x.writer.failure}
+	return &outcome{verdict: verdict.Ran, reached: true, err: x.writer.Failure()}
 }
--- a/forward/suspects_test.go
+++ b/forward/suspects_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"celeryport/control"
+	"celeryport/delivery"
 	"celeryport/loadshare"
 	"celeryport/quarantine"
 	"celeryport/upstream"
@@ -145,7 +146,7 @@
 	ours, theirs := net.Pipe()
 	defer theirs.Close()
 	go func() { _, _ = io.Copy(io.Discard, theirs) }()
-	x := &exchange{server: server, writer: &callerWriter{conn: ours}, call: &Call{}, began: time.Now(), fingerprint: poisonRequest}
+	x := &exchange{server: server, writer: &delivery.Writer{Conn: ours}, call: &Call{}, began: time.Now(), fingerprint: poisonRequest}
 	recordCrashes(s, poisonRequest, 2)
 	x.forwardFailure(&failureAnswer{status: http.StatusInternalServerError})
 	recordCrashes(s, poisonRequest, 3)
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -179,7 +179,7 @@
 	}
 	t.clean = !head.Close && reader.Buffered() == 0
 	x.firstAt = time.Now()
-	x.writer.whole(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()}, body)
+	x.writer.Whole(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()}, body)
 	return &outcome{verdict: verdict.Ran, reached: true}
 }
 
@@ -191,9 +191,9 @@
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && body.Complete() {
 			x.beginAnswer(head)
-			x.writer.end()
+			x.writer.End()
 			t.clean = !head.Close && reader.Buffered() == 0
-			return &outcome{verdict: verdict.Ran, reached: true, err: x.writer.failure}
+			return &outcome{verdict: verdict.Ran, reached: true, err: x.writer.Failure()}
 		}
 		if err != nil {
 			return t.broken(err)
@@ -206,8 +206,8 @@
 		}
 		x.beginAnswer(head)
 		x.deliver(&e)
-		if x.writer.failure != nil {
-			return t.broken(x.writer.failure)
+		if x.writer.Failure() != nil {
+			return t.broken(x.writer.Failure())
 		}
 	}
 }
