--- a/reach/latency.go
+++ b/reach/latency.go
@@ -13,8 +13,8 @@
 	meanWeight, deviationWeight = 8, 4
 )
 
-// Latency estimates how long new connections to the upstreams of a service take. The zero value
-// knows nothing.
+// Latency estimates how long new connections to the upstreams of a service take. The zero value has no
+// estimate yet.
 type Latency struct {
 	mean, deviation time.Duration
 }
