--- a/control/run.go
+++ b/control/run.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"celeryport/backlog"
 	"celeryport/event"
 	"celeryport/rpc"
 )
@@ -106,12 +105,7 @@
 }
 
 func (n *Node) serve(server *http.Server, listener net.Listener) error {
-	bounded, err := backlog.Listen(listener)
-	if err != nil {
-		return err
-	}
-	server.ConnState = bounded.Track
-	err = server.Serve(bounded)
+	err := server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
