Let the callers of a process test wait until there is a leader

Cause: a caller tries twelve times without a pause. While the leader and an instance are dead, a try is refused within a millisecond, so on a busy machine all tries are over before there is a new leader, and nothing is tested.

Change: a caller makes at least twelve tries, as before, and goes on for at least ten seconds with a short pause. Both checks and their bounds are unchanged.

--- a/cli/traffic_process_test.go
+++ b/cli/traffic_process_test.go
@@ -28,6 +28,8 @@
 	retriedKeys   = 50
 	callersPerKey = 4 // concurrent callers per key
 	maxTries      = 12
+	retriedFor    = 10 * time.Second // at least; the leader and an instance are killed meanwhile
+	callerPause   = 20 * time.Millisecond
 	keepSeconds   = 1
 	processModel  = "sarto"
 	processTree   = `[organisation]
@@ -242,7 +244,9 @@
 func (f *trafficFleet) retry(key string, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for range maxTries {
+	began := time.Now()
+	for try := 0; try < maxTries || time.Since(began) < retriedFor; try++ {
+		time.Sleep(callerPause)
 		address := f.traffic[random.IntN(len(f.traffic))]
 		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/services/cassa/hold", strings.NewReader(key))
 		if err != nil {
