Cancel probes that begin while the paths are being found lost

Callers saw: an instance whose paths hung came back to its own paths some 0.1 s later than it could.

Cause: several failures at the same time decide that the paths are lost and cancel the connections that are being opened. A probe that one of these failures had asked for could begin, or register its connection, only after that: it hung on, counted as slow while the paths were back already, and its failure made the count of reached upstreams begin again.

Change: a probe is not begun if the paths have been found lost or restored since it was asked for, and is registered for cancellation under the same lock.

--- a/paths/evidence.go
+++ b/paths/evidence.go
@@ -26,7 +26,7 @@
 		s.restoring = false
 		m.mu.Unlock()
 	case undecided && m.fleet.PeersExist():
-		m.probe(u.Service, 0, reach.Quorum)
+		m.probe(u.Service, true, 0, reach.Quorum)
 	}
 }
 
@@ -54,6 +54,6 @@
 			m.probeOthers(u.Service)
 		}
 	case undecided && peers:
-		m.probe(u.Service, 0, probes)
+		m.probe(u.Service, false, 0, probes)
 	}
 }
--- a/paths/probes.go
+++ b/paths/probes.go
@@ -14,7 +14,7 @@
 // to be the same, and calls that may not be repeated would find out at their cost.
 func (m *Monitor) probeOthers(lost string) {
 	for _, service := range m.where(func(service string, s *state) bool { return service != lost && !s.Lost() }) {
-		m.probe(service, reach.Quorum, reach.Quorum)
+		m.probe(service, false, reach.Quorum, reach.Quorum)
 	}
 }
 
@@ -24,7 +24,7 @@
 		return
 	}
 	for _, service := range m.where(func(_ string, s *state) bool { return s.Lost() }) {
-		m.probe(service, 0, 1)
+		m.probe(service, true, 0, 1)
 	}
 }
 
@@ -41,12 +41,16 @@
 }
 
 // probe opens connections to between least and most upstreams of a service, in the background: as
-// many as decide whether the paths are lost.
-func (m *Monitor) probe(service string, least, most int) {
+// many as decide whether the paths are lost, or are back if lost is set. It does nothing if that has
+// been decided meanwhile.
+func (m *Monitor) probe(service string, lost bool, least, most int) {
 	now, upstreams := time.Now(), m.fleet.Eligible(service)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.state(service)
+	if s.Lost() != lost {
+		return
+	}
 	missing := max(least, s.Missing(now, len(upstreams)))
 	for key := range s.probed {
 		if !s.Decided(key) {
@@ -63,16 +67,20 @@
 		}
 		missing, most = missing-1, most-1
 		s.probed[u.Key] = true
-		go m.probeOne(s, u)
+		ctx, cancel := context.WithCancelCause(context.Background())
+		s.opening[&cancel] = struct{}{} // already here: the paths may be lost before the connection is begun
+		go m.probeOne(ctx, &cancel, s, u)
 	}
 }
 
-func (m *Monitor) probeOne(s *state, u *Upstream) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	conn, err := m.Open(ctx, u)
+func (m *Monitor) probeOne(ctx context.Context, cancel *context.CancelCauseFunc, s *state, u *Upstream) {
+	defer (*cancel)(nil)
+	bounded, end := context.WithTimeout(ctx, probeTimeout)
+	defer end()
+	conn, err := m.Open(bounded, u)
 	m.mu.Lock()
 	delete(s.probed, u.Key)
+	delete(s.opening, cancel)
 	s.notify()
 	m.mu.Unlock()
 	if err == nil {
