Let no failed component leave an instance standing still

Seen: an address in use for half a second ended a process (that of callers, those of a voter), or left it neither serving nor ended, without a line and deaf to SIGTERM (readiness, directory, metrics, control). The same after any error of control, at any time. Cause: the components ran in an errgroup. The first error cancelled the others, but serving callers has no context: only the shutdown closed its listener, and that returned at once because the context had ended. So Wait never did. The completions instance had the same shutdown. And each auxiliary address counted as much as control. Change: both kinds of instances run their components in a supervise.Group. An instance that forwards calls first opens the addresses of callers and of other instances, waiting for each (package binding), and then starts control, so that it isn't announced before it can be reached; metrics, readiness and directory are opened in the background. The start ends with a request to stop wherever it waits, also for a data folder. Event 1102 gives the reason and the exit code of every end, 1124 tells that an instance never served. A refused address is an exit with code 2. Telling the control group about the stop no longer waits for a control goroutine that is stuck.

--- a/cli/run.go
+++ b/cli/run.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	urfave "github.com/urfave/cli/v3"
 
+	"celeryport/binding"
 	"celeryport/forward"
 )
 
@@ -61,6 +62,10 @@
 	if errors.As(err, &exit) {
 		return exit.Code
 	}
+	var refusal *binding.Refusal
+	if errors.As(err, &refusal) {
+		return ExitUsage
+	}
 	return ExitFailed
 }
 
--- /dev/null
+++ b/instance/auxiliary.go
@@ -0,0 +1,49 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"celeryport/binding"
+	"celeryport/supervise"
+)
+
+const (
+	auxiliaryReadTimeout = 3 * time.Second
+	auxiliaryIdleTimeout = 30 * time.Second
+)
+
+// auxiliary serves an address that callers' requests don't need, such as that of the metrics.
+type auxiliary struct {
+	log      logrus.FieldLogger
+	purpose  string
+	address  string
+	handler  http.Handler
+	listener net.Listener
+}
+
+func (a *auxiliary) component() supervise.Component {
+	return supervise.Component{Name: a.purpose, Kind: supervise.Reopened, Open: a.open, Run: a.run}
+}
+
+func (a *auxiliary) open(ctx context.Context) (err error) {
+	a.listener, err = binding.TCP(ctx, a.log, a.purpose, a.address)
+	return err
+}
+
+func (a *auxiliary) run(ctx context.Context) error {
+	server := &http.Server{Handler: a.handler, ReadHeaderTimeout: auxiliaryReadTimeout, IdleTimeout: auxiliaryIdleTimeout}
+	release := context.AfterFunc(ctx, func() {
+		_ = server.Close() // its error is that of a listener that is closed already
+	})
+	defer release()
+	if err := server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve %s", a.address)
+	}
+	return nil
+}
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,98 +16,154 @@
 	"celeryport/clock"
 	"celeryport/consensus"
 	"celeryport/control"
-	"celeryport/event"
 	"celeryport/forward"
 	"celeryport/membership"
 	"celeryport/resend"
 	"celeryport/settings"
+	"celeryport/supervise"
 )
 
 // forwarding is an instance that forwards calls, or that only takes part in control.
 type forwarding struct {
 	options *Options
-	node    *control.Node
-	server  *forward.Server // nil if the instance takes no calls
+	memory  int64 // memory of the machine in bytes; 0: unknown
 	metrics *prometheus.Registry
+	node    *control.Node
+	server  atomic.Pointer[forward.Server] // nil until the addresses are open, or if the instance takes no calls
+	callers callersAddress
+	loads   loadsAddress
+	control controlListener
 }
 
 // RunForwarding runs an instance that forwards calls or only takes part in control. When
 // stop is done, the instance shuts down gracefully. The shutdown ends when hardStop is done
 // or the drain timeout of the settings has passed.
 func RunForwarding(stop, hardStop context.Context, options Options) error {
-	f := &forwarding{options: &options, metrics: newProcessRegistry()}
-	if err := f.assemble(); err != nil {
+	p := options.Process
+	f := &forwarding{options: &options, metrics: newProcessRegistry(), memory: applyMemoryBounds(machineFiles, options.Log)}
+	f.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
+	f.loads = loadsAddress{log: options.Log, address: p.ControlListen, share: func(ctx context.Context, conn net.PacketConn) error {
+		return f.server.Load().ShareLoads(ctx, conn)
+	}}
+	f.control = controlListener{options.Control}
+	run := life{
+		log:       options.Log,
+		address:   p.Listen,
+		serves:    string(p.Serves),
+		start:     f.start,
+		stopLimit: drainLimit(p) + closingTimeout,
+	}
+	return run.run(stop, hardStop)
+}
+
+// start starts the components in phases. An instance is announced to the others, by control, only
+// once all addresses are open at which they and callers reach it.
+func (f *forwarding) start(ctx context.Context, group *supervise.Group) error {
+	p := f.options.Process
+	if p.Metrics != "" {
+		group.Start(f.auxiliary("metrics", p.Metrics, promhttp.HandlerFor(f.metrics, promhttp.HandlerOpts{})))
+	}
+	if f.takesCalls() && p.Readiness != "" {
+		group.Start(f.auxiliary("readiness", p.Readiness, f.readiness()))
+	}
+	var err error
+	if f.node, err = construct(ctx, f.newNode); err != nil {
+		return errors.Wrap(err, "control")
+	}
+	if err := f.openAddresses(ctx); err != nil {
 		return err
 	}
-	running, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	group, ctx := errgroup.WithContext(running)
-	group.Go(func() error { return f.node.Run(ctx) })
-	group.Go(func() error { return f.followSettings(ctx) })
-	if err := f.listen(ctx, group); err != nil {
-		cancel()
-		return errors.CombineErrors(err, group.Wait())
+	f.registerMetrics()
+	if f.takesCalls() {
+		f.server.Store(f.newServer())
 	}
-	eventServing.Log(options.Log, event.Fields{"address": options.Process.Listen, "serves": options.Process.Serves})
-	group.Go(func() error {
-		defer cancel() // control stops last because draining needs it
-		return f.shutDown(ctx, stop, hardStop)
+	f.startComponents(group)
+	return nil
+}
+
+// startComponents starts what serves others. It is stopped in reverse order: control last because
+// draining needs it.
+func (f *forwarding) startComponents(group *supervise.Group) {
+	p := f.options.Process
+	group.Start(supervise.Component{
+		Name: "control", Kind: supervise.Essential, Run: f.node.Run, Stop: f.leaveAlone, StopTimeout: announceTimeout + closingTimeout,
 	})
-	err := group.Wait()
-	eventStopped.Log(options.Log, event.Fields{"error": err})
-	if errors.Is(err, context.Canceled) {
-		return nil
+	group.Start(supervise.Component{Name: "settings", Kind: supervise.Reopened, Run: f.followSettings})
+	if p.Directory != "" {
+		group.Start(f.auxiliary("directory", p.Directory, f.options.Adapter.Directory(f.addresses, directoryCacheTime)))
 	}
-	return err
+	if !f.takesCalls() {
+		return
+	}
+	group.Start(f.loads.component())
+	if p.OrganisationShares {
+		group.Start(supervise.Component{Name: "demands", Kind: supervise.Reopened, Run: func(ctx context.Context) error {
+			return reportDemands(ctx, f.node, shareInterval, f.server.Load().Demands)
+		}})
+	}
+	group.Start(supervise.Component{
+		Name: "callers", Kind: supervise.Reopened, Open: f.callers.open, Run: f.serveCallers, Stop: f.drain,
+		StopTimeout: drainLimit(p) + closingTimeout/2,
+	})
+}
+
+func (f *forwarding) serveCallers(ctx context.Context) error {
+	return f.callers.serve(ctx, f.server.Load().Serve)
 }
 
-func (f *forwarding) assemble() error {
+func (f *forwarding) takesCalls() bool { return f.options.Process.Serves == settings.ServesForwarding }
+
+func (f *forwarding) newNode() (*control.Node, error) {
 	p := f.options.Process
-	memory := applyMemoryBounds(machineFiles, f.options.Log)
 	heal := 0
 	if p.Voter && p.ToleratedLosses > 0 {
 		heal = 2*p.ToleratedLosses + 1
 	}
 	adapter := f.options.Adapter
 	var controlHandler, transitHandler http.Handler
-	if p.Serves == settings.ServesForwarding {
-		transitHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.server.ServeTransit(w, r) })
+	if f.takesCalls() {
+		transitHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.server.Load().ServeTransit(w, r) })
 	}
 	node, err := control.New(control.Options{
-		Process: p,
-		Log:     f.options.Log,
-		Clock:   clock.NewBoot(),
-		Parse:   adapter.Parse,
-		Timing:  forwardingTiming(),
-		Heal:    heal,
-		FanOut:  true,
-		Transit: transitHandler,
-		ExtraAt: adapter.ControlPrefix,
-		Extra:   http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { controlHandler.ServeHTTP(w, r) }),
+		Process:  p,
+		Log:      f.options.Log,
+		Clock:    clock.NewBoot(),
+		Listener: &f.control,
+		Parse:    adapter.Parse,
+		Timing:   forwardingTiming(),
+		Heal:     heal,
+		FanOut:   true,
+		Transit:  transitHandler,
+		ExtraAt:  adapter.ControlPrefix,
+		Extra:    http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { controlHandler.ServeHTTP(w, r) }),
 	})
 	if err != nil {
-		return errors.Wrap(err, "control")
+		return nil, err
 	}
 	controlHandler = adapter.Control(node)
-	f.node = node
+	return node, nil
+}
+
+func (f *forwarding) registerMetrics() {
 	f.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "control_announcements_refused_total",
 		Help: "Announcements that name no upstream to use.",
-	}, func() float64 { return float64(node.RefusedAnnouncements()) }))
-	registerTraffic(f.metrics, node.SyncTraffic())
-	if p.Serves == settings.ServesForwarding {
-		f.server = forward.New(forward.Options{
-			Process: p,
-			Plane:   node,
-			Dialect: adapter.Dialect,
-			Metrics: forward.NewMetrics(f.metrics),
-			Log:     f.options.Log,
-			Dial:    f.options.Dial,
-			Budget:  resend.Budget{Ratio: p.RepeatRatio, Slack: p.RepeatSlack, Window: p.RepeatWindow},
-			Memory:  memory,
-		})
-	}
-	return nil
+	}, func() float64 { return float64(f.node.RefusedAnnouncements()) }))
+	registerTraffic(f.metrics, f.node.SyncTraffic())
+}
+
+func (f *forwarding) newServer() *forward.Server {
+	p := f.options.Process
+	return forward.New(forward.Options{
+		Process: p,
+		Plane:   f.node,
+		Dialect: f.options.Adapter.Dialect,
+		Metrics: forward.NewMetrics(f.metrics),
+		Log:     f.options.Log,
+		Dial:    f.options.Dial,
+		Budget:  resend.Budget{Ratio: p.RepeatRatio, Slack: p.RepeatSlack, Window: p.RepeatWindow},
+		Memory:  f.memory,
+	})
 }
 
 // forwardingTiming returns the intervals of instances that forward calls.
@@ -126,80 +183,41 @@
 	return timing
 }
 
-// listen opens all addresses of the instance.
-func (f *forwarding) listen(ctx context.Context, group *errgroup.Group) error {
-	p := f.options.Process
-	if f.server != nil {
-		listener, err := net.Listen("tcp", p.Listen)
-		if err != nil {
-			return errors.Wrap(err, "listen for callers")
-		}
-		group.Go(func() error { return errors.Wrap(f.server.Serve(listener), "serve callers") })
-		packets, err := net.ListenPacket("udp", p.ControlListen)
-		if err != nil {
-			return errors.Wrap(err, "listen for the loads of others")
-		}
-		group.Go(func() error { return f.server.ShareLoads(ctx, packets) })
-		if p.OrganisationShares {
-			group.Go(func() error { return reportDemands(ctx, f.node, shareInterval, f.server.Demands) })
-		}
-	}
-	handlers := map[string]http.Handler{}
-	if p.Readiness != "" && f.server != nil {
-		handlers[p.Readiness] = readiness(f.server)
+// openAddresses opens the addresses at which callers and other instances reach this one, and
+// waits for all of them at the same time. Those that are open are closed after an error.
+func (f *forwarding) openAddresses(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return f.control.open(ctx, f.options.Log, f.options.Process.ControlListen) })
+	if f.takesCalls() {
+		group.Go(func() error { return f.callers.open(ctx) })
+		group.Go(func() error { return f.loads.open(ctx) })
 	}
-	if p.Directory != "" {
-		handlers[p.Directory] = f.options.Adapter.Directory(f.addresses, directoryCacheTime)
-	}
-	if p.Metrics != "" {
-		handlers[p.Metrics] = promhttp.HandlerFor(f.metrics, promhttp.HandlerOpts{})
-	}
-	for address, handler := range handlers {
-		if err := serveHTTP(ctx, group, address, handler); err != nil {
-			return err
-		}
+	err := group.Wait()
+	if err != nil {
+		f.control.close()
+		f.callers.close()
+		f.loads.close()
 	}
-	return nil
+	return err
 }
 
-// serveHTTP serves an auxiliary address until ctx ends.
-func serveHTTP(ctx context.Context, group *errgroup.Group, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: auxiliaryReadTimeout, IdleTimeout: auxiliaryIdleTimeout}
-	group.Go(func() error {
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return errors.Wrapf(err, "serve %s", address)
-	})
-	group.Go(func() error {
-		<-ctx.Done()
-		return server.Close()
-	})
-	return nil
+func (f *forwarding) auxiliary(purpose, address string, handler http.Handler) supervise.Component {
+	a := &auxiliary{log: f.options.Log, purpose: purpose, address: address, handler: handler}
+	return a.component()
 }
 
 // shareInterval is the interval of demand reports for organisation shares: three fit into the lease
 // of a grant.
 const shareInterval = time.Second
 
-const (
-	auxiliaryReadTimeout = 3 * time.Second
-	auxiliaryIdleTimeout = 30 * time.Second
-	// directoryCacheTime is how long callers may cache a list of addresses. Callers use some
-	// addresses for three times as long, which must end before the shutdown of an instance
-	// does.
-	directoryCacheTime = 2 * time.Second
-)
+// directoryCacheTime is how long callers may cache a list of addresses. Callers use some
+// addresses for three times as long, which must end before the shutdown of an instance does.
+const directoryCacheTime = 2 * time.Second
 
 // readiness answers whether the instance takes calls.
-func readiness(server *forward.Server) http.Handler {
+func (f *forwarding) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !server.Ready() {
+		if server := f.server.Load(); server == nil || !server.Ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
@@ -214,8 +232,8 @@
 		case <-ctx.Done():
 			return nil
 		case p := <-f.options.Changes:
-			if err := f.node.SetSeeds(ctx, p.Voters); err != nil {
-				return nil //nolint:nilerr // the node has stopped and reports the reason itself
+			if err := f.node.SetSeeds(ctx, p.Voters); err != nil && ctx.Err() == nil {
+				return errors.Wrap(err, "apply the addresses of the voters")
 			}
 		}
 	}
--- a/instance/forwarding_shutdown.go
+++ b/instance/forwarding_shutdown.go
@@ -6,6 +6,7 @@
 
 	"celeryport/event"
 	"celeryport/forward"
+	"celeryport/settings"
 )
 
 const (
@@ -23,40 +24,53 @@
 	// stream that is accepted too late is cut off at the end of draining.
 	streamDuration = 4300 * time.Millisecond
 	callDuration   = 1600 * time.Millisecond
+	// closingTimeout is how long closing everything may take after draining: control has to
+	// leave the group and to finish the calls of other instances.
+	closingTimeout = time.Second
 	// announceTimeout limits the announcement to the control group that this instance stops.
 	announceTimeout = time.Second
 )
 
-// shutDown waits for stop, then drains the instance so that calls in progress can finish.
-func (f *forwarding) shutDown(ctx, stop, hardStop context.Context) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-stop.Done():
-	}
-	eventStopping.Log(f.options.Log, nil)
-	limit := time.Duration(float64(f.options.Process.DrainTimeout) * drainFraction)
-	bounded, cancel := context.WithTimeout(hardStop, limit)
+// drainLimit is how long draining may take.
+func drainLimit(p *settings.Process) time.Duration {
+	return time.Duration(float64(p.DrainTimeout) * drainFraction)
+}
+
+// drain drains the instance so that calls in progress can finish, and closes the connections of
+// callers. Draining ends early when abort ends.
+func (f *forwarding) drain(abort context.Context) error {
+	limit := drainLimit(f.options.Process)
+	bounded, cancel := context.WithTimeout(abort, limit)
 	defer cancel()
 	announced := make(chan struct{})
 	go func() {
 		defer close(announced)
 		f.announceDraining(bounded)
 	}()
-	if f.server != nil {
-		f.server.Drain(bounded, forward.DrainPlan{
-			MinDuration: minDrain, IdleTime: drainIdle, Streams: limit - streamDuration, Calls: limit - callDuration,
-		})
-		f.server.Close()
-	}
+	server := f.server.Load()
+	server.Drain(bounded, forward.DrainPlan{
+		MinDuration: minDrain, IdleTime: drainIdle, Streams: limit - streamDuration, Calls: limit - callDuration,
+	})
+	server.Close()
 	<-announced
 	return nil
 }
 
+// leaveAlone announces the stop of an instance that takes no calls.
+func (f *forwarding) leaveAlone(abort context.Context) error {
+	if !f.takesCalls() {
+		f.announceDraining(abort)
+	}
+	return nil
+}
+
+// announceDraining tells the control group that this instance stops. It returns when ctx or
+// announceTimeout ends even if control is stuck, in a write to its disk for instance.
 func (f *forwarding) announceDraining(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	if err := f.node.Drain(ctx); err != nil {
+	_, err := construct(ctx, func() (struct{}, error) { return struct{}{}, f.node.Drain(ctx) })
+	if err != nil {
 		eventDrainNotAnnounced.Log(f.options.Log, event.Fields{"error": err})
 	}
 }
--- /dev/null
+++ b/instance/life_test.go
@@ -0,0 +1,239 @@
+package instance
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"celeryport/control"
+	"celeryport/settings"
+)
+
+// The numbers of the events that the tests wait for.
+const (
+	loggedServing    = 1100
+	loggedStopped    = 1102
+	loggedEnded      = 1120
+	loggedNotStarted = 1124
+	loggedNotFree    = 1140
+)
+
+// testRun is a forwarding instance that runs in the process of the test.
+type testRun struct {
+	t         *testing.T
+	lines     chan *logrus.Entry
+	requested context.CancelFunc // asks it to stop
+	abort     context.CancelFunc // asks for the second time
+	result    chan error
+}
+
+// Levels implements logrus.Hook.
+func (r *testRun) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (r *testRun) Fire(line *logrus.Entry) error {
+	r.lines <- line
+	return nil
+}
+
+// runInstance runs a forwarding instance on loopback.
+func runInstance(t *testing.T, change func(*Options)) *testRun {
+	t.Helper()
+	r := &testRun{t: t, lines: make(chan *logrus.Entry, 1000), result: make(chan error, 1)}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	log.AddHook(r)
+	options := Options{
+		Process: &settings.Process{
+			Name: "instance", Serves: settings.ServesForwarding, DrainTimeout: 8 * time.Second,
+			Listen: "127.0.0.1:0", ControlListen: "127.0.0.1:0", InstanceKey: "key",
+		},
+		Log: log,
+		Adapter: &Adapter{
+			Parse:         settings.ParseTree,
+			Control:       func(*control.Node) http.Handler { return http.NotFoundHandler() },
+			ControlPrefix: "/none",
+		},
+	}
+	change(&options)
+	stop, requested := context.WithCancel(t.Context())
+	hardStop, abort := context.WithCancel(t.Context())
+	r.requested, r.abort = requested, abort
+	go func() { r.result <- RunForwarding(stop, hardStop, options) }()
+	return r
+}
+
+// await waits for a line of an event.
+func (r *testRun) await(number int) *logrus.Entry {
+	r.t.Helper()
+	for {
+		select {
+		case line := <-r.lines:
+			if line.Data["event"] == number {
+				return line
+			}
+		case err := <-r.result:
+			r.result <- err
+			select {
+			case line := <-r.lines:
+				if line.Data["event"] == number {
+					return line
+				}
+			default:
+				r.t.Fatalf("ended without event %d: %v", number, err)
+			}
+		case <-time.After(testTimeout):
+			r.t.Fatalf("no event %d", number)
+		}
+	}
+}
+
+// ends waits until the instance has ended.
+func (r *testRun) ends() error {
+	r.t.Helper()
+	select {
+	case err := <-r.result:
+		return err
+	case <-time.After(testTimeout):
+		r.t.Fatal("the instance still runs")
+		return nil
+	}
+}
+
+// testTimeout is far longer than what the tests wait for.
+const testTimeout = 20 * time.Second
+
+// listen opens an address on loopback until the test ends.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	return listener
+}
+
+// failingListener fails for good when it is broken.
+type failingListener struct {
+	net.Listener
+	broken chan struct{}
+	once   sync.Once
+}
+
+var errBroken = errors.New("broken")
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	<-l.broken
+	return nil, errBroken
+}
+
+// Close implements net.Listener.
+func (l *failingListener) Close() error {
+	l.once.Do(func() { close(l.broken) })
+	return l.Listener.Close()
+}
+
+// Guards against an instance that stands still for good, not ready and deaf to SIGTERM, after
+// control has failed.
+func TestInstanceEndsWhenControlFails(t *testing.T) {
+	callers := listen(t)
+	broken := &failingListener{Listener: listen(t), broken: make(chan struct{})}
+	r := runInstance(t, func(o *Options) { o.Traffic, o.Control = callers, broken })
+	r.await(loggedServing)
+	conn, err := net.Dial("tcp", callers.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	broken.once.Do(func() { close(broken.broken) })
+	if name := r.await(loggedEnded).Data["component"]; name != "control" {
+		t.Errorf("%v ended", name)
+	}
+	r.abort() // no wait for the end of the drain
+	if end := r.await(loggedStopped); end.Data["reason"] != "failed" || end.Data["exit"] != 1 {
+		t.Errorf("logged %v", end.Data)
+	}
+	if err := r.ends(); !errors.Is(err, errBroken) {
+		t.Errorf("ended with: %v", err)
+	}
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the caller's connection: %v", err)
+	}
+}
+
+// Guards against SIGTERM without effect while the start waits for an address.
+func TestInstanceStopsWhileItWaitsForAnAddress(t *testing.T) {
+	addresses := map[string]func(*settings.Process, string){
+		"callers":   func(p *settings.Process, a string) { p.Listen = a },
+		"control":   func(p *settings.Process, a string) { p.ControlListen = a },
+		"metrics":   func(p *settings.Process, a string) { p.Metrics = a },
+		"readiness": func(p *settings.Process, a string) { p.Readiness = a },
+	}
+	for purpose, set := range addresses {
+		t.Run(purpose, func(t *testing.T) {
+			held := listen(t).Addr().String()
+			r := runInstance(t, func(o *Options) { set(o.Process, held) })
+			if line := r.await(loggedNotFree); line.Data["address"] != held {
+				t.Errorf("waits for %v", line.Data)
+			}
+			r.requested()
+			r.abort()
+			if end := r.await(loggedStopped); end.Data["reason"] != "requested" || end.Data["exit"] != 0 {
+				t.Errorf("logged %v", end.Data)
+			}
+			if err := r.ends(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Guards against a metrics address that keeps an instance from serving while it is in use.
+func TestHeldMetricsAddressDelaysNoCaller(t *testing.T) {
+	held := listen(t)
+	r := runInstance(t, func(o *Options) { o.Process.Metrics = held.Addr().String() })
+	r.await(loggedServing)
+	r.requested()
+	r.abort()
+	if err := r.ends(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against an instance that waits for an address of another host instead of refusing it, or
+// that ends without a line that tells why.
+func TestInstanceRefusesAnAddressOfAnotherHost(t *testing.T) {
+	r := runInstance(t, func(o *Options) { o.Process.Listen = "192.0.2.1:7000" })
+	r.await(loggedNotStarted)
+	if end := r.await(loggedStopped); end.Data["exit"] != 2 || end.Data["served"] != false {
+		t.Errorf("logged %v", end.Data)
+	}
+	if err := r.ends(); exitCode(err) != 2 {
+		t.Errorf("ended with: %v", err)
+	}
+}
+
+// Guards against SIGTERM without effect while control opens a data folder on a disk that doesn't
+// answer.
+func TestStopEndsTheWaitForAConstructor(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	release := make(chan struct{})
+	defer close(release)
+	_, err := construct(ctx, func() (int, error) {
+		<-release
+		return 1, nil
+	})
+	if !errors.Is(err, context.Canceled) {
+		t.Errorf("ended with: %v", err)
+	}
+}
--- a/instance/run.go
+++ b/instance/run.go
@@ -3,96 +3,128 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"celeryport/clock"
 	"celeryport/control"
 	"celeryport/dispatch"
 	"celeryport/entry"
-	"celeryport/event"
 	"celeryport/metrics"
 	"celeryport/quota"
+	"celeryport/supervise"
 	"celeryport/upstream/client"
 )
 
 const (
 	demandInterval = 500 * time.Millisecond // interval of demand reports to control
+	leaveTimeout   = 4 * time.Second        // for control to leave the group and to finish the calls of other instances
+	copyTimeout    = 5 * time.Second        // for the last copy of the ledger
 	leaseInterval  = 20 * time.Millisecond  // polling interval for the first lease
 )
 
+// completions is an instance that serves completions.
+type completions struct {
+	options *Options
+	parts   *ledgerParts
+	node    *control.Node
+	server  *entry.Server
+	callers callersAddress
+}
+
 // Run runs an instance. When stop is done, the instance shuts down gracefully. The shutdown
 // ends when hardStop is done or the drain timeout of the settings has passed; calls that are
 // still in progress are then cut off.
-func Run(stop, hardStop context.Context, options Options) (err error) {
-	parts, err := openLedger(&options)
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.CombineErrors(err, parts.close()) }()
-	node, err := control.New(control.Options{
-		Process:  options.Process,
-		Log:      options.Log,
-		Listener: options.Control,
-		Ledger:   parts.store(),
-	})
-	if err != nil {
-		return errors.Wrap(err, "control")
-	}
-	parts.registerReports(node)
-	running, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	group, ctx := errgroup.WithContext(running)
-	group.Go(func() error { return node.Run(ctx) })
-	group.Go(func() error {
-		defer cancel() // control stops last because draining needs it
-		return runTraffic(ctx, stop, hardStop, &options, node, parts)
-	})
-	err = group.Wait()
-	if errors.Is(err, context.Canceled) {
-		return nil
+func Run(stop, hardStop context.Context, options Options) error {
+	p := options.Process
+	c := &completions{options: &options}
+	c.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
+	run := life{
+		log:       options.Log,
+		address:   p.Listen,
+		serves:    string(p.Serves),
+		start:     c.start,
+		stopLimit: p.DrainTimeout + leaveTimeout + copyTimeout,
 	}
-	return err
+	return run.run(stop, hardStop)
 }
 
-// runTraffic serves callers once the control group has confirmed this instance, because its
+// start serves callers once the control group has confirmed this instance, because its
 // incarnation may change until then. Before that, its port is closed, which shows callers
 // that none of their requests was run.
-func runTraffic(ctx, stop, hardStop context.Context, options *Options, node *control.Node, parts *ledgerParts) error {
-	if !awaitLease(ctx, stop, node) {
+func (c *completions) start(ctx context.Context, group *supervise.Group) error {
+	var err error
+	if c.parts, err = construct(ctx, func() (*ledgerParts, error) { return openLedger(c.options) }); err != nil {
+		return err
+	}
+	group.Start(supervise.Component{Name: "ledger", Kind: supervise.Essential, Run: waitUntilDone, Stop: func(context.Context) error {
+		return c.parts.close()
+	}})
+	if c.node, err = construct(ctx, c.newNode); err != nil {
+		return errors.Wrap(err, "control")
+	}
+	c.parts.registerReports(c.node)
+	group.Start(supervise.Component{Name: "control", Kind: supervise.Essential, Run: c.node.Run, StopTimeout: leaveTimeout})
+	if !awaitLease(ctx, c.node) {
 		return ctx.Err()
 	}
-	parts.openAccount(ctx, node)
-	server, err := newServer(options, node, parts)
-	if err != nil {
+	c.parts.openAccount(ctx, c.node)
+	if c.server, err = newServer(c.options, c.node, c.parts); err != nil {
 		return err
 	}
-	listener, err := listenTraffic(options)
-	if err != nil {
+	if err := c.callers.open(ctx); err != nil {
 		return err
 	}
-	eventServing.Log(options.Log, event.Fields{"address": listener.Addr().String()})
-	group, ctx := errgroup.WithContext(ctx)
-	copyContext, stopCopying := context.WithCancel(ctx)
-	group.Go(func() error { return errors.Wrap(server.Serve(listener), "serve callers") })
-	group.Go(func() error { return reportDemands(copyContext, node, demandInterval, server.Demands) })
-	group.Go(func() error { return parts.runCopier(copyContext) })
-	group.Go(func() error {
-		parts.reports.RunMerges(copyContext)
-		return nil
+	c.startComponents(group)
+	return nil
+}
+
+// waitUntilDone is the Run of a component that works for others only.
+func waitUntilDone(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (c *completions) newNode() (*control.Node, error) {
+	return control.New(control.Options{
+		Process:  c.options.Process,
+		Log:      c.options.Log,
+		Listener: c.options.Control,
+		Ledger:   c.parts.store(),
 	})
-	group.Go(func() error {
-		defer stopCopying()
-		return shutDown(ctx, stop, hardStop, options, server)
+}
+
+// startComponents starts what serves callers and reports about it.
+func (c *completions) startComponents(group *supervise.Group) {
+	group.Start(supervise.Component{Name: "report merges", Kind: supervise.Reopened, Run: func(ctx context.Context) error {
+		c.parts.reports.RunMerges(ctx)
+		return nil
+	}})
+	group.Start(supervise.Component{Name: "ledger copies", Kind: supervise.Essential, Run: c.parts.runCopier, StopTimeout: copyTimeout})
+	group.Start(supervise.Component{Name: "demands", Kind: supervise.Reopened, Run: func(ctx context.Context) error {
+		return reportDemands(ctx, c.node, demandInterval, c.server.Demands)
+	}})
+	group.Start(supervise.Component{
+		// Essential: the server can't serve a second listener.
+		Name: "callers", Kind: supervise.Essential, Run: c.serveCallers, Stop: c.shutDown,
+		StopTimeout: c.options.Process.DrainTimeout + supervise.DefaultStopTimeout,
 	})
-	return group.Wait()
 }
 
-// awaitLease waits for the first lease and reports whether it was granted before stop.
-func awaitLease(ctx, stop context.Context, node *control.Node) bool {
+func (c *completions) serveCallers(ctx context.Context) error {
+	return c.callers.serve(ctx, c.server.Serve)
+}
+
+// shutDown drains the server.
+func (c *completions) shutDown(abort context.Context) error {
+	bounded, cancel := context.WithTimeout(abort, c.options.Process.DrainTimeout)
+	defer cancel()
+	return c.server.Shutdown(bounded)
+}
+
+// awaitLease waits for the first lease and reports whether it was granted before ctx ended.
+func awaitLease(ctx context.Context, node *control.Node) bool {
 	ticker := time.NewTicker(leaseInterval)
 	defer ticker.Stop()
 	for {
@@ -102,8 +134,6 @@
 		select {
 		case <-ctx.Done():
 			return false
-		case <-stop.Done():
-			return false
 		case <-ticker.C:
 		}
 	}
@@ -126,14 +156,6 @@
 	return server, errors.Wrap(err, "caller side")
 }
 
-func listenTraffic(options *Options) (net.Listener, error) {
-	if options.Traffic != nil {
-		return options.Traffic, nil
-	}
-	listener, err := net.Listen("tcp", options.Process.Listen)
-	return listener, errors.Wrap(err, "listen for callers")
-}
-
 // reportDemands periodically reports the demand of each organisation at this instance to
 // control.
 func reportDemands(ctx context.Context, node *control.Node, interval time.Duration, demands func() []quota.Demand) error {
@@ -150,15 +172,3 @@
 		}
 	}
 }
-
-// shutDown waits for stop, then shuts the server down gracefully.
-func shutDown(ctx, stop, hardStop context.Context, options *Options, server *entry.Server) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-stop.Done():
-	}
-	bounded, cancel := context.WithTimeout(hardStop, options.Process.DrainTimeout)
-	defer cancel()
-	return server.Shutdown(bounded)
-}
