Wait for the control address of a node instead of ending without it

Operators saw a voter end with 1 because another socket held its control address for half a second, and a forwarding instance in the same case neither end nor serve, without a line, with SIGTERM without effect for 10 s.

Cause of the first: Node.Run took any error of net.Listen as its end. Cause of the second: Run returned before its control goroutine had started, so that tasks were queued for ever; the announcement of the drain waits for such a task and does not look at its deadline meanwhile.

Run now waits for the address with package binding. The control goroutine runs from the start, with tasks only: it takes no step and sends nothing before the address is open, so no other instance takes the node for reachable. If the node is stopped or its address refused before, the goroutine ends too, and callers get "control has stopped". The data folder is closed then.

--- a/control/run.go
+++ b/control/run.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"celeryport/binding"
 	"celeryport/event"
 	"celeryport/rpc"
 )
@@ -23,15 +24,22 @@
 )
 
 // Run serves the control address and drives the node until ctx is done or a component
-// fails.
+// fails. While the address can't be bound, the node only runs tasks: it sends nothing, so that
+// others don't take it for an instance that they can reach. The error is a *binding.Refusal if
+// the address can't be used at all.
 func (n *Node) Run(outer context.Context) error {
-	listener, err := n.listen()
-	if err != nil {
-		return err
-	}
 	inner, end := context.WithCancel(context.WithoutCancel(outer))
 	defer end()
 	group, ctx := errgroup.WithContext(inner)
+	defer n.clients.Close()
+	listening := make(chan struct{})
+	group.Go(func() error { return n.runCore(ctx, listening) })
+	listener, err := n.listen(outer)
+	if err != nil {
+		end()
+		return endOf(errors.CombineErrors(err, group.Wait()))
+	}
+	close(listening)
 	server := n.server()
 	eventStarted.Log(n.log, event.Fields{
 		"name":        n.opts.Process.Name,
@@ -40,7 +48,6 @@
 		"voter":       n.opts.Process.Voter,
 	})
 	group.Go(func() error { return n.serve(server, listener) })
-	group.Go(func() error { return n.loop(ctx) })
 	group.Go(func() error { return n.runFounding(ctx) })
 	if n.claimVoter != nil {
 		group.Go(func() error { return n.claimVoter.run(ctx) })
@@ -58,20 +65,22 @@
 		end()
 		return n.shutdown(server)
 	})
-	err = group.Wait()
-	n.clients.Close()
+	return endOf(group.Wait())
+}
+
+// endOf returns the error of a component, or nil if the node was asked to stop.
+func endOf(err error) error {
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
 	return err
 }
 
-func (n *Node) listen() (net.Listener, error) {
+func (n *Node) listen(ctx context.Context) (net.Listener, error) {
 	if n.opts.Listener != nil {
 		return n.opts.Listener, nil
 	}
-	listener, err := net.Listen("tcp", n.opts.Process.ControlListen)
-	return listener, errors.Wrap(err, "listen on the control address")
+	return binding.TCP(ctx, n.log, "control", n.opts.Process.ControlListen)
 }
 
 func (n *Node) server() *http.Server {
@@ -139,10 +148,32 @@
 	}
 }
 
-// loop is the control goroutine, the only one that uses the core.
-func (n *Node) loop(ctx context.Context) error {
+// runCore is the control goroutine, the only one that uses the core. The core takes no step
+// before the control address is open.
+func (n *Node) runCore(ctx context.Context, listening <-chan struct{}) error {
 	defer close(n.stopped)
 	defer n.core.close()
+	if err := n.runTasksUntil(ctx, listening); err != nil {
+		return err
+	}
+	return n.loop(ctx)
+}
+
+func (n *Node) runTasksUntil(ctx context.Context, listening <-chan struct{}) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-listening:
+			return nil
+		case t := <-n.tasks:
+			t(n.clock.Now())
+		}
+	}
+}
+
+// loop takes the steps of the core and runs tasks until ctx is done or a step fails.
+func (n *Node) loop(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
