Keep servers serving through errors of their listening sockets that pass

Callers of an instance lose it when one accept fails for a reason of the moment: net/http returns from Serve at each error but EINTR, EMFILE, ENFILE and timeouts, so ENOBUFS, ENOMEM or a firewall's EPERM at the control, metrics, readiness or directory address ends the whole instance; fasthttp returns at each error that is no timeout, so an instance short of descriptors ends. Accept of package net repeats only EINTR and ECONNABORTED itself. Receiving at a UDP socket has no such loop at all.

Evidence: with a listener that fails with ENOBUFS, EPERM and EMFILE in turn, both servers end after the first attempt.

Package resilient wraps a listener and a packet socket. An attempt that fails for a reason that may pass is repeated after 1 ms, doubled up to 100 ms, and logged at most once in 10 s with the number of failures, then once when attempts succeed again. A closed socket ends a pause. A socket that no longer works (EBADF, EINVAL, ENOTSOCK, EOPNOTSUPP, EFAULT, unknown errors) is told and handed to the caller. Failed sends are told at the same rate. All sockets of package binding are wrapped, so that the servers need no loops of their own.

--- a/binding/binding.go
+++ b/binding/binding.go
@@ -9,19 +9,29 @@
 
 	"celeryport/clock"
 	"celeryport/event"
+	"celeryport/resilient"
 )
 
 // TCP listens on a TCP address (host:port) as soon as it can be bound. The error is that of ctx
-// if ctx ends earlier, or a *Refusal. The purpose tells in the log what the address serves.
+// if ctx ends earlier, or a *Refusal. The purpose tells in the log what the address serves. The
+// listener is a *resilient.Listener.
 func TCP(ctx context.Context, log logrus.FieldLogger, purpose, address string) (net.Listener, error) {
 	var config net.ListenConfig
-	return await(ctx, log, purpose, address, func() (net.Listener, error) { return config.Listen(ctx, "tcp", address) })
+	listener, err := await(ctx, log, purpose, address, func() (net.Listener, error) { return config.Listen(ctx, "tcp", address) })
+	if err != nil {
+		return nil, err
+	}
+	return resilient.NewListener(log, purpose, listener), nil
 }
 
-// UDP is like TCP for a UDP address.
+// UDP is like TCP for a UDP address. The connection is a *resilient.PacketConn.
 func UDP(ctx context.Context, log logrus.FieldLogger, purpose, address string) (net.PacketConn, error) {
 	var config net.ListenConfig
-	return await(ctx, log, purpose, address, func() (net.PacketConn, error) { return config.ListenPacket(ctx, "udp", address) })
+	conn, err := await(ctx, log, purpose, address, func() (net.PacketConn, error) { return config.ListenPacket(ctx, "udp", address) })
+	if err != nil {
+		return nil, err
+	}
+	return resilient.NewPacketConn(log, purpose, conn), nil
 }
 
 // await calls open until it succeeds, fails for good, or ctx ends.
--- a/binding/binding_test.go
+++ b/binding/binding_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"celeryport/resilient"
 )
 
 // failure is the form in which package net returns the error of a system call.
@@ -132,6 +134,12 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
+	if _, ok := listener.(*resilient.Listener); !ok {
+		t.Errorf("the listener is a %T", listener)
+	}
+	if _, ok := conn.(*resilient.PacketConn); !ok {
+		t.Errorf("the connection is a %T", conn)
+	}
 	if got := messages(hook); len(got) != 4 {
 		t.Errorf("logged %q", got)
 	}
--- /dev/null
+++ b/resilient/listener.go
@@ -0,0 +1,39 @@
+package resilient
+
+import (
+	"net"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Listener is a net.Listener whose Accept fails only when the listener is closed, with
+// net.ErrClosed, at its deadline, or when its socket no longer works.
+type Listener struct {
+	net.Listener
+	socket *socket
+}
+
+// NewListener returns a listener that accepts the connections of inner. The purpose tells in the
+// log what the address serves.
+func NewListener(log logrus.FieldLogger, purpose string, inner net.Listener) *Listener {
+	return &Listener{Listener: inner, socket: &socket{
+		log: log, purpose: purpose, address: inner.Addr().String(),
+		failing: eventNotAccepted, works: eventAccepted, closed: make(chan struct{}),
+	}}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	var conn net.Conn
+	err := l.socket.take(func() (err error) {
+		conn, err = l.Listener.Accept()
+		return err
+	})
+	return conn, err
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.socket.end()
+	return l.Listener.Close()
+}
