End a forwarding server whose sockets no longer work, and tell it

After one failed receive at the socket of loads, an instance neither learnt the loads of the others nor answered arbitration, for good and without a line: receiveDatagrams took each error for the close of the socket. The opposite with callers: Serve repeated each failed accept after 10 ms, with a line each time, 100 lines a second while descriptors are short, and for ever at a listener that no longer works.

What is left is final: Serve logs event 7000 once and returns it, and ShareLoads returns the error of its socket.

--- a/forward/reporting.go
+++ b/forward/reporting.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"celeryport/arbiter"
 	"celeryport/clock"
 	"celeryport/datagram"
@@ -19,12 +21,17 @@
 const reportPause = 2 * time.Millisecond
 
 // ShareLoads exchanges loads, rates and arbitration messages with the other instances until ctx
-// ends. conn is a socket at the control address.
+// ends, or returns the error of conn if it no longer receives. conn is a socket at the control
+// address, which ShareLoads closes. It repeats attempts that fail for a reason that passes, as a
+// resilient.PacketConn does.
 func (s *Server) ShareLoads(ctx context.Context, conn net.PacketConn) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	s.arbitration.mu.Lock()
 	s.arbitration.conn = conn
 	s.arbitration.mu.Unlock()
-	go s.receiveDatagrams(conn)
+	receiving := make(chan error, 1)
+	go func() { receiving <- s.receiveDatagrams(conn) }()
 	go s.arbitrate(ctx)
 	go s.aggregateZone(ctx, conn)
 	go s.shareRates(ctx, conn)
@@ -38,6 +45,11 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case err := <-receiving:
+			if ctx.Err() != nil {
+				return nil // the socket was closed because of the stop
+			}
+			return err
 		case <-ticker.C:
 		case <-s.fleet.loadsChanged:
 			if !clock.Pause(ctx, reportPause) {
@@ -77,13 +89,14 @@
 // largestDatagram is the size of a report of 4,000 loaded upstreams.
 const largestDatagram = 64 << 10
 
-// receiveDatagrams handles the datagrams of the other instances until the socket is closed.
-func (s *Server) receiveDatagrams(conn net.PacketConn) {
+// receiveDatagrams handles the datagrams of the other instances until the socket is closed or no
+// longer works.
+func (s *Server) receiveDatagrams(conn net.PacketConn) error {
 	buffer := make([]byte, largestDatagram)
 	for {
 		n, from, err := conn.ReadFrom(buffer)
 		if err != nil {
-			return // the socket is closed
+			return errors.Wrap(err, "receive datagrams")
 		}
 		if err := s.handleDatagram(from, buffer[:n]); err != nil {
 			eventForeignDatagram.Log(s.options.Log, event.Fields{"from": from.String(), "error": err.Error()})
--- a/forward/server.go
+++ b/forward/server.go
@@ -60,7 +60,8 @@
 	return s
 }
 
-// Serve accepts connections until the listener closes.
+// Serve accepts connections until the listener closes or no longer works. The listener repeats
+// attempts that fail for a reason that passes, as a resilient.Listener does.
 func (s *Server) Serve(listener net.Listener) error {
 	s.mu.Lock()
 	s.listener = listener
@@ -72,17 +73,12 @@
 		}
 		if err != nil {
 			eventAcceptFailed.Log(s.options.Log, event.Fields{"error": err})
-			time.Sleep(acceptPause)
-			continue
+			return errors.Wrap(err, "accept connections")
 		}
 		s.serveConn(conn)
 	}
 }
 
-// acceptPause keeps a process that has no file descriptors left from spinning until some are
-// closed.
-const acceptPause = 10 * time.Millisecond
-
 func (s *Server) serveConn(conn net.Conn) { s.serveCaller(newCallerConn(s, conn)) }
 
 // serveCaller serves a connection until it ends.
--- /dev/null
+++ b/forward/socket_failure_test.go
@@ -0,0 +1,45 @@
+package forward
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+
+	"celeryport/datagram"
+)
+
+var errSocket = errors.New("the socket no longer works")
+
+// brokenSocket is a socket from which nothing can be taken.
+type brokenSocket struct {
+	countingConn
+	net.Listener
+}
+
+func (*brokenSocket) Accept() (net.Conn, error)              { return nil, errSocket }
+func (*brokenSocket) ReadFrom([]byte) (int, net.Addr, error) { return 0, nil, errSocket }
+func (b *brokenSocket) WriteTo(p []byte, a net.Addr) (int, error) {
+	return b.countingConn.WriteTo(p, a)
+}
+func (b *brokenSocket) Close() error { return b.countingConn.Close() }
+
+// Guards against an instance that neither learns loads nor answers arbitration, unnoticed, since
+// its socket no longer receives.
+func TestSocketThatNoLongerReceivesEndsSharingOfLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		conn := &brokenSocket{countingConn: countingConn{sent: map[datagram.Kind]int{}, closed: make(chan struct{})}}
+		if err := newTestServer(t, "front-0").ShareLoads(t.Context(), conn); !errors.Is(err, errSocket) {
+			t.Errorf("ended with %v", err)
+		}
+	})
+}
+
+// Guards against a server that retries for ever at a listener that no longer works.
+func TestListenerThatNoLongerWorksEndsTheServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if err := newTestServer(t, "front-0").Serve(&brokenSocket{}); !errors.Is(err, errSocket) {
+			t.Errorf("ended with %v", err)
+		}
+	})
+}
