Refuse two equal addresses of one process, and ports that can't be used

An instance whose readiness check and metrics had the same address in its settings served only one of them, without a line: the servers are kept in a map by address, and only the traffic address was compared with the control address, as text. Other pairs, such as 0.0.0.0:80 beside 127.0.0.1:80, were accepted and failed at the start. Port 0 and ports above 65535 were accepted too.

ParseProcess now adds a fault for each address on which the process can't listen beside an earlier one. Readiness, directory and metrics are compared only where the process has them, so that settings of instances that serve completions stay valid. Port 0 is refused in each address of the file, since others are given it; no test reads such a file.

--- a/settings/broken_test.go
+++ b/settings/broken_test.go
@@ -35,13 +35,19 @@
 
 	"process-voter-without-folder": {{"process", "data_folder", "needs a data folder"}},
 	"process-bad-address":          {{"listen", "address", `"127.0.0.1"`}},
-	"process-even-voters":          {{"voters", "", "even number"}},
-	"process-short-key":            {{"keys", "operators", "does not fit"}},
-	"process-missing-key-file":     {{"keys", "instance", "can't be read"}},
-	"process-missing-section":      {{"listen", "address", "missing"}, {"control", "address", "missing"}},
-	"process-raw-quotes":           {{"keys", "instance", "begins with `"}},
-	"process-unknown-key":          {{"process", "availability_zoen", "unknown key"}},
-	"process-bad-shares":           {{"limits", "organisation_shares", `"yes"`}},
+	"process-bad-ports":            {{"listen", "readiness", `"127.0.0.1:0"`}, {"listen", "metrics", `"127.0.0.1:65536"`}, {"voters", "one", `"127.0.0.1:0"`}},
+	"process-same-addresses": {
+		{"listen", "directory", "same address as readiness in [listen]"},
+		{"listen", "metrics", "same address as readiness in [listen]"},
+		{"control", "address", "same address as address in [listen]"},
+	},
+	"process-even-voters":      {{"voters", "", "even number"}},
+	"process-short-key":        {{"keys", "operators", "does not fit"}},
+	"process-missing-key-file": {{"keys", "instance", "can't be read"}},
+	"process-missing-section":  {{"listen", "address", "missing"}, {"control", "address", "missing"}},
+	"process-raw-quotes":       {{"keys", "instance", "begins with `"}},
+	"process-unknown-key":      {{"process", "availability_zoen", "unknown key"}},
+	"process-bad-shares":       {{"limits", "organisation_shares", `"yes"`}},
 }
 
 // Guards against a check that stops at the first fault, or omits the position or
--- a/settings/parse_process.go
+++ b/settings/parse_process.go
@@ -134,7 +134,5 @@
 		}
 		seen[v.Address] = v.ID
 	}
-	if p.Listen != "" && p.Listen == p.ControlListen {
-		faults.add(controlSchema.kind, "address", "same address as in [listen]", "different addresses")
-	}
+	checkListenAddresses(p, faults)
 }
--- a/settings/schema_process.go
+++ b/settings/schema_process.go
@@ -8,9 +8,22 @@
 // addressPattern matches a host name or IP address and a port.
 var addressPattern = regexp.MustCompile(`^(\[[0-9a-fA-F:]+\]|[A-Za-z0-9.-]+):[0-9]{1,5}$`)
 
-const addressAllowed = "host:port, the host as an IP number"
+const addressAllowed = "host:port, the host as an IP number, the port from 1 to 65535"
 
-func address() value[string] { return text(addressAllowed, addressPattern) }
+// address accepts an address that others can be given, so the port is never left to the kernel.
+func address() value[string] {
+	pattern := text(addressAllowed, addressPattern)
+	return value[string]{
+		allowed: pattern.allowed,
+		parse: func(s string) (string, error) {
+			if _, err := pattern.parse(s); err != nil {
+				return "", err
+			}
+			_, _, err := splitAddress(s)
+			return s, err
+		},
+	}
+}
 
 func path() value[string] { return text("a path, relative to the folder of this file", anyPattern) }
 
