Serve callers only once control has started

Seen: nothing by callers yet; found while tracing the start. An instance logged that it serves (1100) before its control address was open, and an instance whose control has to wait, for an address or a data folder, would answer callers without knowing any settings, each after a wait of a second. Change: Node.Started tells when the control address is open and the node takes part. The addresses are opened in the order control, loads, callers, since a connection that isn't served makes a caller wait and a refused one doesn't. Only control without callers opens its address itself, behind its data folder. An end without a request is never told as requested.

--- a/control/node.go
+++ b/control/node.go
@@ -35,6 +35,7 @@
 	urgentSync chan struct{}
 	messages   chan task // consensus messages, which take precedence over other tasks
 	tasks      chan task
+	started    chan struct{} // closed when the control address is open and the node takes part
 	stopped    chan struct{} // closed when the control goroutine has ended
 	parsed     parseCache
 	refused    refusedAnnouncements
@@ -77,6 +78,7 @@
 		handlers:   map[string]Handler{},
 		messages:   make(chan task, messageQueue),
 		tasks:      make(chan task, taskQueue),
+		started:    make(chan struct{}),
 		stopped:    make(chan struct{}),
 		urgentSync: make(chan struct{}, 1),
 		evidence:   make(chan quarantine.Evidence, maxEvidence),
@@ -96,6 +98,10 @@
 	return n, nil
 }
 
+// Started returns a channel that is closed when the control address is open and the node takes part
+// in control. Before that, Run waits for what it needs.
+func (n *Node) Started() <-chan struct{} { return n.started }
+
 // View implements Plane.
 func (n *Node) View() *View { return n.view.Load() }
 
--- a/control/run.go
+++ b/control/run.go
@@ -37,7 +37,7 @@
 	listener, err := n.listen(outer)
 	if err != nil {
 		end()
-		return endOf(errors.CombineErrors(err, group.Wait()))
+		return endOf(outer, errors.CombineErrors(err, group.Wait()))
 	}
 	close(listening)
 	server := n.server()
@@ -47,6 +47,7 @@
 		"address":     listener.Addr().String(),
 		"voter":       n.opts.Process.Voter,
 	})
+	close(n.started)
 	group.Go(func() error { return n.serve(server, listener) })
 	group.Go(func() error { return n.runFounding(ctx) })
 	if n.claimVoter != nil {
@@ -65,12 +66,12 @@
 		end()
 		return n.shutdown(server)
 	})
-	return endOf(group.Wait())
+	return endOf(outer, group.Wait())
 }
 
 // endOf returns the error of a component, or nil if the node was asked to stop.
-func endOf(err error) error {
-	if errors.Is(err, context.Canceled) {
+func endOf(outer context.Context, err error) error {
+	if outer.Err() != nil && errors.Is(err, context.Canceled) {
 		return nil
 	}
 	return err
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -11,7 +11,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"golang.org/x/sync/errgroup"
 
 	"celeryport/clock"
 	"celeryport/consensus"
@@ -56,8 +55,8 @@
 	return run.run(stop, hardStop)
 }
 
-// start starts the components in phases. An instance is announced to the others, by control, only
-// once all addresses are open at which they and callers reach it.
+// start starts the components in phases. Control announces the instance to the others, so it starts
+// only once callers can reach the instance; and callers are served once control has started.
 func (f *forwarding) start(ctx context.Context, group *supervise.Group) error {
 	p := f.options.Process
 	if p.Metrics != "" {
@@ -70,12 +69,21 @@
 	if f.node, err = construct(ctx, f.newNode); err != nil {
 		return errors.Wrap(err, "control")
 	}
-	if err := f.openAddresses(ctx); err != nil {
-		return err
-	}
 	f.registerMetrics()
 	if f.takesCalls() {
-		f.server.Store(f.newServer())
+		if err := f.openAddresses(ctx); err != nil {
+			return err
+		}
+	}
+	group.Start(supervise.Component{
+		Name: "control", Kind: supervise.Essential, Run: f.node.Run, Stop: f.leaveAlone, StopTimeout: announceTimeout + closingTimeout,
+	})
+	select {
+	case <-f.node.Started():
+	case <-ctx.Done():
+		f.callers.close()
+		f.loads.close()
+		return ctx.Err() // control closes its own address
 	}
 	f.startComponents(group)
 	return nil
@@ -85,9 +93,6 @@
 // draining needs it.
 func (f *forwarding) startComponents(group *supervise.Group) {
 	p := f.options.Process
-	group.Start(supervise.Component{
-		Name: "control", Kind: supervise.Essential, Run: f.node.Run, Stop: f.leaveAlone, StopTimeout: announceTimeout + closingTimeout,
-	})
 	group.Start(supervise.Component{Name: "settings", Kind: supervise.Reopened, Run: f.followSettings})
 	if p.Directory != "" {
 		group.Start(f.auxiliary("directory", p.Directory, f.options.Adapter.Directory(f.addresses, directoryCacheTime)))
@@ -95,6 +100,7 @@
 	if !f.takesCalls() {
 		return
 	}
+	f.server.Store(f.newServer())
 	group.Start(f.loads.component())
 	if p.OrganisationShares {
 		group.Start(supervise.Component{Name: "demands", Kind: supervise.Reopened, Run: func(ctx context.Context) error {
@@ -121,14 +127,16 @@
 	}
 	adapter := f.options.Adapter
 	var controlHandler, transitHandler http.Handler
+	listener := f.options.Control
 	if f.takesCalls() {
-		transitHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.server.Load().ServeTransit(w, r) })
+		listener = &f.control
+		transitHandler = http.HandlerFunc(f.serveTransit)
 	}
 	node, err := control.New(control.Options{
 		Process:  p,
 		Log:      f.options.Log,
 		Clock:    clock.NewBoot(),
-		Listener: &f.control,
+		Listener: listener,
 		Parse:    adapter.Parse,
 		Timing:   forwardingTiming(),
 		Heal:     heal,
@@ -144,6 +152,16 @@
 	return node, nil
 }
 
+// serveTransit serves calls that other instances hand over to this one.
+func (f *forwarding) serveTransit(w http.ResponseWriter, r *http.Request) {
+	server := f.server.Load()
+	if server == nil { // control has only just started
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	server.ServeTransit(w, r)
+}
+
 func (f *forwarding) registerMetrics() {
 	f.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "control_announcements_refused_total",
@@ -183,16 +201,17 @@
 	return timing
 }
 
-// openAddresses opens the addresses at which callers and other instances reach this one, and
-// waits for all of them at the same time. Those that are open are closed after an error.
+// openAddresses opens the addresses at which other instances and callers reach this one, and waits
+// for each. That of callers is the last one: a connection that is not served yet makes its caller
+// wait, one that is refused doesn't. Those that are open are closed after an error.
 func (f *forwarding) openAddresses(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return f.control.open(ctx, f.options.Log, f.options.Process.ControlListen) })
-	if f.takesCalls() {
-		group.Go(func() error { return f.callers.open(ctx) })
-		group.Go(func() error { return f.loads.open(ctx) })
+	err := f.control.open(ctx, f.options.Log, f.options.Process.ControlListen)
+	if err == nil {
+		err = f.loads.open(ctx)
+	}
+	if err == nil {
+		err = f.callers.open(ctx)
 	}
-	err := group.Wait()
 	if err != nil {
 		f.control.close()
 		f.callers.close()
