Test that a completions instance ends when control fails

The shutdown of instances that serve completions had the same fault as that of instances that forward calls.

--- a/instance/life_test.go
+++ b/instance/life_test.go
@@ -5,7 +5,7 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,6 +45,11 @@
 
 // runInstance runs a forwarding instance on loopback.
 func runInstance(t *testing.T, change func(*Options)) *testRun {
+	t.Helper()
+	return runWith(t, RunForwarding, change)
+}
+
+func runWith(t *testing.T, run func(stop, hardStop context.Context, options Options) error, change func(*Options)) *testRun {
 	t.Helper()
 	r := &testRun{t: t, lines: make(chan *logrus.Entry, 1000), result: make(chan error, 1)}
 	log := logrus.New()
@@ -66,7 +71,7 @@
 	stop, requested := context.WithCancel(t.Context())
 	hardStop, abort := context.WithCancel(t.Context())
 	r.requested, r.abort = requested, abort
-	go func() { r.result <- RunForwarding(stop, hardStop, options) }()
+	go func() { r.result <- run(stop, hardStop, options) }()
 	return r
 }
 
@@ -121,32 +126,33 @@
 	return listener
 }
 
-// failingListener fails for good when it is broken.
-type failingListener struct {
+// breakableListener fails for good once it is broken.
+type breakableListener struct {
 	net.Listener
-	broken chan struct{}
-	once   sync.Once
+	broken atomic.Bool
 }
 
 var errBroken = errors.New("broken")
 
 // Accept implements net.Listener.
-func (l *failingListener) Accept() (net.Conn, error) {
-	<-l.broken
-	return nil, errBroken
+func (l *breakableListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil && l.broken.Load() {
+		return nil, errBroken
+	}
+	return conn, err
 }
 
-// Close implements net.Listener.
-func (l *failingListener) Close() error {
-	l.once.Do(func() { close(l.broken) })
-	return l.Listener.Close()
+func (l *breakableListener) breakDown() {
+	l.broken.Store(true)
+	l.Close()
 }
 
 // Guards against an instance that stands still for good, not ready and deaf to SIGTERM, after
 // control has failed.
 func TestInstanceEndsWhenControlFails(t *testing.T) {
 	callers := listen(t)
-	broken := &failingListener{Listener: listen(t), broken: make(chan struct{})}
+	broken := &breakableListener{Listener: listen(t)}
 	r := runInstance(t, func(o *Options) { o.Traffic, o.Control = callers, broken })
 	r.await(loggedServing)
 	conn, err := net.Dial("tcp", callers.Addr().String())
@@ -154,7 +160,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	broken.once.Do(func() { close(broken.broken) })
+	broken.breakDown()
 	if name := r.await(loggedEnded).Data["component"]; name != "control" {
 		t.Errorf("%v ended", name)
 	}
@@ -170,6 +176,29 @@
 	}
 }
 
+// As TestInstanceEndsWhenControlFails, for an instance that serves completions.
+func TestCompletionsInstanceEndsWhenControlFails(t *testing.T) {
+	broken := &breakableListener{Listener: listen(t)}
+	r := runWith(t, Run, func(o *Options) {
+		o.Control, o.Traffic = broken, listen(t)
+		p := o.Process
+		p.Serves, p.Voter, p.MayFoundGroup, p.DataFolder = settings.ServesCompletions, true, true, t.TempDir()
+		p.ControlListen = broken.Addr().String()
+		p.Voters = []settings.Member{{ID: "one", Address: p.ControlListen}}
+		p.MaxConnections, p.ReadTimeout = 16, time.Second
+		p.Pools = settings.Pools{Short: 4, Long: 4, Service: 4}
+	})
+	r.await(loggedServing)
+	broken.breakDown()
+	if name := r.await(loggedEnded).Data["component"]; name != "control" {
+		t.Errorf("%v ended", name)
+	}
+	r.abort()
+	if err := r.ends(); !errors.Is(err, errBroken) {
+		t.Errorf("ended with: %v", err)
+	}
+}
+
 // Guards against SIGTERM without effect while the start waits for an address.
 func TestInstanceStopsWhileItWaitsForAnAddress(t *testing.T) {
 	addresses := map[string]func(*settings.Process, string){
