Wrap the sockets in the servers, whoever opened them

Each server now wraps the socket that it is given, unless it is wrapped already; so do control and the completions side for listeners of tests.

The new test fails without the change.

The socket of a test in forward now reports its close with net.ErrClosed, as a real one does; any other error is a failure of the socket.

--- a/control/run.go
+++ b/control/run.go
@@ -12,6 +12,7 @@
 
 	"celeryport/binding"
 	"celeryport/event"
+	"celeryport/resilient"
 	"celeryport/rpc"
 )
 
@@ -78,7 +79,7 @@
 
 func (n *Node) listen(ctx context.Context) (net.Listener, error) {
 	if n.opts.Listener != nil {
-		return n.opts.Listener, nil
+		return resilient.NewListener(n.log, "control", n.opts.Listener), nil
 	}
 	return binding.TCP(ctx, n.log, "control", n.opts.Process.ControlListen)
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"celeryport/bytebudget"
+	"celeryport/resilient"
 	"celeryport/verdict"
 )
 
@@ -64,14 +65,14 @@
 	return s, nil
 }
 
-// Serve serves connections until Shutdown or an error of the listener.
+// Serve serves connections until Shutdown, or until the listener no longer works.
 func (s *Server) Serve(listener net.Listener) error {
 	advertisedAddress := s.options.advertisedAddress(listener.Addr())
 	s.address.Store(&advertisedAddress)
 	s.driver.start()
 	go s.sweeper.run()
 	s.disconnects.start(func(e *exchange) { s.driver.abort(e, verdict.ReasonCallerLeft, "the caller left") })
-	return s.http.Serve(newCallerListener(listener, s.options.Process.MaxConnections))
+	return s.http.Serve(newCallerListener(resilient.NewListener(s.options.Log, "callers", listener), s.options.Process.MaxConnections))
 }
 
 // quietLogger drops the log lines of fasthttp, which have no event number and contain
--- a/forward/idle_reports_test.go
+++ b/forward/idle_reports_test.go
@@ -34,7 +34,7 @@
 
 func (c *countingConn) ReadFrom([]byte) (int, net.Addr, error) {
 	<-c.closed
-	return 0, nil, errors.New("closed")
+	return 0, nil, net.ErrClosed
 }
 
 func (c *countingConn) Close() error {
--- a/forward/reporting.go
+++ b/forward/reporting.go
@@ -14,6 +14,7 @@
 	"celeryport/datagram"
 	"celeryport/event"
 	"celeryport/loadshare"
+	"celeryport/resilient"
 )
 
 // reportPause collects load changes in quick succession into one datagram. It is short because
@@ -21,10 +22,10 @@
 const reportPause = 2 * time.Millisecond
 
 // ShareLoads exchanges loads, rates and arbitration messages with the other instances until ctx
-// ends, or returns the error of conn if it no longer receives. conn is a socket at the control
-// address, which ShareLoads closes. It repeats attempts that fail for a reason that passes, as a
-// resilient.PacketConn does.
-func (s *Server) ShareLoads(ctx context.Context, conn net.PacketConn) error {
+// ends, or returns the error of the socket if it no longer receives. inner is a socket at the control
+// address, which ShareLoads closes.
+func (s *Server) ShareLoads(ctx context.Context, inner net.PacketConn) error {
+	conn := resilient.NewPacketConn(s.options.Log, "loads", inner)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.arbitration.mu.Lock()
--- a/forward/server.go
+++ b/forward/server.go
@@ -13,6 +13,7 @@
 	"celeryport/bytebudget"
 	"celeryport/event"
 	"celeryport/resend"
+	"celeryport/resilient"
 )
 
 // Server accepts callers' connections and forwards their calls.
@@ -60,9 +61,9 @@
 	return s
 }
 
-// Serve accepts connections until the listener closes or no longer works. The listener repeats
-// attempts that fail for a reason that passes, as a resilient.Listener does.
-func (s *Server) Serve(listener net.Listener) error {
+// Serve accepts connections until the listener closes or no longer works.
+func (s *Server) Serve(inner net.Listener) error {
+	listener := resilient.NewListener(s.options.Log, "callers", inner)
 	s.mu.Lock()
 	s.listener = listener
 	s.mu.Unlock()
--- a/forward/socket_failure_test.go
+++ b/forward/socket_failure_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 
@@ -17,6 +19,8 @@
 	net.Listener
 }
 
+func (*brokenSocket) Addr() net.Addr                         { return &net.TCPAddr{} }
+func (*brokenSocket) LocalAddr() net.Addr                    { return &net.UDPAddr{} }
 func (*brokenSocket) Accept() (net.Conn, error)              { return nil, errSocket }
 func (*brokenSocket) ReadFrom([]byte) (int, net.Addr, error) { return 0, nil, errSocket }
 func (b *brokenSocket) WriteTo(p []byte, a net.Addr) (int, error) {
@@ -43,3 +47,26 @@
 		}
 	})
 }
+
+// shortListener is a listener that is closed after the process was short of descriptors for a while.
+type shortListener struct {
+	brokenSocket
+	attempts int
+}
+
+func (l *shortListener) Accept() (net.Conn, error) {
+	if l.attempts++; l.attempts <= 10 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return nil, net.ErrClosed
+}
+
+// Guards against a server that ends while the process is short of descriptors, whoever opened its
+// listener.
+func TestServerOutlastsAShortageOfDescriptors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if err := newTestServer(t, "front-0").Serve(&shortListener{}); err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	})
+}
--- a/resilient/listener.go
+++ b/resilient/listener.go
@@ -13,11 +13,14 @@
 	socket *socket
 }
 
-// NewListener returns a listener that accepts the connections of inner. The purpose tells in the
-// log what the address serves.
+// NewListener returns a listener that accepts the connections of inner, or inner if it is a
+// *Listener already. The purpose tells in the log what the address serves.
 func NewListener(log logrus.FieldLogger, purpose string, inner net.Listener) *Listener {
+	if l, ok := inner.(*Listener); ok {
+		return l
+	}
 	return &Listener{Listener: inner, socket: &socket{
-		log: log, purpose: purpose, address: inner.Addr().String(),
+		log: log, purpose: purpose, address: inner.Addr,
 		failing: eventNotAccepted, works: eventAccepted, closed: make(chan struct{}),
 	}}
 }
--- a/resilient/packetconn.go
+++ b/resilient/packetconn.go
@@ -22,11 +22,14 @@
 	sends streak
 }
 
-// NewPacketConn returns a connection that uses inner. The purpose tells in the log what the
-// address serves.
+// NewPacketConn returns a connection that uses inner, or inner if it is a *PacketConn already. The
+// purpose tells in the log what the address serves.
 func NewPacketConn(log logrus.FieldLogger, purpose string, inner net.PacketConn) *PacketConn {
+	if c, ok := inner.(*PacketConn); ok {
+		return c
+	}
 	return &PacketConn{PacketConn: inner, socket: &socket{
-		log: log, purpose: purpose, address: inner.LocalAddr().String(),
+		log: log, purpose: purpose, address: inner.LocalAddr,
 		failing: eventNotReceived, works: eventReceived, closed: make(chan struct{}),
 	}}
 }
--- a/resilient/socket.go
+++ b/resilient/socket.go
@@ -16,7 +16,7 @@
 type socket struct {
 	log     logrus.FieldLogger
 	purpose string // what the address serves, for the log
-	address string
+	address func() net.Addr
 	failing *event.Event // logged when attempts fail
 	works   *event.Event // logged when they succeed again
 
@@ -81,6 +81,6 @@
 
 // fields adds what identifies the socket.
 func (s *socket) fields(fields event.Fields) event.Fields {
-	fields["purpose"], fields["address"] = s.purpose, s.address
+	fields["purpose"], fields["address"] = s.purpose, s.address().String()
 	return fields
 }
