Close connections that are accepted while a server closes

Seen: a shutdown that takes 15 s although nothing is in flight, in 11 of 300 runs of TestInstanceEndsWhenControlFails; the platform kills an instance after 8 s. Cause: a connection that Accept had just returned while Close closed all others was added behind it, so it was served until its idle timeout, and Close waits for all that are served. Change: Close is remembered, and such a connection is closed unread. The handlers are counted under the same lock, so that Close misses none.

--- a/forward/server.go
+++ b/forward/server.go
@@ -34,6 +34,7 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	conns    map[*callerConn]struct{}
+	closed   bool // Close was called
 	listener net.Listener
 	handlers sync.WaitGroup
 }
@@ -82,11 +83,16 @@
 
 func (s *Server) serveConn(conn net.Conn) { s.serveCaller(newCallerConn(s, conn)) }
 
-// serveCaller serves a connection until it ends.
+// serveCaller serves a connection until it ends. One that was accepted while the server closed is
+// closed at once, since Close waits for all that are served.
 func (s *Server) serveCaller(c *callerConn) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = c.conn.Close() // nothing was read from it
+		return
+	}
 	s.conns[c] = struct{}{}
-	s.mu.Unlock()
 	s.options.Metrics.connections.Inc()
 	s.handlers.Go(func() {
 		c.serve()
@@ -160,6 +166,7 @@
 // Close closes the listener and all connections.
 func (s *Server) Close() {
 	s.mu.Lock()
+	s.closed = true
 	if s.listener != nil {
 		_ = s.listener.Close() // the listener may be closed already
 	}
