Bound the memory by the smallest limit on the process

Operators saw event 1104 state a soft limit of 20 GB and no percentage for the collector on a host with 33 GB, in a deployment that ends an instance at 184 MB.

Cause: the bounds followed the memory of the machine only, and process settings could not state a limit.

The setting [limits] memory states one, with a unit; 0 states none, and a limit below 48 MB is refused. The bounds now follow the smallest of it, the memory of the machine, the control group of the process with those that contain it, RLIMIT_AS and RLIMIT_DATA. Event 1104 names which one decided. GOMEMLIMIT and GOGC keep precedence. Instances that serve completions apply the bounds too.

--- a/bytebudget/bounds.go
+++ b/bytebudget/bounds.go
@@ -39,7 +39,7 @@
 	maxMachine = 64 << 40
 )
 
-// BoundsFor returns the bounds for a machine with the given memory in bytes. An implausible value
+// BoundsFor returns the bounds for a process that may use the given memory in bytes. An implausible value
 // counts as unknown.
 func BoundsFor(machine int64) Bounds {
 	if machine < minMachine || machine > maxMachine {
--- a/forward/options.go
+++ b/forward/options.go
@@ -38,7 +38,7 @@
 	DialPeer Dial
 	Random   *rand.Rand // nil: randomly seeded
 	Budget   resend.Budget
-	Memory   int64 // memory of the machine in bytes; 0: unknown
+	Memory   int64 // limit on the memory of the process in bytes; 0: unknown
 }
 
 // Defaults for limits that the settings leave out.
--- a/instance/events.go
+++ b/instance/events.go
@@ -17,5 +17,5 @@
 	eventDrainNotAnnounced = event.Define(1103, logrus.WarnLevel, "stop not announced",
 		"No leader of the control group could be informed that this instance stops. Callers get its address until its lease lapses.")
 	eventMemory = event.Define(1104, logrus.InfoLevel, "memory bounds",
-		"The bounds on the memory of this process, from the memory of the machine. Fields: machine_bytes (0: unknown), bodies_bytes, answers_bytes, process_bytes (0: none), gc_percent (0: the default), error, if the memory of the machine could not be read.")
+		"The bounds on the memory of this process, from the smallest limit on it. Fields: limit_bytes (0: none known), decided_by (settings, machine, control group, RLIMIT_AS, RLIMIT_DATA or none), machine_bytes (memory of the machine; 0: unknown), bodies_bytes, answers_bytes, process_bytes (0: none), gc_percent (0: the default), error, if a limit could not be read.")
 )
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -62,7 +62,7 @@
 
 func (f *forwarding) assemble() error {
 	p := f.options.Process
-	memory := applyMemoryBounds(machineFiles, f.options.Log)
+	memory := applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, f.options.Log)
 	heal := 0
 	if p.Voter && p.ToleratedLosses > 0 {
 		heal = 2*p.ToleratedLosses + 1
--- a/instance/memory.go
+++ b/instance/memory.go
@@ -4,17 +4,12 @@
 	"os"
 	"runtime/debug"
 
-	"github.com/cockroachdb/errors"
-	"github.com/prometheus/procfs"
 	"github.com/sirupsen/logrus"
 
 	"celeryport/bytebudget"
 	"celeryport/event"
 )
 
-// machineFiles is where the kernel reports the memory of the machine.
-const machineFiles = procfs.DefaultMountPoint
-
 // Variables of the environment with which an operator sets the garbage collector. They have
 // precedence over the bounds.
 const (
@@ -22,11 +17,14 @@
 	variableGCPercent = "GOGC"
 )
 
-// applyMemoryBounds sets the soft limit and the garbage collector of the Go runtime from the memory
-// of the machine, and returns that memory in bytes, 0 if it can't be read.
-func applyMemoryBounds(folder string, log logrus.FieldLogger) int64 {
-	machine, err := machineMemory(folder)
-	bounds := bytebudget.BoundsFor(machine)
+// applyMemoryBounds sets the soft limit and the garbage collector of the Go runtime from the
+// smallest limit on the memory of this process: the one that the settings state in bytes (0:
+// none), the memory of the machine, or a limit of the kernel. It returns that limit in bytes, 0
+// if none is known.
+func applyMemoryBounds(files kernelFiles, stated int64, log logrus.FieldLogger) int64 {
+	limits, err := files.memoryLimits(stated)
+	decided := bytebudget.Smallest(limits...)
+	bounds := bytebudget.BoundsFor(decided.Bytes)
 	if bounds.Process > 0 && os.Getenv(variableSoftLimit) == "" {
 		debug.SetMemoryLimit(bounds.Process)
 	}
@@ -34,28 +32,17 @@
 		debug.SetGCPercent(bounds.GCPercent)
 	}
 	fields := event.Fields{
-		"machine_bytes": machine, "bodies_bytes": bounds.Bodies, "answers_bytes": bounds.Answers, "process_bytes": bounds.Process,
-		"gc_percent": bounds.GCPercent,
+		"limit_bytes": decided.Bytes, "decided_by": decided.Source, "bodies_bytes": bounds.Bodies,
+		"answers_bytes": bounds.Answers, "process_bytes": bounds.Process, "gc_percent": bounds.GCPercent,
+	}
+	for _, l := range limits {
+		if l.Source == bytebudget.SourceMachine {
+			fields["machine_bytes"] = l.Bytes
+		}
 	}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
 	eventMemory.Log(log, fields)
-	return machine
-}
-
-// machineMemory returns the memory of the machine in bytes.
-func machineMemory(folder string) (int64, error) {
-	files, err := procfs.NewFS(folder)
-	if err != nil {
-		return 0, errors.Wrap(err, "open the files of the kernel")
-	}
-	info, err := files.Meminfo()
-	if err != nil {
-		return 0, errors.Wrap(err, "read the memory of the machine")
-	}
-	if info.MemTotalBytes == nil {
-		return 0, errors.New("the kernel does not state the memory of the machine")
-	}
-	return int64(*info.MemTotalBytes), nil
+	return decided.Bytes
 }
--- a/instance/run.go
+++ b/instance/run.go
@@ -28,6 +28,7 @@
 // ends when hardStop is done or the drain timeout of the settings has passed; calls that are
 // still in progress are then cut off.
 func Run(stop, hardStop context.Context, options Options) (err error) {
+	applyMemoryBounds(defaultKernelFiles, options.Process.MemoryLimit, options.Log)
 	parts, err := openLedger(&options)
 	if err != nil {
 		return err
--- a/settings/schema_process.go
+++ b/settings/schema_process.go
@@ -30,6 +30,10 @@
 	maxLosses      = 4
 	maxTimeout     = time.Hour
 	maxPool        = 100 * kilo
+
+	// minMemory holds what an idle instance uses and the smallest bounds on bodies and answers.
+	minMemory = 48 * mega
+	maxMemory = 64000 * giga
 )
 
 var processSchema = schema[Process]{
@@ -124,6 +128,8 @@
 	fields: []field[Process]{
 		key("max_connections", count(1, maxConnections), "10k", func(p *Process) *int { return &p.MaxConnections },
 			"Maximum number of open connections from callers and upstreams."),
+		key("memory", sizeLimit(minMemory, maxMemory), "", func(p *Process) *int64 { return &p.MemoryLimit },
+			"Limit of the deployment on the memory of this process, which is ended if it uses more. The bounds on the memory follow the smallest of this limit, the memory of the machine and the limits that the kernel sets on the process; default: not stated."),
 		key("read_timeout", duration(time.Millisecond, maxTimeout), "30s", func(p *Process) *time.Duration { return &p.ReadTimeout },
 			"Maximum time to receive a caller's whole request."),
 		key("drain_timeout", duration(time.Millisecond, maxTimeout), "10m", func(p *Process) *time.Duration { return &p.DrainTimeout },
--- a/settings/unit.go
+++ b/settings/unit.go
@@ -93,6 +93,26 @@
 	}
 }
 
+// sizeLimit accepts a limit in bytes, which may be fractional in its unit: 0, which states none, or
+// a number between two bounds.
+func sizeLimit(minimum, maximum int64) value[int64] {
+	return value[int64]{
+		allowed: fmt.Sprintf("a size such as 512MB or 1.5GB, from %d to %d bytes, or 0B for none", minimum, maximum),
+		parse: func(text string) (int64, error) {
+			digits, scale := cutSuffix(text, sizeSuffixes)
+			if digits == text {
+				return 0, errNotAllowed
+			}
+			n, err := parseNumber(digits, 0, float64(maximum)/float64(scale))
+			bytes := int64(n * float64(scale))
+			if err != nil || n > 0 && bytes < minimum {
+				return 0, errNotAllowed
+			}
+			return bytes, nil
+		},
+	}
+}
+
 // parseScaled parses digits with a unit, which is optional unless required is set.
 func parseScaled(text string, suffixes []suffix, required bool) (int64, error) {
 	digits, scale := cutSuffix(text, suffixes)
