Let a voter wait for a data folder that it can't open yet

Operators saw a voter end at its start, exit code 1, because a former process still held the lock of the data folder, or because the disk was full or failed for a moment.

Cause: control.New took every failure to create, lock, read or rewrite the folder for one for good. After a failure behind the log's opening it also left the log open and locked, and wal left a file open after a failed rewrite, so that a second attempt in the process could not have worked. Each failure to open the lock file was reported as a lock of another process.

Now wal.MayPass classifies the error. What may pass is waited for by Node.Run before it listens or takes part: logged at the begin, when the reason changes, every 10 s and at the end (events 1180, 1181), ended by its context. Until then the view is empty, tasks wait, and a drain returns at once. Damage, missing permission and a path that is no folder end the start at once, event 1182.

--- a/control/core.go
+++ b/control/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"celeryport/consensus"
@@ -37,7 +38,6 @@
 	out            outbox             // batches of the announcements in direct, for the leader
 	received       *relay.Receiver    // batches from the leader
 	grants         []quota.Grant
-	initialTree    []byte // initial settings tree, for a group that has never accepted one
 	demand         []quota.Demand
 	grantedAt      time.Time // when the last grants arrived
 	grantRound     uint64    // number of grants that have arrived
@@ -66,6 +66,7 @@
 	appliedUpTo uint64 // last batch of this instance that the leader has applied
 }
 
+// newCore returns the control state that the data folder holds.
 func newCore(n *Node) (*core, error) {
 	process := n.opts.Process
 	c := &core{
@@ -77,11 +78,17 @@
 		restoredAt: map[string]time.Time{},
 		seeds:      process.Voters,
 	}
-	if err := c.readInitialTree(); err != nil {
-		return nil, err
+	if err := c.open(); err != nil {
+		return nil, errors.CombineErrors(err, c.closeFolder())
 	}
+	return c, nil
+}
+
+// open reads the data folder, and chooses the incarnation by it.
+func (c *core) open() error {
+	n, process := c.node, c.node.opts.Process
 	if err := c.openFolder(); err != nil {
-		return nil, err
+		return err
 	}
 	c.self = membership.Instance{
 		Name:             process.Name,
@@ -96,7 +103,7 @@
 		c.self.LogVersion = state.LogVersion
 	}
 	if err := c.renewIncarnation(0); err != nil {
-		return nil, err
+		return err
 	}
 	c.direct = upstream.NewRegistry(c.freshFor())
 	c.out = newOutbox(c.direct)
@@ -105,7 +112,7 @@
 	if c.group != nil {
 		c.fanout = newFanout(c)
 	}
-	return c, c.loadRemembered(n.clock.Now())
+	return c.loadRemembered(n.clock.Now())
 }
 
 // step performs all due work and returns when to call it again.
--- a/control/node.go
+++ b/control/node.go
@@ -15,17 +15,21 @@
 	"celeryport/rpc"
 	"celeryport/upstream"
 	"celeryport/verdict"
+	"celeryport/wal"
 )
 
 // Node is the control side of an instance. It implements Plane and Operations. One
 // goroutine, started by Run, owns the core with all control state; other goroutines submit
 // tasks to it and read the published views.
 type Node struct {
-	opts       Options
-	log        logrus.FieldLogger
-	clock      clock.Clock
-	clients    *rpc.Clients
-	handlers   map[string]Handler
+	opts     Options
+	log      logrus.FieldLogger
+	clock    clock.Clock
+	clients  *rpc.Clients
+	handlers map[string]Handler
+
+	initialTree []byte // initial settings tree, for a group that has never accepted one
+
 	view       atomic.Pointer[View]
 	issuer     atomic.Pointer[order.Issuer] // nil unless this instance issues engine orders
 	orders     *order.Driver
@@ -35,6 +39,7 @@
 	urgentSync chan struct{}
 	messages   chan task // consensus messages, which take precedence over other tasks
 	tasks      chan task
+	opened     chan struct{} // closed when the data folder has been read; until then core is nil
 	stopped    chan struct{} // closed when the control goroutine has ended
 	parsed     parseCache
 	refused    refusedAnnouncements
@@ -66,7 +71,8 @@
 var errStopped = verdict.Refuse(verdict.ReasonDraining, 0, "control has stopped")
 
 // New creates a node: it opens the data folder and loads the installed settings. Run
-// starts it.
+// starts it. If the folder can't be opened for a reason that may pass, Run waits for it; until
+// then the view is empty, and the incarnation is not known.
 func New(opts Options) (*Node, error) {
 	if opts.Process == nil || opts.Log == nil {
 		return nil, errors.New("control needs process settings and a log")
@@ -77,6 +83,7 @@
 		handlers:   map[string]Handler{},
 		messages:   make(chan task, messageQueue),
 		tasks:      make(chan task, taskQueue),
+		opened:     make(chan struct{}),
 		stopped:    make(chan struct{}),
 		urgentSync: make(chan struct{}, 1),
 		evidence:   make(chan quarantine.Evidence, maxEvidence),
@@ -85,14 +92,20 @@
 	n.clock = n.opts.Clock
 	n.parsed.read = n.opts.Parse
 	n.clients = rpc.NewClients(opts.Process.InstanceKey, opts.Dial)
-	core, err := newCore(n)
-	if err != nil {
+	var err error
+	if n.initialTree, err = n.opts.readInitialTree(); err != nil {
 		return nil, err
 	}
-	n.core = core
 	n.orders = n.newOrders()
-	n.core.publish(n.clock.Now())
 	n.registerCommands()
+	if err = n.openCore(); err == nil {
+		return n, nil
+	}
+	if !wal.MayPass(err) {
+		wal.LogUnusable(n.log, n.opts.Process.DataFolder, err)
+		return nil, err
+	}
+	n.view.Store(&View{Upstreams: upstream.NewRegistry(n.opts.Timing.Fresh).Snapshot(n.clock.Now())})
 	return n, nil
 }
 
@@ -153,7 +166,13 @@
 
 // Drain implements Plane. It hands over the leadership if this instance holds it, and
 // returns when a leader has acknowledged the draining.
+//
+// An instance that still waits for its data folder has no incarnation that another one could
+// know.
 func (n *Node) Drain(ctx context.Context) error {
+	if !n.isOpen() {
+		return nil
+	}
 	if err := n.do(ctx, func(now time.Time) { n.core.drain(now) }); err != nil {
 		return err
 	}
@@ -180,6 +199,13 @@
 
 // post submits a task to the control goroutine without waiting until it has finished.
 func (n *Node) post(ctx context.Context, t task) error {
+	select {
+	case <-n.opened:
+	case <-n.stopped:
+		return errStopped
+	case <-ctx.Done():
+		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.ReasonStorageFailed, "the data folder could not be opened yet")
+	}
 	select {
 	case n.tasks <- t:
 		return nil
--- a/control/openfolder.go
+++ b/control/openfolder.go
@@ -10,7 +10,22 @@
 	"celeryport/control/state"
 )
 
-// openFolder loads the stored state of this instance and, on a voter, opens the log.
+// closeFolder closes what openFolder has opened, so that the folder can be opened again.
+func (c *core) closeFolder() error {
+	var err error
+	if voter := c.node.claimVoter; voter != nil {
+		c.node.claimVoter = nil
+		err = voter.records.Close()
+	}
+	if c.group != nil {
+		err = errors.CombineErrors(err, c.group.log.Close())
+		c.group = nil
+	}
+	return err
+}
+
+// openFolder loads the stored state of this instance and, on a voter, opens the log. If it
+// fails, what it has opened stays open until closeFolder.
 func (c *core) openFolder() error {
 	folder := c.installed.folder
 	if folder.path == "" {
@@ -35,23 +50,23 @@
 	if err != nil {
 		return err
 	}
-	if c.node.claimVoter, err = openClaims(c.node, folder, log.Identity().Voter, c.keyLifetime()); err != nil {
-		return errors.CombineErrors(err, log.Close())
+	c.group = &group{
+		core:    c,
+		id:      log.Identity().Voter,
+		log:     log,
+		stored:  stored,
+		machine: state.New(),
+		peers:   map[consensus.ID]*peer{},
+		senders: map[consensus.ID]string{},
+	}
+	if c.node.claimVoter, err = openClaims(c.node, folder, c.group.id, c.keyLifetime()); err != nil {
+		return err
 	}
 	founding, err := loadFounding(folder)
 	if err != nil {
-		return errors.CombineErrors(err, log.Close())
-	}
-	c.group = &group{
-		core:     c,
-		id:       log.Identity().Voter,
-		log:      log,
-		stored:   stored,
-		machine:  state.New(),
-		founding: founding,
-		peers:    map[consensus.ID]*peer{},
-		senders:  map[consensus.ID]string{},
+		return err
 	}
+	c.group.founding = founding
 	if founding != nil {
 		return c.group.start(*founding)
 	}
--- a/control/run.go
+++ b/control/run.go
@@ -24,7 +24,16 @@
 
 // Run serves the control address and drives the node until ctx is done or a component
 // fails.
+//
+// It first waits for the data folder, if New could not open it.
 func (n *Node) Run(outer context.Context) error {
+	if err := n.awaitCore(outer); err != nil {
+		n.clients.Close()
+		if errors.Is(err, context.Canceled) {
+			return nil
+		}
+		return err
+	}
 	listener, err := n.listen()
 	if err != nil {
 		return err
--- a/wal/events.go
+++ b/wal/events.go
@@ -13,6 +13,14 @@
 	eventTornTail = event.Define(3501, logrus.WarnLevel, "incomplete last record truncated",
 		"The process or machine stopped during a write. Nothing that was "+
 			"acknowledged is lost; no action is needed.")
+	eventAwaited = event.Define(1180, logrus.WarnLevel, "waiting for the data folder",
+		"The data folder can't be opened at present: the disk is full or faulty, or another process still uses the folder. "+
+			"The instance tries again and does not take part before; it is stopped as usual. Fields: folder, error, waited_ms.")
+	eventAvailable = event.Define(1181, logrus.InfoLevel, "data folder available",
+		"The data folder was opened after a wait. Fields: folder, waited_ms.")
+	eventUnusable = event.Define(1182, logrus.ErrorLevel, "data folder can't be used",
+		"The data folder is damaged, no folder, or not accessible to this process, which does not pass by itself. The process ends. "+
+			"Correct the path or the permissions, restore the folder, or replace this voter. Fields: folder, error.")
 	eventNewIdentity = event.Define(3502, logrus.WarnLevel, "new voter identity created",
 		"The data folder was empty. On the first start of an instance this is normal; "+
 			"otherwise its disk was lost, and the old voter must be replaced by the new one.")
--- a/wal/load.go
+++ b/wal/load.go
@@ -27,7 +27,7 @@
 		records = append(records, c.records...)
 		r.current = s
 	}
-	return records, r.Rewrite(records)
+	return records, r.rewrite(records)
 }
 
 // segments returns the files from the newest checkpoint on.
--- a/wal/records.go
+++ b/wal/records.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"celeryport/event"
 )
@@ -54,13 +55,16 @@
 		return nil, nil, errors.Wrap(err, "data folder")
 	}
 	lock, err := fs.Lock(filepath.Join(folder, lockFile))
-	if err != nil {
+	if errors.Is(err, unix.EWOULDBLOCK) {
 		return nil, nil, &LockedError{folder, err}
 	}
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "lock the data folder")
+	}
 	r := &Records{folder: folder, fs: fs, options: options, lock: lock}
 	records, err := r.load()
 	if err != nil {
-		return nil, nil, errors.CombineErrors(err, lock.Close())
+		return nil, nil, errors.CombineErrors(err, r.Close())
 	}
 	return r, records, nil
 }
@@ -89,10 +93,17 @@
 	if r.failed != nil {
 		return r.failed
 	}
+	if err := r.rewrite(records); err != nil {
+		return r.fail(err)
+	}
+	return nil
+}
+
+func (r *Records) rewrite(records [][]byte) error {
 	next := segment{r.current.number + 1, true}
 	r.total = 0
 	if err := r.startSegment(next, records); err != nil {
-		return r.fail(err)
+		return err
 	}
 	return r.removeBefore(next)
 }
@@ -149,7 +160,7 @@
 func (r *Records) removeBefore(keep segment) error {
 	names, err := r.fs.ReadFolder(r.folder)
 	if err != nil {
-		return r.fail(err)
+		return err
 	}
 	for _, name := range names {
 		s, ok := parseSegment(name)
@@ -158,7 +169,7 @@
 			continue
 		}
 		if err := r.fs.Remove(filepath.Join(r.folder, name)); err != nil {
-			return r.fail(err)
+			return err
 		}
 	}
 	return nil
