Let voters pass a full disk at the founding and on claims

A voter whose disk was full at the moment when the control group was founded ended, exit code 1. A voter on claims whose disk was full once rejected every claim until a restart; with two such voters of three, no request that must not be repeated could be sent. A data folder that could not be reopened for a while logged a close of an already closed file twice a second.

Cause: begin returned the failed write to the group of goroutines; the claim voter's failure was final; reopen closed the same log at every try.

Now the founding configuration is written until it is stored; the claim voter reads and rewrites its votes after a failure, rejecting claims meanwhile, and enters the last epoch again; reopen closes once and logs each new reason.

--- a/control/awaitfolder.go
+++ b/control/awaitfolder.go
@@ -14,14 +14,16 @@
 	}
 	n.core = core
 	core.publish(n.clock.Now())
-	close(n.opened)
 	return nil
 }
 
 // isOpen reports whether the data folder has been read.
 func (n *Node) isOpen() bool {
+	if n.awaited == nil {
+		return true
+	}
 	select {
-	case <-n.opened:
+	case <-n.awaited:
 		return true
 	default:
 		return false
@@ -38,6 +40,8 @@
 	err := wal.Await(ctx, n.opts.Process.DataFolder, n.log, n.openCore)
 	if err != nil {
 		close(n.stopped)
+		return err
 	}
-	return err
+	close(n.awaited)
+	return nil
 }
--- a/control/claimvoter.go
+++ b/control/claimvoter.go
@@ -10,9 +10,6 @@
 
 	"celeryport/claim"
 	"celeryport/consensus"
-	"celeryport/event"
-	"celeryport/verdict"
-	"celeryport/wal"
 )
 
 const (
@@ -25,12 +22,13 @@
 // claimVoter stores the votes of this instance. A single goroutine owns it. Requests that
 // arrive during a sync share the next one, which divides the cost of a sync between them.
 type claimVoter struct {
-	node     *Node
-	voter    *claim.Voter
-	records  *wal.Records
+	node   *Node
+	folder dataFolder
+	id     consensus.ID
+	storedVotes
 	requests chan claimRequest
 	epochs   chan claim.Epoch
-	rewrite  int64       // size from which the log is rewritten
+	epoch    claim.Epoch // last one entered
 	votes    atomic.Bool // whether it votes, as last logged
 	full     bool        // whether it is full, as last logged
 }
@@ -49,31 +47,20 @@
 // openClaims opens the stored votes of a voter. The lifetime of keys is taken from the
 // settings at the start of the process; updateLifetime applies later changes.
 func openClaims(n *Node, folder dataFolder, id consensus.ID, lifetime time.Duration) (*claimVoter, error) {
-	records, raw, err := wal.OpenRecords(filepath.Join(folder.path, claimsFolder), folder.fs, wal.Options{Logger: n.log})
-	if err != nil {
-		return nil, errors.Wrap(err, "open the votes")
-	}
-	decoded := make([]claim.Record, 0, len(raw))
-	for _, data := range raw {
-		record, err := claim.DecodeRecord(data)
-		if err != nil {
-			return nil, errors.CombineErrors(err, records.Close())
-		}
-		decoded = append(decoded, record)
+	v := &claimVoter{
+		node: n, folder: dataFolder{filepath.Join(folder.path, claimsFolder), folder.fs}, id: id,
+		requests: make(chan claimRequest, claimQueue), epochs: make(chan claim.Epoch, claimQueue),
 	}
-	config := claim.DefaultVoterConfig(id)
-	config.Lifetime = lifetime
-	voter, err := claim.NewVoter(config, decoded)
+	stored, err := v.load(lifetime)
 	if err != nil {
-		return nil, errors.CombineErrors(err, records.Close())
+		return nil, err
 	}
-	return &claimVoter{
-		node: n, voter: voter, records: records, rewrite: compactClaimBytes,
-		requests: make(chan claimRequest, claimQueue), epochs: make(chan claim.Epoch, claimQueue),
-	}, nil
+	v.storedVotes = *stored
+	return v, nil
 }
 
-// run processes requests until ctx is done or a sync fails.
+// run processes requests until ctx is done. After a failed write it rejects them until the votes
+// have been read and rewritten.
 func (v *claimVoter) run(ctx context.Context) error {
 	ticker := time.NewTicker(claimTick)
 	defer ticker.Stop()
@@ -85,13 +72,15 @@
 		case first := <-v.requests:
 			batch = v.gather(first)
 		case e := <-v.epochs:
-			v.voter.Enter(v.node.clock.Now(), e)
+			v.enterNow(e)
 		case <-ticker.C:
 			v.updateLifetime()
 			v.voter.Tick(v.node.clock.Now())
 		}
 		if err := v.process(ctx, batch); err != nil {
-			return v.fail(ctx, err)
+			if err := v.recover(ctx, err); err != nil {
+				return err
+			}
 		}
 	}
 }
@@ -197,23 +186,6 @@
 	}
 }
 
-var errVoterFailed = verdict.Refuse(verdict.ReasonStorageFailed, 0, "this voter can't keep votes any more")
-
-// fail rejects all further requests. A vote that could not be synced must not be given,
-// and none that was given may be lost.
-func (v *claimVoter) fail(ctx context.Context, cause error) error {
-	eventStorageFailed.Log(v.node.log, event.Fields{"error": cause, "folder": claimsFolder})
-	for {
-		select {
-		case <-ctx.Done():
-			return errors.CombineErrors(ctx.Err(), v.records.Close())
-		case r := <-v.requests:
-			r.reply <- claimReply{err: errVoterFailed}
-		case <-v.epochs:
-		}
-	}
-}
-
 // ask passes a message to the voter and waits for its answers.
 func (v *claimVoter) ask(ctx context.Context, m claim.Message) ([]claim.Message, error) {
 	reply := make(chan claimReply, 1)
--- a/control/disk_test.go
+++ b/control/disk_test.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"context"
+	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -102,3 +105,66 @@
 		t.Errorf("with the recovered voter as the second of two: %+v", third)
 	}
 }
+
+// Guards against a voter on claims that rejects every claim until a restart because its disk was
+// full for some seconds: with two such voters no request that must not be repeated can be sent.
+func TestClaimsAreVotedOnAgainWhenTheDiskHasRoom(t *testing.T) {
+	t.Parallel()
+	f := newClaimFleet(t, 3, 1)
+	caller := f.members[3]
+	for _, m := range f.members[:2] {
+		m.disk.full.Store(true)
+	}
+	f.await("two voters can't keep votes", func() bool {
+		return claimAt(t, caller, "while full", "r").State == NoMajority
+	})
+	for _, m := range f.members[:2] {
+		m.disk.full.Store(false)
+	}
+	f.await("a claim is won", func() bool { return claimAt(t, caller, "with room", "r").State == Won })
+}
+
+// Guards against a fleet whose first start ends a voter, because the disk is full at the moment
+// when the control group is founded.
+func TestFoundingWaitsForTheDisk(t *testing.T) {
+	t.Parallel()
+	disk := &fullFounding{}
+	disk.full.Store(true)
+	options, hook := newVoterOptions(t, disk)
+	node, err := New(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(ctx) }()
+	await := func(what string) {
+		for !logged(hook, what) {
+			select {
+			case err := <-ended:
+				t.Fatalf("the node ended before: %s; %v", what, err)
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}
+	await("waiting for the data folder")
+	disk.full.Store(false)
+	await("control group founded")
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// fullFounding is a disk that has no room for the founding configuration while full is set.
+type fullFounding struct{ fullDisk }
+
+func (d *fullFounding) Create(name string) (wal.File, error) {
+	if strings.HasPrefix(filepath.Base(name), foundingFile) {
+		return d.fullDisk.Create(name)
+	}
+	return d.OS.Create(name)
+}
+
+func (d *fullFounding) Append(name string) (wal.File, error) { return d.OS.Append(name) }
--- a/control/founding.go
+++ b/control/founding.go
@@ -11,6 +11,7 @@
 	"celeryport/clock"
 	"celeryport/consensus"
 	"celeryport/event"
+	"celeryport/wal"
 )
 
 // commandHello is the command by which voters learn the IDs of each other's data folders
@@ -42,8 +43,7 @@
 	for {
 		founding, decided := n.decideFounding(ctx)
 		if decided {
-			var err error
-			return errors.CombineErrors(n.do(ctx, func(time.Time) { err = n.core.group.begin(founding) }), err)
+			return n.begin(ctx, founding)
 		}
 		if !clock.Pause(ctx, n.opts.Timing.Retry) {
 			return ctx.Err()
@@ -51,6 +51,17 @@
 	}
 }
 
+// begin starts consensus once the founding configuration could be stored.
+func (n *Node) begin(ctx context.Context, founding consensus.Configuration) error {
+	var stopped error
+	err := wal.Await(ctx, n.opts.Process.DataFolder, n.log, func() error {
+		var err error
+		stopped = n.do(ctx, func(time.Time) { err = n.core.group.begin(founding) })
+		return err
+	})
+	return errors.CombineErrors(stopped, err)
+}
+
 // decideFounding asks all voters and returns the founding configuration, or an empty one if
 // this voter is not a member.
 func (n *Node) decideFounding(ctx context.Context) (consensus.Configuration, bool) {
--- a/control/group.go
+++ b/control/group.go
@@ -19,7 +19,7 @@
 type group struct {
 	core        *core
 	id          consensus.ID
-	log         *wal.Log
+	log         *wal.Log          // nil between two attempts to reopen the folder
 	stored      consensus.Storage // read at start and passed to consensus
 	node        *consensus.Node   // nil until the group is founded, and after a disk failure
 	machine     *state.Machine
@@ -33,6 +33,8 @@
 	quarantined *quarantine.List // list returned last
 	failed      error            // why the voter stopped
 	retryAt     time.Time        // when to try to reopen the folder
+
+	reopenReason string // why the last attempt to reopen the folder failed, as logged
 }
 
 // idleWait is the time until the next step when nothing is scheduled.
@@ -187,7 +189,16 @@
 	for _, p := range g.peers {
 		p.close()
 	}
-	if err := g.log.Close(); err != nil {
-		eventStorageFailed.Log(g.core.log, event.Fields{"error": err})
+	g.closeLog()
+}
+
+// closeLog closes the log, which is nil until it is opened again.
+func (g *group) closeLog() {
+	if g.log == nil {
+		return
+	}
+	if err := g.log.Close(); err != nil && !errors.Is(err, g.failed) {
+		eventStorageFailed.Log(g.core.log, event.Fields{"error": err, "folder": g.core.installed.folder.path})
 	}
+	g.log = nil
 }
--- a/control/node.go
+++ b/control/node.go
@@ -39,7 +39,7 @@
 	urgentSync chan struct{}
 	messages   chan task // consensus messages, which take precedence over other tasks
 	tasks      chan task
-	opened     chan struct{} // closed when the data folder has been read; until then core is nil
+	awaited    chan struct{} // closed when the data folder has been read; until then core is nil. nil: New has read it
 	stopped    chan struct{} // closed when the control goroutine has ended
 	parsed     parseCache
 	refused    refusedAnnouncements
@@ -83,7 +83,6 @@
 		handlers:   map[string]Handler{},
 		messages:   make(chan task, messageQueue),
 		tasks:      make(chan task, taskQueue),
-		opened:     make(chan struct{}),
 		stopped:    make(chan struct{}),
 		urgentSync: make(chan struct{}, 1),
 		evidence:   make(chan quarantine.Evidence, maxEvidence),
@@ -105,6 +104,7 @@
 		wal.LogUnusable(n.log, n.opts.Process.DataFolder, err)
 		return nil, err
 	}
+	n.awaited = make(chan struct{})
 	n.view.Store(&View{Upstreams: upstream.NewRegistry(n.opts.Timing.Fresh).Snapshot(n.clock.Now())})
 	return n, nil
 }
@@ -199,12 +199,14 @@
 
 // post submits a task to the control goroutine without waiting until it has finished.
 func (n *Node) post(ctx context.Context, t task) error {
-	select {
-	case <-n.opened:
-	case <-n.stopped:
-		return errStopped
-	case <-ctx.Done():
-		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.ReasonStorageFailed, "the data folder could not be opened yet")
+	if !n.isOpen() {
+		select {
+		case <-n.awaited:
+		case <-n.stopped:
+			return errStopped
+		case <-ctx.Done():
+			return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.ReasonStorageFailed, "the data folder could not be opened yet")
+		}
 	}
 	select {
 	case n.tasks <- t:
--- a/control/reopen.go
+++ b/control/reopen.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"celeryport/consensus"
 	"celeryport/control/state"
 	"celeryport/event"
@@ -25,8 +23,13 @@
 	}
 	g.retryAt = now.Add(reopenInterval)
 	if err := g.reopen(); err != nil {
-		return g.retryAt, nil //nolint:nilerr // logged as failed already, and tried again
+		if reason := err.Error(); reason != g.reopenReason {
+			eventStorageFailed.Log(g.core.log, event.Fields{"error": reason, "folder": g.core.installed.folder.path})
+			g.reopenReason = reason
+		}
+		return g.retryAt, nil //nolint:nilerr // tried again
 	}
+	g.reopenReason = ""
 	eventStorageRecovered.Log(g.core.log, event.Fields{"folder": g.core.installed.folder.path})
 	return now, nil
 }
@@ -35,9 +38,7 @@
 // files. What was read may never have reached the disk, so this voter must not vote by it
 // before the new files have been synced.
 func (g *group) reopen() error {
-	if err := g.log.Close(); err != nil && !errors.Is(err, g.failed) {
-		eventStorageFailed.Log(g.core.log, event.Fields{"error": err, "folder": g.core.installed.folder.path})
-	}
+	g.closeLog()
 	log, stored, err := g.core.installed.folder.openLog(g.core.node.opts.Process.Name, g.core.log)
 	if err != nil {
 		return err
