Let the ledger of a voter wait for its folder

A voter that serves completions ended at its start, exit code 1, when the folder of its ledger was locked or its disk full for a moment, as the data folder of control did. It now waits in the same way, until it is stopped.

--- a/instance/ledger.go
+++ b/instance/ledger.go
@@ -30,17 +30,21 @@
 	copier  *accounting.Copier
 }
 
-func openLedger(options *Options) (*ledgerParts, error) {
+// openLedger opens the ledger of a voter. It waits until ctx ends while the folder can't be opened
+// for a reason that may pass.
+func openLedger(ctx context.Context, options *Options, fs wal.FS) (*ledgerParts, error) {
 	p := &ledgerParts{options: options}
 	if !options.Process.Voter {
 		return p, nil
 	}
 	folder := filepath.Join(options.Process.DataFolder, ledgerFolder)
-	book, err := ledger.OpenStore(folder, wal.OS{}, options.Log, clock.Real{})
+	err := wal.Await(ctx, folder, options.Log, func() (err error) {
+		p.book, err = ledger.OpenStore(folder, fs, options.Log, clock.Real{})
+		return err
+	})
 	if err != nil {
 		return nil, errors.Wrap(err, "ledger")
 	}
-	p.book = book
 	return p, nil
 }
 
--- a/instance/run.go
+++ b/instance/run.go
@@ -17,6 +17,7 @@
 	"celeryport/metrics"
 	"celeryport/quota"
 	"celeryport/upstream/client"
+	"celeryport/wal"
 )
 
 const (
@@ -29,7 +30,10 @@
 // still in progress are then cut off.
 func Run(stop, hardStop context.Context, options Options) (err error) {
 	applyMemoryBounds(defaultKernelFiles, options.Process.MemoryLimit, options.Log)
-	parts, err := openLedger(&options)
+	parts, err := openLedger(stop, &options, wal.OS{})
+	if errors.Is(err, context.Canceled) {
+		return nil // stopped while another process still used the folder, or the disk was full
+	}
 	if err != nil {
 		return err
 	}
