--- a/control/run.go
+++ b/control/run.go
@@ -27,11 +27,16 @@
 // fails. While the address can't be bound, the node only runs tasks: it sends nothing, so that
 // others don't take it for an instance that they can reach. The error is a *binding.Refusal if
 // the address can't be used at all.
+//
+// It first waits for the data folder, if New could not open it.
 func (n *Node) Run(outer context.Context) error {
+	defer n.clients.Close()
+	if err := n.awaitCore(outer); err != nil {
+		return endOf(err)
+	}
 	inner, end := context.WithCancel(context.WithoutCancel(outer))
 	defer end()
 	group, ctx := errgroup.WithContext(inner)
-	defer n.clients.Close()
 	listening := make(chan struct{})
 	group.Go(func() error { return n.runCore(ctx, listening) })
 	listener, err := n.listen(outer)
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -26,7 +26,7 @@
 // forwarding is an instance that forwards calls, or that only takes part in control.
 type forwarding struct {
 	options *Options
-	memory  int64 // memory of the machine in bytes; 0: unknown
+	memory  int64 // limit on the memory of the process in bytes; 0: unknown
 	metrics *prometheus.Registry
 	node    *control.Node
 	server  atomic.Pointer[forward.Server] // nil until the addresses are open, or if the instance takes no calls
@@ -40,7 +40,7 @@
 // or the drain timeout of the settings has passed.
 func RunForwarding(stop, hardStop context.Context, options Options) error {
 	p := options.Process
-	f := &forwarding{options: &options, metrics: newProcessRegistry(), memory: applyMemoryBounds(machineFiles, options.Log)}
+	f := &forwarding{options: &options, metrics: newProcessRegistry(), memory: applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log)}
 	f.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
 	f.loads = loadsAddress{log: options.Log, address: p.ControlListen, share: func(ctx context.Context, conn net.PacketConn) error {
 		return f.server.Load().ShareLoads(ctx, conn)
--- a/instance/run.go
+++ b/instance/run.go
@@ -15,6 +15,7 @@
 	"celeryport/quota"
 	"celeryport/supervise"
 	"celeryport/upstream/client"
+	"celeryport/wal"
 )
 
 const (
@@ -38,6 +39,7 @@
 // still in progress are then cut off.
 func Run(stop, hardStop context.Context, options Options) error {
 	p := options.Process
+	applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log)
 	c := &completions{options: &options}
 	c.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
 	run := life{
@@ -55,7 +57,7 @@
 // that none of their requests was run.
 func (c *completions) start(ctx context.Context, group *supervise.Group) error {
 	var err error
-	if c.parts, err = construct(ctx, func() (*ledgerParts, error) { return openLedger(c.options) }); err != nil {
+	if c.parts, err = construct(ctx, func() (*ledgerParts, error) { return openLedger(ctx, c.options, wal.OS{}) }); err != nil {
 		return err
 	}
 	group.Start(supervise.Component{Name: "ledger", Kind: supervise.Essential, Run: waitUntilDone, Stop: func(context.Context) error {
