--- a/control/run.go
+++ b/control/run.go
@@ -32,7 +32,7 @@
 func (n *Node) Run(outer context.Context) error {
 	defer n.clients.Close()
 	if err := n.awaitCore(outer); err != nil {
-		return endOf(err)
+		return endOf(outer, err)
 	}
 	inner, end := context.WithCancel(context.WithoutCancel(outer))
 	defer end()
@@ -42,7 +42,7 @@
 	listener, err := n.listen(outer)
 	if err != nil {
 		end()
-		return endOf(errors.CombineErrors(err, group.Wait()))
+		return endOf(outer, errors.CombineErrors(err, group.Wait()))
 	}
 	close(listening)
 	server := n.server()
@@ -52,6 +52,7 @@
 		"address":     listener.Addr().String(),
 		"voter":       n.opts.Process.Voter,
 	})
+	close(n.started)
 	group.Go(func() error { return n.serve(server, listener) })
 	group.Go(func() error { return n.runFounding(ctx) })
 	if n.claimVoter != nil {
@@ -70,12 +71,12 @@
 		end()
 		return n.shutdown(server)
 	})
-	return endOf(group.Wait())
+	return endOf(outer, group.Wait())
 }
 
 // endOf returns the error of a component, or nil if the node was asked to stop.
-func endOf(err error) error {
-	if errors.Is(err, context.Canceled) {
+func endOf(outer context.Context, err error) error {
+	if outer.Err() != nil && errors.Is(err, context.Canceled) {
 		return nil
 	}
 	return err
