Catch signals from the first moment of an instance on

Seen: SIGHUP within the first 5 to 8 ms of a process, on a busy machine the first 30, ended it by the default action without a line; so did SIGTERM and SIGINT, with no exit code 0. SIGHUP ended an instance that serves completions at any time. A deployment that reloads settings while processes restart meets it by chance.

Cause: the handlers were registered after the settings had been read, the Go runtime itself only reaches the default action. Reload and stop registered separately.

Change: package signals catches the three signals in its initialisation, for the command serve only, and keeps them for the instance. Beside it a C constructor ignores SIGHUP before the runtime starts. Each signal is logged with what it asks for (event 1160); the instance that serves completions logs SIGHUP and runs on.

SIGHUP_at_the_start of TestProcessesEndOnlyWhenAsked: before, the processes were terminated by the signal.

--- a/cli/reload.go
+++ b/cli/reload.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,25 +25,22 @@
 const reloadInterval = time.Second
 
 // watchSettings sends the process settings after each change of the file, until
-// ctx ends. SIGHUP triggers an immediate check. A file with a fault is logged and not
+// ctx ends. A value from now triggers an immediate check. A file with a fault is logged and not
 // sent.
-func watchSettings(ctx context.Context, path string, log logrus.FieldLogger) <-chan *settings.Process {
+func watchSettings(ctx context.Context, path string, now <-chan struct{}, log logrus.FieldLogger) <-chan *settings.Process {
 	changes := make(chan *settings.Process)
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
 	known, err := os.ReadFile(path)
 	if err != nil {
 		eventReloadFailed.Log(log, event.Fields{"error": err})
 	}
 	go func() {
-		defer signal.Stop(hangUp)
 		ticker := time.NewTicker(reloadInterval)
 		defer ticker.Stop()
 		for {
 			select {
 			case <-ctx.Done():
 				return
-			case <-hangUp:
+			case <-now:
 			case <-ticker.C:
 			}
 			text, err := os.ReadFile(path)
--- a/cli/reload_test.go
+++ b/cli/reload_test.go
@@ -40,7 +40,9 @@
 	write("127.0.0.1:3")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	changes := watchSettings(ctx, path, log)
+	reload := make(chan struct{}, 1)
+	followSignals(ctx, log, reload)
+	changes := watchSettings(ctx, path, reload, log)
 	write("127.0.0.1:4")
 	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
 		t.Fatal(err)
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -41,7 +39,11 @@
 				return &ExitError{Code: ExitUsage, Err: err}
 			}
 			if process.Serves == settings.ServesCompletions {
-				return serve(ctx, instance.Run, instance.Options{Process: process, Log: newLog(stderr, process.LogLevel)})
+				log := newLog(stderr, process.LogLevel)
+				ctx, cancel := context.WithCancel(ctx)
+				defer cancel()
+				asked := followSignals(ctx, log, nil)
+				return instance.Run(asked.stop, asked.abort, instance.Options{Process: process, Log: log})
 			}
 			return serveForwarding(ctx, path, process, stdout, dial)
 		},
@@ -75,35 +77,15 @@
 	sink := logsink.New(stdout)
 	defer sink.Close()
 	log := newLog(sink, process.LogLevel).WithField("instance", process.Name)
-	watchCtx, stopWatching := context.WithCancel(ctx)
-	defer stopWatching()
-	return serve(ctx, instance.RunForwarding, instance.Options{
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	reload := make(chan struct{}, 1)
+	asked := followSignals(ctx, log, reload)
+	return instance.RunForwarding(asked.stop, asked.abort, instance.Options{
 		Process: process,
 		Log:     log,
 		Dial:    dial,
 		Adapter: platformAdapter(),
-		Changes: watchSettings(watchCtx, path, log),
+		Changes: watchSettings(ctx, path, reload, log),
 	})
 }
-
-// runInstance runs an instance until stop ends; cancelling abort cuts its graceful shutdown short.
-type runInstance func(stop, abort context.Context, options instance.Options) error
-
-// serve runs an instance until a first signal; a second signal aborts the graceful shutdown.
-func serve(ctx context.Context, run runInstance, options instance.Options) error {
-	stop, releaseSignals := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer releaseSignals()
-	abort, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		<-stop.Done()
-		second, end := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-		defer end()
-		select {
-		case <-second.Done():
-			cancel()
-		case <-abort.Done():
-		}
-	}()
-	return run(stop, abort, options)
-}
