--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -39,7 +39,7 @@
 // or the drain timeout of the settings has passed.
 func RunForwarding(stop, hardStop context.Context, options Options) error {
 	p := options.Process
-	f := &forwarding{options: &options, metrics: newProcessRegistry(), memory: applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log)}
+	f := &forwarding{options: &options, metrics: newProcessRegistry(options.Collectors), memory: applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log)}
 	f.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
 	f.loads = loadsAddress{log: options.Log, address: p.ControlListen, share: func(ctx context.Context, conn net.PacketConn) error {
 		return f.server.Load().ShareLoads(ctx, conn)
@@ -258,8 +258,9 @@
 	}
 }
 
-func newProcessRegistry() *prometheus.Registry {
+func newProcessRegistry(more []prometheus.Collector) *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
+	registry.MustRegister(more...)
 	return registry
 }
--- a/instance/ledger.go
+++ b/instance/ledger.go
@@ -99,12 +99,14 @@
 
 // metrics returns the registry of the metrics that this instance exposes.
 func (p *ledgerParts) metrics(node *control.Node) *prometheus.Registry {
-	return metrics.NewRegistry(metrics.Sources{
+	registry := metrics.NewRegistry(metrics.Sources{
 		Account: p.account,
 		View:    node.View,
 		CopyAge: p.copier.Age,
 		Clock:   clock.Real{},
 	})
+	registry.MustRegister(p.options.Collectors...)
+	return registry
 }
 
 func (p *ledgerParts) close() error {
