Go on without a reader of the log, and end without one

Seen: a process whose reader of standard output is gone was ended by SIGPIPE with its next line, all processes at once when a collector of logs restarts. With standard output a full pipe that nobody reads SIGTERM had no effect: the process still ran 20 s later. An instance that serves completions waited for standard error in its calls.

Cause: the Go runtime raises SIGPIPE for writes to descriptors 1 and 2. Completions had no such writer.

Change: serve ignores SIGPIPE, so that the write fails; operators' commands still end by it. Completions use the same writer with the streams exchanged.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -6,7 +6,6 @@
 	"os"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 	urfave "github.com/urfave/cli/v3"
 
 	"celeryport/forward"
@@ -38,14 +37,7 @@
 			if err != nil {
 				return &ExitError{Code: ExitUsage, Err: err}
 			}
-			if process.Serves == settings.ServesCompletions {
-				log := newLog(stderr, process.LogLevel)
-				ctx, cancel := context.WithCancel(ctx)
-				defer cancel()
-				asked := followSignals(ctx, log, nil)
-				return instance.Run(asked.stop, asked.abort, instance.Options{Process: process, Log: log})
-			}
-			return serveForwarding(ctx, path, process, stdout, dial)
+			return serveInstance(ctx, path, process, stdout, stderr, dial)
 		},
 	}
 }
@@ -58,34 +50,26 @@
 	return settings.ParseProcess(path, text)
 }
 
-// logTimeFormat includes milliseconds, since lines of several instances are ordered by time.
-const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
-
-func newLog(out io.Writer, level string) *logrus.Logger {
-	log := logrus.New()
-	log.SetOutput(out)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logTimeFormat})
-	if parsed, err := logrus.ParseLevel(level); err == nil {
-		log.SetLevel(parsed)
+// serveInstance runs an instance. Its log goes through a buffer that never blocks calls: to
+// standard error if it serves completions, else to standard output.
+func serveInstance(ctx context.Context, path string, process *settings.Process, stdout, stderr io.Writer, dial forward.Dial) error {
+	out, fallback := stdout, stderr
+	if process.Serves == settings.ServesCompletions {
+		out, fallback = stderr, stdout
 	}
-	return log
-}
-
-// serveForwarding runs an instance that forwards calls or serves control only. Its
-// log goes to standard output through a buffer that never blocks calls.
-func serveForwarding(ctx context.Context, path string, process *settings.Process, stdout io.Writer, dial forward.Dial) error {
-	sink := logsink.New(stdout)
+	sink := logsink.New(out, fallback)
 	defer sink.Close()
-	log := newLog(sink, process.LogLevel).WithField("instance", process.Name)
+	log := logsink.NewLogger(sink, process.LogLevel).WithField("instance", process.Name)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	options := instance.Options{Process: process, Log: log, Collectors: sink.Collectors()}
+	if process.Serves == settings.ServesCompletions {
+		asked := followSignals(ctx, log, nil)
+		return instance.Run(asked.stop, asked.abort, options)
+	}
 	reload := make(chan struct{}, 1)
 	asked := followSignals(ctx, log, reload)
-	return instance.RunForwarding(asked.stop, asked.abort, instance.Options{
-		Process: process,
-		Log:     log,
-		Dial:    dial,
-		Adapter: platformAdapter(),
-		Changes: watchSettings(ctx, path, reload, log),
-	})
+	options.Dial, options.Adapter = dial, platformAdapter()
+	options.Changes = watchSettings(ctx, path, reload, log)
+	return instance.RunForwarding(asked.stop, asked.abort, options)
 }
--- a/logsink/writer_test.go
+++ b/logsink/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 )
@@ -22,7 +23,7 @@
 	// must not block, which would stall all requests, and dropped lines must be
 	// reported, since the log would otherwise look complete.
 	out := &stalled{release: make(chan struct{})}
-	w := New(out)
+	w := New(out, io.Discard)
 	const lines = maxBufferedLines + 500
 	for range lines {
 		if _, err := w.Write([]byte("line\n")); err != nil {
--- a/signals/signals.go
+++ b/signals/signals.go
@@ -33,9 +33,12 @@
 	}
 }
 
-// Catch catches the signals and keeps them until there is a consumer.
+// Catch catches the signals and keeps them until there is a consumer. It also ignores SIGPIPE,
+// which the runtime raises when a write to standard output or standard error finds no reader; such
+// a write then fails like any other.
 func Catch() {
 	catchOnce.Do(func() {
+		signal.Ignore(syscall.SIGPIPE)
 		hangUps, stops := make(chan os.Signal, keptHangUps), make(chan os.Signal, keptStops)
 		signal.Notify(hangUps, syscall.SIGHUP)
 		signal.Notify(stops, syscall.SIGINT, syscall.SIGTERM)
