Tell which changed settings are not in force, and that their file can't be read

Seen: event 1110 said that settings were reloaded, while all but the voters waited for a restart without a word about which. A file that can't be read was passed over in silence, for however long. A change between the first reading of the file and the start of the watch was never seen.

Cause: the watch compared bytes only, ignored errors of reading, and read the file a second time at its start.

Change: the watch starts from the bytes the process started with. Event 1163 names the keys that differ from those at the start, by value, without the values; once for each set of keys, and when none differ any more. Events 1164 and 1165 tell that the file can't be read and that it can be read again, once each. The meaning of 1111 shrinks to files with a fault.

--- a/cli/reload.go
+++ b/cli/reload.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"bytes"
 	"context"
 	"os"
 	"time"
@@ -16,7 +15,13 @@
 	eventReloaded = event.Define(1110, logrus.InfoLevel, "process settings reloaded",
 		"The file of the process settings changed. The addresses of the control group are applied; other changes require a restart. Fields: voters.")
 	eventReloadFailed = event.Define(1111, logrus.ErrorLevel, "process settings not reloaded",
-		"The file of the process settings changed, but can't be read or has a fault; the instance keeps the previous settings. Fields: error.")
+		"The file of the process settings changed, but has a fault; the instance keeps the previous settings. Fields: error.")
+	eventNeedsRestart = event.Define(1163, logrus.WarnLevel, "process settings need a restart",
+		"The file of the process settings differs from what the process started with in keys that only apply at the next start. Fields: keys, without their values; empty: none differ any more.")
+	eventFileLost = event.Define(1164, logrus.WarnLevel, "process settings can't be read",
+		"The file of the process settings can't be read; the instance keeps the previous settings and goes on trying. Fields: error.")
+	eventFileBack = event.Define(1165, logrus.InfoLevel, "process settings can be read again",
+		"The file of the process settings, which could not be read for a while, can be read.")
 )
 
 // reloadInterval is the polling interval of the file, which may change without a
@@ -27,12 +32,9 @@
 // watchSettings sends the process settings after each change of the file, until
 // ctx ends. A value from now triggers an immediate check. A file with a fault is logged and not
 // sent.
-func watchSettings(ctx context.Context, path string, now <-chan struct{}, log logrus.FieldLogger) <-chan *settings.Process {
+func watchSettings(ctx context.Context, file instanceFile, now <-chan struct{}, log logrus.FieldLogger) <-chan *settings.Process {
 	changes := make(chan *settings.Process)
-	known, err := os.ReadFile(path)
-	if err != nil {
-		eventReloadFailed.Log(log, event.Fields{"error": err})
-	}
+	watch := settingsWatch{path: file.path, started: file.text, known: file.text, log: log}
 	go func() {
 		ticker := time.NewTicker(reloadInterval)
 		defer ticker.Stop()
@@ -43,17 +45,10 @@
 			case <-now:
 			case <-ticker.C:
 			}
-			text, err := os.ReadFile(path)
-			if err != nil || bytes.Equal(text, known) {
-				continue // a file that is being replaced is readable at the next check
-			}
-			known = text
-			process, err := settings.ParseProcess(path, text)
-			if err != nil {
-				eventReloadFailed.Log(log, event.Fields{"error": err})
+			process := watch.observe(os.ReadFile(file.path))
+			if process == nil {
 				continue
 			}
-			eventReloaded.Log(log, event.Fields{"voters": process.Voters})
 			select {
 			case changes <- process:
 			case <-ctx.Done():
--- a/cli/reload_test.go
+++ b/cli/reload_test.go
@@ -42,7 +42,7 @@
 	defer cancel()
 	reload := make(chan struct{}, 1)
 	followSignals(ctx, log, reload)
-	changes := watchSettings(ctx, path, reload, log)
+	changes := watchSettings(ctx, instanceFile{path: path, text: []byte(reloadedSettings + "127.0.0.1:3\n")}, reload, log)
 	write("127.0.0.1:4")
 	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
 		t.Fatal(err)
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -12,6 +12,7 @@
 	"celeryport/instance"
 	"celeryport/logsink"
 	"celeryport/settings"
+	"celeryport/signals"
 )
 
 const flagSettings = "settings"
@@ -20,10 +21,16 @@
 // used if the flag is not given.
 const settingsVariable = "CELERYPORT_NODE_FILE"
 
+// instanceFile is the file of the process settings, as it was at the start.
+type instanceFile struct {
+	path string
+	text []byte
+}
+
 // serveCommand runs an instance.
 func serveCommand(stdout, stderr io.Writer, dial forward.Dial) *urfave.Command {
 	return &urfave.Command{
-		Name:  "serve",
+		Name:  signals.InstanceCommand,
 		Usage: "run an instance; SIGTERM shuts it down gracefully, a second SIGTERM aborts the requests in flight",
 		Flags: []urfave.Flag{
 			&urfave.StringFlag{
@@ -33,26 +40,27 @@
 		},
 		Action: func(ctx context.Context, c *urfave.Command) error {
 			path := c.String(flagSettings)
-			process, err := readProcess(path)
+			process, text, err := readProcess(path)
 			if err != nil {
 				return &ExitError{Code: ExitUsage, Err: err}
 			}
-			return serveInstance(ctx, path, process, stdout, stderr, dial)
+			return serveInstance(ctx, instanceFile{path: path, text: text}, process, stdout, stderr, dial)
 		},
 	}
 }
 
-func readProcess(path string) (*settings.Process, error) {
+func readProcess(path string) (*settings.Process, []byte, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "read the process settings")
+		return nil, nil, errors.Wrap(err, "read the process settings")
 	}
-	return settings.ParseProcess(path, text)
+	process, err := settings.ParseProcess(path, text)
+	return process, text, err
 }
 
 // serveInstance runs an instance. Its log goes through a buffer that never blocks calls: to
 // standard error if it serves completions, else to standard output.
-func serveInstance(ctx context.Context, path string, process *settings.Process, stdout, stderr io.Writer, dial forward.Dial) error {
+func serveInstance(ctx context.Context, file instanceFile, process *settings.Process, stdout, stderr io.Writer, dial forward.Dial) error {
 	out, fallback := stdout, stderr
 	if process.Serves == settings.ServesCompletions {
 		out, fallback = stderr, stdout
@@ -70,6 +78,6 @@
 	reload := make(chan struct{}, 1)
 	asked := followSignals(ctx, log, reload)
 	options.Dial, options.Adapter = dial, platformAdapter()
-	options.Changes = watchSettings(ctx, path, reload, log)
+	options.Changes = watchSettings(ctx, file, reload, log)
 	return instance.RunForwarding(asked.stop, asked.abort, options)
 }
--- a/settings/field.go
+++ b/settings/field.go
@@ -14,6 +14,7 @@
 	secret      bool // value is never included in a fault
 	set         func(target *T, text string) error
 	reset       func(target *T)
+	get         func(target *T) any
 }
 
 // key returns the field called name; locate returns where its value is stored.
@@ -35,6 +36,7 @@
 			var zero V
 			*locate(target) = zero
 		},
+		get: func(target *T) any { return *locate(target) },
 	}
 }
 
--- a/signals/signals.go
+++ b/signals/signals.go
@@ -17,9 +17,9 @@
 	"syscall"
 )
 
-// instanceCommand is the command whose signals are caught from the start. The other commands keep
+// InstanceCommand is the command whose signals are caught from the start. The other commands keep
 // the default actions, as users of a command line expect.
-const instanceCommand = "serve"
+const InstanceCommand = "serve"
 
 // process passes on the signals of this process.
 var process = newDispatcher()
@@ -28,7 +28,7 @@
 
 //nolint:gochecknoinits // a signal that arrives before main has the default action otherwise
 func init() {
-	if len(os.Args) > 1 && os.Args[1] == instanceCommand {
+	if len(os.Args) > 1 && os.Args[1] == InstanceCommand {
 		Catch()
 	}
 }
