Log why an instance does not start

Seen: a start that is refused (exit code 2) left one line of plain text on standard error and nothing in the log. With standard error a full pipe a failed instance could not end, since the message waited for its reader.

Cause: the log was made after the settings had been read, and failures were only printed.

Change: event 1161 tells settings or a command line that can't be used, on standard output before the settings say anything else, beside the message on standard error. That message does not wait for a reader longer than 500 ms if the command is serve. Failures after the settings were read are told by 1124 and 1102.

--- a/cli/run.go
+++ b/cli/run.go
@@ -12,6 +12,8 @@
 
 	"celeryport/binding"
 	"celeryport/forward"
+	"celeryport/logsink"
+	"celeryport/signals"
 )
 
 // Exit codes of all commands.
@@ -57,7 +59,7 @@
 	if err == nil {
 		return ExitDone
 	}
-	fmt.Fprintln(stderr, "celeryport:", err)
+	printError(args, stderr, err)
 	var exit *ExitError
 	if errors.As(err, &exit) {
 		return exit.Code
@@ -69,11 +71,27 @@
 	return ExitFailed
 }
 
+// printError prints why a command failed. An instance does not wait for a standard error that nobody
+// reads, since it could not end then; the error is in its log, too.
+func printError(args []string, stderr io.Writer, err error) {
+	if len(args) > 1 && args[1] == signals.InstanceCommand {
+		sink := logsink.New(stderr, io.Discard)
+		defer sink.Close()
+		stderr = sink
+	}
+	fmt.Fprintln(stderr, "celeryport:", err)
+}
+
 // setUsageExitCode makes usage errors of a command and all its subcommands exit with
 // ExitUsage. The library does not apply OnUsageError to subcommands, so an invalid
-// flag of a subcommand would otherwise exit with ExitFailed.
+// flag of a subcommand would otherwise exit with ExitFailed. A command's own OnUsageError is called
+// before.
 func setUsageExitCode(command *urfave.Command) {
-	command.OnUsageError = func(_ context.Context, _ *urfave.Command, err error, _ bool) error {
+	report := command.OnUsageError
+	command.OnUsageError = func(ctx context.Context, c *urfave.Command, err error, isSubcommand bool) error {
+		if report != nil {
+			err = report(ctx, c, err, isSubcommand)
+		}
 		return &ExitError{Code: ExitUsage, Err: err}
 	}
 	for _, sub := range command.Commands {
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	urfave "github.com/urfave/cli/v3"
 
+	"celeryport/event"
 	"celeryport/forward"
 	"celeryport/instance"
 	"celeryport/logsink"
@@ -38,10 +39,15 @@
 				Sources: urfave.EnvVars(settingsVariable),
 			},
 		},
+		OnUsageError: func(_ context.Context, _ *urfave.Command, err error, _ bool) error {
+			logRefused(stdout, stderr, err)
+			return err
+		},
 		Action: func(ctx context.Context, c *urfave.Command) error {
 			path := c.String(flagSettings)
 			process, text, err := readProcess(path)
 			if err != nil {
+				logRefused(stdout, stderr, err)
 				return &ExitError{Code: ExitUsage, Err: err}
 			}
 			return serveInstance(ctx, instanceFile{path: path, text: text}, process, stdout, stderr, dial)
@@ -49,6 +55,14 @@
 	}
 }
 
+// logRefused logs why an instance does not start.
+func logRefused(stdout, stderr io.Writer, err error) {
+	sink := logsink.New(stdout, stderr)
+	defer sink.Close()
+	// The level is not known: an empty one stands for the default.
+	eventRefused.Log(logsink.NewLogger(sink, ""), event.Fields{"error": err})
+}
+
 func readProcess(path string) (*settings.Process, []byte, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
