Keep descriptors for upstreams and disks when callers open too many connections

With more connections of callers than descriptors, an instance accepted none any more: further callers waited in the queue of the kernel, and neither connections to upstreams nor, on a voter, files could be opened.

Cause: nothing bounded the accepted connections of an instance that forwards calls, nor those at the control address; [limits] max_connections held for the completions interface only.

A connection over its part is accepted and refused at once: in the dialect with 503, Retry-After and the call's id for callers, plainly elsewhere; at most 64 are answered at a time, others are closed. The listener of the completions interface uses the same code. Event 1183 and two metrics tell it.

Measured: TestCallOnOneConnectionTooManyIsRefused, TestConnectionsOverTheLimitAreRefusedAtOnce and TestConnectionsLeaveDescriptors pass with -race.

--- /dev/null
+++ b/connlimit/listener.go
@@ -0,0 +1,103 @@
+package connlimit
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"celeryport/event"
+)
+
+const (
+	// maxRefusing is the number of connections over the limit that are answered at a time; others are
+	// closed without an answer.
+	maxRefusing    = 64
+	refusalTimeout = 2 * time.Second
+	logInterval    = 10 * time.Second
+)
+
+// Options configure a Listener. Log must be set.
+type Options struct {
+	Limit   int // 0: none
+	Log     logrus.FieldLogger
+	Refuse  func(conn net.Conn) // answers a connection over the limit, which has a deadline and is closed afterwards; nil: RefusePlainly
+	Refused func()              // called for each connection over the limit; nil: nothing
+}
+
+// Listener accepts connections up to a limit and refuses the others. It is safe for concurrent use.
+type Listener struct {
+	net.Listener
+	options  Options
+	open     atomic.Int64
+	refusing atomic.Int64
+	refused  atomic.Int64
+	logged   rate.Sometimes
+}
+
+// New returns a listener that bounds the open connections of inner.
+func New(inner net.Listener, options Options) *Listener {
+	if options.Refuse == nil {
+		options.Refuse = RefusePlainly
+	}
+	return &Listener{Listener: inner, options: options, logged: rate.Sometimes{Interval: logInterval}}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if open := l.open.Add(1); l.options.Limit <= 0 || open <= int64(l.options.Limit) {
+			return l.count(conn), nil
+		}
+		l.open.Add(-1)
+		l.refuse(conn)
+	}
+}
+
+func (l *Listener) refuse(conn net.Conn) {
+	total := l.refused.Add(1)
+	if l.options.Refused != nil {
+		l.options.Refused()
+	}
+	l.logged.Do(func() {
+		eventRefused.Log(l.options.Log, event.Fields{"address": l.Addr().String(), "limit": l.options.Limit, "refused": total})
+	})
+	if l.refusing.Add(1) > maxRefusing {
+		l.refusing.Add(-1)
+		_ = conn.Close() // nobody could be told of a failure
+		return
+	}
+	go func() {
+		defer l.refusing.Add(-1)
+		defer func() { _ = conn.Close() }()
+		if conn.SetDeadline(time.Now().Add(refusalTimeout)) == nil {
+			l.options.Refuse(conn)
+		}
+	}()
+}
+
+// RefusePlainly answers with status 503 and no body.
+func RefusePlainly(conn net.Conn) {
+	_, err := io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n")
+	if err == nil {
+		discard(conn)
+	}
+}
+
+// maxDiscarded bounds what is read of a refused request. Closing a connection with unread bytes
+// resets it, and the reset may overtake the answer.
+const maxDiscarded = 64 << 10
+
+func discard(conn net.Conn) {
+	if half, ok := conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, conn, maxDiscarded) // the connection is closed whatever is read
+}
--- a/control/node.go
+++ b/control/node.go
@@ -46,6 +46,8 @@
 	evidence   chan quarantine.Evidence // not yet gathered into a report
 	core       *core                    // owned by the control goroutine
 	traffic    SyncTraffic
+
+	refusedConnections atomic.Int64
 }
 
 // task is work for the control goroutine.
@@ -109,6 +111,10 @@
 	return n, nil
 }
 
+// RefusedConnections returns how many connections to the control address were refused because too
+// many were open.
+func (n *Node) RefusedConnections() int64 { return n.refusedConnections.Load() }
+
 // View implements Plane.
 func (n *Node) View() *View { return n.view.Load() }
 
--- a/control/options.go
+++ b/control/options.go
@@ -31,9 +31,11 @@
 	Timing   Timing                                                 // zero: DefaultTiming
 	FanOut   bool                                                   // instances without a log sync with any voter, which forwards their statements to the leader
 	Heal     int                                                    // number of voters that the leader maintains automatically; 0: operators replace them
-	Transit  http.Handler                                           // takes over connections for calls of other instances; nil: none
-	Extra    http.Handler                                           // serves additional paths at the control address; nil: none
-	ExtraAt  string                                                 // path prefix served by Extra
+	// Connections is the number of connections that may be open at the control address; 0: no limit.
+	Connections int
+	Transit     http.Handler // takes over connections for calls of other instances; nil: none
+	Extra       http.Handler // serves additional paths at the control address; nil: none
+	ExtraAt     string       // path prefix served by Extra
 }
 
 // Timing holds the intervals of control.
--- a/control/run.go
+++ b/control/run.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"celeryport/connlimit"
 	"celeryport/event"
 	"celeryport/rpc"
 )
@@ -114,7 +115,9 @@
 }
 
 func (n *Node) serve(server *http.Server, listener net.Listener) error {
-	err := server.Serve(listener)
+	err := server.Serve(connlimit.New(listener, connlimit.Options{
+		Limit: n.opts.Connections, Log: n.log, Refused: func() { n.refusedConnections.Add(1) },
+	}))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -4,71 +4,43 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
+	"celeryport/connlimit"
 	"celeryport/verdict"
 )
 
 const (
 	writeStallTimeout   = 30 * time.Second // a write that makes no progress for so long fails
 	tcpUserTimeout      = 30 * time.Second // bytes to a caller may stay unacknowledged for so long (TCP_USER_TIMEOUT)
-	rejectionLimit      = 256              // connections over the limit that are answered concurrently
-	rejectionTimeout    = 2 * time.Second
 	rejectionRetryAfter = time.Second
 )
 
 // callerListener limits the number of connections of callers and detects stalled
 // ones. A connection over the limit gets a refusal with a verdict; otherwise the
 // caller would see a closed connection and could not know that nothing was run.
-type callerListener struct {
-	net.Listener
-	limit     int64
-	open      atomic.Int64
-	rejecting atomic.Int64
-}
+type callerListener struct{ *connlimit.Listener }
 
-func newCallerListener(inner net.Listener, limit int) *callerListener {
-	return &callerListener{Listener: inner, limit: int64(limit)}
+func newCallerListener(inner net.Listener, limit int, log logrus.FieldLogger) callerListener {
+	return callerListener{connlimit.New(inner, connlimit.Options{Limit: limit, Log: log, Refuse: writeRejection})}
 }
 
 // Accept implements net.Listener.
-func (l *callerListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		setTCPUserTimeout(conn)
-		if l.open.Add(1) <= l.limit {
-			return &callerConn{Conn: conn, listener: l}, nil
-		}
-		l.open.Add(-1)
-		l.reject(conn)
-	}
-}
-
-func (l *callerListener) reject(conn net.Conn) {
-	if l.rejecting.Add(1) > rejectionLimit {
-		l.rejecting.Add(-1)
-		_ = conn.Close()
-		return
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
-	go func() {
-		defer l.rejecting.Add(-1)
-		defer func() { _ = conn.Close() }()
-		writeRejection(conn)
-	}()
+	setTCPUserTimeout(conn)
+	return &callerConn{Conn: conn}, nil
 }
 
 func writeRejection(conn net.Conn) {
-	if conn.SetDeadline(time.Now().Add(rejectionTimeout)) != nil {
-		return
-	}
 	refusal := verdict.Refuse(verdict.ReasonQueueFull, rejectionRetryAfter, "too many connections")
 	body, err := json.Marshal(errorAnswer{Error: errorBodyOf(refusal)})
 	if err != nil {
@@ -101,8 +73,6 @@
 // covers the whole response and would cut off every long stream.
 type callerConn struct {
 	net.Conn
-	listener *callerListener
-	closed   atomic.Bool
 }
 
 // Write implements net.Conn.
@@ -113,14 +83,6 @@
 	return c.Conn.Write(p)
 }
 
-// Close implements net.Conn.
-func (c *callerConn) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.listener.open.Add(-1)
-	}
-	return c.Conn.Close()
-}
-
 var errNotSocket = errors.New("connection is not a socket")
 
 // SyscallConn implements syscall.Conn, for disconnectMonitor.
--- a/entry/server.go
+++ b/entry/server.go
@@ -71,7 +71,7 @@
 	s.driver.start()
 	go s.sweeper.run()
 	s.disconnects.start(func(e *exchange) { s.driver.abort(e, verdict.ReasonCallerLeft, "the caller left") })
-	return s.http.Serve(newCallerListener(listener, s.options.Process.MaxConnections))
+	return s.http.Serve(newCallerListener(listener, s.options.Process.MaxConnections, s.options.Log))
 }
 
 // quietLogger drops the log lines of fasthttp, which have no event number and contain
--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -93,7 +93,7 @@
 	body, err := httpwire.NewBody(c.reader, head.Body).ReadAllReserving(limits.BodyBytes, reserveBody(held))
 	if errors.Is(err, errNoRoom) {
 		held.Release()
-		c.refuseUnread(head, began)
+		c.refuseUnread(head, began, errBodiesFull)
 		return nil, errIdle
 	}
 	if err != nil {
@@ -104,7 +104,7 @@
 }
 
 // refuseUnread refuses a call whose body was not read and ends the connection.
-func (c *callerConn) refuseUnread(head *httpwire.RequestHead, began time.Time) {
+func (c *callerConn) refuseUnread(head *httpwire.RequestHead, began time.Time, reason error) {
 	w := &delivery.Writer{Conn: c.conn, Close: true, Method: head.Method}
 	x := &exchange{server: c.server, writer: w, call: &Call{}, began: began}
 	if c.beginTransit(x, head) != nil {
@@ -113,7 +113,7 @@
 	if call, err := c.server.options.Dialect.DecodeCall(head); err == nil {
 		x.call = call
 	}
-	x.refuse(errBodiesFull)
+	x.refuse(reason)
 	c.linger()
 }
 
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -18,6 +18,7 @@
 	sends       *prometheus.CounterVec
 	broken      *prometheus.CounterVec
 	connections prometheus.Gauge
+	overLimit   prometheus.Counter
 	limited     prometheus.Gauge
 	rests       *prometheus.CounterVec
 	withdrawn   *prometheus.CounterVec
@@ -58,6 +59,9 @@
 		connections: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "forward_caller_connections", Help: "Open connections of callers.",
 		}),
+		overLimit: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "forward_caller_connections_refused_total", Help: "Connections of callers that were refused because too many were open.",
+		}),
 		limited: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "forward_upstreams_limited", Help: "Upstreams whose last answer to this instance named a rate.",
 		}),
@@ -95,7 +99,7 @@
 			Name: "forward_datagram_bytes_total", Help: "Bytes of these datagrams, by kind and direction.",
 		}, []string{"kind", "direction"}),
 	}
-	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
+	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.overLimit, m.limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
 	m.shares = newShareMetrics(registry)
 	return m
 }
--- a/forward/options.go
+++ b/forward/options.go
@@ -38,7 +38,9 @@
 	DialPeer Dial
 	Random   *rand.Rand // nil: randomly seeded
 	Budget   resend.Budget
-	Memory   int64 // limit on the memory of the process in bytes; 0: unknown
+	// Connections is the number of connections that callers may have open; 0: no limit.
+	Connections int
+	Memory      int64 // limit on the memory of the process in bytes; 0: unknown
 }
 
 // Defaults for limits that the settings leave out.
--- a/forward/server.go
+++ b/forward/server.go
@@ -62,6 +62,7 @@
 
 // Serve accepts connections until the listener closes.
 func (s *Server) Serve(listener net.Listener) error {
+	listener = s.limitConnections(listener)
 	s.mu.Lock()
 	s.listener = listener
 	s.mu.Unlock()
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"celeryport/clock"
+	"celeryport/connlimit"
 	"celeryport/consensus"
 	"celeryport/control"
 	"celeryport/event"
@@ -28,6 +29,7 @@
 	node    *control.Node
 	server  *forward.Server // nil if the instance takes no calls
 	metrics *prometheus.Registry
+	limits  connlimit.Limits
 }
 
 // RunForwarding runs an instance that forwards calls or only takes part in control. When
@@ -63,6 +65,7 @@
 func (f *forwarding) assemble() error {
 	p := f.options.Process
 	memory := applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, f.options.Log)
+	f.limits = connectionLimits(p)
 	heal := 0
 	if p.Voter && p.ToleratedLosses > 0 {
 		heal = 2*p.ToleratedLosses + 1
@@ -73,16 +76,17 @@
 		transitHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.server.ServeTransit(w, r) })
 	}
 	node, err := control.New(control.Options{
-		Process: p,
-		Log:     f.options.Log,
-		Clock:   clock.NewBoot(),
-		Parse:   adapter.Parse,
-		Timing:  forwardingTiming(),
-		Heal:    heal,
-		FanOut:  true,
-		Transit: transitHandler,
-		ExtraAt: adapter.ControlPrefix,
-		Extra:   http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { controlHandler.ServeHTTP(w, r) }),
+		Process:     p,
+		Log:         f.options.Log,
+		Clock:       clock.NewBoot(),
+		Parse:       adapter.Parse,
+		Timing:      forwardingTiming(),
+		Heal:        heal,
+		FanOut:      true,
+		Connections: f.limits.Control,
+		Transit:     transitHandler,
+		ExtraAt:     adapter.ControlPrefix,
+		Extra:       http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { controlHandler.ServeHTTP(w, r) }),
 	})
 	if err != nil {
 		return errors.Wrap(err, "control")
@@ -93,17 +97,22 @@
 		Name: "control_announcements_refused_total",
 		Help: "Announcements that name no upstream to use.",
 	}, func() float64 { return float64(node.RefusedAnnouncements()) }))
+	f.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "control_connections_refused_total",
+		Help: "Connections to the control address that were refused because too many were open.",
+	}, func() float64 { return float64(node.RefusedConnections()) }))
 	registerTraffic(f.metrics, node.SyncTraffic())
 	if p.Serves == settings.ServesForwarding {
 		f.server = forward.New(forward.Options{
-			Process: p,
-			Plane:   node,
-			Dialect: adapter.Dialect,
-			Metrics: forward.NewMetrics(f.metrics),
-			Log:     f.options.Log,
-			Dial:    f.options.Dial,
-			Budget:  resend.Budget{Ratio: p.RepeatRatio, Slack: p.RepeatSlack, Window: p.RepeatWindow},
-			Memory:  memory,
+			Process:     p,
+			Plane:       node,
+			Dialect:     adapter.Dialect,
+			Metrics:     forward.NewMetrics(f.metrics),
+			Log:         f.options.Log,
+			Dial:        f.options.Dial,
+			Budget:      resend.Budget{Ratio: p.RepeatRatio, Slack: p.RepeatSlack, Window: p.RepeatWindow},
+			Memory:      memory,
+			Connections: f.limits.Callers,
 		})
 	}
 	return nil
@@ -155,7 +164,7 @@
 		handlers[p.Metrics] = promhttp.HandlerFor(f.metrics, promhttp.HandlerOpts{})
 	}
 	for address, handler := range handlers {
-		if err := serveHTTP(ctx, group, address, handler); err != nil {
+		if err := f.serveHTTP(ctx, group, address, handler); err != nil {
 			return err
 		}
 	}
@@ -163,14 +172,14 @@
 }
 
 // serveHTTP serves an auxiliary address until ctx ends.
-func serveHTTP(ctx context.Context, group *errgroup.Group, address string, handler http.Handler) error {
+func (f *forwarding) serveHTTP(ctx context.Context, group *errgroup.Group, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: auxiliaryReadTimeout, IdleTimeout: auxiliaryIdleTimeout}
 	group.Go(func() error {
-		err := server.Serve(listener)
+		err := server.Serve(f.limitAuxiliary(address, listener))
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
--- a/instance/run.go
+++ b/instance/run.go
@@ -38,11 +38,16 @@
 		return err
 	}
 	defer func() { err = errors.CombineErrors(err, parts.close()) }()
+	limits := connectionLimits(options.Process)
+	process := *options.Process
+	process.MaxConnections = limits.Callers
+	options.Process = &process
 	node, err := control.New(control.Options{
-		Process:  options.Process,
-		Log:      options.Log,
-		Listener: options.Control,
-		Ledger:   parts.store(),
+		Process:     options.Process,
+		Log:         options.Log,
+		Listener:    options.Control,
+		Ledger:      parts.store(),
+		Connections: limits.Control,
 	})
 	if err != nil {
 		return errors.Wrap(err, "control")
--- a/settings/process.go
+++ b/settings/process.go
@@ -27,6 +27,7 @@
 	Tree               string   // path of a tree that is proposed if no tree was ever accepted; empty: none
 	LogLevel           string
 	MaxConnections     int
+	Descriptors        int           // limit on the open descriptors of the process; 0: not stated
 	MemoryLimit        int64         // limit on the memory of the process in bytes; 0: not stated
 	ReadTimeout        time.Duration // to receive a caller's whole request
 	DrainTimeout       time.Duration // maximum duration of a graceful shutdown
--- a/settings/unit.go
+++ b/settings/unit.go
@@ -55,6 +55,21 @@
 	}
 }
 
+// countLimit accepts a limit: 0, which states none, or a count between two bounds.
+func countLimit(minimum, maximum int) value[int] {
+	counts := count(0, maximum)
+	return value[int]{
+		allowed: fmt.Sprintf("a count such as 500 or 4k, from %d to %d, or 0 for none", minimum, maximum),
+		parse: func(text string) (int, error) {
+			n, err := counts.parse(text)
+			if err != nil || n > 0 && n < minimum {
+				return 0, errNotAllowed
+			}
+			return n, nil
+		},
+	}
+}
+
 // fractionalCount accepts a count that may be fractional, such as a share of a larger one.
 func fractionalCount(maximum float64) value[float64] {
 	return value[float64]{
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -17,6 +17,7 @@
 	ReasonShare         Reason = "share"          // exceeds its organisation's share while the fleet is full
 	ReasonLimit         Reason = "limit"          // exceeds a limit of its organisation or class
 	ReasonQueueFull     Reason = "queue-full"     // the queue of its class is full
+	ReasonConnections   Reason = "connections"    // this instance has as many connections as it may have
 	ReasonNoUpstream    Reason = "no-upstream"    // no fresh upstream serves the model or service
 	ReasonDraining      Reason = "draining"       // this instance is shutting down
 	ReasonNoLease       Reason = "no-lease"       // this instance has no valid lease on its settings
