Use an incarnation only once it is stored

An instance whose incarnation another process had used chose a higher one and used it although it could not be stored: after a restart it could have chosen the same one again. It was set before the write. Now it is set after it.

Measured: TestIncarnationIsUsedOnceItIsStored failed before and passes.

--- a/control/incarnation.go
+++ b/control/incarnation.go
@@ -20,12 +20,16 @@
 		}
 		known = max(known, last)
 	}
-	c.self.Incarnation = membership.NextIncarnation(c.node.clock.Now(), known)
-	data, err := json.Marshal(c.self.Incarnation)
+	next := membership.NextIncarnation(c.node.clock.Now(), known)
+	data, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "encode the incarnation")
 	}
-	return folder.write(incarnationFile, data)
+	if err := folder.write(incarnationFile, data); err != nil {
+		return err
+	}
+	c.self.Incarnation = next
+	return nil
 }
 
 // loadIncarnation returns the last stored incarnation, 0 if there is none.
