Suspect no upstream for a shortage of descriptors of one's own

An instance that has no descriptors left suspected every upstream that it tried, and counted that against the paths to their service: it went on refusing calls for seconds after descriptors were free, and moved calls from upstreams that worked.

Cause: every failure to open a connection counted as one of the upstream.

--- a/forward/fleet_health.go
+++ b/forward/fleet_health.go
@@ -7,6 +7,7 @@
 
 	"celeryport/event"
 	"celeryport/loadshare"
+	"celeryport/paths"
 )
 
 // recordHelpRefusal records that a node did not help with a prompt. The node may be gone, or
@@ -50,7 +51,7 @@
 	conn, err := f.paths.Open(ctx, n.path())
 	if err != nil {
 		f.suspect(n, err)
-		return false
+		return paths.IsLocal(err) // it is not known, so a call there goes on
 	}
 	f.keep(n, newUpstreamConn(conn), 0)
 	return true
@@ -58,6 +59,9 @@
 
 // suspect records a failure to reach a node, which keeps new work from it for a while.
 func (f *fleet) suspect(n *node, cause error) {
+	if paths.IsLocal(cause) {
+		return
+	}
 	now := time.Now()
 	f.mu.Lock()
 	wait := n.suspicion.raise(now)
--- a/paths/open.go
+++ b/paths/open.go
@@ -47,7 +47,7 @@
 		return conn, nil
 	case errors.Is(context.Cause(ctx), ErrLost):
 		return nil, ErrLost
-	case !errors.Is(err, context.Canceled): // otherwise the caller left
+	case !errors.Is(err, context.Canceled) && !IsLocal(err): // a cancelled call shows nothing either: the caller left
 		m.failed(u, err, 1)
 	}
 	return nil, err
