--- a/control/run.go
+++ b/control/run.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"celeryport/binding"
+	"celeryport/connlimit"
 	"celeryport/event"
 	"celeryport/resilient"
 	"celeryport/rpc"
@@ -121,7 +122,9 @@
 }
 
 func (n *Node) serve(server *http.Server, listener net.Listener) error {
-	err := server.Serve(listener)
+	err := server.Serve(connlimit.New(listener, connlimit.Options{
+		Limit: n.opts.Connections, Log: n.log, Refused: func() { n.refusedConnections.Add(1) },
+	}))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/instance/auxiliary.go
+++ b/instance/auxiliary.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"celeryport/binding"
+	"celeryport/connlimit"
 	"celeryport/supervise"
 )
 
@@ -25,6 +26,8 @@
 	address  string
 	handler  http.Handler
 	listener net.Listener
+
+	connections int // at a time; 0: no limit
 }
 
 func (a *auxiliary) component() supervise.Component {
@@ -42,7 +45,7 @@
 		_ = server.Close() // its error is that of a listener that is closed already
 	})
 	defer release()
-	if err := server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(connlimit.New(a.listener, connlimit.Options{Limit: a.connections, Log: a.log})); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrapf(err, "serve %s", a.address)
 	}
 	return nil
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"celeryport/clock"
+	"celeryport/connlimit"
 	"celeryport/consensus"
 	"celeryport/control"
 	"celeryport/forward"
@@ -26,6 +27,7 @@
 type forwarding struct {
 	options *Options
 	memory  int64 // limit on the memory of the process in bytes; 0: unknown
+	limits  connlimit.Limits
 	metrics *prometheus.Registry
 	node    *control.Node
 	server  atomic.Pointer[forward.Server] // nil until the addresses are open, or if the instance takes no calls
@@ -39,7 +41,12 @@
 // or the drain timeout of the settings has passed.
 func RunForwarding(stop, hardStop context.Context, options Options) error {
 	p := options.Process
-	f := &forwarding{options: &options, metrics: newProcessRegistry(options.Collectors), memory: applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log)}
+	f := &forwarding{
+		options: &options,
+		memory:  applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log),
+		limits:  connectionLimits(p),
+		metrics: newProcessRegistry(options.Collectors),
+	}
 	f.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
 	f.loads = loadsAddress{log: options.Log, address: p.ControlListen, share: func(ctx context.Context, conn net.PacketConn) error {
 		return f.server.Load().ShareLoads(ctx, conn)
@@ -60,10 +67,10 @@
 func (f *forwarding) start(ctx context.Context, group *supervise.Group) error {
 	p := f.options.Process
 	if p.Metrics != "" {
-		group.Start(f.auxiliary("metrics", p.Metrics, promhttp.HandlerFor(f.metrics, promhttp.HandlerOpts{})))
+		group.Start(f.auxiliary("metrics", p.Metrics, f.limits.Probes, promhttp.HandlerFor(f.metrics, promhttp.HandlerOpts{})))
 	}
 	if f.takesCalls() && p.Readiness != "" {
-		group.Start(f.auxiliary("readiness", p.Readiness, f.readiness()))
+		group.Start(f.auxiliary("readiness", p.Readiness, f.limits.Probes, f.readiness()))
 	}
 	var err error
 	if f.node, err = construct(ctx, f.newNode); err != nil {
@@ -95,7 +102,7 @@
 	p := f.options.Process
 	group.Start(supervise.Component{Name: "settings", Kind: supervise.Reopened, Run: f.followSettings})
 	if p.Directory != "" {
-		group.Start(f.auxiliary("directory", p.Directory, f.options.Adapter.Directory(f.addresses, directoryCacheTime)))
+		group.Start(f.auxiliary("directory", p.Directory, f.limits.Directory, f.options.Adapter.Directory(f.addresses, directoryCacheTime)))
 	}
 	if !f.takesCalls() {
 		return
@@ -133,17 +140,18 @@
 		transitHandler = http.HandlerFunc(f.serveTransit)
 	}
 	node, err := control.New(control.Options{
-		Process:  p,
-		Log:      f.options.Log,
-		Clock:    clock.NewBoot(),
-		Listener: listener,
-		Parse:    adapter.Parse,
-		Timing:   forwardingTiming(),
-		Heal:     heal,
-		FanOut:   true,
-		Transit:  transitHandler,
-		ExtraAt:  adapter.ControlPrefix,
-		Extra:    http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { controlHandler.ServeHTTP(w, r) }),
+		Process:     p,
+		Log:         f.options.Log,
+		Clock:       clock.NewBoot(),
+		Listener:    listener,
+		Connections: f.limits.Control,
+		Parse:       adapter.Parse,
+		Timing:      forwardingTiming(),
+		Heal:        heal,
+		FanOut:      true,
+		Transit:     transitHandler,
+		ExtraAt:     adapter.ControlPrefix,
+		Extra:       http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { controlHandler.ServeHTTP(w, r) }),
 	})
 	if err != nil {
 		return nil, err
@@ -167,20 +175,25 @@
 		Name: "control_announcements_refused_total",
 		Help: "Announcements that name no upstream to use.",
 	}, func() float64 { return float64(f.node.RefusedAnnouncements()) }))
+	f.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "control_connections_refused_total",
+		Help: "Connections to the control address that were refused because too many were open.",
+	}, func() float64 { return float64(f.node.RefusedConnections()) }))
 	registerTraffic(f.metrics, f.node.SyncTraffic())
 }
 
 func (f *forwarding) newServer() *forward.Server {
 	p := f.options.Process
 	return forward.New(forward.Options{
-		Process: p,
-		Plane:   f.node,
-		Dialect: f.options.Adapter.Dialect,
-		Metrics: forward.NewMetrics(f.metrics),
-		Log:     f.options.Log,
-		Dial:    f.options.Dial,
-		Budget:  resend.Budget{Ratio: p.RepeatRatio, Slack: p.RepeatSlack, Window: p.RepeatWindow},
-		Memory:  f.memory,
+		Process:     p,
+		Plane:       f.node,
+		Dialect:     f.options.Adapter.Dialect,
+		Metrics:     forward.NewMetrics(f.metrics),
+		Log:         f.options.Log,
+		Dial:        f.options.Dial,
+		Budget:      resend.Budget{Ratio: p.RepeatRatio, Slack: p.RepeatSlack, Window: p.RepeatWindow},
+		Memory:      f.memory,
+		Connections: f.limits.Callers,
 	})
 }
 
@@ -220,8 +233,9 @@
 	return err
 }
 
-func (f *forwarding) auxiliary(purpose, address string, handler http.Handler) supervise.Component {
-	a := &auxiliary{log: f.options.Log, purpose: purpose, address: address, handler: handler}
+// auxiliary returns a component that serves an address with at most the given number of connections.
+func (f *forwarding) auxiliary(purpose, address string, connections int, handler http.Handler) supervise.Component {
+	a := &auxiliary{log: f.options.Log, purpose: purpose, address: address, connections: connections, handler: handler}
 	return a.component()
 }
 
--- a/instance/run.go
+++ b/instance/run.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/clock"
+	"celeryport/connlimit"
 	"celeryport/control"
 	"celeryport/dispatch"
 	"celeryport/entry"
@@ -28,6 +29,7 @@
 // completions is an instance that serves completions.
 type completions struct {
 	options *Options
+	limits  connlimit.Limits
 	parts   *ledgerParts
 	node    *control.Node
 	server  *entry.Server
@@ -38,9 +40,12 @@
 // ends when hardStop is done or the drain timeout of the settings has passed; calls that are
 // still in progress are then cut off.
 func Run(stop, hardStop context.Context, options Options) error {
-	p := options.Process
+	p := new(*options.Process)
+	options.Process = p
 	applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log)
-	c := &completions{options: &options}
+	limits := connectionLimits(p)
+	p.MaxConnections = limits.Callers
+	c := &completions{options: &options, limits: limits}
 	c.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
 	run := life{
 		log:       options.Log,
@@ -90,10 +95,11 @@
 
 func (c *completions) newNode() (*control.Node, error) {
 	return control.New(control.Options{
-		Process:  c.options.Process,
-		Log:      c.options.Log,
-		Listener: c.options.Control,
-		Ledger:   c.parts.store(),
+		Process:     c.options.Process,
+		Log:         c.options.Log,
+		Listener:    c.options.Control,
+		Connections: c.limits.Control,
+		Ledger:      c.parts.store(),
 	})
 }
 
