--- a/cli/serve.go
+++ b/cli/serve.go
@@ -4,17 +4,16 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 	urfave "github.com/urfave/cli/v3"
 
+	"celeryport/event"
 	"celeryport/forward"
 	"celeryport/instance"
 	"celeryport/logsink"
 	"celeryport/settings"
+	"celeryport/signals"
 )
 
 const flagSettings = "settings"
@@ -23,10 +22,16 @@
 // used if the flag is not given.
 const settingsVariable = "CELERYPORT_NODE_FILE"
 
+// instanceFile is the file of the process settings, as it was at the start.
+type instanceFile struct {
+	path string
+	text []byte
+}
+
 // serveCommand runs an instance.
 func serveCommand(stdout, stderr io.Writer, dial forward.Dial) *urfave.Command {
 	return &urfave.Command{
-		Name:  "serve",
+		Name:  signals.InstanceCommand,
 		Usage: "run an instance; SIGTERM shuts it down gracefully, a second SIGTERM aborts the requests in flight",
 		Flags: []urfave.Flag{
 			&urfave.StringFlag{
@@ -34,76 +39,59 @@
 				Sources: urfave.EnvVars(settingsVariable),
 			},
 		},
+		OnUsageError: func(_ context.Context, _ *urfave.Command, err error, _ bool) error {
+			logRefused(stdout, stderr, err)
+			return err
+		},
 		Action: func(ctx context.Context, c *urfave.Command) error {
 			path := c.String(flagSettings)
-			process, err := readProcess(path)
+			process, text, err := readProcess(path)
 			if err != nil {
+				logRefused(stdout, stderr, err)
 				return &ExitError{Code: ExitUsage, Err: err}
 			}
-			if process.Serves == settings.ServesCompletions {
-				return serve(ctx, instance.Run, instance.Options{Process: process, Log: newLog(stderr, process.LogLevel)})
-			}
-			return serveForwarding(ctx, path, process, stdout, dial)
+			return serveInstance(ctx, instanceFile{path: path, text: text}, process, stdout, stderr, dial)
 		},
 	}
 }
 
-func readProcess(path string) (*settings.Process, error) {
+// logRefused logs why an instance does not start.
+func logRefused(stdout, stderr io.Writer, err error) {
+	sink := logsink.New(stdout, stderr)
+	defer sink.Close()
+	// The level is not known: an empty one stands for the default.
+	eventRefused.Log(logsink.NewLogger(sink, ""), event.Fields{"error": err})
+}
+
+func readProcess(path string) (*settings.Process, []byte, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "read the process settings")
+		return nil, nil, errors.Wrap(err, "read the process settings")
 	}
-	return settings.ParseProcess(path, text)
+	process, err := settings.ParseProcess(path, text)
+	return process, text, err
 }
 
-// logTimeFormat includes milliseconds, since lines of several instances are ordered by time.
-const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
-
-func newLog(out io.Writer, level string) *logrus.Logger {
-	log := logrus.New()
-	log.SetOutput(out)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logTimeFormat})
-	if parsed, err := logrus.ParseLevel(level); err == nil {
-		log.SetLevel(parsed)
+// serveInstance runs an instance. Its log goes through a buffer that never blocks calls: to
+// standard error if it serves completions, else to standard output.
+func serveInstance(ctx context.Context, file instanceFile, process *settings.Process, stdout, stderr io.Writer, dial forward.Dial) error {
+	out, fallback := stdout, stderr
+	if process.Serves == settings.ServesCompletions {
+		out, fallback = stderr, stdout
 	}
-	return log
-}
-
-// serveForwarding runs an instance that forwards calls or serves control only. Its
-// log goes to standard output through a buffer that never blocks calls.
-func serveForwarding(ctx context.Context, path string, process *settings.Process, stdout io.Writer, dial forward.Dial) error {
-	sink := logsink.New(stdout)
+	sink := logsink.New(out, fallback)
 	defer sink.Close()
-	log := newLog(sink, process.LogLevel).WithField("instance", process.Name)
-	watchCtx, stopWatching := context.WithCancel(ctx)
-	defer stopWatching()
-	return serve(ctx, instance.RunForwarding, instance.Options{
-		Process: process,
-		Log:     log,
-		Dial:    dial,
-		Adapter: platformAdapter(),
-		Changes: watchSettings(watchCtx, path, log),
-	})
-}
-
-// runInstance runs an instance until stop ends; cancelling abort cuts its graceful shutdown short.
-type runInstance func(stop, abort context.Context, options instance.Options) error
-
-// serve runs an instance until a first signal; a second signal aborts the graceful shutdown.
-func serve(ctx context.Context, run runInstance, options instance.Options) error {
-	stop, releaseSignals := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer releaseSignals()
-	abort, cancel := context.WithCancel(ctx)
+	log := logsink.NewLogger(sink, process.LogLevel).WithField("instance", process.Name)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
-		<-stop.Done()
-		second, end := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-		defer end()
-		select {
-		case <-second.Done():
-			cancel()
-		case <-abort.Done():
-		}
-	}()
-	return run(stop, abort, options)
+	options := instance.Options{Process: process, Log: log, Collectors: sink.Collectors()}
+	if process.Serves == settings.ServesCompletions {
+		asked := followSignals(ctx, log, nil)
+		return instance.Run(asked.stop, asked.abort, options)
+	}
+	reload := make(chan struct{}, 1)
+	asked := followSignals(ctx, log, reload)
+	options.Dial, options.Adapter = dial, platformAdapter()
+	options.Changes = watchSettings(ctx, file, reload, log)
+	return instance.RunForwarding(asked.stop, asked.abort, options)
 }
--- a/control/run.go
+++ b/control/run.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"celeryport/binding"
+	"celeryport/connlimit"
 	"celeryport/event"
 	"celeryport/resilient"
 	"celeryport/rpc"
@@ -28,11 +29,16 @@
 // fails. While the address can't be bound, the node only runs tasks: it sends nothing, so that
 // others don't take it for an instance that they can reach. The error is a *binding.Refusal if
 // the address can't be used at all.
+//
+// It first waits for the data folder, if New could not open it.
 func (n *Node) Run(outer context.Context) error {
+	defer n.clients.Close()
+	if err := n.awaitCore(outer); err != nil {
+		return endOf(outer, err)
+	}
 	inner, end := context.WithCancel(context.WithoutCancel(outer))
 	defer end()
 	group, ctx := errgroup.WithContext(inner)
-	defer n.clients.Close()
 	listening := make(chan struct{})
 	group.Go(func() error { return n.runCore(ctx, listening) })
 	listener, err := n.listen(outer)
@@ -116,7 +122,9 @@
 }
 
 func (n *Node) serve(server *http.Server, listener net.Listener) error {
-	err := server.Serve(listener)
+	err := server.Serve(connlimit.New(listener, connlimit.Options{
+		Limit: n.opts.Connections, Log: n.log, Refused: func() { n.refusedConnections.Add(1) },
+	}))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/forward/server.go
+++ b/forward/server.go
@@ -64,7 +64,7 @@
 
 // Serve accepts connections until the listener closes or no longer works.
 func (s *Server) Serve(inner net.Listener) error {
-	listener := resilient.NewListener(s.options.Log, "callers", inner)
+	listener := s.limitConnections(resilient.NewListener(s.options.Log, "callers", inner))
 	s.mu.Lock()
 	s.listener = listener
 	s.mu.Unlock()
--- a/instance/run.go
+++ b/instance/run.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/clock"
+	"celeryport/connlimit"
 	"celeryport/control"
 	"celeryport/dispatch"
 	"celeryport/entry"
@@ -15,6 +16,7 @@
 	"celeryport/quota"
 	"celeryport/supervise"
 	"celeryport/upstream/client"
+	"celeryport/wal"
 )
 
 const (
@@ -27,6 +29,7 @@
 // completions is an instance that serves completions.
 type completions struct {
 	options *Options
+	limits  connlimit.Limits
 	parts   *ledgerParts
 	node    *control.Node
 	server  *entry.Server
@@ -37,8 +40,12 @@
 // ends when hardStop is done or the drain timeout of the settings has passed; calls that are
 // still in progress are then cut off.
 func Run(stop, hardStop context.Context, options Options) error {
-	p := options.Process
-	c := &completions{options: &options}
+	p := new(*options.Process)
+	options.Process = p
+	applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log)
+	limits := connectionLimits(p)
+	p.MaxConnections = limits.Callers
+	c := &completions{options: &options, limits: limits}
 	c.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
 	run := life{
 		log:       options.Log,
@@ -55,7 +62,7 @@
 // that none of their requests was run.
 func (c *completions) start(ctx context.Context, group *supervise.Group) error {
 	var err error
-	if c.parts, err = construct(ctx, func() (*ledgerParts, error) { return openLedger(c.options) }); err != nil {
+	if c.parts, err = construct(ctx, func() (*ledgerParts, error) { return openLedger(ctx, c.options, wal.OS{}) }); err != nil {
 		return err
 	}
 	group.Start(supervise.Component{Name: "ledger", Kind: supervise.Essential, Run: waitUntilDone, Stop: func(context.Context) error {
@@ -88,10 +95,11 @@
 
 func (c *completions) newNode() (*control.Node, error) {
 	return control.New(control.Options{
-		Process:  c.options.Process,
-		Log:      c.options.Log,
-		Listener: c.options.Control,
-		Ledger:   c.parts.store(),
+		Process:     c.options.Process,
+		Log:         c.options.Log,
+		Listener:    c.options.Control,
+		Connections: c.limits.Control,
+		Ledger:      c.parts.store(),
 	})
 }
 
