--- a/instance/life_test.go
+++ b/instance/life_test.go
@@ -21,8 +21,10 @@
 	loggedServing    = 1100
 	loggedStopped    = 1102
 	loggedEnded      = 1120
+	loggedReopened   = 1121
 	loggedNotStarted = 1124
 	loggedNotFree    = 1140
+	loggedNoFolder   = 1180
 )
 
 // testRun is a forwarding instance that runs in the process of the test.
@@ -199,6 +201,30 @@
 	}
 }
 
+// Guards against an instance that ends, or goes on without callers, because the socket of their
+// address no longer works.
+func TestAddressOfCallersIsOpenedAgain(t *testing.T) {
+	callers := &breakableListener{Listener: listen(t)}
+	address := callers.Addr().String()
+	r := runInstance(t, func(o *Options) { o.Traffic, o.Process.Listen = callers, address })
+	r.await(loggedServing)
+	callers.breakDown()
+	if name := r.await(loggedEnded).Data["component"]; name != "callers" {
+		t.Errorf("%v ended", name)
+	}
+	r.await(loggedReopened)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+	r.requested()
+	r.abort()
+	if err := r.ends(); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against SIGTERM without effect while the start waits for an address.
 func TestInstanceStopsWhileItWaitsForAnAddress(t *testing.T) {
 	addresses := map[string]func(*settings.Process, string){
@@ -226,6 +252,34 @@
 	}
 }
 
+// Guards against SIGTERM without effect while the start waits for the data folder, which another
+// process uses.
+func TestInstanceStopsWhileItWaitsForItsFolder(t *testing.T) {
+	folder := t.TempDir()
+	voter := func(o *Options) {
+		p := o.Process
+		p.Serves, p.Voter, p.MayFoundGroup, p.DataFolder = settings.ServesControl, true, true, folder
+		p.Voters = []settings.Member{{ID: "one", Address: p.ControlListen}}
+	}
+	former := runInstance(t, voter)
+	former.await(loggedServing)
+	r := runInstance(t, voter)
+	r.await(loggedNoFolder)
+	r.requested()
+	r.abort()
+	if end := r.await(loggedStopped); end.Data["exit"] != 0 || end.Data["served"] != false {
+		t.Errorf("logged %v", end.Data)
+	}
+	if err := r.ends(); err != nil {
+		t.Error(err)
+	}
+	former.requested()
+	former.abort()
+	if err := former.ends(); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against a metrics address that keeps an instance from serving while it is in use.
 func TestHeldMetricsAddressDelaysNoCaller(t *testing.T) {
 	held := listen(t)
