Refuse an address of another host before callers are served

Seen (trial): with a metrics address of another host, an instance logged that it serves callers, and ended with exit code 2 only after a drain of 2.6 s. Cause: the start didn't look whether a component had ended meanwhile.

--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -88,9 +88,11 @@
 	select {
 	case <-f.node.Started():
 	case <-ctx.Done():
+	}
+	if err := ctx.Err(); err != nil {
 		f.callers.close()
 		f.loads.close()
-		return ctx.Err() // control closes its own address
+		return err // control closes its own address
 	}
 	f.startComponents(group)
 	return nil
@@ -225,6 +227,9 @@
 	if err == nil {
 		err = f.callers.open(ctx)
 	}
+	if err == nil {
+		err = ctx.Err() // another address may have been refused meanwhile
+	}
 	if err != nil {
 		f.control.close()
 		f.callers.close()
--- a/instance/life_test.go
+++ b/instance/life_test.go
@@ -21,8 +21,8 @@
 	loggedServing    = 1100
 	loggedStopped    = 1102
 	loggedEnded      = 1120
-	loggedReopened   = 1121
 	loggedNotStarted = 1124
+	loggedReopened   = 1121
 	loggedNotFree    = 1140
 	loggedNoFolder   = 1180
 )
@@ -305,6 +305,17 @@
 	}
 }
 
+// As before, for an address that is opened beside the others.
+func TestInstanceRefusesAMetricsAddressOfAnotherHost(t *testing.T) {
+	r := runInstance(t, func(o *Options) { o.Process.Metrics = "192.0.2.1:7000" })
+	if end := r.await(loggedStopped); end.Data["reason"] != "failed" || end.Data["exit"] != 2 {
+		t.Errorf("logged %v", end.Data)
+	}
+	if err := r.ends(); exitCode(err) != 2 {
+		t.Errorf("ended with: %v", err)
+	}
+}
+
 // Guards against SIGTERM without effect while control opens a data folder on a disk that doesn't
 // answer.
 func TestStopEndsTheWaitForAConstructor(t *testing.T) {
