Number reports of loads on after their socket was opened again

Seen: nothing by callers; found while tracing what a second run of ShareLoads would do, which opening its socket again makes possible. Cause: each run numbered its reports from 1 under the same name, and the others drop reports with numbers that they know. They forget a silent sender only when a new one appears, so its loads could be ignored for as long as the first run had taken. Change: the reporters belong to the server; a run begins with a full report, and ends only when all its goroutines have.

--- a/forward/aggregate.go
+++ b/forward/aggregate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/netip"
 	"time"
@@ -27,8 +26,7 @@
 // instances, which relays it, so that it crosses to each zone once.
 func (s *Server) aggregateZone(ctx context.Context, conn net.PacketConn) {
 	process := s.options.Process
-	id := fmt.Sprintf("%s/%d for its zone", process.Name, s.options.Plane.View().Incarnation)
-	reporter := loadshare.NewReporter(loadshare.KeyOf(id))
+	reporter := s.reporters.zone
 	ticker := time.NewTicker(loadshare.FullInterval)
 	defer ticker.Stop()
 	isAggregator := false
--- a/forward/reporting.go
+++ b/forward/reporting.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,20 +26,21 @@
 // address, which ShareLoads closes.
 func (s *Server) ShareLoads(ctx context.Context, inner net.PacketConn) error {
 	conn := resilient.NewPacketConn(s.options.Log, "loads", inner)
+	var running sync.WaitGroup
+	defer running.Wait() // the next run uses the same reporters
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.arbitration.mu.Lock()
 	s.arbitration.conn = conn
 	s.arbitration.mu.Unlock()
+	s.startReporters()
 	receiving := make(chan error, 1)
-	go func() { receiving <- s.receiveDatagrams(conn) }()
-	go s.arbitrate(ctx)
-	go s.aggregateZone(ctx, conn)
-	go s.shareRates(ctx, conn)
+	running.Go(func() { receiving <- s.receiveDatagrams(conn) })
+	running.Go(func() { s.arbitrate(ctx) })
+	running.Go(func() { s.aggregateZone(ctx, conn) })
+	running.Go(func() { s.shareRates(ctx, conn) })
+	running.Go(func() { s.pollEngines(ctx) })
 	defer func() { _ = conn.Close() }() // ends receiveDatagrams
-	view := s.options.Plane.View()
-	reporter := loadshare.NewReporter(loadshare.KeyOf(fmt.Sprintf("%s/%d", s.options.Process.Name, view.Incarnation)))
-	go s.pollEngines(ctx)
 	ticker := time.NewTicker(loadshare.FullInterval)
 	defer ticker.Stop()
 	for {
@@ -59,7 +60,7 @@
 		}
 		now := time.Now()
 		s.tickView(now)
-		if report := reporter.Next(now, s.fleet.loadsToReport(now), s.peering().Candidate()); report != nil {
+		if report := s.reporters.own.Next(now, s.fleet.loadsToReport(now), s.peering().Candidate()); report != nil {
 			s.sendReport(conn, report)
 		}
 	}
--- a/forward/server.go
+++ b/forward/server.go
@@ -30,6 +30,7 @@
 	startedAt   time.Time
 	lastCall    atomic.Int64 // when the latest call arrived, in Unix nanoseconds
 	peerings    atomic.Pointer[cachedPeering]
+	reporters   reporters // used by ShareLoads
 
 	mu       sync.Mutex
 	random   *rand.Rand
