Found the group with voters that lost their state before the founding

Operators saw a system that didn't start: every process ran, none was ready, no configuration was accepted, for good.

Cause: a voter without the file of the founders and with found = false, so one that ended before it had opened its data folder at the very first start, or lost its disk before the founding, answered the others that the group was founded. They took themselves for no members and wrote that down; nobody was left to found a group. If it was the first voter, nobody was to found one anyway.

Change: a voter says that the group is founded only if it knows of one: a founding configuration, a term, or a data folder that failed. The founder is the first voter that awaits the founding. It still takes all voters of the settings, none of which may know of a group; a voter that does not await the founding never founds.

Evidence: TestVoterWithoutStateBeforeTheFoundingTakesPart times out for each of the three voters without the change (31 s each) and passes with it, twice with -race, as do the tests of replacement, repair and healing.

--- a/control/founding.go
+++ b/control/founding.go
@@ -20,10 +20,11 @@
 const commandHello = "voter.hello"
 
 // helloResponse identifies the data folder of a voter and states whether it already
-// belongs to a group.
+// knows of a group.
 type helloResponse struct {
 	ID       consensus.ID             `json:"id"`
 	Founded  bool                     `json:"founded"`
+	Awaits   bool                     `json:"awaits"`             // it awaits the founding, and may found the group itself
 	Founding *consensus.Configuration `json:"founding,omitempty"` // founding configuration, if this voter is a founding member
 }
 
@@ -32,9 +33,12 @@
 // A voter that lost its disk and starts with its original settings must not found the
 // group again: it could vote under its old identity and help to elect a leader that lacks
 // accepted changes. Therefore the ID of a voter belongs to its data folder, the group is
-// founded once, by the first voter in the settings and only when all of them answer, and
-// the other voters take part only if the founding configuration contains the ID of their
-// present folder.
+// founded once, by the first voter in the settings that awaits the founding and only when all of
+// them answer and none knows of a group, and the other voters take part only if the founding
+// configuration contains the ID of their present folder.
+//
+// A voter that does not await the founding and knows of no group lost its process, or its disk, before
+// the founding. The others found the group with it.
 //
 // A voter that waits keeps the voters that found the group in its data folder: when it is restarted
 // before the group is founded, its settings may already state that it must not found a group.
@@ -81,7 +85,7 @@
 // this voter is not a member.
 func (n *Node) decideFounding(ctx context.Context, founders []settings.Member) (consensus.Configuration, bool) {
 	var all consensus.Configuration
-	complete := true
+	complete, founder := true, ""
 	for _, voter := range founders {
 		hello, err := n.hello(ctx, voter.Address)
 		if err != nil {
@@ -95,8 +99,11 @@
 			return consensus.Configuration{}, true
 		}
 		all.Voters = append(all.Voters, consensus.Member{ID: hello.ID, Address: voter.Address})
+		if hello.Awaits && founder == "" {
+			founder = voter.Address
+		}
 	}
-	return all, complete && founders[0].Address == n.opts.controlAddress()
+	return all, complete && founder == n.opts.controlAddress()
 }
 
 func (n *Node) hello(ctx context.Context, address string) (*helloResponse, error) {
@@ -118,7 +125,7 @@
 		if g == nil {
 			return
 		}
-		hello = helloResponse{ID: g.id, Founded: !g.awaitsFounding(), Founding: g.founding}
+		hello = helloResponse{ID: g.id, Founded: g.knowsGroup(), Awaits: g.awaitsFounding(), Founding: g.founding}
 	})
 	if err != nil {
 		return nil, err
@@ -132,6 +139,11 @@
 // awaitsFounding reports whether it is still undecided how this voter joins the group.
 func (g *group) awaitsFounding() bool { return g.node == nil && g.failed == nil }
 
+// knowsGroup reports whether this voter knows of a control group. If its folder failed, it may.
+func (g *group) knowsGroup() bool {
+	return g.founding != nil || g.failed != nil || g.node != nil && g.node.Status().Term > 0
+}
+
 // begin starts consensus with the founding configuration. The configuration is synced
 // first: a voter that lost it in a crash could take part in a second founding.
 func (g *group) begin(founding consensus.Configuration) error {
--- a/control/founding_test.go
+++ b/control/founding_test.go
@@ -13,6 +13,18 @@
 // Guards against a group that is never founded because a voter is restarted before that with settings
 // that no longer let it found one: each voter took itself for no member.
 func TestVoterRestartedBeforeTheFoundingTakesPart(t *testing.T) {
+	foundWithRestarted(t, false)
+}
+
+// Guards against a group that is never founded because a voter ended before it had opened its data
+// folder, or lost its disk before the founding: the others took the group for founded.
+func TestVoterWithoutStateBeforeTheFoundingTakesPart(t *testing.T) {
+	foundWithRestarted(t, true)
+}
+
+// foundWithRestarted founds a group in which one of the voters was restarted before with settings that
+// no longer let it found a group, without what it had stored if emptied is set.
+func foundWithRestarted(t *testing.T, emptied bool) {
 	for restarted := range 3 {
 		t.Run(fmt.Sprint("voter ", restarted), func(t *testing.T) {
 			t.Parallel()
@@ -30,6 +42,9 @@
 			f.await("the voter waits for the founding", early.awaitsFounding)
 			early.halt()
 			early.process.MayFoundGroup = false
+			if emptied {
+				early.process.DataFolder = t.TempDir()
+			}
 			f.start(early, nil)
 			for i, listener := range listeners {
 				if i != restarted {
