--- a/control/run.go
+++ b/control/run.go
@@ -10,8 +10,10 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"celeryport/binding"
 	"celeryport/connlimit"
 	"celeryport/event"
+	"celeryport/resilient"
 	"celeryport/rpc"
 )
 
@@ -24,24 +26,27 @@
 )
 
 // Run serves the control address and drives the node until ctx is done or a component
-// fails.
+// fails. While the address can't be bound, the node only runs tasks: it sends nothing, so that
+// others don't take it for an instance that they can reach. The error is a *binding.Refusal if
+// the address can't be used at all.
 //
 // It first waits for the data folder, if New could not open it.
 func (n *Node) Run(outer context.Context) error {
+	defer n.clients.Close()
 	if err := n.awaitCore(outer); err != nil {
-		n.clients.Close()
-		if errors.Is(err, context.Canceled) {
-			return nil
-		}
-		return err
-	}
-	listener, err := n.listen()
-	if err != nil {
-		return err
+		return endOf(outer, err)
 	}
 	inner, end := context.WithCancel(context.WithoutCancel(outer))
 	defer end()
 	group, ctx := errgroup.WithContext(inner)
+	listening := make(chan struct{})
+	group.Go(func() error { return n.runCore(ctx, listening) })
+	listener, err := n.listen(outer)
+	if err != nil {
+		end()
+		return endOf(outer, errors.CombineErrors(err, group.Wait()))
+	}
+	close(listening)
 	server := n.server()
 	eventStarted.Log(n.log, event.Fields{
 		"name":        n.opts.Process.Name,
@@ -49,8 +54,8 @@
 		"address":     listener.Addr().String(),
 		"voter":       n.opts.Process.Voter,
 	})
+	close(n.started)
 	group.Go(func() error { return n.serve(server, listener) })
-	group.Go(func() error { return n.loop(ctx) })
 	group.Go(func() error { return n.runFounding(ctx) })
 	if n.claimVoter != nil {
 		group.Go(func() error { return n.claimVoter.run(ctx) })
@@ -68,20 +73,22 @@
 		end()
 		return n.shutdown(server)
 	})
-	err = group.Wait()
-	n.clients.Close()
-	if errors.Is(err, context.Canceled) {
+	return endOf(outer, group.Wait())
+}
+
+// endOf returns the error of a component, or nil if the node was asked to stop.
+func endOf(outer context.Context, err error) error {
+	if outer.Err() != nil && errors.Is(err, context.Canceled) {
 		return nil
 	}
 	return err
 }
 
-func (n *Node) listen() (net.Listener, error) {
+func (n *Node) listen(ctx context.Context) (net.Listener, error) {
 	if n.opts.Listener != nil {
-		return n.opts.Listener, nil
+		return resilient.NewListener(n.log, "control", n.opts.Listener), nil
 	}
-	listener, err := net.Listen("tcp", n.opts.Process.ControlListen)
-	return listener, errors.Wrap(err, "listen on the control address")
+	return binding.TCP(ctx, n.log, "control", n.opts.Process.ControlListen)
 }
 
 func (n *Node) server() *http.Server {
@@ -151,10 +158,32 @@
 	}
 }
 
-// loop is the control goroutine, the only one that uses the core.
-func (n *Node) loop(ctx context.Context) error {
+// runCore is the control goroutine, the only one that uses the core. The core takes no step
+// before the control address is open.
+func (n *Node) runCore(ctx context.Context, listening <-chan struct{}) error {
 	defer close(n.stopped)
 	defer n.core.close()
+	if err := n.runTasksUntil(ctx, listening); err != nil {
+		return err
+	}
+	return n.loop(ctx)
+}
+
+func (n *Node) runTasksUntil(ctx context.Context, listening <-chan struct{}) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-listening:
+			return nil
+		case t := <-n.tasks:
+			t(n.clock.Now())
+		}
+	}
+}
+
+// loop takes the steps of the core and runs tasks until ctx is done or a step fails.
+func (n *Node) loop(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/forward/server.go
+++ b/forward/server.go
@@ -13,6 +13,7 @@
 	"celeryport/bytebudget"
 	"celeryport/event"
 	"celeryport/resend"
+	"celeryport/resilient"
 )
 
 // Server accepts callers' connections and forwards their calls.
@@ -60,9 +61,9 @@
 	return s
 }
 
-// Serve accepts connections until the listener closes.
-func (s *Server) Serve(listener net.Listener) error {
-	listener = s.limitConnections(listener)
+// Serve accepts connections until the listener closes or no longer works.
+func (s *Server) Serve(inner net.Listener) error {
+	listener := s.limitConnections(resilient.NewListener(s.options.Log, "callers", inner))
 	s.mu.Lock()
 	s.listener = listener
 	s.mu.Unlock()
@@ -73,17 +74,12 @@
 		}
 		if err != nil {
 			eventAcceptFailed.Log(s.options.Log, event.Fields{"error": err})
-			time.Sleep(acceptPause)
-			continue
+			return errors.Wrap(err, "accept connections")
 		}
 		s.serveConn(conn)
 	}
 }
 
-// acceptPause keeps a process that has no file descriptors left from spinning until some are
-// closed.
-const acceptPause = 10 * time.Millisecond
-
 func (s *Server) serveConn(conn net.Conn) { s.serveCaller(newCallerConn(s, conn)) }
 
 // serveCaller serves a connection until it ends.
--- a/instance/descriptors.go
+++ b/instance/descriptors.go
@@ -1,8 +1,6 @@
 package instance
 
 import (
-	"net"
-
 	"golang.org/x/sys/unix"
 
 	"celeryport/connlimit"
@@ -19,12 +17,3 @@
 	}
 	return connlimit.Divide(int(descriptors), p.MaxConnections, p.Serves != settings.ServesControl)
 }
-
-// limitAuxiliary bounds the connections at an address of readiness, directory or metrics.
-func (f *forwarding) limitAuxiliary(address string, listener net.Listener) net.Listener {
-	limit := f.limits.Probes
-	if address == f.options.Process.Directory {
-		limit = f.limits.Directory
-	}
-	return connlimit.New(listener, connlimit.Options{Limit: limit, Log: f.options.Log})
-}
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -4,118 +4,193 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"golang.org/x/sync/errgroup"
 
 	"celeryport/clock"
 	"celeryport/connlimit"
 	"celeryport/consensus"
 	"celeryport/control"
-	"celeryport/event"
 	"celeryport/forward"
 	"celeryport/membership"
 	"celeryport/resend"
 	"celeryport/settings"
+	"celeryport/supervise"
 )
 
 // forwarding is an instance that forwards calls, or that only takes part in control.
 type forwarding struct {
 	options *Options
-	node    *control.Node
-	server  *forward.Server // nil if the instance takes no calls
-	metrics *prometheus.Registry
+	memory  int64 // limit on the memory of the process in bytes; 0: unknown
 	limits  connlimit.Limits
+	metrics *prometheus.Registry
+	node    *control.Node
+	server  atomic.Pointer[forward.Server] // nil until the addresses are open, or if the instance takes no calls
+	callers callersAddress
+	loads   loadsAddress
+	control controlListener
 }
 
 // RunForwarding runs an instance that forwards calls or only takes part in control. When
 // stop is done, the instance shuts down gracefully. The shutdown ends when hardStop is done
 // or the drain timeout of the settings has passed.
 func RunForwarding(stop, hardStop context.Context, options Options) error {
-	f := &forwarding{options: &options, metrics: newProcessRegistry()}
-	if err := f.assemble(); err != nil {
-		return err
-	}
-	running, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	group, ctx := errgroup.WithContext(running)
-	group.Go(func() error { return f.node.Run(ctx) })
-	group.Go(func() error { return f.followSettings(ctx) })
-	if err := f.listen(ctx, group); err != nil {
-		cancel()
-		return errors.CombineErrors(err, group.Wait())
-	}
-	eventServing.Log(options.Log, event.Fields{"address": options.Process.Listen, "serves": options.Process.Serves})
-	group.Go(func() error {
-		defer cancel() // control stops last because draining needs it
-		return f.shutDown(ctx, stop, hardStop)
+	p := options.Process
+	f := &forwarding{options: &options, metrics: newProcessRegistry(options.Collectors), memory: applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log)}
+	f.limits = connectionLimits(p)
+	f.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
+	f.loads = loadsAddress{log: options.Log, address: p.ControlListen, share: func(ctx context.Context, conn net.PacketConn) error {
+		return f.server.Load().ShareLoads(ctx, conn)
+	}}
+	f.control = controlListener{options.Control}
+	run := life{
+		log:       options.Log,
+		address:   p.Listen,
+		serves:    string(p.Serves),
+		start:     f.start,
+		stopLimit: drainLimit(p) + closingTimeout,
+	}
+	return run.run(stop, hardStop)
+}
+
+// start starts the components in phases. Control announces the instance to the others, so it starts
+// only once callers can reach the instance; and callers are served once control has started.
+func (f *forwarding) start(ctx context.Context, group *supervise.Group) error {
+	p := f.options.Process
+	if p.Metrics != "" {
+		group.Start(f.auxiliary("metrics", p.Metrics, promhttp.HandlerFor(f.metrics, promhttp.HandlerOpts{})))
+	}
+	if f.takesCalls() && p.Readiness != "" {
+		group.Start(f.auxiliary("readiness", p.Readiness, f.readiness()))
+	}
+	var err error
+	if f.node, err = construct(ctx, f.newNode); err != nil {
+		return errors.Wrap(err, "control")
+	}
+	f.registerMetrics()
+	if f.takesCalls() {
+		if err := f.openAddresses(ctx); err != nil {
+			return err
+		}
+	}
+	group.Start(supervise.Component{
+		Name: "control", Kind: supervise.Essential, Run: f.node.Run, Stop: f.leaveAlone, StopTimeout: announceTimeout + closingTimeout,
 	})
-	err := group.Wait()
-	eventStopped.Log(options.Log, event.Fields{"error": err})
-	if errors.Is(err, context.Canceled) {
-		return nil
+	select {
+	case <-f.node.Started():
+	case <-ctx.Done():
+		f.callers.close()
+		f.loads.close()
+		return ctx.Err() // control closes its own address
 	}
-	return err
+	f.startComponents(group)
+	return nil
 }
 
-func (f *forwarding) assemble() error {
+// startComponents starts what serves others. It is stopped in reverse order: control last because
+// draining needs it.
+func (f *forwarding) startComponents(group *supervise.Group) {
+	p := f.options.Process
+	group.Start(supervise.Component{Name: "settings", Kind: supervise.Reopened, Run: f.followSettings})
+	if p.Directory != "" {
+		group.Start(f.auxiliary("directory", p.Directory, f.options.Adapter.Directory(f.addresses, directoryCacheTime)))
+	}
+	if !f.takesCalls() {
+		return
+	}
+	f.server.Store(f.newServer())
+	group.Start(f.loads.component())
+	if p.OrganisationShares {
+		group.Start(supervise.Component{Name: "demands", Kind: supervise.Reopened, Run: func(ctx context.Context) error {
+			return reportDemands(ctx, f.node, shareInterval, f.server.Load().Demands)
+		}})
+	}
+	group.Start(supervise.Component{
+		Name: "callers", Kind: supervise.Reopened, Open: f.callers.open, Run: f.serveCallers, Stop: f.drain,
+		StopTimeout: drainLimit(p) + closingTimeout/2,
+	})
+}
+
+func (f *forwarding) serveCallers(ctx context.Context) error {
+	return f.callers.serve(ctx, f.server.Load().Serve)
+}
+
+func (f *forwarding) takesCalls() bool { return f.options.Process.Serves == settings.ServesForwarding }
+
+func (f *forwarding) newNode() (*control.Node, error) {
 	p := f.options.Process
-	memory := applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, f.options.Log)
-	f.limits = connectionLimits(p)
 	heal := 0
 	if p.Voter && p.ToleratedLosses > 0 {
 		heal = 2*p.ToleratedLosses + 1
 	}
 	adapter := f.options.Adapter
 	var controlHandler, transitHandler http.Handler
-	if p.Serves == settings.ServesForwarding {
-		transitHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.server.ServeTransit(w, r) })
+	listener := f.options.Control
+	if f.takesCalls() {
+		listener = &f.control
+		transitHandler = http.HandlerFunc(f.serveTransit)
 	}
 	node, err := control.New(control.Options{
 		Process:     p,
 		Log:         f.options.Log,
 		Clock:       clock.NewBoot(),
+		Listener:    listener,
 		Parse:       adapter.Parse,
 		Timing:      forwardingTiming(),
 		Heal:        heal,
 		FanOut:      true,
-		Connections: f.limits.Control,
 		Transit:     transitHandler,
+		Connections: f.limits.Control,
 		ExtraAt:     adapter.ControlPrefix,
 		Extra:       http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { controlHandler.ServeHTTP(w, r) }),
 	})
 	if err != nil {
-		return errors.Wrap(err, "control")
+		return nil, err
 	}
 	controlHandler = adapter.Control(node)
-	f.node = node
+	return node, nil
+}
+
+// serveTransit serves calls that other instances hand over to this one.
+func (f *forwarding) serveTransit(w http.ResponseWriter, r *http.Request) {
+	server := f.server.Load()
+	if server == nil { // control has only just started
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	server.ServeTransit(w, r)
+}
+
+func (f *forwarding) registerMetrics() {
 	f.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "control_announcements_refused_total",
 		Help: "Announcements that name no upstream to use.",
-	}, func() float64 { return float64(node.RefusedAnnouncements()) }))
+	}, func() float64 { return float64(f.node.RefusedAnnouncements()) }))
 	f.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "control_connections_refused_total",
 		Help: "Connections to the control address that were refused because too many were open.",
-	}, func() float64 { return float64(node.RefusedConnections()) }))
-	registerTraffic(f.metrics, node.SyncTraffic())
-	if p.Serves == settings.ServesForwarding {
-		f.server = forward.New(forward.Options{
-			Process:     p,
-			Plane:       node,
-			Dialect:     adapter.Dialect,
-			Metrics:     forward.NewMetrics(f.metrics),
-			Log:         f.options.Log,
-			Dial:        f.options.Dial,
-			Budget:      resend.Budget{Ratio: p.RepeatRatio, Slack: p.RepeatSlack, Window: p.RepeatWindow},
-			Memory:      memory,
-			Connections: f.limits.Callers,
-		})
-	}
-	return nil
+	}, func() float64 { return float64(f.node.RefusedConnections()) }))
+	registerTraffic(f.metrics, f.node.SyncTraffic())
+}
+
+func (f *forwarding) newServer() *forward.Server {
+	p := f.options.Process
+	return forward.New(forward.Options{
+		Process:     p,
+		Plane:       f.node,
+		Dialect:     f.options.Adapter.Dialect,
+		Metrics:     forward.NewMetrics(f.metrics),
+		Log:         f.options.Log,
+		Dial:        f.options.Dial,
+		Budget:      resend.Budget{Ratio: p.RepeatRatio, Slack: p.RepeatSlack, Window: p.RepeatWindow},
+		Memory:      f.memory,
+		Connections: f.limits.Callers,
+	})
 }
 
 // forwardingTiming returns the intervals of instances that forward calls.
@@ -135,80 +210,45 @@
 	return timing
 }
 
-// listen opens all addresses of the instance.
-func (f *forwarding) listen(ctx context.Context, group *errgroup.Group) error {
-	p := f.options.Process
-	if f.server != nil {
-		listener, err := net.Listen("tcp", p.Listen)
-		if err != nil {
-			return errors.Wrap(err, "listen for callers")
-		}
-		group.Go(func() error { return errors.Wrap(f.server.Serve(listener), "serve callers") })
-		packets, err := net.ListenPacket("udp", p.ControlListen)
-		if err != nil {
-			return errors.Wrap(err, "listen for the loads of others")
-		}
-		group.Go(func() error { return f.server.ShareLoads(ctx, packets) })
-		if p.OrganisationShares {
-			group.Go(func() error { return reportDemands(ctx, f.node, shareInterval, f.server.Demands) })
-		}
+// openAddresses opens the addresses at which other instances and callers reach this one, and waits
+// for each. That of callers is the last one: a connection that is not served yet makes its caller
+// wait, one that is refused doesn't. Those that are open are closed after an error.
+func (f *forwarding) openAddresses(ctx context.Context) error {
+	err := f.control.open(ctx, f.options.Log, f.options.Process.ControlListen)
+	if err == nil {
+		err = f.loads.open(ctx)
 	}
-	handlers := map[string]http.Handler{}
-	if p.Readiness != "" && f.server != nil {
-		handlers[p.Readiness] = readiness(f.server)
+	if err == nil {
+		err = f.callers.open(ctx)
 	}
-	if p.Directory != "" {
-		handlers[p.Directory] = f.options.Adapter.Directory(f.addresses, directoryCacheTime)
-	}
-	if p.Metrics != "" {
-		handlers[p.Metrics] = promhttp.HandlerFor(f.metrics, promhttp.HandlerOpts{})
-	}
-	for address, handler := range handlers {
-		if err := f.serveHTTP(ctx, group, address, handler); err != nil {
-			return err
-		}
+	if err != nil {
+		f.control.close()
+		f.callers.close()
+		f.loads.close()
 	}
-	return nil
+	return err
 }
 
-// serveHTTP serves an auxiliary address until ctx ends.
-func (f *forwarding) serveHTTP(ctx context.Context, group *errgroup.Group, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
+func (f *forwarding) auxiliary(purpose, address string, handler http.Handler) supervise.Component {
+	a := &auxiliary{log: f.options.Log, purpose: purpose, address: address, handler: handler, limit: f.limits.Probes}
+	if address == f.options.Process.Directory {
+		a.limit = f.limits.Directory
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: auxiliaryReadTimeout, IdleTimeout: auxiliaryIdleTimeout}
-	group.Go(func() error {
-		err := server.Serve(f.limitAuxiliary(address, listener))
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return errors.Wrapf(err, "serve %s", address)
-	})
-	group.Go(func() error {
-		<-ctx.Done()
-		return server.Close()
-	})
-	return nil
+	return a.component()
 }
 
 // shareInterval is the interval of demand reports for organisation shares: three fit into the lease
 // of a grant.
 const shareInterval = time.Second
 
-const (
-	auxiliaryReadTimeout = 3 * time.Second
-	auxiliaryIdleTimeout = 30 * time.Second
-	// directoryCacheTime is how long callers may cache a list of addresses. Callers use some
-	// addresses for three times as long, which must end before the shutdown of an instance
-	// does.
-	directoryCacheTime = 2 * time.Second
-)
+// directoryCacheTime is how long callers may cache a list of addresses. Callers use some
+// addresses for three times as long, which must end before the shutdown of an instance does.
+const directoryCacheTime = 2 * time.Second
 
 // readiness answers whether the instance takes calls.
-func readiness(server *forward.Server) http.Handler {
+func (f *forwarding) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !server.Ready() {
+		if server := f.server.Load(); server == nil || !server.Ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
@@ -223,15 +263,16 @@
 		case <-ctx.Done():
 			return nil
 		case p := <-f.options.Changes:
-			if err := f.node.SetSeeds(ctx, p.Voters); err != nil {
-				return nil //nolint:nilerr // the node has stopped and reports the reason itself
+			if err := f.node.SetSeeds(ctx, p.Voters); err != nil && ctx.Err() == nil {
+				return errors.Wrap(err, "apply the addresses of the voters")
 			}
 		}
 	}
 }
 
-func newProcessRegistry() *prometheus.Registry {
+func newProcessRegistry(more []prometheus.Collector) *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
+	registry.MustRegister(more...)
 	return registry
 }
