Open the ledger again after a failed write

A voter whose disk was full once refused all copies of counters until a restart; reports then missed what the others could not hold either.

Cause: the records of a folder take no more writes after a failed one, and the ledger kept them. It now closes the folder, and opens and rewrites it with a later copy, at most every 0.5 s.

--- a/ledger/merge_states.go
+++ b/ledger/merge_states.go
@@ -15,6 +15,9 @@
 func (b *Store) MergeStates(now time.Time, others []*State) (bool, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if err := b.openIfFailed(); err != nil {
+		return false, err
+	}
 	if !b.isBehind(now, others) {
 		return false, nil
 	}
@@ -28,7 +31,7 @@
 		return false, err
 	}
 	if err := b.records.Rewrite([][]byte{record}); err != nil {
-		return false, errors.Wrap(err, "merging ledgers of other voters")
+		return false, b.fail(errors.Wrap(err, "merging ledgers of other voters"))
 	}
 	statesMerged.Log(b.log, event.Fields{
 		"incarnations_before": len(b.state.Incarnations), "incarnations_after": len(merged.Incarnations),
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -21,28 +22,65 @@
 // Store stores the accounts of all instances durably on a voter. It implements
 // CopyMerger and is safe for concurrent use.
 type Store struct {
-	log   logrus.FieldLogger
-	clock clock.Clock
+	folder string
+	fs     wal.FS
+	log    logrus.FieldLogger
+	clock  clock.Clock
 
 	mu        sync.Mutex
 	state     *State
-	records   *wal.Records
-	appended  int64 // bytes since the last rewrite
-	rewritten int64 // bytes of the state at the last rewrite
+	records   *wal.Records // nil after a failed write, until the folder was opened again
+	retryAt   time.Time    // when to try to open it again
+	appended  int64        // bytes since the last rewrite
+	rewritten int64        // bytes of the state at the last rewrite
 }
 
 // OpenStore opens the store in its own folder under the data folder.
 func OpenStore(folder string, fs wal.FS, log logrus.FieldLogger, c clock.Clock) (*Store, error) {
-	records, content, err := wal.OpenRecords(folder, fs, wal.Options{Logger: log})
+	b := &Store{folder: folder, fs: fs, log: log, clock: c}
+	if err := b.open(); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// open reads the state from the folder.
+func (b *Store) open() error {
+	records, content, err := wal.OpenRecords(b.folder, b.fs, wal.Options{Logger: b.log})
 	if err != nil {
-		return nil, errors.Wrap(err, "opening the ledger")
+		return errors.Wrap(err, "opening the ledger")
 	}
 	state, err := replay(content)
 	if err != nil {
-		return nil, errors.CombineErrors(errors.Wrap(err, "reading the ledger"), records.Close())
+		return errors.CombineErrors(errors.Wrap(err, "reading the ledger"), records.Close())
 	}
-	storeOpened.Log(log, event.Fields{"folder": folder, "incarnations": len(state.Incarnations)})
-	return &Store{log: log, clock: c, state: state, records: records}, nil
+	b.records, b.state, b.appended, b.rewritten = records, state, 0, 0
+	storeOpened.Log(b.log, event.Fields{"folder": b.folder, "incarnations": len(state.Incarnations)})
+	return nil
+}
+
+// reopenInterval is the pause between two attempts to open the folder after a failed write.
+const reopenInterval = 500 * time.Millisecond
+
+// openIfFailed opens the folder again after a failed write. Nothing that was written since the last
+// sync can be relied on, so the state is read anew, and rewritten to new files.
+func (b *Store) openIfFailed() error {
+	if b.records != nil {
+		return nil
+	}
+	now := b.clock.Now()
+	if now.Before(b.retryAt) {
+		return errors.New("the ledger failed and was not opened again yet")
+	}
+	b.retryAt = now.Add(reopenInterval)
+	return b.open()
+}
+
+// fail closes the folder after a failed write, so that it can be opened again.
+func (b *Store) fail(err error) error {
+	err = errors.CombineErrors(err, b.records.Close())
+	b.records = nil
+	return err
 }
 
 // Merge implements CopyMerger. The copy is synced to disk before it is applied, because
@@ -57,6 +95,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if err := b.openIfFailed(); err != nil {
+		return nil, err
+	}
 	if err := b.persist(c, encodedCopy); err != nil {
 		return nil, err
 	}
@@ -89,7 +130,7 @@
 	}
 	record := copyRecord(encodedCopy)
 	if err := b.records.Append(record); err != nil {
-		return errors.Wrap(err, "storing a copy of a ledger")
+		return b.fail(errors.Wrap(err, "storing a copy of a ledger"))
 	}
 	b.appended += int64(len(record))
 	return nil
@@ -107,7 +148,7 @@
 		return err
 	}
 	if err := b.records.Rewrite([][]byte{record}); err != nil {
-		return errors.Wrap(err, "rewriting the ledger")
+		return b.fail(errors.Wrap(err, "rewriting the ledger"))
 	}
 	logRewritten.Log(b.log, event.Fields{"bytes_before": b.appended, "bytes_after": len(record)})
 	b.rewritten = int64(len(record))
@@ -126,5 +167,8 @@
 func (b *Store) Close() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.records == nil {
+		return nil
+	}
 	return b.records.Close()
 }
--- a/ledger/store_test.go
+++ b/ledger/store_test.go
@@ -158,6 +158,36 @@
 	}
 }
 
+// Guards against a voter that stores no more counters until a restart because its disk was full for
+// some seconds.
+func TestMergeAcceptsCopiesAgainWhenTheDiskHasRoom(t *testing.T) {
+	full, folder := false, t.TempDir()
+	store := openStore(t, folder, fullDisk{full: &full})
+	account := testAccount(t, ID{"one", 1}, testStart)
+	serveMany(account, 0, 1)
+	position := copyTo(t, account, store, nil, testStart)
+	serveMany(account, 1, 1)
+	full = true
+	encoded, _, err := account.Copy(testStart, position)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Merge(encoded); err == nil {
+		t.Fatal("acknowledged on a full disk")
+	}
+	full = false
+	copyTo(t, account, store, position, testStart)
+	if got := servedIn(store); got != 2 {
+		t.Errorf("the report shows %d served requests of 2", got)
+	}
+	if err := store.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := servedIn(openStore(t, folder, wal.OS{})); got != 2 {
+		t.Errorf("%d served requests of 2 were stored", got)
+	}
+}
+
 func TestMergeRejectsMalformedCopies(t *testing.T) {
 	store := openStore(t, t.TempDir(), wal.OS{})
 	unsorted := Copy{ID: ID{"one", 1}, To: 1, Series: []SeriesCopy{{Counters: Counters{
