--- a/instance/auxiliary.go
+++ b/instance/auxiliary.go
@@ -25,8 +25,9 @@
 	purpose  string
 	address  string
 	handler  http.Handler
-	limit    int // number of connections that may be open; 0: no limit
 	listener net.Listener
+
+	connections int // at a time; 0: no limit
 }
 
 func (a *auxiliary) component() supervise.Component {
@@ -44,7 +45,7 @@
 		_ = server.Close() // its error is that of a listener that is closed already
 	})
 	defer release()
-	if err := server.Serve(connlimit.New(a.listener, connlimit.Options{Limit: a.limit, Log: a.log})); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(connlimit.New(a.listener, connlimit.Options{Limit: a.connections, Log: a.log})); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrapf(err, "serve %s", a.address)
 	}
 	return nil
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -41,8 +41,12 @@
 // or the drain timeout of the settings has passed.
 func RunForwarding(stop, hardStop context.Context, options Options) error {
 	p := options.Process
-	f := &forwarding{options: &options, metrics: newProcessRegistry(options.Collectors), memory: applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log)}
-	f.limits = connectionLimits(p)
+	f := &forwarding{
+		options: &options,
+		memory:  applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log),
+		limits:  connectionLimits(p),
+		metrics: newProcessRegistry(options.Collectors),
+	}
 	f.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
 	f.loads = loadsAddress{log: options.Log, address: p.ControlListen, share: func(ctx context.Context, conn net.PacketConn) error {
 		return f.server.Load().ShareLoads(ctx, conn)
@@ -63,10 +67,10 @@
 func (f *forwarding) start(ctx context.Context, group *supervise.Group) error {
 	p := f.options.Process
 	if p.Metrics != "" {
-		group.Start(f.auxiliary("metrics", p.Metrics, promhttp.HandlerFor(f.metrics, promhttp.HandlerOpts{})))
+		group.Start(f.auxiliary("metrics", p.Metrics, f.limits.Probes, promhttp.HandlerFor(f.metrics, promhttp.HandlerOpts{})))
 	}
 	if f.takesCalls() && p.Readiness != "" {
-		group.Start(f.auxiliary("readiness", p.Readiness, f.readiness()))
+		group.Start(f.auxiliary("readiness", p.Readiness, f.limits.Probes, f.readiness()))
 	}
 	var err error
 	if f.node, err = construct(ctx, f.newNode); err != nil {
@@ -98,7 +102,7 @@
 	p := f.options.Process
 	group.Start(supervise.Component{Name: "settings", Kind: supervise.Reopened, Run: f.followSettings})
 	if p.Directory != "" {
-		group.Start(f.auxiliary("directory", p.Directory, f.options.Adapter.Directory(f.addresses, directoryCacheTime)))
+		group.Start(f.auxiliary("directory", p.Directory, f.limits.Directory, f.options.Adapter.Directory(f.addresses, directoryCacheTime)))
 	}
 	if !f.takesCalls() {
 		return
@@ -140,12 +144,12 @@
 		Log:         f.options.Log,
 		Clock:       clock.NewBoot(),
 		Listener:    listener,
+		Connections: f.limits.Control,
 		Parse:       adapter.Parse,
 		Timing:      forwardingTiming(),
 		Heal:        heal,
 		FanOut:      true,
 		Transit:     transitHandler,
-		Connections: f.limits.Control,
 		ExtraAt:     adapter.ControlPrefix,
 		Extra:       http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { controlHandler.ServeHTTP(w, r) }),
 	})
@@ -229,11 +233,9 @@
 	return err
 }
 
-func (f *forwarding) auxiliary(purpose, address string, handler http.Handler) supervise.Component {
-	a := &auxiliary{log: f.options.Log, purpose: purpose, address: address, handler: handler, limit: f.limits.Probes}
-	if address == f.options.Process.Directory {
-		a.limit = f.limits.Directory
-	}
+// auxiliary returns a component that serves an address with at most the given number of connections.
+func (f *forwarding) auxiliary(purpose, address string, connections int, handler http.Handler) supervise.Component {
+	a := &auxiliary{log: f.options.Log, purpose: purpose, address: address, connections: connections, handler: handler}
 	return a.component()
 }
 
--- a/instance/run.go
+++ b/instance/run.go
@@ -28,8 +28,8 @@
 
 // completions is an instance that serves completions.
 type completions struct {
-	limits  connlimit.Limits
 	options *Options
+	limits  connlimit.Limits
 	parts   *ledgerParts
 	node    *control.Node
 	server  *entry.Server
@@ -40,12 +40,11 @@
 // ends when hardStop is done or the drain timeout of the settings has passed; calls that are
 // still in progress are then cut off.
 func Run(stop, hardStop context.Context, options Options) error {
-	p := options.Process
+	p := new(*options.Process)
+	options.Process = p
 	applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log)
 	limits := connectionLimits(p)
-	limited := *p
-	limited.MaxConnections = limits.Callers
-	options.Process = &limited
+	p.MaxConnections = limits.Callers
 	c := &completions{options: &options, limits: limits}
 	c.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
 	run := life{
@@ -99,8 +98,8 @@
 		Process:     c.options.Process,
 		Log:         c.options.Log,
 		Listener:    c.options.Control,
-		Ledger:      c.parts.store(),
 		Connections: c.limits.Control,
+		Ledger:      c.parts.store(),
 	})
 }
 
