Let a voter that was restarted before the founding take part in it

Operators saw a system that didn't start: every process ran, none was ready, and no instance accepted a configuration, for good.

Cause: a voter that ended between its start and the founding of the control group came back with found = false, which a deployment states after the first start. It took itself for no member and answered the others that the group was founded; they took themselves for no members either. Nobody was left to found a group.

Change: a voter that waits for the founding keeps the voters that found the group in its data folder, and goes on waiting after a restart. The folder has the identity under which it may take part, so a voter without its disk still founds nothing. If the group was founded without it and none of the founders is left, it joins when a member contacts it.

Not cured: a voter that ends before it has opened its data folder.

--- a/control/consensuscall.go
+++ b/control/consensuscall.go
@@ -27,6 +27,9 @@
 
 // receive passes messages to consensus if this instance takes part in it.
 func (c *core) receive(now time.Time, address string, messages []consensus.Message) {
+	if c.group != nil && c.group.awaitsFounding() && len(c.group.founders) > 0 {
+		c.group.joinFounded(now, address)
+	}
 	if c.group == nil || c.group.node == nil {
 		return
 	}
--- a/control/datafolder.go
+++ b/control/datafolder.go
@@ -13,6 +13,7 @@
 const (
 	logFolder       = "log"
 	foundingFile    = "founding"
+	foundersFile    = "founders"
 	installedFile   = "installed"
 	incarnationFile = "incarnation"
 )
--- a/control/founding.go
+++ b/control/founding.go
@@ -11,6 +11,7 @@
 	"celeryport/clock"
 	"celeryport/consensus"
 	"celeryport/event"
+	"celeryport/settings"
 	"celeryport/wal"
 )
 
@@ -34,14 +35,24 @@
 // founded once, by the first voter in the settings and only when all of them answer, and
 // the other voters take part only if the founding configuration contains the ID of their
 // present folder.
+//
+// A voter that waits keeps the voters that found the group in its data folder: when it is restarted
+// before the group is founded, its settings may already state that it must not found a group.
 func (n *Node) runFounding(ctx context.Context) error {
-	var waits bool
-	if err := n.do(ctx, func(time.Time) { waits = n.core.group != nil && n.core.group.awaitsFounding() }); err != nil || !waits {
-		return err
-	}
-	eventFounding.Log(n.log, event.Fields{"voters": n.opts.Process.Voters})
-	for {
-		founding, decided := n.decideFounding(ctx)
+	for told := false; ; told = true {
+		var founders []settings.Member
+		err := n.do(ctx, func(time.Time) {
+			if g := n.core.group; g != nil && g.awaitsFounding() {
+				founders = g.founders
+			}
+		})
+		if err != nil || len(founders) == 0 {
+			return err
+		}
+		if !told {
+			eventFounding.Log(n.log, event.Fields{"voters": founders})
+		}
+		founding, decided := n.decideFounding(ctx, founders)
 		if decided {
 			return n.begin(ctx, founding)
 		}
@@ -56,7 +67,11 @@
 	var stopped error
 	err := wal.Await(ctx, n.opts.Process.DataFolder, n.log, func() error {
 		var err error
-		stopped = n.do(ctx, func(time.Time) { err = n.core.group.begin(founding) })
+		stopped = n.do(ctx, func(time.Time) {
+			if n.core.group.awaitsFounding() {
+				err = n.core.group.begin(founding)
+			}
+		})
 		return err
 	})
 	return errors.CombineErrors(stopped, err)
@@ -64,10 +79,10 @@
 
 // decideFounding asks all voters and returns the founding configuration, or an empty one if
 // this voter is not a member.
-func (n *Node) decideFounding(ctx context.Context) (consensus.Configuration, bool) {
+func (n *Node) decideFounding(ctx context.Context, founders []settings.Member) (consensus.Configuration, bool) {
 	var all consensus.Configuration
 	complete := true
-	for _, voter := range n.opts.Process.Voters {
+	for _, voter := range founders {
 		hello, err := n.hello(ctx, voter.Address)
 		if err != nil {
 			complete = false
@@ -81,11 +96,7 @@
 		}
 		all.Voters = append(all.Voters, consensus.Member{ID: hello.ID, Address: voter.Address})
 	}
-	return all, complete && n.isFounder()
-}
-
-func (n *Node) isFounder() bool {
-	return n.opts.Process.Voters[0].Address == n.opts.controlAddress()
+	return all, complete && founders[0].Address == n.opts.controlAddress()
 }
 
 func (n *Node) hello(ctx context.Context, address string) (*helloResponse, error) {
@@ -125,6 +136,9 @@
 // first: a voter that lost it in a crash could take part in a second founding.
 func (g *group) begin(founding consensus.Configuration) error {
 	if !founding.Voter(g.id) {
+		if err := g.core.installed.folder.write(foundersFile, []byte("[]")); err != nil {
+			return err
+		}
 		eventNotMember.Log(g.core.log, event.Fields{"id": g.id})
 		return g.start(consensus.Configuration{})
 	}
@@ -152,3 +166,40 @@
 	var founding consensus.Configuration
 	return &founding, errors.Wrap(json.Unmarshal(data, &founding), "the founding file is damaged")
 }
+
+// awaitedFounders returns the voters whose founding of the group this voter has to await, none if it
+// takes no part in one.
+func (c *core) awaitedFounders(folder dataFolder) (founders []settings.Member, err error) {
+	if c.node.namedAsVoter() {
+		founders = c.node.opts.Process.Voters
+		data, err := json.Marshal(founders)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode the founders")
+		}
+		return founders, folder.write(foundersFile, data)
+	}
+	if c.node.opts.Process.MayFoundGroup {
+		return nil, nil
+	}
+	data, err := folder.read(foundersFile)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read the founders")
+	}
+	return founders, errors.Wrap(json.Unmarshal(data, &founders), "the file of the founders is damaged")
+}
+
+// joinFounded makes a voter that awaits the founding join a group whose member at an address contacts
+// it, unless it learns of the group from the founders.
+func (g *group) joinFounded(now time.Time, address string) {
+	for _, founder := range g.founders {
+		if founder.Address == address {
+			return
+		}
+	}
+	if err := g.begin(consensus.Configuration{}); err != nil {
+		g.fail(now, err)
+	}
+}
--- a/control/group.go
+++ b/control/group.go
@@ -9,6 +9,7 @@
 	"celeryport/control/state"
 	"celeryport/event"
 	"celeryport/quarantine"
+	"celeryport/settings"
 	"celeryport/verdict"
 	"celeryport/wal"
 )
@@ -24,6 +25,7 @@
 	node        *consensus.Node   // nil until the group is founded, and after a disk failure
 	machine     *state.Machine
 	founding    *consensus.Configuration
+	founders    []settings.Member // the voters that found the group, while this one waits for that
 	proposals   proposals
 	peers       map[consensus.ID]*peer
 	senders     map[consensus.ID]string // address that each sender stated for itself
--- a/control/openfolder.go
+++ b/control/openfolder.go
@@ -70,10 +70,14 @@
 	if founding != nil {
 		return c.group.start(*founding)
 	}
-	if hasLog(&stored) || !c.node.namedAsVoter() {
+	if hasLog(&stored) {
 		return c.group.start(consensus.Configuration{})
 	}
-	return nil
+	c.group.founders, err = c.awaitedFounders(folder)
+	if err != nil || len(c.group.founders) > 0 {
+		return err
+	}
+	return c.group.start(consensus.Configuration{})
 }
 
 func hasLog(s *consensus.Storage) bool {
