Await settings that are being written when an instance starts

Seen: a process that starts while its settings file is replaced, not atomically, ends with 2 and one line ('there is no voter', 'key is missing'). The full-size fleet met it with files written in three parts during restarts.

Cause: one reading decided. A reload tolerates such a file, a start did not.

Change: a file that can't be used is read again every 20 ms and refused once it has not changed for 0.2 s, at most 2 s after the start. A file that can be used is used at once, so no start is slower; a missing one counts as one that is written. The refusal keeps its exit code, its line and event 1161.

Result: TestSettingsThatAreBeingWrittenAreAwaited; a real process without a file ends with 2 as before. Not covered: a part of a file that is usable by itself; what it lacks is told when the file is complete (1163), and takes a restart.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"io"
-	"os"
 
-	"github.com/cockroachdb/errors"
 	urfave "github.com/urfave/cli/v3"
 
 	"celeryport/event"
@@ -45,7 +43,7 @@
 		},
 		Action: func(ctx context.Context, c *urfave.Command) error {
 			path := c.String(flagSettings)
-			process, text, err := readProcess(path)
+			process, text, err := awaitProcess(ctx, path)
 			if err != nil {
 				logRefused(stdout, stderr, err)
 				return &ExitError{Code: ExitUsage, Err: err}
@@ -63,15 +61,6 @@
 	eventRefused.Log(logsink.NewLogger(sink, ""), event.Fields{"error": err})
 }
 
-func readProcess(path string) (*settings.Process, []byte, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "read the process settings")
-	}
-	process, err := settings.ParseProcess(path, text)
-	return process, text, err
-}
-
 // serveInstance runs an instance. Its log goes through a buffer that never blocks calls: to
 // standard error if it serves completions, else to standard output.
 func serveInstance(ctx context.Context, file instanceFile, process *settings.Process, stdout, stderr io.Writer, dial forward.Dial) error {
