Log how the descriptors of a process are divided

Operators could not see which limit decides how many connections a process accepts, and a limit of the kernel that could not be read was passed over without a word.

--- a/connlimit/limit.go
+++ b/connlimit/limit.go
@@ -28,6 +28,28 @@
 	onlyControlParts = 18
 )
 
+// Source is who states the number of descriptors, as the log names it.
+type Source string
+
+// The sources of the number of descriptors.
+const (
+	SourceNone     Source = "none"
+	SourceSettings Source = "settings"
+	SourceKernel   Source = "RLIMIT_NOFILE"
+)
+
+// Smaller returns the number of descriptors that decides: the smaller one of those that the settings
+// and the kernel state, each 0 for none.
+func Smaller(stated int, kernel int64) (int, Source) {
+	switch {
+	case kernel > 0 && (stated <= 0 || kernel < int64(stated)):
+		return int(kernel), SourceKernel
+	case stated > 0:
+		return stated, SourceSettings
+	}
+	return 0, SourceNone
+}
+
 // Divide returns the limits for a process with the given number of descriptors, 0 for unknown, which
 // leaves only the limit that an operator set on callers. takesCalls reports whether the process takes
 // calls.
--- a/connlimit/limit_test.go
+++ b/connlimit/limit_test.go
@@ -20,3 +20,23 @@
 		t.Errorf("unknown: %+v", got)
 	}
 }
+
+// Guards against connections that are allowed beyond the limit of the kernel or of the deployment.
+func TestSmallerNumberOfDescriptorsDecides(t *testing.T) {
+	for _, test := range []struct {
+		stated int
+		kernel int64
+		want   int
+		source Source
+	}{
+		{0, 0, 0, SourceNone},
+		{4100, 0, 4100, SourceSettings},
+		{0, 1024, 1024, SourceKernel},
+		{4100, 20000, 4100, SourceSettings},
+		{4100, 1024, 1024, SourceKernel},
+	} {
+		if got, source := Smaller(test.stated, test.kernel); got != test.want || source != test.source {
+			t.Errorf("%d, %d: %d, %s", test.stated, test.kernel, got, source)
+		}
+	}
+}
--- a/instance/descriptors.go
+++ b/instance/descriptors.go
@@ -1,19 +1,27 @@
 package instance
 
 import (
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
 	"celeryport/connlimit"
+	"celeryport/event"
 	"celeryport/settings"
 )
 
-// connectionLimits divides the descriptors of this process, of which the settings or the kernel
+// connectionLimits divides the descriptors of this process, of which the settings and the kernel
 // state how many there are.
-func connectionLimits(p *settings.Process) connlimit.Limits {
-	descriptors := int64(p.Descriptors)
+func connectionLimits(p *settings.Process, log logrus.FieldLogger) connlimit.Limits {
 	kernel, err := resourceLimit(unix.RLIMIT_NOFILE)
-	if err == nil && kernel > 0 && (descriptors == 0 || kernel < descriptors) {
-		descriptors = kernel // otherwise the stated limit decides alone
+	descriptors, source := connlimit.Smaller(p.Descriptors, kernel)
+	limits := connlimit.Divide(descriptors, p.MaxConnections, p.Serves != settings.ServesControl)
+	fields := event.Fields{
+		"descriptors": descriptors, "decided_by": source,
+		"callers": limits.Callers, "control": limits.Control, "directory": limits.Directory, "probes": limits.Probes,
 	}
-	return connlimit.Divide(int(descriptors), p.MaxConnections, p.Serves != settings.ServesControl)
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	eventConnectionLimits.Log(log, fields)
+	return limits
 }
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -44,7 +44,7 @@
 	f := &forwarding{
 		options: &options,
 		memory:  applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log),
-		limits:  connectionLimits(p),
+		limits:  connectionLimits(p, options.Log),
 		metrics: newProcessRegistry(options.Collectors),
 	}
 	f.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
--- a/instance/run.go
+++ b/instance/run.go
@@ -43,7 +43,7 @@
 	p := new(*options.Process)
 	options.Process = p
 	applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log)
-	limits := connectionLimits(p)
+	limits := connectionLimits(p, options.Log)
 	p.MaxConnections = limits.Callers
 	c := &completions{options: &options, limits: limits}
 	c.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
