Refuse a connection over the limit after its request began

A call on one connection too many failed with "unsolicited response" for clients that read before they have sent: they can't know that the call was not run.

Cause: the refusal was written before the request arrived, also that of the completions interface. It now follows the first byte of the request, or half a second without one.

--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
@@ -17,6 +18,7 @@
 	// closed without an answer.
 	maxRefusing    = 64
 	refusalTimeout = 2 * time.Second
+	requestGrace   = 500 * time.Millisecond // to send the first byte of a request
 	logInterval    = 10 * time.Second
 )
 
@@ -83,8 +85,27 @@
 	}()
 }
 
-// RefusePlainly answers with status 503 and no body.
+// AwaitRequest waits a moment for the first byte of a request and reports whether the connection can
+// be answered. Clients take an answer that precedes their request for a failure of the connection,
+// after which they don't know whether the request was run; those that send nothing get it anyway.
+func AwaitRequest(conn net.Conn) bool {
+	if conn.SetReadDeadline(time.Now().Add(requestGrace)) != nil {
+		return false
+	}
+	var first [1]byte
+	_, err := conn.Read(first[:])
+	var timeout interface{ Timeout() bool }
+	if err != nil && (!errors.As(err, &timeout) || !timeout.Timeout()) {
+		return false
+	}
+	return conn.SetReadDeadline(time.Now().Add(refusalTimeout)) == nil
+}
+
+// RefusePlainly answers a request with status 503 and no body.
 func RefusePlainly(conn net.Conn) {
+	if !AwaitRequest(conn) {
+		return
+	}
 	_, err := io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n")
 	if err == nil {
 		discard(conn)
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -41,6 +41,9 @@
 }
 
 func writeRejection(conn net.Conn) {
+	if !connlimit.AwaitRequest(conn) {
+		return
+	}
 	refusal := verdict.Refuse(verdict.ReasonQueueFull, rejectionRetryAfter, "too many connections")
 	body, err := json.Marshal(errorAnswer{Error: errorBodyOf(refusal)})
 	if err != nil {
