Accept any limit on descriptors that a kernel can have

Operators saw: with a deployment that states 1048576 open files, a usual limit, each process ended at once with exit code 2, so the system did not start.

Cause: both templates state the limit of the deployment as [limits] descriptors since connections leave descriptors to a process, and the setting took at most 1,000,000.

Evidence: the deployed binary with descriptors = 1048576 ends with "value "1048576" does not fit", with 1000000 it starts.

Change: the setting takes what the kernel can have.

--- a/settings/schema_process.go
+++ b/settings/schema_process.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"math"
 	"regexp"
 	"time"
 )
@@ -44,6 +45,7 @@
 	maxTimeout     = time.Hour
 	maxPool        = 100 * kilo
 	minDescriptors = 64
+	maxDescriptors = math.MaxInt32 // the kernel allows no higher limit
 
 	// minMemory holds what an idle instance uses and the smallest bounds on bodies and answers.
 	minMemory = 48 * mega
@@ -144,7 +146,7 @@
 			"Maximum number of open connections from callers and upstreams."),
 		key("memory", sizeLimit(minMemory, maxMemory), "", func(p *Process) *int64 { return &p.MemoryLimit },
 			"Limit of the deployment on the memory of this process, which is ended if it uses more. The bounds on the memory follow the smallest of this limit, the memory of the machine and the limits that the kernel sets on the process; default: not stated."),
-		key("descriptors", countLimit(minDescriptors, maxConnections), "", func(p *Process) *int { return &p.Descriptors },
+		key("descriptors", countLimit(minDescriptors, maxDescriptors), "", func(p *Process) *int { return &p.Descriptors },
 			"Limit of the deployment on the open files and connections of this process. Connections that others open are refused from a part of the smaller of this limit and that of the kernel on; default: not stated."),
 		key("read_timeout", duration(time.Millisecond, maxTimeout), "30s", func(p *Process) *time.Duration { return &p.ReadTimeout },
 			"Maximum time to receive a caller's whole request."),
