Close idle connections before new ones are refused

Operators saw: with 120 connections to the readiness address that were left open, as a prober without its own limit leaves them, a ready instance answered each further probe with 503, as if it was not ready, for up to 30 s. With fewer descriptors it takes fewer: 24 of 1024. Directory, metrics and control had the same fault.

Cause: the bounds on connections count those that are kept open between two requests, and these end only at the idle timeout of the server.

Evidence: a forwarding instance of the deployed build, 4100 descriptors, 130 connections with one request each: from the 121st on refused, the first answer 31 s after the first connection (refused at 27 s).

Change: a listener without room closes the connection that has been idle for longest, if that is 5 s or more. Other instances use their connections more often than that.

--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -26,6 +26,7 @@
 	Log     logrus.FieldLogger
 	Refuse  func(conn net.Conn) // answers a connection over the limit, which has a deadline and is closed afterwards; nil: RefusePlainly
 	Refused func()              // called for each connection over the limit; nil: nothing
+	Idle    *Idle               // those of the server, of which one is closed instead if possible; nil: none is
 }
 
 // Listener accepts connections up to a limit and refuses the others. It is safe for concurrent use.
@@ -53,7 +54,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if open := l.open.Add(1); l.options.Limit <= 0 || open <= int64(l.options.Limit) {
+		if open := l.open.Add(1); l.options.Limit <= 0 || open <= int64(l.options.Limit) || l.makeRoom() {
 			return l.count(conn), nil
 		}
 		l.open.Add(-1)
@@ -61,6 +62,11 @@
 	}
 }
 
+// makeRoom closes an idle connection, and reports whether there was one.
+func (l *Listener) makeRoom() bool {
+	return l.options.Idle != nil && l.options.Idle.closeOne(time.Now())
+}
+
 func (l *Listener) refuse(conn net.Conn) {
 	total := l.refused.Add(1)
 	if l.options.Refused != nil {
--- a/control/run.go
+++ b/control/run.go
@@ -122,8 +122,10 @@
 }
 
 func (n *Node) serve(server *http.Server, listener net.Listener) error {
+	idle := connlimit.NewIdle()
+	server.ConnState = idle.Track
 	err := server.Serve(connlimit.New(listener, connlimit.Options{
-		Limit: n.opts.Connections, Log: n.log, Refused: func() { n.refusedConnections.Add(1) },
+		Limit: n.opts.Connections, Log: n.log, Refused: func() { n.refusedConnections.Add(1) }, Idle: idle,
 	}))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/instance/auxiliary.go
+++ b/instance/auxiliary.go
@@ -40,12 +40,15 @@
 }
 
 func (a *auxiliary) run(ctx context.Context) error {
-	server := &http.Server{Handler: a.handler, ReadHeaderTimeout: auxiliaryReadTimeout, IdleTimeout: auxiliaryIdleTimeout}
+	idle := connlimit.NewIdle()
+	server := &http.Server{
+		Handler: a.handler, ReadHeaderTimeout: auxiliaryReadTimeout, IdleTimeout: auxiliaryIdleTimeout, ConnState: idle.Track,
+	}
 	release := context.AfterFunc(ctx, func() {
 		_ = server.Close() // its error is that of a listener that is closed already
 	})
 	defer release()
-	if err := server.Serve(connlimit.New(a.listener, connlimit.Options{Limit: a.connections, Log: a.log})); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(connlimit.New(a.listener, connlimit.Options{Limit: a.connections, Log: a.log, Idle: idle})); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrapf(err, "serve %s", a.address)
 	}
 	return nil
