Refuse a connection over the limit only once its request arrives

Callers saw: a connection over the limit of the control, directory, readiness or metrics address failed in some cases with an error of the HTTP client instead of status 503, and an instance as client wrote "Unsolicited response received on idle HTTP channel" to its standard error.

Cause: the answer was written as soon as the connection was accepted; a client that had not yet assigned a request to it takes the answer for a fault of the connection.

Evidence: TestConnectionsOverTheLimitAreRefusedAtOnce failed once in this way ("readLoopPeekFailLocked"). The new test fails before in 20 of 20 runs.

Change: the answer follows the first bytes of the request.

Measured: all tests of connlimit pass 40 times with -race.

--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -89,14 +89,21 @@
 	}()
 }
 
-// RefusePlainly answers with status 503 and no body.
+// RefusePlainly answers with status 503 and no body, once the first bytes of a request have arrived: an
+// HTTP client takes an answer that comes earlier for a fault of the connection.
 func RefusePlainly(conn net.Conn) {
+	if _, err := conn.Read(make([]byte, firstBytes)); err != nil {
+		return // there is no request to refuse
+	}
 	_, err := io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n")
 	if err == nil {
 		discard(conn)
 	}
 }
 
+// firstBytes is the size of the buffer for the beginning of a refused request.
+const firstBytes = 1 << 10
+
 // maxDiscarded bounds what is read of a refused request. Closing a connection with unread bytes
 // resets it, and the reset may overtake the answer.
 const maxDiscarded = 64 << 10
--- a/connlimit/listener_test.go
+++ b/connlimit/listener_test.go
@@ -1,9 +1,13 @@
 package connlimit
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/sirupsen/logrus/hooks/test"
 )
@@ -62,3 +66,33 @@
 		t.Errorf("%d refused, %d lines", refused, len(hook.AllEntries()))
 	}
 }
+
+// Guards against answers before the request, which clients report as a broken connection.
+func TestRefusalWaitsForTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refused, caller := net.Pipe()
+		defer caller.Close()
+		go func() {
+			defer refused.Close()
+			RefusePlainly(refused)
+		}()
+		if err := caller.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		if n, err := caller.Read(make([]byte, 1)); n > 0 || err == nil {
+			t.Error("answered before the request")
+		}
+		if err := caller.SetReadDeadline(time.Time{}); err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = io.WriteString(caller, "GET / HTTP/1.1\r\n\r\n") }()
+		answer, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer.Body.Close()
+		if answer.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("status %d", answer.StatusCode)
+		}
+	})
+}
