Log for which voters the founding of the control group waits

Operators saw: the processes of a new system run, none is ready, and after the line "waiting for the other voters" with all of their names no line tells what is missing.

Cause: a group is founded once all voters of the settings answer. One that is absent, slow, or answers with an error keeps all others waiting, and the error was dropped.

Evidence: two of three voters of the deployed build, the third not started: event 3015, then no line in 12 s.

What ends the wait is logged already.

--- a/control/events.go
+++ b/control/events.go
@@ -33,6 +33,8 @@
 		"All voters of the settings were present with new data folders and form the control group.")
 	eventFounding = event.Define(3015, logrus.InfoLevel, "waiting for the other voters",
 		"The control group is founded once all voters of the settings answer.")
+	eventFoundingWaits = event.Define(1190, logrus.WarnLevel, "control group not founded yet",
+		"This voter still waits for the founding of the control group; no instance accepts settings until then. Start the voters that are missing, or start all voters with settings that name others. Fields: missing (why each voter did not answer, by control address; empty: all answer, and the founder is awaited), founder (control address of the voter that founds the group once all answer, among those that answered), waited_ms.")
 	eventApplied = event.Define(3016, logrus.InfoLevel, "settings accepted",
 		"An operator's tree was accepted as a new revision. Fields: revision, base, order, version.")
 	eventVoterChange = event.Define(3017, logrus.InfoLevel, "voters changed",
--- a/control/founding.go
+++ b/control/founding.go
@@ -43,7 +43,8 @@
 // A voter that waits keeps the voters that found the group in its data folder: when it is restarted
 // before the group is founded, its settings may already state that it must not found a group.
 func (n *Node) runFounding(ctx context.Context) error {
-	for told := false; ; told = true {
+	var progress foundingProgress
+	for {
 		var founders []settings.Member
 		err := n.do(ctx, func(time.Time) {
 			if g := n.core.group; g != nil && g.awaitsFounding() {
@@ -53,13 +54,18 @@
 		if err != nil || len(founders) == 0 {
 			return err
 		}
-		if !told {
+		if progress.began.IsZero() {
+			progress.began = time.Now()
 			eventFounding.Log(n.log, event.Fields{"voters": founders})
 		}
-		founding, decided := n.decideFounding(ctx, founders)
+		progress.round()
+		founding, decided := n.decideFounding(ctx, founders, &progress)
 		if decided {
 			return n.begin(ctx, founding)
 		}
+		if now := time.Now(); progress.due(now) {
+			eventFoundingWaits.Log(n.log, progress.fields(now))
+		}
 		if !clock.Pause(ctx, n.opts.Timing.Retry) {
 			return ctx.Err()
 		}
@@ -83,13 +89,14 @@
 
 // decideFounding asks all voters and returns the founding configuration, or an empty one if
 // this voter is not a member.
-func (n *Node) decideFounding(ctx context.Context, founders []settings.Member) (consensus.Configuration, bool) {
+func (n *Node) decideFounding(ctx context.Context, founders []settings.Member, progress *foundingProgress) (consensus.Configuration, bool) {
 	var all consensus.Configuration
 	complete, founder := true, ""
 	for _, voter := range founders {
 		hello, err := n.hello(ctx, voter.Address)
 		if err != nil {
 			complete = false
+			progress.missing(voter.Address, err)
 			continue
 		}
 		if hello.Founding != nil && hello.Founding.Voter(n.core.group.id) {
@@ -103,6 +110,7 @@
 			founder = voter.Address
 		}
 	}
+	progress.founder = founder
 	return all, complete && founder == n.opts.controlAddress()
 }
 
