--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
@@ -18,7 +17,6 @@
 	// closed without an answer.
 	maxRefusing    = 64
 	refusalTimeout = 2 * time.Second
-	requestGrace   = 500 * time.Millisecond // to send the first byte of a request
 	logInterval    = 10 * time.Second
 )
 
@@ -28,6 +26,7 @@
 	Log     logrus.FieldLogger
 	Refuse  func(conn net.Conn) // answers a connection over the limit, which has a deadline and is closed afterwards; nil: RefusePlainly
 	Refused func()              // called for each connection over the limit; nil: nothing
+	Idle    *Idle               // those of the server, of which one is closed instead if possible; nil: none is
 }
 
 // Listener accepts connections up to a limit and refuses the others. It is safe for concurrent use.
@@ -55,7 +54,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if open := l.open.Add(1); l.options.Limit <= 0 || open <= int64(l.options.Limit) {
+		if open := l.open.Add(1); l.options.Limit <= 0 || open <= int64(l.options.Limit) || l.makeRoom() {
 			return l.count(conn), nil
 		}
 		l.open.Add(-1)
@@ -63,6 +62,11 @@
 	}
 }
 
+// makeRoom closes an idle connection, and reports whether there was one.
+func (l *Listener) makeRoom() bool {
+	return l.options.Idle != nil && l.options.Idle.closeOne(time.Now())
+}
+
 func (l *Listener) refuse(conn net.Conn) {
 	total := l.refused.Add(1)
 	if l.options.Refused != nil {
@@ -85,20 +89,12 @@
 	}()
 }
 
-// AwaitRequest waits a moment for the first byte of a request and reports whether the connection can
-// be answered. Clients take an answer that precedes their request for a failure of the connection,
-// after which they don't know whether the request was run; those that send nothing get it anyway.
+// AwaitRequest waits for the first bytes of a request and reports whether there is one to refuse. A
+// client takes an answer that precedes its request for a fault of the connection, after which it does
+// not know whether the request was run.
 func AwaitRequest(conn net.Conn) bool {
-	if conn.SetReadDeadline(time.Now().Add(requestGrace)) != nil {
-		return false
-	}
-	var first [1]byte
-	_, err := conn.Read(first[:])
-	var timeout interface{ Timeout() bool }
-	if err != nil && (!errors.As(err, &timeout) || !timeout.Timeout()) {
-		return false
-	}
-	return conn.SetReadDeadline(time.Now().Add(refusalTimeout)) == nil
+	_, err := conn.Read(make([]byte, firstBytes))
+	return err == nil
 }
 
 // RefusePlainly answers a request with status 503 and no body.
@@ -112,6 +108,9 @@
 	}
 }
 
+// firstBytes is the size of the buffer for the beginning of a refused request.
+const firstBytes = 1 << 10
+
 // maxDiscarded bounds what is read of a refused request. Closing a connection with unread bytes
 // resets it, and the reset may overtake the answer.
 const maxDiscarded = 64 << 10
--- a/control/founding.go
+++ b/control/founding.go
@@ -43,7 +43,8 @@
 // A voter that waits keeps the voters that found the group in its data folder: when it is restarted
 // before the group is founded, its settings may already state that it must not found a group.
 func (n *Node) runFounding(ctx context.Context) error {
-	for told := false; ; told = true {
+	var progress foundingProgress
+	for {
 		var founders []settings.Member
 		err := n.do(ctx, func(time.Time) {
 			if g := n.core.group; g != nil && g.awaitsFounding() {
@@ -53,13 +54,18 @@
 		if err != nil || len(founders) == 0 {
 			return err
 		}
-		if !told {
+		if progress.began.IsZero() {
+			progress.began = time.Now()
 			eventFounding.Log(n.log, event.Fields{"voters": founders})
 		}
-		founding, decided := n.decideFounding(ctx, founders)
+		progress.round()
+		founding, decided := n.decideFounding(ctx, founders, &progress)
 		if decided {
 			return n.begin(ctx, founding)
 		}
+		if now := time.Now(); progress.due(now) {
+			eventFoundingWaits.Log(n.log, progress.fields(now))
+		}
 		if !clock.Pause(ctx, n.opts.Timing.Retry) {
 			return ctx.Err()
 		}
@@ -83,13 +89,14 @@
 
 // decideFounding asks all voters and returns the founding configuration, or an empty one if
 // this voter is not a member.
-func (n *Node) decideFounding(ctx context.Context, founders []settings.Member) (consensus.Configuration, bool) {
+func (n *Node) decideFounding(ctx context.Context, founders []settings.Member, progress *foundingProgress) (consensus.Configuration, bool) {
 	var all consensus.Configuration
 	complete, founder := true, ""
 	for _, voter := range founders {
 		hello, err := n.hello(ctx, voter.Address)
 		if err != nil {
 			complete = false
+			progress.missing(voter.Address, err)
 			continue
 		}
 		if hello.Founding != nil && hello.Founding.Voter(n.core.group.id) {
@@ -103,6 +110,7 @@
 			founder = voter.Address
 		}
 	}
+	progress.founder = founder
 	return all, complete && founder == n.opts.controlAddress()
 }
 
@@ -139,9 +147,11 @@
 // awaitsFounding reports whether it is still undecided how this voter joins the group.
 func (g *group) awaitsFounding() bool { return g.node == nil && g.failed == nil }
 
-// knowsGroup reports whether this voter knows of a control group. If its folder failed, it may.
+// knowsGroup reports whether this voter knows of a control group, as a member, as one that the group
+// was founded without, or from settings that the group accepted. If its folder failed, it may.
 func (g *group) knowsGroup() bool {
-	return g.founding != nil || g.failed != nil || g.node != nil && g.node.Status().Term > 0
+	return g.founding != nil || g.excluded || g.failed != nil || g.core.installed.revision() > 0 ||
+		g.node != nil && g.node.Status().Term > 0
 }
 
 // begin starts consensus with the founding configuration. The configuration is synced
@@ -151,6 +161,7 @@
 		if err := g.core.installed.folder.write(foundersFile, []byte("[]")); err != nil {
 			return err
 		}
+		g.excluded = true
 		eventNotMember.Log(g.core.log, event.Fields{"id": g.id})
 		return g.start(consensus.Configuration{})
 	}
@@ -179,28 +190,35 @@
 	return &founding, errors.Wrap(json.Unmarshal(data, &founding), "the founding file is damaged")
 }
 
-// awaitedFounders returns the voters whose founding of the group this voter has to await, none if it
-// takes no part in one.
-func (c *core) awaitedFounders(folder dataFolder) (founders []settings.Member, err error) {
-	if c.node.namedAsVoter() {
-		founders = c.node.opts.Process.Voters
-		data, err := json.Marshal(founders)
+// awaitFounders sets the voters whose founding of the group this voter has to await, none if it takes no
+// part in one. A voter that a group was founded without awaits no other founding, whatever its settings
+// say: if all voters that they name were such voters, these would found a second group.
+func (g *group) awaitFounders(folder dataFolder) error {
+	data, err := folder.read(foundersFile)
+	switch {
+	case err == nil:
+		if err := json.Unmarshal(data, &g.founders); err != nil {
+			return errors.Wrap(err, "the file of the founders is damaged")
+		}
+		g.excluded = len(g.founders) == 0
+	case !errors.Is(err, fs.ErrNotExist):
+		return errors.Wrap(err, "read the founders")
+	}
+	process := g.core.node.opts.Process
+	switch {
+	case g.excluded:
+		return nil
+	case g.core.node.namedAsVoter():
+		g.founders = process.Voters
+		data, err := json.Marshal(g.founders)
 		if err != nil {
-			return nil, errors.Wrap(err, "encode the founders")
+			return errors.Wrap(err, "encode the founders")
 		}
-		return founders, folder.write(foundersFile, data)
-	}
-	if c.node.opts.Process.MayFoundGroup {
-		return nil, nil
-	}
-	data, err := folder.read(foundersFile)
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, errors.Wrap(err, "read the founders")
+		return folder.write(foundersFile, data)
+	case process.MayFoundGroup:
+		g.founders = nil
 	}
-	return founders, errors.Wrap(json.Unmarshal(data, &founders), "the file of the founders is damaged")
+	return nil
 }
 
 // joinFounded makes a voter that awaits the founding join a group whose member at an address contacts
--- a/control/founding_test.go
+++ b/control/founding_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"testing"
@@ -83,3 +84,28 @@
 	err := n.node.do(context.Background(), func(time.Time) { waits = n.node.core.group != nil && n.node.core.group.awaitsFounding() })
 	return err == nil && waits
 }
+
+// Guards against a second group, founded by voters that their settings still name as founders but that the
+// first group was founded without, since their disks were lost.
+func TestVoterThatTheGroupWasFoundedWithoutFoundsNone(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 0)
+	f.apply(0, "a", testTree(1))
+	lost := f.members[1]
+	lost.halt()
+	lost.process.DataFolder = t.TempDir()
+	f.start(lost, nil)
+	f.await("the voter has learnt that the group was founded", func() bool { return !lost.awaitsFounding() })
+	for _, member := range f.members {
+		member.halt()
+	}
+	f.start(lost, nil)
+	var hello helloResponse
+	body, err := lost.node.answerHello(t.Context(), nil)
+	if err == nil {
+		err = json.Unmarshal(body, &hello)
+	}
+	if err != nil || !hello.Founded || hello.Awaits {
+		t.Errorf("%+v, %v", hello, err)
+	}
+}
--- a/control/group.go
+++ b/control/group.go
@@ -26,6 +26,7 @@
 	machine     *state.Machine
 	founding    *consensus.Configuration
 	founders    []settings.Member // the voters that found the group, while this one waits for that
+	excluded    bool              // the group was founded without the identity of this folder
 	proposals   proposals
 	peers       map[consensus.ID]*peer
 	senders     map[consensus.ID]string // address that each sender stated for itself
--- a/control/openfolder.go
+++ b/control/openfolder.go
@@ -73,8 +73,7 @@
 	if hasLog(&stored) {
 		return c.group.start(consensus.Configuration{})
 	}
-	c.group.founders, err = c.awaitedFounders(folder)
-	if err != nil || len(c.group.founders) > 0 {
+	if err := c.group.awaitFounders(folder); err != nil || len(c.group.founders) > 0 {
 		return err
 	}
 	return c.group.start(consensus.Configuration{})
