--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
@@ -17,6 +18,7 @@
 	// closed without an answer.
 	maxRefusing    = 64
 	refusalTimeout = 2 * time.Second
+	requestGrace   = 500 * time.Millisecond // for the first byte of a request, see AwaitRequest
 	logInterval    = 10 * time.Second
 )
 
@@ -89,17 +91,25 @@
 	}()
 }
 
-// AwaitRequest waits for the first bytes of a request and reports whether there is one to refuse. A
-// client takes an answer that precedes its request for a fault of the connection, after which it does
-// not know whether the request was run.
+// AwaitRequest waits a moment for the first byte of a request and reports whether the connection can
+// be answered. Clients take an answer that precedes their request for a failure of the connection,
+// after which they don't know whether the request was run; those that send nothing get it anyway.
 func AwaitRequest(conn net.Conn) bool {
+	if conn.SetReadDeadline(time.Now().Add(requestGrace)) != nil {
+		return false
+	}
 	_, err := conn.Read(make([]byte, firstBytes))
-	return err == nil
+	var timeout interface{ Timeout() bool }
+	if err != nil && (!errors.As(err, &timeout) || !timeout.Timeout()) {
+		return false
+	}
+	return conn.SetReadDeadline(time.Now().Add(refusalTimeout)) == nil
 }
 
-// RefusePlainly answers a request with status 503 and no body.
+// RefusePlainly answers a request with status 503 and no body. It leaves a connection without a request
+// unanswered.
 func RefusePlainly(conn net.Conn) {
-	if !AwaitRequest(conn) {
+	if _, err := conn.Read(make([]byte, firstBytes)); err != nil {
 		return
 	}
 	_, err := io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n")
