Take answers, not handshakes, for evidence of paths while answers fail to come

Cause: each successful connection counted as evidence for the path, also those opened to find out why a poll was not answered, so the paths never counted as lost and nothing was handed over.

Change: reach.Paths knows failures to answer (Unanswered) besides failures to connect. As long as there are some, connections are no evidence; answers are (Answered), for the loss and for its end. The probes that were made before then carry a message: a poll to an engine, a health check to a plain service. The silence check of a call, which opens a connection as before, asks on it for an answer if no upstream of the service has sent anything since the call fell silent. A late answer takes the failure back, and the silence of the only upstream of a service counts for nothing. A loss by silence is looked for at the other services too. WatchAnswer waits a moment for an answer that is there after a suspension of the process.

--- a/forward/fleet_health.go
+++ b/forward/fleet_health.go
@@ -46,6 +46,12 @@
 // reachable reports whether an upstream that sends no data still accepts connections. The new
 // connection is kept for the next call.
 func (f *fleet) reachable(ctx context.Context, n *node) bool {
+	return f.reachableQuiet(ctx, n, time.Time{})
+}
+
+// reachableQuiet does the same for an upstream that has sent nothing since a time. If no other has
+// either, the path is verified.
+func (f *fleet) reachableQuiet(ctx context.Context, n *node, since time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	conn, err := f.paths.Open(ctx, n.path())
@@ -53,7 +59,7 @@
 		f.suspect(n, err)
 		return paths.IsLocal(err) // it is not known, so a call there goes on
 	}
-	f.keep(n, newUpstreamConn(conn), 0)
+	f.paths.Verify(n.path(), conn, since)
 	return true
 }
 
--- a/forward/paths.go
+++ b/forward/paths.go
@@ -1,14 +1,16 @@
 package forward
 
 import (
+	"context"
 	"net"
 	"time"
 
 	"celeryport/event"
+	"celeryport/httpwire"
 	"celeryport/paths"
 )
 
-// pathFleet implements paths.Fleet.
+// pathFleet implements paths.Fleet and paths.Checker.
 type pathFleet struct{ *fleet }
 
 // Known implements paths.Fleet.
@@ -41,16 +43,58 @@
 
 // Probed implements paths.Fleet. The connection is kept for calls.
 func (f pathFleet) Probed(u *paths.Upstream, conn net.Conn) {
-	f.mu.Lock()
-	n := f.byAddress[u.Address]
-	f.mu.Unlock()
-	if n == nil || n.key != u.Key {
+	n := f.nodeOf(u)
+	if n == nil {
 		_ = conn.Close() // the upstream was replaced meanwhile
 		return
 	}
 	f.keep(n, newUpstreamConn(conn), 0)
 }
 
+// nodeOf returns the node of an upstream, nil if it was replaced.
+func (f pathFleet) nodeOf(u *paths.Upstream) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := f.byAddress[u.Address]; n != nil && n.key == u.Key {
+		return n
+	}
+	return nil
+}
+
+// Check implements paths.Checker. An engine is polled and a plain service checked for its health; any
+// answer shows that the path holds. A service that can be asked nothing counts as reached.
+func (f pathFleet) Check(ctx context.Context, u *paths.Upstream, conn net.Conn) error {
+	n, head := f.nodeOf(u), f.checkMessage(u)
+	if n == nil || head == nil {
+		f.Probed(u, conn)
+		return nil
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the wait for the answer
+	defer stop()
+	_, _, err := f.ask(ctx, n, newUpstreamConn(conn), head, nil)
+	return err
+}
+
+// checkMessage returns the message that an upstream usually answers within a round trip, nil if there
+// is none.
+func (f pathFleet) checkMessage(u *paths.Upstream) *httpwire.RequestHead {
+	tree := f.options.Plane.View().Tree
+	if tree == nil || tree.Forwarding == nil {
+		return nil
+	}
+	service := tree.Forwarding.Service(u.Service)
+	switch {
+	case service == nil:
+		return nil
+	case service.Engine != nil:
+		return f.options.Dialect.ReportMessage(u.Address, u.Name)
+	case service.HealthPath != "":
+		return f.options.Dialect.HealthMessage(u.Address, u.Name, service.HealthPath)
+	default:
+		return nil
+	}
+}
+
 // Lost implements paths.Fleet.
 func (f pathFleet) Lost(u *paths.Upstream, known int, cause error) {
 	f.options.Metrics.pathsLost(u.Service, true)
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -203,11 +203,16 @@
 func (s *Server) pollOnce(ctx context.Context, n *node, share reuse) (*EngineReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	watched := func(bool) {}
 	if share > reuseNever {
-		defer s.fleet.paths.WatchAnswer(n.path())()
+		watched = s.fleet.paths.WatchAnswer(ctx, n.path())
 	}
 	head := s.options.Dialect.ReportMessage(n.address, n.name)
 	status, body, err := s.fleet.roundTrip(ctx, n, head, nil, share)
+	watched(err == nil)
+	if err == nil {
+		s.fleet.paths.Heard(n.service)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -123,6 +123,12 @@
 		return 0, nil, err
 	}
 	conn.polled = share == reuseForPolls
+	return f.ask(ctx, n, conn, head, body)
+}
+
+// ask sends a small request on a connection and returns the status and the body of the answer. The
+// connection is kept or closed.
+func (f *fleet) ask(ctx context.Context, n *node, conn *upstreamConn, head *httpwire.RequestHead, body []byte) (int, []byte, error) {
 	deadline, _ := ctx.Deadline()
 	conn.liveness.deadline, conn.liveness.watch = deadline, nil
 	if err := conn.conn.SetWriteDeadline(deadline); err != nil {
--- a/forward/silence_watch.go
+++ b/forward/silence_watch.go
@@ -85,9 +85,12 @@
 	x, fleet := w.s.x, w.s.x.server.fleet
 	if !fleet.paths.Lost(x.service.Name) {
 		if w.s.hung() {
+			if !fleet.paths.HeardSince(x.service.Name, w.s.quietSince()) {
+				go fleet.reachableQuiet(context.WithoutCancel(w.ctx), w.s.node, w.s.quietSince())
+			}
 			return true
 		}
-		if fleet.reachable(w.ctx, w.s.node) {
+		if fleet.reachableQuiet(w.ctx, w.s.node, w.s.quietSince()) {
 			return false
 		}
 		if !fleet.paths.Await(x.service.Name) {
@@ -97,6 +100,14 @@
 	return x.mayMove() && x.server.budgets.AllowsRepeat(time.Now(), x.service.Name)
 }
 
+// quietSince returns when the upstream last sent something of this answer, or got the call.
+func (s *sending) quietSince() time.Time {
+	if s.lastEventAt.After(s.sentAt) {
+		return s.lastEventAt
+	}
+	return s.sentAt
+}
+
 // refresh updates the part of the state that changes with the progress of the call.
 func (w *silenceWatch) refresh() {
 	x := w.s.x
--- a/paths/evidence.go
+++ b/paths/evidence.go
@@ -3,19 +3,36 @@
 import (
 	"time"
 
+	"celeryport/loadshare"
 	"celeryport/reach"
 )
 
 // connected records that an upstream accepted a new connection.
 func (m *Monitor) connected(u *Upstream, took time.Duration) {
+	m.reached(u, func(s *state, known int) (restored, counts bool) {
+		s.latency.Record(took)
+		counts = !s.NeedsAnswer(time.Now())
+		return s.Connected(u.Key, known), counts
+	})
+}
+
+// answered records that an upstream answered on a new connection.
+func (m *Monitor) answered(u *Upstream) {
+	m.reached(u, func(s *state, known int) (restored, counts bool) {
+		s.heardAt = time.Now()
+		return s.Answered(u.Key, known), true
+	})
+}
+
+// reached records evidence for the paths, and tries more upstreams if it counts and they are lost.
+func (m *Monitor) reached(u *Upstream, record func(s *state, known int) (restored, counts bool)) {
 	now, known := time.Now(), m.fleet.Known(u.Service)
 	m.mu.Lock()
 	s := m.state(u.Service)
-	s.latency.Record(took)
 	lostFor := s.LostFor(now)
-	restored := s.Connected(u.Key, known)
+	restored, counts := record(s, known)
 	s.restoring = s.restoring || restored
-	undecided := s.Lost()
+	undecided := counts && s.Lost()
 	s.notify()
 	m.mu.Unlock()
 	switch {
@@ -26,19 +43,28 @@
 		s.restoring = false
 		m.mu.Unlock()
 	case undecided && m.fleet.PeersExist():
-		m.probe(u.Service, true, 0, reach.Quorum)
+		m.probe(u.Service, probing{lost: true, most: reach.Quorum})
 	}
 }
 
-// failed records that an upstream accepted no new connection, or did not answer in the usual time. As
-// long as that leaves open whether the upstream or the paths failed, it tries up to the given number
-// of other upstreams.
+// failed records that an upstream accepted no new connection in the usual time. As long as that leaves
+// open whether the upstream or the paths failed, it tries up to the given number of other upstreams.
 func (m *Monitor) failed(u *Upstream, cause error, probes int) {
+	m.against(u, cause, probes, (*reach.Paths).Failed)
+}
+
+// unanswered records that an upstream did not answer in the usual time, and continues as failed does.
+func (m *Monitor) unanswered(u *Upstream, probes int) {
+	m.against(u, errSlow, probes, (*reach.Paths).Unanswered)
+}
+
+func (m *Monitor) against(u *Upstream, cause error, probes int, record func(p *reach.Paths, now time.Time, key loadshare.Key, known int) (lost bool)) {
 	known, peers := m.fleet.Known(u.Service), m.fleet.PeersExist()
 	m.mu.Lock()
 	s := m.state(u.Service)
-	lost := s.Failed(time.Now(), u.Key, known)
-	undecided := !s.Lost()
+	now := time.Now()
+	lost := record(&s.Paths, now, u.Key, known)
+	undecided, silent := !s.Lost(), s.NeedsAnswer(now)
 	if lost && peers {
 		for cancel := range s.opening {
 			(*cancel)(ErrLost)
@@ -51,9 +77,9 @@
 		m.lost.Add(1)
 		m.fleet.Lost(u, known, cause)
 		if peers {
-			m.probeOthers(u.Service)
+			m.probeOthers(u.Service, silent)
 		}
 	case undecided && peers:
-		m.probe(u.Service, false, 0, probes)
+		m.probe(u.Service, probing{most: probes})
 	}
 }
--- a/paths/monitor.go
+++ b/paths/monitor.go
@@ -39,15 +39,22 @@
 	Restored(u *Upstream, lostFor time.Duration)
 }
 
+// Checker is a fleet that can ask an upstream for an answer that it usually gives within a round trip.
+type Checker interface {
+	// Check asks on a new connection, which it keeps or closes. An error means that no answer has come.
+	Check(ctx context.Context, u *Upstream, conn net.Conn) error
+}
+
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Monitor tracks the paths of this instance to the upstreams of all services. It is safe for
 // concurrent use.
 type Monitor struct {
-	dial  Dial
-	fleet Fleet
-	lost  atomic.Int32 // services to which the paths are lost
+	dial    Dial
+	fleet   Fleet
+	checker Checker      // nil if the upstreams can't be asked for answers
+	lost    atomic.Int32 // services to which the paths are lost
 
 	mu       sync.Mutex
 	services map[string]*state
@@ -55,7 +62,8 @@
 
 // NewMonitor returns a monitor that assumes all paths to hold.
 func NewMonitor(dial Dial, fleet Fleet) *Monitor {
-	return &Monitor{dial: dial, fleet: fleet, services: map[string]*state{}}
+	checker, _ := fleet.(Checker)
+	return &Monitor{dial: dial, fleet: fleet, checker: checker, services: map[string]*state{}}
 }
 
 // state returns the state of the paths to a service. The lock must be held.
--- a/paths/open.go
+++ b/paths/open.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,6 +57,11 @@
 // watchSlow records evidence against an upstream if opening a connection takes long. The returned
 // function ends the watch.
 func (m *Monitor) watchSlow(ctx context.Context, u *Upstream, slow time.Duration) (stop func()) {
+	return watch(ctx, slow, func() { m.failed(u, errSlow, reach.Quorum) })
+}
+
+// watch calls late unless it is stopped before.
+func watch(ctx context.Context, slow time.Duration, late func()) (stop func()) {
 	ended := make(chan struct{})
 	timer := time.AfterFunc(slow, func() {
 		grace := time.NewTimer(slowGrace)
@@ -64,7 +70,7 @@
 		case <-ended:
 		case <-ctx.Done():
 		case <-grace.C:
-			m.failed(u, errSlow, reach.Quorum)
+			late()
 		}
 	})
 	return func() {
@@ -73,18 +79,68 @@
 	}
 }
 
+// Heard records that an upstream of a service has sent an answer, on whatever connection.
+func (m *Monitor) Heard(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state(service).heardAt = time.Now()
+}
+
+// HeardSince reports whether an upstream of a service has sent an answer since a time.
+func (m *Monitor) HeardSince(service string, since time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.state(service).heardAt.Before(since)
+}
+
+// Verify asks an upstream on a new connection for an answer, in the background, if no upstream of its
+// service has sent one since a time: that it accepted the connection does not show that the path
+// passes data. One upstream of a service is asked at a time.
+func (m *Monitor) Verify(u *Upstream, conn net.Conn, since time.Time) {
+	peers := m.fleet.PeersExist()
+	m.mu.Lock()
+	s := m.state(u.Service)
+	needed := peers && !s.verifying && !s.Lost() && s.heardAt.Before(since) && m.checker != nil
+	s.verifying = s.verifying || needed
+	m.mu.Unlock()
+	if !needed {
+		m.fleet.Probed(u, conn)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		m.check(ctx, u, conn, true)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		s.verifying = false
+	}()
+}
+
 // WatchAnswer tries the paths to other upstreams if an answer that usually takes about a round trip
 // does not come: on a connection that has been open for long, nothing else shows early that the paths
-// are lost. The returned function ends the watch.
-func (m *Monitor) WatchAnswer(u *Upstream) (stop func()) {
+// are lost. The returned function ends the watch, and is told whether the answer has come.
+func (m *Monitor) WatchAnswer(ctx context.Context, u *Upstream) (stop func(answered bool)) {
 	m.mu.Lock()
 	s := m.state(u.Service)
 	slow, known := s.latency.Slow()
 	lost := s.Lost()
 	m.mu.Unlock()
 	if !known || lost || !m.fleet.PeersExist() {
-		return func() {}
+		return func(bool) {}
+	}
+	var late atomic.Bool
+	end := watch(ctx, slow, func() {
+		late.Store(true)
+		m.unanswered(u, 1)
+	})
+	return func(answered bool) {
+		end()
+		if !answered || !late.Load() {
+			return
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		s.Late(u.Key)
 	}
-	timer := time.AfterFunc(slow, func() { m.failed(u, errSlow, 1) })
-	return func() { timer.Stop() }
 }
--- a/paths/probes.go
+++ b/paths/probes.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"celeryport/reach"
 )
 
@@ -12,9 +15,10 @@
 
 // probeOthers tries the paths to the other services when those to one are lost: the cause is likely
 // to be the same, and calls that may not be repeated would find out at their cost.
-func (m *Monitor) probeOthers(lost string) {
+// silent tells that their upstreams accept connections and do not answer.
+func (m *Monitor) probeOthers(lost string, silent bool) {
 	for _, service := range m.where(func(service string, s *state) bool { return service != lost && !s.Lost() }) {
-		m.probe(service, false, reach.Quorum, reach.Quorum)
+		m.probe(service, probing{least: reach.Quorum, most: reach.Quorum, silent: silent})
 	}
 }
 
@@ -24,7 +28,7 @@
 		return
 	}
 	for _, service := range m.where(func(_ string, s *state) bool { return s.Lost() }) {
-		m.probe(service, true, 0, 1)
+		m.probe(service, probing{lost: true, most: 1})
 	}
 }
 
@@ -40,18 +44,24 @@
 	return services
 }
 
-// probe opens connections to between least and most upstreams of a service, in the background: as
-// many as decide whether the paths are lost, or are back if lost is set. It does nothing if that has
-// been decided meanwhile.
-func (m *Monitor) probe(service string, lost bool, least, most int) {
+// probing is an occasion to try the paths to a service.
+type probing struct {
+	lost        bool // the paths are lost
+	least, most int  // how many upstreams to try
+	silent      bool // only an answer shows that the paths hold
+}
+
+// probe opens connections to upstreams of a service in the background: as many, within the bounds, as
+// decide whether the paths are lost, or are back. It does nothing if that has been decided meanwhile.
+func (m *Monitor) probe(service string, p probing) {
 	now, upstreams := time.Now(), m.fleet.Eligible(service)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.state(service)
-	if s.Lost() != lost {
+	if s.Lost() != p.lost {
 		return
 	}
-	missing := max(least, s.Missing(now, len(upstreams)))
+	missing, most := max(p.least, s.Missing(now, len(upstreams))), p.most
 	for key := range s.probed {
 		if !s.Decided(key) {
 			missing--
@@ -69,21 +79,44 @@
 		s.probed[u.Key] = true
 		ctx, cancel := context.WithCancelCause(context.Background())
 		s.opening[&cancel] = struct{}{} // already here: the paths may be lost before the connection is begun
-		go m.probeOne(ctx, &cancel, s, u)
+		go m.probeOne(ctx, &cancel, s, u, p.silent)
 	}
 }
 
-func (m *Monitor) probeOne(ctx context.Context, cancel *context.CancelCauseFunc, s *state, u *Upstream) {
+func (m *Monitor) probeOne(ctx context.Context, cancel *context.CancelCauseFunc, s *state, u *Upstream, silent bool) {
 	defer (*cancel)(nil)
 	bounded, end := context.WithTimeout(ctx, probeTimeout)
 	defer end()
 	conn, err := m.Open(bounded, u)
+	if err == nil {
+		m.check(bounded, u, conn, silent)
+	}
 	m.mu.Lock()
 	delete(s.probed, u.Key)
 	delete(s.opening, cancel)
 	s.notify()
 	m.mu.Unlock()
-	if err == nil {
+}
+
+// check asks an upstream for an answer on a new connection if the connection alone shows nothing.
+func (m *Monitor) check(ctx context.Context, u *Upstream, conn net.Conn, silent bool) {
+	m.mu.Lock()
+	s := m.state(u.Service)
+	silent = silent || s.NeedsAnswer(time.Now())
+	slow, _ := s.latency.Slow()
+	m.mu.Unlock()
+	if !silent || m.checker == nil {
 		m.fleet.Probed(u, conn)
+		return
+	}
+	stop := watch(ctx, slow, func() { m.unanswered(u, reach.Quorum) })
+	err := m.checker.Check(ctx, u, conn)
+	stop()
+	switch {
+	case err == nil:
+		m.answered(u)
+	case errors.Is(context.Cause(ctx), ErrLost):
+	default:
+		m.unanswered(u, 1)
 	}
 }
--- a/paths/state.go
+++ b/paths/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"celeryport/loadshare"
 	"celeryport/reach"
@@ -13,6 +14,8 @@
 	latency   reach.Latency
 	opening   map[*context.CancelCauseFunc]struct{} // connections that are being opened
 	probed    map[loadshare.Key]bool                // upstreams to which a probing connection is being opened
+	heardAt   time.Time                             // when an upstream last sent an answer
+	verifying bool                                  // an upstream that accepted a connection is asked for an answer
 	restoring bool                                  // the paths are back, but failures have not been cleared yet
 	changed   chan struct{}                         // closed at the next change
 }
--- /dev/null
+++ b/paths/verify_test.go
@@ -0,0 +1,105 @@
+package paths
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"celeryport/loadshare"
+)
+
+// silentFleet has upstreams that accept connections. Some do not answer.
+type silentFleet struct {
+	*testFleet
+	silent atomic.Int32 // this many upstreams do not answer
+	checks atomic.Int32
+}
+
+func newSilentFleet() *silentFleet {
+	f := &silentFleet{testFleet: newTestFleet()}
+	f.monitor = NewMonitor(f.dial, f)
+	return f
+}
+
+func (f *silentFleet) Check(ctx context.Context, u *Upstream, _ net.Conn) error {
+	f.checks.Add(1)
+	if u.Key < loadshare.Key(f.silent.Load()) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	return nil
+}
+
+// callSilent lets a call to the first upstream be silent since now, and then its check open a connection.
+func (f *silentFleet) callSilent(t *testing.T) {
+	since, u := time.Now(), &Upstream{Service: "model"}
+	time.Sleep(time.Millisecond)
+	conn, err := f.monitor.Open(t.Context(), u)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.monitor.Verify(u, conn, since)
+}
+
+// probeFor probes lost paths as often as an instance does.
+func (f *silentFleet) probeFor(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		f.monitor.ProbeLost()
+	}
+}
+
+// Guards against paths that accept connections and pass nothing and count as sound, against a state that
+// follows the connections meanwhile, and against one silent upstream that counts as lost paths.
+func TestPathsThatPassNoDataAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSilentFleet()
+		restored := 0
+		f.onBack = func() { restored++ }
+		f.silent.Store(1)
+		f.callSilent(t)
+		time.Sleep(time.Second)
+		if f.monitor.Lost("model") {
+			t.Fatal("one silent upstream counts as lost paths")
+		}
+		time.Sleep(5 * time.Second)
+		f.silent.Store(6)
+		f.callSilent(t)
+		if time.Sleep(150 * time.Millisecond); !f.monitor.Lost("model") || !f.monitor.Severed("model") {
+			t.Fatal("paths that pass no data do not count as lost")
+		}
+		if f.probeFor(5 * time.Second); !f.monitor.Lost("model") || restored > 0 {
+			t.Errorf("restored %d times although nothing answers", restored)
+		}
+		f.silent.Store(0)
+		if f.probeFor(500 * time.Millisecond); f.monitor.Lost("model") || restored != 1 {
+			t.Errorf("lost: %t, restored %d times", f.monitor.Lost("model"), restored)
+		}
+		time.Sleep(time.Second) // ends the probes
+	})
+}
+
+// Guards against messages to upstreams while nothing is wrong.
+func TestNothingIsAskedWhileOthersAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSilentFleet()
+		since := time.Now()
+		time.Sleep(time.Millisecond)
+		f.monitor.Heard("model")
+		for range 10 {
+			u := &Upstream{Service: "model"}
+			conn, err := f.monitor.Open(t.Context(), u)
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.monitor.Verify(u, conn, since)
+		}
+		time.Sleep(time.Second)
+		if asked := f.checks.Load(); asked > 0 {
+			t.Errorf("%d messages", asked)
+		}
+	})
+}
--- a/reach/paths.go
+++ b/reach/paths.go
@@ -29,13 +29,25 @@
 	streak  map[loadshare.Key]struct{}  // while lost: upstreams that were reached since the last failure
 	lostAt  time.Time                   // zero: not lost
 	partial bool                        // some upstream was reached since the first of these failed
+	silent  bool                        // some of these accepted a connection and sent no answer
 }
 
 // Connected records a new connection to an upstream and reports whether it ended a loss of the paths.
 // known is the number of upstreams of the service. Data on a connection that was open before is no
-// such evidence: it may live on while new ones fail.
+// such evidence: it may live on while new ones fail. Nor is a new connection as long as answers fail
+// to come: something between may accept connections and pass no data.
 func (p *Paths) Connected(key loadshare.Key, known int) (restored bool) {
+	if p.silent {
+		return false
+	}
+	return p.Answered(key, known)
+}
+
+// Answered records an answer on a new connection to an upstream and reports whether it ended a loss of
+// the paths.
+func (p *Paths) Answered(key loadshare.Key, known int) (restored bool) {
 	delete(p.failed, key)
+	p.silent = p.silent && (p.Lost() || len(p.failed) > 0)
 	p.partial = p.Lost() || len(p.failed) > 0
 	switch {
 	case p.Lost():
@@ -73,6 +85,33 @@
 	return true
 }
 
+// Unanswered records that an upstream did not answer a message that is usually answered within a round
+// trip, and reports whether the paths are lost from now on. Until they are known to hold, only answers
+// are evidence for them. The silence of the only upstream of a service shows nothing: it may be busy.
+func (p *Paths) Unanswered(now time.Time, key loadshare.Key, known int) (lost bool) {
+	if known < 2 && !p.Lost() {
+		return false
+	}
+	lost = p.Failed(now, key, known)
+	p.silent = true
+	return lost
+}
+
+// Late records that the answer to a message that counted as unanswered has come after all: the
+// upstream was busy. It does not end a loss, for the connection may have lived on.
+func (p *Paths) Late(key loadshare.Key) {
+	if !p.Lost() {
+		delete(p.failed, key)
+		p.silent = p.silent && len(p.failed) > 0
+	}
+}
+
+// NeedsAnswer reports whether a new connection without an answer shows nothing about the paths.
+func (p *Paths) NeedsAnswer(now time.Time) bool {
+	p.expire(now)
+	return p.silent
+}
+
 // expire removes old failures. While the paths are lost, few upstreams are tried, and failures count
 // until the upstreams are reached.
 func (p *Paths) expire(now time.Time) {
@@ -86,7 +125,7 @@
 	}
 	if len(p.failed) == 0 {
 		clear(p.reached)
-		p.partial = false
+		p.partial, p.silent = false, false
 	}
 }
 
--- a/reach/paths_test.go
+++ b/reach/paths_test.go
@@ -174,3 +174,58 @@
 		}
 	}
 }
+
+// Guards against paths that accept connections and pass no data and count as sound for that, and against
+// taking some silent or busy upstreams for a lost path.
+func TestSilentUpstreamsAreRefutedByAnswersOnly(t *testing.T) {
+	silence := func(p *Paths, keys ...loadshare.Key) {
+		for _, key := range keys {
+			p.Connected(key, 14)
+			p.Unanswered(start, key, 14)
+		}
+	}
+	var p Paths
+	silence(&p, 1, 2, 3, 4)
+	for key := loadshare.Key(1); key <= 12; key++ {
+		if p.Connected(key, 14) || !p.Lost() || !p.Severed() {
+			t.Fatal("connections without answers restore the paths")
+		}
+	}
+	p.Answered(1, 14)
+	p.Answered(2, 14)
+	p.Answered(3, 14)
+	p.Failed(start, 5, 14)
+	if p.Answered(1, 14) {
+		t.Error("a failure does not delay the end of the loss")
+	}
+	p.Answered(2, 14)
+	p.Answered(3, 14)
+	if !p.Answered(4, 14) || p.Lost() || p.NeedsAnswer(start) {
+		t.Error("answers do not restore the paths")
+	}
+	var frozen Paths
+	for key := loadshare.Key(1); key <= 4; key++ {
+		silence(&frozen, key)
+		frozen.Answered(key+4, 14)
+	}
+	if frozen.Lost() {
+		t.Error("four silent upstreams count as lost paths although four others answer")
+	}
+	var busy Paths
+	for key := loadshare.Key(1); key <= 6; key++ {
+		silence(&busy, key)
+		busy.Late(key)
+	}
+	if busy.Lost() || busy.NeedsAnswer(start) {
+		t.Error("late answers count as none")
+	}
+	var only Paths
+	if only.Unanswered(start, 1, 1); only.Lost() || only.Doubtful(start) {
+		t.Error("the silence of the only upstream counts")
+	}
+	var old Paths
+	silence(&old, 1)
+	if !old.NeedsAnswer(start) || old.NeedsAnswer(start.Add(evidenceTTL+1)) {
+		t.Error("answers are asked for at other times than while some are missing")
+	}
+}
