Log messages of libraries instead of writing them to standard error

Operators saw: an instance whose standard error is a pipe that nobody reads and that is full stands still without a line: it never is in contact with the control group again, and control does not end in time when it is stopped.

Cause: net/http writes through the standard logger, for instance when a peer answers before the request or when a handler panics, while it holds the lock of the connection. The standard logger wrote to standard error, which blocks.

Change: what libraries write to the standard logger is event 1191, through the sink that never blocks.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -82,6 +82,7 @@
 	sink := logsink.New(out, fallback)
 	defer sink.Close()
 	log := logsink.NewLogger(sink, process.LogLevel).WithField("instance", process.Name)
+	defer captureLibraries(log)()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	options := instance.Options{Process: process, Log: log, Collectors: sink.Collectors()}
