--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS := $(CURDIR)/.tools
 LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
 
-.PHONY: build test lint fmt demo bench soak generate tools
+.PHONY: build test lint fmt demo bench soak soak-deployment generate tools
 
 # The tag selects help texts without templates, which keep a fifth of the binary from being linked.
 TAGS := urfave_cli_no_template
@@ -42,6 +42,14 @@
 soak:
 	SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$$(( $(MINUTES) * 60 )) go test -count=1 -timeout 0 -v -run '^TestSoak$$' ./platform/soak
 
+# Runs the deployment of deploy/ with real processes; DEPLOYMENT=full selects its whole size,
+# FAULT_SECONDS is how long faults are injected with each seed.
+DEPLOYMENT ?=
+FAULT_SECONDS ?= 40
+
+soak-deployment:
+	SOAK_DEPLOYMENT=$(DEPLOYMENT) SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$(FAULT_SECONDS) go test -count=1 -timeout 0 -v -run '^TestDeployment$$' ./platform/soak
+
 bench: build
 	bin/celeryport bench
 
