Open no connection beside a hung call while another upstream is being verified

A call that counts as hung opens a connection to verify the path if nothing of its service has answered since it was sent. Each of several such calls would have opened one, and so would an instance alone, which can't hand over calls.

--- a/forward/silence_watch.go
+++ b/forward/silence_watch.go
@@ -85,7 +85,7 @@
 	x, fleet := w.s.x, w.s.x.server.fleet
 	if !fleet.paths.Lost(x.service.Name) {
 		if w.s.hung() {
-			if !fleet.paths.HeardSince(x.service.Name, w.s.quietSince()) {
+			if fleet.paths.Unverified(x.service.Name, w.s.quietSince()) {
 				go fleet.reachableQuiet(context.WithoutCancel(w.ctx), w.s.node, w.s.quietSince())
 			}
 			return true
--- a/paths/open.go
+++ b/paths/open.go
@@ -86,11 +86,10 @@
 	m.state(service).heardAt = time.Now()
 }
 
-// HeardSince reports whether an upstream of a service has sent an answer since a time.
-func (m *Monitor) HeardSince(service string, since time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return !m.state(service).heardAt.Before(since)
+// Unverified reports whether an upstream is to be verified because none of its service has sent an
+// answer since a time, nor is being verified.
+func (m *Monitor) Unverified(service string, since time.Time) bool {
+	return m.checker != nil && m.applies(service, func(s *state) bool { return s.unverified(since) })
 }
 
 // Verify asks an upstream on a new connection for an answer, in the background, if no upstream of its
@@ -100,7 +99,7 @@
 	peers := m.fleet.PeersExist()
 	m.mu.Lock()
 	s := m.state(u.Service)
-	needed := peers && !s.verifying && !s.Lost() && s.heardAt.Before(since) && m.checker != nil
+	needed := peers && m.checker != nil && s.unverified(since)
 	s.verifying = s.verifying || needed
 	m.mu.Unlock()
 	if !needed {
--- a/paths/state.go
+++ b/paths/state.go
@@ -24,6 +24,10 @@
 	return &state{opening: map[*context.CancelCauseFunc]struct{}{}, probed: map[loadshare.Key]bool{}, changed: make(chan struct{})}
 }
 
+func (s *state) unverified(since time.Time) bool {
+	return !s.verifying && !s.Lost() && s.heardAt.Before(since)
+}
+
 // notify wakes those that wait for a change.
 func (s *state) notify() {
 	close(s.changed)
