Tell that a data folder does not answer

Operators saw: a voter that was started again stood still for 15 s after the line "memory bounds", with no line of why; two of three did, so that the group had no majority.

Cause: waits for a data folder are logged after an attempt to open it has failed. While the disk hangs without an error no attempt ends.

The test of Await with a hanging attempt logs nothing before.

Change: events 1192 and 1193 tell that the folder does not answer, every 5 s, and that it answers again, for the data folder and the ledger at the start and when they are opened again.

There is no run with a disk that hangs.

--- a/control/node.go
+++ b/control/node.go
@@ -101,7 +101,10 @@
 	}
 	n.orders = n.newOrders()
 	n.registerCommands()
-	if err = n.openCore(); err == nil {
+	answered := wal.TellHang(n.log, n.opts.Process.DataFolder)
+	err = n.openCore()
+	answered()
+	if err == nil {
 		return n, nil
 	}
 	if !wal.MayPass(err) {
--- a/wal/await.go
+++ b/wal/await.go
@@ -23,7 +23,9 @@
 	var began, logged time.Time
 	var reason string
 	for {
+		answered := TellHang(log, folder)
 		err := open()
+		answered()
 		now := time.Now()
 		if err == nil {
 			if !began.IsZero() {
--- a/wal/events.go
+++ b/wal/events.go
@@ -24,4 +24,8 @@
 	eventNewIdentity = event.Define(3502, logrus.WarnLevel, "new voter identity created",
 		"The data folder was empty. On the first start of an instance this is normal; "+
 			"otherwise its disk was lost, and the old voter must be replaced by the new one.")
+	eventHangs = event.Define(1192, logrus.WarnLevel, "data folder does not answer",
+		"A call to the file system of a data folder has not returned, and what needs the folder waits for it. Check the disk. Fields: folder, waited_ms.")
+	eventAnswers = event.Define(1193, logrus.InfoLevel, "data folder answers",
+		"The call to the file system that did not return has returned. Fields: folder, waited_ms.")
 )
