--- a/binding/binding.go
+++ b/binding/binding.go
@@ -13,7 +13,7 @@
 )
 
 // TCP listens on a TCP address (host:port) as soon as it can be bound. The error is that of ctx
-// if ctx ends earlier, or a *Refusal. The purpose tells in the log what the address serves. The
+// if ctx ends earlier, or a *Refusal. The purpose is what the address serves, for the log. The
 // listener is a *resilient.Listener.
 func TCP(ctx context.Context, log logrus.FieldLogger, purpose, address string) (net.Listener, error) {
 	var config net.ListenConfig
--- a/cli/settings_watch.go
+++ b/cli/settings_watch.go
@@ -10,7 +10,7 @@
 	"celeryport/settings"
 )
 
-// settingsWatch tells what changes in the file of the process settings.
+// settingsWatch finds out what changes in the file of the process settings.
 type settingsWatch struct {
 	path    string
 	started []byte // what the process started with
--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -79,7 +79,7 @@
 	})
 	if l.refusing.Add(1) > maxRefusing {
 		l.refusing.Add(-1)
-		_ = conn.Close() // nobody could be told of a failure
+		_ = conn.Close() // a failure has no consequence
 		return
 	}
 	go func() {
--- a/control/node.go
+++ b/control/node.go
@@ -101,7 +101,7 @@
 	}
 	n.orders = n.newOrders()
 	n.registerCommands()
-	answered := wal.TellHang(n.log, n.opts.Process.DataFolder)
+	answered := wal.LogHang(n.log, n.opts.Process.DataFolder)
 	err = n.openCore()
 	answered()
 	if err == nil {
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -211,7 +211,7 @@
 	status, body, err := s.fleet.roundTrip(ctx, n, head, nil, share)
 	watched(err == nil)
 	if err == nil {
-		s.fleet.paths.Heard(n.service)
+		s.fleet.paths.RecordAnswer(n.service)
 	}
 	if err != nil {
 		return nil, err
--- a/forward/send.go
+++ b/forward/send.go
@@ -199,7 +199,7 @@
 		if err != nil {
 			return nil, Answer{}, err
 		}
-		s.x.server.fleet.paths.Heard(s.x.service.Name)
+		s.x.server.fleet.paths.RecordAnswer(s.x.service.Name)
 		answer := s.x.server.options.Dialect.DecodeAnswer(head)
 		s.x.server.fleet.applyStatements(s.node, &answer)
 		if answer.CallID == s.x.call.ID || answer.CallID == "" && (answer.NotRun || answer.WrongIncarnation) {
--- a/instance/forwarding_shutdown.go
+++ b/instance/forwarding_shutdown.go
@@ -64,7 +64,7 @@
 	return nil
 }
 
-// announceDraining tells the control group that this instance stops. It returns when ctx or
+// announceDraining notifies the control group that this instance stops. It returns when ctx or
 // announceTimeout ends even if control is stuck, in a write to its disk for instance.
 func (f *forwarding) announceDraining(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
--- a/instance/life.go
+++ b/instance/life.go
@@ -25,7 +25,7 @@
 }
 
 // run starts the components and stops them when stop is done, or when a component ended without
-// which the instance can't work. The error tells why the instance ended without a request.
+// which the instance can't work. The error is why the instance ended without a request.
 func (l *life) run(stop, hardStop context.Context) error {
 	group := supervise.NewGroup(l.log)
 	running, cancel := group.Until(stop)
--- a/logsink/output.go
+++ b/logsink/output.go
@@ -8,7 +8,7 @@
 	"celeryport/event"
 )
 
-// retryInterval is how long an output that failed is left alone: what fails for good, such as a
+// retryInterval is how long an output that failed is not tried again: what fails for good, such as a
 // pipe without a reader, costs little then, and a full disk that has room again is found soon.
 const retryInterval = time.Second
 
@@ -41,7 +41,7 @@
 		o.lose(now, err)
 	}
 	if _, err := o.fallback.Write(line); err != nil {
-		return failed // the caller counts it: there is no place left to tell it
+		return failed // the caller counts it: there is no output left to log it
 	}
 	o.diverted++
 	return diverted
@@ -69,7 +69,7 @@
 	return err
 }
 
-// lose notes that the stream failed, and tells the first time.
+// lose records that the stream failed, and logs the first failure.
 func (o *output) lose(now time.Time, err error) {
 	o.retryAt = now.Add(retryInterval)
 	if o.lost {
--- a/logsink/output_test.go
+++ b/logsink/output_test.go
@@ -26,7 +26,7 @@
 
 // Guards against a log that ends without a word when its output fails: lines go to the fallback
 // with the reason, and back after the output is restored.
-func TestFailedOutputIsToldAndReplaced(t *testing.T) {
+func TestFailedOutputIsLoggedAndReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		out, fallback := &failing{err: syscall.EPIPE, taken: 2}, &failing{}
 		w := New(out, fallback)
--- a/logsink/writer.go
+++ b/logsink/writer.go
@@ -75,7 +75,7 @@
 func (w *Writer) Diverted() uint64 { return w.diverted.Load() }
 
 // Close flushes the buffer and stops the writer. If the output stalls, Close gives up after a
-// while, counts what was not written as dropped, and tells it on the fallback.
+// while, counts what was not written as dropped, and logs the number on the fallback.
 func (w *Writer) Close() {
 	w.mu.Lock()
 	first := !w.closed
--- a/paths/evidence.go
+++ b/paths/evidence.go
@@ -19,7 +19,7 @@
 // answered records that an upstream answered on a new connection.
 func (m *Monitor) answered(u *Upstream) {
 	m.reached(u, func(s *state, known int) (restored, counts bool) {
-		s.heardAt = time.Now()
+		s.answeredAt = time.Now()
 		return s.Answered(u.Key, known), true
 	})
 }
--- a/paths/open.go
+++ b/paths/open.go
@@ -79,11 +79,11 @@
 	}
 }
 
-// Heard records that an upstream of a service has sent an answer, on whatever connection.
-func (m *Monitor) Heard(service string) {
+// RecordAnswer records that an upstream of a service has sent an answer, on whatever connection.
+func (m *Monitor) RecordAnswer(service string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.state(service).heardAt = time.Now()
+	m.state(service).answeredAt = time.Now()
 }
 
 // Unverified reports whether an upstream is to be verified because none of its service has sent an
@@ -118,7 +118,7 @@
 
 // WatchAnswer tries the paths to other upstreams if an answer that usually takes about a round trip
 // does not come: on a connection that has been open for long, nothing else shows early that the paths
-// are lost. The returned function ends the watch, and is told whether the answer has come.
+// are lost. The returned function ends the watch; its argument is whether the answer has come.
 func (m *Monitor) WatchAnswer(ctx context.Context, u *Upstream) (stop func(answered bool)) {
 	m.mu.Lock()
 	s := m.state(u.Service)
--- a/paths/probes.go
+++ b/paths/probes.go
@@ -15,7 +15,7 @@
 
 // probeOthers tries the paths to the other services when those to one are lost: the cause is likely
 // to be the same, and calls that may not be repeated would find out at their cost.
-// silent tells that their upstreams accept connections and do not answer.
+// silent is set if their upstreams accept connections and do not answer.
 func (m *Monitor) probeOthers(lost string, silent bool) {
 	for _, service := range m.where(func(service string, s *state) bool { return service != lost && !s.Lost() }) {
 		m.probe(service, probing{least: reach.Quorum, most: reach.Quorum, silent: silent})
--- a/paths/state.go
+++ b/paths/state.go
@@ -11,13 +11,13 @@
 // state is the state of the paths to the upstreams of one service.
 type state struct {
 	reach.Paths
-	latency   reach.Latency
-	opening   map[*context.CancelCauseFunc]struct{} // connections that are being opened
-	probed    map[loadshare.Key]bool                // upstreams to which a probing connection is being opened
-	heardAt   time.Time                             // when an upstream last sent an answer
-	verifying bool                                  // an upstream that accepted a connection is asked for an answer
-	restoring bool                                  // the paths are back, but failures have not been cleared yet
-	changed   chan struct{}                         // closed at the next change
+	latency    reach.Latency
+	opening    map[*context.CancelCauseFunc]struct{} // connections that are being opened
+	probed     map[loadshare.Key]bool                // upstreams to which a probing connection is being opened
+	answeredAt time.Time                             // when an upstream last sent an answer
+	verifying  bool                                  // an upstream that accepted a connection is asked for an answer
+	restoring  bool                                  // the paths are back, but failures have not been cleared yet
+	changed    chan struct{}                         // closed at the next change
 }
 
 func newState() *state {
@@ -25,7 +25,7 @@
 }
 
 func (s *state) unverified(since time.Time) bool {
-	return !s.verifying && !s.Lost() && s.heardAt.Before(since)
+	return !s.verifying && !s.Lost() && s.answeredAt.Before(since)
 }
 
 // notify wakes those that wait for a change.
--- a/paths/verify_test.go
+++ b/paths/verify_test.go
@@ -88,7 +88,7 @@
 		f := newSilentFleet()
 		since := time.Now()
 		time.Sleep(time.Millisecond)
-		f.monitor.Heard("model")
+		f.monitor.RecordAnswer("model")
 		for range 10 {
 			u := &Upstream{Service: "model"}
 			conn, err := f.monitor.Open(t.Context(), u)
--- a/resilient/listener.go
+++ b/resilient/listener.go
@@ -14,7 +14,7 @@
 }
 
 // NewListener returns a listener that accepts the connections of inner, or inner if it is a
-// *Listener already. The purpose tells in the log what the address serves.
+// *Listener already. The purpose is what the address serves, for the log.
 func NewListener(log logrus.FieldLogger, purpose string, inner net.Listener) *Listener {
 	if l, ok := inner.(*Listener); ok {
 		return l
--- a/resilient/listener_test.go
+++ b/resilient/listener_test.go
@@ -115,7 +115,7 @@
 	})
 }
 
-// Guards against a stop that waits for a pause, and against one that is told as a failure.
+// Guards against a stop that waits for a pause, and against one that is logged as a failure.
 func TestCloseEndsAPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log, hook := logtest.NewNullLogger()
@@ -140,7 +140,7 @@
 }
 
 // Guards against retries without end at a socket that no longer works.
-func TestFinalErrorIsToldAndHandedOn(t *testing.T) {
+func TestFinalErrorIsLoggedAndReturned(t *testing.T) {
 	for _, err := range []error{failure(syscall.EBADF), failure(syscall.EINVAL), errors.New("unknown")} {
 		log, hook := logtest.NewNullLogger()
 		inner := newFailing(func() error { return err })
--- a/resilient/streak.go
+++ b/resilient/streak.go
@@ -17,8 +17,8 @@
 type streak struct {
 	pause    time.Duration // after the latest failure; 0 after a success
 	failures int           // since the last line
-	told     bool          // the last line says that attempts fail
-	toldAt   time.Time     // of the last line that said so
+	logged   bool          // the last line says that attempts fail
+	loggedAt time.Time     // of the last line that said so
 }
 
 // next is what follows a failure.
@@ -44,10 +44,10 @@
 // failures since the last line.
 func (s *streak) count(now time.Time) (int, bool) {
 	s.failures++
-	if !s.toldAt.IsZero() && now.Sub(s.toldAt) < logInterval {
+	if !s.loggedAt.IsZero() && now.Sub(s.loggedAt) < logInterval {
 		return 0, false
 	}
-	s.told, s.toldAt = true, now
+	s.logged, s.loggedAt = true, now
 	return s.reset(), true
 }
 
@@ -55,10 +55,10 @@
 // since the last line.
 func (s *streak) succeeded() (int, bool) {
 	s.pause = 0
-	if !s.told {
+	if !s.logged {
 		return 0, false
 	}
-	s.told = false
+	s.logged = false
 	return s.reset(), true
 }
 
--- a/supervise/component.go
+++ b/supervise/component.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Kind tells whether an instance can do its job without a component.
+// Kind is whether an instance can do its job without a component.
 type Kind uint8
 
 const (
--- a/wal/await.go
+++ b/wal/await.go
@@ -23,7 +23,7 @@
 	var began, logged time.Time
 	var reason string
 	for {
-		answered := TellHang(log, folder)
+		answered := LogHang(log, folder)
 		err := open()
 		answered()
 		now := time.Now()
--- a/wal/hang.go
+++ b/wal/hang.go
@@ -12,12 +12,12 @@
 // hangInterval is the time after which, and the interval at which, a call of the file system that has not returned is logged.
 const hangInterval = 5 * time.Second
 
-// TellHang logs that the folder does not answer, until the returned function is called: a disk may
+// LogHang logs that the folder does not answer, until the returned function is called: a disk may
 // hang without an error.
-func TellHang(log logrus.FieldLogger, folder string) (answered func()) {
+func LogHang(log logrus.FieldLogger, folder string) (answered func()) {
 	began := time.Now()
 	var mu sync.Mutex
-	told, ended := false, false
+	logged, ended := false, false
 	var timer *time.Timer
 	mu.Lock()
 	defer mu.Unlock()
@@ -27,7 +27,7 @@
 		if ended {
 			return
 		}
-		told = true
+		logged = true
 		eventHangs.Log(log, event.Fields{"folder": folder, "waited_ms": time.Since(began).Milliseconds()})
 		timer.Reset(hangInterval)
 	})
@@ -36,7 +36,7 @@
 		defer mu.Unlock()
 		ended = true
 		timer.Stop()
-		if told {
+		if logged {
 			eventAnswers.Log(log, event.Fields{"folder": folder, "waited_ms": time.Since(began).Milliseconds()})
 		}
 	}
