Log and count what the repeat budgets allow and deny

Nothing told how many repeats an instance had counted, how many instances it shared the budget with, or that a repeat was denied, so the hypotheses about repeats beyond the budget could not be told apart. Events 7030 and 7031 and the metric forward_repeats_total do.

--- a/forward/events.go
+++ b/forward/events.go
@@ -57,6 +57,10 @@
 		"The connection to an instance that handled a call for this one broke before the answer was complete. Fields: call, handler, verdict, error, events, after_ms.")
 	eventMoved = event.Define(7022, logrus.InfoLevel, "call moved",
 		"The upstream of a stream was silent for so long that the caller would have disconnected; the call was sent to another engine, after the last event that the caller has. Many of these lines for one upstream show that it prefills a long prompt, or hangs. Fields: call, route, upstream, to, cause (unanswered, prefill or silent), silent_ms, patience_ms, predicted_ms (of the next event), events, after_ms.")
+	eventRepeatSharers = event.Define(7030, logrus.InfoLevel, "repeat budget shared",
+		"The number of instances by which this one divides the fixed part of the repeat budgets has changed. Fields: instances, after_ms (since the start of the process).")
+	eventRepeatDenied = event.Define(7031, logrus.WarnLevel, "repeat denied",
+		"A call was not sent again because the repeat budget of its service is used up. Logged at most once in a second for each service. Fields: service, calls and repeats (of this instance within the window), instances (that share the budget).")
 	eventCleared = event.Define(7009, logrus.InfoLevel, "upstream works again",
 		"A suspected upstream answered. Fields: upstream, address.")
 )
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -31,6 +31,7 @@
 	unreadable  *prometheus.CounterVec
 	datagrams   *prometheus.CounterVec
 	bytes       *prometheus.CounterVec
+	repeats     *prometheus.CounterVec
 	shares      shareMetrics
 }
 
@@ -99,11 +100,22 @@
 			Name: "forward_datagram_bytes_total", Help: "Bytes of these datagrams, by kind and direction.",
 		}, []string{"kind", "direction"}),
 	}
-	registry.MustRegister(m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.overLimit, m.limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
+	m.repeats = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "forward_repeats_total", Help: "Sends beyond the first of their call that the repeat budget allowed or denied, by service.",
+	}, []string{"service", "outcome"})
+	registry.MustRegister(m.repeats, m.calls, m.firstByte, m.duration, m.sends, m.broken, m.connections, m.overLimit, m.limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
 	m.shares = newShareMetrics(registry)
 	return m
 }
 
+func (m *Metrics) repeat(service string, allowed bool) {
+	outcome := "denied"
+	if allowed {
+		outcome = "allowed"
+	}
+	m.repeats.WithLabelValues(service, outcome).Inc()
+}
+
 func (m *Metrics) rejected(status int) {
 	m.unreadable.WithLabelValues(strconv.Itoa(status)).Inc()
 }
--- a/forward/move.go
+++ b/forward/move.go
@@ -55,7 +55,7 @@
 	if w != nil {
 		now := time.Now()
 		if !socket.Readable(s.conn.conn) && state.InTime(now, x.predicted) && fleet.recommended(now, w.lead) {
-			if x.server.budgets.TakeRepeat(now, x.service.Name) {
+			if x.server.takeRepeat(now, x.service.Name) {
 				if x.overdue(now) {
 					fleet.recordLate(w)
 				}
--- a/forward/repeat.go
+++ b/forward/repeat.go
@@ -57,7 +57,7 @@
 	switch {
 	case !x.repeatable(o) || !decision.Repeat:
 		return x.failure(o)
-	case decision.Charged && !x.server.budgets.TakeRepeat(now, x.service.Name):
+	case decision.Charged && !x.server.takeRepeat(now, x.service.Name):
 		return x.failure(o)
 	default:
 		return nil
--- a/forward/server.go
+++ b/forward/server.go
@@ -31,6 +31,9 @@
 	lastCall    atomic.Int64 // when the latest call arrived, in Unix nanoseconds
 	peerings    atomic.Pointer[cachedPeering]
 	reporters   reporters // used by ShareLoads
+	denials     denialLog
+
+	sharersLogged int // number of instances that share the repeat budgets; used by ShareLoads
 
 	mu       sync.Mutex
 	random   *rand.Rand
--- a/resend/budgets.go
+++ b/resend/budgets.go
@@ -103,6 +103,20 @@
 	return b.window(now, service).allows(b.budget.Ratio, share)
 }
 
+// Usage is what an instance counts in the window of a service.
+type Usage struct {
+	Calls   int // of own callers
+	Repeats int
+}
+
+// Usage returns what this instance has counted for a service.
+func (b *Budgets) Usage(now time.Time, service string) Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.window(now, service)
+	return Usage{Calls: len(s.calls), Repeats: len(s.repeats)}
+}
+
 // share returns this instance's part of the slack.
 func (b *Budgets) share() float64 { return b.budget.Slack * slackFraction / float64(b.instances()) }
 
