Earn repeat slack only while all instances are known

An instance that had just started, or whose leader was new, divided the slack by the instances it had heard of so far, and took all of it if it knew none.

The view now says whether the list of instances is complete; the slack is earned only while it is and control is reached. An instance cut off from control keeps what it has saved, which counts in the parts of the others, because gone instances stay listed for ten minutes. The test passes.

--- a/control/control.go
+++ b/control/control.go
@@ -23,6 +23,7 @@
 	Tree        *settings.Tree // installed revision, nil before the first one
 	LeaseUntil  time.Time      // end of this instance's admission lease, on its own monotonic clock
 	Instances   []membership.Instance
+	Complete    bool // Instances holds all that the leader may know: it has led for longer than a lease
 	Upstreams   *upstream.Snapshot
 	Grants      []quota.Grant
 	GrantRound  uint64 // changes when new grants have arrived
--- a/control/publish.go
+++ b/control/publish.go
@@ -48,6 +48,7 @@
 		Tree:        c.installed.tree,
 		LeaseUntil:  c.lease.until,
 		Instances:   c.members.list(),
+		Complete:    c.members.settled,
 		Upstreams:   upstreams,
 		Grants:      c.grants,
 		GrantRound:  c.grantRound,
--- a/forward/availability_test.go
+++ b/forward/availability_test.go
@@ -158,7 +158,7 @@
 func TestLastSendIsNotUsedAsProbe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, n := newServerWithNode(t)
-		s.budgets = runningBudgets(resend.Budget{Ratio: 1, Slack: 10, Window: 10 * time.Second}, s.instances)
+		s.budgets = runningBudgets(resend.Budget{Ratio: 1, Slack: 10, Window: 10 * time.Second})
 		s.fleet.applyStatements(n, &Answer{Rest: time.Second})
 		time.Sleep(2 * time.Second)
 		for sends, wanted := range map[int]bool{1: false, 2: true} {
--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -19,8 +19,8 @@
 
 // runningBudgets returns the repeat budgets of an instance that has run for long enough to have earned
 // as much slack as it may save.
-func runningBudgets(budget resend.Budget, instances func() int) *resend.Budgets {
-	b := resend.NewBudgets(time.Now().Add(-time.Hour), budget, instances)
+func runningBudgets(budget resend.Budget) *resend.Budgets {
+	b := resend.NewBudgets(time.Now().Add(-time.Hour), budget, func() resend.Fleet { return resend.Fleet{Instances: 1, Complete: true} })
 	b.Observe(time.Now())
 	return b
 }
@@ -29,7 +29,7 @@
 func newSilentSend(t *testing.T, silent time.Duration, budget float64) (*sending, *silenceWatch) {
 	t.Helper()
 	s, n := newServerWithNode(t)
-	s.budgets = runningBudgets(resend.Budget{Slack: budget, Window: time.Minute}, s.instances)
+	s.budgets = runningBudgets(resend.Budget{Slack: budget, Window: time.Minute})
 	now, service := time.Now(), *s.options.Plane.View().Tree.Forwarding.Service("model")
 	engine := *service.Engine
 	engine.MeanAnswer, service.Engine = 1300, &engine
--- a/forward/repeat_budget.go
+++ b/forward/repeat_budget.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryport/event"
+	"celeryport/resend"
 )
 
 // denialLogInterval is the shortest time between two log lines about denied repeats of one service.
@@ -46,7 +47,7 @@
 	}
 	usage := s.budgets.Usage(now, service)
 	eventRepeatDenied.Log(s.options.Log, event.Fields{
-		"service": service, "calls": usage.Calls, "repeats": usage.Repeats, "slack": usage.Slack, "instances": s.instances(),
+		"service": service, "calls": usage.Calls, "repeats": usage.Repeats, "slack": usage.Slack, "instances": s.sharers().Instances,
 	})
 }
 
@@ -54,8 +55,21 @@
 // of it. Only one goroutine may call it.
 func (s *Server) observeSharers(now time.Time) {
 	s.budgets.Observe(now)
-	if count := s.instances(); count != s.sharersLogged {
+	if count := s.sharers().Instances; count != s.sharersLogged {
 		s.sharersLogged = count
 		eventRepeatSharers.Log(s.options.Log, event.Fields{"instances": count, "after_ms": now.Sub(s.startedAt).Milliseconds()})
 	}
 }
+
+// sharers returns which instances share the repeat budgets: all that take calls, as far as this one
+// knows. Those that are gone are listed for minutes and may still send to upstreams.
+func (s *Server) sharers() resend.Fleet {
+	view := s.options.Plane.View()
+	fleet := resend.Fleet{Complete: view.Complete && view.HasQuorum}
+	for i := range view.Instances {
+		if view.Instances[i].Address != "" {
+			fleet.Instances++
+		}
+	}
+	return fleet
+}
--- a/forward/server.go
+++ b/forward/server.go
@@ -57,7 +57,7 @@
 		bodies:    bytebudget.New(bounds.Bodies),
 		answers:   bytebudget.New(bounds.Answers),
 	}
-	s.budgets = resend.NewBudgets(s.startedAt, options.Budget, s.instances)
+	s.budgets = resend.NewBudgets(s.startedAt, options.Budget, s.sharers)
 	s.fleet = newFleet(&s.options, s.budgets.CallRate)
 	s.arbitration = newArbitration()
 	if s.shares = newShares(&s.options); s.shares != nil {
@@ -188,15 +188,3 @@
 	defer s.mu.Unlock()
 	return s.random.Float64()
 }
-
-// instances returns how many instances accept calls, at least 1.
-func (s *Server) instances() int {
-	view := s.options.Plane.View()
-	count := 0
-	for i := range view.Instances {
-		if view.Instances[i].Address != "" {
-			count++
-		}
-	}
-	return max(1, count)
-}
--- a/resend/budgets.go
+++ b/resend/budgets.go
@@ -20,11 +20,11 @@
 // Without the limit, a service that begins to fail would receive all its calls twice just when
 // it is least able to handle them.
 type Budgets struct {
-	budget    Budget
-	instances func() int
-	mu        sync.Mutex
-	slack     slackIncome
-	services  map[string]*serviceBudget
+	budget   Budget
+	fleet    func() Fleet
+	mu       sync.Mutex
+	slack    slackIncome
+	services map[string]*serviceBudget
 }
 
 // serviceBudget holds the calls of the window and what repeats have been charged to.
@@ -45,10 +45,16 @@
 // ratioFraction leaves room for calls that leave the window earlier at the upstreams than here.
 const ratioFraction = 0.8
 
-// NewBudgets returns the budgets of an instance that starts now. instances returns how many share
+// Fleet is what an instance knows of those that share the budgets.
+type Fleet struct {
+	Instances int  // known to share them, also those that lost contact with control a short time ago
+	Complete  bool // control has confirmed that these are all
+}
+
+// NewBudgets returns the budgets of an instance that starts now. fleet returns which instances share
 // them.
-func NewBudgets(now time.Time, budget Budget, instances func() int) *Budgets {
-	return &Budgets{budget: budget, instances: instances, slack: slackIncome{at: now}, services: map[string]*serviceBudget{}}
+func NewBudgets(now time.Time, budget Budget, fleet func() Fleet) *Budgets {
+	return &Budgets{budget: budget, fleet: fleet, slack: slackIncome{at: now}, services: map[string]*serviceBudget{}}
 }
 
 // Observe accounts for the time since the last call of any method. It is called at least once in a
@@ -61,7 +67,12 @@
 
 // earn adds the slack earned since the last time. The lock must be held.
 func (b *Budgets) earn(now time.Time) {
-	b.slack.add(now, b.budget.Window, b.budget.Slack/float64(b.instances()))
+	fleet := b.fleet()
+	if !fleet.Complete {
+		b.slack.skip(now)
+		return
+	}
+	b.slack.add(now, b.budget.Window, b.budget.Slack/float64(max(1, fleet.Instances)))
 }
 
 // RecordCall records the first send of a call.
--- a/resend/budgets_test.go
+++ b/resend/budgets_test.go
@@ -31,7 +31,7 @@
 // newRunningBudgets returns the budgets of an instance that has run for long enough to have earned as
 // much slack as it may save.
 func newRunningBudgets(now time.Time, budget Budget, instances int) *Budgets {
-	b := NewBudgets(now.Add(-time.Hour), budget, func() int { return instances })
+	b := NewBudgets(now.Add(-time.Hour), budget, func() Fleet { return Fleet{Instances: instances, Complete: true} })
 	b.Observe(now)
 	return b
 }
--- a/resend/restarts_test.go
+++ b/resend/restarts_test.go
@@ -10,9 +10,9 @@
 type fleetRun struct {
 	budget    Budget
 	instances int
-	interval  time.Duration              // between two calls of an instance
-	restarts  map[time.Duration]bool     // when all instances are restarted, in steps of a millisecond
-	fleet     func(at time.Duration) int // how many instances a process believes to share the budget
+	interval  time.Duration                // between two calls of an instance
+	restarts  map[time.Duration]bool       // when all instances are restarted, in steps of a millisecond
+	fleet     func(at time.Duration) Fleet // what a process knows of the instances that share the budget
 
 	calls, repeats []time.Duration
 }
@@ -39,7 +39,7 @@
 }
 
 func newBudgetsOf(r *fleetRun, at *time.Duration) *Budgets {
-	return NewBudgets(start.Add(*at), r.budget, func() int { return r.fleet(*at) })
+	return NewBudgets(start.Add(*at), r.budget, func() Fleet { return r.fleet(*at) })
 }
 
 // check compares the repeats of each window with what all instances together may send.
@@ -71,7 +71,7 @@
 	r := &fleetRun{
 		budget: Budget{Ratio: 0.2, Slack: 102, Window: 10 * time.Second}, instances: 7, interval: 160 * time.Millisecond,
 		restarts: map[time.Duration]bool{},
-		fleet:    func(time.Duration) int { return 7 },
+		fleet:    func(time.Duration) Fleet { return Fleet{Instances: 7, Complete: true} },
 	}
 	for _, second := range []int{14, 18, 21, 22, 23, 30} {
 		r.restarts[time.Duration(second)*time.Second] = true
@@ -86,11 +86,11 @@
 	r := &fleetRun{
 		budget: Budget{Ratio: 0.2, Slack: 102, Window: 10 * time.Second}, instances: 7, interval: 160 * time.Millisecond,
 		restarts: map[time.Duration]bool{14 * time.Second: true},
-		fleet: func(at time.Duration) int {
+		fleet: func(at time.Duration) Fleet {
 			if sinceRestart := at - 14*time.Second; sinceRestart >= 0 && sinceRestart < 2*time.Second {
-				return 1
+				return Fleet{Instances: 1}
 			}
-			return 7
+			return Fleet{Instances: 7, Complete: true}
 		},
 	}
 	r.play(40 * time.Second)
--- a/resend/slack.go
+++ b/resend/slack.go
@@ -28,6 +28,14 @@
 	i.at = now
 }
 
+// skip passes over the time until now, in which nothing is earned: an instance that does not know all
+// others would take their parts for its own.
+func (i *slackIncome) skip(now time.Time) {
+	if now.After(i.at) {
+		i.at = now
+	}
+}
+
 // slackBalance is what a service has left.
 type slackBalance struct {
 	amount  float64 // repeats
