Log the parts of prompts that engines had when they ended

No line told what requests have in common, so that requests which share one part could not be told from requests that merely run beside them. Failed sends (7006) name the parts of their prompt but the last one, engines that ended (7013) those of the calls that had just begun.

--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -10,6 +10,7 @@
 
 	"celeryport/event"
 	"celeryport/httpwire"
+	"celeryport/quarantine"
 	"celeryport/transit"
 	"celeryport/verdict"
 )
@@ -100,6 +101,9 @@
 		"call": x.call.ID, "upstream": x.target.name, "address": x.target.address, "verdict": o.verdict.String(),
 		"error": o.err.Error(), "phase": o.phase.String(), "kind": o.kind.String(), "request": x.fingerprint.String(), "events": x.events, "after_ms": time.Since(x.began).Milliseconds(),
 	}
+	if len(x.call.PromptParts) > 0 {
+		fields["parts"] = formatParts(x.call.PromptParts)
+	}
 	if o.helper != nil {
 		fields["helper"] = o.helper.name
 	}
@@ -182,6 +186,15 @@
 	return fields
 }
 
+// formatParts joins the parts of a prompt in one field value.
+func formatParts(parts []quarantine.Part) string {
+	texts := make([]string, len(parts))
+	for i, p := range parts {
+		texts[i] = p.String()
+	}
+	return strings.Join(texts, " ")
+}
+
 // namesOf joins the names of upstreams, at most seventeen, in one field value.
 func namesOf(nodes []*node) string {
 	names := make([]string, len(nodes))
--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryport/httpwire"
+	"celeryport/quarantine"
 	"celeryport/recovery"
 )
 
@@ -40,14 +41,15 @@
 	Target       string // raw, with the query
 	Host         string
 	Path         string
-	Key          string          // key that the caller presents, empty if none
-	Fields       httpwire.Fields // the caller's end-to-end fields unchanged, without those that this instance sets
-	Wait         time.Duration   // how long the caller waits, 0 if not stated
-	PromptTokens int             // 0 if the call carries no prompt
-	AnswerTokens int             // upper bound
-	PromptID     uint64          // equal for all tries of a caller with one prompt, 0 if unknown
-	ResumeAfter  int64           // last event that the caller has received
-	Resumes      bool            // the caller has received events up to ResumeAfter
+	Key          string            // key that the caller presents, empty if none
+	Fields       httpwire.Fields   // the caller's end-to-end fields unchanged, without those that this instance sets
+	Wait         time.Duration     // how long the caller waits, 0 if not stated
+	PromptTokens int               // 0 if the call carries no prompt
+	AnswerTokens int               // upper bound
+	PromptID     uint64            // equal for all tries of a caller with one prompt, 0 if unknown
+	PromptParts  []quarantine.Part // parts of the prompt that other requests may share, each once; at most quarantine.MaxParts
+	ResumeAfter  int64             // last event that the caller has received
+	Resumes      bool              // the caller has received events up to ResumeAfter
 }
 
 // Send describes one send of a call to an upstream.
--- a/forward/events.go
+++ b/forward/events.go
@@ -20,7 +20,7 @@
 	eventCallerLeft = event.Define(7005, logrus.InfoLevel, "caller left",
 		"The caller closed its connection before the answer was complete; the send to the upstream was aborted. Fields: call, route, upstream, sends, events, total_ms.")
 	eventSendFailed = event.Define(7006, logrus.WarnLevel, "send failed",
-		"One send of a call failed. Fields: call, upstream, address, verdict, error, kind (first, repeated, or granted: the arbiter chose the upstream), phase (unanswered, started or answering), request (fingerprint of host, path, caller and body), helper (the one that refused its part, if any), events, after_ms.")
+		"One send of a call failed. Fields: call, upstream, address, verdict, error, kind (first, repeated, or granted: the arbiter chose the upstream), phase (unanswered, started or answering), request (fingerprint of host, path, caller and body), parts (of the prompt, but the last one), helper (the one that refused its part, if any), events, after_ms.")
 	eventSuspected = event.Define(7007, logrus.WarnLevel, "upstream suspected",
 		"An upstream accepted no connection or did not respond; it gets no new work for a while. Fields: upstream, address, error, for_ms.")
 	eventReplaced = event.Define(7008, logrus.InfoLevel, "upstream replaced",
@@ -32,7 +32,7 @@
 	eventForeignDatagram = event.Define(7010, logrus.WarnLevel, "datagram refused",
 		"A datagram that is not a valid message of an instance of this fleet arrived at the control port. Check that all instances have the same key. Fields: from, error.")
 	eventUpstreamEnded = event.Define(7013, logrus.WarnLevel, "upstream ended",
-		"The process of an upstream ended while it had calls in flight. Fields: upstream, address, started and unanswered (fingerprints of the requests whose answer had just begun, and of those without any answer), answering (number of the others). A request that appears in many of these lines may be the cause.")
+		"The process of an upstream ended while it had calls in flight. Fields: upstream, address, started and unanswered (fingerprints of the requests whose answer had just begun, and of those without any answer), answering (number of the others), parts (of the prompts of the started ones). A request or a part that appears in many of these lines may be the cause.")
 	eventEvidence = event.Define(7014, logrus.InfoLevel, "request suspected or cleared",
 		"An upstream ended while it had a request in flight, or answered a request that other upstreams had in flight when they ended. Requests that end several upstreams are quarantined (3035). Fields: request (fingerprint), outcome (ended-waiting, ended-started, answered), upstream (key of the incarnation).")
 	eventRateNamed = event.Define(7015, logrus.InfoLevel, "upstream names a rate",
--- a/forward/upstream_end.go
+++ b/forward/upstream_end.go
@@ -63,19 +63,20 @@
 // logEnd logs the requests that an upstream had in flight when it ended. Those whose answer had
 // been in progress for longer are only counted.
 func (f *fleet) logEnd(n *node, broken []brokenSend) {
-	var started, unanswered []string
+	var started, unanswered, parts []string
 	for i := range broken {
 		switch b := &broken[i]; {
 		case b.phase == phaseUnanswered:
 			unanswered = append(unanswered, b.request.String())
 		case b.mayBeCause():
 			started = append(started, b.request.String())
+			parts = append(parts, formatParts(b.parts))
 		}
 	}
 	slices.Sort(started)
 	slices.Sort(unanswered)
 	eventUpstreamEnded.Log(f.options.Log, event.Fields{
 		"upstream": n.name, "address": n.address, "answering": len(broken) - len(started) - len(unanswered),
-		"started": started, "unanswered": unanswered,
+		"started": started, "unanswered": unanswered, "parts": parts,
 	})
 }
