Reject requests with a part of their prompt that crashes the engines

Callers saw 502s and streams that broke off: requests of which one part crashes each engine that begins to answer reached 43 to 56 engines more after five had ended, no two of them alike.

Cause: a request was identified by host, path, caller and body only, so what these have in common was nowhere counted. Class: as for requests that come again, a limit kept for a narrower key than the one the fault follows.

Evidence that an engine ended now names the shared parts of the prompts that it had (at most 32 of a request, never the last). The voters keep for each part the incarnations that ended with it (256 parts, 16 ends each) and blame the part with the most crashes that no other blamed part explains, from three separate incidents on after a start, or five in any state. Engines that end together are one incident. Parts that nearly always came together are blamed as a group: only requests with all of them are rejected, so that the others show which one it is. An engine that writes for a second, or to the end, clears all parts of its request; instances report that for parts that are blamed or about to be, also for answers of the last two seconds when the list changes. The list holds at most 32 groups and 32 watched parts. A part is used by an instance's own evidence only while control is not reached. Operators list and release parts.

Voters of earlier builds could not apply such evidence: it is proposed once all voters support version 3 of the log, without its parts before.

--- a/cli/quarantine.go
+++ b/cli/quarantine.go
@@ -12,17 +12,20 @@
 	"celeryport/quarantine"
 )
 
-const flagRequest = "request"
+const (
+	flagRequest = "request"
+	flagPart    = "part"
+)
 
-// quarantineCommand groups the commands about requests that crash upstreams.
+// quarantineCommand groups the commands about requests and parts of prompts that crash upstreams.
 func quarantineCommand(stdout, _ io.Writer) *urfave.Command {
 	return &urfave.Command{
 		Name:  "quarantine",
-		Usage: "list and release requests that crash upstreams",
+		Usage: "list and release requests and parts of prompts that crash upstreams",
 		Commands: []*urfave.Command{
 			{
 				Name:  "list",
-				Usage: "list the suspected and quarantined requests, oldest evidence first",
+				Usage: "list the suspected and quarantined requests and parts, oldest evidence first",
 				Flags: operatorFlags(),
 				Action: func(ctx context.Context, c *urfave.Command) error {
 					return listQuarantine(ctx, c, stdout)
@@ -30,8 +33,11 @@
 			},
 			{
 				Name:  "release",
-				Usage: "discard the evidence against a request, so that it is served again",
-				Flags: operatorFlags(&urfave.StringFlag{Name: flagRequest, Usage: "fingerprint of the request, from quarantine list", Required: true}),
+				Usage: "discard the evidence against a request or a part, so that it is served again",
+				Flags: operatorFlags(
+					&urfave.StringFlag{Name: flagRequest, Usage: "fingerprint of the request, from quarantine list"},
+					&urfave.StringFlag{Name: flagPart, Usage: "part of prompts, from quarantine list"},
+				),
 				Action: func(ctx context.Context, c *urfave.Command) error {
 					return releaseQuarantined(ctx, c, stdout)
 				},
@@ -67,21 +73,49 @@
 			r.Request.String(), state, fmt.Sprint(len(r.Started)), fmt.Sprint(len(r.Waiting)), r.At.Format(timeFormat),
 		})
 	}
-	return writeTable(out, []string{"REQUEST", "STATE", "CRASHES", "ENDED WHILE WAITING", "LAST"}, rows)
+	for i := range s.Parts.Records {
+		r := &s.Parts.Records[i]
+		state, started := "suspected", 0
+		if s.Parts.Blamed(r.Part) {
+			state = "quarantined"
+		}
+		for _, end := range r.Ends {
+			if end.Started {
+				started++
+			}
+		}
+		rows = append(rows, []string{
+			r.Part.String(), state, fmt.Sprint(started), fmt.Sprint(len(r.Ends) - started), r.At.Format(timeFormat),
+		})
+	}
+	return writeTable(out, []string{"REQUEST OR PART", "STATE", "CRASHES", "ENDED WHILE WAITING", "LAST"}, rows)
 }
 
 func releaseQuarantined(ctx context.Context, c *urfave.Command, stdout io.Writer) error {
-	request, err := quarantine.ParseFingerprint(c.String(flagRequest))
+	request, err := parseRelease(c.String(flagRequest), c.String(flagPart))
 	if err != nil {
-		return &ExitError{Code: ExitUsage, Err: errors.Wrapf(err, "--%s", flagRequest)}
+		return &ExitError{Code: ExitUsage, Err: err}
 	}
 	o, err := newOperator(c)
 	if err != nil {
 		return err
 	}
-	if err := o.call(ctx, control.CommandQuarantineRelease, control.ReleaseRequest{Request: request}, &control.ReleaseRequest{}); err != nil {
+	if err := o.call(ctx, control.CommandQuarantineRelease, request, &control.ReleaseRequest{}); err != nil {
 		return err
 	}
 	fmt.Fprintf(stdout, "released %s\n", request)
 	return nil
 }
+
+// parseRelease parses the flags that name what is released.
+func parseRelease(request, part string) (*control.ReleaseRequest, error) {
+	if (request == "") == (part == "") {
+		return nil, errors.Newf("either --%s or --%s is required", flagRequest, flagPart)
+	}
+	if part != "" {
+		p, err := quarantine.ParsePart(part)
+		return &control.ReleaseRequest{Part: p}, errors.Wrapf(err, "--%s", flagPart)
+	}
+	fingerprint, err := quarantine.ParseFingerprint(request)
+	return &control.ReleaseRequest{Request: fingerprint}, errors.Wrapf(err, "--%s", flagRequest)
+}
--- a/control/events.go
+++ b/control/events.go
@@ -70,7 +70,7 @@
 	eventEvidenceDropped = event.Define(3034, logrus.WarnLevel, "evidence dropped",
 		"More evidence about requests that crash upstreams was reported than could be delivered. Many upstreams crash at once, or there is no leader. Fields: dropped, waiting.")
 	eventQuarantine = event.Define(3035, logrus.WarnLevel, "quarantined requests changed",
-		"Requests that crash upstreams are rejected on all instances; the set of these requests has changed. List them with: celeryport quarantine list. Fields: requests (how many), version.")
+		"Requests that crash upstreams are rejected on all instances; the set of these requests, or of the parts of prompts by which requests are rejected, has changed. List them with: celeryport quarantine list. Fields: requests and parts (how many requests and groups of parts), version.")
 	eventEvacuated = event.Define(3036, logrus.WarnLevel, "evacuated zones changed",
 		"An operator has evacuated an availability zone or restored one; this instance sends no new work to upstreams of the evacuated zones. List them with: celeryport zone list. Fields: zones, version.")
 	eventRelayFailed = event.Define(3021, logrus.ErrorLevel, "upstreams not relayed",
--- a/control/evidence.go
+++ b/control/evidence.go
@@ -144,6 +144,9 @@
 		if r.Evidence[i].Outcome > quarantine.Answered {
 			return verdict.Refuse(verdict.ReasonBadRequest, 0, "unknown outcome %d", r.Evidence[i].Outcome)
 		}
+		if len(r.Evidence[i].Parts) > quarantine.MaxParts {
+			return verdict.Refuse(verdict.ReasonBadRequest, 0, "evidence about %d parts of a prompt, at most %d", len(r.Evidence[i].Parts), quarantine.MaxParts)
+		}
 	}
 	return nil
 }
--- a/control/evidence_batch.go
+++ b/control/evidence_batch.go
@@ -19,6 +19,9 @@
 	batchDelay = 50 * time.Millisecond
 	// maxBatched limits the evidence in one log entry.
 	maxBatched = 4096
+	// maxBatchedParts limits the parts of prompts in one log entry. The parts of further evidence are
+	// left out.
+	maxBatchedParts = 16384
 )
 
 // evidenceBatch is evidence that a leader proposes in one entry.
@@ -26,6 +29,29 @@
 	evidence []quarantine.Evidence
 	done     chan struct{} // closed when the outcome is known
 	err      error         // set before done is closed
+	parts    int           // in evidence
+}
+
+func (b *evidenceBatch) add(evidence []quarantine.Evidence) {
+	for i := range evidence {
+		b.parts += len(evidence[i].Parts)
+	}
+	if b.parts > maxBatchedParts {
+		evidence = withoutParts(evidence)
+	}
+	b.evidence = append(b.evidence, evidence...)
+}
+
+// withoutParts returns the part of evidence that is about whole requests.
+func withoutParts(evidence []quarantine.Evidence) []quarantine.Evidence {
+	var requests []quarantine.Evidence
+	for _, e := range evidence {
+		if e.Request != (quarantine.Fingerprint{}) {
+			e.Parts = nil
+			requests = append(requests, e)
+		}
+	}
+	return requests
 }
 
 var (
@@ -53,7 +79,10 @@
 		if len(batch.evidence)+len(evidence) > maxBatched {
 			return errBatchFull
 		}
-		batch.evidence = append(batch.evidence, evidence...)
+		if !l.votersSupport(state.VersionParts) {
+			evidence = withoutParts(evidence)
+		}
+		batch.add(evidence)
 		return nil
 	})
 	if err != nil {
@@ -81,6 +110,10 @@
 			done <- proposalResult{err: errNotLeader}
 			return
 		}
+		if len(batch.evidence) == 0 {
+			done <- proposalResult{}
+			return
+		}
 		n.core.group.propose(now, &state.Command{At: now.Round(0).UTC(), Evidence: batch.evidence}, done)
 	})
 	if err != nil {
--- a/control/quarantined.go
+++ b/control/quarantined.go
@@ -16,19 +16,38 @@
 
 // QuarantineStatus is the response to CommandQuarantineList.
 type QuarantineStatus struct {
-	Records []quarantine.Record `json:"records"` // by the time of the last evidence, oldest first
+	Records []quarantine.Record     `json:"records"` // by the time of the last evidence, oldest first
+	Parts   quarantine.PartRegistry `json:"parts"`
 }
 
-// ReleaseRequest is the body of CommandQuarantineRelease.
+// ReleaseRequest is the body of CommandQuarantineRelease. It names a request or a part of prompts.
 type ReleaseRequest struct {
-	Request quarantine.Fingerprint `json:"request"`
+	Request quarantine.Fingerprint `json:"request,omitzero"`
+	Part    quarantine.Part        `json:"part,omitempty"`
+}
+
+// String returns what is released, in the form used in logs and operators' commands.
+func (r *ReleaseRequest) String() string {
+	if r.Part != 0 {
+		return r.Part.String()
+	}
+	return r.Request.String()
+}
+
+// evidence returns the evidence that releases it.
+func (r *ReleaseRequest) evidence() quarantine.Evidence {
+	e := quarantine.Evidence{Request: r.Request, Outcome: quarantine.Answered}
+	if r.Part != 0 {
+		e.Parts = []quarantine.Part{r.Part}
+	}
+	return e
 }
 
 // listQuarantine is the handler of CommandQuarantineList.
 func (n *Node) listQuarantine(ctx context.Context, _ []byte) ([]byte, error) {
 	var status QuarantineStatus
 	err := n.asLeader(ctx, func(_ time.Time, l *leader) {
-		status.Records = l.core.group.machine.QuarantineRecords()
+		status.Records, status.Parts = l.core.group.machine.QuarantineRecords(), l.core.group.machine.QuarantinedParts()
 	})
 	if err != nil {
 		return nil, err
@@ -37,7 +56,7 @@
 }
 
 // releaseQuarantined is the handler of CommandQuarantineRelease: an operator declares a
-// request harmless, and all evidence against it is removed.
+// request or a part of prompts harmless, and all evidence against it is removed.
 func (n *Node) releaseQuarantined(ctx context.Context, body []byte) ([]byte, error) {
 	request, err := decode[ReleaseRequest](body)
 	if err != nil {
@@ -46,16 +65,18 @@
 	var known bool
 	err = n.asLeader(ctx, func(_ time.Time, l *leader) {
 		for _, r := range l.core.group.machine.QuarantineRecords() {
-			known = known || r.Request == request.Request
+			known = known || request.Part == 0 && r.Request == request.Request
 		}
+		parts := l.core.group.machine.QuarantinedParts()
+		known = known || request.Part != 0 && parts.Known(request.Part)
 	})
 	if err != nil {
 		return nil, err
 	}
 	if !known {
-		return nil, verdict.Refuse(verdict.ReasonNotFound, 0, "there is no evidence against the request %s", request.Request)
+		return nil, verdict.Refuse(verdict.ReasonNotFound, 0, "there is no evidence against %s", request)
 	}
-	err = n.proposeEvidence(ctx, []quarantine.Evidence{{Request: request.Request, Outcome: quarantine.Answered}})
+	err = n.proposeEvidence(ctx, []quarantine.Evidence{request.evidence()})
 	if err != nil {
 		return nil, err
 	}
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -13,8 +13,9 @@
 const (
 	VersionEvidence   = 1
 	VersionEvacuation = 2
+	VersionParts      = 3 // evidence about parts of prompts
 	// LogVersion is the newest version that this build can read.
-	LogVersion = VersionEvacuation
+	LogVersion = VersionParts
 )
 
 // Command is the payload of one log entry. Exactly one of Apply, Issuer, Document, Evidence
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -64,6 +64,11 @@
 	return slices.Clone(m.content.Quarantine.Records)
 }
 
+// QuarantinedParts returns the evidence against parts of prompts.
+func (m *Machine) QuarantinedParts() quarantine.PartRegistry {
+	return m.content.Quarantine.Parts.Clone()
+}
+
 // Evacuated returns the evacuated availability zones, nil if there were never any.
 func (m *Machine) Evacuated() *evacuation.List { return m.content.Evacuated }
 
--- a/control/syncapply.go
+++ b/control/syncapply.go
@@ -147,7 +147,7 @@
 	}
 	c.quarantined = list
 	c.views.dirty()
-	eventQuarantine.Log(c.log, event.Fields{"requests": list.Size(), "version": list.Version()})
+	eventQuarantine.Log(c.log, event.Fields{"requests": list.Size(), "parts": list.GroupCount(), "version": list.Version()})
 }
 
 // logInstallFailed logs a revision that could not be installed; repeated attempts are not
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -61,6 +61,9 @@
 	}
 	if failed.Reason == verdict.ReasonQuarantined {
 		more["request"] = x.fingerprint.String()
+		if len(x.call.PromptParts) > 0 {
+			more["parts"] = formatParts(x.call.PromptParts)
+		}
 	}
 	if errors.Is(err, errDeclined) {
 		x.server.options.Metrics.transit(transitRefusedHere)
@@ -84,7 +87,7 @@
 }
 
 func (x *exchange) recordServed() {
-	x.server.fleet.suspects.recordServed(time.Now(), x.fingerprint)
+	x.server.fleet.suspects.recordServed(time.Now(), x.fingerprint, x.call.PromptParts)
 	x.end("served")
 	eventServed.Log(x.server.options.Log, x.fields(event.Fields{"status": http.StatusOK}))
 }
--- a/forward/events.go
+++ b/forward/events.go
@@ -34,7 +34,7 @@
 	eventUpstreamEnded = event.Define(7013, logrus.WarnLevel, "upstream ended",
 		"The process of an upstream ended while it had calls in flight. Fields: upstream, address, started and unanswered (fingerprints of the requests whose answer had just begun, and of those without any answer), answering (number of the others), parts (of the prompts of the started ones). A request or a part that appears in many of these lines may be the cause.")
 	eventEvidence = event.Define(7014, logrus.InfoLevel, "request suspected or cleared",
-		"An upstream ended while it had a request in flight, or answered a request that other upstreams had in flight when they ended. Requests that end several upstreams are quarantined (3035). Fields: request (fingerprint), outcome (ended-waiting, ended-started, answered), upstream (key of the incarnation).")
+		"An upstream ended while it had a request in flight, or answered a request that other upstreams had in flight when they ended. Requests that end several upstreams are quarantined (3035). Fields: request (fingerprint), parts (of its prompt; those that were not answered lately, or that are cleared), outcome (ended-waiting, ended-started, answered), upstream (key of the incarnation).")
 	eventRateNamed = event.Define(7015, logrus.InfoLevel, "upstream names a rate",
 		"An upstream names, or no longer names, how many requests per second it accepts from all instances together. Fields: upstream, address, rate (requests per second; absent: no longer named).")
 	eventRestAsked = event.Define(7016, logrus.InfoLevel, "upstream asks for rest",
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -195,5 +195,5 @@
 // quarantined reports whether the call's request is quarantined because it crashes the upstreams
 // that run it.
 func (x *exchange) quarantined() bool {
-	return x.server.fleet.suspects.rejects(time.Now(), x.fingerprint)
+	return x.server.fleet.suspects.rejects(time.Now(), x.fingerprint, x.call.PromptParts)
 }
--- a/forward/send.go
+++ b/forward/send.go
@@ -37,6 +37,8 @@
 	phase       phase
 	sentAt      time.Time
 	headAt      time.Time // when the head of the answer arrived
+	begunAt     time.Time // when the first event arrived
+	sound       bool      // the upstream has written the answer for longer than a request that crashes it would allow
 	lastEventAt time.Time // when the last event arrived, also one that the caller had already
 	clean       bool      // the connection can carry another call
 	idle        time.Duration
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -44,6 +44,11 @@
 		s.begun, s.phase = true, phaseAnswering
 		x.server.fleet.recordAnswering(s.work)
 		x.server.fleet.recordAnswer(s.node)
+		s.begunAt = s.lastEventAt
+	}
+	if !s.sound && s.lastEventAt.Sub(s.begunAt) >= lateCrashWindow {
+		s.sound = true
+		x.server.fleet.suspects.recordWriting(s.lastEventAt, x.call.PromptParts)
 	}
 	x.deliver(e)
 	if x.late() {
--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -22,16 +23,29 @@
 	Suspected: time.Minute,
 	Retention: time.Minute,
 	Records:   64,
+	Parts: quarantine.PartLimits{
+		Started:   quarantine.FleetLimits.Parts.Started,
+		Any:       quarantine.FleetLimits.Parts.Any,
+		Suspected: time.Minute,
+		Retention: time.Minute,
+		Records:   64,
+	},
 }
 
-// suspects tracks the requests that crash the upstreams which run them.
+// clearingInterval is the shortest time between two reports that clear parts of prompts.
+const clearingInterval = 100 * time.Millisecond
+
+// suspects tracks the requests and the parts of prompts that crash the upstreams which run them.
 type suspects struct {
 	options *Options
 
-	mu       sync.Mutex
-	local    quarantine.Registry
-	position uint64 // position in local
-	answered *quarantine.Recent
+	mu        sync.Mutex
+	local     quarantine.Registry
+	position  uint64 // position in local
+	answered  *quarantine.Recent
+	cleared   quarantine.RecentParts
+	clearedAt time.Time // when parts were reported as cleared last
+	checked   uint64    // version of the list that was last compared with cleared
 }
 
 func newSuspects(options *Options) *suspects {
@@ -42,32 +56,55 @@
 func (s *suspects) view() *control.View { return s.options.Plane.View() }
 
 // rejects reports whether a request must not be sent to any upstream.
-func (s *suspects) rejects(now time.Time, request quarantine.Fingerprint) bool {
-	if s.view().Quarantine.Contains(request) {
-		return true
-	}
+func (s *suspects) rejects(now time.Time, request quarantine.Fingerprint, parts []quarantine.Part) bool {
+	view := s.view()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.local.Records) == 0 {
+	if version := view.Quarantine.Version(); version != s.checked {
+		s.checked = version
+		s.withdrawCleared(now, view.Quarantine)
+	}
+	if view.Quarantine.Contains(request) || view.Quarantine.ContainsParts(parts) {
+		return true
+	}
+	if len(s.local.Records) == 0 && len(s.local.Parts.Records) == 0 {
 		return false
 	}
 	s.local.Expire(now, s.position, &localLimits)
-	return s.local.Quarantined(request)
+	// Parts are told apart by what all instances see; the evidence of one is used only without control.
+	return s.local.Quarantined(request) || !view.HasQuorum && s.local.List().ContainsParts(parts)
+}
+
+// withdrawCleared reports those blamed or watched parts that upstreams have answered recently. The lock
+// must be held.
+func (s *suspects) withdrawCleared(now time.Time, list *quarantine.List) {
+	cleared, _ := s.cleared.Split(now, list.Parts())
+	s.clear(now, cleared)
+}
+
+// clear reports that parts do not crash upstreams. The lock must be held.
+func (s *suspects) clear(now time.Time, parts []quarantine.Part) {
+	for len(parts) > 0 {
+		n := min(len(parts), quarantine.MaxParts)
+		s.report(now, quarantine.Evidence{Outcome: quarantine.Answered, Parts: parts[:n]})
+		parts = parts[n:]
+	}
 }
 
 // recordEnd records that an upstream ended while it had a request in flight. A request that an
-// upstream answered recently is not suspected.
-func (s *suspects) recordEnd(now time.Time, n *node, request quarantine.Fingerprint, outcome quarantine.Outcome) {
+// upstream answered recently is not suspected, and neither are parts of such requests.
+func (s *suspects) recordEnd(now time.Time, n *node, request quarantine.Fingerprint, parts []quarantine.Part, outcome quarantine.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.answered.Contains(request) {
 		return
 	}
-	s.report(now, quarantine.Evidence{Request: request, Outcome: outcome, Upstream: uint64(n.key)})
+	_, suspected := s.cleared.Split(now, parts)
+	s.report(now, quarantine.Evidence{Request: request, Outcome: outcome, Upstream: uint64(n.key), Parts: suspected})
 }
 
 // recordServed records that a request was answered completely.
-func (s *suspects) recordServed(now time.Time, request quarantine.Fingerprint) {
+func (s *suspects) recordServed(now time.Time, request quarantine.Fingerprint, parts []quarantine.Part) {
 	listed := s.view().Quarantine.Contains(request)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -75,6 +112,37 @@
 	if listed || s.local.Known(request) {
 		s.report(now, quarantine.Evidence{Request: request, Outcome: quarantine.Answered})
 	}
+	s.recordSound(now, parts)
+}
+
+// recordWriting records that an upstream has written the answer to a request for longer than one that
+// crashes it would allow.
+func (s *suspects) recordWriting(now time.Time, parts []quarantine.Part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordSound(now, parts)
+}
+
+// recordSound records that parts do not crash upstreams, and reports it if they are suspected. The lock
+// must be held.
+func (s *suspects) recordSound(now time.Time, parts []quarantine.Part) {
+	if len(parts) == 0 {
+		return
+	}
+	s.cleared.Add(now, parts)
+	if now.Sub(s.clearedAt) < clearingInterval {
+		return
+	}
+	known := s.view().Quarantine.SuspectedAmong(parts)
+	for _, p := range parts {
+		if s.local.Parts.Known(p) && !slices.Contains(known, p) {
+			known = append(known, p)
+		}
+	}
+	if len(known) > 0 {
+		s.clearedAt = now
+		s.clear(now, known)
+	}
 }
 
 // report counts evidence locally and reports it to control. The lock must be held.
@@ -83,7 +151,14 @@
 	s.local.Expire(now, s.position, &localLimits)
 	s.local.AddEvidence(now, s.position, &localLimits, []quarantine.Evidence{e})
 	s.options.Plane.ReportEvidence(e)
-	eventEvidence.Log(s.options.Log, event.Fields{"request": e.Request.String(), "outcome": e.Outcome.String(), "upstream": e.Upstream})
+	fields := event.Fields{"outcome": e.Outcome.String(), "upstream": e.Upstream}
+	if e.Request != (quarantine.Fingerprint{}) {
+		fields["request"] = e.Request.String()
+	}
+	if len(e.Parts) > 0 {
+		fields["parts"] = formatParts(e.Parts)
+	}
+	eventEvidence.Log(s.options.Log, fields)
 }
 
 // quarantineRetry is the Retry-After of a quarantined request. It is short compared with the
--- a/forward/suspects_test.go
+++ b/forward/suspects_test.go
@@ -43,7 +43,7 @@
 
 func recordCrashes(s *suspects, request quarantine.Fingerprint, times int) {
 	for n := range times {
-		s.recordEnd(began, &node{key: loadshare.Key(n + 1)}, request, quarantine.EndedStarted)
+		s.recordEnd(began, &node{key: loadshare.Key(n + 1)}, request, nil, quarantine.EndedStarted)
 	}
 }
 
@@ -52,14 +52,14 @@
 func TestLocalEvidenceRejectsUntilControlDecides(t *testing.T) {
 	s, plane := newTestSuspects()
 	recordCrashes(s, poisonRequest, 2)
-	if s.rejects(began, poisonRequest) {
+	if s.rejects(began, poisonRequest, nil) {
 		t.Error("rejected after two crashes")
 	}
 	recordCrashes(s, poisonRequest, 3)
-	if !s.rejects(began, poisonRequest) || len(plane.evidence) != 5 {
-		t.Errorf("rejected after three crashes: %t; %d reported", s.rejects(began, poisonRequest), len(plane.evidence))
+	if !s.rejects(began, poisonRequest, nil) || len(plane.evidence) != 5 {
+		t.Errorf("rejected after three crashes: %t; %d reported", s.rejects(began, poisonRequest, nil), len(plane.evidence))
 	}
-	if s.rejects(began.Add(localLimits.Retention), poisonRequest) {
+	if s.rejects(began.Add(localLimits.Retention), poisonRequest, nil) {
 		t.Error("rejected after the retention although control did not confirm the quarantine")
 	}
 }
@@ -68,9 +68,9 @@
 // while they had one in flight.
 func TestAnsweredRequestsAreNotBlamed(t *testing.T) {
 	s, plane := newTestSuspects()
-	s.recordServed(began, poisonRequest)
+	s.recordServed(began, poisonRequest, nil)
 	recordCrashes(s, poisonRequest, 9)
-	if s.rejects(began, poisonRequest) || len(plane.evidence) > 0 {
+	if s.rejects(began, poisonRequest, nil) || len(plane.evidence) > 0 {
 		t.Errorf("reported evidence: %+v", plane.evidence)
 	}
 }
@@ -79,17 +79,17 @@
 func TestAnswerIsReported(t *testing.T) {
 	s, plane := newTestSuspects()
 	recordCrashes(s, poisonRequest, 1)
-	s.recordServed(began, poisonRequest)
+	s.recordServed(began, poisonRequest, nil)
 	if last := plane.evidence[len(plane.evidence)-1]; last.Outcome != quarantine.Answered {
 		t.Errorf("reported last: %+v", last)
 	}
 	s, plane = newTestSuspects()
-	plane.view.Quarantine = quarantine.NewList(1, []quarantine.Fingerprint{poisonRequest})
-	s.recordServed(began, poisonRequest)
+	plane.view.Quarantine = quarantine.NewList(1, []quarantine.Fingerprint{poisonRequest}, nil, nil)
+	s.recordServed(began, poisonRequest, nil)
 	if len(plane.evidence) != 1 || plane.evidence[0].Outcome != quarantine.Answered {
 		t.Errorf("reported %+v", plane.evidence)
 	}
-	s.recordServed(began, quarantine.Fingerprint{Body: 8})
+	s.recordServed(began, quarantine.Fingerprint{Body: 8}, nil)
 	if len(plane.evidence) != 1 {
 		t.Error("the answer of a request that is not suspected was reported")
 	}
@@ -150,7 +150,7 @@
 	recordCrashes(s, poisonRequest, 2)
 	x.forwardFailure(&failureAnswer{status: http.StatusInternalServerError})
 	recordCrashes(s, poisonRequest, 3)
-	if !s.rejects(began, poisonRequest) {
+	if !s.rejects(began, poisonRequest, nil) {
 		t.Errorf("reported %+v", plane.evidence)
 	}
 }
--- a/forward/upstream_end.go
+++ b/forward/upstream_end.go
@@ -55,7 +55,7 @@
 	}
 	for i := range broken {
 		if outcome, suspected := broken[i].evidence(); suspected {
-			f.suspects.recordEnd(time.Now(), n, broken[i].request, outcome)
+			f.suspects.recordEnd(time.Now(), n, broken[i].request, broken[i].parts, outcome)
 		}
 	}
 }
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -1,11 +1,12 @@
 package quarantine
 
-// Evidence is one observation of an instance about a request. Applying the same
-// evidence twice has no further effect.
+// Evidence is one observation of an instance about a request and the parts of its prompt. Applying
+// the same evidence twice has no further effect.
 type Evidence struct {
-	Request  Fingerprint `json:"r"`
+	Request  Fingerprint `json:"r,omitzero"` // the zero value: about the parts only
 	Outcome  Outcome     `json:"o"`
 	Upstream uint64      `json:"u,omitempty"` // key of the incarnation that ended; 0 for Answered
+	Parts    []Part      `json:"p,omitempty"` // that other requests may share
 }
 
 // Outcome is how an upstream's handling of a request ended.
@@ -18,8 +19,9 @@
 	// EndedStarted means that the upstream ended after it had started to run
 	// the request.
 	EndedStarted
-	// Answered means that an upstream answered the request completely, or that
-	// an operator released it. It overrides all earlier evidence.
+	// Answered means that an upstream answered the request completely, that it wrote an answer to a
+	// request with the parts for longer than one that crashes it would allow, or that an operator
+	// released them. It overrides all earlier evidence.
 	Answered
 )
 
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -1,17 +1,22 @@
 package quarantine
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"slices"
+)
 
-// List is the set of quarantined requests at one version of a Registry. It is
-// immutable; nil is an empty list.
+// List is the set of quarantined requests, and of blamed and watched parts of prompts, at one version of a Registry. It
+// is immutable; nil is an empty list.
 type List struct {
 	version  uint64
 	requests map[Fingerprint]struct{}
+	groups   []PartGroup
+	watched  []Part
 }
 
-// NewList returns a list.
-func NewList(version uint64, requests []Fingerprint) *List {
-	l := &List{version: version, requests: make(map[Fingerprint]struct{}, len(requests))}
+// NewList returns a list. groups and watched must not be changed afterwards.
+func NewList(version uint64, requests []Fingerprint, groups []PartGroup, watched []Part) *List {
+	l := &List{version: version, requests: make(map[Fingerprint]struct{}, len(requests)), groups: groups, watched: watched}
 	for _, r := range requests {
 		l.requests[r] = struct{}{}
 	}
@@ -43,15 +48,57 @@
 	return found
 }
 
+// ContainsParts reports whether a prompt with these parts has all parts of a blamed group.
+func (l *List) ContainsParts(parts []Part) bool {
+	if l == nil || len(parts) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(l.groups, func(g PartGroup) bool {
+		return !slices.ContainsFunc(g, func(p Part) bool { return !slices.Contains(parts, p) })
+	})
+}
+
+// SuspectedAmong returns those of some parts that are blamed or watched.
+func (l *List) SuspectedAmong(parts []Part) []Part {
+	if l == nil || len(l.groups)+len(l.watched) == 0 {
+		return nil
+	}
+	var suspected []Part
+	for _, p := range parts {
+		if slices.Contains(l.watched, p) || slices.ContainsFunc(l.groups, func(g PartGroup) bool { return slices.Contains(g, p) }) {
+			suspected = append(suspected, p)
+		}
+	}
+	return suspected
+}
+
+// Parts returns all blamed and watched parts.
+func (l *List) Parts() []Part {
+	if l == nil {
+		return nil
+	}
+	return append(slices.Concat(l.groups...), l.watched...)
+}
+
+// GroupCount returns the number of blamed groups.
+func (l *List) GroupCount() int {
+	if l == nil {
+		return 0
+	}
+	return len(l.groups)
+}
+
 // listWire is the JSON form of a List.
 type listWire struct {
 	Version  uint64        `json:"version"`
 	Requests []Fingerprint `json:"requests,omitempty"`
+	Groups   []PartGroup   `json:"groups,omitempty"`
+	Watched  []Part        `json:"watched,omitempty"`
 }
 
 // MarshalJSON implements json.Marshaler.
 func (l *List) MarshalJSON() ([]byte, error) {
-	wire := listWire{Version: l.version}
+	wire := listWire{Version: l.version, Groups: l.groups, Watched: l.watched}
 	for r := range l.requests {
 		wire.Requests = append(wire.Requests, r)
 	}
@@ -64,6 +111,6 @@
 	if err := json.Unmarshal(data, &wire); err != nil {
 		return err
 	}
-	*l = *NewList(wire.Version, wire.Requests)
+	*l = *NewList(wire.Version, wire.Requests, wire.Groups, wire.Watched)
 	return nil
 }
--- /dev/null
+++ b/quarantine/part_record.go
@@ -0,0 +1,66 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// PartRecord is the evidence against one part of prompts.
+type PartRecord struct {
+	Part Part      `json:"part"`
+	Ends []PartEnd `json:"ends"` // oldest first, each incarnation once
+	At   time.Time `json:"at"`   // time of the last evidence
+}
+
+// PartEnd is the end of an upstream that had a request with the part.
+type PartEnd struct {
+	Upstream uint64    `json:"u"` // key of the incarnation
+	Started  bool      `json:"s,omitempty"`
+	At       time.Time `json:"at"`
+}
+
+// maxPartEnds bounds the ends listed in a record; the oldest are dropped.
+const maxPartEnds = 16
+
+// add adds an end. It does not change the array that earlier copies of the record share.
+func (r *PartRecord) add(end PartEnd) {
+	r.At = end.At
+	ends := slices.Clone(r.Ends)
+	if at := slices.IndexFunc(ends, func(e PartEnd) bool { return e.Upstream == end.Upstream }); at >= 0 {
+		ends[at].Started = ends[at].Started || end.Started
+		r.Ends = ends
+		return
+	}
+	ends = append(ends, end)
+	r.Ends = ends[max(0, len(ends)-maxPartEnds):]
+}
+
+// unexplained returns the incarnations that ended with the part and that are not explained yet: only
+// those that had started a request with it, or all.
+func (r *PartRecord) unexplained(explained map[uint64]bool, startedOnly bool) []PartEnd {
+	var left []PartEnd
+	for _, e := range r.Ends {
+		if !explained[e.Upstream] && (e.Started || !startedOnly) {
+			left = append(left, e)
+		}
+	}
+	return left
+}
+
+// incidentGap is the shortest time between two ends that count as separate incidents: upstreams that
+// lose their power together are noticed within less.
+const incidentGap = 250 * time.Millisecond
+
+// incidents returns how many separate incidents a list of ends shows. Upstreams that end together
+// usually have another cause than a request each.
+func incidents(ends []PartEnd) int {
+	count := 0
+	var last time.Time
+	for _, e := range ends {
+		if count == 0 || e.At.Sub(last) >= incidentGap {
+			count++
+			last = e.At
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/quarantine/part_registry.go
@@ -0,0 +1,179 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// PartLimits configure when parts of prompts are blamed for the ends of upstreams, and how long and
+// how many records a PartRegistry keeps.
+type PartLimits struct {
+	Started   int           // separate incidents in which an upstream ended after it had started a request with the part
+	Any       int           // separate incidents in which an upstream ended while it had such a request in any state
+	Suspected time.Duration // lifetime of the record of a part that is not blamed after the last evidence
+	Retention time.Duration // lifetime of the record of a blamed part after the last evidence
+	Records   int           // maximum number of records
+}
+
+// PartRegistry collects evidence about the parts of prompts that several requests share, and blames
+// those that crash the upstreams. A request that crashes an upstream casts suspicion on all its parts,
+// sound ones among them; they are told apart because an upstream that writes an answer for some time
+// without ending clears all parts of its request, and because a crash that is explained by a blamed
+// part is no evidence against others.
+type PartRegistry struct {
+	Records []PartRecord `json:"records,omitempty"` // ordered by the time of the last evidence, oldest first
+	Groups  []PartGroup  `json:"groups,omitempty"`  // blamed, sorted
+	Watched []Part       `json:"watched,omitempty"` // about to be blamed, sorted; instances report if they are answered
+}
+
+// PartGroup is a set of parts that the evidence does not tell apart: at least one of them crashes
+// upstreams. Only requests with all of them are rejected, so that those with some either clear these or
+// show which one it is.
+type PartGroup []Part
+
+const (
+	// maxPartGroups bounds the blamed groups.
+	maxPartGroups = 32
+	// maxWatched bounds the parts that are watched.
+	maxWatched = 32
+)
+
+// add adds one piece of evidence.
+func (reg *PartRegistry) add(now time.Time, e *Evidence) {
+	for _, part := range e.Parts[:min(MaxParts, len(e.Parts))] {
+		record := PartRecord{Part: part}
+		if at := reg.find(part); at >= 0 {
+			record = reg.Records[at]
+			reg.Records = slices.Delete(reg.Records, at, at+1)
+		}
+		if e.Outcome == Answered {
+			continue
+		}
+		record.add(PartEnd{Upstream: e.Upstream, Started: e.Outcome == EndedStarted, At: now})
+		reg.Records = append(reg.Records, record)
+	}
+}
+
+// Clone returns a copy that later evidence does not change.
+func (reg *PartRegistry) Clone() PartRegistry {
+	return PartRegistry{Records: slices.Clone(reg.Records), Groups: reg.Groups, Watched: reg.Watched}
+}
+
+func (reg *PartRegistry) find(part Part) int {
+	return slices.IndexFunc(reg.Records, func(r PartRecord) bool { return r.Part == part })
+}
+
+// Known reports whether there is evidence against a part.
+func (reg *PartRegistry) Known(part Part) bool { return reg.find(part) >= 0 }
+
+// Blamed reports whether a part is in a blamed group.
+func (reg *PartRegistry) Blamed(part Part) bool {
+	return slices.ContainsFunc(reg.Groups, func(g PartGroup) bool { return slices.Contains(g, part) })
+}
+
+// decide blames parts in order of decreasing evidence, and reports whether that changed anything.
+func (reg *PartRegistry) decide(limits *PartLimits) bool {
+	var groups []PartGroup
+	explained := map[uint64]bool{}
+	for len(groups) < maxPartGroups {
+		strongest, ends, startedOnly := reg.strongest(explained, limits)
+		if strongest == nil {
+			break
+		}
+		groups = append(groups, reg.inseparable(strongest, ends, startedOnly))
+		for _, e := range strongest.Ends {
+			explained[e.Upstream] = true
+		}
+	}
+	slices.SortFunc(groups, func(a, b PartGroup) int { return slices.Compare(a, b) })
+	changed := !slices.EqualFunc(groups, reg.Groups, func(a, b PartGroup) bool { return slices.Equal(a, b) })
+	reg.Groups = groups
+	watched := reg.almostBlamed(explained, limits)
+	changed = changed || !slices.Equal(watched, reg.Watched)
+	reg.Watched = watched
+	return changed
+}
+
+// almostBlamed returns the parts that one more incident may blame, those with the newest evidence.
+func (reg *PartRegistry) almostBlamed(explained map[uint64]bool, limits *PartLimits) []Part {
+	var watched []Part
+	for i := len(reg.Records) - 1; i >= 0 && len(watched) < maxWatched; i-- {
+		r := &reg.Records[i]
+		if !reg.Blamed(r.Part) &&
+			(incidents(r.unexplained(explained, true)) >= limits.Started-1 || incidents(r.unexplained(explained, false)) >= limits.Any-1) {
+			watched = append(watched, r.Part)
+		}
+	}
+	slices.Sort(watched)
+	return watched
+}
+
+// strongest returns the record with the most unexplained evidence that suffices to blame its part, nil
+// if none does, and that evidence: ends after a start if these suffice, otherwise all.
+func (reg *PartRegistry) strongest(explained map[uint64]bool, limits *PartLimits) (record *PartRecord, ends []PartEnd, startedOnly bool) {
+	for i := range reg.Records {
+		r := &reg.Records[i]
+		own := r.unexplained(explained, true)
+		started := incidents(own) >= limits.Started
+		if !started {
+			if own = r.unexplained(explained, false); incidents(own) < limits.Any {
+				continue
+			}
+		}
+		if record == nil || started && !startedOnly || started == startedOnly &&
+			cmp.Or(cmp.Compare(len(own), len(ends)), cmp.Compare(record.Part, r.Part)) > 0 {
+			record, ends, startedOnly = r, own, started
+		}
+	}
+	return record, ends, startedOnly
+}
+
+// inseparable returns the group of a part: with it all parts that nearly all upstreams which ended with
+// it had as well.
+func (reg *PartRegistry) inseparable(strongest *PartRecord, ends []PartEnd, startedOnly bool) PartGroup {
+	allowed := len(ends) / separatingShare
+	group := PartGroup{strongest.Part}
+	for i := range reg.Records {
+		r := &reg.Records[i]
+		if r.Part == strongest.Part {
+			continue
+		}
+		missing := 0
+		for _, e := range ends {
+			if !slices.ContainsFunc(r.Ends, func(own PartEnd) bool { return own.Upstream == e.Upstream && (own.Started || !startedOnly) }) {
+				missing++
+			}
+		}
+		if missing <= allowed {
+			group = append(group, r.Part)
+		}
+	}
+	slices.Sort(group)
+	return group
+}
+
+// separatingShare is the inverse of the share of ends that a part may lack and still not be told apart
+// from another: an upstream may have ended for another reason, or with a request that only ran beside.
+const separatingShare = 4
+
+// expire removes the records of parts without recent evidence, and reports whether there were any.
+func (reg *PartRegistry) expire(now time.Time, limits *PartLimits) bool {
+	before := len(reg.Records)
+	reg.Records = slices.DeleteFunc(reg.Records, func(r PartRecord) bool {
+		lifetime := limits.Suspected
+		if reg.Blamed(r.Part) {
+			lifetime = limits.Retention
+		}
+		return now.Sub(r.At) >= lifetime
+	})
+	return len(reg.Records) < before
+}
+
+// evictExcess evicts the oldest records above the limit, those of parts that are not blamed first.
+func (reg *PartRegistry) evictExcess(limits *PartLimits) {
+	for len(reg.Records) > limits.Records {
+		at := max(0, slices.IndexFunc(reg.Records, func(r PartRecord) bool { return !reg.Blamed(r.Part) }))
+		reg.Records = slices.Delete(reg.Records, at, at+1)
+	}
+}
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -14,6 +14,7 @@
 	Suspected time.Duration // lifetime of a suspected request's record after the last evidence
 	Retention time.Duration // lifetime of a quarantined request's record after the last evidence
 	Records   int           // maximum number of records
+	Parts     PartLimits
 }
 
 // FleetLimits apply to the combined evidence of all instances.
@@ -23,6 +24,13 @@
 	Suspected: 10 * time.Minute,
 	Retention: time.Hour,
 	Records:   1024,
+	Parts: PartLimits{
+		Started:   3,
+		Any:       5,
+		Suspected: 10 * time.Minute,
+		Retention: time.Hour,
+		Records:   256,
+	},
 }
 
 // Registry collects evidence and decides which requests are quarantined. Two
@@ -30,7 +38,9 @@
 // not safe for concurrent use.
 type Registry struct {
 	Records []Record `json:"records,omitempty"` // ordered by the time of the last evidence, oldest first
-	Version uint64   `json:"version,omitempty"` // position of the last change of the quarantined requests
+	Version uint64   `json:"version,omitempty"` // position of the last change of the quarantined requests, blamed or watched parts
+
+	Parts PartRegistry `json:"parts,omitzero"`
 
 	removed bool // a quarantined request was removed since the last decision
 }
@@ -48,9 +58,13 @@
 // the registry.
 func (reg *Registry) AddEvidence(now time.Time, position uint64, limits *Limits, evidence []Evidence) {
 	for i := range evidence {
-		reg.apply(now, &evidence[i])
+		if evidence[i].Request != (Fingerprint{}) {
+			reg.apply(now, &evidence[i])
+		}
+		reg.Parts.add(now, &evidence[i])
 	}
 	reg.evictExcess(limits)
+	reg.Parts.evictExcess(&limits.Parts)
 	reg.decide(position, limits)
 }
 
@@ -103,7 +117,7 @@
 		return cmp.Or(cmp.Compare(len(b.Started), len(a.Started)), cmp.Compare(b.upstreamCount(), a.upstreamCount()))
 	})
 	explained := map[uint64]bool{}
-	changed := reg.removed
+	changed := reg.Parts.decide(&limits.Parts) || reg.removed
 	reg.removed = false
 	for _, r := range order {
 		unexplained := 0
@@ -138,7 +152,7 @@
 		reg.removed = reg.removed || expired && r.Quarantined
 		return expired
 	})
-	if len(reg.Records) < before {
+	if reg.Parts.expire(now, &limits.Parts) || len(reg.Records) < before {
 		reg.decide(position, limits)
 	}
 }
@@ -162,7 +176,7 @@
 // Known reports whether there is evidence against a request.
 func (reg *Registry) Known(request Fingerprint) bool { return reg.find(request) >= 0 }
 
-// List returns the quarantined requests.
+// List returns the quarantined requests and the blamed parts.
 func (reg *Registry) List() *List {
 	var requests []Fingerprint
 	for i := range reg.Records {
@@ -170,7 +184,7 @@
 			requests = append(requests, reg.Records[i].Request)
 		}
 	}
-	return NewList(reg.Version, requests)
+	return NewList(reg.Version, requests, reg.Parts.Groups, reg.Parts.Watched)
 }
 
 func (reg *Registry) find(request Fingerprint) int {
--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -139,7 +139,7 @@
 }
 
 func TestListIsDecodedAsEncoded(t *testing.T) {
-	want := NewList(9, []Fingerprint{request(1), request(2)})
+	want := NewList(9, []Fingerprint{request(1), request(2)}, []PartGroup{{3, 4}}, []Part{5})
 	data, err := json.Marshal(want)
 	if err != nil {
 		t.Fatal(err)
