Blame a part whose crashes came in one burst once one more follows

Requests that come within a quarter of a second of each other can end five or more engines in one incident. Five ends in two incidents suffice. Parts that one more incident may blame are watched, so an answer with them anywhere clears them first.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -180,6 +180,7 @@
 		x.server.fleet.paths.Await(x.service.Name)
 	}
 	x.awaitEndCheck(ctx, result)
+	x.awaitDecision(ctx, result)
 	result.pathLost = x.lostOnPath(ctx, result)
 	x.recordRejection(w, result)
 	if !result.otherAtFault {
--- a/forward/repeat.go
+++ b/forward/repeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"celeryport/clock"
 	"celeryport/paths"
 	"celeryport/resend"
 	"celeryport/settings"
@@ -26,6 +27,28 @@
 	}
 }
 
+// decisionWait bounds how long a call waits until control has decided on the parts of its prompt: the
+// delays of collecting evidence and some round trips.
+const decisionWait = 250 * time.Millisecond
+
+// awaitDecision waits for the decision on a prompt with a part that is about to be blamed, if the
+// upstream ended when it had just begun to run the call. Otherwise the call would reach one more
+// upstream before the evidence of this one counts.
+func (x *exchange) awaitDecision(ctx context.Context, o *outcome) {
+	if o.checked == nil {
+		return
+	}
+	until := time.Now().Add(decisionWait)
+	for x.server.fleet.suspects.undecided(time.Now(), x.call.PromptParts) && time.Now().Before(until) {
+		if !clock.Pause(ctx, decisionPollInterval) {
+			return
+		}
+	}
+}
+
+// decisionPollInterval is how often awaitDecision looks for a decision.
+const decisionPollInterval = 10 * time.Millisecond
+
 // lostOnPath reports whether the answer was lost with this instance's paths to the upstreams. If the
 // call could not be sent again otherwise, it waits until that is known.
 func (x *exchange) lostOnPath(ctx context.Context, o *outcome) bool {
--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -25,6 +25,7 @@
 	Records:   64,
 	Parts: quarantine.PartLimits{
 		Started:   quarantine.FleetLimits.Parts.Started,
+		Ends:      quarantine.FleetLimits.Parts.Ends,
 		Any:       quarantine.FleetLimits.Parts.Any,
 		Suspected: time.Minute,
 		Retention: time.Minute,
@@ -75,6 +76,22 @@
 	return s.local.Quarantined(request) || !view.HasQuorum && s.local.List().ContainsParts(parts)
 }
 
+// undecided reports whether a part of a prompt is about to be blamed and has not been answered lately.
+func (s *suspects) undecided(now time.Time, parts []quarantine.Part) bool {
+	list := s.view().Quarantine
+	if list.ContainsParts(parts) {
+		return false
+	}
+	watched := list.SuspectedAmong(parts)
+	if len(watched) == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, suspected := s.cleared.Split(now, watched)
+	return len(suspected) > 0
+}
+
 // withdrawCleared reports those blamed or watched parts that upstreams have answered recently. The lock
 // must be held.
 func (s *suspects) withdrawCleared(now time.Time, list *quarantine.List) {
--- a/quarantine/part_registry.go
+++ b/quarantine/part_registry.go
@@ -10,6 +10,7 @@
 // how many records a PartRegistry keeps.
 type PartLimits struct {
 	Started   int           // separate incidents in which an upstream ended after it had started a request with the part
+	Ends      int           // upstreams that ended so in at least two incidents
 	Any       int           // separate incidents in which an upstream ended while it had such a request in any state
 	Suspected time.Duration // lifetime of the record of a part that is not blamed after the last evidence
 	Retention time.Duration // lifetime of the record of a blamed part after the last evidence
@@ -86,8 +87,8 @@
 			explained[e.Upstream] = true
 		}
 	}
-	slices.SortFunc(groups, func(a, b PartGroup) int { return slices.Compare(a, b) })
-	changed := !slices.EqualFunc(groups, reg.Groups, func(a, b PartGroup) bool { return slices.Equal(a, b) })
+	slices.SortFunc(groups, slices.Compare)
+	changed := !slices.EqualFunc(groups, reg.Groups, slices.Equal)
 	reg.Groups = groups
 	watched := reg.almostBlamed(explained, limits)
 	changed = changed || !slices.Equal(watched, reg.Watched)
@@ -95,13 +96,21 @@
 	return changed
 }
 
+// startedSuffice reports whether a number of incidents and of ends after a start suffice to blame a part.
+func (l *PartLimits) startedSuffice(incidents, ends int) bool {
+	return incidents >= l.Started || incidents >= 2 && ends >= l.Ends
+}
+
+// oneMore returns the numbers of incidents and of ends after one more incident.
+func oneMore(ends []PartEnd) (int, int) { return incidents(ends) + 1, len(ends) + 1 }
+
 // almostBlamed returns the parts that one more incident may blame, those with the newest evidence.
 func (reg *PartRegistry) almostBlamed(explained map[uint64]bool, limits *PartLimits) []Part {
 	var watched []Part
 	for i := len(reg.Records) - 1; i >= 0 && len(watched) < maxWatched; i-- {
 		r := &reg.Records[i]
 		if !reg.Blamed(r.Part) &&
-			(incidents(r.unexplained(explained, true)) >= limits.Started-1 || incidents(r.unexplained(explained, false)) >= limits.Any-1) {
+			(limits.startedSuffice(oneMore(r.unexplained(explained, true))) || incidents(r.unexplained(explained, false)) >= limits.Any-1) {
 			watched = append(watched, r.Part)
 		}
 	}
@@ -115,7 +124,7 @@
 	for i := range reg.Records {
 		r := &reg.Records[i]
 		own := r.unexplained(explained, true)
-		started := incidents(own) >= limits.Started
+		started := limits.startedSuffice(incidents(own), len(own))
 		if !started {
 			if own = r.unexplained(explained, false); incidents(own) < limits.Any {
 				continue
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -26,6 +26,7 @@
 	Records:   1024,
 	Parts: PartLimits{
 		Started:   3,
+		Ends:      5,
 		Any:       5,
 		Suspected: 10 * time.Minute,
 		Retention: time.Hour,
