Do not take the end of a crashed engine's connection for the end of its answer

Callers got a part of an answer with 200 where an engine that answers with neither a length nor chunks crashed: the kernel closes its connections as the process itself would.

After such an answer the instance looks whether the upstream still accepts connections (10 ms later, one connection), as it does after sends that break; if not, and no stop was announced, the answer was broken off.

--- a/forward/send.go
+++ b/forward/send.go
@@ -126,7 +126,7 @@
 	if head.Status >= http.StatusOK && head.Status < http.StatusMultipleChoices {
 		return s.handleSuccess(ctx, head, answer)
 	}
-	return s.handleRejection(head, answer)
+	return s.handleRejection(ctx, head, answer)
 }
 
 // hung reports whether the upstream should have begun its answer long ago, although it may still
@@ -224,8 +224,11 @@
 }
 
 // handleRejection handles an answer whose status is not a success.
-func (s *sending) handleRejection(head *httpwire.ResponseHead, answer Answer) *outcome {
+func (s *sending) handleRejection(ctx context.Context, head *httpwire.ResponseHead, answer Answer) *outcome {
 	body, err := s.readAll(head)
+	if err == nil && !answer.NotRun && !answer.WrongIncarnation {
+		err = s.verifyEnd(ctx, head)
+	}
 	if err == nil {
 		s.finish(head, answer)
 	}
@@ -279,13 +282,16 @@
 		return &outcome{verdict: verdict.MayHaveRun, err: errNotGenuine, reached: true}
 	}
 	if s.x.route.Stream {
-		return s.stream(head, answer)
+		return s.stream(ctx, head, answer)
 	}
 	held := s.x.server.answers.Hold()
 	defer held.Release()
 	ctx, cancel := context.WithDeadline(ctx, s.x.deadline)
 	defer cancel()
 	body, err := httpwire.NewBody(s.conn.reader, head.Body).ReadAllReserving(maxWholeAnswerBytes, awaitRoom(ctx, held))
+	if err == nil {
+		err = s.verifyEnd(ctx, head)
+	}
 	if err != nil {
 		return s.brokenOutcome(err)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -15,12 +16,15 @@
 
 // stream forwards the events of an answer to the caller as they arrive. Only whole events are
 // forwarded, so that another upstream can resume after the last one when this upstream fails.
-func (s *sending) stream(head *httpwire.ResponseHead, answer Answer) *outcome {
+func (s *sending) stream(ctx context.Context, head *httpwire.ResponseHead, answer Answer) *outcome {
 	body := httpwire.NewBody(s.conn.reader, head.Body)
 	events := httpwire.NewEventReader(body, maxEventBytes)
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && body.Complete() {
+			if err := s.verifyEnd(ctx, head); err != nil {
+				return s.brokenOutcome(err)
+			}
 			return s.streamEnded(head, answer)
 		}
 		if err != nil {
