Decide on a burst of crashes without waiting for one more

Five ends in one incident now suffice if no answer at any instance clears the part within a second; the leader commits an entry without evidence then, since no more may come.

A test on real voters covers the entry.

--- a/control/evidence_batch.go
+++ b/control/evidence_batch.go
@@ -6,6 +6,7 @@
 
 	"celeryport/clock"
 	"celeryport/control/state"
+	"celeryport/event"
 	"celeryport/membership"
 	"celeryport/quarantine"
 	"celeryport/verdict"
@@ -123,6 +124,30 @@
 	defer cancel()
 	_, batch.err = n.awaitProposal(ctx, done)
 	close(batch.done)
+	n.settleEvidence(l)
+}
+
+// settleEvidence commits an entry without evidence after the settling time if parts of prompts may be
+// blamed by then.
+func (n *Node) settleEvidence(l *leader) {
+	unsettled := false
+	err := n.do(context.Background(), func(time.Time) {
+		unsettled = n.core.leader == l && !l.settling && n.core.group.machine.QuarantineUnsettled()
+		l.settling = l.settling || unsettled
+	})
+	if err != nil || !unsettled {
+		return // the node has stopped, this voter no longer leads, or nothing is left to decide
+	}
+	clock.Pause(context.Background(), quarantine.FleetLimits.Parts.Settling)
+	err = n.do(context.Background(), func(time.Time) { l.settling = false })
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), evidenceTimeout)
+		defer cancel()
+		err = n.proposeEvidence(ctx, []quarantine.Evidence{{}})
+	}
+	if err != nil {
+		eventEvidenceUndelivered.Log(n.log, event.Fields{"error": err, "waiting": 0})
+	}
 }
 
 // votersSupport reports whether all live voters can read log entries of a version.
--- a/control/evidence_test.go
+++ b/control/evidence_test.go
@@ -233,3 +233,60 @@
 		t.Errorf("released again: %v", err)
 	}
 }
+
+const poisonPart, soundPart = quarantine.Part(7), quarantine.Part(8)
+
+// reportPartCrashes reports, through the given instances in turn, ends of upstreams under prompts with
+// both parts.
+func (f *fleet) reportPartCrashes(at []*testNode, upstreams ...uint64) {
+	f.t.Helper()
+	for n, u := range upstreams {
+		at[n%len(at)].node.ReportEvidence(quarantine.Evidence{
+			Request: quarantine.Fingerprint{Scope: 1, Body: u}, Outcome: quarantine.EndedStarted, Upstream: u,
+			Parts: []quarantine.Part{poisonPart, soundPart},
+		})
+	}
+}
+
+func (f *fleet) awaitParts(at []*testNode, rejected bool, parts ...quarantine.Part) {
+	f.t.Helper()
+	for _, m := range at {
+		f.await("the decision on parts", func() bool { return m.node.View().Quarantine.ContainsParts(parts) == rejected })
+	}
+}
+
+// Guards against parts that stay undecided because all crashes came at once and no further evidence
+// follows, and against a sound part that stays blamed after an answer anywhere.
+func TestPartsAreBlamedWithoutFurtherEvidence(t *testing.T) {
+	t.Parallel()
+	f := newAttachingFleet(t, 3, 3)
+	f.awaitInstalled(f.apply(0, "a", testTree(1)).Revision)
+	f.reportPartCrashes(f.members[3:], 1, 2, 3, 4, 5)
+	f.awaitParts(f.members[3:], true, poisonPart, soundPart)
+	f.awaitParts(f.members[3:], false, soundPart)
+	f.members[4].node.ReportEvidence(quarantine.Evidence{Outcome: quarantine.Answered, Parts: []quarantine.Part{soundPart}})
+	f.awaitParts(f.members[3:], true, poisonPart)
+}
+
+// Guards against voters of an earlier build that would keep no record of parts, and so disagree with the
+// others after a change of the leader.
+func TestEvidenceBesideAnOldVoterNamesNoParts(t *testing.T) {
+	about := []quarantine.Evidence{
+		{Request: poison, Outcome: quarantine.EndedStarted, Upstream: 1, Parts: []quarantine.Part{poisonPart}},
+		{Outcome: quarantine.Answered, Parts: []quarantine.Part{soundPart}},
+	}
+	if got := withoutParts(about); len(got) != 1 || got[0].Request != poison || got[0].Parts != nil || about[0].Parts == nil {
+		t.Errorf("%+v", got)
+	}
+	batch := &evidenceBatch{}
+	for range 2 * maxBatchedParts / quarantine.MaxParts {
+		batch.add([]quarantine.Evidence{{Request: poison, Outcome: quarantine.EndedStarted, Parts: make([]quarantine.Part, quarantine.MaxParts)}})
+	}
+	parts := 0
+	for i := range batch.evidence {
+		parts += len(batch.evidence[i].Parts)
+	}
+	if parts != maxBatchedParts || len(batch.evidence) != 2*maxBatchedParts/quarantine.MaxParts {
+		t.Errorf("%d parts in %d pieces of evidence", parts, len(batch.evidence))
+	}
+}
--- a/control/leader.go
+++ b/control/leader.go
@@ -28,6 +28,7 @@
 	since           time.Time      // when this leader began to lead
 	healAt          time.Time      // when to check the voters next
 	evidence        *evidenceBatch // batch being collected, nil if none
+	settling        bool           // a later entry is due that decides without new evidence
 }
 
 // poll is a sync whose response is held until there is a change.
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -69,6 +69,11 @@
 	return m.content.Quarantine.Parts.Clone()
 }
 
+// QuarantineUnsettled reports whether a later command may blame parts of prompts without new evidence.
+func (m *Machine) QuarantineUnsettled() bool {
+	return m.content.Quarantine.Parts.Unsettled(&quarantine.FleetLimits.Parts)
+}
+
 // Evacuated returns the evacuated availability zones, nil if there were never any.
 func (m *Machine) Evacuated() *evacuation.List { return m.content.Evacuated }
 
--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -26,6 +26,7 @@
 	Parts: quarantine.PartLimits{
 		Started:   quarantine.FleetLimits.Parts.Started,
 		Ends:      quarantine.FleetLimits.Parts.Ends,
+		Settling:  quarantine.FleetLimits.Parts.Settling,
 		Any:       quarantine.FleetLimits.Parts.Any,
 		Suspected: time.Minute,
 		Retention: time.Minute,
--- a/quarantine/part_registry.go
+++ b/quarantine/part_registry.go
@@ -10,7 +10,8 @@
 // how many records a PartRegistry keeps.
 type PartLimits struct {
 	Started   int           // separate incidents in which an upstream ended after it had started a request with the part
-	Ends      int           // upstreams that ended so in at least two incidents
+	Ends      int           // upstreams that ended so, in two incidents or longer than Settling ago
+	Settling  time.Duration // time for answers anywhere to clear a part after upstreams ended in one incident
 	Any       int           // separate incidents in which an upstream ended while it had such a request in any state
 	Suspected time.Duration // lifetime of the record of a part that is not blamed after the last evidence
 	Retention time.Duration // lifetime of the record of a blamed part after the last evidence
@@ -74,11 +75,11 @@
 }
 
 // decide blames parts in order of decreasing evidence, and reports whether that changed anything.
-func (reg *PartRegistry) decide(limits *PartLimits) bool {
+func (reg *PartRegistry) decide(now time.Time, limits *PartLimits) bool {
 	var groups []PartGroup
 	explained := map[uint64]bool{}
 	for len(groups) < maxPartGroups {
-		strongest, ends, startedOnly := reg.strongest(explained, limits)
+		strongest, ends, startedOnly := reg.strongest(now, explained, limits)
 		if strongest == nil {
 			break
 		}
@@ -96,13 +97,24 @@
 	return changed
 }
 
-// startedSuffice reports whether a number of incidents and of ends after a start suffice to blame a part.
-func (l *PartLimits) startedSuffice(incidents, ends int) bool {
-	return incidents >= l.Started || incidents >= 2 && ends >= l.Ends
+// startedSuffice reports whether ends after a start suffice to blame a part.
+func (l *PartLimits) startedSuffice(now time.Time, ends []PartEnd) bool {
+	count := incidents(ends)
+	return count >= l.Started || len(ends) >= l.Ends && (count >= 2 || now.Sub(ends[0].At) >= l.Settling)
 }
 
-// oneMore returns the numbers of incidents and of ends after one more incident.
-func oneMore(ends []PartEnd) (int, int) { return incidents(ends) + 1, len(ends) + 1 }
+// startedAlmostSuffice reports whether one more incident, or some more time, makes them suffice.
+func (l *PartLimits) startedAlmostSuffice(ends []PartEnd) bool {
+	return incidents(ends) >= l.Started-1 || len(ends) >= l.Ends-1
+}
+
+// Unsettled reports whether parts are watched that time alone may blame.
+func (reg *PartRegistry) Unsettled(limits *PartLimits) bool {
+	return slices.ContainsFunc(reg.Watched, func(p Part) bool {
+		at := reg.find(p)
+		return at >= 0 && len(reg.Records[at].unexplained(nil, true)) >= limits.Ends
+	})
+}
 
 // almostBlamed returns the parts that one more incident may blame, those with the newest evidence.
 func (reg *PartRegistry) almostBlamed(explained map[uint64]bool, limits *PartLimits) []Part {
@@ -110,7 +122,7 @@
 	for i := len(reg.Records) - 1; i >= 0 && len(watched) < maxWatched; i-- {
 		r := &reg.Records[i]
 		if !reg.Blamed(r.Part) &&
-			(limits.startedSuffice(oneMore(r.unexplained(explained, true))) || incidents(r.unexplained(explained, false)) >= limits.Any-1) {
+			(limits.startedAlmostSuffice(r.unexplained(explained, true)) || incidents(r.unexplained(explained, false)) >= limits.Any-1) {
 			watched = append(watched, r.Part)
 		}
 	}
@@ -120,11 +132,11 @@
 
 // strongest returns the record with the most unexplained evidence that suffices to blame its part, nil
 // if none does, and that evidence: ends after a start if these suffice, otherwise all.
-func (reg *PartRegistry) strongest(explained map[uint64]bool, limits *PartLimits) (record *PartRecord, ends []PartEnd, startedOnly bool) {
+func (reg *PartRegistry) strongest(now time.Time, explained map[uint64]bool, limits *PartLimits) (record *PartRecord, ends []PartEnd, startedOnly bool) {
 	for i := range reg.Records {
 		r := &reg.Records[i]
 		own := r.unexplained(explained, true)
-		started := limits.startedSuffice(incidents(own), len(own))
+		started := limits.startedSuffice(now, own)
 		if !started {
 			if own = r.unexplained(explained, false); incidents(own) < limits.Any {
 				continue
--- a/quarantine/part_registry_test.go
+++ b/quarantine/part_registry_test.go
@@ -102,7 +102,8 @@
 	}
 }
 
-// Guards against blaming what many requests share when several upstreams lose their power together.
+// Guards against blaming what many requests share when several upstreams lose their power together:
+// answers have to have the time to clear it.
 func TestUpstreamsThatEndTogetherAreOneIncident(t *testing.T) {
 	r := newEvidenceRun()
 	for n := range 9 {
@@ -112,23 +113,43 @@
 	if len(r.Parts.Groups) > 0 || r.List().ContainsParts([]Part{1}) {
 		t.Errorf("blamed %v", r.Parts.Groups)
 	}
+	if !r.Parts.Unsettled(&FleetLimits.Parts) || len(r.List().SuspectedAmong([]Part{1})) == 0 {
+		t.Error("no instance is told to report answers, or no later decision is due")
+	}
+	r.answered(1)
+	r.now = r.now.Add(FleetLimits.Parts.Settling)
+	r.add(Evidence{})
+	if r.Parts.Unsettled(&FleetLimits.Parts) || len(r.Parts.Groups) > 0 {
+		t.Errorf("blamed %v although it was answered", r.Parts.Groups)
+	}
 }
 
-// Guards against lethal requests that come so fast that all their crashes are one incident: they would
-// be taken for upstreams that end together after a pause, too.
-func TestCrashesInABurstCountOnceTheyGoOn(t *testing.T) {
-	r := newEvidenceRun()
-	for n := range 5 {
-		r.add(Evidence{Outcome: EndedStarted, Upstream: uint64(100 + n), Parts: []Part{1}})
-		r.now = r.now.Add(20 * time.Millisecond)
-	}
-	if !reflect.DeepEqual(r.Parts.Watched, []Part{1}) {
-		t.Errorf("watched %v after five crashes at once", r.Parts.Watched)
+// Guards against lethal requests that come so fast that all their crashes are one incident, which looks
+// like upstreams that lose their power together.
+func TestCrashesInABurstCountOnceTheyGoOnOrNoAnswerComes(t *testing.T) {
+	burst := func() *evidenceRun {
+		r := newEvidenceRun()
+		for n := range 5 {
+			r.add(Evidence{Outcome: EndedStarted, Upstream: uint64(100 + n), Parts: []Part{1}})
+			r.now = r.now.Add(20 * time.Millisecond)
+		}
+		if len(r.Parts.Groups) > 0 || !reflect.DeepEqual(r.Parts.Watched, []Part{1}) {
+			t.Errorf("blamed %v and watched %v after five crashes at once", r.Parts.Groups, r.Parts.Watched)
+		}
+		return r
 	}
-	r.incident([]Part{1})
+	r := burst()
+	r.now = r.now.Add(incidentGap)
+	r.add(Evidence{Outcome: EndedStarted, Upstream: 200, Parts: []Part{1}})
 	if !reflect.DeepEqual(r.Parts.Groups, []PartGroup{{1}}) {
 		t.Errorf("blamed %v after one more", r.Parts.Groups)
 	}
+	r = burst()
+	r.now = r.now.Add(FleetLimits.Parts.Settling)
+	r.add(Evidence{})
+	if !reflect.DeepEqual(r.Parts.Groups, []PartGroup{{1}}) {
+		t.Errorf("blamed %v although no answer came", r.Parts.Groups)
+	}
 }
 
 // Guards against a sound part that is blamed although others answer it: they have to know of it before
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -27,6 +27,7 @@
 	Parts: PartLimits{
 		Started:   3,
 		Ends:      5,
+		Settling:  time.Second,
 		Any:       5,
 		Suspected: 10 * time.Minute,
 		Retention: time.Hour,
@@ -66,7 +67,7 @@
 	}
 	reg.evictExcess(limits)
 	reg.Parts.evictExcess(&limits.Parts)
-	reg.decide(position, limits)
+	reg.decide(now, position, limits)
 }
 
 func (reg *Registry) apply(now time.Time, e *Evidence) {
@@ -109,7 +110,7 @@
 // the other requests on that upstream, and counts only towards their Any limit:
 // when crashes are frequent, innocent requests that run beside the causes are hit
 // several times.
-func (reg *Registry) decide(position uint64, limits *Limits) {
+func (reg *Registry) decide(now time.Time, position uint64, limits *Limits) {
 	order := make([]*Record, len(reg.Records))
 	for i := range reg.Records {
 		order[i] = &reg.Records[i]
@@ -118,7 +119,7 @@
 		return cmp.Or(cmp.Compare(len(b.Started), len(a.Started)), cmp.Compare(b.upstreamCount(), a.upstreamCount()))
 	})
 	explained := map[uint64]bool{}
-	changed := reg.Parts.decide(&limits.Parts) || reg.removed
+	changed := reg.Parts.decide(now, &limits.Parts) || reg.removed
 	reg.removed = false
 	for _, r := range order {
 		unexplained := 0
@@ -154,7 +155,7 @@
 		return expired
 	})
 	if reg.Parts.expire(now, &limits.Parts) || len(reg.Records) < before {
-		reg.decide(position, limits)
+		reg.decide(now, position, limits)
 	}
 }
 
