--- a/control/disk_test.go
+++ b/control/disk_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"celeryport/consensus"
 	"celeryport/control/state"
 	"celeryport/wal"
 )
@@ -168,3 +171,56 @@
 }
 
 func (d *fullFounding) Append(name string) (wal.File, error) { return d.OS.Append(name) }
+
+// Guards against a voter that stays out of consensus until a restart, and meanwhile offers to found
+// another group, because its snapshot could not be restored when its folder was opened again.
+func TestVoterWhoseSnapshotCannotBeRestoredTriesAgain(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 0)
+	first := f.apply(0, "a", testTree(1))
+	f.awaitInstalled(first.Revision)
+	voter := f.members[0]
+	if voter == f.leader() {
+		voter = f.members[1]
+	}
+	var good consensus.Snapshot
+	err := voter.node.do(t.Context(), func(now time.Time) {
+		g := voter.node.core.group
+		data, err := g.machine.Snapshot()
+		if err != nil {
+			t.Error(err)
+		}
+		if good, err = g.node.SnapshotAt(g.machine.Applied(), data); err != nil {
+			t.Error(err)
+		}
+		bad := good
+		bad.Data = []byte("{")
+		if err := g.log.SaveSnapshot(bad); err != nil {
+			t.Error(err)
+		}
+		g.fail(now, errors.New("the disk is full"))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tried := func() (failed, awaits bool, reason string) {
+		if err := voter.node.do(t.Context(), func(time.Time) {
+			g := voter.node.core.group
+			failed, awaits, reason = g.failed != nil, g.awaitsFounding(), g.reopenReason
+		}); err != nil {
+			t.Fatal(err)
+		}
+		return failed, awaits, reason
+	}
+	f.await("an attempt to open the folder again", func() bool { _, _, reason := tried(); return reason != "" })
+	if failed, awaits, reason := tried(); !failed || awaits {
+		t.Errorf("the voter has given up (%t) or awaits a founding (%t) after: %s", !failed, awaits, reason)
+	}
+	if err := voter.node.do(t.Context(), func(time.Time) { err = voter.node.core.group.log.SaveSnapshot(good) }); err != nil {
+		t.Fatal(err)
+	}
+	f.await("the voter takes part again", func() bool {
+		failed, _, _ := tried()
+		return !failed
+	})
+}
--- a/control/reopen.go
+++ b/control/reopen.go
@@ -47,11 +47,17 @@
 	if err := log.Renew(); err != nil {
 		return err
 	}
-	g.failed = nil
 	g.stored = stored
 	g.machine = state.New()
+	var initial consensus.Configuration
 	if g.founding != nil {
-		return g.start(*g.founding)
+		initial = *g.founding
+	}
+	failure := g.failed
+	g.failed = nil
+	if err := g.start(initial); err != nil {
+		g.node, g.failed = nil, failure // not a voter that awaits the founding of its group
+		return err
 	}
-	return g.start(consensus.Configuration{})
+	return nil
 }
