Count the ends of a part without copying them

A log entry with evidence against a full registry took 6.3 ms at each voter, beside other work, now 1.7 ms; voters have a tenth of a core. Records with too few ends are passed over.

--- a/quarantine/part_record.go
+++ b/quarantine/part_record.go
@@ -51,16 +51,30 @@
 // lose their power together are noticed within less.
 const incidentGap = 250 * time.Millisecond
 
-// incidents returns how many separate incidents a list of ends shows. Upstreams that end together
-// usually have another cause than a request each.
-func incidents(ends []PartEnd) int {
-	count := 0
+// tally counts the unexplained ends of a record.
+type tally struct {
+	ends      int
+	incidents int       // ends that are separate; those that come together usually have another cause than a request each
+	first     time.Time // time of the first end
+}
+
+// tally counts the ends that unexplained returns.
+func (r *PartRecord) tally(explained map[uint64]bool, startedOnly bool) tally {
+	var t tally
 	var last time.Time
-	for _, e := range ends {
-		if count == 0 || e.At.Sub(last) >= incidentGap {
-			count++
+	for i := range r.Ends {
+		e := &r.Ends[i]
+		if startedOnly && !e.Started || explained[e.Upstream] {
+			continue
+		}
+		if t.ends == 0 {
+			t.first = e.At
+		}
+		if t.ends == 0 || e.At.Sub(last) >= incidentGap {
+			t.incidents++
 			last = e.At
 		}
+		t.ends++
 	}
-	return count
+	return t
 }
--- a/quarantine/part_registry.go
+++ b/quarantine/part_registry.go
@@ -79,11 +79,11 @@
 	var groups []PartGroup
 	explained := map[uint64]bool{}
 	for len(groups) < maxPartGroups {
-		strongest, ends, startedOnly := reg.strongest(now, explained, limits)
+		strongest, startedOnly := reg.strongest(now, explained, limits)
 		if strongest == nil {
 			break
 		}
-		groups = append(groups, reg.inseparable(strongest, ends, startedOnly))
+		groups = append(groups, reg.inseparable(strongest, strongest.unexplained(explained, startedOnly), startedOnly))
 		for _, e := range strongest.Ends {
 			explained[e.Upstream] = true
 		}
@@ -98,21 +98,20 @@
 }
 
 // startedSuffice reports whether ends after a start suffice to blame a part.
-func (l *PartLimits) startedSuffice(now time.Time, ends []PartEnd) bool {
-	count := incidents(ends)
-	return count >= l.Started || len(ends) >= l.Ends && (count >= 2 || now.Sub(ends[0].At) >= l.Settling)
+func (l *PartLimits) startedSuffice(now time.Time, t tally) bool {
+	return t.incidents >= l.Started || t.ends >= l.Ends && (t.incidents >= 2 || now.Sub(t.first) >= l.Settling)
 }
 
 // startedAlmostSuffice reports whether one more incident, or some more time, makes them suffice.
-func (l *PartLimits) startedAlmostSuffice(ends []PartEnd) bool {
-	return incidents(ends) >= l.Started-1 || len(ends) >= l.Ends-1
+func (l *PartLimits) startedAlmostSuffice(t tally) bool {
+	return t.incidents >= l.Started-1 || t.ends >= l.Ends-1
 }
 
 // Unsettled reports whether parts are watched that time alone may blame.
 func (reg *PartRegistry) Unsettled(limits *PartLimits) bool {
 	return slices.ContainsFunc(reg.Watched, func(p Part) bool {
 		at := reg.find(p)
-		return at >= 0 && len(reg.Records[at].unexplained(nil, true)) >= limits.Ends
+		return at >= 0 && reg.Records[at].tally(nil, true).ends >= limits.Ends
 	})
 }
 
@@ -122,7 +121,7 @@
 	for i := len(reg.Records) - 1; i >= 0 && len(watched) < maxWatched; i-- {
 		r := &reg.Records[i]
 		if !reg.Blamed(r.Part) &&
-			(limits.startedAlmostSuffice(r.unexplained(explained, true)) || incidents(r.unexplained(explained, false)) >= limits.Any-1) {
+			(limits.startedAlmostSuffice(r.tally(explained, true)) || r.tally(explained, false).incidents >= limits.Any-1) {
 			watched = append(watched, r.Part)
 		}
 	}
@@ -131,23 +130,27 @@
 }
 
 // strongest returns the record with the most unexplained evidence that suffices to blame its part, nil
-// if none does, and that evidence: ends after a start if these suffice, otherwise all.
-func (reg *PartRegistry) strongest(now time.Time, explained map[uint64]bool, limits *PartLimits) (record *PartRecord, ends []PartEnd, startedOnly bool) {
+// if none does, and whether ends after a start suffice.
+func (reg *PartRegistry) strongest(now time.Time, explained map[uint64]bool, limits *PartLimits) (record *PartRecord, startedOnly bool) {
+	most := 0
 	for i := range reg.Records {
 		r := &reg.Records[i]
-		own := r.unexplained(explained, true)
+		if len(r.Ends) < min(limits.Started, limits.Ends, limits.Any) {
+			continue
+		}
+		own := r.tally(explained, true)
 		started := limits.startedSuffice(now, own)
 		if !started {
-			if own = r.unexplained(explained, false); incidents(own) < limits.Any {
+			if own = r.tally(explained, false); own.incidents < limits.Any {
 				continue
 			}
 		}
 		if record == nil || started && !startedOnly || started == startedOnly &&
-			cmp.Or(cmp.Compare(len(own), len(ends)), cmp.Compare(record.Part, r.Part)) > 0 {
-			record, ends, startedOnly = r, own, started
+			cmp.Or(cmp.Compare(own.ends, most), cmp.Compare(record.Part, r.Part)) > 0 {
+			record, most, startedOnly = r, own.ends, started
 		}
 	}
-	return record, ends, startedOnly
+	return record, startedOnly
 }
 
 // inseparable returns the group of a part: with it all parts that nearly all upstreams which ended with
@@ -157,7 +160,7 @@
 	group := PartGroup{strongest.Part}
 	for i := range reg.Records {
 		r := &reg.Records[i]
-		if r.Part == strongest.Part {
+		if r.Part == strongest.Part || len(r.Ends) < len(ends)-allowed {
 			continue
 		}
 		missing := 0
