--- a/control/evidence_test.go
+++ b/control/evidence_test.go
@@ -266,6 +266,16 @@
 	f.awaitParts(f.members[3:], false, soundPart)
 	f.members[4].node.ReportEvidence(quarantine.Evidence{Outcome: quarantine.Answered, Parts: []quarantine.Part{soundPart}})
 	f.awaitParts(f.members[3:], true, poisonPart)
+
+	leader := f.leader()
+	body, err := encode(ReleaseRequest{Part: poisonPart})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := leader.node.Ask(t.Context(), leader.process.ControlListen, CommandQuarantineRelease, body); err != nil {
+		t.Fatalf("release: %v", err)
+	}
+	f.awaitParts(f.members[3:], false, poisonPart)
 }
 
 // Guards against voters of an earlier build that would keep no record of parts, and so disagree with the
