--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"github.com/cockroachdb/errors"
+
 	"celeryport/httpwire"
 	"celeryport/verdict"
 )
@@ -30,3 +32,12 @@
 	fields httpwire.Fields
 	body   []byte
 }
+
+// unavailableOutcome returns the outcome of a send that was cancelled because one of its engines
+// became unavailable.
+func unavailableOutcome(w *work, unavailable *node, cause error) *outcome {
+	if unavailable == w.lead {
+		return &outcome{verdict: verdict.NotRun, err: cause}
+	}
+	return &outcome{verdict: verdict.NotRun, err: errors.Wrapf(cause, "the helper at %s", unavailable.address), otherAtFault: true}
+}
--- a/forward/send.go
+++ b/forward/send.go
@@ -93,15 +93,6 @@
 	return result
 }
 
-// unavailableOutcome returns the outcome of a send that was cancelled because one of its engines
-// became unavailable.
-func unavailableOutcome(w *work, unavailable *node, cause error) *outcome {
-	if unavailable == w.lead {
-		return &outcome{verdict: verdict.NotRun, err: cause}
-	}
-	return &outcome{verdict: verdict.NotRun, err: errors.Wrapf(cause, "the helper at %s", unavailable.address), otherAtFault: true}
-}
-
 // runTime returns the time since the head of the answer arrived, which shows that the upstream
 // is running the call; 0 if none has arrived.
 func (s *sending) runTime() time.Duration {
