--- a/control/evidence_test.go
+++ b/control/evidence_test.go
@@ -47,14 +47,16 @@
 	f.awaitQuarantine(f.members[3:], false)
 }
 
-// Guards against a request that crashes engines again after a restart of the fleet,
-// because no instance that serves requests remembers it.
+// Guards against a request, or requests with a part, that crash engines again after a restart of the
+// fleet, because no instance that serves requests remembers them.
 func TestQuarantineSurvivesTheLossOfAllProcesses(t *testing.T) {
 	t.Parallel()
 	f := newAttachingFleet(t, 3, 3)
 	f.awaitInstalled(f.apply(0, "a", testTree(1)).Revision)
 	f.reportCrashes(f.members[3:])
 	f.awaitQuarantine(f.members[3:], true)
+	f.reportPartCrashes(f.members[3:], 1, 2, 3, 4, 5)
+	f.awaitParts(f.members[3:], true, poisonPart, soundPart)
 	for _, m := range f.members {
 		f.crash(m)
 	}
@@ -67,6 +69,7 @@
 	}
 	fresh := f.add(len(f.members), false, listener)
 	f.awaitQuarantine([]*testNode{fresh}, true)
+	f.awaitParts([]*testNode{fresh}, true, poisonPart, soundPart)
 }
 
 // Guards against the loss of evidence that is reported while there is no leader.
