review: case 2, the loss of one core machine at the first start keeps the system from starting

The founding waits for all voters of the first settings. If one is lost before it and replaced at another address, no configuration is ever acknowledged and every request is refused, although two of three voters run.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -42,7 +42,8 @@
 }
 
 var cases = map[string]func(ctx context.Context, r *record, trouble bool, v *verdict) error{
-	"leaving": caseLeaving,
+	"leaving":  caseLeaving,
+	"founding": caseFounding,
 }
 
 // runCase plays a case and returns its exit status.
