--- a/review/standin/case_founding.go
+++ b/review/standin/case_founding.go
@@ -46,7 +46,7 @@
 		}
 	}
 	if err != nil {
-		v.count(false, fmt.Sprintf("%v within %s although only one core machine was lost", err, foundingLimit))
+		v.fault(fmt.Sprintf("%v within %s although only one core machine was lost", err, foundingLimit))
 	}
 	pause(ctx, 5*time.Second)
 	c := newClient()
@@ -61,7 +61,7 @@
 		}
 	}
 	if served == 0 {
-		v.count(false, "no request is served")
+		v.fault("no request is served")
 	}
 	return nil
 }
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// fault notes a break of the rule that belongs to no single request.
+func (v *verdict) fault(problem string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.broken = append(v.broken, problem)
+}
+
 var cases = map[string]func(ctx context.Context, r *record, trouble bool, v *verdict) error{
 	"leaving":  caseLeaving,
 	"founding": caseFounding,
