control: claim as another holder in each attempt of the test with full disks

TestClaimsAreVotedOnAgainWhenTheDiskHasRoom claimed as one holder again and again. Callers' attempts are holders of their own, so the test does as they do.

--- a/control/disk_test.go
+++ b/control/disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -124,7 +125,11 @@
 	for _, m := range f.members[:2] {
 		m.disk.full.Store(false)
 	}
-	f.await("a claim is won", func() bool { return claimAt(t, caller, "with room", "r").State == Won })
+	attempts := 0
+	f.await("a claim is won", func() bool {
+		attempts++ // each attempt is another holder: voters abstain for one whose claim was released
+		return claimAt(t, caller, "with room", strconv.Itoa(attempts)).State == Won
+	})
 }
 
 // Guards against a fleet whose first start ends a voter, because the disk is full at the moment
