--- a/forward/telemetry/metrics.go
+++ b/forward/telemetry/metrics.go
@@ -29,6 +29,7 @@
 	ejections   *prometheus.CounterVec
 	silentSends *prometheus.CounterVec
 	endless     *prometheus.CounterVec
+	endChecks   *prometheus.CounterVec
 	Resting     prometheus.Gauge
 	lostPaths   *prometheus.GaugeVec
 	transits    *prometheus.CounterVec
@@ -117,7 +118,10 @@
 	m.endless = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "forward_endless_answers_total", Help: "Answers that were ended because their bytes were without end or over a limit, by road (upstream, instance, small: polls, orders and health checks) and cause (trickle, excess, size, repeated).",
 	}, []string{"road", "cause"})
-	registry.MustRegister(m.endless, m.ejections, m.silentSends, m.repeats, m.calls, m.firstByte, m.duration, m.sends, m.broken, m.Connections, m.OverLimit, m.Limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.Resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
+	m.endChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "forward_end_checks_total", Help: "Answers that ended with their connection, by service and what the check of their upstream observed.",
+	}, []string{"service", "observed"})
+	registry.MustRegister(m.endChecks, m.endless, m.ejections, m.silentSends, m.repeats, m.calls, m.firstByte, m.duration, m.sends, m.broken, m.Connections, m.OverLimit, m.Limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.Resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
 	m.Shares = newShareMetrics(registry)
 	return m
 }
@@ -222,6 +226,11 @@
 // Endless counts an answer that was ended because its bytes were without end or over a limit.
 func (m *Metrics) Endless(road, cause string) { m.endless.WithLabelValues(road, cause).Inc() }
 
+// EndChecked counts an answer that ended with its connection, by what the check of its upstream observed.
+func (m *Metrics) EndChecked(service, observed string) {
+	m.endChecks.WithLabelValues(service, observed).Inc()
+}
+
 // Sent counts a send by how it ended.
 func (m *Metrics) Sent(service, outcome string) {
 	m.sends.WithLabelValues(service, outcome).Inc()
