forward: take only a reply of the same incarnation for the end of an answer without a length

Callers saw a complete 200 with a part of the body: an answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a crashed process in order. Cause: verifyEnd took an accepted connection for proof that the process which wrote the answer still runs. It proves that something listens at the address; upstreams that had announced that they leave were not checked at all, and a shortage of sockets of this process counted as accepted. Class: the evidence that clears a peer is weaker than what it has to refute.

The upstream is now asked which incarnation it is after the end (report of an engine, health check of a plain service, both with the expected incarnation), on a new connection, or on an idle one if none can be opened. Only its own reply counts. Answers that end together share one check.

--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -81,6 +81,7 @@
 type Answer struct {
 	CallID           string         // ID of the call that it answers
 	NotRun           bool           // the call was not run and never will be
+	Incarnation      string         // name of the incarnation that answers, empty if not stated
 	WrongIncarnation bool           // the upstream is not the intended incarnation
 	Genuine          bool           // it carries the mark of an upstream that ran the call
 	Encoded          bool           // its body has a content encoding, so it is not as the upstream produced it
--- /dev/null
+++ b/forward/end_check.go
@@ -0,0 +1,158 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"celeryport/clock"
+	"celeryport/endcheck"
+	"celeryport/failover"
+	"celeryport/httpwire"
+	"celeryport/paths"
+	"celeryport/upstream"
+)
+
+// endCheck is one question to an upstream which incarnation it is. It counts for all answers that ended
+// before it was asked.
+type endCheck struct {
+	done     chan struct{}
+	observed endcheck.Observation // set when done is closed
+}
+
+// observeEnd asks an upstream which incarnation it is, after the end of an answer. Answers that end while an
+// earlier question is under way share the next one.
+func (f *fleet) observeEnd(ctx context.Context, n *node) endcheck.Observation {
+	f.mu.Lock()
+	c := n.nextEndCheck
+	if c == nil {
+		c = &endCheck{done: make(chan struct{})}
+		n.nextEndCheck = c
+		go f.runEndCheck(n, c, n.endCheck)
+	}
+	f.mu.Unlock()
+	select {
+	case <-c.done:
+		return c.observed
+	case <-ctx.Done():
+		return endcheck.Unclear
+	}
+}
+
+// runEndCheck asks once the question before has ended.
+func (f *fleet) runEndCheck(n *node, c, before *endCheck) {
+	defer close(c.done)
+	if before != nil {
+		<-before.done
+	}
+	clock.Pause(context.Background(), endCheckPause)
+	f.mu.Lock()
+	n.endCheck, n.nextEndCheck = c, nil
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), failover.MaxSoundSilence)
+	defer cancel()
+	c.observed = f.askIncarnation(ctx, n)
+}
+
+// askIncarnation asks an upstream which incarnation it is, on a new connection. If none can be opened, because
+// this process has no socket left or because an upstream that leaves has closed its listener, it asks on an idle one.
+func (f *fleet) askIncarnation(ctx context.Context, n *node) endcheck.Observation {
+	conn, err := f.connect(ctx, n, reuseNever)
+	if err == nil {
+		return f.askIncarnationOn(ctx, n, conn)
+	}
+	observed := endcheck.Silent
+	switch {
+	case paths.IsLocal(err):
+		observed = endcheck.Shortage
+	case errors.Is(err, syscall.ECONNREFUSED):
+		observed = endcheck.Refused
+	}
+	idle := f.takeIdleOfCalls(n)
+	if idle != nil && observed != endcheck.Silent && f.askIncarnationOn(ctx, n, idle) == endcheck.Same {
+		return endcheck.Same
+	}
+	f.suspect(n, err)
+	return observed
+}
+
+// takeIdleOfCalls returns an idle connection that carried a call last, nil if there is none. An upstream may
+// repeat its last answer there; that of a call is recognised by its ID, that of a poll is not.
+func (f *fleet) takeIdleOfCalls(n *node) *upstreamConn {
+	for {
+		conn := f.takeIdle(n, reuseForCalls)
+		if conn == nil || !conn.polled {
+			return conn
+		}
+		conn.close()
+	}
+}
+
+// askIncarnationOn asks on a connection, which is kept or closed.
+func (f *fleet) askIncarnationOn(ctx context.Context, n *node, conn *upstreamConn) endcheck.Observation {
+	head, isReport := f.identityMessage(n)
+	if head == nil {
+		f.keep(n, conn, 0)
+		return endcheck.Unclear
+	}
+	r, err := f.exchangeSmall(ctx, n, conn, head, nil)
+	switch {
+	case err == nil:
+		return f.identify(n, r, isReport)
+	case ctx.Err() != nil:
+		return endcheck.Silent
+	default:
+		return endcheck.Unclear
+	}
+}
+
+// identityMessage returns the message whose reply shows which incarnation an upstream is, and whether the
+// reply is a report. It is nil if the upstream can be asked nothing.
+func (f *fleet) identityMessage(n *node) (message *httpwire.RequestHead, isReport bool) {
+	tree := f.options.Plane.View().Tree
+	if tree == nil || tree.Forwarding == nil {
+		return nil, false
+	}
+	service := tree.Forwarding.Service(n.service)
+	switch {
+	case service == nil:
+		return nil, false
+	case service.Engine != nil:
+		return f.options.Dialect.ReportMessage(n.address, n.name), true
+	case service.HealthPath != "":
+		return f.options.Dialect.HealthMessage(n.address, n.name, service.HealthPath), false
+	default:
+		return nil, false
+	}
+}
+
+// identify returns what a reply to an identityMessage shows. The message names the intended incarnation, so that
+// any other one rejects it.
+func (f *fleet) identify(n *node, r *smallReply, isReport bool) endcheck.Observation {
+	if r.answer.CallID != "" {
+		return endcheck.Unclear // it answers a call
+	}
+	named := r.answer.Incarnation
+	if r.answer.WrongIncarnation || named != "" && named != n.name {
+		f.recordReplaced(n)
+		return endcheck.Replaced
+	}
+	if !isReport {
+		if r.status == http.StatusOK || r.answer.NotRun || named == n.name {
+			return endcheck.Same
+		}
+		return endcheck.Unclear
+	}
+	report, err := f.options.Dialect.DecodeReport(r.body)
+	switch {
+	case r.status != http.StatusOK || err != nil:
+		return endcheck.Unclear
+	case n.incarnation > upstream.UnknownIncarnation && report.Incarnation > n.incarnation:
+		f.recordReplaced(n)
+		return endcheck.Replaced
+	default:
+		return endcheck.Same
+	}
+}
--- a/forward/node.go
+++ b/forward/node.go
@@ -55,6 +55,8 @@
 	granted            []grant
 	broken             []brokenSend  // broken sends not yet checked for the end of the node
 	checked            chan struct{} // closed when that check is finished
+	endCheck           *endCheck     // the last one that was begun, nil if none was
+	nextEndCheck       *endCheck     // not begun yet, nil if none is wanted
 	doubtedAt          time.Time     // since when any instance suspects it, zero if none does
 	endedAt            time.Time     // when its process was last found to have ended, zero if never
 	rest               throttle.Rest // rest period that it asked this instance for
--- a/forward/round_trip.go
+++ b/forward/round_trip.go
@@ -23,19 +23,35 @@
 // ask sends a small request on a connection and returns the status and the body of the answer. The
 // connection is kept or closed.
 func (f *fleet) ask(ctx context.Context, n *node, conn *upstreamConn, head *httpwire.RequestHead, body []byte) (int, []byte, error) {
+	reply, err := f.exchangeSmall(ctx, n, conn, head, body)
+	if err != nil {
+		return 0, nil, err
+	}
+	return reply.status, reply.body, nil
+}
+
+// smallReply is the answer to a small request.
+type smallReply struct {
+	status int
+	answer Answer
+	body   []byte
+}
+
+// exchangeSmall does the same and returns the whole answer.
+func (f *fleet) exchangeSmall(ctx context.Context, n *node, conn *upstreamConn, head *httpwire.RequestHead, body []byte) (*smallReply, error) {
 	deadline, _ := ctx.Deadline()
 	conn.liveness.deadline, conn.liveness.watch, conn.used = deadline, nil, true
 	conn.liveness.meter = trickle.Meter{}
 	if err := conn.conn.SetWriteDeadline(deadline); err != nil {
 		conn.close()
-		return 0, nil, err
+		return nil, err
 	}
 	if head.Method == http.MethodPost {
 		head.Body = httpwire.Framing{Kind: httpwire.Sized, Length: int64(len(body))}
 	}
 	if _, err := conn.conn.Write(append(head.Append(nil), body...)); err != nil {
 		conn.close()
-		return 0, nil, err
+		return nil, err
 	}
 	var content []byte
 	answer, err := httpwire.ReadResponseHead(conn.reader, defaultHeaderBytes, head.Method)
@@ -49,7 +65,7 @@
 			cause = ctx.Err() // the connection may have been closed for it
 		}
 		f.recordEndless(roadSmall, n.name, n.address, cause, conn.liveness.meter.Drips(), nil)
-		return 0, nil, err
+		return nil, err
 	}
 	decoded := f.options.Dialect.DecodeAnswer(answer)
 	f.applyStatements(n, &decoded)
@@ -58,5 +74,5 @@
 	} else {
 		f.keep(n, conn, decoded.IdleFor)
 	}
-	return answer.Status, content, nil
+	return &smallReply{status: answer.Status, answer: decoded, body: content}, nil
 }
