forward: ask for the end of an answer as the service was when the call was placed

Callers got 502, or a stream that broke off, although the whole answer had arrived: the answer had no length, and a change of the configuration beside it had removed or renamed the service or turned it into one of another kind. Cause: the check of the end looked up in the current configuration how the upstream is asked. Without the service nothing could be asked; with another kind the reply couldn't be read. The answer counted as broken off after 1.5 s.

Change: the check uses the service as it was when the call was placed, as the rest of the call does.

--- a/forward/end_check.go
+++ b/forward/end_check.go
@@ -12,23 +12,25 @@
 	"celeryport/failover"
 	"celeryport/httpwire"
 	"celeryport/paths"
+	"celeryport/settings"
 	"celeryport/upstream"
 )
 
 // endCheck is one question to an upstream which incarnation it is. It counts for all answers that ended
 // before it was asked.
 type endCheck struct {
+	service  *settings.ForwardedService // as it was when a call was placed: the current settings may not have it any more
 	done     chan struct{}
 	observed endcheck.Observation // set when done is closed
 }
 
 // observeEnd asks an upstream which incarnation it is, after the end of an answer. Answers that end while an
 // earlier question is under way share the next one.
-func (f *fleet) observeEnd(ctx context.Context, n *node) endcheck.Observation {
+func (f *fleet) observeEnd(ctx context.Context, n *node, service *settings.ForwardedService) endcheck.Observation {
 	f.mu.Lock()
 	c := n.nextEndCheck
 	if c == nil {
-		c = &endCheck{done: make(chan struct{})}
+		c = &endCheck{service: service, done: make(chan struct{})}
 		n.nextEndCheck = c
 		go f.runEndCheck(n, c, n.endCheck)
 	}
@@ -53,15 +55,15 @@
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), failover.MaxSoundSilence)
 	defer cancel()
-	c.observed = f.askIncarnation(ctx, n)
+	c.observed = f.askIncarnation(ctx, n, c.service)
 }
 
 // askIncarnation asks an upstream which incarnation it is, on a new connection. If none can be opened, because
 // this process has no socket left or because an upstream that leaves has closed its listener, it asks on an idle one.
-func (f *fleet) askIncarnation(ctx context.Context, n *node) endcheck.Observation {
+func (f *fleet) askIncarnation(ctx context.Context, n *node, service *settings.ForwardedService) endcheck.Observation {
 	conn, err := f.connect(ctx, n, reuseNever)
 	if err == nil {
-		return f.askIncarnationOn(ctx, n, conn)
+		return f.askIncarnationOn(ctx, n, service, conn)
 	}
 	observed := endcheck.Silent
 	switch {
@@ -71,7 +73,7 @@
 		observed = endcheck.Refused
 	}
 	idle := f.takeIdleOfCalls(n)
-	if idle != nil && observed != endcheck.Silent && f.askIncarnationOn(ctx, n, idle) == endcheck.Same {
+	if idle != nil && observed != endcheck.Silent && f.askIncarnationOn(ctx, n, service, idle) == endcheck.Same {
 		return endcheck.Same
 	}
 	f.suspect(n, err)
@@ -91,8 +93,8 @@
 }
 
 // askIncarnationOn asks on a connection, which is kept or closed.
-func (f *fleet) askIncarnationOn(ctx context.Context, n *node, conn *upstreamConn) endcheck.Observation {
-	head, isReport := f.identityMessage(n)
+func (f *fleet) askIncarnationOn(ctx context.Context, n *node, service *settings.ForwardedService, conn *upstreamConn) endcheck.Observation {
+	head, isReport := f.identityMessage(n, service)
 	if head == nil {
 		f.keep(n, conn, 0)
 		return endcheck.Unclear
@@ -110,15 +112,8 @@
 
 // identityMessage returns the message whose reply shows which incarnation an upstream is, and whether the
 // reply is a report. It is nil if the upstream can be asked nothing.
-func (f *fleet) identityMessage(n *node) (message *httpwire.RequestHead, isReport bool) {
-	tree := f.options.Plane.View().Tree
-	if tree == nil || tree.Forwarding == nil {
-		return nil, false
-	}
-	service := tree.Forwarding.Service(n.service)
+func (f *fleet) identityMessage(n *node, service *settings.ForwardedService) (message *httpwire.RequestHead, isReport bool) {
 	switch {
-	case service == nil:
-		return nil, false
 	case service.Engine != nil:
 		return f.options.Dialect.ReportMessage(n.address, n.name), true
 	case service.HealthPath != "":
--- a/forward/unframed.go
+++ b/forward/unframed.go
@@ -20,7 +20,7 @@
 	ctx, cancel := context.WithDeadline(ctx, s.x.deadline)
 	defer cancel()
 	for {
-		observed := s.x.server.fleet.observeEnd(ctx, s.node)
+		observed := s.x.server.fleet.observeEnd(ctx, s.node, s.x.service)
 		switch conclusion := check.Conclude(time.Now(), observed); {
 		case conclusion == endcheck.Complete:
 			s.recordEndCheck(check.EndedAt, observed, true)
