forward: leave no connection open after the check of a silent upstream's end

Cause: if a new connection got no reaction, the check still took an idle connection and neither asked on it nor kept or closed it. Each check of a silent upstream lost one until the garbage collector closed it; descriptors ran short earlier.

Evidence: TestCheckOfASilentUpstreamLeavesNoConnectionOpen found the connection open before the change. An idle connection is now taken only to ask on it.

--- a/forward/end_check.go
+++ b/forward/end_check.go
@@ -59,25 +59,36 @@
 }
 
 // askIncarnation asks an upstream which incarnation it is, on a new connection. If none can be opened, because
-// this process has no socket left or because an upstream that leaves has closed its listener, it asks on an idle one.
+// this process has no socket left or because an upstream that leaves has closed its listener, it asks on an
+// idle one.
 func (f *fleet) askIncarnation(ctx context.Context, n *node, service *settings.ForwardedService) endcheck.Observation {
-	conn, err := f.connect(ctx, n, reuseNever)
-	if err == nil {
-		return f.askIncarnationOn(ctx, n, service, conn)
+	observed, err := f.askIncarnationAnew(ctx, n, service)
+	switch observed {
+	case endcheck.Refused, endcheck.Shortage:
+		if idle := f.takeIdleOfCalls(n); idle != nil && f.askIncarnationOn(ctx, n, service, idle) == endcheck.Same {
+			return endcheck.Same
+		}
+	default:
 	}
-	observed := endcheck.Silent
+	if err != nil {
+		f.suspect(n, err)
+	}
+	return observed
+}
+
+// askIncarnationAnew asks on a new connection. An error means that none could be opened.
+func (f *fleet) askIncarnationAnew(ctx context.Context, n *node, service *settings.ForwardedService) (endcheck.Observation, error) {
+	conn, err := f.connect(ctx, n, reuseNever)
 	switch {
+	case err == nil:
+		return f.askIncarnationOn(ctx, n, service, conn), nil
 	case paths.IsLocal(err):
-		observed = endcheck.Shortage
+		return endcheck.Shortage, err
 	case errors.Is(err, syscall.ECONNREFUSED):
-		observed = endcheck.Refused
-	}
-	idle := f.takeIdleOfCalls(n)
-	if idle != nil && observed != endcheck.Silent && f.askIncarnationOn(ctx, n, service, idle) == endcheck.Same {
-		return endcheck.Same
+		return endcheck.Refused, err
+	default:
+		return endcheck.Silent, err
 	}
-	f.suspect(n, err)
-	return observed
 }
 
 // takeIdleOfCalls returns an idle connection that carried a call last, nil if there is none. An upstream may
--- /dev/null
+++ b/forward/end_check_test.go
@@ -0,0 +1,60 @@
+package forward
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"celeryport/httpwire"
+)
+
+// unframed is the head of an answer with neither a length nor chunks.
+func unframed() *httpwire.ResponseHead {
+	return &httpwire.ResponseHead{Body: httpwire.Framing{Kind: httpwire.UntilClose}}
+}
+
+// keepIdle gives a node an idle connection that carried a call, and returns its far end. Messages on it get the
+// reply, none if it is empty.
+func keepIdle(t *testing.T, f *fleet, n *node, reply string) net.Conn {
+	t.Helper()
+	near, far := net.Pipe()
+	t.Cleanup(func() { near.Close(); far.Close() })
+	conn := newUpstreamConn(near)
+	conn.used = true
+	f.keep(n, conn, time.Minute)
+	if reply != "" {
+		go func() {
+			for {
+				if _, err := far.Read(make([]byte, 1000)); err != nil {
+					return
+				}
+				if _, err := io.WriteString(far, reply); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	return far
+}
+
+// Guards against idle connections that stay open without an owner after a check whose connection got no reaction.
+func TestCheckOfASilentUpstreamLeavesNoConnectionOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent, _ := newSilentSend(t, 0, 100)
+		var opened atomic.Int64
+		sent.x.server.options.Dialect = identityDialect{}
+		sent.x.server.options.Dial = endingUpstream{silent: time.Minute}.dialer(t, &opened)
+		far := keepIdle(t, sent.x.server.fleet, sent.node, "")
+		if err := sent.verifyEnd(t.Context(), unframed()); err == nil {
+			t.Error("the answer counts as complete")
+		}
+		sent.x.server.fleet.close()
+		_ = far.SetReadDeadline(time.Now().Add(time.Second))
+		if _, err := far.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("the connection is open: %v", err)
+		}
+	})
+}
