forward: ask for an answer's end on an idle connection if a new one is reset

Callers got 502, or a stream that broke off, for whole answers without a length while their upstream had as many connections as it accepts: it resets further ones, so that each check within 1.5 s failed. An open connection, on which it would have replied, was used only if none could be opened at all.

Evidence: TestUpstreamThatTakesNoConnectionIsAskedOnAnIdleOne, 2 of 4 cases failed before (reset when connecting, reset once accepted), 0 now.

--- a/forward/end_check.go
+++ b/forward/end_check.go
@@ -59,12 +59,12 @@
 }
 
 // askIncarnation asks an upstream which incarnation it is, on a new connection. If none can be opened, because
-// this process has no socket left or because an upstream that leaves has closed its listener, it asks on an
-// idle one.
+// this process has no socket left or because an upstream that leaves has closed its listener, or if it is reset
+// because the upstream has as many as it accepts, it asks on an idle one.
 func (f *fleet) askIncarnation(ctx context.Context, n *node, service *settings.ForwardedService) endcheck.Observation {
 	observed, err := f.askIncarnationAnew(ctx, n, service)
 	switch observed {
-	case endcheck.Refused, endcheck.Shortage:
+	case endcheck.Unclear, endcheck.Refused, endcheck.Shortage:
 		if idle := f.takeIdleOfCalls(n); idle != nil && f.askIncarnationOn(ctx, n, service, idle) == endcheck.Same {
 			return endcheck.Same
 		}
@@ -86,6 +86,8 @@
 		return endcheck.Shortage, err
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return endcheck.Refused, err
+	case errors.Is(err, syscall.ECONNRESET):
+		return endcheck.Unclear, err
 	default:
 		return endcheck.Silent, err
 	}
--- a/forward/end_check_test.go
+++ b/forward/end_check_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,6 +41,30 @@
 	return far
 }
 
+// Guards against whole answers that are dropped because their upstream takes no further connection, although it
+// would reply on one that is open.
+func TestUpstreamThatTakesNoConnectionIsAskedOnAnIdleOne(t *testing.T) {
+	for name, upstream := range map[string]endingUpstream{
+		"refuses":                {dial: syscall.ECONNREFUSED},
+		"no descriptor is left":  {dial: syscall.EMFILE},
+		"resets when connecting": {dial: syscall.ECONNRESET},
+		"resets what it accepts": {closes: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sent, _ := newSilentSend(t, 0, 100)
+				var opened atomic.Int64
+				sent.x.server.options.Dialect = identityDialect{}
+				sent.x.server.options.Dial = upstream.dialer(t, &opened)
+				keepIdle(t, sent.x.server.fleet, sent.node, sameReply)
+				if err := sent.verifyEnd(t.Context(), unframed()); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
 // Guards against idle connections that stay open without an owner after a check whose connection got no reaction.
 func TestCheckOfASilentUpstreamLeavesNoConnectionOpen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
