forward: don't ask for an answer's end on a connection that carried a check before

Cause: the connection of a check was kept like that of a call. An upstream may send a reply twice, the second time late; that of a call is recognised by its ID, that of a check isn't. It would prove the end of an answer whose upstream had crashed after the check. Polls are left out for the same reason already.

Evidence: TestConnectionOfACheckIsNotAskedAgain failed before the change. The connections are now marked as those of polls are.

--- a/forward/end_check.go
+++ b/forward/end_check.go
@@ -112,6 +112,7 @@
 		f.keep(n, conn, 0)
 		return endcheck.Unclear
 	}
+	conn.polled = true // a second reply to this message would not be recognised
 	r, err := f.exchangeSmall(ctx, n, conn, head, nil)
 	switch {
 	case err == nil:
--- a/forward/end_check_test.go
+++ b/forward/end_check_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync/atomic"
@@ -83,3 +84,30 @@
 		}
 	})
 }
+
+// Guards against the reply to an earlier check, which an upstream sends twice, the second time late, as proof of
+// an answer that ended after it.
+func TestConnectionOfACheckIsNotAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent, _ := newSilentSend(t, 0, 100)
+		sent.x.server.options.Dialect = identityDialect{}
+		near, far := net.Pipe()
+		t.Cleanup(func() { near.Close(); far.Close() })
+		go func() {
+			if _, err := far.Read(make([]byte, 1000)); err == nil {
+				_, _ = io.WriteString(far, sameReply)
+			}
+			if _, err := far.Read(make([]byte, 1000)); err == nil { // what the kernel of an ended process takes
+				_, _ = io.WriteString(far, sameReply)
+			}
+		}()
+		sent.x.server.options.Dial = func(context.Context, string, string) (net.Conn, error) { return near, nil }
+		if err := sent.verifyEnd(t.Context(), unframed()); err != nil {
+			t.Fatal(err)
+		}
+		sent.x.server.options.Dial = func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+		if err := sent.verifyEnd(t.Context(), unframed()); err == nil {
+			t.Error("the answer counts as complete")
+		}
+	})
+}
