forward: count an end that can't be checked against no upstream

Upstreams got fewer calls, or none for a while, because this process had no descriptor or port left to check the end of their answers, or because their service has no health path, so that they can't be asked. Cause: the answer counted as broken off by the upstream, and the check whether it has ended found it running: a failure of its own.

Such ends still count as broken off for the call, as nothing proves the answer whole, but show nothing about the upstream. Where it can't be asked, the call is decided after one connection, which still tells a process that has ended, instead of 1.5 s.

--- a/endcheck/endcheck.go
+++ b/endcheck/endcheck.go
@@ -25,8 +25,13 @@
 	Silent
 	// Shortage means that this process or machine could open no connection.
 	Shortage
+	// Unsupported means that the upstream accepts connections, but can't be asked which incarnation it is.
+	Unsupported
 )
 
+// ShowsUpstream reports whether an observation shows anything about the upstream.
+func (o Observation) ShowsUpstream() bool { return o != Shortage && o != Unsupported }
+
 // String returns the name used in logs and metrics.
 func (o Observation) String() string {
 	switch o {
@@ -40,6 +45,8 @@
 		return "silent"
 	case Shortage:
 		return "shortage"
+	case Unsupported:
+		return "unsupported"
 	default:
 		return "unclear"
 	}
@@ -70,7 +77,7 @@
 	switch {
 	case o == Same:
 		return Complete
-	case o == Replaced || o == Refused:
+	case o == Replaced || o == Refused || o == Unsupported:
 		return BrokenOff
 	case now.Sub(c.EndedAt) >= c.Patience || !now.Before(c.Deadline):
 		return BrokenOff
--- a/endcheck/endcheck_test.go
+++ b/endcheck/endcheck_test.go
@@ -23,6 +23,7 @@
 		{&check, 4 * time.Second, Same, Complete},
 		{&check, 0, Replaced, BrokenOff},
 		{&check, 0, Refused, BrokenOff},
+		{&check, 0, Unsupported, BrokenOff},
 		{&check, 0, Silent, Undecided},
 		{&check, 0, Unclear, Undecided},
 		{&check, 0, Shortage, Undecided},
--- a/forward/broken_send.go
+++ b/forward/broken_send.go
@@ -66,5 +66,5 @@
 // endedByPeer reports whether an error means that the peer closed the connection or stopped
 // responding, as a crashing process does.
 func endedByPeer(err error) bool {
-	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, httpwire.ErrTruncated, errSilent, syscall.ECONNRESET, syscall.EPIPE)
+	return !errors.Is(err, errUncheckedEnd) && errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, httpwire.ErrTruncated, errSilent, syscall.ECONNRESET, syscall.EPIPE)
 }
--- a/forward/end_check.go
+++ b/forward/end_check.go
@@ -110,7 +110,7 @@
 	head, isReport := f.identityMessage(n, service)
 	if head == nil {
 		f.keep(n, conn, 0)
-		return endcheck.Unclear
+		return endcheck.Unsupported
 	}
 	conn.polled = true // a second reply to this message would not be recognised
 	r, err := f.exchangeSmall(ctx, n, conn, head, nil)
--- a/forward/outliers.go
+++ b/forward/outliers.go
@@ -67,7 +67,7 @@
 		end.Minor = o.err != nil
 		x.server.fleet.recordSuccess(s.node, end)
 		x.server.fleet.recordHelped(s.work, s.prompt())
-	case o.otherAtFault, o.announced, errors.Is(o.err, errWrongIncarnation): // shows nothing about the upstream
+	case o.otherAtFault, o.announced, errors.IsAny(o.err, errWrongIncarnation, errUncheckedEnd): // shows nothing about the upstream
 	case s.trickled(o.err):
 		x.server.fleet.recordFailures(s.node, end)
 	case errors.IsAny(o.err, errSilent, errMoved), endedByPeer(o.err), isTimeout(o.err):
--- a/forward/send.go
+++ b/forward/send.go
@@ -17,6 +17,7 @@
 
 // Errors of a failed send.
 var (
+	errUncheckedEnd     = errors.New("the end of the answer could not be checked")
 	errSilent           = errors.New("the send was given up because the upstream is silent")
 	errNotRun           = errors.New("the upstream rejected the call")
 	errWrongIncarnation = errors.New("another incarnation answers at the address")
--- a/forward/unframed.go
+++ b/forward/unframed.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"celeryport/clock"
 	"celeryport/endcheck"
 	"celeryport/event"
@@ -27,6 +29,9 @@
 			return nil
 		case conclusion == endcheck.BrokenOff, !clock.Pause(ctx, recheckInterval):
 			s.recordEndCheck(check.EndedAt, observed, false)
+			if !observed.ShowsUpstream() {
+				return errors.Mark(httpwire.ErrTruncated, errUncheckedEnd)
+			}
 			return httpwire.ErrTruncated
 		}
 	}
