forward: take a rejection for an upstream's reply only if it is busy

Cause: any rejection of a health check proved that the upstream which wrote an answer still runs. One that has another path for its health, or of another service, may reject what names no call as unreadable (400) before it looks at the intended incarnation; a part of an answer would count as whole.

Evidence: TestReplyOfTheSameIncarnation, case 'it doesn't know what is asked', failed before. A rejection now counts only with a status that promises that the request was not run: the upstream is full or limits its rate. The other cases of the table held before.

--- a/forward/end_check.go
+++ b/forward/end_check.go
@@ -149,10 +149,7 @@
 		return endcheck.Replaced
 	}
 	if !isReport {
-		if r.status == http.StatusOK || r.answer.NotRun || named == n.name {
-			return endcheck.Same
-		}
-		return endcheck.Unclear
+		return identifyHealth(n, r)
 	}
 	report, err := f.options.Dialect.DecodeReport(r.body)
 	switch {
@@ -165,3 +162,15 @@
 		return endcheck.Same
 	}
 }
+
+// identifyHealth returns what a reply to a health check shows that was not rejected as meant for another incarnation.
+func identifyHealth(n *node, r *smallReply) endcheck.Observation {
+	switch {
+	case r.status == http.StatusOK || r.answer.Incarnation == n.name:
+		return endcheck.Same
+	case r.answer.NotRun && promisesNotRun(r.status):
+		return endcheck.Same // it is busy
+	default:
+		return endcheck.Unclear
+	}
+}
