forward: take no reply for that of an upstream whose next start is known

Cause: a health check names an upstream, not its start. If it restarts under the same name and announces that while the end of an answer is checked, the reply of its next start proved the answer of the one before, a part.

Evidence: TestReplyUnderTheNameOfAReplacedUpstreamProvesNothing failed before. An upstream that is known to be replaced proves nothing any more.

--- a/forward/end_check.go
+++ b/forward/end_check.go
@@ -148,6 +148,9 @@
 		f.recordReplaced(n)
 		return endcheck.Replaced
 	}
+	if f.isReplaced(n) {
+		return endcheck.Replaced // its next start may reply under the same name
+	}
 	if !isReport {
 		return identifyHealth(n, r)
 	}
@@ -174,3 +177,10 @@
 		return endcheck.Unclear
 	}
 }
+
+// isReplaced reports whether another incarnation is known to have replaced a node.
+func (f *fleet) isReplaced(n *node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return n.replaced
+}
--- a/forward/identify_test.go
+++ b/forward/identify_test.go
@@ -51,3 +51,15 @@
 		})
 	}
 }
+
+// Guards against a part that counts as whole because the upstream's next start, which is known by its announcement,
+// replies under the same name.
+func TestReplyUnderTheNameOfAReplacedUpstreamProvesNothing(t *testing.T) {
+	s, n := newServerWithNode(t)
+	s.fleet.mu.Lock()
+	s.fleet.retire(n)
+	s.fleet.mu.Unlock()
+	if got := s.fleet.identify(n, &smallReply{status: http.StatusOK}, false); got != endcheck.Replaced {
+		t.Errorf("%s", got)
+	}
+}
