forward: suspect no upstream because the paths to its service are lost

Callers got no placement on sound upstreams for up to seconds after the paths were back. Cause: a connection that is ended because the paths of the service are known to be lost counted against the upstream, with its idle connections closed, in the check of an answer's end (again every 250 ms) and in the one whether an upstream is reachable. A send that fails for it was left out already.

Evidence: TestLostPathsSuspectNoUpstream failed before (suspected after one answer).

--- a/forward/fleet_health.go
+++ b/forward/fleet_health.go
@@ -70,9 +70,10 @@
 	return true
 }
 
-// suspect records a failure to reach a node, which keeps new work from it for a while.
+// suspect records a failure to reach a node, which keeps new work from it for a while. A shortage of this process and
+// paths that are known to be lost show nothing about the node.
 func (f *fleet) suspect(n *node, cause error) {
-	if paths.IsLocal(cause) {
+	if paths.IsLocal(cause) || errors.Is(cause, paths.ErrLost) {
 		return
 	}
 	now := time.Now()
--- a/forward/local_failure_test.go
+++ b/forward/local_failure_test.go
@@ -6,7 +6,10 @@
 	"os"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"celeryport/paths"
 )
 
 // Guards against an instance that suspects all upstreams, and loses the paths to them, because it has
@@ -31,3 +34,21 @@
 		}
 	}
 }
+
+// Guards against upstreams that get no calls for seconds after the paths to them are back, because an answer ended or
+// a connection was checked while they were lost.
+func TestLostPathsSuspectNoUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent, _ := newSilentSend(t, 0, 100)
+		sent.x.server.options.Dial = func(context.Context, string, string) (net.Conn, error) { return nil, paths.ErrLost }
+		if err := sent.verifyEnd(t.Context(), unframed()); err == nil {
+			t.Error("the answer counts as complete")
+		}
+		if sent.x.server.fleet.reachable(t.Context(), sent.node) {
+			t.Error("it counts as reachable")
+		}
+		if sent.node.suspicion.active(time.Now()) {
+			t.Error("the upstream is suspected")
+		}
+	})
+}
