--- a/forward/end_check.go
+++ b/forward/end_check.go
@@ -12,23 +12,25 @@
 	"celeryport/failover"
 	"celeryport/httpwire"
 	"celeryport/paths"
+	"celeryport/settings"
 	"celeryport/upstream"
 )
 
 // endCheck is one question to an upstream which incarnation it is. It counts for all answers that ended
 // before it was asked.
 type endCheck struct {
+	service  *settings.ForwardedService // as it was when a call was placed: the current settings may not have it any more
 	done     chan struct{}
 	observed endcheck.Observation // set when done is closed
 }
 
 // observeEnd asks an upstream which incarnation it is, after the end of an answer. Answers that end while an
 // earlier question is under way share the next one.
-func (f *fleet) observeEnd(ctx context.Context, n *node) endcheck.Observation {
+func (f *fleet) observeEnd(ctx context.Context, n *node, service *settings.ForwardedService) endcheck.Observation {
 	f.mu.Lock()
 	c := n.nextEndCheck
 	if c == nil {
-		c = &endCheck{done: make(chan struct{})}
+		c = &endCheck{service: service, done: make(chan struct{})}
 		n.nextEndCheck = c
 		go f.runEndCheck(n, c, n.endCheck)
 	}
@@ -47,35 +49,58 @@
 	if before != nil {
 		<-before.done
 	}
-	clock.Pause(context.Background(), endCheckPause)
+	if !f.mayExit(n) {
+		clock.Pause(context.Background(), endCheckPause) // so that answers which end together share the check
+	}
 	f.mu.Lock()
 	n.endCheck, n.nextEndCheck = c, nil
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), failover.MaxSoundSilence)
 	defer cancel()
-	c.observed = f.askIncarnation(ctx, n)
+	c.observed = f.askIncarnation(ctx, n, c.service)
+}
+
+// mayExit reports whether a node may exit at any moment, since it leaves.
+func (f *fleet) mayExit(n *node) bool {
+	announced := announcedLeaving(f.options.Plane.View().Upstreams, n.incarnationID)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return announced || !n.leavingAt.IsZero()
 }
 
 // askIncarnation asks an upstream which incarnation it is, on a new connection. If none can be opened, because
-// this process has no socket left or because an upstream that leaves has closed its listener, it asks on an idle one.
-func (f *fleet) askIncarnation(ctx context.Context, n *node) endcheck.Observation {
-	conn, err := f.connect(ctx, n, reuseNever)
-	if err == nil {
-		return f.askIncarnationOn(ctx, n, conn)
+// this process has no socket left or because an upstream that leaves has closed its listener, or if it is reset
+// because the upstream has as many as it accepts, it asks on an idle one.
+func (f *fleet) askIncarnation(ctx context.Context, n *node, service *settings.ForwardedService) endcheck.Observation {
+	observed, err := f.askIncarnationAnew(ctx, n, service)
+	switch observed {
+	case endcheck.Unclear, endcheck.Refused, endcheck.Shortage:
+		if idle := f.takeIdleOfCalls(n); idle != nil && f.askIncarnationOn(ctx, n, service, idle) == endcheck.Same {
+			return endcheck.Same
+		}
+	default:
+	}
+	if err != nil {
+		f.suspect(n, err)
 	}
-	observed := endcheck.Silent
+	return observed
+}
+
+// askIncarnationAnew asks on a new connection. An error means that none could be opened.
+func (f *fleet) askIncarnationAnew(ctx context.Context, n *node, service *settings.ForwardedService) (endcheck.Observation, error) {
+	conn, err := f.connect(ctx, n, reuseNever)
 	switch {
+	case err == nil:
+		return f.askIncarnationOn(ctx, n, service, conn), nil
 	case paths.IsLocal(err):
-		observed = endcheck.Shortage
+		return endcheck.Shortage, err
 	case errors.Is(err, syscall.ECONNREFUSED):
-		observed = endcheck.Refused
-	}
-	idle := f.takeIdleOfCalls(n)
-	if idle != nil && observed != endcheck.Silent && f.askIncarnationOn(ctx, n, idle) == endcheck.Same {
-		return endcheck.Same
+		return endcheck.Refused, err
+	case errors.Is(err, syscall.ECONNRESET):
+		return endcheck.Unclear, err
+	default:
+		return endcheck.Silent, err
 	}
-	f.suspect(n, err)
-	return observed
 }
 
 // takeIdleOfCalls returns an idle connection that carried a call last, nil if there is none. An upstream may
@@ -91,12 +116,13 @@
 }
 
 // askIncarnationOn asks on a connection, which is kept or closed.
-func (f *fleet) askIncarnationOn(ctx context.Context, n *node, conn *upstreamConn) endcheck.Observation {
-	head, isReport := f.identityMessage(n)
+func (f *fleet) askIncarnationOn(ctx context.Context, n *node, service *settings.ForwardedService, conn *upstreamConn) endcheck.Observation {
+	head, isReport := f.identityMessage(n, service)
 	if head == nil {
 		f.keep(n, conn, 0)
-		return endcheck.Unclear
+		return endcheck.Unsupported
 	}
+	conn.polled = true // a second reply to this message would not be recognised
 	r, err := f.exchangeSmall(ctx, n, conn, head, nil)
 	switch {
 	case err == nil:
@@ -110,15 +136,8 @@
 
 // identityMessage returns the message whose reply shows which incarnation an upstream is, and whether the
 // reply is a report. It is nil if the upstream can be asked nothing.
-func (f *fleet) identityMessage(n *node) (message *httpwire.RequestHead, isReport bool) {
-	tree := f.options.Plane.View().Tree
-	if tree == nil || tree.Forwarding == nil {
-		return nil, false
-	}
-	service := tree.Forwarding.Service(n.service)
+func (f *fleet) identityMessage(n *node, service *settings.ForwardedService) (message *httpwire.RequestHead, isReport bool) {
 	switch {
-	case service == nil:
-		return nil, false
 	case service.Engine != nil:
 		return f.options.Dialect.ReportMessage(n.address, n.name), true
 	case service.HealthPath != "":
@@ -139,11 +158,11 @@
 		f.recordReplaced(n)
 		return endcheck.Replaced
 	}
+	if f.isReplaced(n) {
+		return endcheck.Replaced // its next start may reply under the same name
+	}
 	if !isReport {
-		if r.status == http.StatusOK || r.answer.NotRun || named == n.name {
-			return endcheck.Same
-		}
-		return endcheck.Unclear
+		return identifyHealth(n, r)
 	}
 	report, err := f.options.Dialect.DecodeReport(r.body)
 	switch {
@@ -156,3 +175,22 @@
 		return endcheck.Same
 	}
 }
+
+// identifyHealth returns what a reply to a health check shows that was not rejected as meant for another incarnation.
+func identifyHealth(n *node, r *smallReply) endcheck.Observation {
+	switch {
+	case r.status == http.StatusOK || r.answer.Incarnation == n.name:
+		return endcheck.Same
+	case r.answer.NotRun && promisesNotRun(r.status):
+		return endcheck.Same // it is busy
+	default:
+		return endcheck.Unclear
+	}
+}
+
+// isReplaced reports whether another incarnation is known to have replaced a node.
+func (f *fleet) isReplaced(n *node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return n.replaced
+}
--- a/forward/send.go
+++ b/forward/send.go
@@ -17,6 +17,7 @@
 
 // Errors of a failed send.
 var (
+	errUncheckedEnd     = errors.New("the end of the answer could not be checked")
 	errSilent           = errors.New("the send was given up because the upstream is silent")
 	errNotRun           = errors.New("the upstream rejected the call")
 	errWrongIncarnation = errors.New("another incarnation answers at the address")
@@ -40,6 +41,7 @@
 	sentAt      time.Time
 	headAt      time.Time // when the head of the answer arrived
 	begunAt     time.Time // when the first event arrived
+	endedAt     time.Time // when an answer ended whose end is checked, zero for others
 	failing     bool      // the upstream was recorded as failing
 	stalled     bool      // the stream was recorded as stalled
 	sound       bool      // the upstream has written the answer for longer than a request that crashes it would allow
@@ -112,12 +114,16 @@
 }
 
 // runTime returns the time since the head of the answer arrived, which shows that the upstream
-// is running the call; 0 if none has arrived.
+// is running the call, until its end; 0 if none has arrived.
 func (s *sending) runTime() time.Duration {
-	if s.headAt.IsZero() {
+	switch {
+	case s.headAt.IsZero():
 		return 0
+	case !s.endedAt.IsZero():
+		return s.endedAt.Sub(s.headAt)
+	default:
+		return time.Since(s.headAt)
 	}
-	return time.Since(s.headAt)
 }
 
 // exchange writes the call and reads the answer.
@@ -256,10 +262,10 @@
 }
 
 // finish determines whether the connection can carry another call: only if the call was written
-// completely and no data follows the answer.
+// completely and no data follows the answer, which names the call, so that a second, late one is recognised.
 func (s *sending) finish(head *httpwire.ResponseHead, answer Answer) {
 	s.idle = answer.IdleFor
-	s.clean = !head.Close && s.written() && s.conn.reader.Buffered() == 0
+	s.clean = !head.Close && answer.CallID == s.x.call.ID && s.written() && s.conn.reader.Buffered() == 0
 }
 
 // handleSuccess forwards a successful answer to the caller.
--- a/forward/unframed.go
+++ b/forward/unframed.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"celeryport/clock"
 	"celeryport/endcheck"
 	"celeryport/event"
@@ -16,17 +18,21 @@
 	if head.Body.Kind != httpwire.UntilClose {
 		return nil
 	}
-	check := endcheck.Check{EndedAt: time.Now(), Patience: failover.MaxSoundSilence, Deadline: s.x.deadline}
+	s.endedAt = time.Now()
+	check := endcheck.Check{EndedAt: s.endedAt, Patience: failover.MaxSoundSilence, Deadline: s.x.deadline}
 	ctx, cancel := context.WithDeadline(ctx, s.x.deadline)
 	defer cancel()
 	for {
-		observed := s.x.server.fleet.observeEnd(ctx, s.node)
+		observed := s.x.server.fleet.observeEnd(ctx, s.node, s.x.service)
 		switch conclusion := check.Conclude(time.Now(), observed); {
 		case conclusion == endcheck.Complete:
 			s.recordEndCheck(check.EndedAt, observed, true)
 			return nil
 		case conclusion == endcheck.BrokenOff, !clock.Pause(ctx, recheckInterval):
 			s.recordEndCheck(check.EndedAt, observed, false)
+			if !observed.ShowsUpstream() {
+				return errors.Mark(httpwire.ErrTruncated, errUncheckedEnd)
+			}
 			return httpwire.ErrTruncated
 		}
 	}
