forward: log and count what a call needs that arrives late in a stop

Package drain, without I/O, derives what a call needs: the longest time by which recent calls on its route and service took longer than predicted, on top of the prediction (placement and engine profile), at most the time until its deadline. Only logged for now; no decision changes, except that a call with a wrong key is told so before it is told that the instance stops.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -51,9 +51,6 @@
 	if x.route == nil {
 		return verdict.Refuse(verdict.ReasonNotFound, 0, "no route for this host and path")
 	}
-	if !x.server.accepts(time.Now(), x.route.Stream) {
-		return errStopping
-	}
 	x.priority = x.route.Priority
 	if !x.route.Public && len(tree.Organisations) > 0 {
 		name, known := tree.Authenticate(x.call.Key)
@@ -73,7 +70,7 @@
 		x.deadline = earlier(x.deadline, x.began.Add(x.call.Wait))
 	}
 	x.lastEvent, x.hasEvent = x.call.ResumeAfter, x.call.Resumes
-	return nil
+	return x.admitLate(time.Now())
 }
 
 // noSettingsRetry is the Retry-After of an instance that has just started: it gets its settings
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -95,6 +95,7 @@
 	if x.logUndelivered() {
 		return
 	}
+	x.recordDuration(time.Now())
 	x.end("served")
 	eventServed.Log(x.server.options.Log, x.fields(event.Fields{"status": http.StatusOK}))
 }
@@ -114,6 +115,7 @@
 func (x *exchange) callerLeft() {
 	x.withdrawGrant()
 	if x.interrupted != nil && x.interrupted() {
+		x.countInterrupted()
 		x.refuse(x.stopRefusal())
 		return
 	}
@@ -208,6 +210,9 @@
 	if !x.firstAt.IsZero() {
 		fields["first_ms"] = x.firstAt.Sub(x.began).Milliseconds()
 	}
+	for name, value := range x.stopFields() {
+		fields[name] = value
+	}
 	for name, value := range more {
 		fields[name] = value
 	}
--- a/forward/drain.go
+++ b/forward/drain.go
@@ -11,6 +11,7 @@
 	IdleTime    time.Duration // the drain ends when no call has arrived or ended for this time
 	Streams     time.Duration // streams are accepted for this time
 	Calls       time.Duration // other calls are accepted for this time
+	Limit       time.Duration // the drain ends after this time at the latest
 }
 
 // finished reports whether a drain that began at the given time may end. lastCall is when a call
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/delivery"
+	"celeryport/drain"
 	"celeryport/helping"
 	"celeryport/loadshare"
 	"celeryport/paths"
@@ -57,24 +58,26 @@
 	readers       int           // engines that read the prompt
 	seen          placement.Seen
 	isolation     isolation
-	longestPause  time.Duration // longest pause between two events
-	pausedAt      time.Time     // when the longest pause began
-	eventAt       time.Time     // time of the last event
-	helpers       []*node       // engines that read a part of the prompt of the last send
-	placedAt      time.Time     // when the last send was placed
-	ran           bool          // a send may have run
-	interrupted   func() bool   // whether the call ends because this instance stops; nil: it does not
-	heldBack      bool          // it waited for the first settings, with the other calls of that time
-	next          *work         // the send to which the call moves, already registered as in flight
-	moves         int           // moves away from silent upstreams
-	movedEvents   int           // events at the last move
-	transit       *transit.Call // set if this instance handles the call for another one
-	peersDeclined bool          // no other instance handles the call for this one
-	serving       string        // the other instance that has last said that it serves the service, empty if none has
-	brokenBy      []string      // other instances whose answers to the call broke
-	handler       string        // the other instance that handled the last send, empty if none did
-	assured       bool          // a long prompt with the minimum guarantee of its organisation
-	withinShare   bool          // a short prompt that was not refused because of its organisation's share
+	longestPause  time.Duration   // longest pause between two events
+	pausedAt      time.Time       // when the longest pause began
+	eventAt       time.Time       // time of the last event
+	helpers       []*node         // engines that read a part of the prompt of the last send
+	placedAt      time.Time       // when the last send was placed
+	ran           bool            // a send may have run
+	interrupted   func() bool     // whether the call ends because this instance stops; nil: it does not
+	heldBack      bool            // it waited for the first settings, with the other calls of that time
+	next          *work           // the send to which the call moves, already registered as in flight
+	moves         int             // moves away from silent upstreams
+	movedEvents   int             // events at the last move
+	transit       *transit.Call   // set if this instance handles the call for another one
+	peersDeclined bool            // no other instance handles the call for this one
+	firstSendAt   time.Time       // when the call was first sent
+	stopDecision  *drain.Decision // last decision on the call while this instance stops, nil if there was none
+	serving       string          // the other instance that has last said that it serves the service, empty if none has
+	brokenBy      []string        // other instances whose answers to the call broke
+	handler       string          // the other instance that handled the last send, empty if none did
+	assured       bool            // a long prompt with the minimum guarantee of its organisation
+	withinShare   bool            // a short prompt that was not refused because of its organisation's share
 }
 
 // recordRejection records which engine received the call, and the helper because of which it was
--- /dev/null
+++ b/forward/stop_decision.go
@@ -0,0 +1,110 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"celeryport/drain"
+	"celeryport/event"
+	"celeryport/forward/telemetry"
+	"celeryport/placement"
+)
+
+// durations holds how long the calls of a server have taken. It is safe for concurrent use.
+type durations struct {
+	mu     sync.Mutex
+	recent *drain.Durations
+}
+
+func newDurations() *durations { return &durations{recent: drain.NewDurations()} }
+
+func (x *exchange) recordFirstSend(now time.Time) {
+	if x.firstSendAt.IsZero() {
+		x.firstSendAt = now
+	}
+}
+
+// recordDuration records how long the answered call took from its send, if it was sent once and from the
+// begin of its answer.
+func (x *exchange) recordDuration(now time.Time) {
+	if x.sends != 1 || x.moves > 0 || x.call.Resumes || x.firstSendAt.IsZero() {
+		return
+	}
+	d := x.server.durations
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recent.Record(now, x.durationKey(), now.Sub(x.firstSendAt), x.predictedDuration())
+}
+
+func (x *exchange) durationKey() drain.Key {
+	return drain.Key{Route: x.route.Name, Service: x.service.Name}
+}
+
+// predictedDuration returns how long the answer of a prompt takes from its send at an engine whose slots are
+// all used; 0 if there is no prediction. Before the call was placed, its prompt counts as read by an idle
+// engine.
+func (x *exchange) predictedDuration() time.Duration {
+	profile := x.service.Engine
+	if profile == nil || x.call.PromptTokens == 0 {
+		return 0
+	}
+	first := x.predicted
+	if first == 0 {
+		first = placement.PrefillTime(profile, x.call.PromptTokens)
+	}
+	return first + time.Duration(x.call.AnswerTokens)*(profile.Step+time.Duration(profile.Slots)*profile.StepPerSequence)
+}
+
+// decideStop decides whether the call can be finished before this instance stops, and keeps the decision for
+// the log. It returns true if the instance does not stop.
+func (x *exchange) decideStop(now time.Time) bool {
+	state := x.server.draining.Load()
+	if state == nil {
+		return true
+	}
+	call := drain.Call{Predicted: x.predictedDuration(), Left: x.deadline.Sub(now)}
+	if x.events > 0 {
+		call.Answered = x.eventAt.Sub(x.firstAt)
+	}
+	d := x.server.durations
+	d.mu.Lock()
+	call.Excess, call.Known = d.recent.Excess(now, x.durationKey())
+	d.mu.Unlock()
+	decision := drain.Decide(call, now.Sub(state.began), state.plan.Limit)
+	x.stopDecision = &decision
+	return decision.Fits()
+}
+
+// admitLate decides on a call that arrives while this instance stops.
+func (x *exchange) admitLate(now time.Time) error {
+	x.decideStop(now)
+	if x.stopDecision == nil {
+		return nil
+	}
+	if !x.server.accepts(now, x.route.Stream) {
+		x.server.options.Metrics.Drained(telemetry.DrainRefused, string(x.stopDecision.Basis))
+		return errStopping
+	}
+	x.server.options.Metrics.Drained(telemetry.DrainAccepted, string(x.stopDecision.Basis))
+	return nil
+}
+
+// countInterrupted counts a call that was under way when this instance closed its connections.
+func (x *exchange) countInterrupted() {
+	var basis drain.Basis // none if it arrived before the stop
+	if x.stopDecision != nil {
+		basis = x.stopDecision.Basis
+	}
+	x.server.options.Metrics.Drained(telemetry.DrainInterrupted, string(basis))
+}
+
+// stopFields returns the last decision on a call late in a stop, nil if there was none.
+func (x *exchange) stopFields() event.Fields {
+	if x.stopDecision == nil {
+		return nil
+	}
+	return event.Fields{
+		"stop_decided_ms": x.stopDecision.At.Milliseconds(), "stop_needed_ms": x.stopDecision.Needed.Milliseconds(),
+		"stop_basis": x.stopDecision.Basis, "stop_left_ms": x.stopDecision.Left.Milliseconds(),
+	}
+}
--- a/forward/telemetry/metrics.go
+++ b/forward/telemetry/metrics.go
@@ -30,6 +30,7 @@
 	silentSends *prometheus.CounterVec
 	endless     *prometheus.CounterVec
 	endChecks   *prometheus.CounterVec
+	drained     *prometheus.CounterVec
 	Resting     prometheus.Gauge
 	lostPaths   *prometheus.GaugeVec
 	transits    *prometheus.CounterVec
@@ -121,7 +122,10 @@
 	m.endChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "forward_end_checks_total", Help: "Answers that ended with their connection, by service and what the check of their upstream observed.",
 	}, []string{"service", "observed"})
-	registry.MustRegister(m.endChecks, m.endless, m.ejections, m.silentSends, m.repeats, m.calls, m.firstByte, m.duration, m.sends, m.broken, m.Connections, m.OverLimit, m.Limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.Resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
+	m.drained = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "forward_drain_calls_total", Help: "Calls that arrived while this instance stops, and calls that its stop interrupted, by decision (accepted, refused, interrupted) and what the time that they need was derived from (recent, deadline; none: the call arrived before the stop).",
+	}, []string{"decision", "basis"})
+	registry.MustRegister(m.drained, m.endChecks, m.endless, m.ejections, m.silentSends, m.repeats, m.calls, m.firstByte, m.duration, m.sends, m.broken, m.Connections, m.OverLimit, m.Limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.Resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
 	m.Shares = newShareMetrics(registry)
 	return m
 }
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -93,6 +93,7 @@
 		return nil, err
 	}
 	t := &transitSend{x: x, peer: peer, conn: conn, sentAt: time.Now()}
+	x.recordFirstSend(t.sentAt)
 	stopWatch := context.AfterFunc(ctx, t.close)
 	result, err := t.exchange(ctx)
 	if ctx.Err() == nil && result != nil {
--- a/instance/forwarding_shutdown.go
+++ b/instance/forwarding_shutdown.go
@@ -49,7 +49,7 @@
 	}()
 	server := f.server.Load()
 	server.Drain(bounded, forward.DrainPlan{
-		MinDuration: minDrain, IdleTime: drainIdle, Streams: limit - streamDuration, Calls: limit - callDuration,
+		MinDuration: minDrain, IdleTime: drainIdle, Streams: limit - streamDuration, Calls: limit - callDuration, Limit: limit,
 	})
 	server.Close()
 	<-announced
