forward: take calls late in a stop by what they need

Callers got 502 "may have run" for calls that were sent seconds after SIGTERM, and a refusal for others that had time. Cause: streams were accepted until 4.3 s, other calls until 1.6 s before the end of the drain, whatever they need. Class: a promise decided by a constant instead of by what it takes to keep it.

A call is now taken if it is expected to end before the drain does (package drain), and refused as not run otherwise (503, the short Retry-After). Decided again before each wait for a place, at each send once its connection is open, before a repeat, a move and a hand-over: a call that waited too long is refused rather than sent. The estimate is the longest of the last one to two minutes on the route and service, and what such calls took beyond the prediction if this one is predicted to take longer than those; without any, the deadline of the call. A refused call is not handed to another instance: callers go elsewhere by the Retry-After, and a hand-over would keep this instance between both until its end.

Tests changed: DrainPlan has one limit, so TestDrainingInstanceFinishesItsCalls and the drains of forward name that. TestDrainingInstanceRefusesCallsItCantFinish set the time of streams to 0; now the drain has 3 s and nothing is known of the stream, whose deadline is later, while the short route has answered before. It demands the same.

--- a/drain/decision.go
+++ b/drain/decision.go
@@ -21,7 +21,7 @@
 // Call is what is known of a call that is about to be taken or sent.
 type Call struct {
 	Predicted time.Duration // of the whole answer; 0: no prediction
-	Excess    time.Duration // longest time by which recent calls took longer than predicted
+	Recent    Maxima        // of recent calls
 	Known     bool          // whether there were recent calls
 	Answered  time.Duration // time for which its answer has been written by earlier sends
 	Left      time.Duration // until its deadline
@@ -50,7 +50,7 @@
 	if !c.Known {
 		return deadline, Deadline
 	}
-	expected := max(0, c.Predicted+c.Excess-c.Answered)
+	expected := max(0, c.Recent.expect(c.Predicted)-c.Answered)
 	expected += time.Duration(marginFraction*float64(expected)) + marginTime
 	if expected >= deadline {
 		return deadline, Deadline
--- a/drain/decision_test.go
+++ b/drain/decision_test.go
@@ -16,15 +16,16 @@
 		fits  bool
 		basis Basis
 	}{
-		{"recent calls were short", known(Call{Excess: time.Second, Left: time.Minute}), 2 * time.Second, true, Recent},
-		{"recent calls were long", known(Call{Excess: 3 * time.Second, Left: time.Minute}), 3 * time.Second, false, Recent},
-		{"longer than predicted", known(Call{Predicted: 2 * time.Second, Excess: time.Second, Left: time.Minute}), 3 * time.Second, false, Recent},
-		{"shorter than predicted", known(Call{Predicted: time.Second, Left: time.Minute}), 2 * time.Second, true, Recent},
-		{"half answered", known(Call{Excess: 3 * time.Second, Answered: 2 * time.Second, Left: time.Minute}), 2 * time.Second, true, Recent},
+		{"recent calls were short", known(Call{Recent: Maxima{Took: time.Second, Excess: time.Second}, Left: time.Minute}), 2 * time.Second, true, Recent},
+		{"recent calls were long", known(Call{Recent: Maxima{Took: 3 * time.Second, Excess: 3 * time.Second}, Left: time.Minute}), 3 * time.Second, false, Recent},
+		{"longer than predicted", known(Call{Predicted: 2 * time.Second, Recent: Maxima{Took: 2 * time.Second, Predicted: time.Second, Excess: time.Second}, Left: time.Minute}), 3 * time.Second, false, Recent},
+		{"shorter than predicted", known(Call{Predicted: time.Second, Recent: Maxima{Took: time.Second, Predicted: 2 * time.Second}, Left: time.Minute}), 2 * time.Second, true, Recent},
+		{"predicted no longer than recent calls", known(Call{Predicted: 2 * time.Second, Recent: Maxima{Took: 2 * time.Second, Predicted: 2 * time.Second, Excess: 2 * time.Second}, Left: time.Minute}), 3 * time.Second, true, Recent},
+		{"half answered", known(Call{Recent: Maxima{Took: 3 * time.Second, Excess: 3 * time.Second}, Answered: 2 * time.Second, Left: time.Minute}), 2 * time.Second, true, Recent},
 		{"nothing known", Call{Left: time.Minute}, 5 * time.Second, false, Deadline},
 		{"nothing known, short deadline", Call{Left: time.Second}, 2 * time.Second, true, Deadline},
 		{"prediction alone", Call{Predicted: time.Second, Left: time.Minute}, 5 * time.Second, false, Deadline},
-		{"recent calls were long, short deadline", known(Call{Excess: 9 * time.Second, Left: time.Second}), 2 * time.Second, true, Deadline},
+		{"recent calls were long, short deadline", known(Call{Recent: Maxima{Took: 9 * time.Second, Excess: 9 * time.Second}, Left: time.Second}), 2 * time.Second, true, Deadline},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -41,7 +42,7 @@
 	d, now := NewDurations(), testStart
 	check := func(want time.Duration, wantKnown bool) {
 		t.Helper()
-		if got, known := d.Excess(now, key); got != want || known != wantKnown {
+		if got, known := d.Recent(now, key); got.Excess != want || known != wantKnown {
 			t.Errorf("after %s: %s, %t", now.Sub(testStart), got, known)
 		}
 	}
--- a/forward/drain.go
+++ b/forward/drain.go
@@ -9,9 +9,7 @@
 type DrainPlan struct {
 	MinDuration time.Duration // minimum duration: callers may still use a list of addresses that they just received
 	IdleTime    time.Duration // the drain ends when no call has arrived or ended for this time
-	Streams     time.Duration // streams are accepted for this time
-	Calls       time.Duration // other calls are accepted for this time
-	Limit       time.Duration // the drain ends after this time at the latest
+	Limit       time.Duration // the drain ends after this time at the latest; calls that would take longer are refused
 }
 
 // finished reports whether a drain that began at the given time may end. lastCall is when a call
@@ -28,11 +26,13 @@
 
 // Drain ends the service without interrupting any call: new calls are still served, and their
 // connections closed after the answer, until no call has arrived or ended for a while and none is
-// being read or in flight, or until ctx ends. Calls that could not be finished in time are refused, so that their
-// callers switch to another instance at once.
+// being read or in flight, or until the limit or the end of ctx. Calls that could not be finished by the limit are
+// refused, so that their callers switch to another instance at once.
 func (s *Server) Drain(ctx context.Context, plan DrainPlan) {
 	began := time.Now()
 	s.draining.Store(&drainState{began: began, plan: plan})
+	ctx, cancel := context.WithTimeout(ctx, plan.Limit)
+	defer cancel()
 	ticker := time.NewTicker(drainTick)
 	defer ticker.Stop()
 	for {
@@ -64,18 +64,5 @@
 
 func (s *Server) isDraining() bool { return s.draining.Load() != nil }
 
-// accepts reports whether a call that begins now can still be finished.
-func (s *Server) accepts(now time.Time, stream bool) bool {
-	d := s.draining.Load()
-	if d == nil {
-		return true
-	}
-	limit := d.plan.Calls
-	if stream {
-		limit = d.plan.Streams
-	}
-	return now.Sub(d.began) < limit
-}
-
 // drainTick is how often a draining server checks whether it may end.
 const drainTick = 50 * time.Millisecond
--- a/forward/drain_test.go
+++ b/forward/drain_test.go
@@ -11,7 +11,7 @@
 )
 
 // testDrain is the plan of the drains in these tests.
-var testDrain = DrainPlan{MinDuration: time.Second, IdleTime: 300 * time.Millisecond, Streams: time.Minute, Calls: time.Minute}
+var testDrain = DrainPlan{MinDuration: time.Second, IdleTime: 300 * time.Millisecond, Limit: time.Minute}
 
 // startDrain drains and closes the server. The channel is closed at the end.
 func startDrain(t *testing.T, s *Server) <-chan struct{} {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -71,7 +71,8 @@
 	movedEvents   int             // events at the last move
 	transit       *transit.Call   // set if this instance handles the call for another one
 	peersDeclined bool            // no other instance handles the call for this one
-	firstSendAt   time.Time       // when the call was first sent
+	sentAt        time.Time       // when the call was sent last
+	sentFrom      int             // events of the answer before
 	stopDecision  *drain.Decision // last decision on the call while this instance stops, nil if there was none
 	serving       string          // the other instance that has last said that it serves the service, empty if none has
 	brokenBy      []string        // other instances whose answers to the call broke
@@ -151,6 +152,10 @@
 // sendAgain sends the call once, through another instance or to an upstream. It returns the outcome,
 // and whether the call has ended. last is the outcome of the send before, nil if there was none.
 func (x *exchange) sendAgain(ctx context.Context, last *outcome) (result *outcome, ended bool) {
+	if x.next == nil && !x.fitsStop(time.Now()) {
+		x.abandon(last, errStopping)
+		return last, true
+	}
 	x.server.fleet.paths.Settle(x.service.Name)
 	if x.usesPeers() {
 		if result := x.sendThroughPeers(ctx); result != nil {
@@ -201,6 +206,10 @@
 		x.callerLeft()
 		return result, true
 	}
+	if errors.Is(result.err, errStopping) {
+		x.abandon(last, errStopping)
+		return result, true
+	}
 	if x.next != nil {
 		x.recordMove(next, result)
 		return result, false
--- a/forward/move.go
+++ b/forward/move.go
@@ -82,7 +82,7 @@
 	obstacle := noEngine
 	if w != nil {
 		now := time.Now()
-		if !s.dataWaits() && w.lead != s.node && state.Rescues(now, cause, x.predicted) && fleet.recommended(now, w.lead) {
+		if !s.dataWaits() && w.lead != s.node && state.Rescues(now, cause, x.predicted) && x.fitsStop(now) && fleet.recommended(now, w.lead) {
 			switch {
 			case !fleet.takesConnection(ctx, w.lead):
 				obstacle = unreachableEngine
--- a/forward/place.go
+++ b/forward/place.go
@@ -29,7 +29,11 @@
 		if wait == 0 {
 			return w, err
 		}
-		if !clock.Pause(ctx, min(wait, maxReplanWait)) {
+		wait = min(wait, maxReplanWait)
+		if !x.fitsStop(time.Now().Add(wait)) {
+			return nil, errStopping
+		}
+		if !clock.Pause(ctx, wait) {
 			return nil, ctx.Err()
 		}
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -72,11 +72,15 @@
 		x.server.options.Metrics.SendWithdrawn(x.service.Name, kindOf(w, x.sends))
 		return unavailableOutcome(w, unavailable, cause)
 	}
+	if !x.fitsStop(time.Now()) { // it may have waited for a place and the connection
+		fleet.keep(n, conn, 0)
+		return &outcome{verdict: verdict.NotRun, err: errStopping}
+	}
 	unused := !conn.used
 	idle := time.Since(conn.idleAt)
 	conn.polled, conn.used = false, true
 	x.sends++
-	x.recordFirstSend(time.Now())
+	x.beginSend(time.Now())
 	s := &sending{x: x, node: n, conn: conn, work: w}
 	stopWatch := context.AfterFunc(ctx, conn.close)
 	fleet.occupy(n, conn)
--- a/forward/stop_decision.go
+++ b/forward/stop_decision.go
@@ -18,22 +18,18 @@
 
 func newDurations() *durations { return &durations{recent: drain.NewDurations()} }
 
-func (x *exchange) recordFirstSend(now time.Time) {
-	if x.firstSendAt.IsZero() {
-		x.firstSendAt = now
-	}
-}
+// beginSend records that the call is sent now.
+func (x *exchange) beginSend(now time.Time) { x.sentAt, x.sentFrom = now, x.events }
 
-// recordDuration records how long the answered call took from its send, if it was sent once and from the
-// begin of its answer.
+// recordDuration records how long the answered call took from its last send, if its whole answer came from that.
 func (x *exchange) recordDuration(now time.Time) {
-	if x.sends != 1 || x.moves > 0 || x.call.Resumes || x.firstSendAt.IsZero() {
+	if x.sentFrom > 0 || x.call.Resumes || x.sentAt.IsZero() {
 		return
 	}
 	d := x.server.durations
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.recent.Record(now, x.durationKey(), now.Sub(x.firstSendAt), x.predictedDuration())
+	d.recent.Record(now, x.durationKey(), now.Sub(x.sentAt), x.predictedDuration())
 }
 
 func (x *exchange) durationKey() drain.Key {
@@ -55,9 +51,9 @@
 	return first + time.Duration(x.call.AnswerTokens)*(profile.Step+time.Duration(profile.Slots)*profile.StepPerSequence)
 }
 
-// decideStop decides whether the call can be finished before this instance stops, and keeps the decision for
+// fitsStop decides whether the call can be finished before this instance stops, and keeps the decision for
 // the log. It returns true if the instance does not stop.
-func (x *exchange) decideStop(now time.Time) bool {
+func (x *exchange) fitsStop(now time.Time) bool {
 	state := x.server.draining.Load()
 	if state == nil {
 		return true
@@ -68,7 +64,7 @@
 	}
 	d := x.server.durations
 	d.mu.Lock()
-	call.Excess, call.Known = d.recent.Excess(now, x.durationKey())
+	call.Recent, call.Known = d.recent.Recent(now, x.durationKey())
 	d.mu.Unlock()
 	decision := drain.Decide(call, now.Sub(state.began), state.plan.Limit)
 	x.stopDecision = &decision
@@ -77,11 +73,11 @@
 
 // admitLate decides on a call that arrives while this instance stops.
 func (x *exchange) admitLate(now time.Time) error {
-	x.decideStop(now)
+	fits := x.fitsStop(now)
 	if x.stopDecision == nil {
 		return nil
 	}
-	if !x.server.accepts(now, x.route.Stream) {
+	if !fits {
 		x.server.options.Metrics.Drained(telemetry.DrainRefused, string(x.stopDecision.Basis))
 		return errStopping
 	}
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -93,7 +93,11 @@
 		return nil, err
 	}
 	t := &transitSend{x: x, peer: peer, conn: conn, sentAt: time.Now()}
-	x.recordFirstSend(t.sentAt)
+	if !x.fitsStop(t.sentAt) {
+		transits.Keep(peer.ControlAddress, conn)
+		return &outcome{verdict: verdict.NotRun, err: errStopping, final: true}, nil
+	}
+	x.beginSend(t.sentAt)
 	stopWatch := context.AfterFunc(ctx, t.close)
 	result, err := t.exchange(ctx)
 	if ctx.Err() == nil && result != nil {
--- a/instance/forwarding_shutdown.go
+++ b/instance/forwarding_shutdown.go
@@ -18,12 +18,6 @@
 	// minDrain is the minimum duration of draining: callers may use a list of addresses
 	// for this long after they received it.
 	minDrain = directoryCacheTime + 300*time.Millisecond
-	// New streams are accepted until streamDuration before the end of draining, other calls
-	// until callDuration before it. This is enough for most streams and all other calls to
-	// finish. Some callers use a list of addresses for longer than they may cache it; a
-	// stream that is accepted too late is cut off at the end of draining.
-	streamDuration = 4300 * time.Millisecond
-	callDuration   = 1600 * time.Millisecond
 	// closingTimeout is how long closing everything may take after draining: control has to
 	// leave the group and to finish the calls of other instances.
 	closingTimeout = time.Second
@@ -39,18 +33,13 @@
 // drain drains the instance so that calls in progress can finish, and closes the connections of
 // callers. Draining ends early when abort ends.
 func (f *forwarding) drain(abort context.Context) error {
-	limit := drainLimit(f.options.Process)
-	bounded, cancel := context.WithTimeout(abort, limit)
-	defer cancel()
 	announced := make(chan struct{})
 	go func() {
 		defer close(announced)
-		f.announceDraining(bounded)
+		f.announceDraining(abort)
 	}()
 	server := f.server.Load()
-	server.Drain(bounded, forward.DrainPlan{
-		MinDuration: minDrain, IdleTime: drainIdle, Streams: limit - streamDuration, Calls: limit - callDuration, Limit: limit,
-	})
+	server.Drain(abort, forward.DrainPlan{MinDuration: minDrain, IdleTime: drainIdle, Limit: drainLimit(f.options.Process)})
 	server.Close()
 	<-announced
 	return nil
