forward: an answer of another instance without a length or chunks is broken off

Callers of an instance without paths to the upstreams could see a complete 200 (or the upstream's own failure) with a part of the body, a stream that ends early as complete, or a 503 that promises that the call has not run: if the answer of the instance that handles the call has neither a length nor chunks, its end is that of the connection, and the kernel closes the connections of a killed process in order. Cause: transitSend took that end for the end of the answer. Instances frame all their answers, so that one without framing proves nothing.

Evidence: platform.TestAnswerOfAnEndedHandlerIsNeverComplete, answers cut after each byte of head, chunk size, body, trailer and last chunk, on /safe/, /once/, /rest/ and /live/; 24 of its 1,572 cases failed before, 0 now. All 24 had no framing; answers with a length or in chunks (999 cases) held before. A refusal whose head is whole is believed though its text is cut: the head states it.

Change: Body.MustFrame lets a body that ends with its connection end as truncated; transitSend sets it, and doesn't believe a refusal without framing.

--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -179,7 +179,10 @@
 
 // refused handles an answer that the other instance generated itself.
 func (t *transitSend) refused(head *httpwire.ResponseHead, reader *bufio.Reader, r *transit.Refusal) (*outcome, error) {
-	text, err := meteredBody(reader, head, &t.meter).ReadAll(defaultHeaderBytes)
+	if head.Body.Kind == httpwire.UntilClose {
+		return t.broken(httpwire.ErrTruncated), nil // no instance sends it
+	}
+	text, err := t.body(head, reader).ReadAll(defaultHeaderBytes)
 	t.clean = err == nil && !head.Close && reader.Buffered() == 0
 	switch {
 	case r.Declined && r.Verdict == verdict.NotRun:
@@ -193,7 +196,7 @@
 
 // failed handles a failure answer of an upstream.
 func (t *transitSend) failed(head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
-	body, err := meteredBody(reader, head, &t.meter).ReadAll(maxWholeAnswerBytes)
+	body, err := t.body(head, reader).ReadAll(maxWholeAnswerBytes)
 	if err != nil {
 		return t.broken(err)
 	}
@@ -213,7 +216,7 @@
 	defer held.Release()
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	body, err := meteredBody(reader, head, &t.meter).ReadAllReserving(maxWholeAnswerBytes, awaitRoom(ctx, held))
+	body, err := t.body(head, reader).ReadAllReserving(maxWholeAnswerBytes, awaitRoom(ctx, held))
 	if err != nil {
 		return t.broken(err)
 	}
@@ -226,6 +229,7 @@
 func (t *transitSend) stream(head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
 	x := t.x
 	body := httpwire.NewBody(reader, head.Body)
+	body.MustFrame = true
 	events := httpwire.NewEventReader(body, maxEventBytes)
 	var idle idleEvents
 	for {
--- a/httpwire/body.go
+++ b/httpwire/body.go
@@ -15,6 +15,7 @@
 // connection.
 type Body struct {
 	OnData    func(n int) // called for data that was read, in bytes; may be nil
+	MustFrame bool        // the sender frames its bodies: without a length or chunks none is complete
 	r         *bufio.Reader
 	framing   Framing
 	remaining int64 // remaining bytes of the body or of the current chunk
@@ -55,10 +56,19 @@
 	case Chunked:
 		return b.readChunked(p)
 	default:
-		return b.r.Read(p) // ends when the connection is closed; a reset is not io.EOF
+		return b.readUntilClose(p)
 	}
 }
 
+// readUntilClose reads a body that ends when the connection is closed. A reset is not io.EOF.
+func (b *Body) readUntilClose(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if b.MustFrame && errors.Is(err, io.EOF) {
+		err = ErrTruncated
+	}
+	return n, err
+}
+
 func (b *Body) readSized(p []byte) (int, error) {
 	if b.remaining == 0 {
 		return 0, io.EOF
