upstream/client: an answer of a plain service without a length or chunks is broken off

Callers of the completions interface saw a complete answer with a part of a service's body, and for a call with an idempotency key that part was stored and given to duplicates: an answer with neither a length nor chunks ends with its connection, which the kernel closes in order if the process crashes. Cause: fasthttp reports that end as the end of the body, and Service took it for proof. The upstream protocol has no question whose reply would show that the same incarnation still runs (the health path states none, any other path is a call), so that such an answer can't be proved whole.

Services that end answers with the connection have to add a length or chunks.

The case "to the end" of TestLargeAnswersAreNoBytesWithoutEnd took the fault for right: it wanted 8 MiB without a length to count as whole. It now wants ErrUnframed, no answer and "may have run".

--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -68,6 +68,7 @@
 	}{
 		"refused": {refuses, []claim.OutcomeKind{claim.Released}},
 		"unknown": {closesAfterReading, nil},
+		"a part":  {writes("HTTP/1.1 200 OK\r\n\r\nhel"), nil}, // stored, a duplicate would get it
 	} {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, map[string]script{"s1": test.script}, func(t *testing.T, b *testBed) {
--- a/upstream/client/large_answer_test.go
+++ b/upstream/client/large_answer_test.go
@@ -5,7 +5,10 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"celeryport/verdict"
 )
 
 // Guards against sound answers that are cut off because they are large.
@@ -18,7 +21,6 @@
 		"with a length":  "HTTP/1.1 200 OK\r\nContent-Length: 8388608\r\n\r\n" + body,
 		"in chunks":      streamHeader + strings.Repeat(chunk(body[:piece]), 16) + "0\r\n\r\n",
 		"in tiny chunks": streamHeader + strings.Repeat(chunk(body[:8]), limit/8) + "0\r\n\r\n",
-		"to the end":     "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body,
 		"large head":     "HTTP/1.1 200 OK\r\nContent-Length: 8388608\r\nX-A: " + body[:maxHeader/2] + "\r\n\r\n" + body,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -30,6 +32,16 @@
 			}
 		})
 	}
+	t.Run("to the end", func(t *testing.T) { // no answer without a length is known to be sound, see ErrUnframed
+		p := newPeer(t, func(conn net.Conn, _ *fasthttp.Request) {
+			write(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+body)
+		})
+		got, failed := p.client().Service(t.Context(),
+			&ServiceCall{Address: "u", Request: "r1", Path: "/a", Remaining: endlessDeadline, MaxAnswer: limit})
+		if got != nil || failed == nil || failed.Verdict != verdict.MayHaveRun || !errors.Is(failed, ErrUnframed) {
+			t.Errorf("%+v, error %v", got, failed)
+		}
+	})
 	t.Run("frames", func(t *testing.T) {
 		words := make([]string, 7)
 		for i := range words {
--- a/upstream/client/service.go
+++ b/upstream/client/service.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"celeryport/upstream/wire"
@@ -37,6 +38,7 @@
 // Service sends the call and reads the complete answer. The only limit on the time
 // without received data is the remaining time of the call, because a plain service
 // sends no heartbeats. The bytes of a header or chunk head may arrive for partTimeout.
+// An answer with neither a length nor chunks is an error, ErrUnframed.
 func (c *Client) Service(ctx context.Context, call *ServiceCall) (*ServiceAnswer, *verdict.Error) {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
@@ -53,6 +55,9 @@
 		return nil, verdict.Wrap(ErrForeignFrame, verdict.MayHaveRun, verdict.ReasonUpstream,
 			"upstream %s answered request %s", call.Address, id)
 	}
+	if e.endsWithConnection() {
+		return nil, verdict.Wrap(ErrUnframed, verdict.MayHaveRun, verdict.ReasonUpstream, "cannot tell the end of the answer of upstream %s", call.Address)
+	}
 	body, err := e.readBody(call.MaxAnswer)
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonUpstream, "answer of upstream %s broke off", call.Address)
@@ -64,6 +69,16 @@
 	}, nil
 }
 
+// ErrUnframed means that an answer has neither a length nor chunks. It may have been broken off: the kernel closes the
+// connections of a crashed process like one that the process closes itself.
+var ErrUnframed = errors.New("answer without a length or chunks")
+
+// endsWithConnection reports whether the body of the answer ends with its connection.
+func (e *exchange) endsWithConnection() bool {
+	const identity = -2 // what fasthttp reports for it
+	return e.response.Header.ContentLength() == identity && e.response.BodyStream() != nil
+}
+
 func (c *Client) prepareService(request *fasthttp.Request, call *ServiceCall) {
 	method := call.Method
 	if method == "" {
