rpc: refuse answers of instances without a length or chunks

An instance that was killed midway through an answer without a length, or whatever else answers at its control address in that form, could be taken for one that had answered: a part of an encoded message, above all an empty one, is a message too. Instances always state the length, so the client now refuses an answer that has neither a length nor chunks.

Evidence: TestPartOfAnAnswerIsNeverTheAnswer cuts answers after each byte; 4 of 161 cases were accepted before, two of them empty, 0 now. Answers with a length or in chunks held before.

--- a/rpc/client.go
+++ b/rpc/client.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Dial opens a connection. Tests provide their own implementation.
@@ -76,6 +78,10 @@
 // Close closes the idle connections.
 func (c *Clients) Close() { c.transport.CloseIdleConnections() }
 
+// errUnframed means that an answer has neither a length nor chunks. Instances send none, and its end may be that of a
+// process that was killed: a part of an encoded message may be a message too.
+var errUnframed = errors.New("the answer has neither a length nor chunks")
+
 // Do implements HTTPClient. The time of a call is that of its context.
 //
 // net/http retries a request by itself when a keep-alive connection turns out to be
@@ -92,6 +98,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		_ = response.Body.Close() // it is not read
+		return nil, errUnframed
+	}
 	response.Body = http.MaxBytesReader(nil, response.Body, MaxMessageBytes)
 	return response, nil
 }
