forward: name the intended engine in orders for memory

An order to reserve memory named no engine. Engines reject orders for another incarnation with 421, like requests, if the order names one.

Orders now name it. A 421 records that the upstream was replaced; a reservation fails, a release is done, because the memory ended with the process.

--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -71,6 +71,7 @@
 
 // Order asks an engine to reserve memory, or to release a reservation.
 type Order struct {
+	Incarnation string // name of the intended engine; any other one rejects the order
 	Reservation string // name, chosen by this instance
 	Tokens      int
 	Hold        time.Duration // lease after which the memory is released automatically
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -121,7 +122,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	head, body, err := f.options.Dialect.OrderMessage(r.node.address, &Order{
-		Reservation: r.name, Tokens: r.tokens, Hold: leaseDuration, Release: release,
+		Incarnation: r.node.name, Reservation: r.name, Tokens: r.tokens, Hold: leaseDuration, Release: release,
 	})
 	if err != nil {
 		return err
@@ -133,6 +134,13 @@
 	if err != nil {
 		return err
 	}
+	if status == http.StatusMisdirectedRequest {
+		f.recordReplaced(r.node)
+		if release {
+			return nil // the memory ended with the process
+		}
+		return errWrongIncarnation
+	}
 	if !f.options.Dialect.OrderDone(status) {
 		return errors.Newf("status %d", status)
 	}
