forward: don't count the check of an answer's end as time in which its request ran

Cause: a request is suspected of crashing its upstream if that ends shortly after it began to run the request. The time was taken after the check of the answer's end, which lasts up to 1.5 s if the machine is silent first, so that the request had seemed to run for longer.

Evidence: TestTimeOfTheCheckIsNotRunTime, 1.74 s before instead of the 50 ms that the request ran.

--- a/forward/send.go
+++ b/forward/send.go
@@ -41,6 +41,7 @@
 	sentAt      time.Time
 	headAt      time.Time // when the head of the answer arrived
 	begunAt     time.Time // when the first event arrived
+	endedAt     time.Time // when the answer ended, if the check of its end has found it broken off
 	failing     bool      // the upstream was recorded as failing
 	stalled     bool      // the stream was recorded as stalled
 	sound       bool      // the upstream has written the answer for longer than a request that crashes it would allow
@@ -113,12 +114,16 @@
 }
 
 // runTime returns the time since the head of the answer arrived, which shows that the upstream
-// is running the call; 0 if none has arrived.
+// is running the call, until its end; 0 if none has arrived.
 func (s *sending) runTime() time.Duration {
-	if s.headAt.IsZero() {
+	switch {
+	case s.headAt.IsZero():
 		return 0
+	case !s.endedAt.IsZero():
+		return s.endedAt.Sub(s.headAt)
+	default:
+		return time.Since(s.headAt)
 	}
-	return time.Since(s.headAt)
 }
 
 // exchange writes the call and reads the answer.
--- a/forward/unchecked_end_test.go
+++ b/forward/unchecked_end_test.go
@@ -95,3 +95,22 @@
 		})
 	}
 }
+
+// Guards against requests that crash their upstreams and aren't suspected of it, because the time of the check of an
+// answer's end counts as time in which they ran.
+func TestTimeOfTheCheckIsNotRunTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent, _ := newSilentSend(t, 0, 100)
+		var opened atomic.Int64
+		sent.x.server.options.Dialect = identityDialect{}
+		sent.x.server.options.Dial = endingUpstream{silent: 1200 * time.Millisecond, dial: syscall.ECONNREFUSED}.dialer(t, &opened)
+		sent.headAt = time.Now()
+		time.Sleep(50 * time.Millisecond)
+		if err := sent.verifyEnd(t.Context(), unframed()); err == nil {
+			t.Error("the answer counts as complete")
+		}
+		if ran := sent.runTime(); ran != 50*time.Millisecond {
+			t.Errorf("ran for %s", ran)
+		}
+	})
+}
--- a/forward/unframed.go
+++ b/forward/unframed.go
@@ -28,6 +28,7 @@
 			s.recordEndCheck(check.EndedAt, observed, true)
 			return nil
 		case conclusion == endcheck.BrokenOff, !clock.Pause(ctx, recheckInterval):
+			s.endedAt = check.EndedAt
 			s.recordEndCheck(check.EndedAt, observed, false)
 			if !observed.ShowsUpstream() {
 				return errors.Mark(httpwire.ErrTruncated, errUncheckedEnd)
