--- a/forward/end_check_test.go
+++ b/forward/end_check_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"celeryport/httpwire"
 )
 
@@ -79,7 +81,7 @@
 		}
 		sent.x.server.fleet.close()
 		_ = far.SetReadDeadline(time.Now().Add(time.Second))
-		if _, err := far.Read(make([]byte, 1)); err != io.EOF {
+		if _, err := far.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 			t.Errorf("the connection is open: %v", err)
 		}
 	})
