forward: ask an upstream that leaves for the end of its answer at once

Callers got 502, or a stream that broke off, for whole answers without a length whose upstream had announced that it leaves and exited within 10 ms after them. Cause: the check begins after a pause, which lets answers that end together share it. By then the process may have exited, and nothing proves its last answer any more.

Evidence: TestLeavingUpstreamIsAskedAtOnce, case 'exits after 5 ms', failed before. Only for upstreams that leave the pause is left out; a burst of answers there costs at most one more check. One that exits at once, before the question arrives, still can't be told from a crash: its answer counts as broken off.

--- a/forward/end_check.go
+++ b/forward/end_check.go
@@ -49,7 +49,9 @@
 	if before != nil {
 		<-before.done
 	}
-	clock.Pause(context.Background(), endCheckPause)
+	if !f.mayExit(n) {
+		clock.Pause(context.Background(), endCheckPause) // so that answers which end together share the check
+	}
 	f.mu.Lock()
 	n.endCheck, n.nextEndCheck = c, nil
 	f.mu.Unlock()
@@ -58,6 +60,14 @@
 	c.observed = f.askIncarnation(ctx, n, c.service)
 }
 
+// mayExit reports whether a node may exit at any moment, since it leaves.
+func (f *fleet) mayExit(n *node) bool {
+	announced := announcedLeaving(f.options.Plane.View().Upstreams, n.incarnationID)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return announced || !n.leavingAt.IsZero()
+}
+
 // askIncarnation asks an upstream which incarnation it is, on a new connection. If none can be opened, because
 // this process has no socket left or because an upstream that leaves has closed its listener, or if it is reset
 // because the upstream has as many as it accepts, it asks on an idle one.
--- a/forward/end_check_test.go
+++ b/forward/end_check_test.go
@@ -113,3 +113,34 @@
 		}
 	})
 }
+
+// Guards against whole answers that are dropped because their upstream, which has announced that it leaves, exits a
+// moment after its last answer, before it is asked.
+func TestLeavingUpstreamIsAskedAtOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		exits time.Duration // after the end of the answer
+		whole bool
+	}{
+		"exits after 5 ms": {5 * time.Millisecond, true},
+		"exits at once":    {0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sent, _ := newSilentSend(t, 0, 100)
+				sent.x.server.fleet.recordLeaving(sent.node)
+				var opened atomic.Int64
+				running, ended := endingUpstream{reply: sameReply}.dialer(t, &opened), time.Now()
+				sent.x.server.options.Dialect = identityDialect{}
+				sent.x.server.options.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+					if time.Since(ended) >= test.exits {
+						return nil, syscall.ECONNREFUSED
+					}
+					return running(ctx, network, address)
+				}
+				if whole := sent.verifyEnd(t.Context(), unframed()) == nil; whole != test.whole {
+					t.Errorf("whole %t, want %t", whole, test.whole)
+				}
+			})
+		})
+	}
+}
