forward: keep no connection on which a small request was rejected

Callers got 503, or their call was sent once more, although it ran (REFUSED, TWICE): a rejection that names no request counts as the answer of the call at hand. A health check names none, and its connection was kept for calls. If the upstream repeats its rejection late, a call on that connection takes it for its own. The check of an answer's end makes such connections common at a busy plain service; the one whether the paths pass data did before.

Evidence: TestRepeatedRejectionOfACheckIsNotTheAnswerOfACall, 503 'no upstream took the call' before for a call that ran, its own answer now.

--- a/forward/round_trip.go
+++ b/forward/round_trip.go
@@ -69,7 +69,8 @@
 	}
 	decoded := f.options.Dialect.DecodeAnswer(answer)
 	f.applyStatements(n, &decoded)
-	if answer.Close || conn.reader.Buffered() > 0 {
+	rejected := decoded.NotRun || decoded.WrongIncarnation // a call can't tell a second, late one from its own
+	if answer.Close || rejected || conn.reader.Buffered() > 0 {
 		conn.close()
 	} else {
 		f.keep(n, conn, decoded.IdleFor)
