forward: keep no connection after a rejection that doesn't name its call

Evidence: TestRepeatedRejectionWithoutAnIDIsNotTheAnswerOfTheNextCall, 503 for a call that ran before, its own answer now.

--- a/forward/send.go
+++ b/forward/send.go
@@ -262,10 +262,10 @@
 }
 
 // finish determines whether the connection can carry another call: only if the call was written
-// completely and no data follows the answer.
+// completely and no data follows the answer, which names the call, so that a second, late one is recognised.
 func (s *sending) finish(head *httpwire.ResponseHead, answer Answer) {
 	s.idle = answer.IdleFor
-	s.clean = !head.Close && s.written() && s.conn.reader.Buffered() == 0
+	s.clean = !head.Close && answer.CallID == s.x.call.ID && s.written() && s.conn.reader.Buffered() == 0
 }
 
 // handleSuccess forwards a successful answer to the caller.
