forward: count a deadline that passes in the check of an end against no upstream

Cause: if the deadline of a call passed while its upstream was asked for the end of its answer, the observation was 'unclear', as that of an upstream that replies with something else, and counted as its failure.

Evidence: TestDeadlineInTheCheckCountsAgainstNoUpstream failed before (the end counted as one by the upstream). The observation is 'expired' now and shows nothing about it.

--- a/endcheck/endcheck.go
+++ b/endcheck/endcheck.go
@@ -27,10 +27,12 @@
 	Shortage
 	// Unsupported means that the upstream accepts connections, but can't be asked which incarnation it is.
 	Unsupported
+	// Expired means that the deadline of the call passed, or that its caller left, before the upstream replied.
+	Expired
 )
 
 // ShowsUpstream reports whether an observation shows anything about the upstream.
-func (o Observation) ShowsUpstream() bool { return o != Shortage && o != Unsupported }
+func (o Observation) ShowsUpstream() bool { return o != Shortage && o != Unsupported && o != Expired }
 
 // String returns the name used in logs and metrics.
 func (o Observation) String() string {
@@ -47,6 +49,8 @@
 		return "shortage"
 	case Unsupported:
 		return "unsupported"
+	case Expired:
+		return "expired"
 	default:
 		return "unclear"
 	}
@@ -77,7 +81,7 @@
 	switch {
 	case o == Same:
 		return Complete
-	case o == Replaced || o == Refused || o == Unsupported:
+	case o == Replaced || o == Refused || o == Unsupported || o == Expired:
 		return BrokenOff
 	case now.Sub(c.EndedAt) >= c.Patience || !now.Before(c.Deadline):
 		return BrokenOff
--- a/endcheck/endcheck_test.go
+++ b/endcheck/endcheck_test.go
@@ -24,6 +24,7 @@
 		{&check, 0, Replaced, BrokenOff},
 		{&check, 0, Refused, BrokenOff},
 		{&check, 0, Unsupported, BrokenOff},
+		{&check, 0, Expired, BrokenOff},
 		{&check, 0, Silent, Undecided},
 		{&check, 0, Unclear, Undecided},
 		{&check, 0, Shortage, Undecided},
--- a/forward/end_check.go
+++ b/forward/end_check.go
@@ -39,7 +39,7 @@
 	case <-c.done:
 		return c.observed
 	case <-ctx.Done():
-		return endcheck.Unclear
+		return endcheck.Expired
 	}
 }
 
--- a/forward/unchecked_end_test.go
+++ b/forward/unchecked_end_test.go
@@ -114,3 +114,19 @@
 		}
 	})
 }
+
+// Guards against upstreams that get no calls because the deadline of a call passes while the end of its answer is
+// checked.
+func TestDeadlineInTheCheckCountsAgainstNoUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent, _ := newSilentSend(t, 0, 100)
+		var opened atomic.Int64
+		sent.x.server.options.Dialect = identityDialect{}
+		sent.x.server.options.Dial = endingUpstream{reply: sameReply, replies: 50 * time.Millisecond}.dialer(t, &opened)
+		sent.x.deadline = time.Now().Add(20 * time.Millisecond)
+		if err := sent.verifyEnd(t.Context(), unframed()); err == nil || endedByPeer(err) {
+			t.Errorf("ended with %v", err)
+		}
+		time.Sleep(time.Second) // the check, which others may share, goes on
+	})
+}
