--- a/forward/send.go
+++ b/forward/send.go
@@ -41,7 +41,7 @@
 	sentAt      time.Time
 	headAt      time.Time // when the head of the answer arrived
 	begunAt     time.Time // when the first event arrived
-	endedAt     time.Time // when an answer ended whose end is checked, zero for others
+	endedAt     time.Time // when the answer ended, if the check of its end has found it broken off
 	failing     bool      // the upstream was recorded as failing
 	stalled     bool      // the stream was recorded as stalled
 	sound       bool      // the upstream has written the answer for longer than a request that crashes it would allow
