--- a/forward/unframed.go
+++ b/forward/unframed.go
@@ -18,8 +18,7 @@
 	if head.Body.Kind != httpwire.UntilClose {
 		return nil
 	}
-	s.endedAt = time.Now()
-	check := endcheck.Check{EndedAt: s.endedAt, Patience: failover.MaxSoundSilence, Deadline: s.x.deadline}
+	check := endcheck.Check{EndedAt: time.Now(), Patience: failover.MaxSoundSilence, Deadline: s.x.deadline}
 	ctx, cancel := context.WithDeadline(ctx, s.x.deadline)
 	defer cancel()
 	for {
