forward: hold the bodies of failure answers within the memory for answers

What callers saw: an upstream that sends a failure or a rejection whose body has no end takes up to 8 MB of the instance for each call that it gets. The process exceeds the memory of its deployment and is killed, and the calls of all other callers end with it, without an answer.

Cause: only the bodies of successes were reserved in the memory for whole answers. Those of failures, of rejections (which nobody reads) and of failures that another instance passes on were read up to 8 MB each with no common bound. Class of fault: a bound for each message where the messages have none together.

Change: the body of a failure answer is reserved as that of a success is, until its call ends. A rejection's body is read to 64 KB and dropped; the connection is not used again beyond that. A call that is sent again gives up a failure answer of more than 64 KB, so that it does not wait for memory while it holds some.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/bytebudget"
 	"celeryport/delivery"
 	"celeryport/helping"
 	"celeryport/loadshare"
@@ -20,43 +21,45 @@
 
 // exchange handles one call from its admission to its answer.
 type exchange struct {
-	server        *Server
-	writer        *delivery.Writer
-	call          *Call
-	body          []byte
-	fingerprint   quarantine.Fingerprint
-	began         time.Time
-	route         *settings.Route
-	service       *settings.ForwardedService
-	organisation  string
-	priority      int
-	revision      uint64
-	deadline      time.Time
-	age           time.Duration   // time since the first try of the call, if the arbiter knows that it was refused before
-	plans         int             // plans made so far; part of the names of asks and reservations
-	lastAsk       string          // ID of the ask that led to the last placement
-	arbiter       string          // instance that decided on the last placement of a long prompt, empty if this one did itself
-	sends         int             // sends that may have reached an upstream
-	failed        resend.Tally    // failed sends by cause
-	missedAt      time.Time       // when the last send failed, if it found no running upstream
-	unsentSince   time.Time       // when the call could not be sent first because an upstream took no connection
-	tried         []loadshare.Key // upstreams that failed the call
-	unusable      []loadshare.Key // engines in the arbiter's last answer that must not be used
-	excluded      []loadshare.Key // all unusable and refused engines so far
-	refused       []loadshare.Key // engines that refused to help
-	silent        helping.Silent
-	patience      time.Duration   // for which the next send waits for helpers that do not reply
-	sentTo        []loadshare.Key // engines that received the call as lead
-	firstAt       time.Time
-	lastEvent     int64 // last event that the caller has received
-	hasEvent      bool
-	events        int
-	repeated      int // bytes of events that the caller had already
-	target        *node
-	predicted     time.Duration // predicted time from the last send to the first event
-	readers       int           // engines that read the prompt
-	seen          placement.Seen
-	isolation     isolation
+	server       *Server
+	writer       *delivery.Writer
+	call         *Call
+	body         []byte
+	fingerprint  quarantine.Fingerprint
+	began        time.Time
+	route        *settings.Route
+	service      *settings.ForwardedService
+	organisation string
+	priority     int
+	revision     uint64
+	deadline     time.Time
+	age          time.Duration   // time since the first try of the call, if the arbiter knows that it was refused before
+	plans        int             // plans made so far; part of the names of asks and reservations
+	lastAsk      string          // ID of the ask that led to the last placement
+	arbiter      string          // instance that decided on the last placement of a long prompt, empty if this one did itself
+	sends        int             // sends that may have reached an upstream
+	failed       resend.Tally    // failed sends by cause
+	missedAt     time.Time       // when the last send failed, if it found no running upstream
+	unsentSince  time.Time       // when the call could not be sent first because an upstream took no connection
+	tried        []loadshare.Key // upstreams that failed the call
+	unusable     []loadshare.Key // engines in the arbiter's last answer that must not be used
+	excluded     []loadshare.Key // all unusable and refused engines so far
+	refused      []loadshare.Key // engines that refused to help
+	silent       helping.Silent
+	patience     time.Duration   // for which the next send waits for helpers that do not reply
+	sentTo       []loadshare.Key // engines that received the call as lead
+	firstAt      time.Time
+	lastEvent    int64 // last event that the caller has received
+	hasEvent     bool
+	events       int
+	repeated     int // bytes of events that the caller had already
+	target       *node
+	predicted    time.Duration // predicted time from the last send to the first event
+	readers      int           // engines that read the prompt
+	seen         placement.Seen
+	isolation    isolation
+	failureHeld  *bytebudget.Holding // memory of the failure answer that is kept
+
 	longestPause  time.Duration // longest pause between two events
 	pausedAt      time.Time     // when the longest pause began
 	eventAt       time.Time     // time of the last event
@@ -108,6 +111,7 @@
 		return
 	}
 	defer x.cancelMove()
+	defer x.keepFailure(nil)
 	var last *outcome
 	for ended := x.handBack(); !ended; {
 		last, ended = x.sendAgain(ctx, last)
@@ -148,6 +152,7 @@
 // sendAgain sends the call once, through another instance or to an upstream. It returns the outcome,
 // and whether the call has ended. last is the outcome of the send before, nil if there was none.
 func (x *exchange) sendAgain(ctx context.Context, last *outcome) (result *outcome, ended bool) {
+	x.dropLongFailure(last)
 	x.server.fleet.paths.Settle(x.service.Name)
 	if x.usesPeers() {
 		if result := x.sendThroughPeers(ctx); result != nil {
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/cockroachdb/errors"
 
-	"celeryport/httpwire"
 	"celeryport/verdict"
 )
 
@@ -32,15 +31,6 @@
 	return o.err == nil || errors.IsAny(o.err, errOwnFailure, errNotRun, errNotGenuine)
 }
 
-// failureAnswer is a failure answer of an upstream. It is forwarded to the caller if no other send
-// succeeds.
-type failureAnswer struct {
-	status int
-	reason string
-	fields httpwire.Fields
-	body   []byte
-}
-
 // unavailableOutcome returns the outcome of a send that was cancelled because one of its engines
 // became unavailable.
 func unavailableOutcome(w *work, unavailable *node, cause error) *outcome {
--- a/forward/send.go
+++ b/forward/send.go
@@ -209,7 +209,7 @@
 
 // handleRejection handles an answer whose status is not a success.
 func (s *sending) handleRejection(ctx context.Context, head *httpwire.ResponseHead, answer Answer) *outcome {
-	body, err := s.readAll(head)
+	failed, err := s.readFailed(ctx, head, answer)
 	if err == nil && !answer.NotRun && !answer.WrongIncarnation {
 		err = s.verifyEnd(ctx, head)
 	}
@@ -243,7 +243,7 @@
 	}
 	o := &outcome{verdict: verdict.Ran, err: errors.Wrapf(errOwnFailure, "status %d", head.Status), reached: true, status: head.Status, helper: helper}
 	if answer.Genuine && !promisesNotRun(head.Status) && !answer.Encoded {
-		o.ownFailure = &failureAnswer{status: head.Status, reason: head.Reason, fields: head.Fields.EndToEnd(), body: body}
+		o.ownFailure = failed
 	}
 	return o
 }
@@ -251,10 +251,6 @@
 // maxWholeAnswerBytes bounds an answer that is read completely before it is forwarded.
 const maxWholeAnswerBytes = 8 << 20
 
-func (s *sending) readAll(head *httpwire.ResponseHead) ([]byte, error) {
-	return s.wholeBody(head).ReadAll(maxWholeAnswerBytes)
-}
-
 // finish determines whether the connection can carry another call: only if the call was written
 // completely and no data follows the answer.
 func (s *sending) finish(head *httpwire.ResponseHead, answer Answer) {
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -149,7 +149,7 @@
 	case answer.CallID != x.call.ID || !answer.Genuine:
 		return &outcome{verdict: verdict.MayHaveRun, err: errNotGenuine, reached: true}, nil
 	case head.Status < http.StatusOK || head.Status >= http.StatusMultipleChoices:
-		return t.failed(head, reader), nil
+		return t.failed(ctx, head, reader), nil
 	case x.route.Stream:
 		return t.stream(head, reader), nil
 	default:
@@ -192,15 +192,13 @@
 }
 
 // failed handles a failure answer of an upstream.
-func (t *transitSend) failed(head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
-	body, err := meteredBody(reader, head, &t.meter).ReadAll(maxWholeAnswerBytes)
+func (t *transitSend) failed(ctx context.Context, head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
+	failed, err := t.x.readFailure(ctx, head, meteredBody(reader, head, &t.meter))
 	if err != nil {
 		return t.broken(err)
 	}
 	t.clean = !head.Close && reader.Buffered() == 0
-	o := &outcome{verdict: verdict.Ran, err: errors.Wrapf(errOwnFailure, "status %d", head.Status), reached: true, final: true}
-	o.ownFailure = &failureAnswer{status: head.Status, reason: head.Reason, fields: head.Fields.EndToEnd(), body: body}
-	return o
+	return &outcome{verdict: verdict.Ran, err: errors.Wrapf(errOwnFailure, "status %d", head.Status), reached: true, final: true, ownFailure: failed}
 }
 
 func (t *transitSend) broken(err error) *outcome {
