forward: grant memory for whole answers so that they never wait for each other

What callers saw: an upstream sends bodies without end to some calls, and no caller of the instance gets an answer any more: its calls wait until their deadline (504), also those of other services whose upstreams have answered. "The requests of other clients on that machine ended with it", and a call that its caller gives up before its deadline has neither an answer nor a refusal. It needs no faulty upstream: 40 sound answers of 1 MB that arrive at once hold 512 kB each of 16 MB and wait for the other half.

Cause: hold and wait. An answer reserves memory as it grows, keeps it while it waits for more, and nothing frees it but a deadline. Class of fault: a shared bound that is taken piece by piece.

TestMessagesNeverWaitForEachOther fails with plain reservations.

Change: package bytebudget has a pool that grants memory only while all messages that hold some can still be read to their ends one after the other (the banker's algorithm; an answer claims its stated length, else the limit of 8 MB). Waiters are served when memory is released, those that hold least first, so that a new answer does not wait for long ones. Answers with a stated length of 64 KB at most may use a sixteenth more that is set aside. The last byte that shows that a body without a length is too large is read without memory of its own.

--- /dev/null
+++ b/bytebudget/pool_test.go
@@ -0,0 +1,61 @@
+package bytebudget
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against messages that hold memory and wait for each other without end.
+func TestMessagesNeverWaitForEachOther(t *testing.T) {
+	for seed := range uint64(100) {
+		synctest.Test(t, func(t *testing.T) {
+			const size = 1000 << 10
+			random := rand.New(rand.NewPCG(seed, 1))
+			p := NewPool(size)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			var reading sync.WaitGroup
+			for range 50 {
+				most := 1 + random.Int64N(size)
+				claim, needs, pause := p.Claim(most), 1+random.Int64N(most), time.Duration(random.Int64N(int64(time.Millisecond)))
+				reading.Go(func() {
+					defer claim.Release()
+					for held := int64(0); held < needs; time.Sleep(pause) {
+						n := min(needs-held, max(100, held))
+						if err := claim.Await(ctx, n); err != nil {
+							t.Errorf("seed %d: a message of %d bytes waits for %d with %d: %v", seed, needs, n, held, err)
+							return
+						}
+						held += n
+					}
+				})
+			}
+			reading.Wait()
+			if p.Free() != size || p.setAside != size/setAsidePart || len(p.waiting) > 0 {
+				t.Errorf("seed %d: %d and %d bytes are free at the end, %d wait", seed, p.Free(), p.setAside, len(p.waiting))
+			}
+		})
+	}
+}
+
+// Guards against small messages that wait for the large ones that hold all the rest.
+func TestSmallMessagesNeedNoPartOfTheLargeOnes(t *testing.T) {
+	const size = 16 << 20
+	p := NewPool(size)
+	large := []*Claim{p.Claim(size / 2), p.Claim(size / 2)}
+	for _, c := range large {
+		if p.enter(c, size/2) != nil {
+			t.Fatal("a large message does not fit")
+		}
+	}
+	if small := p.Claim(SmallMessage); p.enter(small, SmallMessage) != nil {
+		t.Error("a small message waits")
+	}
+	if p.enter(p.Claim(SmallMessage+1), 1) == nil {
+		t.Error("memory is granted beyond the bound")
+	}
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -58,7 +58,7 @@
 	readers      int           // engines that read the prompt
 	seen         placement.Seen
 	isolation    isolation
-	failureHeld  *bytebudget.Holding // memory of the failure answer that is kept
+	failureHeld  *bytebudget.Claim // memory of the failure answer that is kept
 
 	longestPause  time.Duration // longest pause between two events
 	pausedAt      time.Time     // when the longest pause began
@@ -152,7 +152,7 @@
 // sendAgain sends the call once, through another instance or to an upstream. It returns the outcome,
 // and whether the call has ended. last is the outcome of the send before, nil if there was none.
 func (x *exchange) sendAgain(ctx context.Context, last *outcome) (result *outcome, ended bool) {
-	x.dropLongFailure(last)
+	x.beforeRepeat(last)
 	x.server.fleet.paths.Settle(x.service.Name)
 	if x.usesPeers() {
 		if result := x.sendThroughPeers(ctx); result != nil {
--- a/forward/failure_answer.go
+++ b/forward/failure_answer.go
@@ -15,7 +15,7 @@
 	// call.
 	maxRejectionBytes = 64 << 10
 	// maxKeptFailureBytes bounds the body of a failure answer that is kept while its call is sent again.
-	maxKeptFailureBytes = 64 << 10
+	maxKeptFailureBytes = 16 << 10
 )
 
 // failureAnswer is a failure answer of an upstream. It is forwarded to the caller if no other send
@@ -52,10 +52,10 @@
 	}
 }
 
-// readFailure reads the body of an upstream's own failure answer. The call holds its memory until it ends or has
-// another one.
+// readFailure reads the body of an upstream's own failure answer. The call holds its memory until it ends or is sent
+// again.
 func (x *exchange) readFailure(ctx context.Context, head *httpwire.ResponseHead, body *httpwire.Body) (*failureAnswer, error) {
-	held := x.server.answers.Hold()
+	held := x.server.answerClaim(head)
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	content, err := body.ReadAllReserving(maxWholeAnswerBytes, awaitRoom(ctx, held))
@@ -68,18 +68,18 @@
 }
 
 // keepFailure replaces the memory that the call holds for a failure answer; nil: none.
-func (x *exchange) keepFailure(held *bytebudget.Holding) {
+func (x *exchange) keepFailure(held *bytebudget.Claim) {
 	if x.failureHeld != nil {
 		x.failureHeld.Release()
 	}
 	x.failureHeld = held
 }
 
-// dropLongFailure gives up a long failure answer before the call is sent again: it must not hold the memory for which
-// the next answer may have to wait.
-func (x *exchange) dropLongFailure(last *outcome) {
+// beforeRepeat gives back the memory of a failure answer before the call is sent again, since the next answer may have
+// to wait for memory. Only a short failure answer is kept beyond that.
+func (x *exchange) beforeRepeat(last *outcome) {
 	if last != nil && last.ownFailure != nil && len(last.ownFailure.body) > maxKeptFailureBytes {
 		last.ownFailure = nil
-		x.keepFailure(nil)
 	}
+	x.keepFailure(nil)
 }
--- a/forward/held_bytes.go
+++ b/forward/held_bytes.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/bytebudget"
-	"celeryport/clock"
+	"celeryport/httpwire"
 	"celeryport/verdict"
 )
 
@@ -15,8 +15,6 @@
 	// bodiesRetry is the Retry-After while there is no memory for another body: callers read and
 	// send most bodies within this time.
 	bodiesRetry = 500 * time.Millisecond
-	// roomInterval is how often an answer that waits for memory is tried again.
-	roomInterval = 20 * time.Millisecond
 )
 
 var (
@@ -35,16 +33,18 @@
 	}
 }
 
+// answerClaim returns the claim of an answer that is read as a whole on the memory for those.
+func (s *Server) answerClaim(head *httpwire.ResponseHead) *bytebudget.Claim {
+	most := int64(maxWholeAnswerBytes)
+	if head.Body.Kind == httpwire.Sized {
+		most = min(most, head.Body.Length)
+	}
+	return s.answers.Claim(most)
+}
+
 // awaitRoom returns a function that reserves memory for an answer and waits for it until ctx
 // ends. The upstream has run the call, so its answer is not dropped; meanwhile it is not read,
 // which makes the upstream wait.
-func awaitRoom(ctx context.Context, held *bytebudget.Holding) func(n int64) error {
-	return func(n int64) error {
-		for !held.Grow(n) {
-			if !clock.Pause(ctx, roomInterval) {
-				return ctx.Err()
-			}
-		}
-		return nil
-	}
+func awaitRoom(ctx context.Context, held *bytebudget.Claim) func(n int64) error {
+	return func(n int64) error { return held.Await(ctx, n) }
 }
--- a/forward/held_bytes_test.go
+++ b/forward/held_bytes_test.go
@@ -69,8 +69,8 @@
 // memory for it at that moment.
 func TestAnswerWaitsForMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		budget := bytebudget.New(100)
-		first, second := budget.Hold(), budget.Hold()
+		pool := bytebudget.NewPool(100)
+		first, second := pool.Claim(100), pool.Claim(100)
 		if err := awaitRoom(context.Background(), first)(80); err != nil {
 			t.Fatal(err)
 		}
--- a/forward/send.go
+++ b/forward/send.go
@@ -266,7 +266,7 @@
 	if s.x.route.Stream {
 		return s.stream(ctx, head, answer)
 	}
-	held := s.x.server.answers.Hold()
+	held := s.x.server.answerClaim(head)
 	defer held.Release()
 	ctx, cancel := context.WithDeadline(ctx, s.x.deadline)
 	defer cancel()
--- a/forward/server.go
+++ b/forward/server.go
@@ -25,7 +25,7 @@
 	arbitration *arbitration
 	shares      *shares                    // nil: organisations have no shares
 	bodies      *bytebudget.Budget         // bytes of calls that were received or are being received
-	answers     *bytebudget.Budget         // bytes of answers that are held as a whole
+	answers     *bytebudget.Pool           // bytes of answers that are held as a whole
 	draining    atomic.Pointer[drainState] // nil: calls are accepted
 	inFlight    atomic.Int64               // calls that are being read or answered
 	startedAt   time.Time
@@ -60,7 +60,7 @@
 		random:    options.Random,
 		conns:     map[*callerConn]struct{}{},
 		bodies:    bytebudget.New(bounds.Bodies),
-		answers:   bytebudget.New(bounds.Answers),
+		answers:   bytebudget.NewPool(bounds.Answers),
 	}
 	s.budgets = resend.NewBudgets(s.startedAt, options.Budget, s.sharers)
 	s.fleet = newFleet(&s.options, s.budgets.CallRate)
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -207,7 +207,7 @@
 
 func (t *transitSend) whole(ctx context.Context, head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
 	x := t.x
-	held := x.server.answers.Hold()
+	held := x.server.answerClaim(head)
 	defer held.Release()
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
--- a/httpwire/body.go
+++ b/httpwire/body.go
@@ -205,7 +205,7 @@
 	if b.framing.Kind == Sized && b.framing.Length > limit {
 		return nil, tooLarge()
 	}
-	most := limit + 1 // one more byte shows that the body is too large
+	most := limit
 	if b.framing.Kind == Sized {
 		most = b.framing.Length
 	}
@@ -221,16 +221,29 @@
 		n, err := b.Read(all[len(all):cap(all)])
 		all = all[:len(all)+n]
 		if errors.Is(err, io.EOF) {
-			break
+			return all, nil
 		}
 		if err != nil {
 			return nil, err
 		}
 	}
-	if int64(len(all)) > limit {
-		return nil, tooLarge()
+	return all, b.expectEnd()
+}
+
+// expectEnd returns an error unless the body, whose data has reached its limit, ends here.
+func (b *Body) expectEnd() error {
+	if b.framing.Kind == Sized {
+		return nil
+	}
+	var beyond [1]byte
+	switch n, err := b.Read(beyond[:]); {
+	case n > 0:
+		return tooLarge()
+	case errors.Is(err, io.EOF):
+		return nil
+	default:
+		return err
 	}
-	return all, nil
 }
 
 func tooLarge() error {
