forward: reserve the memory of long events

An upstream whose events have no end takes 1 MB of the instance for each stream, beyond any common bound, so that the process exceeds the memory of its deployment, and callers of other upstreams wait for seconds while it collects.

A reader of events also kept the memory of its longest event up to the end of its stream.

Change: memory for an event beyond 16 KB is reserved in the pool of answers, as it grows, and given back once the event has been passed on. The stream is not read while it waits.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -18,7 +18,8 @@
 // forwarded, so that another upstream can resume after the last one when this upstream fails.
 func (s *sending) stream(ctx context.Context, head *httpwire.ResponseHead, answer Answer) *outcome {
 	body := httpwire.NewBody(s.conn.reader, head.Body)
-	events := httpwire.NewEventReader(body, maxEventBytes)
+	events, end := s.x.eventReader(ctx, body)
+	defer end()
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && body.Complete() {
@@ -36,6 +37,19 @@
 	}
 }
 
+// eventReader returns a reader of the events of an answer, and a function to call when it is no longer used. Long
+// events wait for memory until the deadline of the call.
+func (x *exchange) eventReader(ctx context.Context, body io.Reader) (*httpwire.EventReader, func()) {
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	held := x.server.answers.Claim(maxEventBytes)
+	events := httpwire.NewEventReader(body, maxEventBytes)
+	events.Reserve, events.Release = awaitRoom(ctx, held), held.Release
+	return events, func() {
+		events.Close()
+		cancel()
+	}
+}
+
 // forwardEvent forwards one event, unless the caller has received it already.
 func (s *sending) forwardEvent(head *httpwire.ResponseHead, e *httpwire.Event) error {
 	x := s.x
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -151,7 +151,7 @@
 	case head.Status < http.StatusOK || head.Status >= http.StatusMultipleChoices:
 		return t.failed(ctx, head, reader), nil
 	case x.route.Stream:
-		return t.stream(head, reader), nil
+		return t.stream(ctx, head, reader), nil
 	default:
 		return t.whole(ctx, head, reader), nil
 	}
@@ -221,10 +221,11 @@
 	return &outcome{verdict: verdict.Ran, reached: true}
 }
 
-func (t *transitSend) stream(head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
+func (t *transitSend) stream(ctx context.Context, head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
 	x := t.x
 	body := httpwire.NewBody(reader, head.Body)
-	events := httpwire.NewEventReader(body, maxEventBytes)
+	events, end := x.eventReader(ctx, body)
+	defer end()
 	var idle idleEvents
 	for {
 		e, err := events.Next()
--- a/httpwire/events.go
+++ b/httpwire/events.go
@@ -22,10 +22,15 @@
 // that the upstream sent only in part, so that the caller can continue on another
 // upstream after the last complete event.
 type EventReader struct {
-	r     *bufio.Reader
-	limit int
-	raw   []byte
-	idle  int // bytes of blank lines and comments since the last field
+	// Reserve is called before n more bytes of memory are used for a long event, and Release when they no longer
+	// are; both nil: any number may be used. An error of Reserve ends the reading.
+	Reserve  func(n int64) error
+	Release  func()
+	r        *bufio.Reader
+	limit    int
+	raw      []byte
+	reserved int
+	idle     int // bytes of blank lines and comments since the last field
 }
 
 // NewEventReader returns a reader for events of at most limit bytes each.
@@ -39,18 +44,25 @@
 // eventBufferSize holds several typical events, which have a few hundred bytes.
 const eventBufferSize = 4 << 10
 
+// maxFreeEventBytes is the memory for an event that is not reserved.
+const maxFreeEventBytes = 16 << 10
+
 // Next returns the next complete event. The error is io.EOF if the stream ended after
 // a complete event and ErrTruncated if it ended within one.
 func (e *EventReader) Next() (Event, error) {
 	e.raw = e.raw[:0]
+	e.Close()
 	event := Event{Idle: true}
 	lineStart := 0 // of the current line
 	for {
 		part, err := e.r.ReadSlice('\n')
-		e.raw = append(e.raw, part...)
-		if len(e.raw) > e.limit {
+		if len(e.raw)+len(part) > e.limit {
 			return Event{}, excess(http.StatusBadGateway, "an event is larger than the limit")
 		}
+		if err := e.grow(len(e.raw) + len(part)); err != nil {
+			return Event{}, err
+		}
+		e.raw = append(e.raw, part...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -74,6 +86,33 @@
 	}
 }
 
+// grow makes room for an event of size bytes.
+func (e *EventReader) grow(size int) error {
+	if size <= cap(e.raw) {
+		return nil
+	}
+	room := min(max(size, eventBufferSize, 2*cap(e.raw)), max(size, e.limit))
+	if room > maxFreeEventBytes && e.Reserve != nil {
+		if err := e.Reserve(int64(room - e.reserved)); err != nil {
+			return err
+		}
+		e.reserved = room
+	}
+	e.raw = append(make([]byte, 0, room), e.raw...)
+	return nil
+}
+
+// Close gives back the memory of a long event, whose bytes must not be used any more.
+func (e *EventReader) Close() {
+	if e.reserved == 0 {
+		return
+	}
+	e.raw, e.reserved = nil, 0
+	if e.Release != nil {
+		e.Release()
+	}
+}
+
 // Buffered reports whether unread bytes are buffered.
 func (e *EventReader) Buffered() bool { return e.r.Buffered() > 0 }
 
