--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/bytebudget"
 	"celeryport/delivery"
 	"celeryport/drain"
 	"celeryport/helping"
@@ -58,27 +59,28 @@
 	readers       int           // engines that read the prompt
 	seen          placement.Seen
 	isolation     isolation
-	longestPause  time.Duration   // longest pause between two events
-	pausedAt      time.Time       // when the longest pause began
-	eventAt       time.Time       // time of the last event
-	helpers       []*node         // engines that read a part of the prompt of the last send
-	placedAt      time.Time       // when the last send was placed
-	ran           bool            // a send may have run
-	interrupted   func() bool     // whether the call ends because this instance stops; nil: it does not
-	heldBack      bool            // it waited for the first settings, with the other calls of that time
-	next          *work           // the send to which the call moves, already registered as in flight
-	moves         int             // moves away from silent upstreams
-	movedEvents   int             // events at the last move
-	transit       *transit.Call   // set if this instance handles the call for another one
-	peersDeclined bool            // no other instance handles the call for this one
-	sentAt        time.Time       // when the call was sent last
-	sentFrom      int             // events of the answer before
-	stopDecision  *drain.Decision // last decision on the call while this instance stops, nil if there was none
-	serving       string          // the other instance that has last said that it serves the service, empty if none has
-	brokenBy      []string        // other instances whose answers to the call broke
-	handler       string          // the other instance that handled the last send, empty if none did
-	assured       bool            // a long prompt with the minimum guarantee of its organisation
-	withinShare   bool            // a short prompt that was not refused because of its organisation's share
+	failureHeld   *bytebudget.Claim // memory of the failure answer that is kept
+	longestPause  time.Duration     // longest pause between two events
+	pausedAt      time.Time         // when the longest pause began
+	eventAt       time.Time         // time of the last event
+	helpers       []*node           // engines that read a part of the prompt of the last send
+	placedAt      time.Time         // when the last send was placed
+	ran           bool              // a send may have run
+	interrupted   func() bool       // whether the call ends because this instance stops; nil: it does not
+	heldBack      bool              // it waited for the first settings, with the other calls of that time
+	next          *work             // the send to which the call moves, already registered as in flight
+	moves         int               // moves away from silent upstreams
+	movedEvents   int               // events at the last move
+	transit       *transit.Call     // set if this instance handles the call for another one
+	peersDeclined bool              // no other instance handles the call for this one
+	sentAt        time.Time         // when the call was sent last
+	sentFrom      int               // events of the answer before
+	stopDecision  *drain.Decision   // last decision on the call while this instance stops, nil if there was none
+	serving       string            // the other instance that has last said that it serves the service, empty if none has
+	brokenBy      []string          // other instances whose answers to the call broke
+	handler       string            // the other instance that handled the last send, empty if none did
+	assured       bool              // a long prompt with the minimum guarantee of its organisation
+	withinShare   bool              // a short prompt that was not refused because of its organisation's share
 }
 
 // recordRejection records which engine received the call, and the helper because of which it was
@@ -112,6 +114,7 @@
 		return
 	}
 	defer x.cancelMove()
+	defer x.keepFailure(nil)
 	var last *outcome
 	for ended := x.handBack(); !ended; {
 		last, ended = x.sendAgain(ctx, last)
@@ -156,6 +159,7 @@
 		x.abandon(last, errStopping)
 		return last, true
 	}
+	x.beforeRepeat(last)
 	x.server.fleet.paths.Settle(x.service.Name)
 	if x.usesPeers() {
 		if result := x.sendThroughPeers(ctx); result != nil {
--- a/forward/send.go
+++ b/forward/send.go
@@ -220,7 +220,7 @@
 
 // handleRejection handles an answer whose status is not a success.
 func (s *sending) handleRejection(ctx context.Context, head *httpwire.ResponseHead, answer Answer) *outcome {
-	body, err := s.readAll(head)
+	failed, err := s.readFailed(ctx, head, answer)
 	if err == nil && !answer.NotRun && !answer.WrongIncarnation {
 		err = s.verifyEnd(ctx, head)
 	}
@@ -254,7 +254,7 @@
 	}
 	o := &outcome{verdict: verdict.Ran, err: errors.Wrapf(errOwnFailure, "status %d", head.Status), reached: true, status: head.Status, helper: helper}
 	if answer.Genuine && !promisesNotRun(head.Status) && !answer.Encoded {
-		o.ownFailure = &failureAnswer{status: head.Status, reason: head.Reason, fields: head.Fields.EndToEnd(), body: body}
+		o.ownFailure = failed
 	}
 	return o
 }
@@ -262,10 +262,6 @@
 // maxWholeAnswerBytes bounds an answer that is read completely before it is forwarded.
 const maxWholeAnswerBytes = 8 << 20
 
-func (s *sending) readAll(head *httpwire.ResponseHead) ([]byte, error) {
-	return s.wholeBody(head).ReadAll(maxWholeAnswerBytes)
-}
-
 // finish determines whether the connection can carry another call: only if the call was written
 // completely and no data follows the answer, which names the call, so that a second, late one is recognised.
 func (s *sending) finish(head *httpwire.ResponseHead, answer Answer) {
@@ -281,7 +277,7 @@
 	if s.x.route.Stream {
 		return s.stream(ctx, head, answer)
 	}
-	held := s.x.server.answers.Hold()
+	held := s.x.server.answerClaim(head)
 	defer held.Release()
 	ctx, cancel := context.WithDeadline(ctx, s.x.deadline)
 	defer cancel()
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -154,9 +154,9 @@
 	case answer.CallID != x.call.ID || !answer.Genuine:
 		return &outcome{verdict: verdict.MayHaveRun, err: errNotGenuine, reached: true}, nil
 	case head.Status < http.StatusOK || head.Status >= http.StatusMultipleChoices:
-		return t.failed(head, reader), nil
+		return t.failed(ctx, head, reader), nil
 	case x.route.Stream:
-		return t.stream(head, reader), nil
+		return t.stream(ctx, head, reader), nil
 	default:
 		return t.whole(ctx, head, reader), nil
 	}
@@ -200,15 +200,13 @@
 }
 
 // failed handles a failure answer of an upstream.
-func (t *transitSend) failed(head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
-	body, err := t.body(head, reader).ReadAll(maxWholeAnswerBytes)
+func (t *transitSend) failed(ctx context.Context, head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
+	failed, err := t.x.readFailure(ctx, head, t.body(head, reader))
 	if err != nil {
 		return t.broken(err)
 	}
 	t.clean = !head.Close && reader.Buffered() == 0
-	o := &outcome{verdict: verdict.Ran, err: errors.Wrapf(errOwnFailure, "status %d", head.Status), reached: true, final: true}
-	o.ownFailure = &failureAnswer{status: head.Status, reason: head.Reason, fields: head.Fields.EndToEnd(), body: body}
-	return o
+	return &outcome{verdict: verdict.Ran, err: errors.Wrapf(errOwnFailure, "status %d", head.Status), reached: true, final: true, ownFailure: failed}
 }
 
 func (t *transitSend) broken(err error) *outcome {
@@ -217,7 +215,7 @@
 
 func (t *transitSend) whole(ctx context.Context, head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
 	x := t.x
-	held := x.server.answers.Hold()
+	held := x.server.answerClaim(head)
 	defer held.Release()
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
@@ -231,11 +229,12 @@
 	return &outcome{verdict: verdict.Ran, reached: true}
 }
 
-func (t *transitSend) stream(head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
+func (t *transitSend) stream(ctx context.Context, head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
 	x := t.x
 	body := httpwire.NewBody(reader, head.Body)
 	body.MustFrame = true
-	events := httpwire.NewEventReader(body, maxEventBytes)
+	events, end := x.eventReader(ctx, body)
+	defer end()
 	var idle idleEvents
 	for {
 		e, err := events.Next()
