instance: drain until shortly before the end of the drain timeout

Calls late in a stop were refused although there was time: a drain took at most 0.85 of the drain timeout, 6.8 of 8 s, and the process ended 0.24 s later. Cause: a fraction was reserved for the end, and a second more for control, instead of what these take.

Reserved are now 0.4 s for closing the connections of callers (bounded by 0.32 s: CloseReadTime, lastAcceptTime, closeGrace), 0.25 s for leaving the control group (two messages at most; if they don't arrive, its lease ends as before) and 0.1 s for the end of the process, which is now inside the drain timeout; of a timeout under 1.5 s, half at most. Control does not leave beside the drain: leaving drops its lease, after which others may take a change for being in force everywhere while this instance still sends calls by the old one.

--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -58,7 +58,7 @@
 		address:   p.Listen,
 		serves:    string(p.Serves),
 		start:     f.start,
-		stopLimit: drainLimit(p) + closingTimeout,
+		stopLimit: stopLimit(p),
 	}
 	return run.run(stop, hardStop)
 }
@@ -84,7 +84,7 @@
 		}
 	}
 	group.Start(supervise.Component{
-		Name: "control", Kind: supervise.Essential, Run: f.node.Run, Stop: f.leaveAlone, StopTimeout: announceTimeout + closingTimeout,
+		Name: "control", Kind: supervise.Essential, Run: f.node.Run, Stop: f.leaveAlone, StopTimeout: 2 * announceTimeout,
 	})
 	select {
 	case <-f.node.Started():
@@ -119,7 +119,7 @@
 	}
 	group.Start(supervise.Component{
 		Name: "callers", Kind: supervise.Reopened, Open: f.callers.open, Run: f.serveCallers, Stop: f.drain,
-		StopTimeout: drainLimit(p) + closingTimeout/2,
+		StopTimeout: closeLimit(p),
 	})
 }
 
--- a/instance/forwarding_shutdown.go
+++ b/instance/forwarding_shutdown.go
@@ -10,24 +10,46 @@
 )
 
 const (
-	// drainFraction is the fraction of the drain timeout that draining may take. The rest is
-	// left for closing.
-	drainFraction = 0.85
+	// closeReserve, leaveReserve and exitReserve are what is left of the drain timeout for the end: for closing
+	// the connections of callers, for leaving the control group and finishing the calls of other instances, and
+	// for the end of the process. A group that is not told of the leave in time waits for the end of a lease.
+	closeReserve = 400 * time.Millisecond
+	leaveReserve = 250 * time.Millisecond
+	exitReserve  = 100 * time.Millisecond
+	// maxReserve bounds what is left of a short drain timeout, as a fraction of it.
+	maxReserve = 0.5
 	// drainIdle ends draining early when no call has arrived for this long.
 	drainIdle = 600 * time.Millisecond
 	// minDrain is the minimum duration of draining: callers may use a list of addresses
 	// for this long after they received it.
 	minDrain = directoryCacheTime + 300*time.Millisecond
-	// closingTimeout is how long closing everything may take after draining: control has to
-	// leave the group and to finish the calls of other instances.
-	closingTimeout = time.Second
 	// announceTimeout limits the announcement to the control group that this instance stops.
 	announceTimeout = time.Second
 )
 
 // drainLimit is how long draining may take.
 func drainLimit(p *settings.Process) time.Duration {
-	return time.Duration(float64(p.DrainTimeout) * drainFraction)
+	return p.DrainTimeout - reserve(p, closeReserve+leaveReserve+exitReserve)
+}
+
+// closeLimit is how long draining and closing the connections of callers may take.
+func closeLimit(p *settings.Process) time.Duration {
+	return p.DrainTimeout - reserve(p, leaveReserve+exitReserve)
+}
+
+// stopLimit is how long the whole stop may take.
+func stopLimit(p *settings.Process) time.Duration {
+	return p.DrainTimeout - reserve(p, exitReserve)
+}
+
+// reserve returns the time that is left for a part of the end: less than wanted if the drain timeout is short.
+func reserve(p *settings.Process, wanted time.Duration) time.Duration {
+	const whole = closeReserve + leaveReserve + exitReserve
+	most := time.Duration(maxReserve * float64(p.DrainTimeout))
+	if whole <= most {
+		return wanted
+	}
+	return time.Duration(float64(most) * float64(wanted) / float64(whole))
 }
 
 // drain drains the instance so that calls in progress can finish, and closes the connections of
