forward: free the engines of a granted call that is refused in a stop

A prompt whose placement the arbiter had granted and that was then refused because it no longer fitted in the stop left its engines as reading it until the predicted end, for all instances. The grant is withdrawn as when a caller leaves.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -211,6 +211,7 @@
 		return result, true
 	}
 	if errors.Is(result.err, errStopping) {
+		x.withdrawGrant()
 		x.abandon(last, errStopping)
 		return result, true
 	}
