entry: refuse requests that a shutdown can't finish

A request that arrives during a bounded shutdown is now refused as not run, with the other addresses, if it is not expected to end by the bound: by the longest recent time from arrival to answer in its class and to its target, or else by its deadline (package drain). It is not decided on again when it is sent, and the tokens of an answer are not predicted.

Evidence: entry.TestRequestsTakenLateInAShutdownAreFinished (virtual time, an engine that takes 4 s, whole and streamed).

--- a/entry/completions.go
+++ b/entry/completions.go
@@ -27,6 +27,9 @@
 		return
 	}
 	body, err := in.parseCompletion(raw)
+	if err == nil {
+		err = s.late.check(s.options.Clock.Now(), in.request)
+	}
 	if err != nil {
 		releaseBody()
 		s.refuse(ctx, in, err)
--- a/entry/services.go
+++ b/entry/services.go
@@ -24,6 +24,11 @@
 		s.refuse(ctx, in, err)
 		return
 	}
+	if err := s.late.check(s.options.Clock.Now(), in.request); err != nil {
+		releaseBody()
+		s.refuse(ctx, in, err)
+		return
+	}
 	e := newExchange(in.request)
 	e.releaseBody = releaseBody
 	e.call = &serviceBody{
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -27,6 +27,9 @@
 // refuses new requests, finishes those in flight, and closes. ctx limits the whole
 // shutdown.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if deadline, bounded := ctx.Deadline(); bounded {
+		s.late.bound.Store(&shutdownBound{began: s.options.Clock.Now(), limit: time.Until(deadline)})
+	}
 	s.draining.set(phaseDelisted)
 	keep := time.Duration(keepSeconds(s.options.Plane.View()))*time.Second + drainMargin
 	eventDraining.Log(s.options.Log, event.Fields{"accept_for": keep.String(), "in_flight": s.InFlight()})
