forward: believe a refusal of another instance for its own call only

A refusal that another instance gave to one call could end another one that it handles next on the same connection, as a 503 that promises that the call has not run. Cause: only answers of upstreams were checked for the call's ID. A refusal that bears another ID now proves nothing ("may have run"); one without an ID stays valid, because a call that could not be read is refused without it. No instance is known to answer twice; found by reading.

--- a/forward/transit_body.go
+++ b/forward/transit_body.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 
+	"github.com/cockroachdb/errors"
+
 	"celeryport/httpwire"
+	"celeryport/verdict"
 )
 
 // body returns the body of an answer. Instances frame their answers: the kernel closes the connections of one that was
@@ -13,3 +16,8 @@
 	body.MustFrame = true
 	return body
 }
+
+// broken returns the outcome of a send whose answer ended too early or can't be read.
+func (t *transitSend) broken(err error) *outcome {
+	return &outcome{verdict: verdict.MayHaveRun, err: errors.Wrap(err, "read the answer of another instance"), reached: true}
+}
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -147,7 +147,8 @@
 	}
 	t.meter.Part()
 	answer := x.server.options.Dialect.DecodeAnswer(head)
-	if refusal := transit.DecodeRefusal(head.Fields); refusal != nil && !answer.Genuine {
+	own := answer.CallID == x.call.ID || answer.CallID == "" // a call that was not read is refused without its ID
+	if refusal := transit.DecodeRefusal(head.Fields); refusal != nil && !answer.Genuine && own {
 		return t.refused(head, reader, refusal) // only answers of upstreams are genuine
 	}
 	switch {
@@ -209,10 +210,6 @@
 	return &outcome{verdict: verdict.Ran, err: errors.Wrapf(errOwnFailure, "status %d", head.Status), reached: true, final: true, ownFailure: failed}
 }
 
-func (t *transitSend) broken(err error) *outcome {
-	return &outcome{verdict: verdict.MayHaveRun, err: errors.Wrap(err, "read the answer of another instance"), reached: true}
-}
-
 func (t *transitSend) whole(ctx context.Context, head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
 	x := t.x
 	held := x.server.answerClaim(head)
