forward: skip late answers of calls when a small request is answered

An upstream may send an answer twice, the second time where the next one is due; its ID shows that. Calls skip such answers, but orders for memory, polls and health checks took them for their own: a reservation counted as held and a release as done though the engine had refused it, so that prompts went to engines without their memory, or memory stayed until its lease ended.

The check for this in identify, which only saw the first answer, is not needed any more.

--- a/forward/end_check.go
+++ b/forward/end_check.go
@@ -150,9 +150,6 @@
 // identify returns what a reply to an identityMessage shows. The message names the intended incarnation, so that
 // any other one rejects it.
 func (f *fleet) identify(n *node, r *smallReply, isReport bool) endcheck.Observation {
-	if r.answer.CallID != "" {
-		return endcheck.Unclear // it answers a call
-	}
 	named := r.answer.Incarnation
 	if r.answer.WrongIncarnation || named != "" && named != n.name {
 		f.recordReplaced(n)
--- a/forward/round_trip.go
+++ b/forward/round_trip.go
@@ -53,11 +53,7 @@
 		conn.close()
 		return nil, err
 	}
-	var content []byte
-	answer, err := httpwire.ReadResponseHead(conn.reader, defaultHeaderBytes, head.Method)
-	if err == nil {
-		content, err = meteredBody(conn.reader, answer, &conn.liveness.meter).ReadAll(defaultHeaderBytes)
-	}
+	reply, answer, err := f.readSmall(conn, head.Method)
 	if err != nil {
 		conn.close()
 		cause := err
@@ -67,13 +63,30 @@
 		f.recordEndless(roadSmall, n.name, n.address, cause, conn.liveness.meter.Drips(), nil)
 		return nil, err
 	}
-	decoded := f.options.Dialect.DecodeAnswer(answer)
-	f.applyStatements(n, &decoded)
-	rejected := decoded.NotRun || decoded.WrongIncarnation // a call can't tell a second, late one from its own
+	f.applyStatements(n, &reply.answer)
+	rejected := reply.answer.NotRun || reply.answer.WrongIncarnation // a call can't tell a second, late one from its own
 	if answer.Close || rejected || conn.reader.Buffered() > 0 {
 		conn.close()
 	} else {
-		f.keep(n, conn, decoded.IdleFor)
+		f.keep(n, conn, reply.answer.IdleFor)
+	}
+	return reply, nil
+}
+
+// readSmall reads the answer to a small request and returns its head, too. Late answers of calls are skipped.
+func (f *fleet) readSmall(conn *upstreamConn, method string) (*smallReply, *httpwire.ResponseHead, error) {
+	for range maxStrayAnswers {
+		head, err := httpwire.ReadResponseHead(conn.reader, defaultHeaderBytes, method)
+		if err != nil {
+			return nil, nil, err
+		}
+		body, err := meteredBody(conn.reader, head, &conn.liveness.meter).ReadAll(defaultHeaderBytes)
+		if err != nil {
+			return nil, nil, err
+		}
+		if answer := f.options.Dialect.DecodeAnswer(head); answer.CallID == "" {
+			return &smallReply{status: head.Status, answer: answer, body: body}, head, nil
+		}
 	}
-	return &smallReply{status: answer.Status, answer: decoded, body: content}, nil
+	return nil, nil, errStray
 }
