entry: answer 503 instead of an empty list of addresses

A caller that asked an instance with no view of the others yet, or the last one that drains, got 200 with an empty list to keep for keep_seconds. package platform answers 503 in this case, and the project's own load generator passes such a list over. GET /v1/addresses now answers 503 with Retry-After.

Evidence: TestEmptyListOfAddressesIsNoAnswer failed before (200, empty list, keep 1 s), passes now.

--- a/entry/addresses.go
+++ b/entry/addresses.go
@@ -2,16 +2,20 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"celeryport/control"
 	"celeryport/membership"
+	"celeryport/verdict"
 )
 
 const (
 	defaultKeepSeconds = 10
 	zoneParameter      = "availability_zone"
+	// addressesRetryAfter is the Retry-After of a lookup at an instance that knows of no live one.
+	addressesRetryAfter = time.Second
 )
 
 // addresses serves GET /v1/addresses. It lists the live instances, those in the
@@ -23,7 +27,12 @@
 		zone = s.options.Process.AvailabilityZone
 	}
 	view := s.options.Plane.View()
-	writeJSON(ctx, addressesAnswer{Addresses: s.advertisedInstances(view, zone), KeepSeconds: keepSeconds(view)})
+	found := s.advertisedInstances(view, zone)
+	if len(found) == 0 { // callers would keep the empty list
+		writeError(ctx, verdict.Refuse(verdict.ReasonNoLease, addressesRetryAfter, "no live instance is known here"), nil)
+		return
+	}
+	writeJSON(ctx, addressesAnswer{Addresses: found, KeepSeconds: keepSeconds(view)})
 }
 
 func keepSeconds(view *control.View) int {
