--- a/endcheck/endcheck.go
+++ b/endcheck/endcheck.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// Joint returns what observations of all upstreams that worked on an answer show together: Same if each is the same
+// incarnation, otherwise the first other one, above all one that shows an end.
+func Joint(observed []Observation) Observation {
+	joint := Same
+	for _, o := range observed {
+		if o == Replaced || o == Refused {
+			return o
+		}
+		if joint == Same {
+			joint = o
+		}
+	}
+	return joint
+}
+
 // Conclusion is what an observation means for the answer.
 type Conclusion uint8
 
--- a/endcheck/endcheck_test.go
+++ b/endcheck/endcheck_test.go
@@ -38,3 +38,21 @@
 		}
 	}
 }
+
+// Guards against an answer that counts as complete although an upstream that worked on it has ended or did not reply.
+func TestJointIsSameOnlyIfAllAre(t *testing.T) {
+	for _, test := range []struct {
+		observed []Observation
+		want     Observation
+	}{
+		{[]Observation{Same}, Same},
+		{[]Observation{Same, Same}, Same},
+		{[]Observation{Same, Silent, Refused}, Refused},
+		{[]Observation{Silent, Same}, Silent},
+		{[]Observation{Same, Unclear, Replaced}, Replaced},
+	} {
+		if got := Joint(test.observed); got != test.want {
+			t.Errorf("%v: %v, want %v", test.observed, got, test.want)
+		}
+	}
+}
--- a/forward/unframed.go
+++ b/forward/unframed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,7 +23,7 @@
 	ctx, cancel := context.WithDeadline(ctx, s.x.deadline)
 	defer cancel()
 	for {
-		observed := s.x.server.fleet.observeEnd(ctx, s.node, s.x.service)
+		observed := s.observeEnd(ctx)
 		switch conclusion := check.Conclude(time.Now(), observed); {
 		case conclusion == endcheck.Complete:
 			s.recordEndCheck(check.EndedAt, observed, true)
@@ -38,6 +39,19 @@
 	}
 }
 
+// observeEnd asks the upstream which incarnation it is, and the helpers that read parts of the prompt: an engine breaks
+// its answer off in order if one of them ends.
+func (s *sending) observeEnd(ctx context.Context) endcheck.Observation {
+	asked := append([]*node{s.node}, s.work.helpers...)
+	observed := make([]endcheck.Observation, len(asked))
+	var wait sync.WaitGroup
+	for i, n := range asked {
+		wait.Go(func() { observed[i] = s.x.server.fleet.observeEnd(ctx, n, s.x.service) })
+	}
+	wait.Wait()
+	return endcheck.Joint(observed)
+}
+
 // recordEndCheck counts and logs the check of an answer that ended with its connection at a time.
 func (s *sending) recordEndCheck(ended time.Time, observed endcheck.Observation, complete bool) {
 	x := s.x
