control: found the group although a minority of the first voters never comes

Cause: the founder waited for all voters of the settings of its first start (decideFounding). These are kept in the data folder, and one that never comes kept the group from being founded for good.

Change: the voters agree by control/agreement. The first that awaits the founding proposes: at once if all answer and a majority of them is initial, as before; where leaders maintain the voters (losses above 0) also 5 s after a majority of initial voters answers. Promises and acceptances are synced (DATA/acceptor) before they are sent. One that never answered is a member without a folder (absent:ADDRESS), so a majority of the group stays a majority of all first voters; the healing that exists replaces it by the late voter or another one. With losses = 0, where voters may keep found = true, all voters are needed as before, so a wiped voter with its original settings can't help to found a second group. A voter whose settings named other founders, or that was contacted by an instance that has settings, counts in no majority. A founding with fewer than a majority of initial voters (the others lost what they stored) needs all of them and waits 5 s too; before it took place at once. Questions go to all voters at the same time. Folders of the former format go on working: no file of the acceptor means nothing was promised.

With losses above 0 the safety rests on found = false after the first start, as SETTINGS.md asks.

--- a/control/datafolder.go
+++ b/control/datafolder.go
@@ -14,6 +14,7 @@
 	logFolder       = "log"
 	foundingFile    = "founding"
 	foundersFile    = "founders"
+	acceptorFile    = "acceptor"
 	installedFile   = "installed"
 	incarnationFile = "incarnation"
 )
--- a/control/events.go
+++ b/control/events.go
@@ -30,11 +30,11 @@
 	eventNotMember = event.Define(3013, logrus.WarnLevel, "voter is not a member of the control group",
 		"The data folder is new and the control group was founded without it, for instance after the loss of a disk. Make it a member with: celeryport voter replace.")
 	eventFounded = event.Define(3014, logrus.InfoLevel, "control group founded",
-		"All voters of the settings were present with new data folders and form the control group.")
+		"The voters of the settings have agreed on the configuration of the control group, and this voter takes part. Voters that never answered are named by their address only, until leaders replace them. Fields: id, voters.")
 	eventFounding = event.Define(3015, logrus.InfoLevel, "waiting for the other voters",
-		"The control group is founded once all voters of the settings answer.")
+		"The control group is founded once all voters of the settings answer. Where leaders maintain the voters automatically, it is founded some seconds later without a minority that does not answer.")
 	eventFoundingWaits = event.Define(1190, logrus.WarnLevel, "control group not founded yet",
-		"This voter still waits for the founding of the control group; no instance accepts settings until then. Start the voters that are missing, or start all voters with settings that name others. Fields: missing (why each voter did not answer, by control address; empty: all answer, and the founder is awaited), founder (control address of the voter that founds the group once all answer, among those that answered), waited_ms.")
+		"This voter still waits for the founding of the control group; no instance accepts settings until then. Start the voters that are missing, or start all voters with settings that name others. Fields: missing (why each voter did not answer, by control address; empty: all answer, and the founder is awaited), founder (control address of the voter that founds the group once enough answer, among those that answered), waited_ms.")
 	eventApplied = event.Define(3016, logrus.InfoLevel, "settings accepted",
 		"An operator's tree was accepted as a new revision. Fields: revision, base, order, version.")
 	eventVoterChange = event.Define(3017, logrus.InfoLevel, "voters changed",
--- a/control/founding.go
+++ b/control/founding.go
@@ -10,32 +10,20 @@
 
 	"celeryport/clock"
 	"celeryport/consensus"
+	"celeryport/control/agreement"
 	"celeryport/event"
 	"celeryport/settings"
 	"celeryport/wal"
 )
 
-// commandHello is the command by which voters learn the IDs of each other's data folders
-// before the group is founded.
-const commandHello = "voter.hello"
-
-// helloResponse identifies the data folder of a voter and states whether it already
-// knows of a group.
-type helloResponse struct {
-	ID       consensus.ID             `json:"id"`
-	Founded  bool                     `json:"founded"`
-	Awaits   bool                     `json:"awaits"`             // it awaits the founding, and may found the group itself
-	Founding *consensus.Configuration `json:"founding,omitempty"` // founding configuration, if this voter is a founding member
-}
-
 // runFounding determines how this voter joins the group.
 //
-// A voter that lost its disk and starts with its original settings must not found the
-// group again: it could vote under its old identity and help to elect a leader that lacks
-// accepted changes. Therefore the ID of a voter belongs to its data folder, the group is
-// founded once, by the first voter in the settings that awaits the founding and only when all of
-// them answer and none knows of a group, and the other voters take part only if the founding
-// configuration contains the ID of their present folder.
+// A voter that lost its disk must not found the group again: it could vote under its old identity and
+// help to elect a leader that lacks accepted changes. Therefore the ID of a voter belongs to its data
+// folder, the founding configuration is decided once, by agreement.Proposal, and voters take part only if
+// it contains the ID of their present folder. Only where leaders maintain the voters automatically may a
+// majority of initial voters decide without the others: voters that lost their disks are not started there
+// with settings that let them found a group.
 //
 // A voter that does not await the founding and knows of no group lost its process, or its disk, before
 // the founding. The others found the group with it.
@@ -43,7 +31,7 @@
 // A voter that waits keeps the voters that found the group in its data folder: when it is restarted
 // before the group is founded, its settings may already state that it must not found a group.
 func (n *Node) runFounding(ctx context.Context) error {
-	var progress foundingProgress
+	attempt := foundingAttempt{known: map[string]consensus.ID{}}
 	for {
 		var founders []settings.Member
 		err := n.do(ctx, func(time.Time) {
@@ -54,17 +42,19 @@
 		if err != nil || len(founders) == 0 {
 			return err
 		}
-		if progress.began.IsZero() {
-			progress.began = time.Now()
+		if attempt.progress.began.IsZero() {
+			attempt.progress.began = time.Now()
 			eventFounding.Log(n.log, event.Fields{"voters": founders})
 		}
-		progress.round()
-		founding, decided := n.decideFounding(ctx, founders, &progress)
+		attempt.rules = agreement.Rules{
+			Voters: addressesOf(founders), Majority: n.opts.Heal > 0, Wait: n.opts.Timing.Founding,
+		}
+		founding, decided := n.decideFounding(ctx, &attempt)
 		if decided {
 			return n.begin(ctx, founding)
 		}
-		if now := time.Now(); progress.due(now) {
-			eventFoundingWaits.Log(n.log, progress.fields(now))
+		if now := time.Now(); attempt.progress.due(now) {
+			eventFoundingWaits.Log(n.log, attempt.progress.fields(now))
 		}
 		if !clock.Pause(ctx, n.opts.Timing.Retry) {
 			return ctx.Err()
@@ -87,63 +77,6 @@
 	return errors.CombineErrors(stopped, err)
 }
 
-// decideFounding asks all voters and returns the founding configuration, or an empty one if
-// this voter is not a member.
-func (n *Node) decideFounding(ctx context.Context, founders []settings.Member, progress *foundingProgress) (consensus.Configuration, bool) {
-	var all consensus.Configuration
-	complete, founder := true, ""
-	for _, voter := range founders {
-		hello, err := n.hello(ctx, voter.Address)
-		if err != nil {
-			complete = false
-			progress.missing(voter.Address, err)
-			continue
-		}
-		if hello.Founding != nil && hello.Founding.Voter(n.core.group.id) {
-			return *hello.Founding, true
-		}
-		if hello.Founded {
-			return consensus.Configuration{}, true
-		}
-		all.Voters = append(all.Voters, consensus.Member{ID: hello.ID, Address: voter.Address})
-		if hello.Awaits && founder == "" {
-			founder = voter.Address
-		}
-	}
-	progress.founder = founder
-	return all, complete && founder == n.opts.controlAddress()
-}
-
-func (n *Node) hello(ctx context.Context, address string) (*helloResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, n.opts.Timing.Call)
-	defer cancel()
-	body, err := n.Ask(ctx, address, commandHello, nil)
-	if err != nil {
-		return nil, err
-	}
-	var hello helloResponse
-	return &hello, json.Unmarshal(body, &hello)
-}
-
-// answerHello is the handler of commandHello.
-func (n *Node) answerHello(ctx context.Context, _ []byte) ([]byte, error) {
-	var hello helloResponse
-	err := n.do(ctx, func(time.Time) {
-		g := n.core.group
-		if g == nil {
-			return
-		}
-		hello = helloResponse{ID: g.id, Founded: g.knowsGroup(), Awaits: g.awaitsFounding(), Founding: g.founding}
-	})
-	if err != nil {
-		return nil, err
-	}
-	if hello.ID == "" {
-		return nil, errNotVoter
-	}
-	return json.Marshal(hello)
-}
-
 // awaitsFounding reports whether it is still undecided how this voter joins the group.
 func (g *group) awaitsFounding() bool { return g.node == nil && g.failed == nil }
 
@@ -209,6 +142,13 @@
 	case g.excluded:
 		return nil
 	case g.core.node.namedAsVoter():
+		if len(g.founders) > 0 && !sameAddresses(addressesOf(g.founders), addressesOf(process.Voters)) {
+			reassigned := g.acceptor
+			reassigned.Reassigned = true
+			if err := g.storeAcceptor(reassigned); err != nil {
+				return err
+			}
+		}
 		g.founders = process.Voters
 		data, err := json.Marshal(g.founders)
 		if err != nil {
--- a/control/group.go
+++ b/control/group.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/consensus"
+	"celeryport/control/agreement"
 	"celeryport/control/state"
 	"celeryport/event"
 	"celeryport/quarantine"
@@ -26,7 +27,10 @@
 	machine     *state.Machine
 	founding    *consensus.Configuration
 	founders    []settings.Member // the voters that found the group, while this one waits for that
-	excluded    bool              // the group was founded without the identity of this folder
+	acceptor    agreement.Acceptor
+	decided     *consensus.Configuration // founding configuration that this voter had decided without being a member
+	groupSeen   bool                     // an instance that has settings has contacted this voter, so there is a group
+	excluded    bool                     // the group was founded without the identity of this folder
 	proposals   proposals
 	peers       map[consensus.ID]*peer
 	senders     map[consensus.ID]string // address that each sender stated for itself
--- a/control/openfolder.go
+++ b/control/openfolder.go
@@ -73,6 +73,9 @@
 	if hasLog(&stored) {
 		return c.group.start(consensus.Configuration{})
 	}
+	if c.group.acceptor, err = loadAcceptor(folder); err != nil {
+		return err
+	}
 	if err := c.group.awaitFounders(folder); err != nil || len(c.group.founders) > 0 {
 		return err
 	}
--- a/control/operations.go
+++ b/control/operations.go
@@ -36,6 +36,7 @@
 
 func (n *Node) registerCommands() {
 	n.handlers[commandHello] = n.answerHello
+	n.handlers[commandPropose] = n.answerProposal
 	n.handlers[CommandApply] = n.atLeader(CommandApply, n.applySettings)
 	n.handlers[commandPutDocument] = n.atLeader(commandPutDocument, n.putDocument)
 	n.handlers[commandReadDocument] = n.atLeader(commandReadDocument, n.readDocument)
--- a/control/options.go
+++ b/control/options.go
@@ -42,6 +42,7 @@
 type Timing struct {
 	Consensus  consensus.Timing
 	Membership membership.Timing
+	Founding   time.Duration // until voters found the group without a minority that does not answer
 	Sync       time.Duration // longest time for which the leader holds a sync, and so the heartbeat interval
 	Call       time.Duration // timeout of one call between instances; greater than Sync
 	Search     time.Duration // timeout of asking all voters at once which of them leads
@@ -72,6 +73,8 @@
 			Margin:    500 * time.Millisecond,
 			Retention: 24 * time.Hour,
 		},
+		Founding: 5 * time.Second,
+
 		Sync:    500 * time.Millisecond,
 		Call:    2 * time.Second,
 		Search:  500 * time.Millisecond,
--- a/control/service.go
+++ b/control/service.go
@@ -65,6 +65,9 @@
 // address of the leader.
 func (c *core) acceptSync(now, arrivedAt time.Time, request *syncRequest, reply chan<- *syncResponse) {
 	c.followLeadership(now)
+	if c.group != nil && request.revision() > 0 {
+		c.group.groupSeen = true
+	}
 	if request.Attach && c.fanout != nil {
 		c.fanout.accept(now, arrivedAt, request, reply)
 		return
--- a/settings/schema_process.go
+++ b/settings/schema_process.go
@@ -70,7 +70,7 @@
 		key("data_folder", path(), "", func(p *Process) *string { return &p.DataFolder },
 			"Folder for all data that must survive a restart."),
 		key("found", boolean(), "true", func(p *Process) *bool { return &p.MayFoundGroup },
-			"Whether the instances of [voters] may found a new control group. In a fleet that replaces its voters automatically, set it to false after the first start: the addresses then only say which instances to ask for the current voters."),
+			"Whether the instances of [voters] may found a new control group. In a fleet that replaces its voters automatically, set it to false after the first start: the addresses then only say which instances to ask for the current voters, and a voter that lost its disk helps to found no second group."),
 		key("losses", count(0, maxLosses), "0", func(p *Process) *int { return &p.ToleratedLosses },
 			"Number of voters that may be lost at the same time. The leader maintains twice as many voters plus one automatically, as far as there are instances for them; 0: operators replace voters."),
 		key("tree", path(), "", func(p *Process) *string { return &p.Tree },
