connlimit: let connections over the limit on which nothing happens make room

What callers saw: while an instance has as many connections as it may have, a caller that opens one more, sends a whole call and waits gets neither an answer nor a refusal: its connection is closed unread. 64 such connections are refused at a time; beyond that one that had sent nothing for 0.1 s made room, but not one that had stopped within its request (up to 2 s), nor one that had its refusal and did not close (0.3 to 5 s).

TestInactiveConnectionsOverTheLimitMakeRoom fails before, for both kinds of places.

Change: any connection over the limit on which no data has passed in either direction for 0.1 s makes room, the oldest first. A whole request is answered at once, so that none is lost with it.

--- a/connlimit/listener_test.go
+++ b/connlimit/listener_test.go
@@ -113,6 +113,55 @@
 	})
 }
 
+// Guards against callers over the limit that are closed unread, because others that have stopped within their requests
+// or have their refusals already hold all places.
+func TestInactiveConnectionsOverTheLimitMakeRoom(t *testing.T) {
+	for name, sent := range map[string]string{"within a request": "GET / HTTP/1.1\r\n", "answered": "GET / HTTP/1.1\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log, _ := test.NewNullLogger()
+				inner := pipes{conns: make(chan net.Conn)}
+				listener := New(inner, Options{Limit: 1, Log: log, Refuse: func(conn net.Conn) {
+					if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n") // the answer is checked
+					_, _ = io.Copy(io.Discard, conn)                                                             // until the connection is closed
+				}})
+				go func() {
+					for {
+						if _, err := listener.Accept(); err != nil {
+							return
+						}
+					}
+				}()
+				connect := func(text string) *bufio.Reader {
+					caller, accepted := net.Pipe()
+					t.Cleanup(func() { caller.Close() })
+					inner.conns <- accepted
+					go func() { _, _ = io.WriteString(caller, text) }() // the answer is checked
+					return bufio.NewReader(caller)
+				}
+				connect("")
+				for range maxRefusing {
+					r := connect(sent)
+					go func() { _, _ = io.Copy(io.Discard, r) }() // until the connection is closed
+				}
+				synctest.Wait()
+				time.Sleep(silentTime)
+				for range maxRefusing {
+					answer, err := http.ReadResponse(connect("GET / HTTP/1.1\r\n\r\n"), nil)
+					if err != nil {
+						t.Fatal(err)
+					}
+					answer.Body.Close()
+				}
+				close(inner.conns)
+			})
+		})
+	}
+}
+
 // Guards against answers before the request, which clients report as a broken connection.
 func TestRefusalWaitsForTheRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/connlimit/refusals.go
+++ b/connlimit/refusals.go
@@ -12,12 +12,13 @@
 	// maxRefusing is the number of connections over the limit that are answered at a time; others are
 	// closed without an answer.
 	maxRefusing = 64
-	// silentTime is how long a connection has sent nothing before it makes room for another.
+	// silentTime is how long a connection has sent and got nothing before it makes room for another.
 	silentTime = 100 * time.Millisecond
 )
 
-// refusals are the connections over the limit that are being refused. When there are too many, one that has sent
-// nothing makes room for another, because no request is lost with it. It is safe for concurrent use.
+// refusals are the connections over the limit that are being refused. When there are too many, one on which nothing
+// happens makes room for another: a whole request is answered at once, so that none is lost with it. It is safe for
+// concurrent use.
 type refusals struct {
 	mu    sync.Mutex
 	conns []*refusedConn // the oldest one first
@@ -26,8 +27,7 @@
 // refusedConn is a connection that is being refused.
 type refusedConn struct {
 	net.Conn
-	since time.Time
-	heard atomic.Bool // it has sent something
+	activeAt atomic.Int64 // when it was accepted, or data last passed, in Unix nanoseconds
 }
 
 // add adds a connection. It returns nil if there is no room for it.
@@ -35,14 +35,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.conns) >= maxRefusing {
-		at := slices.IndexFunc(r.conns, func(c *refusedConn) bool { return !c.heard.Load() && now.Sub(c.since) >= silentTime })
+		at := slices.IndexFunc(r.conns, func(c *refusedConn) bool { return now.UnixNano()-c.activeAt.Load() >= int64(silentTime) })
 		if at < 0 {
 			return nil
 		}
 		_ = r.conns[at].Close() // its refusal ends with it
 		r.conns = slices.Delete(r.conns, at, at+1)
 	}
-	c := &refusedConn{Conn: conn, since: now}
+	c := &refusedConn{Conn: conn}
+	c.activeAt.Store(now.UnixNano())
 	r.conns = append(r.conns, c)
 	return c
 }
@@ -57,7 +58,16 @@
 func (c *refusedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.heard.Store(true)
+		c.activeAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *refusedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.activeAt.Store(time.Now().UnixNano())
 	}
 	return n, err
 }
