forward: log and count that answers wait for memory

Event 7038 names each wait of 0.1 s or more, and each that its call did not outlast, with the bytes that are free; forward_memory_wait_seconds_total adds all waits up.

--- a/forward/failure_answer.go
+++ b/forward/failure_answer.go
@@ -58,7 +58,7 @@
 	held := x.server.answerClaim(head)
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	content, err := body.ReadAllReserving(maxWholeAnswerBytes, awaitRoom(ctx, held))
+	content, err := body.ReadAllReserving(maxWholeAnswerBytes, x.awaitRoom(ctx, held))
 	x.keepFailure(held)
 	if err != nil {
 		x.keepFailure(nil)
--- a/forward/held_bytes.go
+++ b/forward/held_bytes.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/bytebudget"
+	"celeryport/event"
 	"celeryport/httpwire"
 	"celeryport/verdict"
 )
@@ -48,3 +49,24 @@
 func awaitRoom(ctx context.Context, held *bytebudget.Claim) func(n int64) error {
 	return func(n int64) error { return held.Await(ctx, n) }
 }
+
+// longMemoryWait is a wait for memory that is logged.
+const longMemoryWait = 100 * time.Millisecond
+
+// awaitRoom is like the function of that name, and counts and logs waits.
+func (x *exchange) awaitRoom(ctx context.Context, held *bytebudget.Claim) func(n int64) error {
+	await := awaitRoom(ctx, held)
+	return func(n int64) error {
+		began := time.Now()
+		err := await(n)
+		waited := time.Since(began)
+		x.server.options.Metrics.MemoryWait.Add(waited.Seconds())
+		if err != nil || waited >= longMemoryWait {
+			eventMemoryAwaited.Log(x.server.options.Log, event.Fields{
+				"call": x.call.ID, "route": x.route.Name, "service": x.service.Name, "bytes": n, "granted": err == nil,
+				"waited_ms": waited.Milliseconds(), "free_bytes": x.server.answers.Free(),
+			})
+		}
+		return err
+	}
+}
--- a/forward/send.go
+++ b/forward/send.go
@@ -281,7 +281,7 @@
 	defer held.Release()
 	ctx, cancel := context.WithDeadline(ctx, s.x.deadline)
 	defer cancel()
-	body, err := s.wholeBody(head).ReadAllReserving(maxWholeAnswerBytes, awaitRoom(ctx, held))
+	body, err := s.wholeBody(head).ReadAllReserving(maxWholeAnswerBytes, s.x.awaitRoom(ctx, held))
 	if err == nil {
 		err = s.verifyEnd(ctx, head)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -43,7 +43,7 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	held := x.server.answers.Claim(maxEventBytes)
 	events := httpwire.NewEventReader(body, maxEventBytes)
-	events.Reserve, events.Release = awaitRoom(ctx, held), held.Release
+	events.Reserve, events.Release = x.awaitRoom(ctx, held), held.Release
 	return events, func() {
 		events.Close()
 		cancel()
--- a/forward/telemetry/metrics.go
+++ b/forward/telemetry/metrics.go
@@ -31,6 +31,7 @@
 	endless     *prometheus.CounterVec
 	endChecks   *prometheus.CounterVec
 	drained     *prometheus.CounterVec
+	MemoryWait  prometheus.Counter // seconds
 	Resting     prometheus.Gauge
 	lostPaths   *prometheus.GaugeVec
 	transits    *prometheus.CounterVec
@@ -125,7 +126,10 @@
 	m.drained = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "forward_drain_calls_total", Help: "Calls that arrived while this instance stops, and calls that its stop interrupted, by decision (accepted, refused, interrupted) and what the time that they need was derived from (recent, deadline; none: the call arrived before the stop).",
 	}, []string{"decision", "basis"})
-	registry.MustRegister(m.drained, m.endChecks, m.endless, m.ejections, m.silentSends, m.repeats, m.calls, m.firstByte, m.duration, m.sends, m.broken, m.Connections, m.OverLimit, m.Limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.Resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
+	m.MemoryWait = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "forward_memory_wait_seconds_total", Help: "Time for which answers and long events were not read because the memory for answers was held by others.",
+	})
+	registry.MustRegister(m.drained, m.MemoryWait, m.endChecks, m.endless, m.ejections, m.silentSends, m.repeats, m.calls, m.firstByte, m.duration, m.sends, m.broken, m.Connections, m.OverLimit, m.Limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.Resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
 	m.Shares = newShareMetrics(registry)
 	return m
 }
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -216,7 +216,7 @@
 	defer held.Release()
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	body, err := t.body(head, reader).ReadAllReserving(maxWholeAnswerBytes, awaitRoom(ctx, held))
+	body, err := t.body(head, reader).ReadAllReserving(maxWholeAnswerBytes, x.awaitRoom(ctx, held))
 	if err != nil {
 		return t.broken(err)
 	}
