bytebudget: set memory aside for the beginning of each message

What callers saw: an upstream that stops within long answers (5 MB of a body without a length, then nothing) holds the memory for answers until the deadlines of its calls; answers of other upstreams without a stated length wait for it as long, however short.

Change: the first 4 KB of any message may use the memory that is set aside for small messages (1 MB of a pool of 16 MB).

What remains: 256 answers that stop use up the memory set aside.

--- a/bytebudget/pool.go
+++ b/bytebudget/pool.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// SmallMessage is the size in bytes up to which a message may use the part of a pool that is set aside.
+	// SmallMessage is the size in bytes up to which a message as a whole may use the part of a pool that is set aside.
 	SmallMessage = 64 << 10
+	// beginning is the size in bytes up to which the beginning of any message may.
+	beginning = 4 << 10
 	// setAsidePart is that part as a divisor of the rest of the pool, to which it is added.
 	setAsidePart = 16
 )
@@ -148,7 +150,7 @@
 		}
 		p.move(c, -n)
 	}
-	if c.most > SmallMessage || n > p.setAside {
+	if n > p.setAside || c.most > SmallMessage && c.held+c.setAside+n > beginning {
 		return false
 	}
 	p.setAside -= n
