forward: let the health check of a plain service wait for a place

A reply that is awaited on an accepted connection now has half of the time that the call has left, if that is more; a machine that accepts no connection is given up after 1.5 s as before.

--- a/forward/end_check.go
+++ b/forward/end_check.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,6 +21,7 @@
 // before it was asked.
 type endCheck struct {
 	service  *settings.ForwardedService // as it was when a call was placed: the current settings may not have it any more
+	patience time.Duration              // for which it waits for the reply
 	done     chan struct{}
 	observed endcheck.Observation // set when done is closed
 }
@@ -30,7 +32,7 @@
 	f.mu.Lock()
 	c := n.nextEndCheck
 	if c == nil {
-		c = &endCheck{service: service, done: make(chan struct{})}
+		c = &endCheck{service: service, patience: replyPatience(ctx, service), done: make(chan struct{})}
 		n.nextEndCheck = c
 		go f.runEndCheck(n, c, n.endCheck)
 	}
@@ -43,6 +45,16 @@
 	}
 }
 
+// replyPatience returns for how long a check waits for its reply. An engine reports at once, but the health check of a
+// plain service waits for a place like a call, so that half of the time that the call has left is spent on it.
+func replyPatience(ctx context.Context, service *settings.ForwardedService) time.Duration {
+	deadline, bounded := ctx.Deadline()
+	if service.Engine != nil || !bounded {
+		return failover.MaxSoundSilence
+	}
+	return max(failover.MaxSoundSilence, time.Until(deadline)/2)
+}
+
 // runEndCheck asks once the question before has ended.
 func (f *fleet) runEndCheck(n *node, c, before *endCheck) {
 	defer close(c.done)
@@ -55,7 +67,7 @@
 	f.mu.Lock()
 	n.endCheck, n.nextEndCheck = c, nil
 	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), failover.MaxSoundSilence)
+	ctx, cancel := context.WithTimeout(context.Background(), c.patience)
 	defer cancel()
 	c.observed = f.askIncarnation(ctx, n, c.service)
 }
--- a/forward/end_check_test.go
+++ b/forward/end_check_test.go
@@ -144,3 +144,34 @@
 		})
 	}
 }
+
+// Guards against whole answers of a plain service that are dropped because its health check waits for a place.
+func TestHealthCheckOfAPlainServiceMayWaitForAPlace(t *testing.T) {
+	for name, test := range map[string]struct {
+		waits time.Duration
+		left  time.Duration
+		whole bool
+	}{
+		"a moment":               {1400 * time.Millisecond, 8 * time.Second, true},
+		"long, with much time":   {3500 * time.Millisecond, 8 * time.Second, true},
+		"long, with little time": {3500 * time.Millisecond, 5 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sent, _ := newSilentSend(t, 0, 100)
+				var opened atomic.Int64
+				sent.x.service.Engine, sent.x.service.HealthPath = nil, "/health"
+				sent.x.deadline = time.Now().Add(test.left)
+				sent.x.server.options.Dialect = identityDialect{}
+				sent.x.server.options.Dial = endingUpstream{reply: sameReply, replies: test.waits}.dialer(t, &opened)
+				if err := sent.verifyEnd(t.Context(), unframed()); (err == nil) != test.whole {
+					t.Error(err)
+				}
+				if count := opened.Load(); count != 1 {
+					t.Errorf("%d connections", count)
+				}
+				time.Sleep(test.waits) // the reply may still be due
+			})
+		})
+	}
+}
--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -24,6 +24,10 @@
 	return &httpwire.RequestHead{Method: http.MethodGet, Target: "/report"}
 }
 
+func (identityDialect) HealthMessage(string, string, string) *httpwire.RequestHead {
+	return &httpwire.RequestHead{Method: http.MethodGet, Target: "/health"}
+}
+
 func (identityDialect) DecodeAnswer(head *httpwire.ResponseHead) Answer {
 	return Answer{CallID: head.Fields.Get("Call"), Incarnation: head.Fields.Get("Name"), WrongIncarnation: head.Status == http.StatusMisdirectedRequest}
 }
