forward: find an upstream that was restarted at once to have ended

After a broken send an accepted connection counted as a running process, so that a request which crashes upstreams that are restarted within 10 ms was never suspected, the upstream or the path was blamed, and its next start crashed as well. The same class as the ends of answers: something that listens is taken for the process that had the call.

If the end would be evidence against a request, the upstream is now asked which incarnation it is, on the connection that the check has opened. One that rejects the question as meant for another one is recorded as replaced, which counts as an end already. Without a reply nothing changes. Evidence: TestUpstreamThatIsRestartedAtOnceHasEnded, case 'restarted' failed before. Cost: one report or health check for each check of broken sends that may be evidence.

--- a/forward/end_check_test.go
+++ b/forward/end_check_test.go
@@ -175,3 +175,31 @@
 		})
 	}
 }
+
+// Guards against upstreams that are crashed by a request, restarted at once and taken for the same process, so that
+// nothing is known against the request.
+func TestUpstreamThatIsRestartedAtOnceHasEnded(t *testing.T) {
+	for name, test := range map[string]struct {
+		reply string
+		ended bool
+	}{"restarted": {otherReply, true}, "the same": {sameReply, false}, "no reply": {"", false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, n := newServerWithNode(t)
+				var opened atomic.Int64
+				s.options.Dialect = identityDialect{}
+				s.options.Dial = endingUpstream{reply: test.reply}.dialer(t, &opened)
+				s.fleet.recordBroken(n, brokenSend{phase: phaseStarted, runTime: 10 * time.Millisecond})
+				time.Sleep(time.Second)
+				s.fleet.mu.Lock()
+				defer s.fleet.mu.Unlock()
+				if ended := !n.endedAt.IsZero(); ended != test.ended {
+					t.Errorf("ended %t", ended)
+				}
+				if count := opened.Load(); count != 1 {
+					t.Errorf("%d connections", count)
+				}
+			})
+		})
+	}
+}
--- a/forward/held_bytes.go
+++ b/forward/held_bytes.go
@@ -53,7 +53,7 @@
 // longMemoryWait is a wait for memory that is logged.
 const longMemoryWait = 100 * time.Millisecond
 
-// awaitRoom is like the function of that name, and counts and logs waits.
+// awaitRoom returns what the function awaitRoom does, with waits counted and logged.
 func (x *exchange) awaitRoom(ctx context.Context, held *bytebudget.Claim) func(n int64) error {
 	await := awaitRoom(ctx, held)
 	return func(n int64) error {
--- a/forward/upstream_end.go
+++ b/forward/upstream_end.go
@@ -35,6 +35,9 @@
 	defer close(done)
 	clock.Pause(context.Background(), endCheckPause)
 	ended := !f.reachable(context.Background(), n)
+	if !ended && f.suspectsRequests(n) {
+		f.checkReplaced(n)
+	}
 	f.mu.Lock()
 	broken := n.broken
 	n.broken = nil
@@ -72,6 +75,36 @@
 	}
 }
 
+// suspectsRequests reports whether the end of a node would be evidence against the request of one of its broken sends.
+func (f *fleet) suspectsRequests(n *node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(n.broken, func(b brokenSend) bool {
+		_, suspected := b.evidence()
+		return suspected && !b.silent
+	})
+}
+
+// checkReplaced asks a node that accepts connections which incarnation it is, and records if it was replaced: a process
+// that was restarted at once accepts connections like one that has not ended.
+func (f *fleet) checkReplaced(n *node) {
+	tree := f.options.Plane.View().Tree
+	if tree == nil || tree.Forwarding == nil {
+		return
+	}
+	service := tree.Forwarding.Service(n.service)
+	if service == nil {
+		return
+	}
+	conn := f.takeIdle(n, reuseForCalls) // the one that was opened to check whether it accepts connections
+	if conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	f.askIncarnationOn(ctx, n, service, conn)
+}
+
 // recordIdleEnds records the connections that a running upstream ended at the first message after they had been idle.
 func (f *fleet) recordIdleEnds(n *node, broken []brokenSend) {
 	f.mu.Lock()
