Tell answers that are cut by a refusal from those whose upstream broke

Event 7004 named the reason of an answer that ended midway, but not what was known of its upstream, and forward_calls_total counts all of them as broken-off. Hypotheses 1 and 2 of the postmortem (an answer that has begun is refused like a new call, or given up for a successor that is not possible) could not be told from an upstream that ended. New: field observed of 7004 and forward_answers_cut_total by service, reason and observed. No change of logic.

--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/event"
+	"celeryport/failover"
 	"celeryport/forward/telemetry"
 	"celeryport/httpwire"
 	"celeryport/quarantine"
@@ -47,7 +48,9 @@
 	if x.writer.Begun() {
 		x.writer.Close = true
 		x.end("broken-off")
-		eventFailed.Log(x.server.options.Log, x.fields(event.Fields{"reason": failed.Reason, "message": failed.Error()}))
+		observed := x.observedUpstream(time.Now())
+		x.server.options.Metrics.AnswerCut(x.service.Name, string(failed.Reason), observed)
+		eventFailed.Log(x.server.options.Log, x.fields(event.Fields{"reason": failed.Reason, "message": failed.Error(), "observed": observed}))
 		return
 	}
 	status := failed.Reason.Status()
@@ -82,6 +85,19 @@
 	eventFailed.Log(x.server.options.Log, x.fields(more))
 }
 
+// observedUpstream returns what is known of the upstream that received the call last, for logs and metrics.
+func (x *exchange) observedUpstream(now time.Time) string {
+	fleet := x.server.fleet
+	switch {
+	case fleet.paths.Lost(x.service.Name):
+		return failover.PathsLost.String()
+	case x.target == nil:
+		return "none"
+	default:
+		return fleet.contactOf(now, x.target, x.eventAt).String()
+	}
+}
+
 // promisesNotRun reports whether callers take a status as a guarantee that the call has not run
 // and never will.
 func promisesNotRun(status int) bool {
--- a/forward/telemetry/metrics.go
+++ b/forward/telemetry/metrics.go
@@ -31,6 +31,7 @@
 	endless     *prometheus.CounterVec
 	endChecks   *prometheus.CounterVec
 	drained     *prometheus.CounterVec
+	cuts        *prometheus.CounterVec
 	MemoryWait  prometheus.Counter // seconds
 	Resting     prometheus.Gauge
 	lostPaths   *prometheus.GaugeVec
@@ -129,7 +130,10 @@
 	m.MemoryWait = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "forward_memory_wait_seconds_total", Help: "Time for which answers and long events were not read because the memory for answers was held by others.",
 	})
-	registry.MustRegister(m.drained, m.MemoryWait, m.endChecks, m.endless, m.ejections, m.silentSends, m.repeats, m.calls, m.firstByte, m.duration, m.sends, m.broken, m.Connections, m.OverLimit, m.Limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.Resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
+	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "forward_answers_cut_total", Help: "Answers that this instance ended before they were complete, by service, reason and what was known of the upstream (reachable, unreachable, paths-lost, ended, none).",
+	}, []string{"service", "reason", "observed"})
+	registry.MustRegister(m.cuts, m.drained, m.MemoryWait, m.endChecks, m.endless, m.ejections, m.silentSends, m.repeats, m.calls, m.firstByte, m.duration, m.sends, m.broken, m.Connections, m.OverLimit, m.Limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.Resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
 	m.Shares = newShareMetrics(registry)
 	return m
 }
@@ -157,6 +161,11 @@
 	}
 }
 
+// AnswerCut counts an answer that ended before it was complete, by the reason and by what was known of its upstream.
+func (m *Metrics) AnswerCut(service, reason, observed string) {
+	m.cuts.WithLabelValues(service, reason, observed).Inc()
+}
+
 // Datagrams counts datagrams of one kind that were sent or received.
 func (m *Metrics) Datagrams(kind datagram.Kind, direction string, count, size int) {
 	m.datagrams.WithLabelValues(kind.String(), direction).Add(float64(count))
