Let calls of a stopping instance leave a silent upstream

What callers saw: at an instance that stops, streams that were cut midway (LOST, "under planned work only"), and calls whose callers left after their patience of 2 s without an answer or a refusal. Cause: whether a call fits into what is left of the stop is decided from the longest recent calls, so that calls can be refused as not run. It was also asked for calls that an upstream had: a hand-over gave the send up and was then forbidden, which cut the answer; a move was forbidden, which kept the call at an engine that sends nothing. Change: a call whose answer has begun, or that has left a silent upstream, goes on; one whose caller is about to leave may move. Others stay at their upstream as before, since they would start over (TestCallsThatWaitedTooLongInAStopAreNotSent fails if they leave; tried and not kept).

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -70,6 +70,7 @@
 	heldBack      bool              // it waited for the first settings, with the other calls of that time
 	next          *work             // the send to which the call moves, already registered as in flight
 	moves         int               // moves away from silent upstreams
+	leftSilent    bool              // it has left an upstream that was silent, so that it can't be refused as not run
 	movedEvents   int               // events at the last move
 	transit       *transit.Call     // set if this instance handles the call for another one
 	peersDeclined bool              // no other instance handles the call for this one
@@ -155,7 +156,7 @@
 // sendAgain sends the call once, through another instance or to an upstream. It returns the outcome,
 // and whether the call has ended. last is the outcome of the send before, nil if there was none.
 func (x *exchange) sendAgain(ctx context.Context, last *outcome) (result *outcome, ended bool) {
-	if x.next == nil && !x.fitsStop(time.Now()) {
+	if x.next == nil && !x.goesOnInStop(time.Now()) {
 		x.abandon(last, errStopping)
 		return last, true
 	}
--- a/forward/move.go
+++ b/forward/move.go
@@ -82,7 +82,7 @@
 	obstacle := noEngine
 	if w != nil {
 		now := time.Now()
-		if !s.dataWaits() && w.lead != s.node && state.Rescues(now, cause, x.predicted) && x.fitsStop(now) && fleet.recommended(now, w.lead) {
+		if !s.dataWaits() && w.lead != s.node && state.Rescues(now, cause, x.predicted) && x.leavesInStop(now, cause.CallerLeaves()) && fleet.recommended(now, w.lead) {
 			switch {
 			case !fleet.takesConnection(ctx, w.lead):
 				obstacle = unreachableEngine
@@ -160,6 +160,7 @@
 	x.server.options.Metrics.Sent(x.service.Name, movedOutcome)
 	x.failed.Record(resend.Counted)
 	x.moves++
+	x.leftSilent = true
 	x.movedEvents = x.events
 	x.recordRejection(from, o)
 	x.tried = append(x.tried, from.lead.key)
--- a/forward/place.go
+++ b/forward/place.go
@@ -30,7 +30,7 @@
 			return w, err
 		}
 		wait = min(wait, maxReplanWait)
-		if !x.fitsStop(time.Now().Add(wait)) {
+		if !x.goesOnInStop(time.Now().Add(wait)) {
 			return nil, errStopping
 		}
 		if !clock.Pause(ctx, wait) {
--- a/forward/send.go
+++ b/forward/send.go
@@ -74,7 +74,7 @@
 		x.server.options.Metrics.SendWithdrawn(x.service.Name, kindOf(w, x.sends))
 		return unavailableOutcome(w, unavailable, cause)
 	}
-	if !x.fitsStop(time.Now()) { // it may have waited for a place and the connection
+	if !x.goesOnInStop(time.Now()) { // it may have waited for a place and the connection
 		fleet.keep(n, conn, 0)
 		return &outcome{verdict: verdict.NotRun, err: errStopping}
 	}
--- a/forward/stop_decision.go
+++ b/forward/stop_decision.go
@@ -71,6 +71,19 @@
 	return decision.Fits()
 }
 
+// goesOnInStop reports whether the call may be sent although this instance may stop before its end. A call whose answer
+// has begun, or that has left a silent upstream, can't be refused as not run any more.
+func (x *exchange) goesOnInStop(now time.Time) bool {
+	return x.fitsStop(now) || x.answerBegun() || x.leftSilent
+}
+
+// leavesInStop reports whether the call may leave a silent upstream although this instance may stop before the end of
+// its new send. If its answer has begun, or its caller is about to leave, it loses nothing by that. Otherwise it would
+// start over, and the upstream may still finish in time.
+func (x *exchange) leavesInStop(now time.Time, callerLeaves bool) bool {
+	return x.fitsStop(now) || x.answerBegun() || callerLeaves
+}
+
 // admitLate decides on a call that arrives while this instance stops.
 func (x *exchange) admitLate(now time.Time) error {
 	fits := x.fitsStop(now)
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	t := &transitSend{x: x, peer: peer, conn: conn, sentAt: time.Now()}
-	if !x.fitsStop(t.sentAt) {
+	if !x.goesOnInStop(t.sentAt) {
 		transits.Keep(peer.ControlAddress, conn)
 		return &outcome{verdict: verdict.NotRun, err: errStopping, final: true}, nil
 	}
