Tell callers for how long their connection stays open

Cause: callers respect the time in a Keep-Alive field, and answers stated none, so each idle close could cross a call. Change: each answer after which the connection stays open states the limit of the settings less 0.5 s, in whole seconds; the connection is not closed before that time and 0.5 s, whatever the settings say by then.

--- a/delivery/writer.go
+++ b/delivery/writer.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,9 +18,10 @@
 // Writer writes the answer of one call.
 type Writer struct {
 	Conn    net.Conn
-	Method  string      // of the call
-	Close   bool        // close the connection after the answer
-	Ending  func() bool // reports, when the head is written, whether the connection has to be closed; nil: it has not
+	Method  string        // of the call
+	Close   bool          // close the connection after the answer
+	Ending  func() bool   // reports, when the head is written, whether the connection has to be closed; nil: it has not
+	IdleFor time.Duration // for which the connection may be idle after the answer; the caller is told in whole seconds, below one nothing
 	buffer  []byte
 	begun   bool
 	ended   bool  // the answer was written completely
@@ -51,7 +54,7 @@
 // Whole writes a complete answer with its body.
 func (w *Writer) Whole(head *httpwire.ResponseHead, body []byte) {
 	head.Body = httpwire.Framing{Kind: httpwire.Sized, Length: int64(len(body))}
-	head.Close = w.closes()
+	w.stateEnd(head)
 	w.buffer = head.Append(w.buffer[:0])
 	if w.Method != http.MethodHead {
 		w.buffer = append(w.buffer, body...)
@@ -63,7 +66,7 @@
 // Begin prepares the head of a chunked answer; it is sent with the first part.
 func (w *Writer) Begin(head *httpwire.ResponseHead) {
 	head.Body = httpwire.Framing{Kind: httpwire.Chunked}
-	head.Close = w.closes()
+	w.stateEnd(head)
 	w.buffer = head.Append(w.buffer[:0])
 	w.begun = true
 }
@@ -81,6 +84,15 @@
 	w.ended = w.failure == nil
 }
 
+// stateEnd states in the head of an answer whether the connection is closed after it, or for how long it stays open.
+func (w *Writer) stateEnd(head *httpwire.ResponseHead) {
+	head.Close = w.closes()
+	if seconds := int64(w.IdleFor / time.Second); seconds > 0 && !head.Close {
+		head.Fields = append(slices.Clip(head.Fields),
+			httpwire.Field{Name: "Connection", Value: "keep-alive"}, httpwire.Field{Name: "Keep-Alive", Value: "timeout=" + strconv.FormatInt(seconds, 10)})
+	}
+}
+
 // closes decides whether the connection is closed after the answer.
 func (w *Writer) closes() bool {
 	w.Close = w.Close || w.Ending != nil && w.Ending()
--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -23,8 +23,9 @@
 	server       *Server
 	conn         net.Conn
 	reader       *bufio.Reader
-	transit      bool // the caller is another instance that hands over calls
-	calls        int  // calls that were read completely
+	transit      bool          // the caller is another instance that hands over calls
+	calls        int           // calls that were read completely
+	openFor      time.Duration // for which the caller may take the connection for open after the last answer
 	interruption callerconn.Interruption
 }
 
@@ -57,7 +58,7 @@
 		return false
 	}
 	c.calls++
-	w := &delivery.Writer{Conn: c.conn, Close: received.head.Close, Ending: c.mustEnd, Method: received.head.Method}
+	w := &delivery.Writer{Conn: c.conn, Close: received.head.Close, Ending: c.mustEnd, Method: received.head.Method, IdleFor: c.stateIdle()}
 	connected := c.answer(received, w)
 	received.held.Release()
 	if connected && w.Complete() && !w.Reusable() {
--- a/forward/caller_idle.go
+++ b/forward/caller_idle.go
@@ -47,14 +47,31 @@
 // before is read at once.
 const lastLookTime = 5 * time.Millisecond
 
-// idleLimit returns how long the connection may be idle by the newest settings. Those of other instances may be
-// idle for longer than these use them again.
+// idleLimit returns how long the connection may be idle by the newest settings, but at least for as long as its caller
+// was told. Those of other instances may be idle for longer than these use them again.
 func (c *callerConn) idleLimit() time.Duration {
 	limit := c.server.idleLimit.At(time.Now(), callerLimits(c.server.options.Plane.View()).IdleTimeout)
+	if c.openFor > 0 {
+		limit = max(limit, c.openFor+crossingTime)
+	}
 	if c.transit {
 		return max(limit, minTransitIdle)
 	}
 	return limit
 }
 
+// stateIdle returns for how long the connection may be idle after the next answer, as its caller is told: a call that
+// is sent just before that time has to arrive before the connection is closed. Other instances are told nothing.
+func (c *callerConn) stateIdle() time.Duration {
+	if c.transit {
+		return 0
+	}
+	limit := callerLimits(c.server.options.Plane.View()).IdleTimeout
+	c.openFor = max(0, limit-crossingTime).Truncate(time.Second)
+	return c.openFor
+}
+
+// crossingTime is how long a call may be on its way while its connection is about to be closed.
+const crossingTime = 500 * time.Millisecond
+
 const minTransitIdle = 2 * transit.IdleFor
