Don't cut an answer that has begun because an engine rejects its call

What callers saw: a stream whose engine had ended or was silent was closed midway if the engine that its call went on to rejected it (503 with the mark that it did not run), though its route allows two engines. Cause: a rejection counts as one of the sends of the route. For a new call that bounds its repeats; after the first event it ends the answer.

--- a/forward/begun.go
+++ b/forward/begun.go
@@ -7,6 +7,8 @@
 
 	"celeryport/clock"
 	"celeryport/failover"
+	"celeryport/loadshare"
+	"celeryport/resend"
 	"celeryport/verdict"
 )
 
@@ -25,6 +27,26 @@
 	return clock.Pause(ctx, maxReplanWait)
 }
 
+// causeOf returns why a send of the call failed.
+func (x *exchange) causeOf(o *outcome) resend.Cause {
+	cause := o.cause()
+	if cause == resend.Counted && o.verdict == verdict.NotRun && x.answerBegun() {
+		return resend.Rejected
+	}
+	return cause
+}
+
+// outlastRejection lets a call whose answer has begun wait, if no other upstream is left that it may be sent to, and try
+// the one again that has just rejected it.
+func (x *exchange) outlastRejection(ctx context.Context, rejecting *node) {
+	if x.mayFindPlace(time.Now()) {
+		return
+	}
+	clock.Pause(ctx, busyRetry)
+	x.tried = slices.DeleteFunc(x.tried, func(key loadshare.Key) bool { return key == rejecting.key })
+	x.plans++ // the arbiter repeats its answer to an ask of the same name
+}
+
 // passing reports whether a refusal is due to the present load or state of the upstreams.
 func passing(err error) bool {
 	failed := verdict.From(err)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -249,6 +249,9 @@
 		x.abandon(result, err)
 		return false
 	}
+	if x.causeOf(result) == resend.Rejected {
+		x.outlastRejection(ctx, w.lead)
+	}
 	return true
 }
 
--- a/forward/repeat.go
+++ b/forward/repeat.go
@@ -70,7 +70,7 @@
 // mayRepeat records a failed send. It returns nil if another send may follow it, and the error for
 // the caller otherwise.
 func (x *exchange) mayRepeat(o *outcome) error {
-	cause, now := o.cause(), time.Now()
+	cause, now := x.causeOf(o), time.Now()
 	x.failed.Record(cause)
 	x.missedAt = time.Time{}
 	if cause.Missed() {
--- a/resend/cause.go
+++ b/resend/cause.go
@@ -23,14 +23,17 @@
 	// PathLost means that a running upstream may have received the call, and that the answer was lost
 	// with the sender's network paths to all upstreams of the service.
 	PathLost
+	// Rejected means that a running upstream rejected a call whose answer has begun: it has run nothing, and the call
+	// can't be refused any more.
+	Rejected
 
-	causes = int(PathLost) + 1
+	causes = int(Rejected) + 1
 )
 
 // charged reports whether the send that follows counts against the repeat budget: only if a
 // running upstream had to handle the failed one, if only to reject it.
 func (c Cause) charged() bool {
-	return c == Counted || c == HelperAtFault || c == Misdirected || c == PathLost
+	return c == Counted || c == HelperAtFault || c == Misdirected || c == PathLost || c == Rejected
 }
 
 // Missed reports whether the send found no running upstream.
--- a/resend/tally.go
+++ b/resend/tally.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// maxRejections bounds the sends that are rejected because a helper refused its part. Each
-	// takes a round trip and names one engine that is not asked to help again.
+	// maxRejections bounds the sends that are rejected because a helper refused its part, and those that are rejected
+	// after the answer has begun. Each takes a round trip; the former name one engine that is not asked to help again.
 	maxRejections = 6
 	// maxMissed bounds the sends that met an ended or withdrawn upstream. Each takes a round trip;
 	// a rack or an availability zone that loses its power may hold a third of a service.
@@ -67,6 +67,8 @@
 		d.Repeat = l.Left > 0 && t.Counted() < l.MaxSends
 	case HelperAtFault:
 		d.Repeat = l.Left > 0 && t.Rejections() < maxRejections
+	case Rejected:
+		d.Repeat = l.Left >= minTimeLeft && t.counts[Rejected] < maxRejections
 	case Misdirected, Ended, Withdrawn:
 		d.Repeat = l.Left >= minTimeLeft && t.counts[Misdirected]+t.counts[Ended]+t.counts[Withdrawn] < maxMissed
 	case PathLost:
