--- a/entry/handle.go
+++ b/entry/handle.go
@@ -15,6 +15,7 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	id := newRequestID()
 	ctx.Response.Header.Set(headerRequestID, id)
+	ctx.Response.Header.Set(headerKeepAlive, statedIdle)
 	path := string(ctx.Path())
 	switch {
 	case path == pathCompletions:
--- a/entry/headers.go
+++ b/entry/headers.go
@@ -9,6 +9,7 @@
 	headerNoRepeat   = "X-Celeryport-No-Repeat"
 	headerKey        = "Idempotency-Key"
 	headerRetryAfter = "Retry-After"
+	headerKeepAlive  = "Keep-Alive"
 
 	contentTypeJSON   = "application/json"
 	contentTypeEvents = "text/event-stream"
--- a/entry/server.go
+++ b/entry/server.go
@@ -16,6 +16,9 @@
 const (
 	readBufferSize = 16 << 10 // bytes, limits the header of a request
 	idleTimeout    = 75 * time.Second
+	// statedIdle is the value of Keep-Alive in answers: callers that use a connection again until the idle timeout itself
+	// would send a call while it is being closed.
+	statedIdle = "timeout=74"
 	// The listener limits the number of connections. The limit of fasthttp, which
 	// rejects connections without a verdict, is set higher so that it is never reached.
 	spareConnections = 64
