Charge the repeat of a call that another instance refused

An answer that has begun goes on elsewhere since if the instance that it was handed over to refuses it. Now it is charged to the repeat budget, and the answer ends if that is used up.

--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -58,11 +58,15 @@
 			}
 			return result
 		}
-		if !errors.Is(err, errTransitRefused) {
+		refused := errors.Is(err, errTransitRefused)
+		if !refused {
 			s.fleet.transits.Decline(peer.Name)
 		}
 		s.options.Metrics.Transit(telemetry.TransitDeclined)
 		eventTransitDeclined.Log(s.options.Log, event.Fields{"call": x.call.ID, "handler": peer.Name, "address": peer.ControlAddress, "error": err.Error()})
+		if refused && !s.takeRepeat(time.Now(), x.service.Name) { // an upstream may have received the call, and rejected it
+			return &outcome{verdict: verdict.NotRun, err: err, final: true}
+		}
 		if time.Since(began) >= connectTimeout && x.reachedNowhere(ctx) {
 			break
 		}
