--- a/delivery/writer.go
+++ b/delivery/writer.go
@@ -21,7 +21,7 @@
 	Method  string        // of the call
 	Close   bool          // close the connection after the answer
 	Ending  func() bool   // reports, when the head is written, whether the connection has to be closed; nil: it has not
-	IdleFor time.Duration // for which the connection may be idle after the answer; the caller is told in whole seconds, below one nothing
+	IdleFor time.Duration // for which the connection may be idle after the answer; stated to the caller in whole seconds; less than one: not stated
 	buffer  []byte
 	begun   bool
 	ended   bool  // the answer was written completely
--- a/entry/stated_idle_test.go
+++ b/entry/stated_idle_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-// Guards against calls that cross the close of their idle connection because their caller was not told for how long it
+// Guards against calls that cross the close of their idle connection because no answer stated for how long it
 // stays open.
 func TestAnswersStateForHowLongTheirConnectionStaysOpen(t *testing.T) {
 	warmUp(t)
--- a/forward/caller_idle.go
+++ b/forward/caller_idle.go
@@ -47,8 +47,8 @@
 // before is read at once.
 const lastLookTime = 5 * time.Millisecond
 
-// idleLimit returns how long the connection may be idle by the newest settings, but at least for as long as its caller
-// was told. Those of other instances may be idle for longer than these use them again.
+// idleLimit returns how long the connection may be idle by the newest settings, but at least for the time stated to its
+// caller. Those of other instances may be idle for longer than these use them again.
 func (c *callerConn) idleLimit() time.Duration {
 	limit := c.server.idleLimit.At(time.Now(), callerLimits(c.server.options.Plane.View()).IdleTimeout)
 	if c.openFor > 0 {
@@ -60,8 +60,8 @@
 	return limit
 }
 
-// stateIdle returns for how long the connection may be idle after the next answer, as its caller is told: a call that
-// is sent just before that time has to arrive before the connection is closed. Other instances are told nothing.
+// stateIdle returns for how long the connection may be idle after the next answer, as stated to its caller: a call that
+// is sent just before that time has to arrive before the connection is closed. Nothing is stated to other instances.
 func (c *callerConn) stateIdle() time.Duration {
 	if c.transit {
 		return 0
--- a/forward/stated_idle_test.go
+++ b/forward/stated_idle_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Guards against calls that cross the close of their idle connection, because their caller was not told for how long it
+// Guards against calls that cross the close of their idle connection, because no answer stated for how long it
 // stays open, or because a change of the settings closes it earlier.
 func TestConnectionsStayOpenForTheStatedIdleTime(t *testing.T) {
 	tests := []struct {
