forward: log and count which operation met the failure of a connection to an upstream

The kernel reports the error of a connection once. Event 7037 said that the same incarnation replied, not whether the connection had failed before, so that a reset that was met by a write or by the check whether data waits looked like a whole answer. Connections to upstreams and between instances are used through socket.Conn, which keeps the error and the operation that met it: fields connection_error and met_by of event 7037, forward_connection_failures_total. Event 7003 names the events before the last send (resumed_after), so that a second run which adds none can be told. No decision changes.

--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -218,6 +218,9 @@
 	}
 	if x.events > 0 {
 		fields["events"] = x.events
+		if x.sentFrom > 0 {
+			fields["resumed_after"] = x.sentFrom
+		}
 	}
 	if x.longestPause > 0 {
 		fields["pause_ms"] = x.longestPause.Milliseconds()
--- a/forward/peer_reader.go
+++ b/forward/peer_reader.go
@@ -9,7 +9,6 @@
 	"celeryport/failover"
 	"celeryport/httpwire"
 	"celeryport/membership"
-	"celeryport/socket"
 	"celeryport/transit"
 )
 
@@ -142,7 +141,7 @@
 	if err := r.t.conn.SetReadDeadline(r.t.x.deadline); err != nil {
 		return 0, err
 	}
-	if socket.Readable(r.t.conn.Conn) {
+	if r.t.conn.Readable() {
 		return minListen, nil
 	}
 	return 0, cause
--- a/forward/pending_test.go
+++ b/forward/pending_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"celeryport/socket"
 )
 
 // Guards against silent connections that seem to have data: the check runs when the read deadline
@@ -22,7 +24,7 @@
 	if err := conn.SetReadDeadline(time.Now().Add(-time.Second)); err != nil {
 		t.Fatal(err)
 	}
-	reader := &livenessReader{conn: conn, deadline: time.Now().Add(time.Minute)}
+	reader := &livenessReader{conn: socket.NewConn(conn), deadline: time.Now().Add(time.Minute)}
 	if pending, err := reader.pending(); pending || err != nil {
 		t.Errorf("pending %t (%v) on a connection without data", pending, err)
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -89,6 +89,9 @@
 	result := s.exchange(ctx)
 	result.phase = s.phase
 	fleet.vacate(n, conn)
+	if by, failure := conn.conn.Failure(); failure != nil {
+		x.server.options.Metrics.ConnectionFailed(x.service.Name, by)
+	}
 	if result.answered() || ctx.Err() == nil { // a caller may close its connection as soon as it has its answer
 		s.recordOutcome(result)
 	}
@@ -188,7 +191,7 @@
 	send := func() {
 		err := s.conn.conn.SetWriteDeadline(x.deadline)
 		if err == nil {
-			_, err = buffers.WriteTo(s.conn.conn)
+			_, err = s.conn.conn.WriteBuffers(&buffers)
 		}
 		s.sent <- err
 	}
--- a/forward/telemetry/metrics.go
+++ b/forward/telemetry/metrics.go
@@ -10,6 +10,7 @@
 
 	"celeryport/datagram"
 	"celeryport/failover"
+	"celeryport/socket"
 )
 
 // Metrics are the counters and histograms of forwarded calls.
@@ -30,6 +31,7 @@
 	silentSends *prometheus.CounterVec
 	endless     *prometheus.CounterVec
 	endChecks   *prometheus.CounterVec
+	connFailed  *prometheus.CounterVec
 	drained     *prometheus.CounterVec
 	cuts        *prometheus.CounterVec
 	MemoryWait  prometheus.Counter // seconds
@@ -124,6 +126,9 @@
 	m.endChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "forward_end_checks_total", Help: "Answers that ended with their connection, by service and what the check of their upstream observed.",
 	}, []string{"service", "observed"})
+	m.connFailed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "forward_connection_failures_total", Help: "Connections to upstreams that failed (reset, timed out, no route) with a call on them, by service and the operation that met the error (read, write, check: whether data waits).",
+	}, []string{"service", "met_by"})
 	m.drained = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "forward_drain_calls_total", Help: "Calls that arrived while this instance stops, and calls that its stop interrupted, by decision (accepted, refused, interrupted) and what the time that they need was derived from (recent, deadline; none: the call arrived before the stop).",
 	}, []string{"decision", "basis"})
@@ -133,7 +138,7 @@
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "forward_answers_cut_total", Help: "Answers that this instance ended before they were complete, by service, reason and what was known of the upstream (reachable, unreachable, paths-lost, ended, none).",
 	}, []string{"service", "reason", "observed"})
-	registry.MustRegister(m.cuts, m.drained, m.MemoryWait, m.endChecks, m.endless, m.ejections, m.silentSends, m.repeats, m.calls, m.firstByte, m.duration, m.sends, m.broken, m.Connections, m.OverLimit, m.Limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.Resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
+	registry.MustRegister(m.cuts, m.drained, m.MemoryWait, m.endChecks, m.connFailed, m.endless, m.ejections, m.silentSends, m.repeats, m.calls, m.firstByte, m.duration, m.sends, m.broken, m.Connections, m.OverLimit, m.Limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.Resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
 	m.Shares = newShareMetrics(registry)
 	return m
 }
@@ -248,6 +253,11 @@
 	m.endChecks.WithLabelValues(service, observed).Inc()
 }
 
+// ConnectionFailed counts a connection to an upstream that failed with a call on it, by the operation that met the error.
+func (m *Metrics) ConnectionFailed(service string, by socket.Operation) {
+	m.connFailed.WithLabelValues(service, string(by)).Inc()
+}
+
 // Sent counts a send by how it ended.
 func (m *Metrics) Sent(service, outcome string) {
 	m.sends.WithLabelValues(service, outcome).Inc()
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -189,7 +189,7 @@
 		return err
 	}
 	buffers := message(head.Append(nil), x.body)
-	_, err := buffers.WriteTo(t.conn)
+	_, err := t.conn.WriteBuffers(&buffers)
 	return err
 }
 
--- a/forward/trickle.go
+++ b/forward/trickle.go
@@ -10,7 +10,6 @@
 
 	"celeryport/failover"
 	"celeryport/httpwire"
-	"celeryport/socket"
 	"celeryport/trickle"
 )
 
@@ -54,7 +53,7 @@
 }
 
 // dataWaits reports whether data of the upstream waits that may be a part of the answer.
-func (s *sending) dataWaits() bool { return !s.trickles && socket.Readable(s.conn.conn) }
+func (s *sending) dataWaits() bool { return !s.trickles && s.conn.conn.Readable() }
 
 // trickled reports whether a send ended while its upstream sent bytes that are no part of an answer.
 func (s *sending) trickled(err error) bool {
--- a/forward/unframed.go
+++ b/forward/unframed.go
@@ -56,9 +56,13 @@
 func (s *sending) recordEndCheck(ended time.Time, observed endcheck.Observation, complete bool) {
 	x := s.x
 	x.server.options.Metrics.EndChecked(x.service.Name, observed.String())
-	eventEndChecked.Log(x.server.options.Log, event.Fields{
+	fields := event.Fields{
 		"call": x.call.ID, "route": x.route.Name, "upstream": s.node.name, "address": s.node.address, "observed": observed.String(),
 		"complete": complete, "leaving": announcedLeaving(x.server.options.Plane.View().Upstreams, s.node.incarnationID),
 		"events": x.events, "check_ms": time.Since(ended).Milliseconds(),
-	})
+	}
+	if by, failure := s.conn.conn.Failure(); failure != nil {
+		fields["connection_error"], fields["met_by"] = failure.Error(), string(by)
+	}
+	eventEndChecked.Log(x.server.options.Log, fields)
 }
--- a/forward/upstream_conn.go
+++ b/forward/upstream_conn.go
@@ -12,7 +12,7 @@
 
 // upstreamConn is a connection to one incarnation of an upstream. It carries one call at a time.
 type upstreamConn struct {
-	conn     net.Conn
+	conn     *socket.Conn
 	reader   *bufio.Reader
 	liveness *livenessReader
 	idleAt   time.Time     // since when the connection is idle
@@ -24,7 +24,8 @@
 // upstreamBuffer is large enough for the head and the first events of a typical answer.
 const upstreamBuffer = 4 << 10
 
-func newUpstreamConn(conn net.Conn) *upstreamConn {
+func newUpstreamConn(dialed net.Conn) *upstreamConn {
+	conn := socket.NewConn(dialed)
 	liveness := &livenessReader{conn: conn}
 	return &upstreamConn{conn: conn, liveness: liveness, reader: bufio.NewReaderSize(liveness, upstreamBuffer), idleFor: defaultIdleFor}
 }
@@ -55,7 +56,7 @@
 	if now.Sub(c.idleAt) > time.Duration(float64(c.idleFor)*float64(share)) {
 		return false
 	}
-	return c.reader.Buffered() == 0 && !socket.Readable(c.conn)
+	return c.reader.Buffered() == 0 && !c.conn.Readable()
 }
 
 // worthKeeping reports whether an idle connection may still be used by the next call, or by the
@@ -73,7 +74,7 @@
 // arrived for a while, or none that completes a part of the answer, it lets its watch act: an upstream that lost its
 // power or its network sends no reset, and one that is busy for longer than the caller waits sends nothing in time.
 type livenessReader struct {
-	conn     net.Conn
+	conn     *socket.Conn
 	deadline time.Time
 	watch    *silenceWatch // nil: only the deadline ends a read
 	meter    trickle.Meter
@@ -124,7 +125,7 @@
 	if err := r.conn.SetReadDeadline(r.deadline); err != nil {
 		return false, err
 	}
-	return socket.Readable(r.conn), nil
+	return r.conn.Readable(), nil
 }
 
 // wakeAt returns when to act on a decision; false if it names no time.
--- a/socket/readable.go
+++ b/socket/readable.go
@@ -1,8 +1,8 @@
-// Package socket inspects connections without consuming their data.
+// Package socket holds connections whose failure the kernel reports once only, and inspects them without consuming
+// their data.
 package socket
 
 import (
-	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -10,8 +10,8 @@
 
 // Readable reports whether a read would return at once, without consuming data. It is false for
 // connections without a file descriptor, such as those of tests in memory.
-func Readable(conn net.Conn) bool {
-	syscallConn, ok := conn.(syscall.Conn)
+func (c *Conn) Readable() bool {
+	syscallConn, ok := c.conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -24,6 +24,7 @@
 		var one [1]byte
 		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		ready = peekErr != unix.EAGAIN
+		c.record(Check, peekErr)
 		return true
 	})
 	return ready || err != nil
--- a/transit/pool.go
+++ b/transit/pool.go
@@ -36,7 +36,7 @@
 
 // Conn is a connection to another instance. It carries one call at a time.
 type Conn struct {
-	net.Conn
+	*socket.Conn
 	Reader *bufio.Reader
 	idleAt time.Time
 }
@@ -123,10 +123,11 @@
 
 // open opens a connection.
 func (p *Pool) open(ctx context.Context, address string, ask rpc.TransitAsk) (*Conn, error) {
-	conn, err := p.connect(ctx, address)
+	dialed, err := p.connect(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to another instance")
 	}
+	conn := socket.NewConn(dialed)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	reader, err := p.upgrade(conn, address, ask)
 	if !stop() && err == nil {
@@ -178,7 +179,7 @@
 		last := list[len(list)-1]
 		list = list[:len(list)-1]
 		p.idle[address] = list
-		if time.Since(last.idleAt) < IdleFor && last.Reader.Buffered() == 0 && !socket.Readable(last.Conn) {
+		if time.Since(last.idleAt) < IdleFor && last.Reader.Buffered() == 0 && !last.Readable() {
 			return last
 		}
 		_ = last.Close() // it is not used again
