Don't take a failed connection for the end of an answer

Cause: the kernel reports the failure of a connection once, to whichever operation is next; reads after it find the end of the stream, as after an end in order. The write of a call, the check whether data waits (recv with MSG_PEEK), or a read that took ETIMEDOUT of the kernel for its own deadline met it first. The check of the end then found the same incarnation, which lives.

Readable asks poll, which consumes nothing. A time-out of the kernel is no deadline of the reader.

--- a/forward/peer_reader.go
+++ b/forward/peer_reader.go
@@ -53,7 +53,7 @@
 		if n > 0 {
 			t.meter.Received(time.Now(), n)
 		}
-		if n > 0 || !isTimeout(err) || !time.Now().Before(t.x.deadline) {
+		if n > 0 || !passedDeadline(err) || !time.Now().Before(t.x.deadline) {
 			return n, err
 		}
 		if wait, err = r.act(); err != nil {
--- a/forward/telemetry/metrics.go
+++ b/forward/telemetry/metrics.go
@@ -127,7 +127,7 @@
 		Name: "forward_end_checks_total", Help: "Answers that ended with their connection, by service and what the check of their upstream observed.",
 	}, []string{"service", "observed"})
 	m.connFailed = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "forward_connection_failures_total", Help: "Connections to upstreams that failed (reset, timed out, no route) with a call on them, by service and the operation that met the error (read, write, check: whether data waits).",
+		Name: "forward_connection_failures_total", Help: "Connections to upstreams that failed (reset, timed out, no route) with a call on them, by service and the operation that met the error (read, write).",
 	}, []string{"service", "met_by"})
 	m.drained = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "forward_drain_calls_total", Help: "Calls that arrived while this instance stops, and calls that its stop interrupted, by decision (accepted, refused, interrupted) and what the time that they need was derived from (recent, deadline; none: the call arrived before the stop).",
--- a/forward/upstream_conn.go
+++ b/forward/upstream_conn.go
@@ -106,7 +106,7 @@
 		if n > 0 {
 			r.meter.Received(time.Now(), n)
 		}
-		if n > 0 || !isTimeout(err) || r.watch == nil || !time.Now().Before(r.deadline) {
+		if n > 0 || !passedDeadline(err) || r.watch == nil || !time.Now().Before(r.deadline) {
 			return n, err
 		}
 		pending, err := r.pending()
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,6 +51,10 @@
 	return err == nil || isTimeout(err)
 }
 
+// passedDeadline reports whether an operation ended at its deadline. The time-out of a connection that the kernel has
+// given up is another error.
+func passedDeadline(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/socket/readable.go
+++ b/socket/readable.go
@@ -1,5 +1,5 @@
 // Package socket holds connections whose failure the kernel reports once only, and inspects them without consuming
-// their data.
+// their data or that report.
 package socket
 
 import (
@@ -8,8 +8,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// Readable reports whether a read would return at once, without consuming data. It is false for
-// connections without a file descriptor, such as those of tests in memory.
+// Readable reports whether a read would return at once. It consumes neither data nor the error of a connection that
+// has failed, which recv with MSG_PEEK would. It is false for connections without a file descriptor, such as those of
+// tests in memory.
 func (c *Conn) Readable() bool {
 	syscallConn, ok := c.conn.(syscall.Conn)
 	if !ok {
@@ -21,10 +22,8 @@
 	}
 	ready := true
 	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		ready = peekErr != unix.EAGAIN
-		c.record(Check, peekErr)
+		n, pollErr := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}, 0)
+		ready = n > 0 || pollErr != nil
 		return true
 	})
 	return ready || err != nil
