socket: a signal makes no connection readable; stricter tests

Tests: "a check" passed with recv and MSG_PEEK too, as unread data was before the failure; the data is read now. Cases wait for the failure itself, not for the data. TestEndOfTheStreamEndsWrites passed after a minute if writes were not ended; it is bounded.

--- a/socket/conn_test.go
+++ b/socket/conn_test.go
@@ -4,11 +4,13 @@
 	"io"
 	"net"
 	"runtime"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // connect returns both sides of a connection.
@@ -37,6 +39,25 @@
 	_ = far.Close()
 }
 
+// awaitFailure waits until a connection has failed, which consumes neither the failure nor the data before it.
+func awaitFailure(t *testing.T, c *Conn) {
+	t.Helper()
+	raw, err := c.conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for failed := false; !failed; runtime.Gosched() {
+		err := raw.Control(func(fd uintptr) {
+			fds := []unix.PollFd{{Fd: int32(fd)}}
+			_, _ = unix.Poll(fds, 0)
+			failed = fds[0].Revents&unix.POLLERR != 0
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // readAll reads to the end of the stream.
 func readAll(t *testing.T, c *Conn) (string, error) {
 	t.Helper()
@@ -59,6 +80,9 @@
 	for name, meet := range map[string]func(t *testing.T, c *Conn, far *net.TCPConn){
 		"nothing else": func(*testing.T, *Conn, *net.TCPConn) {},
 		"a check": func(t *testing.T, c *Conn, _ *net.TCPConn) {
+			if _, err := io.ReadFull(c, make([]byte, len("part"))); err != nil { // a check meets the failure only after the data
+				t.Fatal(err)
+			}
 			for range 3 {
 				if !c.Readable() {
 					t.Error("a failed connection is not readable")
@@ -80,9 +104,7 @@
 			near, far := connect(t)
 			_, _ = io.WriteString(far, "part")
 			reset(far)
-			for !near.Readable() {
-				runtime.Gosched()
-			}
+			awaitFailure(t, near)
 			meet(t, near, far)
 			for range 2 { // also if it is read again
 				if _, err := readAll(t, near); !errors.Is(err, syscall.ECONNRESET) {
@@ -93,6 +115,33 @@
 	}
 }
 
+// Guards against silent connections that seem to have data, or to have ended, because a signal has interrupted the check.
+// The collector of garbage sends signals to the threads of the process.
+func TestSignalsMakeNoConnectionReadable(t *testing.T) {
+	near, _ := connect(t)
+	collected := make(chan struct{})
+	var collecting sync.WaitGroup
+	for range 2 {
+		collecting.Go(func() {
+			for {
+				select {
+				case <-collected:
+					return
+				default:
+					runtime.GC()
+				}
+			}
+		})
+	}
+	defer collecting.Wait()
+	defer close(collected)
+	for until := time.Now().Add(time.Second); time.Now().Before(until); {
+		if near.Readable() {
+			t.Fatal("a connection without data is readable")
+		}
+	}
+}
+
 // Guards against whole streams that count as failed because their peer takes nothing more afterwards.
 func TestStreamThatWasEndedBeforeAResetIsWhole(t *testing.T) {
 	near, far := connect(t)
@@ -112,6 +161,7 @@
 // Guards against a call that waits until its deadline for a write to a peer that has ended its answer.
 func TestEndOfTheStreamEndsWrites(t *testing.T) {
 	near, far := connect(t)
+	began := time.Now()
 	written := make(chan error, 1)
 	go func() {
 		err := near.SetWriteDeadline(time.Now().Add(time.Minute))
@@ -134,6 +184,9 @@
 	if _, err := near.Write(make([]byte, 100<<20)); err == nil {
 		t.Error("a later write has no error")
 	}
+	if took := time.Since(began); took >= 30*time.Second { // the deadlines of the writes are a minute
+		t.Errorf("the writes ended after %s", took)
+	}
 }
 
 // lateWriter is a connection whose write has met a reset when a read finds the end of the stream, but returns after it.
--- a/socket/readable.go
+++ b/socket/readable.go
@@ -5,6 +5,7 @@
 import (
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -22,9 +23,16 @@
 	}
 	ready := true
 	err = raw.Read(func(fd uintptr) bool {
-		n, pollErr := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}, 0)
+		n, pollErr := poll(fd)
+		for errors.Is(pollErr, unix.EINTR) { // a signal, such as those of the scheduler, interrupts even a poll that doesn't wait
+			n, pollErr = poll(fd)
+		}
 		ready = n > 0 || pollErr != nil
 		return true
 	})
 	return ready || err != nil
 }
+
+func poll(fd uintptr) (int, error) {
+	return unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}, 0)
+}
