forward: check an upstream after any failure of a connection to it

A time-out of the kernel counted for nothing, since it is no end by the peer, and a lost route counted as a failure of the upstream without the check whether it or the paths ended. A read of the same connection found a plain end before, which led to that check.

--- a/forward/broken_send.go
+++ b/forward/broken_send.go
@@ -68,3 +68,10 @@
 func endedByPeer(err error) bool {
 	return !errors.Is(err, errUncheckedEnd) && errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, httpwire.ErrTruncated, errSilent, syscall.ECONNRESET, syscall.EPIPE)
 }
+
+// endedByPeer reports the same for the connection of the send, whose failure may also be a time-out of the kernel or a lost
+// route. On a connection that is not open yet, these show no end.
+func (s *sending) endedByPeer(err error) bool {
+	_, failure := s.conn.conn.Failure()
+	return endedByPeer(err) || failure != nil && errors.Is(err, failure)
+}
--- a/forward/outliers.go
+++ b/forward/outliers.go
@@ -70,7 +70,7 @@
 	case o.otherAtFault, o.announced, errors.IsAny(o.err, errWrongIncarnation, errUncheckedEnd): // shows nothing about the upstream
 	case s.trickled(o.err):
 		x.server.fleet.recordFailures(s.node, end)
-	case errors.IsAny(o.err, errSilent, errMoved), endedByPeer(o.err), isTimeout(o.err):
+	case errors.IsAny(o.err, errSilent, errMoved), s.endedByPeer(o.err), isTimeout(o.err):
 	case o.status == http.StatusGatewayTimeout && outlier.OutOfTime(s.sentAt, time.Now(), x.deadline):
 	case x.writer.Failure() != nil: // the caller failed
 	default:
--- a/forward/send.go
+++ b/forward/send.go
@@ -99,7 +99,7 @@
 		trickles := conn.liveness.meter.Trickles()
 		fleet.recordEndless(roadUpstream, n.name, n.address, result.err, trickles, event.Fields{"call": x.call.ID, "events": x.events})
 	}
-	if ctx.Err() == nil && x.writer.Failure() == nil && endedByPeer(result.err) {
+	if ctx.Err() == nil && x.writer.Failure() == nil && s.endedByPeer(result.err) {
 		x.server.options.Metrics.SendBroken(x.service.Name, s.phase)
 		if !errors.Is(result.err, errSilent) {
 			fleet.paths.Ended(n.path())
