--- a/forward/upstream_conn.go
+++ b/forward/upstream_conn.go
@@ -24,8 +24,8 @@
 // upstreamBuffer is large enough for the head and the first events of a typical answer.
 const upstreamBuffer = 4 << 10
 
-func newUpstreamConn(dialed net.Conn) *upstreamConn {
-	conn := socket.NewConn(dialed)
+func newUpstreamConn(opened net.Conn) *upstreamConn {
+	conn := socket.NewConn(opened)
 	liveness := &livenessReader{conn: conn}
 	return &upstreamConn{conn: conn, liveness: liveness, reader: bufio.NewReaderSize(liveness, upstreamBuffer), idleFor: defaultIdleFor}
 }
--- a/socket/conn.go
+++ b/socket/conn.go
@@ -20,7 +20,7 @@
 
 // Conn is a connection whose reads end with io.EOF only if the peer has ended the stream in order. The kernel reports a
 // failure, such as a reset, once, to whichever operation is next, and then lets reads find the end of the stream. Conn
-// remembers the failure, and which operation met it. It is safe for concurrent use.
+// remembers the failure, and which operation met it. It is safe for concurrent use, but only one read at a time may run.
 type Conn struct {
 	conn    net.Conn // used by no one else
 	writing sync.Mutex
--- a/socket/conn_test.go
+++ b/socket/conn_test.go
@@ -21,7 +21,7 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	dialed, err := net.Dial("tcp", listener.Addr().String())
+	opened, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	near, far = NewConn(dialed), accepted.(*net.TCPConn)
+	near, far = NewConn(opened), accepted.(*net.TCPConn)
 	t.Cleanup(func() { near.Close(); far.Close() })
 	return near, far
 }
--- a/transit/pool.go
+++ b/transit/pool.go
@@ -123,11 +123,11 @@
 
 // open opens a connection.
 func (p *Pool) open(ctx context.Context, address string, ask rpc.TransitAsk) (*Conn, error) {
-	dialed, err := p.connect(ctx, address)
+	opened, err := p.connect(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to another instance")
 	}
-	conn := socket.NewConn(dialed)
+	conn := socket.NewConn(opened)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	reader, err := p.upgrade(conn, address, ask)
 	if !stop() && err == nil {
