Complete a stream by a second run only if that goes on with it

Also: events of an HTML page behind those of the stream, events without an ID twice, and, in a run that goes back, a part that looks like the rest.

Cause: each success of a stream route that ended in order completed the answer, whatever it said of the stream. The order of events was checked against the caller's last event only, not within a run, and not at all for events without an ID; a stream without IDs was sent again after it had begun, and joined with its start.

Change: package resume (pure) decides for sends to upstreams and for calls that another instance handles. A run after the first event needs the status of the first one and no other type than an event stream; its IDs increase; it completes the answer without an event, or with one that is not before N. Else the send has failed: the call is sent again within its limits, or the answer is cut. An event without an ID is skipped after one that the caller has, and ends the run where its place is unknown; a stream without IDs is not sent again once it has begun. First runs pass as before, 204 too; if the caller states its last event, a run that ends before it has failed, and events without an ID before it are skipped.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -7,6 +7,7 @@
 	"celeryport/clock"
 	"celeryport/control"
 	"celeryport/quarantine"
+	"celeryport/resume"
 	"celeryport/verdict"
 )
 
@@ -69,7 +70,7 @@
 	if x.call.Wait > 0 {
 		x.deadline = earlier(x.deadline, x.began.Add(x.call.Wait))
 	}
-	x.lastEvent, x.hasEvent = x.call.ResumeAfter, x.call.Resumes
+	x.received = resume.After(x.call.ResumeAfter, x.call.Resumes, x.answerBegun())
 	return x.admitLate(time.Now())
 }
 
--- a/forward/endless.go
+++ b/forward/endless.go
@@ -7,6 +7,7 @@
 
 	"celeryport/event"
 	"celeryport/httpwire"
+	"celeryport/resume"
 )
 
 // road is a way on which an instance receives answers.
@@ -25,7 +26,7 @@
 		return ""
 	case errors.IsAny(err, errTrickled, errPeerTrickled), trickles && isTimeout(err):
 		return "trickle"
-	case errors.Is(err, errEventsRepeated):
+	case errors.Is(err, resume.ErrRepeated):
 		return "repeated"
 	case httpwire.IsExcess(err):
 		return "excess"
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -16,6 +16,7 @@
 	"celeryport/placement"
 	"celeryport/quarantine"
 	"celeryport/resend"
+	"celeryport/resume"
 	"celeryport/settings"
 	"celeryport/transit"
 )
@@ -50,10 +51,8 @@
 	patience      time.Duration   // for which the next send waits for helpers that do not reply
 	sentTo        []loadshare.Key // engines that received the call as lead
 	firstAt       time.Time
-	lastEvent     int64 // last event that the caller has received
-	hasEvent      bool
+	received      resume.Stream // events that the caller has received
 	events        int
-	repeated      int // bytes of events that the caller had already
 	target        *node
 	predicted     time.Duration // predicted time from the last send to the first event
 	readers       int           // engines that read the prompt
--- a/forward/late_stream_test.go
+++ b/forward/late_stream_test.go
@@ -9,13 +9,14 @@
 
 	"celeryport/delivery"
 	"celeryport/httpwire"
+	"celeryport/resume"
 )
 
 // Guards against a long answer that begins late and counts against its upstream until it ends, and after that.
 func TestStreamThatBeginsLateIsNoFailureAnyMore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		late, _ := newSilentSend(t, 0, 100)
-		late.begun, late.x.events, late.x.hasEvent = false, 0, false
+		late.begun, late.x.events, late.x.received = false, 0, resume.Stream{}
 		late.x.route.Patience, late.sentAt = 0, time.Now().Add(-late.x.hangTimeout())
 		caller, far := net.Pipe()
 		defer caller.Close()
--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -14,6 +14,7 @@
 	"celeryport/failover"
 	"celeryport/loadshare"
 	"celeryport/resend"
+	"celeryport/resume"
 	"celeryport/settings"
 )
 
@@ -36,7 +37,7 @@
 	near, far := net.Pipe()
 	t.Cleanup(func() { near.Close(); far.Close() })
 	x := &exchange{
-		server: s, call: &Call{ID: "call", PromptTokens: 1000, AnswerTokens: 100}, service: &service, sends: 1, events: 3, lastEvent: 3, hasEvent: true,
+		server: s, call: &Call{ID: "call", PromptTokens: 1000, AnswerTokens: 100}, service: &service, sends: 1, events: 3, received: resume.After(3, true, true),
 		route: &settings.Route{Repeat: settings.RepeatRest, Stream: true, MaxSends: 2, Objective: 300 * time.Millisecond, PauseLimit: 250 * time.Millisecond, Patience: 2 * time.Second},
 		began: now.Add(-2 * silent), deadline: now.Add(8 * time.Second), eventAt: now.Add(-silent), firstAt: now.Add(-2 * silent),
 	}
--- a/forward/overdue_test.go
+++ b/forward/overdue_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"celeryport/resume"
 )
 
 // Guards against a call that stays at an upstream that does not begin its answer until the deadline,
@@ -13,7 +15,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		sent, w := newSilentSend(t, 2500*time.Millisecond, 100)
 		x := sent.x
-		sent.begun, x.events, x.hasEvent, sent.sentAt, sent.lastEventAt = false, 0, false, x.began, time.Time{}
+		sent.begun, x.events, x.received, sent.sentAt, sent.lastEventAt = false, 0, resume.Stream{}, x.began, time.Time{}
 		x.predicted = 100 * time.Millisecond
 		x.server.options.Dial = dialAfter(t, 0, nil)
 		near, far := net.Pipe()
--- a/forward/peer_reader.go
+++ b/forward/peer_reader.go
@@ -9,6 +9,7 @@
 	"celeryport/failover"
 	"celeryport/httpwire"
 	"celeryport/membership"
+	"celeryport/resume"
 	"celeryport/transit"
 )
 
@@ -115,7 +116,7 @@
 
 // unsound reports whether the error is that of an answer that no instance gives, as it checks those of upstreams.
 func unsound(err error) bool {
-	return errors.IsAny(err, errPeerTrickled, errNotGenuine, errEventsRepeated) || httpwire.StatusOf(err) != 0
+	return errors.IsAny(err, errPeerTrickled, errNotGenuine, resume.ErrRepeated) || httpwire.StatusOf(err) != 0
 }
 
 // handledWithout reports whether the call may be sent without the instance that handles it now.
--- a/forward/repeat.go
+++ b/forward/repeat.go
@@ -96,7 +96,7 @@
 	case settings.RepeatWhole:
 		return !x.writer.Begun()
 	case settings.RepeatRest:
-		return o.verdict != verdict.Ran || o.ownFailure == nil
+		return x.received.Resumable() && (o.verdict != verdict.Ran || o.ownFailure == nil)
 	default:
 		return false
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -25,8 +25,6 @@
 	errStray            = errors.New("the upstream sent answers of other calls")
 	errOwnFailure       = errors.New("the upstream answered with a failure")
 	errMoved            = errors.New("the call moves to another engine because its upstream is silent")
-	errEventOrder       = errors.New("the events of the answer do not follow each other")
-	errEventsRepeated   = errors.New("the upstream sends events that the caller has, without end")
 )
 
 // sending is the progress of one send on its connection.
@@ -174,12 +172,13 @@
 // write sends the call.
 func (s *sending) write() {
 	x := s.x
+	lastEvent, resumes := x.received.Last()
 	head := x.server.options.Dialect.SendHead(x.call, &Send{
 		Incarnation:  s.node.name,
 		Organisation: x.organisation,
 		Left:         time.Until(x.deadline),
-		ResumeAfter:  x.lastEvent,
-		Resumes:      x.hasEvent,
+		ResumeAfter:  lastEvent,
+		Resumes:      resumes,
 		Helpers:      s.work.helperList(),
 	})
 	if len(x.body) > 0 || x.call.Method == http.MethodPost || x.call.Method == http.MethodPut {
--- a/forward/shares.go
+++ b/forward/shares.go
@@ -119,7 +119,7 @@
 // time is already spent.
 func (x *exchange) refuseAboveShare(now time.Time, engines []placement.Engine) error {
 	h := x.shares()
-	if h == nil || x.sends > 0 || x.hasEvent || x.answerBegun() || x.isLong() || x.withinShare {
+	if h == nil || x.sends > 0 || x.call.Resumes || x.answerBegun() || x.isLong() || x.withinShare {
 		return nil
 	}
 	free := placement.HasFreeSlot(x.service.Engine, engines)
--- a/forward/shares_test.go
+++ b/forward/shares_test.go
@@ -73,7 +73,7 @@
 				s := newShareServer(t, c.enabled)
 				fillEngines(s, c.free)
 				x := shareCall(s, c.organisation, 500)
-				x.hasEvent = c.resumes
+				x.call.Resumes = c.resumes
 				x.countOffered(x.began)
 				grantExcess(s)
 				refused := 0
--- a/forward/silence_watch.go
+++ b/forward/silence_watch.go
@@ -198,7 +198,7 @@
 func (x *exchange) mayMove() bool {
 	switch x.route.Repeat {
 	case settings.RepeatRest:
-		return x.events == 0 || x.hasEvent
+		return x.received.Resumable()
 	case settings.RepeatWhole:
 		return !x.writer.Begun()
 	default:
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/httpwire"
+	"celeryport/resume"
 	"celeryport/verdict"
 )
 
@@ -17,6 +18,9 @@
 // stream forwards the events of an answer to the caller as they arrive. Only whole events are
 // forwarded, so that another upstream can resume after the last one when this upstream fails.
 func (s *sending) stream(ctx context.Context, head *httpwire.ResponseHead, answer Answer) *outcome {
+	if err := s.x.received.Start(runHead(head)); err != nil {
+		return brokenRun(err)
+	}
 	body := httpwire.NewBody(s.conn.reader, head.Body)
 	events, end := s.x.eventReader(ctx, body)
 	defer end()
@@ -26,17 +30,30 @@
 			if err := s.verifyEnd(ctx, head); err != nil {
 				return s.brokenOutcome(err)
 			}
+			if err := s.x.received.End(); err != nil {
+				return brokenRun(err)
+			}
 			return s.streamEnded(head, answer)
 		}
 		if err != nil {
 			return s.brokenOutcome(err)
 		}
 		if err := s.forwardEvent(head, &e); err != nil {
-			return &outcome{verdict: verdict.MayHaveRun, err: err, reached: true}
+			return brokenRun(err)
 		}
 	}
 }
 
+// brokenRun returns the outcome of a send whose answer was not passed on to its end.
+func brokenRun(err error) *outcome {
+	return &outcome{verdict: verdict.MayHaveRun, err: err, reached: true}
+}
+
+// runHead returns what package resume needs to know of the head of an answer.
+func runHead(head *httpwire.ResponseHead) resume.Head {
+	return resume.Head{Status: head.Status, Type: head.Fields.Get("Content-Type")}
+}
+
 // eventReader returns a reader of the events of an answer, and a function to call when it is no longer used. Long
 // events wait for memory until the deadline of the call.
 func (x *exchange) eventReader(ctx context.Context, body io.Reader) (*httpwire.EventReader, func()) {
@@ -58,7 +75,7 @@
 		return x.writer.Failure()
 	}
 	s.lastEventAt = time.Now()
-	if wanted, err := x.accepts(e); err != nil || !wanted {
+	if wanted, err := x.received.Accept(runEvent(e)); err != nil || !wanted {
 		return err
 	}
 	s.conn.liveness.meter.Part()
@@ -81,24 +98,10 @@
 	return x.writer.Failure()
 }
 
-// accepts reports whether an event is the next one for the caller; the caller may have received it
-// already. An error means that events are missing before it.
-func (x *exchange) accepts(e *httpwire.Event) (bool, error) {
-	if !e.HasID || !x.hasEvent || e.ID == x.lastEvent+1 {
-		return true, nil
-	}
-	if e.ID > x.lastEvent {
-		return false, errEventOrder
-	}
-	if x.repeated += len(e.Raw); x.repeated > maxRepeatedBytes {
-		return false, errEventsRepeated
-	}
-	return false, nil
+func runEvent(e *httpwire.Event) resume.Event {
+	return resume.Event{ID: e.ID, HasID: e.HasID, Size: len(e.Raw)}
 }
 
-// maxRepeatedBytes bounds the events that the caller of a call has already and that upstreams send again.
-const maxRepeatedBytes = 4 << 20
-
 // beginAnswer prepares the head of the answer if that has not been done. It is written with the first
 // event: until then another upstream can still answer the call without the caller noticing.
 func (x *exchange) beginAnswer(head *httpwire.ResponseHead) {
@@ -115,9 +118,6 @@
 	x.recordPause()
 	x.writer.Part(e.Raw)
 	x.events++
-	if e.HasID {
-		x.lastEvent, x.hasEvent = e.ID, true
-	}
 }
 
 // recordPause updates the longest pause between two events and its start.
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -175,7 +175,8 @@
 
 func (t *transitSend) write() error {
 	x := t.x
-	head := x.server.options.Dialect.TransitHead(x.call, x.lastEvent, x.hasEvent)
+	lastEvent, resumes := x.received.Last()
+	head := x.server.options.Dialect.TransitHead(x.call, lastEvent, resumes)
 	info := transit.Call{
 		From: x.server.options.Process.Name, Revision: x.revision, Sends: max(1, x.maxSends()-x.failed.Counted()), Waited: time.Since(x.began),
 		Events: x.events,
@@ -241,6 +242,9 @@
 
 func (t *transitSend) stream(ctx context.Context, head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
 	x := t.x
+	if err := x.received.Start(runHead(head)); err != nil {
+		return t.broken(err)
+	}
 	body := httpwire.NewBody(reader, head.Body)
 	body.MustFrame = true
 	events, end := x.eventReader(ctx, body)
@@ -249,6 +253,9 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && body.Complete() {
+			if err := x.received.End(); err != nil {
+				return t.broken(err)
+			}
 			x.beginAnswer(head)
 			idle.end(x)
 			x.writer.End()
@@ -261,7 +268,7 @@
 		if idle.pass(x, &e) {
 			t.meter.KeepAlive(time.Now())
 		} else {
-			if wanted, err := x.accepts(&e); err != nil || !wanted {
+			if wanted, err := x.received.Accept(runEvent(&e)); err != nil || !wanted {
 				if err != nil {
 					return t.broken(err)
 				}
