delivery: send nothing after an answer that has no body

What callers saw: on a stream route an answer 204, or one to HEAD, is followed by the last chunk of a body, five bytes that a caller takes for the start of the next answer on the connection; 204 also states chunks, which RFC 9112, 6.1 forbids.

Cause: answers of stream routes are always written in chunks, whatever their status and method.

Change: the writer knows which answers have no body (204, 304, HEAD) and writes only their head.

Measured: TestNothingFollowsAnAnswerWithoutABody, 2 of 3 cases failed before.

--- a/delivery/writer.go
+++ b/delivery/writer.go
@@ -24,6 +24,7 @@
 	IdleFor time.Duration // for which the connection may be idle after the answer; stated to the caller in whole seconds; less than one: not stated
 	buffer  []byte
 	begun   bool
+	noBody  bool  // no byte may follow the head
 	ended   bool  // the answer was written completely
 	failure error // first write error of the connection
 }
@@ -66,6 +67,10 @@
 // Begin prepares the head of a chunked answer; it is sent with the first part.
 func (w *Writer) Begin(head *httpwire.ResponseHead) {
 	head.Body = httpwire.Framing{Kind: httpwire.Chunked}
+	w.noBody = w.Method == http.MethodHead
+	if head.Status == http.StatusNoContent || head.Status == http.StatusNotModified {
+		w.noBody, head.Body = true, httpwire.Framing{}
+	}
 	w.stateEnd(head)
 	w.buffer = head.Append(w.buffer[:0])
 	w.begun = true
@@ -79,7 +84,9 @@
 
 // End completes a chunked answer. Without it the caller can tell that the answer is truncated.
 func (w *Writer) End() {
-	w.buffer = append(w.buffer, httpwire.LastChunk...)
+	if !w.noBody { // the caller would take it for a part of the next answer
+		w.buffer = append(w.buffer, httpwire.LastChunk...)
+	}
 	w.flush()
 	w.ended = w.failure == nil
 }
--- a/delivery/writer_test.go
+++ b/delivery/writer_test.go
@@ -1,7 +1,9 @@
 package delivery
 
 import (
+	"io"
 	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,3 +53,27 @@
 		})
 	}
 }
+
+// Guards against bytes after an answer without a body, which callers take for a part of the next answer on the connection.
+func TestNothingFollowsAnAnswerWithoutABody(t *testing.T) {
+	for name, test := range map[string]struct {
+		method string
+		status int
+		want   string
+	}{
+		"204":  {http.MethodPost, http.StatusNoContent, "HTTP/1.1 204 No Content\r\n\r\n"},
+		"HEAD": {http.MethodHead, http.StatusOK, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"},
+		"body": {http.MethodPost, http.StatusOK, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+	} {
+		caller, conn := net.Pipe()
+		go func() {
+			w := &Writer{Conn: conn, Method: test.method}
+			w.Begin(&httpwire.ResponseHead{Status: test.status})
+			w.End()
+			conn.Close()
+		}()
+		if got, _ := io.ReadAll(caller); string(got) != test.want {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+}
