httpwire: an answer without a status is malformed, also above 599 and for 101

What callers saw: an answer whose first line states 600 or 999 with that status and its body, or, with the field by which an upstream rejects a call, the statement that the call has not run; for a 101 an answer with that status, although nobody had asked for another protocol.

Cause: a status line was accepted if it had three digits from 100 on, and 101 ended the search for a final answer. RFC 9110, 15: numbers outside of 100 to 599 are no statuses; 101 answers a request with Upgrade only, and the fields of calls that are passed on contain none. Upgrades between instances are read by package transit.

Change: both are malformed, so that the call may have run: it is repeated where that is allowed and ends with 502 elsewhere.

--- a/httpwire/response.go
+++ b/httpwire/response.go
@@ -17,12 +17,12 @@
 }
 
 // ReadResponseHead reads one response head of at most limit bytes. method is that of
-// the request. Interim (1xx) responses except 101 are skipped, at most maxInterimHeads and limit bytes of them.
+// the request. Interim (1xx) responses are skipped, at most maxInterimHeads and limit bytes of them.
 func ReadResponseHead(r *bufio.Reader, limit int, method string) (*ResponseHead, error) {
 	interim := 0
 	for range maxInterimHeads + 1 {
 		head, size, err := readOneResponseHead(r, limit, method)
-		if err != nil || head.Status >= http.StatusOK || head.Status == http.StatusSwitchingProtocols {
+		if err != nil || head.Status >= http.StatusOK {
 			return head, err
 		}
 		if interim += size; interim > limit {
@@ -55,6 +55,9 @@
 	if version, head.Status, head.Reason, err = splitStatusLine(statusLine); err != nil {
 		return nil, err
 	}
+	if head.Status == http.StatusSwitchingProtocols {
+		return nil, malformed("a switch of protocols that was not asked for")
+	}
 	if head.Body, err = responseFraming(fields, method, head.Status); err != nil {
 		return nil, err
 	}
@@ -66,7 +69,7 @@
 	version, rest, _ := strings.Cut(line, " ")
 	code, reason, _ := strings.Cut(rest, " ")
 	status, err = strconv.Atoi(code)
-	if version != "HTTP/1.1" && version != "HTTP/1.0" || err != nil || len(code) != statusDigits || status < http.StatusContinue {
+	if version != "HTTP/1.1" && version != "HTTP/1.0" || err != nil || len(code) != statusDigits || !isStatus(status) {
 		return "", 0, "", malformed("malformed status line")
 	}
 	return version, status, reason, nil
@@ -74,6 +77,9 @@
 
 const statusDigits = 3
 
+// isStatus reports whether a number is a status. Those outside of the five classes are invalid (RFC 9110, 15).
+func isStatus(n int) bool { return n >= http.StatusContinue && n < 600 }
+
 // Append appends the encoded head.
 func (h *ResponseHead) Append(to []byte) []byte {
 	to = append(to, "HTTP/1.1 "...)
