upstream/client: an answer without a status is none

What callers of the completions interface saw: the body of an answer that begins with "HTTP/1.1 000" as a whole answer with status 200, also stored under an idempotency key; answers with 020, 099, 600, 999 or 101 with that status; answers of HTTP/0.9 and HTTP/2.0. The same with the field of a refusal as the statement that the call has not run. Cancels, reservations and lists of holdings answered with 000 counted as done.

Cause: the head is parsed by fasthttp, which takes any three digits and any version, and whose StatusCode returns 200 for a status of zero.

Change: what skips interim answers checks the first line of the answer as the parser of calls does (httpwire.SkipInterim, moved from here). Such an answer is a violation of the protocol: the call may have run, and its stream is not resumed.

--- a/httpwire/response.go
+++ b/httpwire/response.go
@@ -56,7 +56,7 @@
 		return nil, err
 	}
 	if head.Status == http.StatusSwitchingProtocols {
-		return nil, malformed("a switch of protocols that was not asked for")
+		return nil, errSwitched
 	}
 	if head.Body, err = responseFraming(fields, method, head.Status); err != nil {
 		return nil, err
@@ -70,11 +70,16 @@
 	code, reason, _ := strings.Cut(rest, " ")
 	status, err = strconv.Atoi(code)
 	if version != "HTTP/1.1" && version != "HTTP/1.0" || err != nil || len(code) != statusDigits || !isStatus(status) {
-		return "", 0, "", malformed("malformed status line")
+		return "", 0, "", errStatusLine
 	}
 	return version, status, reason, nil
 }
 
+var (
+	errStatusLine = malformed("malformed status line")
+	errSwitched   = malformed("a switch of protocols that was not asked for")
+)
+
 const statusDigits = 3
 
 // isStatus reports whether a number is a status. Those outside of the five classes are invalid (RFC 9110, 15).
--- a/upstream/client/exchange.go
+++ b/upstream/client/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"celeryport/failover"
+	"celeryport/httpwire"
 	"celeryport/progress"
 	"celeryport/verdict"
 )
@@ -66,7 +67,7 @@
 func (e *exchange) receiveHeader(silence time.Duration) error {
 	e.conn.Limit(progress.Limit{Idle: silence, Partial: partTimeout, Bytes: maxHeads})
 	reader := bufio.NewReaderSize(e.conn, maxHeader)
-	if err := skipInterim(reader, e.conn.Resume); err != nil {
+	if err := httpwire.SkipInterim(reader, e.conn.Resume); err != nil {
 		return err
 	}
 	e.response.StreamBody = true
@@ -80,7 +81,7 @@
 // markEnd marks the error of a read with the limit that it has reached.
 func (e *exchange) markEnd(err error) error {
 	err = e.conn.Mark(err)
-	if errors.IsAny(err, progress.ErrTooMuch, errInterim, bufio.ErrTooLong) {
+	if errors.IsAny(err, progress.ErrTooMuch, bufio.ErrTooLong) || httpwire.StatusOf(err) != 0 {
 		return errors.Mark(err, errViolation)
 	}
 	return err
