order: an answer without a status is none

What operators saw: an order that an engine answered with "HTTP/1.1 000", HTTP/0.9 or HTTP/2.0 as carried out, and the state of an engine read from such an answer.

Change: the caller makes the exchange itself, on a connection of its own as before, and checks the first line with httpwire.SkipInterim. In TestAnswersWithoutEndAreCutOff the call that closed idle connections of fasthttp.Client and the wait for its goroutines are gone, since there are none; the synctest bubble still fails if one is left.

--- a/order/caller.go
+++ b/order/caller.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"bufio"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -9,38 +10,27 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"celeryport/httpwire"
 	"celeryport/upstream/wire"
 )
 
 // maxAnswer bounds the size of an engine's answer in bytes.
 const maxAnswer = 1 << 20
 
-// caller makes the HTTP calls to engines.
+// caller makes the HTTP calls to engines, each on its own connection. It sends each request at most once: an order that
+// was repeated would be executed twice, the second time possibly after another issuer has taken over.
 type caller struct {
-	client  *fasthttp.Client
+	dial    func(address string) (net.Conn, error)
 	key     string
 	timeout time.Duration
 }
 
-// newCaller returns a caller that sends each request at most once. By default
-// fasthttp retries a request when the peer closes the connection before it
-// answers; an order would then be executed twice, the second time possibly
-// after another issuer has taken over.
+// newCaller returns a caller. A nil dial selects TCP.
 func newCaller(key string, timeout time.Duration, dial func(address string) (net.Conn, error)) *caller {
-	return &caller{
-		key:     key,
-		timeout: timeout,
-		client: &fasthttp.Client{
-			Dial:                          dial,
-			MaxIdemponentCallAttempts:     1,
-			RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			ReadTimeout:                   timeout,
-			WriteTimeout:                  timeout,
-			MaxResponseBodySize:           maxAnswer,
-			NoDefaultUserAgentHeader:      true,
-			DisableHeaderNamesNormalizing: false,
-		},
+	if dial == nil {
+		dial = func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, timeout) }
 	}
+	return &caller{key: key, timeout: timeout, dial: dial}
 }
 
 // read returns an engine's state.
@@ -76,7 +66,7 @@
 	request.Header.Set("Authorization", "Bearer "+c.key)
 	request.SetBody(body)
 	request.SetConnectionClose()
-	if err := c.client.DoTimeout(request, response, c.timeout); err != nil {
+	if err := c.exchange(address, request, response); err != nil {
 		return errors.Wrap(err, "call an engine")
 	}
 	if status := response.StatusCode(); status != http.StatusOK && status != http.StatusConflict {
@@ -84,3 +74,23 @@
 	}
 	return errors.Wrap(json.Unmarshal(response.Body(), answer), "decode the answer of an engine")
 }
+
+func (c *caller) exchange(address string, request *fasthttp.Request, response *fasthttp.Response) error {
+	by := time.Now().Add(c.timeout)
+	conn, err := c.dial(address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }() // a failure has no consequence
+	if err := conn.SetDeadline(by); err != nil {
+		return err
+	}
+	if _, err := request.WriteTo(conn); err != nil {
+		return err
+	}
+	reader := bufio.NewReader(conn)
+	if err := httpwire.SkipInterim(reader, nil); err != nil {
+		return err
+	}
+	return response.ReadLimitBody(reader, maxAnswer)
+}
--- a/order/endless_test.go
+++ b/order/endless_test.go
@@ -58,11 +58,9 @@
 				total := <-sent
 				released := time.Since(start)
 				_ = listener.Close()
-				c.client.CloseIdleConnections()
 				if err == nil || took > timeout || released > 2*timeout || total > 2*maxAnswer {
 					t.Errorf("error %v after %v, connection released after %v and %d kB", err, took, released, total>>10)
 				}
-				<-time.NewTimer(time.Minute).C // goroutines of fasthttp end
 			})
 		})
 	}
