rpc, transit: an answer without a status is none

What an instance took for the answer of another one: a message with the first line HTTP/0.9, HTTP/2.0 or HTTP/3.0 and the status 200; the statement that a call has not run with 000, 020, 099, 600, 999 or "+20"; upgrades and replies on upstreams (101, 424, 410) of other protocols.

Cause: net/http, which reads these answers, accepts any number of three characters and any version.

Change: httpwire.CheckStatusLine, asked by the clients of package rpc and by upgrades. A message without a status says nothing about the call, which may have run; an instance that answers an upgrade in this way was not reached.

--- a/httpwire/response.go
+++ b/httpwire/response.go
@@ -85,6 +85,15 @@
 // isStatus reports whether a number is a status. Those outside of the five classes are invalid (RFC 9110, 15).
 func isStatus(n int) bool { return n >= http.StatusContinue && n < 600 }
 
+// CheckStatusLine returns an error if net/http has accepted a first line that states no status: it takes any number and
+// any version.
+func CheckStatusLine(r *http.Response) error {
+	if r.ProtoMajor != 1 || r.ProtoMinor > 1 || !isStatus(r.StatusCode) {
+		return errStatusLine
+	}
+	return nil
+}
+
 // Append appends the encoded head.
 func (h *ResponseHead) Append(to []byte) []byte {
 	to = append(to, "HTTP/1.1 "...)
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"celeryport/httpwire"
 )
 
 // Dial opens a connection. Tests provide their own implementation.
@@ -98,14 +100,21 @@
 	if err != nil {
 		return nil, err
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if err := checkHead(response); err != nil {
 		_ = response.Body.Close() // it is not read
-		return nil, errUnframed
+		return nil, err
 	}
 	response.Body = http.MaxBytesReader(nil, response.Body, MaxMessageBytes)
 	return response, nil
 }
 
+func checkHead(response *http.Response) error {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return errUnframed
+	}
+	return httpwire.CheckStatusLine(response)
+}
+
 // removeUnusedHeaders removes the headers that no instance reads. At two syncs per second they
 // would be a tenth of the traffic that an idle instance sends.
 func removeUnusedHeaders(h http.Header) {
--- a/transit/pool.go
+++ b/transit/pool.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/httpwire"
 	"celeryport/membership"
 	"celeryport/rpc"
 	"celeryport/socket"
@@ -158,6 +159,9 @@
 		return nil, errors.Wrap(err, "read the answer of another instance")
 	}
 	_ = answer.Body.Close() // it has none if the status is the expected one
+	if err := httpwire.CheckStatusLine(answer); err != nil {
+		return nil, errors.Mark(err, errNotAccepted)
+	}
 	switch answer.StatusCode {
 	case http.StatusSwitchingProtocols:
 		limited.N = math.MaxInt64 // what follows has limits of its own
