load: an answer without a status is none

The load tool reported answers with 000, 099, 600, HTTP/0.9, HTTP/2.0 and 101 by their bodies, 000 as served: fasthttp takes a status of zero for 200. It checks the first line as the completions interface does.

--- a/load/http_client.go
+++ b/load/http_client.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"celeryport/httpwire"
 )
 
 // Dialer opens a connection to an address.
@@ -66,7 +68,7 @@
 	e.response.StreamBody = true
 	// An instance may refuse a request and close the connection before it has read
 	// the whole body, so there can be a response although sending failed.
-	if err := e.response.Read(bufio.NewReaderSize(conn, bufferBytes)); err != nil {
+	if err := e.receiveHeader(); err != nil {
 		e.close()
 		return nil, classify(errors.CombineErrors(sent, err))
 	}
@@ -81,6 +83,14 @@
 	return w.Flush()
 }
 
+func (e *exchange) receiveHeader() error {
+	reader := bufio.NewReaderSize(e.conn, bufferBytes)
+	if err := httpwire.SkipInterim(reader, nil); err != nil {
+		return err
+	}
+	return e.response.Read(reader)
+}
+
 // classify marks a time-out of the connection as ErrTimeout.
 func classify(err error) error {
 	var timeout interface{ Timeout() bool }
