upstream/client: a connection that fails within a frame breaks no protocol

What callers of the completions interface saw: a prompt that may not be repeated, whose connection to its engine ended or was reset within a frame, failed with "broke the protocol" (502, or an event with an error in the stream) instead of being resumed on the same engine; other prompts were run again.

Cause: bufio.Scanner hands out the rest of its data as a last line, also when the read has failed. The part of a frame is no JSON, and that counted as a violation of the protocol, after which no stream is resumed.

Change: a last line that nothing but the end of the connection has ended, and that is no frame, breaks the answer off with the error of the connection. A last frame that is whole counts as before.

--- a/upstream/client/stream.go
+++ b/upstream/client/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -27,6 +28,7 @@
 type Stream struct {
 	exchange *exchange
 	lines    *bufio.Scanner
+	unended  bool // the line was ended by the end, or a failure, of the connection
 	receiver *Receiver
 	address  string
 
@@ -51,9 +53,18 @@
 		return nil, refusal(e, call.Address)
 	}
 	e.conn.Limit(progress.Limit{Idle: silence, Partial: partTimeout, Bytes: maxTextless})
-	lines := bufio.NewScanner(e.response.BodyStream())
-	lines.Buffer(nil, maxFrame)
-	return &Stream{exchange: e, lines: lines, receiver: receiver, address: call.Address, maxTokens: call.Body.MaxTokens}, nil
+	s := &Stream{exchange: e, receiver: receiver, address: call.Address, maxTokens: call.Body.MaxTokens}
+	s.lines = bufio.NewScanner(e.response.BodyStream())
+	s.lines.Buffer(nil, maxFrame)
+	s.lines.Split(s.split)
+	return s, nil
+}
+
+// split is a bufio.SplitFunc for lines that also records whether the last one was ended by the end of the connection.
+func (s *Stream) split(data []byte, ended bool) (int, []byte, error) {
+	advance, line, err := bufio.ScanLines(data, ended)
+	s.unended = ended && len(line) > 0 && !bytes.HasSuffix(data[:advance], []byte("\n"))
+	return advance, line, err
 }
 
 // refusal returns the error for a call that an upstream did not accept. Only the
@@ -84,6 +95,9 @@
 	}
 	var frame wire.Frame
 	if err := json.Unmarshal(s.lines.Bytes(), &frame); err != nil {
+		if s.unended {
+			return "", s.interrupted()
+		}
 		return "", s.violation(err)
 	}
 	if frame.Error != "" {
