entry: test that an answer without a status settles no claim

A key under which an answer without a status came stays claimed: before the check of the first line in upstream/client, the body of an answer with 000 was stored with status 200 for duplicates.

--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -66,9 +66,10 @@
 		script script
 		want   []claim.OutcomeKind
 	}{
-		"refused": {refuses, []claim.OutcomeKind{claim.Released}},
-		"unknown": {closesAfterReading, nil},
-		"a part":  {writes("HTTP/1.1 200 OK\r\n\r\nhel"), nil}, // stored, a duplicate would get it
+		"refused":   {refuses, []claim.OutcomeKind{claim.Released}},
+		"unknown":   {closesAfterReading, nil},
+		"a part":    {writes("HTTP/1.1 200 OK\r\n\r\nhel"), nil}, // stored, a duplicate would get it
+		"no status": {writes("HTTP/1.1 000 None\r\nContent-Length: 5\r\n\r\nhello"), nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, map[string]script{"s1": test.script}, func(t *testing.T, b *testBed) {
