forward: a caller whose connection the kernel has given up has left

What happened: a call of a caller whose connection timed out (ETIMEDOUT: a machine that is gone, found by keep-alives) ran on until its deadline, since the caller counted as connected. While a call was read, such an end was answered with 408, or during a stop with a refusal, to nobody, and logged as a malformed call (7001) instead of as one that was cut off (7041).

Cause: a time-out of the kernel is a net.Error with Timeout() true, as is the deadline of a read. The watch of a caller, the wait for a call and the reading of one took it for their own deadline. The kernel reports it once, so that the watch, which had ended, learnt nothing more.

--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -119,7 +119,7 @@
 	switch {
 	case errors.Is(err, errNoRoom):
 		return errBodiesFull
-	case isTimeout(err) && c.interruption.Stopped():
+	case passedDeadline(err) && c.interruption.Stopped():
 		return errStopping
 	default:
 		return nil
@@ -193,7 +193,7 @@
 
 // statusOf returns the status that answers a call which could not be read, 0 if the connection failed.
 func statusOf(err error) int {
-	if isTimeout(err) {
+	if passedDeadline(err) {
 		return http.StatusRequestTimeout
 	}
 	return httpwire.StatusOf(err)
--- a/forward/caller_idle.go
+++ b/forward/caller_idle.go
@@ -19,7 +19,7 @@
 		switch {
 		case err == nil:
 			return true
-		case !isTimeout(err):
+		case !passedDeadline(err):
 			return false
 		case c.interruption.Stopped():
 			return c.lastLook(endedStopping, idle, limit)
@@ -37,7 +37,7 @@
 		return false
 	}
 	_, err := c.reader.Peek(1)
-	if isTimeout(err) {
+	if passedDeadline(err) {
 		c.logIdleEnd(cause, idle, limit)
 	}
 	return err == nil
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -31,7 +31,7 @@
 	}
 	go func() {
 		_, err := c.reader.Peek(1)
-		if err != nil && !isTimeout(err) {
+		if err != nil && !passedDeadline(err) {
 			gone()
 		}
 		w.ended <- err
@@ -48,7 +48,7 @@
 		return false
 	}
 	err := <-w.ended
-	return err == nil || isTimeout(err)
+	return err == nil || passedDeadline(err)
 }
 
 // passedDeadline reports whether an operation ended at its deadline. The time-out of a connection that the kernel has
