--- /dev/null
+++ b/upstream/client/reset_upload_test.go
@@ -0,0 +1,74 @@
+package client
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"celeryport/upstream/wire"
+	"celeryport/verdict"
+)
+
+// resettingUpstream answers on real sockets before it has read the call, and resets the connection while the call is written.
+func resettingUpstream(t *testing.T, text string) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			reader := bufio.NewReader(conn)
+			_, _ = reader.ReadString('\n')
+			write(conn, text)
+			_, _ = io.CopyN(io.Discard, reader, 64<<10)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a part of an answer that counts as the whole because the write of a long call has met the reset.
+func TestAnswerThatIsResetDuringAnUploadIsNeverComplete(t *testing.T) {
+	const attempts = 5
+	upload := strings.Repeat("x", 16<<20)
+	frame := frameLine(frames("r1", 1, "one ", "two")[0])
+	client := New(nil, "", owner, DefaultTiming)
+	for _, text := range []string{
+		serviceHead + "Content-Length: 4\r\n\r\nbo", serviceHead + chunksField + chunk("bo"), serviceHead + "\r\nbo",
+		"HTTP/1.1 200 OK\r\n\r\n" + frame, "HTTP/1.1 200 OK\r\n" + chunksField + chunk(frame),
+	} {
+		address := resettingUpstream(t, text)
+		for range attempts {
+			got, failed := client.Service(context.Background(), &ServiceCall{
+				Address: address, Request: "r1", Attempt: 1, Path: "/", Body: []byte(upload), Remaining: 5 * time.Second, MaxAnswer: 1 << 10,
+			})
+			if failed == nil || failed.Verdict != verdict.MayHaveRun {
+				t.Errorf("service, %q: %+v, %v", text, got, failed)
+			}
+			receiver := NewReceiver("r1")
+			receiver.Expect(1, 0)
+			stream, failed := client.Generate(context.Background(), &GenerateCall{
+				Address: address, Request: "r1", Attempt: 1, Body: wire.GenerateRequest{Prompt: upload},
+			}, receiver)
+			err := error(failed)
+			if failed == nil {
+				_, err = collect(stream)
+				stream.Close()
+			}
+			if err == nil || receiver.Complete() || verdict.From(err).Verdict != verdict.MayHaveRun {
+				t.Errorf("prompt, %q: %v", text, err)
+			}
+		}
+	}
+}
