entry: a caller that was reset has left, also if bytes of its next call wait

What happened: the engine went on for a caller that had sent the begin of a further call and whose connection was then reset, until something was written to it.

Cause: the check peeked at the next byte. Bytes that arrived before a reset are delivered before its error, so that the connection looked alive. The peek also consumed the error of a connection.

Change: the check asks poll, which reports a failure beside waiting bytes and consumes nothing. The end of the sending half counts only if nothing waits: such a caller sent two calls and waits for both answers.

--- a/entry/disconnect_monitor.go
+++ b/entry/disconnect_monitor.go
@@ -96,14 +96,25 @@
 	return disconnected
 }
 
-// isDisconnected peeks at the next byte of a socket without consuming it. End of stream
-// or any error other than EAGAIN and EINTR means that the peer has disconnected.
+// isDisconnected reports whether the peer of a socket has closed or reset the connection. It consumes nothing, not even
+// the error of a connection that has failed, which may precede bytes of the next call. A peer that closes its sending
+// half after such bytes still waits for answers.
 func isDisconnected(raw syscall.RawConn) bool {
 	ended := false
 	err := raw.Control(func(fd uintptr) {
-		var buffer [1]byte
-		n, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		ended = (err == nil && n == 0) || (err != nil && err != unix.EAGAIN && err != unix.EINTR)
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		if n, err := unix.Poll(poll, 0); err != nil || n == 0 {
+			return // asked again soon
+		}
+		failed := poll[0].Revents&(unix.POLLERR|unix.POLLHUP|unix.POLLNVAL) != 0
+		ended = failed || !hasData(int(fd))
 	})
 	return ended || err != nil
 }
+
+// hasData reports whether bytes wait at a socket whose peer has closed its sending half.
+func hasData(fd int) bool {
+	var one [1]byte
+	n, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n > 0 || err == unix.EINTR
+}
