forward: a caller that was reset has left, also if bytes of its next call wait

What happened: a call ran on to its deadline for a caller that had sent the begin of a further call, and whose connection then failed, unless the failure was met by a write of the answer.

Cause: the watch of a caller ended with the first byte that it read ahead. Nothing waited for the failure that followed it.

Change: the watch reads ahead until the connection ends or its buffer is full. A caller that closes its sending half after bytes of a further call waits for both answers and counts as connected, as before.

--- a/forward/watch.go
+++ b/forward/watch.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -30,8 +32,8 @@
 		return w
 	}
 	go func() {
-		_, err := c.reader.Peek(1)
-		if err != nil && !passedDeadline(err) {
+		err := c.awaitEnd()
+		if err != nil {
 			gone()
 		}
 		w.ended <- err
@@ -39,6 +41,23 @@
 	return w
 }
 
+// awaitEnd reads ahead until the caller's connection ends, and returns the error with which it did. It returns nil if it
+// is interrupted, and for a caller that sends further calls and then closes its sending half, or sends more than fit the
+// buffer: that one waits for the answers.
+func (c *callerConn) awaitEnd() error {
+	for {
+		_, err := c.reader.Peek(c.reader.Buffered() + 1)
+		waits := c.reader.Buffered() > 0
+		switch {
+		case err == nil:
+		case passedDeadline(err), errors.Is(err, bufio.ErrBufferFull), errors.Is(err, io.EOF) && waits:
+			return nil
+		default:
+			return err
+		}
+	}
+}
+
 // aLongTimeAgo as the deadline makes a pending read return at once.
 var aLongTimeAgo = time.Unix(1, 0)
 
@@ -47,8 +66,7 @@
 	if err := w.conn.SetReadDeadline(aLongTimeAgo); err != nil {
 		return false
 	}
-	err := <-w.ended
-	return err == nil || passedDeadline(err)
+	return <-w.ended == nil
 }
 
 // passedDeadline reports whether an operation ended at its deadline. The time-out of a connection that the kernel has
