--- a/forward/failed_reply_test.go
+++ b/forward/failed_reply_test.go
@@ -83,3 +83,18 @@
 		}
 	}
 }
+
+// Guards against replies without a status that count as the answer to a small request, above all as a promise of memory or
+// as one of the same incarnation.
+func TestReplyWithoutAStatusIsNone(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 None", "HTTP/1.1 099 None", "HTTP/1.1 600 None", "HTTP/1.1 999 None", "HTTP/1.1 1000 None", "HTTP/1.1 2OO OK", "HTTP/1.1 -200 OK",
+		"HTTP/1.1 200200 OK", "HTTP/1.1  200 OK", "HTTP/1.1 ", "HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/1.1 101 Switching Protocols",
+	} {
+		for kind, request := range smallRequests {
+			if err := sendToFailing(t, request.send, line+"\r\nContent-Length: 2\r\n\r\nok", nil); err == nil {
+				t.Errorf("%s, %q: no error", kind, line)
+			}
+		}
+	}
+}
--- a/upstream/client/failed_conn_test.go
+++ b/upstream/client/failed_conn_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"celeryport/upstream/wire"
 	"celeryport/verdict"
 )
 
@@ -89,3 +90,30 @@
 		}
 	}
 }
+
+// Guards against cancels, reservations and lists of holdings that count as done after a part of a reply.
+func TestReplyOfAFailedConnectionIsNone(t *testing.T) {
+	const body = `{"granted":true}`
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + body, "HTTP/1.1 200 OK\r\n" + chunksField + chunk(body) + "0\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n" + body,
+	} {
+		for name, failure := range failures {
+			for size := range len(text) + 1 {
+				whole := size == len(text) && (failure == nil || strings.Contains(text, ": "))
+				for kind, err := range callAll(failedClient(text[:size], failure)) {
+					if whole != (err == nil) {
+						t.Errorf("%s, %s, %q: %v", kind, name, text[:size], err)
+					}
+				}
+			}
+		}
+	}
+}
+
+// callAll makes each kind of small call, and returns the errors.
+func callAll(c *Client) map[string]error {
+	_, cancel := c.Cancel(context.Background(), "peer", wire.CancelRequest{})
+	_, reserve := c.Reserve(context.Background(), "peer", &wire.ReserveRequest{})
+	_, holdings := c.Holdings(context.Background(), "peer")
+	return map[string]error{"cancel": cancel, "reserve": reserve, "holdings": holdings}
+}
