entry: pass the bodies of forms on as they are

What callers of plain services saw: a body of at most 64 KB with the type multipart/form-data reached the service rewritten (a preamble, an epilogue and fields of its parts beside the usual ones were gone), and one that is no form was refused with 400.

Cause: fasthttp parses such bodies before it calls the handler, and returns them encoded anew.

Change: DisablePreParseMultipartForm.

--- a/entry/server.go
+++ b/entry/server.go
@@ -54,6 +54,7 @@
 		Handler:                       s.handle,
 		ErrorHandler:                  s.handleError,
 		Name:                          "celeryport",
+		DisablePreParseMultipartForm:  true, // bodies are passed on byte for byte
 		StreamRequestBody:             true,
 		MaxRequestBodySize:            streamThreshold,
 		ReadBufferSize:                readBufferSize,
