load: a connection that the kernel gives up is no answer that came too late

What the load tool reported: "lost", no final answer in time, for requests whose connection timed out (ETIMEDOUT) before their deadline. That is a broken connection: the outcome of the call is unknown, and one with an idempotency key is sent again.

Cause: a time-out of the kernel is an error with Timeout() true, as is a deadline that has passed.

Change: such an error counts as "lost" only if the time of the exchange has passed.

No part counted as served, before or now (TestPartOfAnAnswerIsAFailure).

--- a/load/completion.go
+++ b/load/completion.go
@@ -78,7 +78,7 @@
 		return &event, nil
 	}
 	if err := r.lines.Err(); err != nil {
-		return nil, classify(err)
+		return nil, err
 	}
 	return nil, io.EOF
 }
--- a/load/http_client.go
+++ b/load/http_client.go
@@ -46,6 +46,7 @@
 // exchange is one HTTP request and its response.
 type exchange struct {
 	conn     net.Conn
+	by       time.Time // when it has to end
 	response fasthttp.Response
 }
 
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
 	}
-	e := &exchange{conn: conn}
+	e := &exchange{conn: conn, by: by}
 	if err := conn.SetDeadline(by); err != nil {
 		e.close()
 		return nil, errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
@@ -70,7 +71,7 @@
 	// the whole body, so there can be a response although sending failed.
 	if err := e.receiveHeader(); err != nil {
 		e.close()
-		return nil, classify(errors.CombineErrors(sent, err))
+		return nil, e.classify(errors.CombineErrors(sent, err))
 	}
 	return e, nil
 }
@@ -91,10 +92,11 @@
 	return e.response.Read(reader)
 }
 
-// classify marks a time-out of the connection as ErrTimeout.
-func classify(err error) error {
+// classify marks the error of an exchange that has not ended in time as ErrTimeout. The kernel may give a connection up
+// earlier, which is a time-out too.
+func (e *exchange) classify(err error) error {
 	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if errors.As(err, &timeout) && timeout.Timeout() && !time.Now().Before(e.by) {
 		return errors.Mark(err, ErrTimeout)
 	}
 	return err
@@ -107,7 +109,7 @@
 		return nil, nil
 	}
 	content, err := io.ReadAll(io.LimitReader(stream, maxAnswer))
-	return content, classify(err)
+	return content, e.classify(err)
 }
 
 func (e *exchange) close() { _ = e.conn.Close() }
--- a/load/read_answer.go
+++ b/load/read_answer.go
@@ -142,7 +142,7 @@
 			o.checkPartial(w, text.String())
 			return
 		case err != nil:
-			o.fail(err, reasonCutOff)
+			o.fail(e.classify(err), reasonCutOff)
 			o.checkPartial(w, text.String())
 			return
 		case event.Error != nil:
