upstream/client: read the answer that precedes a reset of a long call

What callers of the completions interface saw: 502 "may have run" for calls and prompts that an upstream had answered (413) or refused before it read the rest of them and reset the connection. A refusal proves that the call has not run, so that it would have been sent to another upstream.

Cause: the write of the call met the reset, which the kernel reports once, and the answer that had arrived before it was not read.

Change: the answer is read also if the write has failed, unless the write made no progress. The connection is a socket.Conn, so that its end counts as the failure that the write has met, not as the end of the answer. Without an answer the error of the write is returned as before.

--- a/upstream/client/exchange.go
+++ b/upstream/client/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +13,7 @@
 	"celeryport/failover"
 	"celeryport/httpwire"
 	"celeryport/progress"
+	"celeryport/socket"
 	"celeryport/verdict"
 )
 
@@ -35,27 +37,37 @@
 // A write fails after silence without progress, a read after silence without a header of an
 // answer. The end of ctx closes the connection and thereby interrupts any blocked read or write.
 func (c *Client) open(ctx context.Context, address string, request *fasthttp.Request, silence time.Duration) (*exchange, *verdict.Error) {
-	conn, err := c.connect(ctx, address)
+	dialled, err := c.connect(ctx, address)
 	if err != nil {
 		return nil, verdict.Wrap(errors.Mark(err, connectMark(ctx, err)), verdict.NotRun, verdict.ReasonUpstream, "cannot connect to upstream %s", address)
 	}
+	conn := socket.NewConn(dialled)
 	e := &exchange{conn: progress.NewConn(&stallConn{Conn: conn, limit: silence}, progress.Limit{})}
 	e.stopWatching = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if ctx.Err() != nil {
 		e.close()
 		return nil, verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.ReasonTimeout, "no time left to send")
 	}
-	if err := e.send(request); err != nil {
+	unsent := e.send(request)
+	if errors.Is(unsent, os.ErrDeadlineExceeded) {
 		e.close()
-		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonUpstream, "connection to upstream %s broke while sending", address)
+		return nil, brokenSend(unsent, address)
 	}
+	// An upstream may answer or refuse a request before it has read the whole, and then end the connection.
 	if err := e.receiveHeader(silence); err != nil {
 		e.close()
+		if unsent != nil {
+			return nil, brokenSend(unsent, address)
+		}
 		return nil, verdict.Wrap(e.markEnd(err), verdict.MayHaveRun, verdict.ReasonUpstream, "no answer from upstream %s", address)
 	}
 	return e, nil
 }
 
+func brokenSend(err error, address string) *verdict.Error {
+	return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonUpstream, "connection to upstream %s broke while sending", address)
+}
+
 func (e *exchange) send(request *fasthttp.Request) error {
 	w := bufio.NewWriter(e.conn)
 	if err := request.Write(w); err != nil {
--- a/upstream/client/reset_upload_test.go
+++ b/upstream/client/reset_upload_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -72,3 +73,29 @@
 		}
 	}
 }
+
+// Guards against answers and refusals that are lost because their upstream does not read the rest of a long call.
+func TestAnswerBeforeAResetIsReceived(t *testing.T) {
+	const attempts = 5
+	upload := strings.Repeat("x", 16<<20)
+	client := New(nil, "", owner, DefaultTiming)
+	answering := resettingUpstream(t, "HTTP/1.1 413 Too Large\r\nX-Request-Id: r1\r\nContent-Length: 4\r\n\r\nbody")
+	refusing := resettingUpstream(t, refusedHead+"Content-Length: 0\r\n\r\n")
+	call := ServiceCall{Request: "r1", Attempt: 1, Path: "/", Body: []byte(upload), Remaining: 5 * time.Second, MaxAnswer: 1 << 10}
+	for range attempts {
+		call.Address = answering
+		if got, failed := client.Service(context.Background(), &call); failed != nil || got.Status != http.StatusRequestEntityTooLarge || string(got.Body) != "body" {
+			t.Errorf("answer: %+v, %v", got, failed)
+		}
+		call.Address = refusing
+		if _, failed := client.Service(context.Background(), &call); failed == nil || failed.Verdict != verdict.NotRun {
+			t.Errorf("refusal of a call: %v", failed)
+		}
+		_, failed := client.Generate(context.Background(), &GenerateCall{
+			Address: refusing, Request: "r1", Attempt: 1, Body: wire.GenerateRequest{Prompt: upload},
+		}, NewReceiver("r1"))
+		if failed == nil || failed.Verdict != verdict.NotRun {
+			t.Errorf("refusal of a prompt: %v", failed)
+		}
+	}
+}
