cli: a list of addresses from an answer without a status is none

The command makes its exchange itself, since fasthttp.Client gives no access to the first line, and no longer asks twice.

--- a/cli/addresses.go
+++ b/cli/addresses.go
@@ -1,16 +1,20 @@
 package cli
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	urfave "github.com/urfave/cli/v3"
 	"github.com/valyala/fasthttp"
+
+	"celeryport/httpwire"
 )
 
 const (
@@ -64,16 +68,37 @@
 }
 
 func fetchAddresses(address string) (*addressList, error) {
-	client := fasthttp.Client{MaxResponseBodySize: addressesBytes}
-	status, body, err := client.GetTimeout(nil, "http://"+address+pathAddresses, addressesTimeout)
-	if err != nil {
+	var request fasthttp.Request
+	request.SetRequestURI("http://" + address + pathAddresses)
+	request.SetConnectionClose()
+	var response fasthttp.Response
+	if err := exchangeAddresses(fasthttp.AddMissingPort(address, false), &request, &response); err != nil {
 		return nil, err
 	}
-	if status != http.StatusOK {
-		return nil, errors.Newf("status %d: %s", status, body)
+	if status := response.StatusCode(); status != http.StatusOK {
+		return nil, errors.Newf("status %d: %s", status, response.Body())
 	}
 	var list addressList
-	return &list, errors.Wrap(json.Unmarshal(body, &list), "malformed answer")
+	return &list, errors.Wrap(json.Unmarshal(response.Body(), &list), "malformed answer")
+}
+
+func exchangeAddresses(address string, request *fasthttp.Request, response *fasthttp.Response) error {
+	conn, err := net.DialTimeout("tcp", address, addressesTimeout)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }() // a failure has no consequence
+	if err := conn.SetDeadline(time.Now().Add(addressesTimeout)); err != nil {
+		return err
+	}
+	if _, err := request.WriteTo(conn); err != nil {
+		return err
+	}
+	reader := bufio.NewReader(conn)
+	if err := httpwire.SkipInterim(reader, nil); err != nil {
+		return err
+	}
+	return response.ReadLimitBody(reader, addressesBytes)
 }
 
 func printAddresses(out io.Writer, list *addressList) error {
