--- a/load/http_client.go
+++ b/load/http_client.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"celeryport/httpwire"
 )
 
 // Dialer opens a connection to an address.
@@ -44,6 +46,7 @@
 // exchange is one HTTP request and its response.
 type exchange struct {
 	conn     net.Conn
+	by       time.Time // when it has to end
 	response fasthttp.Response
 }
 
@@ -56,7 +59,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
 	}
-	e := &exchange{conn: conn}
+	e := &exchange{conn: conn, by: by}
 	if err := conn.SetDeadline(by); err != nil {
 		e.close()
 		return nil, errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
@@ -66,9 +69,9 @@
 	e.response.StreamBody = true
 	// An instance may refuse a request and close the connection before it has read
 	// the whole body, so there can be a response although sending failed.
-	if err := e.response.Read(bufio.NewReaderSize(conn, bufferBytes)); err != nil {
+	if err := e.receiveHeader(); err != nil {
 		e.close()
-		return nil, classify(errors.CombineErrors(sent, err))
+		return nil, e.classify(errors.CombineErrors(sent, err))
 	}
 	return e, nil
 }
@@ -81,10 +84,19 @@
 	return w.Flush()
 }
 
-// classify marks a time-out of the connection as ErrTimeout.
-func classify(err error) error {
+func (e *exchange) receiveHeader() error {
+	reader := bufio.NewReaderSize(e.conn, bufferBytes)
+	if err := httpwire.SkipInterim(reader, nil); err != nil {
+		return err
+	}
+	return e.response.Read(reader)
+}
+
+// classify marks the error of an exchange that has not ended in time as ErrTimeout. The kernel may give a connection up
+// earlier, which is a time-out too.
+func (e *exchange) classify(err error) error {
 	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if errors.As(err, &timeout) && timeout.Timeout() && !time.Now().Before(e.by) {
 		return errors.Mark(err, ErrTimeout)
 	}
 	return err
@@ -97,7 +109,7 @@
 		return nil, nil
 	}
 	content, err := io.ReadAll(io.LimitReader(stream, maxAnswer))
-	return content, classify(err)
+	return content, e.classify(err)
 }
 
 func (e *exchange) close() { _ = e.conn.Close() }
