forward: test that a failed connection to an instance ends its answer

A reader that takes ETIMEDOUT of the kernel for its own deadline would go on until the deadline of the call, since socket.Conn keeps the failure. Fails with isTimeout in peerReader.

--- a/forward/failed_conn_test.go
+++ b/forward/failed_conn_test.go
@@ -1,12 +1,19 @@
 package forward
 
 import (
+	"bufio"
 	"net"
 	"os"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"celeryport/membership"
+	"celeryport/socket"
+	"celeryport/transit"
 )
 
 // failedConn is a connection that the kernel has given up.
@@ -33,3 +40,24 @@
 		}
 	}
 }
+
+// Guards against a call that stays, until its deadline, with an instance whose connection the kernel has given up.
+func TestFailedConnectionEndsTheAnswerOfAnInstance(t *testing.T) {
+	for _, failure := range []error{syscall.ECONNRESET, syscall.ETIMEDOUT} {
+		synctest.Test(t, func(t *testing.T) {
+			sent, _ := newSilentSend(t, 0, 100)
+			near, far := net.Pipe()
+			defer near.Close()
+			defer far.Close()
+			conn := socket.NewConn(&failedConn{Conn: near, err: failure})
+			reader := peerReader{t: &transitSend{
+				x: sent.x, peer: &membership.Instance{Name: "peer", ControlAddress: "peer"},
+				conn: &transit.Conn{Conn: conn, Reader: bufio.NewReader(conn)},
+			}}
+			began := time.Now()
+			if _, err := reader.Read(make([]byte, 1)); !errors.Is(err, failure) || time.Since(began) > 0 {
+				t.Errorf("after %s: %v", time.Since(began), err)
+			}
+		})
+	}
+}
