forward: ask the engine whether reserved memory is used, before its lease exceeds a bound, and log it

Whether memory that was reserved for a long prompt is used could not be seen: the leases were renewed without a line until the call ended. The setting idle_memory says how long memory may stay reserved and unused. When the next lease would end later than that and the answer has not begun, the engine is asked for its report, and event 7042 says what it states about the memory and what this instance knows of the load of the lead. The leases are renewed as before.

--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -28,6 +28,8 @@
 	ReportMessage(address, incarnation string) *httpwire.RequestHead
 	// DecodeReport decodes the body of the answer to a ReportMessage.
 	DecodeReport(body []byte) (*EngineReport, error)
+	// DecodeMemoryUse decodes, from the body of the same answer, whether a call uses the memory of a reservation.
+	DecodeMemoryUse(body []byte, reservation string) (MemoryUse, error)
 	// HealthMessage returns the request that asks an upstream of a plain service whether it is healthy.
 	HealthMessage(address, incarnation, path string) *httpwire.RequestHead
 	// RefusalFields returns the header fields of an answer that this instance generates itself.
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,7 @@
 	node   *node
 	name   string // unique to this send, since an earlier send of the call may still be in progress at the helper
 	tokens int
+	used   atomic.Bool // the answer has begun, so that the call uses the memory
 }
 
 const (
@@ -45,7 +47,7 @@
 // reserve reserves the memory of a send at all helpers or at none. With an error it returns the
 // helper that refused.
 func (f *fleet) reserve(ctx context.Context, w *work) (*node, error) {
-	failures := make([]error, len(w.memory))
+	began, failures := time.Now(), make([]error, len(w.memory))
 	var wait sync.WaitGroup
 	for i, r := range w.memory {
 		wait.Go(func() { failures[i] = f.orderFor(ctx, r, w.patience) })
@@ -63,7 +65,7 @@
 	}
 	w.renewing, w.stopRenewing = context.WithCancel(context.WithoutCancel(ctx))
 	for _, r := range w.memory {
-		go f.renew(w.renewing, r)
+		go f.renew(w.renewing, began, w.lead, r)
 	}
 	return nil, nil
 }
@@ -79,10 +81,18 @@
 	}
 }
 
-// renew renews the lease of a reservation until its send ends.
-func (f *fleet) renew(ctx context.Context, r *reservation) {
-	l := lease{renewedAt: time.Now()}
+// renew renews the lease of a reservation, which was asked for at a time, until its send to the lead ends.
+func (f *fleet) renew(ctx context.Context, began time.Time, lead *node, r *reservation) {
+	l := lease{idle: f.options.Process.IdleMemory, reservedAt: began, renewedAt: time.Now()}
 	for clock.Pause(ctx, l.renewAfter(time.Now())) {
+		if l.used = l.used || r.used.Load(); l.exceedsIdle(time.Now()) {
+			use := f.memoryUse(ctx, r)
+			if ctx.Err() != nil {
+				return
+			}
+			l.used = use == MemoryUsed
+			f.logUnused(time.Now(), l.reservedAt, lead, r, use)
+		}
 		err := f.order(ctx, r, false)
 		if ctx.Err() != nil {
 			return
@@ -95,6 +105,17 @@
 	}
 }
 
+// logUnused logs that the lease of memory that is not known to be used is due to be renewed.
+func (f *fleet) logUnused(now, reservedAt time.Time, lead *node, r *reservation, use MemoryUse) {
+	f.mu.Lock()
+	load := f.loadOf(now, lead)
+	f.mu.Unlock()
+	eventMemoryUnused.Log(f.options.Log, event.Fields{
+		"reservation": r.name, "upstream": r.node.name, "tokens": r.tokens, "reserved_ms": now.Sub(reservedAt).Milliseconds(), "observed": use.String(),
+		"lead": lead.name, "lead_streams": load.Streams, "lead_held": load.Held,
+	})
+}
+
 // release releases the memory of a send in the background, until the engine confirms it or the
 // lease has ended. It is not retried while the engine rests. Refused reservations are released
 // too: an order without an answer may have been carried out.
--- a/forward/work.go
+++ b/forward/work.go
@@ -72,6 +72,9 @@
 
 // recordAnswering records that the answer of a send has begun, so that its prompt has been read.
 func (f *fleet) recordAnswering(w *work) {
+	for _, r := range w.memory {
+		r.used.Store(true)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endReading(w)
--- a/settings/process.go
+++ b/settings/process.go
@@ -34,6 +34,7 @@
 	RepeatRatio        float64       // repeated sends as a fraction of a service's forwarded calls, over all instances
 	RepeatSlack        float64       // repeated sends allowed beyond that ratio, over all instances
 	RepeatWindow       time.Duration // sliding window of RepeatRatio and RepeatSlack
+	IdleMemory         time.Duration // how long memory of an engine may be reserved and unused; 0: not stated
 	OrganisationShares bool          // whether forwarded calls share the engines by organisation while these are short
 	Pools              Pools
 }
--- a/settings/schema_process.go
+++ b/settings/schema_process.go
@@ -158,6 +158,8 @@
 			"Repeated sends allowed beyond that fraction, over all instances."),
 		key("repeat_window", duration(time.Second, maxTimeout), "10s", func(p *Process) *time.Duration { return &p.RepeatWindow },
 			"Sliding window over which repeat_ratio and repeat_slack are enforced."),
+		key("idle_memory", duration(0, maxTimeout), "0s", func(p *Process) *time.Duration { return &p.IdleMemory },
+			"How long memory of an engine may be reserved for a prompt and not be used by it; 0s: without a bound of its own, until the call ends."),
 		key("organisation_shares", boolean(), "false", func(p *Process) *bool { return &p.OrganisationShares },
 			"Whether forwarded prompts share the engines by the weights of their organisations while engines are short. Set it to the same value on all instances."),
 	},
