forward: keep memory that no call uses for a limited time only

Cause: the leases of a send were renewed until it ended.

Change: once the next lease would end later than idle_memory allows, the engine is asked twice a second whether a call uses the memory. If so, it is renewed as before. If not, the lease is cut short so that it ends before the bound, orders that are carried out late included, and event 7042 says so. The call stays where it is and may move as before. The decision is lease, which takes the time and does no I/O.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -37,10 +37,10 @@
 		return err
 	}},
 	"reservation": {orderTimeout, func(ctx context.Context, s *Server, n *node) error {
-		return s.fleet.order(ctx, &reservation{node: n, tokens: 1}, false)
+		return s.fleet.order(ctx, &reservation{node: n, tokens: 1}, &Order{Hold: leaseDuration})
 	}},
 	"release": {orderTimeout, func(ctx context.Context, s *Server, n *node) error {
-		return s.fleet.order(ctx, &reservation{node: n}, true)
+		return s.fleet.order(ctx, &reservation{node: n}, &Order{Release: true})
 	}},
 	"health check": {connectTimeout, func(ctx context.Context, s *Server, n *node) error {
 		conn, err := s.fleet.options.Dial(ctx, "tcp", n.address)
--- a/forward/events.go
+++ b/forward/events.go
@@ -82,7 +82,7 @@
 	eventCallCutOff = event.Define(7041, logrus.WarnLevel, "call cut off while it was read",
 		"The connection ended before the call was read completely; nothing was forwarded, and the caller got no answer. Fields: caller (address), cause (caller: the caller closed or reset it; stopping: this instance stops; other: see error), after_ms (since the first byte of the call), calls (answered on the connection before), error.")
 	eventMemoryUnused = event.Define(7042, logrus.WarnLevel, "reserved memory not used",
-		"Memory that was reserved for a prompt is not known to be used when its lease is due to be renewed beyond idle_memory: the engine that leads the call has not begun it. Fields: reservation (instance, call, try), upstream, tokens, reserved_ms (ago), observed (unused: the engine holds it for nobody else; used: a call uses it; unknown: the engine did not reply or does not list it), lead, lead_streams and lead_held (what this instance knows of the load of the lead: streams, and tokens of memory).")
+		"Memory that was reserved for a prompt was not used within idle_memory, because the engine that leads the call has not begun it, and is given up. The call goes to another lead if one can answer in time. Look at the lead if it is named often. Fields: reservation (instance, call, try), upstream, tokens, reserved_ms (ago), observed (unused: the engine states that no call uses it; unknown: the engine did not reply or does not list it), lead, lead_streams and lead_held (what this instance knows of the load of the lead: streams, and tokens of memory).")
 	eventCleared = event.Define(7009, logrus.InfoLevel, "upstream works again",
 		"A suspected upstream answered. Fields: upstream, address.")
 )
--- a/forward/rejection_test.go
+++ b/forward/rejection_test.go
@@ -102,3 +102,27 @@
 		})
 	}
 }
+
+// Guards against evidence against a helper that lacks only memory that this instance has given up, and against a helper that
+// goes on getting parts although it has refused one or was replaced.
+func TestRejectionForMemoryThatWasGivenUpIsNoRefusalOfTheHelper(t *testing.T) {
+	for _, test := range []struct{ freed, replaced, refused bool }{{true, false, false}, {false, false, true}, {true, true, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			sent, _ := newSilentSend(t, 0, 100)
+			sent.x.server.fleet.options.Dial = dialAfter(t, 0, nil)
+			helper := &node{address: "10.0.9.9:80", key: 9}
+			r := &reservation{node: helper}
+			r.freed.Store(test.freed)
+			sent.work.helpers, sent.work.memory = []*node{helper}, []*reservation{r}
+			head := &httpwire.ResponseHead{Status: http.StatusServiceUnavailable, Body: httpwire.Framing{Kind: httpwire.Sized}}
+			o := sent.handleRejection(t.Context(), head, Answer{NotRun: true, WrongIncarnation: test.replaced, AtFault: helper.address})
+			sent.x.server.fleet.mu.Lock()
+			paused := helper.suspicion.paused(time.Now())
+			sent.x.server.fleet.mu.Unlock()
+			synctest.Wait()
+			if o.verdict != verdict.NotRun || !o.otherAtFault || (o.helper != nil) != test.refused || paused != test.refused {
+				t.Errorf("%+v: outcome %+v, paused: %t", test, o, paused)
+			}
+		})
+	}
+}
--- a/forward/reservation.go
+++ b/forward/reservation.go
@@ -19,6 +19,7 @@
 	name   string // unique to this send, since an earlier send of the call may still be in progress at the helper
 	tokens int
 	used   atomic.Bool // the answer has begun, so that the call uses the memory
+	freed  atomic.Bool // the memory was given up because no call used it
 }
 
 const (
@@ -47,10 +48,11 @@
 // reserve reserves the memory of a send at all helpers or at none. With an error it returns the
 // helper that refused.
 func (f *fleet) reserve(ctx context.Context, w *work) (*node, error) {
-	began, failures := time.Now(), make([]error, len(w.memory))
+	leases, failures := make([]lease, len(w.memory)), make([]error, len(w.memory))
 	var wait sync.WaitGroup
 	for i, r := range w.memory {
-		wait.Go(func() { failures[i] = f.orderFor(ctx, r, w.patience) })
+		leases[i] = lease{idle: f.options.Process.IdleMemory, reservedAt: time.Now()}
+		wait.Go(func() { failures[i] = f.orderFor(ctx, r, &leases[i], w.patience) })
 	}
 	wait.Wait()
 	for i, failure := range failures {
@@ -64,48 +66,59 @@
 		return w.memory[i].node, errors.Mark(errors.Wrap(failure, errNoMemory.Error()), errNoMemory)
 	}
 	w.renewing, w.stopRenewing = context.WithCancel(context.WithoutCancel(ctx))
-	for _, r := range w.memory {
-		go f.renew(w.renewing, began, w.lead, r)
+	for i, r := range w.memory {
+		go f.renew(w.renewing, w.lead, r, leases[i])
 	}
 	return nil, nil
 }
 
 // orderFor reserves memory. A helper that does not reply is asked again for the given time.
-func (f *fleet) orderFor(ctx context.Context, r *reservation, patience time.Duration) error {
+func (f *fleet) orderFor(ctx context.Context, r *reservation, l *lease, patience time.Duration) error {
 	until := time.Now().Add(patience)
 	for {
-		err := f.order(ctx, r, false)
+		err := f.extend(ctx, r, l)
 		if !errors.Is(err, errNoReply) || !time.Now().Before(until) || !clock.Pause(ctx, renewRetryInterval) {
 			return err
 		}
 	}
 }
 
-// renew renews the lease of a reservation, which was asked for at a time, until its send to the lead ends.
-func (f *fleet) renew(ctx context.Context, began time.Time, lead *node, r *reservation) {
-	l := lease{idle: f.options.Process.IdleMemory, reservedAt: began, renewedAt: time.Now()}
+// extend sends one order that reserves memory or renews its lease.
+func (f *fleet) extend(ctx context.Context, r *reservation, l *lease) error {
+	sentAt := time.Now()
+	hold := l.hold(sentAt)
+	err := f.order(ctx, r, &Order{Hold: hold})
+	l.record(sentAt, hold, err)
+	return err
+}
+
+// renew renews the lease of a reservation until its send to the lead ends, or until no call has used the memory in time.
+// The lease then ends by itself.
+func (f *fleet) renew(ctx context.Context, lead *node, r *reservation, l lease) {
 	for clock.Pause(ctx, l.renewAfter(time.Now())) {
-		if l.used = l.used || r.used.Load(); l.exceedsIdle(time.Now()) {
-			use := f.memoryUse(ctx, r)
-			if ctx.Err() != nil {
-				return
-			}
+		use := MemoryUnknown
+		if l.used = l.used || r.used.Load(); l.limited(time.Now()) {
+			use = f.memoryUse(ctx, r)
 			l.used = use == MemoryUsed
-			f.logUnused(time.Now(), l.reservedAt, lead, r, use)
 		}
-		err := f.order(ctx, r, false)
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		if l.record(time.Now(), err); err != nil {
-			eventNotReserved.Log(f.options.Log, event.Fields{
-				"reservation": r.name, "upstream": r.node.name, "tokens": r.tokens, "error": err.Error(),
-			})
+		case l.ended(time.Now()):
+			r.freed.Store(true)
+			f.logUnused(time.Now(), l.reservedAt, lead, r, use)
+			return
+		case l.due():
+			if err := f.extend(ctx, r, &l); err != nil && ctx.Err() == nil {
+				eventNotReserved.Log(f.options.Log, event.Fields{
+					"reservation": r.name, "upstream": r.node.name, "tokens": r.tokens, "error": err.Error(),
+				})
+			}
 		}
 	}
 }
 
-// logUnused logs that the lease of memory that is not known to be used is due to be renewed.
+// logUnused logs that memory is given up.
 func (f *fleet) logUnused(now, reservedAt time.Time, lead *node, r *reservation, use MemoryUse) {
 	f.mu.Lock()
 	load := f.loadOf(now, lead)
@@ -126,11 +139,11 @@
 	until := time.Now().Add(leaseDuration)
 	for _, r := range w.memory {
 		go func() {
-			if f.order(context.Background(), r, true) == nil {
+			if f.order(context.Background(), r, &Order{Release: true}) == nil {
 				return
 			}
 			for time.Now().Before(until) && clock.Pause(context.Background(), releaseRetryInterval) {
-				if !f.isResting(r.node) && f.order(context.Background(), r, true) == nil {
+				if !f.isResting(r.node) && f.order(context.Background(), r, &Order{Release: true}) == nil {
 					return
 				}
 			}
@@ -138,13 +151,12 @@
 	}
 }
 
-// order sends one order and returns an error if it was not carried out.
-func (f *fleet) order(ctx context.Context, r *reservation, release bool) error {
+// order sends one order about a reservation and returns an error if it was not carried out.
+func (f *fleet) order(ctx context.Context, r *reservation, o *Order) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	head, body, err := f.options.Dialect.OrderMessage(r.node.address, &Order{
-		Incarnation: r.node.name, Reservation: r.name, Tokens: r.tokens, Hold: leaseDuration, Release: release,
-	})
+	o.Incarnation, o.Reservation, o.Tokens = r.node.name, r.name, r.tokens
+	head, body, err := f.options.Dialect.OrderMessage(r.node.address, o)
 	if err != nil {
 		return err
 	}
@@ -157,7 +169,7 @@
 	}
 	if status == http.StatusMisdirectedRequest {
 		f.recordReplaced(r.node)
-		if release {
+		if o.Release {
 			return nil // the memory ended with the process
 		}
 		return errWrongIncarnation
--- a/forward/send.go
+++ b/forward/send.go
@@ -236,7 +236,11 @@
 		s.x.server.fleet.recordReplaced(s.node)
 		return &outcome{verdict: verdict.NotRun, err: errWrongIncarnation, reached: true}
 	case answer.NotRun && answer.AtFault != "" && answer.AtFault != s.node.address:
-		if helper != nil {
+		switch {
+		case helper == nil:
+		case s.work.freedAt(helper) && !answer.WrongIncarnation:
+			helper = nil // it lacks only the memory that this instance has given up
+		default:
 			s.x.server.fleet.recordHelpRefusal(helper)
 		}
 		return &outcome{
--- a/forward/work.go
+++ b/forward/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"celeryport/loadshare"
@@ -150,6 +151,11 @@
 	return nil
 }
 
+// freedAt reports whether memory at a helper was given up because the call did not use it.
+func (w *work) freedAt(helper *node) bool {
+	return slices.ContainsFunc(w.memory, func(r *reservation) bool { return r.node == helper && r.freed.Load() })
+}
+
 // helperList lists the helpers: first those with a memory reservation, in the order in which the
 // memory is filled, then the others.
 func (w *work) helperList() []Helper {
