failover: let a prompt that several engines read leave a lead that does not begin it

Cause: a call leaves a silent upstream only if another engine could send an event before the caller leaves, and the shortest time for that was the one in which one engine alone reads the whole prompt: 14 s for 379,392 tokens and 23 s for 500,222, beyond the patience of 16 s. A long prompt is read by up to 17 engines.

Change: the shortest time is that of as many engines as may share the prompt. When a call moves, and to which placement, is decided as before: the actual placement has to be in time.

--- a/failover/model.go
+++ b/failover/model.go
@@ -49,8 +49,17 @@
 	return m.Place + sendTime + m.Pass()/2 + (1+queuedPrompts)*m.prefill() + m.Pass()
 }
 
-// MinResumeTime returns the shortest time from a move to the next event.
-func (m Model) MinResumeTime() time.Duration { return sendTime + m.prefill() }
+// MinResumeTime returns the shortest time from a move to the next event: a long prompt is prefilled by several engines.
+func (m Model) MinResumeTime() time.Duration {
+	switch {
+	case m.Profile == nil:
+		return sendTime
+	case placement.Long(m.Profile, m.Tokens):
+		return sendTime + placement.SharedPrefillTime(m.Profile, m.Tokens)
+	default:
+		return sendTime + m.prefill()
+	}
+}
 
 func (m Model) prefill() time.Duration {
 	if m.Profile == nil {
--- a/failover/send_test.go
+++ b/failover/send_test.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// Guards against a prompt that stays at an engine that does not begin it because one engine alone could not read it before its
+// caller leaves, although several could, and against moves of one that they could not read either.
+func TestUnansweredPromptOfSeveralEnginesMoves(t *testing.T) {
+	long := &settings.EngineProfile{Slots: 16, MemoryTokens: 405_000, Stride: 34, Step: 1310 * time.Microsecond, PrefillRate: 154_000, PairsPerM: 162 * time.Microsecond, Chunk: 2048}
+	for tokens, moves := range map[int]bool{260_000: true, 379_392: true, 500_222: true, 1_600_000: true, 2_500_000: false} {
+		s := Send{
+			Model: Model{Profile: long, Tokens: tokens}, Began: start, CallerAt: start, AliveAt: start, Predicted: 2 * time.Second,
+			Patience: 16 * time.Second, PauseLimit: time.Second, Repeatable: true, SendsLeft: 1, Budget: true,
+		}
+		at := attempts(s, 0)
+		if (len(at) > 0) != moves || moves && (at[0] < s.Predicted || at[0] > s.Predicted+100*time.Millisecond) {
+			t.Errorf("%d tokens: moves after %s", tokens, at)
+		}
+	}
+}
+
 // BenchmarkDecide measures the decisions on one silent stream of each of 600 engines.
 func BenchmarkDecide(b *testing.B) {
 	s := silentSend(0)
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -88,6 +88,16 @@
 	return time.Duration(linear + pairs + steps)
 }
 
+// SharedPrefillTime returns how long as many idle engines as may share a prompt take to prefill it.
+func SharedPrefillTime(p *settings.EngineProfile, tokens int) time.Duration {
+	return PrefillTime(p, tokens) / time.Duration(maxReaders(p, tokens))
+}
+
+// maxReaders returns how many engines may share a prompt.
+func maxReaders(p *settings.EngineProfile, tokens int) int {
+	return min(maxHelpers+1, max(1, tokens/minPartTokens(p)))
+}
+
 // passTime returns the duration of a pass without any prefill.
 func passTime(p *settings.EngineProfile, streams int) time.Duration {
 	if streams == 0 {
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -59,7 +59,7 @@
 
 // spreadNow plans a long prompt on free engines.
 func spreadNow(p *settings.EngineProfile, engines []Engine, free []int, call *Call, prefill time.Duration) (Plan, bool) {
-	most := min(len(free), maxHelpers+1, max(1, call.Prompt/minPartTokens(p)))
+	most := min(len(free), maxReaders(p, call.Prompt))
 	var best option
 	for k := 1; k <= most; k++ {
 		part := prefill / time.Duration(k)
