--- a/forward/work.go
+++ b/forward/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"celeryport/loadshare"
@@ -72,6 +73,9 @@
 
 // recordAnswering records that the answer of a send has begun, so that its prompt has been read.
 func (f *fleet) recordAnswering(w *work) {
+	for _, r := range w.memory {
+		r.used.Store(true)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endReading(w)
@@ -147,6 +151,11 @@
 	return nil
 }
 
+// freedAt reports whether memory at a helper was given up because the call did not use it.
+func (w *work) freedAt(helper *node) bool {
+	return slices.ContainsFunc(w.memory, func(r *reservation) bool { return r.node == helper && r.freed.Load() })
+}
+
 // helperList lists the helpers: first those with a memory reservation, in the order in which the
 // memory is filled, then the others.
 func (w *work) helperList() []Helper {
