forward: return to an engine that goes on, if the next one is silent

Callers saw: a call whose engine fell silent, and whose second engine was silent too, got nothing more until its caller left, although the first engine went on meanwhile (section "What remains" of docs/incidents/answers-cut-by-refusals.md).

Cause: a call leaves a silent engine 0.6 to 0.95 s after its last sign of life if the engine takes no connection or has not begun the answer. With two sends, the second engine is the last one; package failover then knew only "stay".

Change: if the present engine is silent and no send is left, it and the engines that the call has left are asked for their state, for 0.1 s at most, one request per engine and 0.25 s for all calls. failover.Returns decides: the call returns if a former engine answers and the present one does not. If both answer they are busy, and it stays. It returns once, to an engine that has received it, within the repeat budget and in time for its caller. What was known against that engine (overdue, suspected, doubted) is older than its answer; one that is avoided as an outlier stays so.

No send or connection is added while the second engine is sound.

Remains: a first engine that is silent for 2 s or more, a stream that has begun and whose first engine takes connections (it is left 0.2 to 0.5 s before its caller leaves), a third silent engine, engines that answer polls but do not work on the call.

make lint; go test -race ./failover ./forward/... ./polling ./platform.

--- a/failover/contact.go
+++ b/failover/contact.go
@@ -102,6 +102,7 @@
 // Respond returns what to do with a send whose upstream was checked because of its silence:
 //   - a call whose upstream has ended is given up,
 //   - one that another upstream, or another instance, may answer goes there,
+//   - one that may reach no other upstream may return to one that it has left,
 //   - any other one stays, because its answer may still arrive.
 //
 // While the paths are lost, the silence of the upstreams may be that of their machines. An instance that
@@ -118,6 +119,8 @@
 		return Decision{}
 	case s.SendsLeft > 0:
 		return Decision{Action: Move, Cause: causeOf(c)}
+	case s.MayReturn && s.EventAt.IsZero() && s.Rescues(now, causeOf(c), s.Model.MinResumeTime()):
+		return Decision{Action: Return, Cause: causeOf(c)}
 	default:
 		return Decision{}
 	}
--- a/failover/decision.go
+++ b/failover/decision.go
@@ -14,6 +14,8 @@
 	Move
 	// HandOver means to let another instance handle the call, if one reaches the upstreams.
 	HandOver
+	// Return means to send the call to an engine again that it has left, if that one goes on and the present one does not.
+	Return
 	// End means to give the send up.
 	End
 )
@@ -22,7 +24,7 @@
 type Decision struct {
 	Action Action
 	Until  time.Time // of Wait: when to decide again; zero: not before the next data
-	Cause  Cause     // of Move
+	Cause  Cause     // of Move and Return
 }
 
 // Cause is the likely reason of the silence that leads to a move.
--- a/failover/send.go
+++ b/failover/send.go
@@ -22,6 +22,7 @@
 	SendsLeft  int           // how many more sends the route allows
 	Budget     bool          // the repeat budget allows another send
 	Moved      bool          // already moved since the caller's last event
+	MayReturn  bool          // it has left an engine, and has not returned to one yet
 	NotBefore  time.Time     // earliest time of the next attempt after a move that found no engine
 	Draw       float64       // uniform in [0, 1), constant during one gap; spreads the moves of an engine's streams
 }
--- a/forward/candidates.go
+++ b/forward/candidates.go
@@ -41,8 +41,8 @@
 func (x *exchange) markCandidates(c *candidates) {
 	leads, tries := x.allowedLeads(), x.mayTry(time.Now())
 	for i, n := range c.nodes {
-		c.engines[i].Failing = !n.verdict.Allows(tries)
-		c.engines[i].Avoid = c.engines[i].Avoid || c.engines[i].Failing
+		c.engines[i].Failing = !n.verdict.Allows(tries || n == x.back)
+		c.engines[i].Avoid = c.engines[i].Avoid && n != x.back || c.engines[i].Failing
 		c.engines[i].Tried = slices.Contains(x.tried, n.key) || slices.Contains(x.excluded, n.key)
 		c.engines[i].HelpOnly = len(leads) > 0 && !slices.Contains(leads, n.key)
 	}
--- a/forward/contact.go
+++ b/forward/contact.go
@@ -143,7 +143,7 @@
 	x.server.options.Metrics.Silent(x.service.Name, c)
 	eventSilent.Log(x.server.options.Log, event.Fields{
 		"call": x.call.ID, "route": x.route.Name, "upstream": s.node.name, "address": s.node.address, "observed": c.String(),
-		"silent_ms": time.Since(w.state.QuietSince()).Milliseconds(), "events": x.events, "sends_left": x.maxSends() - x.failed.Counted() - 1,
+		"silent_ms": time.Since(w.state.QuietSince()).Milliseconds(), "events": x.events, "sends_left": max(0, x.maxSends()-x.failed.Counted()-1),
 		"repeatable": x.mayMove(), "after_ms": time.Since(x.began).Milliseconds(),
 	})
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -71,6 +71,8 @@
 	moves         int               // moves away from silent upstreams
 	leftSilent    bool              // it has left an upstream that was silent, so that it can't be refused as not run
 	movedEvents   int               // events at the last move
+	back          *node             // engine that the next placement may return to, nil if none
+	returned      bool              // it has returned to an engine that it had left
 	transit       *transit.Call     // set if this instance handles the call for another one
 	peersDeclined bool              // no other instance handles the call for this one
 	sentAt        time.Time         // when the call was sent last
--- a/forward/move.go
+++ b/forward/move.go
@@ -60,11 +60,11 @@
 		x.server.options.Metrics.MoveWithheld(x.service.Name, string(obstacle))
 		return false
 	}
-	x.next = w
+	x.next, x.returned = w, x.returned || s.back != nil
 	x.server.options.Metrics.Moved(x.service.Name, cause)
 	eventMoved.Log(x.server.options.Log, event.Fields{
 		"call": x.call.ID, "route": x.route.Name, "upstream": s.node.name, "to": w.lead.name, "cause": cause.String(),
-		"silent_ms": now.Sub(state.CallerAt).Milliseconds(), "patience_ms": state.Patience.Milliseconds(),
+		"returns": s.back != nil, "silent_ms": now.Sub(state.CallerAt).Milliseconds(), "patience_ms": state.Patience.Milliseconds(),
 		"predicted_ms": x.predicted.Milliseconds(), "events": x.events, "after_ms": now.Sub(x.began).Milliseconds(),
 	})
 	return true
@@ -77,12 +77,13 @@
 	x, fleet := s.x, s.x.server.fleet
 	kept := x.keepPlacement()
 	x.tried, x.sentTo = appendCopy(x.tried, s.node.key), appendCopy(x.sentTo, s.node.key)
+	x.allowReturn(s.back)
 	w := x.findMove(ctx)
-	x.tried, x.sentTo = kept.tried, kept.sentTo
+	x.tried, x.sentTo, x.back = kept.tried, kept.sentTo, nil
 	obstacle := noEngine
 	if w != nil {
 		now := time.Now()
-		if !s.dataWaits() && w.lead != s.node && state.Rescues(now, cause, x.predicted) && x.leavesInStop(now, cause.CallerLeaves()) && fleet.recommended(now, w.lead) {
+		if !s.dataWaits() && s.accepts(now, w.lead) && state.Rescues(now, cause, x.predicted) && x.leavesInStop(now, cause.CallerLeaves()) {
 			switch {
 			case !fleet.takesConnection(ctx, w.lead):
 				obstacle = unreachableEngine
@@ -102,6 +103,15 @@
 	return nil, obstacle
 }
 
+// accepts reports whether the call may leave its engine for another one: for the one that it returns to, or else for one
+// that is not only the last resort.
+func (s *sending) accepts(now time.Time, lead *node) bool {
+	if s.back != nil {
+		return lead == s.back
+	}
+	return lead != s.node && s.x.server.fleet.recommended(now, lead)
+}
+
 // maxMoveArbitration bounds the wait for the arbiter: some ticks of its queue. An ask that it has
 // not answered by then waits for free engines.
 const maxMoveArbitration = 100 * time.Millisecond
--- a/forward/node.go
+++ b/forward/node.go
@@ -52,6 +52,7 @@
 	answered           time.Time       // last successful answer to a call of this instance
 	failedAt           time.Time       // last call of this instance that it failed itself, zero after a successful answer
 	report             nodeReport
+	signRequest        *signRequest // the last one, nil if there was none
 	granted            []grant
 	broken             []brokenSend  // broken sends not yet checked for the end of the node
 	checked            chan struct{} // closed when that check is finished
--- a/forward/polling.go
+++ b/forward/polling.go
@@ -185,6 +185,12 @@
 		f.notifyChanged()
 		return
 	}
+	s.recordReport(n, report)
+}
+
+// recordReport records the answer of a node that was polled.
+func (s *Server) recordReport(n *node, report *EngineReport) {
+	f := s.fleet
 	if n.incarnation > upstream.UnknownIncarnation && report.Incarnation > n.incarnation {
 		f.recordReplaced(n)
 		return
--- a/forward/send.go
+++ b/forward/send.go
@@ -47,7 +47,8 @@
 	clean       bool      // the connection can carry another call
 	idle        time.Duration
 	idleEvents  idleEvents
-	trickles    bool // the call is about to leave an upstream that trickles
+	back        *node // engine that the call returns to; nil: it moves to another one
+	trickles    bool  // the call is about to leave an upstream that trickles
 }
 
 // send sends the call to a node and forwards the answer to the caller.
--- a/forward/silence_watch.go
+++ b/forward/silence_watch.go
@@ -17,6 +17,8 @@
 	check <-chan struct{} // closed when the check of the upstream that runs has ended; nil if none runs
 	// others is what other instances know of the service, if that was needed for the last contact.
 	others transit.Finding
+	// signs are the answers of the engines while the call may return to one of them; nil if none are awaited.
+	signs *signs
 	// trickleRetryAt is when to try again to leave an upstream that trickles.
 	trickleRetryAt time.Time
 }
@@ -54,6 +56,7 @@
 // called for each read; act decides again with the load of the engine.
 func (w *silenceWatch) forecast(now time.Time) failover.Decision {
 	w.state.DataAt, w.state.AliveAt, w.state.Recheck, w.check = now, now, time.Time{}, nil
+	w.signs = nil
 	w.state.Prefill, w.state.Budget = 0, true
 	w.refresh()
 	return w.state.Decide(now)
@@ -102,6 +105,9 @@
 	if fleet.paths.Lost(n.service) {
 		return w.contactOnLostPaths()
 	}
+	if w.signs != nil {
+		return w.signs.contact, true
+	}
 	if w.check == nil {
 		w.check = fleet.checkContact(n, quiet)
 	}
@@ -167,6 +173,16 @@
 		return errMoved
 	}
 	w.state.AliveAt, w.state.Recheck = time.Now(), time.Time{}
+	if d.Action == failover.Return && !pending && w.ctx.Err() == nil {
+		known := w.findFormer(contact)
+		if !known {
+			w.state.Recheck = w.state.AliveAt.Add(contactPollInterval)
+			return nil
+		}
+		if w.s.back != nil && w.s.prepareMove(w.ctx, &w.state, d.Cause) {
+			return errMoved
+		}
+	}
 	switch contact {
 	case failover.Reachable:
 	case failover.PathsLost:
@@ -177,6 +193,17 @@
 	return nil
 }
 
+// findFormer sets the engine that the call returns to, none if it stays, and reports whether that is known yet.
+func (w *silenceWatch) findFormer(contact failover.Contact) (known bool) {
+	if w.signs == nil {
+		w.signs = w.s.askSigns(contact)
+	}
+	if w.s.back, known = w.signs.decide(); known {
+		w.signs = nil
+	}
+	return known
+}
+
 // refresh updates the part of the state that changes with the progress of the call.
 func (w *silenceWatch) refresh() {
 	x := w.s.x
@@ -190,6 +217,7 @@
 	}
 	w.state.Repeatable = x.mayMove()
 	w.state.SendsLeft = x.maxSends() - x.failed.Counted() - 1 // the present send counts too
+	w.state.MayReturn = x.mayReturn()
 	w.state.Moved = x.moves > 0 && x.movedEvents == x.events
 }
 
