instance: calls under way go on beside the leave from the control group

Callers whose calls were under way at SIGTERM lost their answers 7.25 s after it, of 8 s: the last 0.75 s of the drain timeout were kept for closing connections, for leaving the control group and for the exit, one after the other.

Server.Close is now StopTaking, which closes the listener and the connections without a call, and Finish, which waits for the calls under way. The instance leaves the group between the two, and calls end 0.3 s before the end of the drain timeout. Late calls are taken as before.

--- a/callerconn/interruption.go
+++ b/callerconn/interruption.go
@@ -15,8 +15,8 @@
 // errStopped is the cause of the end of calls that are interrupted by a close.
 var errStopped = errors.New("this instance stops")
 
-// Interruption lets a close reach a connection of a caller whatever it does: one that waits for a call ends
-// at once, a call that is being read or answered is refused if its answer has not begun. It is safe for
+// Interruption lets a close reach a connection of a caller whatever it does. Stop ends one that waits for a call at
+// once, and has a call refused that is being read; Interrupt ends the call that is being answered. It is safe for
 // concurrent use.
 type Interruption struct {
 	mu         sync.Mutex
@@ -26,16 +26,23 @@
 	cancel     context.CancelCauseFunc // of the call that is being answered; nil: none is
 }
 
-// Stop interrupts what the connection does.
+// Stop lets the connection take no more calls. A call that is being answered goes on.
 func (i *Interruption) Stop(conn net.Conn, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.stoppedAt = now
+	if i.cancel == nil {
+		_ = conn.SetReadDeadline(i.latest()) // fails only if the connection is closed already
+	}
+}
+
+// Interrupt ends the call that is being answered, after Stop.
+func (i *Interruption) Interrupt() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	if i.cancel != nil {
 		i.cancel(errStopped)
-		return
 	}
-	_ = conn.SetReadDeadline(i.latest()) // fails only if the connection is closed already
 }
 
 // Accept begins a connection that is accepted now. stopping means that it is stopped already.
--- a/forward/close_test.go
+++ b/forward/close_test.go
@@ -62,7 +62,7 @@
 				if err != nil || answer.StatusCode != http.StatusServiceUnavailable || !answer.Close {
 					t.Errorf("answer %+v, error %v", answer, err)
 				}
-				if waited := time.Since(began); waited > closeGrace {
+				if waited := time.Since(began); waited > CloseGrace {
 					t.Errorf("the answer came after %s", waited)
 				}
 				caller.Close()
@@ -83,7 +83,7 @@
 		}
 		began := time.Now()
 		s.Close()
-		if took := time.Since(began); took > closeGrace {
+		if took := time.Since(began); took > CloseGrace {
 			t.Errorf("the close took %s", took)
 		}
 		caller.Close()
@@ -203,7 +203,7 @@
 				if err := <-served; err != nil {
 					t.Error(err)
 				}
-				if closing := <-took; closing > callerconn.CloseReadTime+lastAcceptTime+closeGrace {
+				if closing := <-took; closing > callerconn.CloseReadTime+lastAcceptTime+CloseGrace {
 					t.Errorf("the close took %s", closing)
 				}
 			})
--- a/forward/server.go
+++ b/forward/server.go
@@ -137,15 +137,21 @@
 }
 
 const (
-	// closeGrace bounds how long a close waits for the refusals of calls that have no answer yet.
-	closeGrace = 200 * time.Millisecond
+	// CloseGrace bounds how long Finish waits for the refusals of the calls that it interrupts.
+	CloseGrace = 200 * time.Millisecond
 	// lastAcceptTime is how long a close waits for one more connection to accept, within the time to read calls.
 	lastAcceptTime = 20 * time.Millisecond
 )
 
-// Close closes the listener and all connections. Calls that have no answer yet are refused, as far as that
-// takes no longer than closeGrace.
+// Close closes the listener and all connections at once, see StopTaking and Finish.
 func (s *Server) Close() {
+	s.StopTaking()
+	s.Finish(time.Now())
+}
+
+// StopTaking closes the listener and the connections without a call. Calls that are being read are refused, those
+// under way go on.
+func (s *Server) StopTaking() {
 	s.mu.Lock()
 	now := time.Now()
 	s.stoppedAt = now
@@ -157,20 +163,44 @@
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
+}
+
+// Finish waits for the calls under way until a time, and interrupts what is left then: calls without an answer are
+// refused, as far as that takes no longer than CloseGrace. It must be called after StopTaking.
+func (s *Server) Finish(until time.Time) {
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		s.handlers.Wait()
 	}()
-	grace := time.NewTimer(closeGrace)
-	defer grace.Stop()
-	select {
-	case <-ended:
-	case <-grace.C:
+	defer s.fleet.close()
+	if endsWithin(ended, time.Until(until)) {
+		return
+	}
+	s.interruptCalls()
+	if !endsWithin(ended, CloseGrace) {
 		s.closeConns()
 		<-ended
 	}
-	s.fleet.close()
+}
+
+func endsWithin(ended <-chan struct{}, bound time.Duration) bool {
+	timer := time.NewTimer(bound)
+	defer timer.Stop()
+	select {
+	case <-ended:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+func (s *Server) interruptCalls() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.interruption.Interrupt()
+	}
 }
 
 // stopAccepting accepts the connections that wait already, whose callers may have sent a call, and closes the
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -35,6 +35,8 @@
 	callers callersAddress
 	loads   loadsAddress
 	control controlListener
+
+	finished chan struct{} // closed when no call is under way any more after the drain
 }
 
 // RunForwarding runs an instance that forwards calls or only takes part in control. When
@@ -47,6 +49,8 @@
 		memory:  applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log),
 		limits:  connectionLimits(p, options.Log),
 		metrics: newProcessRegistry(options.Collectors),
+
+		finished: make(chan struct{}),
 	}
 	f.callers = callersAddress{log: options.Log, address: p.Listen, listener: options.Traffic}
 	f.loads = loadsAddress{log: options.Log, address: p.ControlListen, share: func(ctx context.Context, conn net.PacketConn) error {
@@ -73,6 +77,11 @@
 	if f.takesCalls() && p.Readiness != "" {
 		group.Start(f.auxiliary("readiness", p.Readiness, f.limits.Probes, f.readiness()))
 	}
+	if f.takesCalls() { // stopped after control: calls under way go on while the instance leaves the group
+		group.Start(supervise.Component{
+			Name: "calls under way", Kind: supervise.Essential, Run: waitUntilDone, Stop: f.finish, StopTimeout: stopLimit(p),
+		})
+	}
 	var err error
 	if f.node, err = construct(ctx, f.newNode); err != nil {
 		return errors.Wrap(err, "control")
--- a/instance/forwarding_shutdown.go
+++ b/instance/forwarding_shutdown.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// closeReserve, leaveReserve and exitReserve are what is left of the drain timeout for the end: for closing
-	// the connections of callers, for leaving the control group and finishing the calls of other instances, and
+	// closeReserve, leaveReserve and exitReserve are what is left of the drain timeout after new calls are taken: for
+	// closing the connections of callers, for leaving the control group and finishing the calls of other instances, and
 	// for the end of the process. A group that is not told of the leave in time waits for the end of a lease.
+	// Calls under way go on beside the first two.
 	closeReserve = 400 * time.Millisecond
 	leaveReserve = 250 * time.Millisecond
 	exitReserve  = 100 * time.Millisecond
@@ -37,6 +38,11 @@
 	return p.DrainTimeout - reserve(p, leaveReserve+exitReserve)
 }
 
+// finishLimit is how long calls that are under way may take.
+func finishLimit(p *settings.Process) time.Duration {
+	return stopLimit(p) - min(forward.CloseGrace, reserve(p, closeReserve+leaveReserve))
+}
+
 // stopLimit is how long the whole stop may take.
 func stopLimit(p *settings.Process) time.Duration {
 	return p.DrainTimeout - reserve(p, exitReserve)
@@ -52,9 +58,10 @@
 	return time.Duration(float64(most) * float64(wanted) / float64(whole))
 }
 
-// drain drains the instance so that calls in progress can finish, and closes the connections of
-// callers. Draining ends early when abort ends.
+// drain drains the instance, and lets it take no more calls. Those under way go on until finishLimit, see finish.
+// Draining ends early when abort ends.
 func (f *forwarding) drain(abort context.Context) error {
+	finishBy := time.Now().Add(finishLimit(f.options.Process))
 	announced := make(chan struct{})
 	go func() {
 		defer close(announced)
@@ -62,11 +69,23 @@
 	}()
 	server := f.server.Load()
 	server.Drain(abort, forward.DrainPlan{MinDuration: minDrain, IdleTime: drainIdle, Limit: drainLimit(f.options.Process)})
-	server.Close()
+	server.StopTaking()
+	go func() {
+		defer close(f.finished)
+		server.Finish(finishBy)
+	}()
 	<-announced
 	return nil
 }
 
+// finish waits for the calls that were under way at the end of the drain.
+func (f *forwarding) finish(context.Context) error {
+	if f.server.Load() != nil {
+		<-f.finished
+	}
+	return nil
+}
+
 // leaveAlone announces the stop of an instance that takes no calls.
 func (f *forwarding) leaveAlone(abort context.Context) error {
 	if !f.takesCalls() {
