callerconn: a call that follows the end of an answer during a close is read

Callers whose answer had begun before a stop, on a connection that was stated to stay open, and ended after the instance takes no more calls lost the next call on it: the connection was closed without an answer 5 ms after the end, or at once if the head came in two parts.

Cause: the time for a call that is on its way counted from the stop or from the accept, not from the end of the last answer.

--- a/callerconn/interruption.go
+++ b/callerconn/interruption.go
@@ -19,11 +19,11 @@
 // once, and has a call refused that is being read; Interrupt ends the call that is being answered. It is safe for
 // concurrent use.
 type Interruption struct {
-	mu         sync.Mutex
-	acceptedAt time.Time               // when the connection was accepted: its first call may be on the way
-	stoppedAt  time.Time               // zero: not stopped
-	idle       bool                    // no call has begun to arrive
-	cancel     context.CancelCauseFunc // of the call that is being answered; nil: none is
+	mu        sync.Mutex
+	freeSince time.Time               // when the connection was accepted or its last answer ended: a call may be on the way
+	stoppedAt time.Time               // zero: not stopped
+	idle      bool                    // no call has begun to arrive
+	cancel    context.CancelCauseFunc // of the call that is being answered; nil: none is
 }
 
 // Stop lets the connection take no more calls. A call that is being answered goes on.
@@ -49,7 +49,7 @@
 func (i *Interruption) Accept(now time.Time, stopping bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.acceptedAt = now
+	i.freeSince = now
 	if stopping {
 		i.stoppedAt = now
 	}
@@ -64,13 +64,14 @@
 
 // latest returns the deadline of a read after Stop. The lock must be held.
 func (i *Interruption) latest() time.Time {
+	latest := i.stoppedAt
 	if !i.idle {
-		return i.stoppedAt.Add(CloseReadTime)
+		latest = latest.Add(CloseReadTime)
 	}
-	if fresh := i.acceptedAt.Add(CloseReadTime); fresh.After(i.stoppedAt) {
-		return fresh
+	if free := i.freeSince.Add(CloseReadTime); free.After(latest) {
+		return free
 	}
-	return i.stoppedAt
+	return latest
 }
 
 // SetReadDeadline sets the deadline of the next reads of a call, or of the wait for one if idle.
@@ -98,7 +99,7 @@
 	return ctx, func() { cancel(nil) }, func() {
 		i.mu.Lock()
 		defer i.mu.Unlock()
-		i.cancel = nil
+		i.cancel, i.freeSince = nil, time.Now()
 		cancel(nil)
 	}
 }
