forward: a handler that stops gives a call back instead of refusing it

Callers of an instance that lets others handle its calls got 503 because the handler stopped, although a third instance reached the upstreams: a call that arrived at the handler before its stop and was then rejected by an upstream, or waited for a place or a connection, was refused for good. The instance that received it does not stop.

Cause: only a call that is interrupted, or arrives during the stop, was declined; one that is not sent any more was refused.

Evidence: platform.TestCallsRejectedAtAHandlerThatStopsGoToAnotherOne, 16 of 16 calls on four routes got 503 before.

All of these use stopRefusal now, which declines calls of other instances. 16 of 16 calls are served.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -157,7 +157,7 @@
 // and whether the call has ended. last is the outcome of the send before, nil if there was none.
 func (x *exchange) sendAgain(ctx context.Context, last *outcome) (result *outcome, ended bool) {
 	if x.next == nil && !x.goesOnInStop(time.Now()) {
-		x.abandon(last, errStopping)
+		x.abandon(last, x.stopRefusal())
 		return last, true
 	}
 	x.beforeRepeat(last)
@@ -213,7 +213,7 @@
 	}
 	if errors.Is(result.err, errStopping) {
 		x.withdrawGrant()
-		x.abandon(last, errStopping)
+		x.abandon(last, x.stopRefusal())
 		return result, true
 	}
 	if x.next != nil {
--- a/forward/place.go
+++ b/forward/place.go
@@ -31,7 +31,7 @@
 		}
 		wait = min(wait, maxReplanWait)
 		if !x.goesOnInStop(time.Now().Add(wait)) {
-			return nil, errStopping
+			return nil, x.stopRefusal()
 		}
 		if !clock.Pause(ctx, wait) {
 			return nil, ctx.Err()
--- a/forward/stop_decision.go
+++ b/forward/stop_decision.go
@@ -34,7 +34,7 @@
 	}
 	if !sure {
 		x.server.options.Metrics.Drained(telemetry.DrainRefused)
-		return errStopping
+		return x.stopRefusal()
 	}
 	x.server.options.Metrics.Drained(telemetry.DrainAccepted)
 	return nil
--- a/forward/stop_refusal.go
+++ b/forward/stop_refusal.go
@@ -4,8 +4,8 @@
 
 var errStopping = verdict.Refuse(verdict.ReasonDraining, drainingRetry, "this instance stops and can't finish the call any more")
 
-// stopRefusal returns the refusal of a call that is interrupted by a close. Another instance may send a call
-// that it has handed over elsewhere.
+// stopRefusal returns the refusal of a call that is not sent, or is interrupted, because this instance stops. Another
+// instance may send a call that it has handed over elsewhere.
 func (x *exchange) stopRefusal() error {
 	switch {
 	case x.transit != nil && x.mayHaveRun():
