--- a/signals/signals_test.go
+++ b/signals/signals_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against signals that are lost because they arrive before an instance consumes them or
-// after many others, and against one that is delivered twice: a second SIGTERM would cut off calls.
+// after many others, and against one that is delivered twice and logged as a repeated one.
 func TestSignalsBeforeAConsumerAreKept(t *testing.T) {
 	d := newDispatcher()
 	for range 100 {
