forward: answers that were not acknowledged at the close are logged and counted

Whether its bytes had arrived could not be told afterwards.

Now the close of a caller's connection asks the kernel, once, how many bytes of a whole answer the caller's host has not acknowledged (SIOCOUTQ; TCP_INFO only if there are some). If there are, event 7043 names the caller, the call, the bytes and the cause of the close, and forward_answers_unacknowledged_total counts it. Where the system refuses the question, nothing is logged.

Evidence: TestAnswersThatWereNotAcknowledgedAreLogged, real sockets, a caller with a receive buffer of 4 kB that reads nothing of an answer of 64 kB: 4 of 4 cases (last answer and kept connection at a stop, reset and close by the caller) have no line with the call of logUnacknowledged taken out, and one line each with it. Answers that arrived have none.

--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +29,9 @@
 	calls        int           // calls that were read completely
 	openFor      time.Duration // for which the caller may take the connection for open after the last answer
 	interruption callerconn.Interruption
+	closing      sync.Once
+	answered     atomic.Pointer[wholeAnswer] // the last answer, if it was written completely and no call has begun since
+	ended        atomic.Bool                 // the sending half is closed
 }
 
 // callerBuffer is large enough for the head of a typical call.
@@ -38,7 +43,7 @@
 
 // serve answers calls until the connection ends or has to be closed.
 func (c *callerConn) serve() {
-	defer func() { _ = c.conn.Close() }() // the connection may be closed already
+	defer c.close()
 	for c.awaitCall() {
 		if !c.serveCall() {
 			return
@@ -50,6 +55,7 @@
 // connection can be reused. The call counts as in flight while it is being read, so that a drain waits for
 // it.
 func (c *callerConn) serveCall() bool {
+	c.answered.Store(nil)
 	began := c.server.beginCall()
 	defer c.server.endCall()
 	received, err := c.read(began)
@@ -143,6 +149,7 @@
 		reason = decline(failed.Reason, failed.Message)
 	}
 	x.refuse(reason)
+	c.keepAnswered(x.call.ID, w)
 	c.discard(rest)
 }
 
@@ -163,6 +170,7 @@
 	call, err := s.options.Dialect.DecodeCall(r.head)
 	if err != nil {
 		x.refuse(err)
+		c.keepAnswered("", w)
 		return true
 	}
 	x.call = call
@@ -171,6 +179,7 @@
 	x.interrupted = func() bool { return callerconn.Interrupted(ctx) }
 	watch := c.watch(leave)
 	x.run(ctx)
+	c.keepAnswered(call.ID, w)
 	return watch.stop()
 }
 
@@ -220,6 +229,7 @@
 	}
 	w := &delivery.Writer{Conn: c.conn, Close: true}
 	w.Whole(&httpwire.ResponseHead{Status: status, Fields: fields}, []byte(err.Error()+"\n"))
+	c.keepAnswered("", w)
 	c.discard(rest)
 }
 
@@ -236,7 +246,7 @@
 // bytes resets it, and the reset may overtake the answer.
 func (c *callerConn) linger() {
 	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite() // if this fails, the reads below still end at their deadlines
+		c.ended.Store(half.CloseWrite() == nil) // if it is not, the reads below still end at their deadlines
 	}
 	until := time.Now().Add(lingerLimit)
 	for left := lingerBytes; left > 0; {
--- a/forward/caller_end.go
+++ b/forward/caller_end.go
@@ -14,6 +14,7 @@
 	endedStopping endCause = "stopping" // this instance stops
 	endedByCaller endCause = "caller"   // the caller closed or reset it
 	endedOther    endCause = "other"    // see the error
+	endedLimit    endCause = "limit"    // of the time for which this instance waits for the caller
 )
 
 // causeOfEnd returns why the reading of a call ended with err.
--- a/forward/server.go
+++ b/forward/server.go
@@ -112,7 +112,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
-		_ = c.conn.Close() // nothing was read from it
+		c.close() // nothing was read from it
 		return
 	}
 	c.interruption.Accept(time.Now(), !s.stoppedAt.IsZero())
@@ -226,7 +226,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		_ = c.conn.Close() // it may be closed already
+		c.close()
 	}
 }
 
--- a/forward/telemetry/metrics.go
+++ b/forward/telemetry/metrics.go
@@ -34,6 +34,7 @@
 	connFailed  *prometheus.CounterVec
 	drained     *prometheus.CounterVec
 	cuts        *prometheus.CounterVec
+	unacked     *prometheus.CounterVec
 	MemoryWait  prometheus.Counter // seconds
 	Resting     prometheus.Gauge
 	lostPaths   *prometheus.GaugeVec
@@ -138,7 +139,10 @@
 	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "forward_answers_cut_total", Help: "Answers that this instance ended before they were complete, by service, reason and what was known of the upstream (reachable, unreachable, paths-lost, ended, none).",
 	}, []string{"service", "reason", "observed"})
-	registry.MustRegister(m.cuts, m.drained, m.MemoryWait, m.endChecks, m.connFailed, m.endless, m.ejections, m.silentSends, m.repeats, m.calls, m.firstByte, m.duration, m.sends, m.broken, m.Connections, m.OverLimit, m.Limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.Resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
+	m.unacked = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "forward_answers_unacknowledged_total", Help: "Answers that were written completely, but not acknowledged completely by the caller's host when the connection was closed, by cause (caller: it closed or reset the connection, stopping: this instance stops, limit: none of these).",
+	}, []string{"cause"})
+	registry.MustRegister(m.unacked, m.cuts, m.drained, m.MemoryWait, m.endChecks, m.connFailed, m.endless, m.ejections, m.silentSends, m.repeats, m.calls, m.firstByte, m.duration, m.sends, m.broken, m.Connections, m.OverLimit, m.Limited, m.rests, m.withdrawn, m.moves, m.unmoved, m.Resting, m.lostPaths, m.transits, m.endRate, m.unreadable, m.datagrams, m.bytes)
 	m.Shares = newShareMetrics(registry)
 	return m
 }
@@ -171,6 +175,10 @@
 	m.cuts.WithLabelValues(service, reason, observed).Inc()
 }
 
+// AnswerUnacknowledged counts an answer that was written completely and not acknowledged completely at the close of its
+// connection, by the cause of the close.
+func (m *Metrics) AnswerUnacknowledged(cause string) { m.unacked.WithLabelValues(cause).Inc() }
+
 // Datagrams counts datagrams of one kind that were sent or received.
 func (m *Metrics) Datagrams(kind datagram.Kind, direction string, count, size int) {
 	m.datagrams.WithLabelValues(kind.String(), direction).Add(float64(count))
