forward: a stop waits until callers that read late have acknowledged their answers

An instance closed the connection 0.3 s after the last byte if its caller said nothing, 0.1 s after the stop at the latest, and at once if it could have been used again. The kernel goes on sending then, but not if the machine ends with the process, as a container's network does.

Cause: delivered was taken for written to the kernel.

Now a connection whose last answer is whole is kept until the caller's host has acknowledged all of it, the connection has failed, or the stop's time for calls is over; outside a stop for 30 s at most. The decision is delivery.Held.CheckAfter. The kernel is asked once when the connection would end, and again 20 to 100 ms apart only while bytes are outstanding. The wait doesn't count as a call in flight, so that it doesn't prolong the drain before the instance leaves its group.

--- a/callerconn/interruption.go
+++ b/callerconn/interruption.go
@@ -24,6 +24,7 @@
 	stoppedAt  time.Time               // zero: not stopped
 	idle       bool                    // no call has begun to arrive
 	cancel     context.CancelCauseFunc // of the call that is being answered; nil: none is
+	over       bool                    // Interrupt was called
 }
 
 // Stop lets the connection take no more calls. A call that is being answered goes on.
@@ -40,6 +41,7 @@
 func (i *Interruption) Interrupt() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.over = true
 	if i.cancel != nil {
 		i.cancel(errStopped)
 	}
@@ -62,6 +64,13 @@
 	return !i.stoppedAt.IsZero()
 }
 
+// Over reports whether the time for calls has ended, see Interrupt.
+func (i *Interruption) Over() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.over
+}
+
 // latest returns the deadline of a read after Stop. The lock must be held.
 func (i *Interruption) latest() time.Time {
 	if !i.idle {
--- a/forward/acknowledgement.go
+++ b/forward/acknowledgement.go
@@ -50,6 +50,47 @@
 	})
 }
 
+// hold keeps the connection until the caller's host has acknowledged all bytes of the last answer, within the limits of
+// delivery.Held. It ends earlier and returns true if the caller sends something, unless no call may follow; that is
+// read and dropped then, since a close with unread bytes resets the connection.
+func (c *callerConn) hold(mayFollow bool) bool {
+	last := c.answered.Load()
+	if last == nil {
+		return false
+	}
+	for reads := true; ; {
+		n, gone := c.unacknowledged()
+		held := delivery.Held{
+			Unacknowledged: n, Gone: gone, Stopping: c.interruption.Stopped(), Over: c.interruption.Over(), For: time.Since(last.at),
+		}
+		wait := held.CheckAfter()
+		if wait == 0 {
+			return false
+		}
+		until := time.Now().Add(wait)
+		if reads {
+			reads = c.awaitByte(until)
+		}
+		switch arrived := c.reader.Buffered(); {
+		case arrived > 0 && mayFollow:
+			return true
+		case arrived > 0:
+			_, _ = c.reader.Discard(arrived) // no error: these bytes have arrived
+		default:
+			time.Sleep(time.Until(until)) // a stop ends a read early, the end of what the caller sends ends all
+		}
+	}
+}
+
+// awaitByte waits until the caller sends a byte, and returns false if it sends nothing more.
+func (c *callerConn) awaitByte(until time.Time) bool {
+	if c.conn.SetReadDeadline(until) != nil { // the connection is closed
+		return false
+	}
+	_, err := c.reader.Peek(1)
+	return err == nil || passedDeadline(err)
+}
+
 // unacknowledged returns how many bytes of answers the caller's host has not acknowledged, 0 if that is not known, and
 // whether the connection has failed, so that it will not.
 func (c *callerConn) unacknowledged() (n int, gone bool) {
--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -46,9 +46,10 @@
 	defer c.close()
 	for c.awaitCall() {
 		if !c.serveCall() {
-			return
+			break
 		}
 	}
+	c.hold(false)
 }
 
 // serveCall reads and answers a call of which the first byte has arrived, and reports whether the
--- a/forward/caller_idle.go
+++ b/forward/caller_idle.go
@@ -37,10 +37,14 @@
 		return false
 	}
 	_, err := c.reader.Peek(1)
-	if passedDeadline(err) {
-		c.logIdleEnd(cause, idle, limit)
+	if !passedDeadline(err) {
+		return err == nil
 	}
-	return err == nil
+	if c.hold(true) {
+		return true
+	}
+	c.logIdleEnd(cause, idle, limit)
+	return false
 }
 
 // lastLookTime is how long a connection that is about to be closed is read once more. What has arrived
