instance: the wait for calls under way ends with the time of its component

Found by reading: Component.Stop has to return soon after its context has ended, and the wait went by the bound of Server.Finish alone. No fault was seen; both end at the limit of the stop.

--- a/instance/forwarding_shutdown.go
+++ b/instance/forwarding_shutdown.go
@@ -78,9 +78,13 @@
 }
 
 // finish waits for the calls that were under way at the end of the drain.
-func (f *forwarding) finish(context.Context) error {
-	if f.server.Load() != nil {
-		<-f.finished
+func (f *forwarding) finish(ctx context.Context) error {
+	if f.server.Load() == nil {
+		return nil
+	}
+	select {
+	case <-f.finished:
+	case <-ctx.Done():
 	}
 	return nil
 }
