forward: a call whose head is cut by a stop gets 503, not 408

Callers that were sending the head of a call when the instance took no more calls got 408 (took too long) 0.1 s later, without Retry-After, as if they were slow. A call whose body was cut at the same moment gets 503.

Cause: only the read of the body tells a deadline of the close from one of the caller.

Evidence: TestCloseRefusesCallsWithoutAnAnswer with a new case "head incomplete": 408 before.

The read of the head does the same now; the case passes.

--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -221,12 +221,16 @@
 		c.logUnread(began, err)
 		return
 	}
+	fields := textFields
+	if passedDeadline(err) && c.interruption.Stopped() { // not the time-out of a slow caller
+		status, err = errStopping.Status(), errStopping
+		fields = append(c.server.options.Dialect.RefusalFields(&Call{}, errStopping.RetryAfter), textFields...)
+	}
 	c.server.options.Metrics.Unreadable(status)
 	eventUnreadable.Log(c.server.options.Log, event.Fields{"status": status, "error": err.Error()})
-	fields := textFields
 	if c.transit { // another instance may have other limits
 		refusal := transit.Refusal{Declined: true, Verdict: verdict.NotRun, Reason: verdict.ReasonBadRequest}
-		fields = append(httpwire.Fields{refusal.Field()}, textFields...)
+		fields = append(httpwire.Fields{refusal.Field()}, fields...)
 	}
 	w := &delivery.Writer{Conn: c.conn, Close: true}
 	w.Whole(&httpwire.ResponseHead{Status: status, Fields: fields}, []byte(err.Error()+"\n"))
--- a/forward/close_test.go
+++ b/forward/close_test.go
@@ -40,6 +40,7 @@
 	}{
 		{"waiting for settings", head + "abcd", ""},
 		{"body incomplete", head + "ab", ""},
+		{"head incomplete", head[:20], ""},
 		{"head arrives with the close", "", head + "abcd"},
 	}
 	for _, test := range tests {
