A stop lets no call start over that has run for longer than is left

Callers of calls that an upstream still ran got 502 at the end of a stop: the upstream took no connections for a second, the call moved and started over with less time left than it had run for. A call that has less behind it than is left still moves; whether it ends then is not sure.

--- a/drain/decision.go
+++ b/drain/decision.go
@@ -15,6 +15,10 @@
 // Sure reports whether the call ends in time whatever its upstream does.
 func (d Decision) Sure() bool { return d.Needed <= d.Left }
 
+// MayStartOver reports whether a call that has run for a time without an answer may end elsewhere if it starts over, at a
+// time since the begin of a drain that takes limit at most.
+func MayStartOver(ran, since, limit time.Duration) bool { return ran <= limit-since }
+
 // Decide decides on a call that ends by itself after the time left, at a time since the begin of a drain that takes
 // limit at most. How long other calls have taken is no bound: upstreams get slower while instances stop, because the
 // others send them the calls of those.
--- a/drain/decision_test.go
+++ b/drain/decision_test.go
@@ -28,3 +28,21 @@
 		})
 	}
 }
+
+// Guards against a call that starts over in a stop after it has run for longer than is left.
+func TestCallsThatRanForLongerThanIsLeftDontStartOver(t *testing.T) {
+	const limit = 7 * time.Second
+	for _, test := range []struct {
+		ran, since time.Duration
+		want       bool
+	}{
+		{0, 0, true},
+		{3 * time.Second, 4 * time.Second, true},
+		{3*time.Second + 1, 4 * time.Second, false},
+		{time.Second, limit, false},
+	} {
+		if got := MayStartOver(test.ran, test.since, limit); got != test.want {
+			t.Errorf("ran %s, %s after the begin: %t", test.ran, test.since, got)
+		}
+	}
+}
--- a/failover/decision.go
+++ b/failover/decision.go
@@ -43,6 +43,11 @@
 	CauseUnreachable
 )
 
+// CallerLeaves reports whether the call moves because its caller would leave otherwise.
+func (c Cause) CallerLeaves() bool {
+	return c == CauseUnanswered || c == CausePrefill || c == CauseSilent
+}
+
 // String returns the name used in logs and metrics.
 func (c Cause) String() string {
 	switch c {
--- a/forward/move.go
+++ b/forward/move.go
@@ -83,7 +83,7 @@
 	obstacle := noEngine
 	if w != nil {
 		now := time.Now()
-		if !s.dataWaits() && s.accepts(now, w.lead) && state.Rescues(now, cause, x.predicted) {
+		if !s.dataWaits() && s.accepts(now, w.lead) && state.Rescues(now, cause, x.predicted) && s.mayStartOver(now, cause.CallerLeaves()) {
 			switch {
 			case !fleet.takesConnection(ctx, w.lead):
 				obstacle = unreachableEngine
--- a/forward/silence_watch.go
+++ b/forward/silence_watch.go
@@ -165,7 +165,7 @@
 	d := w.state.Respond(now, contact)
 	switch {
 	case pending || w.ctx.Err() != nil: // data has arrived, or the caller has left
-	case d.Action == failover.End, d.Action == failover.HandOver && w.mayHandOver():
+	case d.Action == failover.End, d.Action == failover.HandOver && w.mayHandOver() && w.s.mayStartOver(now, w.state.Patience > 0):
 		x.serving, x.leftSilent = w.others.By, x.leftSilent || d.Action == failover.HandOver
 		w.logEnd(contact)
 		return errSilent
--- a/forward/stop_decision.go
+++ b/forward/stop_decision.go
@@ -26,6 +26,17 @@
 	return x.endsInStop(now) || x.answerBegun() || x.mayHaveRun()
 }
 
+// mayStartOver reports whether the call may leave a silent upstream for another one. While this instance stops, a call
+// that has run for longer than is left would not end there either, but its upstream may still finish in time. A call
+// whose answer has begun goes on where it is, and one whose caller is about to leave has nothing to lose.
+func (s *sending) mayStartOver(now time.Time, callerLeaves bool) bool {
+	state := s.x.server.draining.Load()
+	if state == nil || callerLeaves || s.x.answerBegun() {
+		return true
+	}
+	return drain.MayStartOver(now.Sub(s.sentAt), now.Sub(state.began), state.plan.Limit)
+}
+
 // admitLate decides on a call that arrives while this instance stops.
 func (x *exchange) admitLate(now time.Time) error {
 	sure := x.endsInStop(now)
