forward: the ends of connections in a stop name the call and the cause

Of ten ends in a stop on virtual time (TestEveryEndInAStopIsLogged) five had no line or one that names neither call nor caller or a false cause: a head that is incomplete at the stop (7001 named nothing), a body that its caller leaves (7041 without the call, and cause stopping instead of caller), a call of a caller that has closed its sending half (7005 without the status that was sent), a connection accepted after the end of the closing (none).

7001 has caller, call and cause, 7041 the call, 7005 the status of the refusal, and the connection gets 7040. The end of a caller counts as its own also in a stop. A call that is not read has its name from its head (Dialect.CallID), without decoding it: it counts as no call. Refusals, cut answers, and idle closes had their lines; answers that are cut off while they are held have 7043.

--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -61,7 +61,7 @@
 	defer c.server.endCall()
 	received, err := c.read(began)
 	if err != nil {
-		c.reject(began, err, nil)
+		c.reject(began, err, nil, nil)
 		return false
 	}
 	c.calls++
@@ -115,7 +115,7 @@
 	}
 	if err != nil {
 		held.Release()
-		c.reject(began, err, rest)
+		c.reject(began, err, head, rest)
 		return nil, errConnEnded
 	}
 	return &received{head: head, body: body, began: began, held: held}, nil
@@ -210,19 +210,24 @@
 }
 
 // reject answers a call that could not be read, if the caller is still connected, and ends the
-// connection, because the start of the next call on it is unknown. rest is what is left of the body, nil if
-// that is not known.
-func (c *callerConn) reject(began time.Time, err error, rest io.Reader) {
+// connection, because the start of the next call on it is unknown. head is nil if it was not read; rest is what
+// is left of the body, nil if that is not known.
+func (c *callerConn) reject(began time.Time, err error, head *httpwire.RequestHead, rest io.Reader) {
 	if errors.Is(err, errConnEnded) {
 		return
 	}
 	status := statusOf(err)
 	if status == 0 {
-		c.logUnread(began, err)
+		c.logUnread(began, err, head)
 		return
 	}
 	c.server.options.Metrics.Unreadable(status)
-	eventUnreadable.Log(c.server.options.Log, event.Fields{"status": status, "error": err.Error()})
+	cause := endedByCaller
+	if passedDeadline(err) && c.interruption.Stopped() {
+		cause = endedStopping
+	}
+	name := c.nameOf(head)
+	eventUnreadable.Log(c.server.options.Log, event.Fields{"caller": c.address(), "call": name, "cause": cause, "status": status, "error": err.Error()})
 	fields := textFields
 	if c.transit { // another instance may have other limits
 		refusal := transit.Refusal{Declined: true, Verdict: verdict.NotRun, Reason: verdict.ReasonBadRequest}
@@ -230,7 +235,7 @@
 	}
 	w := &delivery.Writer{Conn: c.conn, Close: true}
 	w.Whole(&httpwire.ResponseHead{Status: status, Fields: fields}, []byte(err.Error()+"\n"))
-	c.keepAnswered("", w)
+	c.keepAnswered(name, w)
 	c.discard(rest)
 }
 
--- a/forward/caller_end.go
+++ b/forward/caller_end.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"celeryport/event"
+	"celeryport/httpwire"
 )
 
 // endCause is why a connection of a caller ended without an answer.
@@ -20,10 +21,10 @@
 // causeOfEnd returns why the reading of a call ended with err.
 func causeOfEnd(stopping bool, err error) endCause {
 	switch {
-	case stopping:
-		return endedStopping
 	case endedByPeer(err):
 		return endedByCaller
+	case stopping:
+		return endedStopping
 	default:
 		return endedOther
 	}
@@ -36,12 +37,21 @@
 	})
 }
 
-// logUnread logs that the connection ended while a call was being read, so that it got no answer.
-func (c *callerConn) logUnread(began time.Time, err error) {
+// logUnread logs that the connection ended while a call was being read, so that it got no answer. head is nil if it was
+// not read.
+func (c *callerConn) logUnread(began time.Time, err error, head *httpwire.RequestHead) {
 	eventCallCutOff.Log(c.server.options.Log, event.Fields{
-		"caller": c.address(), "cause": causeOfEnd(c.interruption.Stopped(), err), "after_ms": time.Since(began).Milliseconds(),
+		"caller": c.address(), "call": c.nameOf(head), "cause": causeOfEnd(c.interruption.Stopped(), err), "after_ms": time.Since(began).Milliseconds(),
 		"calls": c.calls, "error": err.Error(),
 	})
 }
 
+// nameOf returns the name of a call, empty if it has none or its head was not read.
+func (c *callerConn) nameOf(head *httpwire.RequestHead) string {
+	if head == nil {
+		return ""
+	}
+	return c.server.options.Dialect.CallID(head)
+}
+
 func (c *callerConn) address() string { return c.conn.RemoteAddr().String() }
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -124,8 +124,7 @@
 	}
 	x.writer.Close = true
 	x.end("caller-left")
-	eventCallerLeft.Log(x.server.options.Log, x.fields(nil))
-	x.refuseHalfClosed()
+	eventCallerLeft.Log(x.server.options.Log, x.fields(x.refuseHalfClosed()))
 }
 
 func (x *exchange) recordFailedSend(o *outcome) {
--- a/forward/dialect.go
+++ b/forward/dialect.go
@@ -13,6 +13,8 @@
 type Dialect interface {
 	// DecodeCall decodes a caller's request. The error carries a verdict.
 	DecodeCall(head *httpwire.RequestHead) (*Call, error)
+	// CallID returns the ID that a call's head states, empty if it states none, also of calls that can't be decoded.
+	CallID(head *httpwire.RequestHead) string
 	// SendHead returns the request head with which a call is sent to an upstream.
 	SendHead(call *Call, send *Send) *httpwire.RequestHead
 	// TransitHead returns the request head with which another instance gets a call that it handles
--- a/forward/events.go
+++ b/forward/events.go
@@ -10,7 +10,7 @@
 	eventAcceptFailed = event.Define(7000, logrus.ErrorLevel, "connection not accepted",
 		"A caller's connection could not be accepted, for instance because the process has no file descriptors left. Raise the limit or add instances.")
 	eventUnreadable = event.Define(7001, logrus.WarnLevel, "call not read",
-		"A caller sent a malformed or too large call, or sent it too slowly; nothing was forwarded. Fields: status, error.")
+		"A caller sent a malformed or too large call, or sent it too slowly; nothing was forwarded. Fields: caller (address), call (empty: not known), cause (caller; stopping: the rest did not arrive before this instance stopped), status, error.")
 	eventRefused = event.Define(7002, logrus.InfoLevel, "call refused",
 		"The call was not run; the caller was informed and got the time after which to retry. Fields: call, route, status, reason, message, retry_after_ms, sends, rejections (sends rejected because a helper refused its part), arbiter (instance that placed the long prompt), handler (instance that handled the call for this one), received_by (instance for which this one handled the call), waited_ms, revision; of a call that was decided on while this instance stops: stop_decided_ms (since the begin of the stop), stop_needed_ms (until its deadline) and stop_left_ms (until the end of the stop).")
 	eventServed = event.Define(7003, logrus.InfoLevel, "call answered",
@@ -18,7 +18,7 @@
 	eventFailed = event.Define(7004, logrus.WarnLevel, "call failed",
 		"The caller did not receive a whole answer, and the call may have run. Fields: call, route, reason, message, upstream, sends, events, total_ms, revision; of an answer that was cut after it had begun: observed (what was known of its upstream: reachable, unreachable, paths-lost, ended, none), and no status; of a call that was decided on while this instance stops: stop_decided_ms (since the begin of the stop), stop_needed_ms (until its deadline) and stop_left_ms (until the end of the stop).")
 	eventCallerLeft = event.Define(7005, logrus.InfoLevel, "caller left",
-		"The caller closed its connection before the answer was complete, or read nothing of it for too long; the send to the upstream was aborted unless it had ended. Fields: call, route, upstream, sends, events, total_ms, error (of the write, if the whole answer was there).")
+		"The caller closed its connection before the answer was complete, or read nothing of it for too long; the send to the upstream was aborted unless it had ended. Fields: call, route, upstream, sends, events, total_ms, error (of the write, if the whole answer was there), status (of the refusal that was sent in case the caller has only closed its sending half).")
 	eventSendFailed = event.Define(7006, logrus.WarnLevel, "send failed",
 		"One send of a call failed. Fields: call, upstream, address, verdict, error, kind (first, repeated, or granted: the arbiter chose the upstream), phase (unanswered, started or answering), request (fingerprint of host, path, caller and body), parts (of the prompt, but the last one), helper (the one that refused its part, if any), events, after_ms.")
 	eventSuspected = event.Define(7007, logrus.WarnLevel, "upstream suspected",
@@ -80,7 +80,7 @@
 	eventIdleClosed = event.Define(7040, logrus.InfoLevel, "idle connection closed",
 		"This instance closed a caller's connection on which no call was under way. Fields: caller (address), cause (idle: no call came within the limit; stopping: this instance stops), idle_ms, limit_ms, calls (answered on it).")
 	eventCallCutOff = event.Define(7041, logrus.WarnLevel, "call cut off while it was read",
-		"The connection ended before the call was read completely; nothing was forwarded, and the caller got no answer. Fields: caller (address), cause (caller: the caller closed or reset it; stopping: this instance stops; other: see error), after_ms (since the first byte of the call), calls (answered on the connection before), error.")
+		"The connection ended before the call was read completely; nothing was forwarded, and the caller got no answer. Fields: caller (address), call (empty: not known), cause (caller: the caller closed or reset it; stopping: this instance stops; other: see error), after_ms (since the first byte of the call), calls (answered on the connection before), error.")
 	eventUnacknowledged = event.Define(7043, logrus.InfoLevel, "answer not acknowledged at the close",
 		"This instance had written a whole answer or refusal and closed its connection before the caller's host had acknowledged all bytes. The kernel goes on sending them, unless the caller has gone or this machine ends. Fields: caller (address), call (empty: not known), cause (caller: it closed or reset the connection; stopping: this instance stops; limit: none of these), bytes (not acknowledged), after_ms (since the answer was written).")
 	eventMemoryUnused = event.Define(7042, logrus.WarnLevel, "reserved memory not used",
--- a/forward/refuse_test.go
+++ b/forward/refuse_test.go
@@ -20,6 +20,8 @@
 // plainDialect adds no header fields to refusals.
 type plainDialect struct{ Dialect }
 
+func (plainDialect) CallID(head *httpwire.RequestHead) string { return head.Fields.Get("Name") }
+
 func (plainDialect) RefusalFields(*Call, time.Duration) httpwire.Fields { return nil }
 
 func TestPossiblyRunCallGetsNoNotRunStatus(t *testing.T) {
--- a/forward/server.go
+++ b/forward/server.go
@@ -113,6 +113,7 @@
 	defer s.mu.Unlock()
 	if s.closed {
 		c.close() // nothing was read from it
+		c.logIdleEnd(endedStopping, 0, 0)
 		return
 	}
 	c.interruption.Accept(time.Now(), !s.stoppedAt.IsZero())
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/event"
 	"celeryport/httpwire"
 	"celeryport/verdict"
 )
@@ -79,10 +80,11 @@
 }
 
 // refuseHalfClosed answers the call of a caller that seems to have left: one that only closed its sending
-// half still waits for an answer, and the two can't be told apart without sending something.
-func (x *exchange) refuseHalfClosed() {
+// half still waits for an answer, and the two can't be told apart without sending something. It returns the status of
+// the answer for the log.
+func (x *exchange) refuseHalfClosed() event.Fields {
 	if x.writer.Begun() || x.transit != nil {
-		return
+		return nil
 	}
 	status := verdict.ReasonCallerLeft.Status()
 	if x.mayHaveRun() {
@@ -90,4 +92,5 @@
 	}
 	fields := append(x.server.options.Dialect.RefusalFields(x.call, 0), textFields...)
 	x.writer.Whole(&httpwire.ResponseHead{Status: status, Fields: fields}, []byte("the caller closed its sending half\n"))
+	return event.Fields{"status": status}
 }
