forward: a stop doesn't cut short the reading after a last answer

Callers that were refused and still send their call lost the connection 0.1 s after an instance began to close, with a reset, which may overtake the refusal. After its last answer an instance reads until its caller has been silent for 0.3 s, but the close sets the read deadline of every connection that has no call under way to 0.1 s, and the end of that read was taken for 0.3 s of silence.

Evidence: TestRefusedCallersCanSendOnInAStop, virtual time: a caller that sends a part of its call every 0.25 s, the stop 0.05 s after the refusal: part 0 of 10 met a closed connection. Now a read that ends before its own deadline is repeated: 10 of 10 parts are taken. The same limits as before hold, 5 s and the time for calls of the stop.

--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -256,10 +256,15 @@
 	}
 	until := time.Now().Add(lingerLimit)
 	for left := lingerBytes; left > 0; {
-		if c.conn.SetReadDeadline(earlier(until, time.Now().Add(lingerTimeout))) != nil { // also during a close, which has its own bound
+		silent := earlier(until, time.Now().Add(lingerTimeout))
+		if c.conn.SetReadDeadline(silent) != nil { // also during a close, which has its own bound
 			return
 		}
-		if _, err := c.reader.Peek(1); err != nil {
+		_, err := c.reader.Peek(1)
+		if passedDeadline(err) && time.Now().Before(silent) { // a stop has moved the deadline
+			continue
+		}
+		if err != nil {
 			return
 		}
 		n, _ := c.reader.Discard(c.reader.Buffered()) // no error: these bytes have arrived
--- a/forward/linger_test.go
+++ b/forward/linger_test.go
@@ -105,3 +105,37 @@
 		})
 	}
 }
+
+// Guards against a stop that resets the connection of a refused caller which is still sending its call.
+func TestRefusedCallersCanSendOnInAStop(t *testing.T) {
+	const parts, pause = 10, 250 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newCallerServer(t)
+		caller, accepted := net.Pipe()
+		s.serveConn(accepted)
+		if _, err := io.WriteString(caller, "PUT / HTTP/1.1\r\nContent-Length: 6553600\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if answer, err := readAnswer(caller); err != nil || answer.StatusCode != http.StatusBadRequest {
+			t.Fatalf("answer %+v, error %v", answer, err)
+		}
+		began := time.Now()
+		finished := make(chan struct{})
+		time.AfterFunc(pause/5, func() {
+			defer close(finished)
+			s.StopTaking()
+			s.Finish(began.Add(lingerLimit))
+		})
+		for n := range parts {
+			time.Sleep(pause)
+			if _, err := io.WriteString(caller, "part"); err != nil {
+				t.Fatalf("part %d: %v", n, err)
+			}
+		}
+		<-finished
+		if took := time.Since(began); took > parts*pause+lingerTimeout {
+			t.Errorf("the connection ended after %s", took)
+		}
+		caller.Close()
+	})
+}
