--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -61,7 +61,7 @@
 	defer c.server.endCall()
 	received, err := c.read(began)
 	if err != nil {
-		c.reject(began, err, nil)
+		c.reject(began, err, nil, nil)
 		return false
 	}
 	c.calls++
@@ -115,7 +115,7 @@
 	}
 	if err != nil {
 		held.Release()
-		c.reject(began, err, rest)
+		c.reject(began, err, head, rest)
 		return nil, errConnEnded
 	}
 	return &received{head: head, body: body, began: began, held: held}, nil
@@ -210,31 +210,32 @@
 }
 
 // reject answers a call that could not be read, if the caller is still connected, and ends the
-// connection, because the start of the next call on it is unknown. rest is what is left of the body, nil if
-// that is not known.
-func (c *callerConn) reject(began time.Time, err error, rest io.Reader) {
+// connection, because the start of the next call on it is unknown. head is nil if it was not read; rest is what
+// is left of the body, nil if that is not known.
+func (c *callerConn) reject(began time.Time, err error, head *httpwire.RequestHead, rest io.Reader) {
 	if errors.Is(err, errConnEnded) {
 		return
 	}
 	status := statusOf(err)
 	if status == 0 {
-		c.logUnread(began, err)
+		c.logUnread(began, err, head)
 		return
 	}
-	fields := textFields
+	cause, fields := endedByCaller, textFields
 	if passedDeadline(err) && c.interruption.Stopped() { // not the time-out of a slow caller
-		status, err = errStopping.Status(), errStopping
+		cause, status, err = endedStopping, errStopping.Status(), errStopping
 		fields = append(c.server.options.Dialect.RefusalFields(&Call{}, errStopping.RetryAfter), textFields...)
 	}
 	c.server.options.Metrics.Unreadable(status)
-	eventUnreadable.Log(c.server.options.Log, event.Fields{"status": status, "error": err.Error()})
+	name := c.nameOf(head)
+	eventUnreadable.Log(c.server.options.Log, event.Fields{"caller": c.address(), "call": name, "cause": cause, "status": status, "error": err.Error()})
 	if c.transit { // another instance may have other limits
 		refusal := transit.Refusal{Declined: true, Verdict: verdict.NotRun, Reason: verdict.ReasonBadRequest}
 		fields = append(httpwire.Fields{refusal.Field()}, fields...)
 	}
 	w := &delivery.Writer{Conn: c.conn, Close: true}
 	w.Whole(&httpwire.ResponseHead{Status: status, Fields: fields}, []byte(err.Error()+"\n"))
-	c.keepAnswered("", w)
+	c.keepAnswered(name, w)
 	c.discard(rest)
 }
 
@@ -255,10 +256,15 @@
 	}
 	until := time.Now().Add(lingerLimit)
 	for left := lingerBytes; left > 0; {
-		if c.conn.SetReadDeadline(earlier(until, time.Now().Add(lingerTimeout))) != nil { // also during a close, which has its own bound
+		silent := earlier(until, time.Now().Add(lingerTimeout))
+		if c.conn.SetReadDeadline(silent) != nil { // also during a close, which has its own bound
 			return
 		}
-		if _, err := c.reader.Peek(1); err != nil {
+		_, err := c.reader.Peek(1)
+		if passedDeadline(err) && time.Now().Before(silent) { // a stop has moved the deadline
+			continue
+		}
+		if err != nil {
 			return
 		}
 		n, _ := c.reader.Discard(c.reader.Buffered()) // no error: these bytes have arrived
