Repeated SIGTERM and SIGINT no longer cut a stop short

Callers lost answers when an instance was asked to stop twice, as process managers and wrappers do: a second SIGTERM or SIGINT was documented to cut off what the first one waits for.

Cause: the second signal ended a context in which the graceful stop ran. Now SIGTERM and SIGINT, in any order and number, only ask for the stop, which drain_timeout bounds; 1160 tells that the stop goes on. SIGQUIT or SIGKILL end the process at once. The second context goes out of cli, instance and supervise; Component.Stop gets one that ends when the time of the component or of the group is up. No other use of it was found. The stand-ins keep their second signal: they are tools of tests.

Tests replaced: supervise.TestStopEndsWithItsLimit gave Stop a context that outlasted the limit and so could not tell a Stop that heeds its time from one that doesn't. It now checks both, also for the component's own time. The tests of instance asked for a second time in order not to wait for the drain; they now have a drain timeout of 0.5 s, and check the same.

--- a/cli/requests.go
+++ b/cli/requests.go
@@ -11,24 +11,17 @@
 )
 
 var eventSignal = event.Define(1160, logrus.InfoLevel, "signal received",
-	"The process acts on a signal. Fields: signal, action.")
-
-// requests are what the signals of the process ask an instance for.
-type requests struct {
-	stop  context.Context // ends with the first SIGTERM or SIGINT
-	abort context.Context // ends with the second one: no more graceful shutdown
-}
+	"The process acts on a signal; a repeated SIGTERM or SIGINT changes nothing. Fields: signal, action.")
 
 // followSignals turns signals, beginning with those that arrived before, into requests until ctx
-// ends. Each is logged. SIGHUP is passed to reload, which holds one value; nil: the instance does
-// not reload settings.
-func followSignals(ctx context.Context, log logrus.FieldLogger, reload chan<- struct{}) requests {
+// ends. Each is logged. The context that it returns ends with the first SIGTERM or SIGINT, which asks
+// for a graceful stop. More of them shorten nothing: process managers and wrappers send them twice. SIGHUP is
+// passed to reload, which holds one value; nil: the instance does not reload settings.
+func followSignals(ctx context.Context, log logrus.FieldLogger, reload chan<- struct{}) context.Context {
 	stop, beginStop := context.WithCancel(ctx)
-	abort, beginAbort := context.WithCancel(ctx)
 	consumer := signals.Consume()
 	go func() {
 		defer beginStop()
-		defer beginAbort()
 		defer consumer.Close()
 		for {
 			select {
@@ -37,17 +30,16 @@
 			case received := <-consumer.HangUps:
 				hangUp(received, reload, log)
 			case received := <-consumer.Stops:
-				if stop.Err() == nil {
-					logSignal(log, received, "stop")
-					beginStop()
-					continue
+				action := "stop"
+				if stop.Err() != nil {
+					action = "none: the stop goes on"
 				}
-				logSignal(log, received, "cut off the calls in flight")
-				beginAbort()
+				logSignal(log, received, action)
+				beginStop()
 			}
 		}
 	}()
-	return requests{stop: stop, abort: abort}
+	return stop
 }
 
 func hangUp(received os.Signal, reload chan<- struct{}, log logrus.FieldLogger) {
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -30,7 +30,7 @@
 func serveCommand(stdout, stderr io.Writer, dial forward.Dial) *urfave.Command {
 	return &urfave.Command{
 		Name:  signals.InstanceCommand,
-		Usage: "run an instance; SIGTERM shuts it down gracefully, a second SIGTERM aborts the requests in flight",
+		Usage: "run an instance; SIGTERM shuts it down gracefully, also if it is repeated; SIGQUIT ends it at once",
 		Flags: []urfave.Flag{
 			&urfave.StringFlag{
 				Name: flagSettings, Usage: "process settings `FILE`", Required: true,
@@ -76,12 +76,11 @@
 	defer cancel()
 	options := instance.Options{Process: process, Log: log, Collectors: sink.Collectors()}
 	if process.Serves == settings.ServesCompletions {
-		asked := followSignals(ctx, log, nil)
-		return instance.Run(asked.stop, asked.abort, options)
+		return instance.Run(followSignals(ctx, log, nil), options)
 	}
 	reload := make(chan struct{}, 1)
-	asked := followSignals(ctx, log, reload)
+	stop := followSignals(ctx, log, reload)
 	options.Dial, options.Adapter = dial, platformAdapter()
 	options.Changes = watchSettings(ctx, file, reload, log)
-	return instance.RunForwarding(asked.stop, asked.abort, options)
+	return instance.RunForwarding(stop, options)
 }
--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -40,9 +40,8 @@
 }
 
 // RunForwarding runs an instance that forwards calls or only takes part in control. When
-// stop is done, the instance shuts down gracefully. The shutdown ends when hardStop is done
-// or the drain timeout of the settings has passed.
-func RunForwarding(stop, hardStop context.Context, options Options) error {
+// stop is done, the instance shuts down gracefully, within the drain timeout of the settings.
+func RunForwarding(stop context.Context, options Options) error {
 	p := options.Process
 	f := &forwarding{
 		options: &options,
@@ -64,7 +63,7 @@
 		start:     f.start,
 		stopLimit: stopLimit(p),
 	}
-	return run.run(stop, hardStop)
+	return run.run(stop)
 }
 
 // start starts the components in phases. Control announces the instance to the others, so it starts
--- a/instance/forwarding_shutdown.go
+++ b/instance/forwarding_shutdown.go
@@ -59,16 +59,15 @@
 }
 
 // drain drains the instance, and lets it take no more calls. Those under way go on until finishLimit, see finish.
-// Draining ends early when abort ends.
-func (f *forwarding) drain(abort context.Context) error {
+func (f *forwarding) drain(ctx context.Context) error {
 	finishBy := time.Now().Add(finishLimit(f.options.Process))
 	announced := make(chan struct{})
 	go func() {
 		defer close(announced)
-		f.announceDraining(abort)
+		f.announceDraining(ctx)
 	}()
 	server := f.server.Load()
-	server.Drain(abort, forward.DrainPlan{MinDuration: minDrain, IdleTime: drainIdle, Limit: drainLimit(f.options.Process)})
+	server.Drain(ctx, forward.DrainPlan{MinDuration: minDrain, IdleTime: drainIdle, Limit: drainLimit(f.options.Process)})
 	server.StopTaking()
 	go func() {
 		defer close(f.finished)
@@ -87,9 +86,9 @@
 }
 
 // leaveAlone announces the stop of an instance that takes no calls.
-func (f *forwarding) leaveAlone(abort context.Context) error {
+func (f *forwarding) leaveAlone(ctx context.Context) error {
 	if !f.takesCalls() {
-		f.announceDraining(abort)
+		f.announceDraining(ctx)
 	}
 	return nil
 }
--- a/instance/life.go
+++ b/instance/life.go
@@ -26,7 +26,7 @@
 
 // run starts the components and stops them when stop is done, or when a component ended without
 // which the instance can't work. The error is why the instance ended without a request.
-func (l *life) run(stop, hardStop context.Context) error {
+func (l *life) run(stop context.Context) error {
 	group := supervise.NewGroup(l.log)
 	running, cancel := group.Until(stop)
 	defer cancel()
@@ -48,7 +48,7 @@
 	}
 	limit, release := context.WithTimeout(context.Background(), l.stopLimit)
 	defer release()
-	unfinished := group.Stop(limit, hardStop)
+	unfinished := group.Stop(limit)
 	l.reportEnd(served, failure, unfinished)
 	return errors.CombineErrors(failure, unfinished)
 }
--- a/instance/life_test.go
+++ b/instance/life_test.go
@@ -32,7 +32,6 @@
 	t         *testing.T
 	lines     chan *logrus.Entry
 	requested context.CancelFunc // asks it to stop
-	abort     context.CancelFunc // asks for the second time
 	result    chan error
 }
 
@@ -51,7 +50,7 @@
 	return runWith(t, RunForwarding, change)
 }
 
-func runWith(t *testing.T, run func(stop, hardStop context.Context, options Options) error, change func(*Options)) *testRun {
+func runWith(t *testing.T, run func(stop context.Context, options Options) error, change func(*Options)) *testRun {
 	t.Helper()
 	r := &testRun{t: t, lines: make(chan *logrus.Entry, 1000), result: make(chan error, 1)}
 	log := logrus.New()
@@ -59,7 +58,7 @@
 	log.AddHook(r)
 	options := Options{
 		Process: &settings.Process{
-			Name: "instance", Serves: settings.ServesForwarding, DrainTimeout: 8 * time.Second,
+			Name: "instance", Serves: settings.ServesForwarding, DrainTimeout: testDrain,
 			Listen: "127.0.0.1:0", ControlListen: "127.0.0.1:0", InstanceKey: "key",
 		},
 		Log: log,
@@ -71,9 +70,8 @@
 	}
 	change(&options)
 	stop, requested := context.WithCancel(t.Context())
-	hardStop, abort := context.WithCancel(t.Context())
-	r.requested, r.abort = requested, abort
-	go func() { r.result <- run(stop, hardStop, options) }()
+	r.requested = requested
+	go func() { r.result <- run(stop, options) }()
 	return r
 }
 
@@ -114,6 +112,9 @@
 	}
 }
 
+// testDrain is short, because the stops wait for it.
+const testDrain = 500 * time.Millisecond
+
 // testTimeout is far longer than what the tests wait for.
 const testTimeout = 20 * time.Second
 
@@ -181,7 +182,6 @@
 	if name := r.await(loggedEnded).Data["component"]; name != "control" {
 		t.Errorf("%v ended", name)
 	}
-	r.abort() // no wait for the end of the drain
 	if end := r.await(loggedStopped); end.Data["reason"] != "failed" || end.Data["exit"] != 1 {
 		t.Errorf("logged %v", end.Data)
 	}
@@ -210,7 +210,6 @@
 	if name := r.await(loggedEnded).Data["component"]; name != "control" {
 		t.Errorf("%v ended", name)
 	}
-	r.abort()
 	if err := r.ends(); !errors.Is(err, errBroken) {
 		t.Errorf("ended with: %v", err)
 	}
@@ -234,7 +233,6 @@
 	}
 	conn.Close()
 	r.requested()
-	r.abort()
 	if err := r.ends(); err != nil {
 		t.Error(err)
 	}
@@ -256,7 +254,6 @@
 				t.Errorf("waits for %v", line.Data)
 			}
 			r.requested()
-			r.abort()
 			if end := r.await(loggedStopped); end.Data["reason"] != "requested" || end.Data["exit"] != 0 {
 				t.Errorf("logged %v", end.Data)
 			}
@@ -281,7 +278,6 @@
 	r := runInstance(t, voter)
 	r.await(loggedNoFolder)
 	r.requested()
-	r.abort()
 	if end := r.await(loggedStopped); end.Data["exit"] != 0 || end.Data["served"] != false {
 		t.Errorf("logged %v", end.Data)
 	}
@@ -289,7 +285,6 @@
 		t.Error(err)
 	}
 	former.requested()
-	former.abort()
 	if err := former.ends(); err != nil {
 		t.Error(err)
 	}
@@ -301,7 +296,6 @@
 	r := runInstance(t, func(o *Options) { o.Process.Metrics = held.Addr().String() })
 	r.await(loggedServing)
 	r.requested()
-	r.abort()
 	if err := r.ends(); err != nil {
 		t.Error(err)
 	}
--- a/instance/run.go
+++ b/instance/run.go
@@ -36,10 +36,9 @@
 	callers callersAddress
 }
 
-// Run runs an instance. When stop is done, the instance shuts down gracefully. The shutdown
-// ends when hardStop is done or the drain timeout of the settings has passed; calls that are
-// still in progress are then cut off.
-func Run(stop, hardStop context.Context, options Options) error {
+// Run runs an instance. When stop is done, the instance shuts down gracefully. Calls that are still
+// in progress when the drain timeout of the settings has passed are cut off.
+func Run(stop context.Context, options Options) error {
 	p := new(*options.Process)
 	options.Process = p
 	applyMemoryBounds(defaultKernelFiles, p.MemoryLimit, options.Log)
@@ -54,7 +53,7 @@
 		start:     c.start,
 		stopLimit: p.DrainTimeout + leaveTimeout + copyTimeout,
 	}
-	return run.run(stop, hardStop)
+	return run.run(stop)
 }
 
 // start serves callers once the control group has confirmed this instance, because its
@@ -125,8 +124,8 @@
 }
 
 // shutDown drains the server.
-func (c *completions) shutDown(abort context.Context) error {
-	bounded, cancel := context.WithTimeout(abort, c.options.Process.DrainTimeout)
+func (c *completions) shutDown(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, c.options.Process.DrainTimeout)
 	defer cancel()
 	return c.server.Shutdown(bounded)
 }
--- a/signals/consumer.go
+++ b/signals/consumer.go
@@ -9,7 +9,7 @@
 // not displace the other, and more have no further effect.
 const (
 	keptHangUps = 1
-	keptStops   = 2 // the second one cuts off what the first one waits for
+	keptStops   = 2 // the second one has no effect, but is logged
 )
 
 // Consumer receives signals until it is closed.
--- a/signals/signals_test.go
+++ b/signals/signals_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against signals that are lost because they arrive before an instance consumes them or
-// after many others, and against one that is delivered twice: a second SIGTERM would cut off calls.
+// after many others, and against one that is delivered twice and logged as a repeated one.
 func TestSignalsBeforeAConsumerAreKept(t *testing.T) {
 	d := newDispatcher()
 	for range 100 {
@@ -24,8 +24,9 @@
 	first.Close()
 	second.Close()
 	d.deliver(syscall.SIGTERM)
+	d.deliver(syscall.SIGINT)
 	expect(t, first)
-	expect(t, d.add(), syscall.SIGTERM)
+	expect(t, d.add(), syscall.SIGTERM, syscall.SIGINT)
 }
 
 func expect(t *testing.T, c *Consumer, want ...os.Signal) {
--- a/supervise/component.go
+++ b/supervise/component.go
@@ -26,7 +26,7 @@
 	// Run works until ctx ends or Stop was called.
 	Run func(ctx context.Context) error
 	// Stop ends the work gracefully before the context of Run is cancelled; nil: there is
-	// nothing to finish. It returns soon after ctx has ended.
+	// nothing to finish. ctx ends when the time for it is up, and Stop returns soon after that.
 	Stop func(ctx context.Context) error
 	// StopTimeout is how long Stop and the end of Run may take; 0: DefaultStopTimeout.
 	StopTimeout time.Duration
--- a/supervise/group.go
+++ b/supervise/group.go
@@ -61,9 +61,9 @@
 func (g *Group) fail(f *Failure) { g.setFail(f) }
 
 // Stop stops the components one after the other, the last one started first, and logs those that
-// don't end in time. Work that is finished gracefully is aborted when abort ends. When limit ends,
-// all that still runs is cancelled at once. The error is that of work that could not be finished.
-func (g *Group) Stop(limit, abort context.Context) error {
+// don't end in time. When limit ends, all that still runs is cancelled at once. The error is that of
+// work that could not be finished.
+func (g *Group) Stop(limit context.Context) error {
 	g.stopping.Store(true)
 	defer g.setFail(nil)
 	cancelAll := context.AfterFunc(limit, func() {
@@ -76,7 +76,7 @@
 	var failures error
 	for i := len(g.members) - 1; i >= 0; i-- {
 		began := time.Now()
-		inTime, err := g.members[i].stop(limit, abort)
+		inTime, err := g.members[i].stop(limit)
 		if !inTime {
 			eventNotEnded.Log(g.log, event.Fields{
 				"component": g.members[i].component.Name, "waited_ms": time.Since(began).Milliseconds(),
--- a/supervise/group_test.go
+++ b/supervise/group_test.go
@@ -74,7 +74,7 @@
 		limit, end := context.WithTimeout(t.Context(), time.Minute)
 		defer end()
 		began := time.Now()
-		if err := group.Stop(limit, t.Context()); err != nil {
+		if err := group.Stop(limit); err != nil {
 			t.Error(err)
 		}
 		if took := time.Since(began); took != DefaultStopTimeout+lastWait {
@@ -115,7 +115,7 @@
 		if group.Failure() != nil {
 			t.Error(group.Failure())
 		}
-		if err := group.Stop(t.Context(), t.Context()); err != nil {
+		if err := group.Stop(t.Context()); err != nil {
 			t.Error(err)
 		}
 		if ends := logged(hook, eventEnded.Number, "error"); !slices.Equal(ends, slices.Repeat([]any{errBroken}, failures)) {
@@ -141,7 +141,7 @@
 		})
 		synctest.Wait()
 		began := time.Now()
-		if err := group.Stop(t.Context(), t.Context()); err != nil || time.Since(began) > 0 {
+		if err := group.Stop(t.Context()); err != nil || time.Since(began) > 0 {
 			t.Errorf("%v after %s", err, time.Since(began))
 		}
 		if lines := hook.AllEntries(); len(lines) > 0 {
@@ -151,36 +151,53 @@
 }
 
 // Guards against a shutdown that a component may delay without end, past the time at which the
-// process is killed.
+// process is killed, and against work that is cut off before its time is up.
 func TestStopEndsWithItsLimit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		group, hook := newTestGroup()
-		var ended endings
-		group.Start(ended.component("first"))
-		group.Start(Component{
-			Name: "drains", StopTimeout: time.Hour,
-			Run: func(ctx context.Context) error {
-				<-ctx.Done()
-				return nil
-			},
-			Stop: func(abort context.Context) error {
-				<-abort.Done()
-				return nil
-			},
+	const limit, hour = time.Second, time.Hour
+	tests := map[string]struct {
+		stopTimeout time.Duration
+		heeds       bool // its Stop returns when its context ends
+		took        time.Duration
+		notEnded    []any
+	}{
+		"heeds the limit of the group": {hour, true, limit, nil},
+		"heeds its own limit":          {limit / 2, true, limit / 2, nil},
+		"heeds none":                   {hour, false, limit + lastWait, []any{"drains"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				group, hook := newTestGroup()
+				var ended endings
+				release := make(chan struct{})
+				group.Start(ended.component("first"))
+				group.Start(Component{
+					Name: "drains", StopTimeout: test.stopTimeout, Run: ended.component("drains").Run,
+					Stop: func(ctx context.Context) error {
+						<-ctx.Done()
+						if !test.heeds {
+							<-release
+						}
+						return nil
+					},
+				})
+				limited, end := context.WithTimeout(t.Context(), limit)
+				defer end()
+				began := time.Now()
+				if err := group.Stop(limited); err != nil {
+					t.Error(err)
+				}
+				if took := time.Since(began); took != test.took {
+					t.Errorf("the stop took %s", took)
+				}
+				if names := logged(hook, eventNotEnded.Number, "component"); !slices.Equal(names, test.notEnded) {
+					t.Errorf("logged as not ended: %v", names)
+				}
+				if want := []string{"drains", "first"}; test.stopTimeout < limit && !slices.Equal(ended.names, want) {
+					t.Errorf("ended %v, want %v", ended.names, want)
+				}
+				close(release)
+			})
 		})
-		limit, end := context.WithTimeout(t.Context(), time.Second)
-		defer end()
-		abort, abortNow := context.WithCancel(t.Context())
-		began := time.Now()
-		if err := group.Stop(limit, abort); err != nil {
-			t.Error(err)
-		}
-		if took := time.Since(began); took != time.Second+lastWait {
-			t.Errorf("the stop took %s", took)
-		}
-		if names := logged(hook, eventNotEnded.Number, "component"); !slices.Equal(names, []any{"drains"}) {
-			t.Errorf("logged as not ended: %v", names)
-		}
-		abortNow()
-	})
+	}
 }
--- a/supervise/member.go
+++ b/supervise/member.go
@@ -74,20 +74,20 @@
 
 // stop asks the component to end and reports whether it did in time. When limit ends, it gets no
 // more time than lastWait.
-func (m *member) stop(limit, abort context.Context) (inTime bool, err error) {
+func (m *member) stop(limit context.Context) (inTime bool, err error) {
 	m.requested.Store(true)
+	own, cancel := context.WithTimeout(limit, m.component.stopTimeout())
+	defer cancel()
 	stopped := make(chan error, 1)
 	go func() {
 		var err error
 		if m.component.Stop != nil {
-			err = m.component.Stop(abort)
+			err = m.component.Stop(own)
 		}
 		m.cancel()
 		<-m.ended
 		stopped <- err
 	}()
-	own, cancel := context.WithTimeout(limit, m.component.stopTimeout())
-	defer cancel()
 	select {
 	case err := <-stopped:
 		return true, err
