--- a/signals/signals_test.go
+++ b/signals/signals_test.go
@@ -24,8 +24,9 @@
 	first.Close()
 	second.Close()
 	d.deliver(syscall.SIGTERM)
+	d.deliver(syscall.SIGINT)
 	expect(t, first)
-	expect(t, d.add(), syscall.SIGTERM)
+	expect(t, d.add(), syscall.SIGTERM, syscall.SIGINT)
 }
 
 func expect(t *testing.T, c *Consumer, want ...os.Signal) {
