--- a/instance/forwarding_shutdown.go
+++ b/instance/forwarding_shutdown.go
@@ -38,9 +38,10 @@
 	return p.DrainTimeout - reserve(p, leaveReserve+exitReserve)
 }
 
-// finishLimit is how long calls that are under way may take.
+// finishLimit is how long calls that are under way may take. Callers that still send use up CloseGrace after it, and a busy
+// machine may need more than exitReserve for the end of the process.
 func finishLimit(p *settings.Process) time.Duration {
-	return stopLimit(p) - min(forward.CloseGrace, reserve(p, closeReserve+leaveReserve))
+	return stopLimit(p) - min(forward.CloseGrace+exitReserve, reserve(p, closeReserve+leaveReserve))
 }
 
 // stopLimit is how long the whole stop may take.
