forward: an instance that has announced its leave finishes the calls of others

Callers of an instance that reaches no upstream got 502 or a cut stream while the instance that handled their calls stopped.

Cause: since calls under way go on up to 0.45 s longer than the handler's membership and its control listener. An instance that waits for an answer checks a silent handler every 0.6 s. One that refuses connections counts as ended unless the view says that it is draining, and one that has left is not in the view.

Now the reader of the answer remembers that its handler has announced its leave. If the process does end, its connections do too.

TestCallsOutlastAHandlerThatHasLeft fails without the change in 18 of 18 cases (502 or a cut stream after 1.25 to 1.43 s, or a second run) and passes with it. TestCallsLeaveAnEndedHandler and TestCallsOutlastASilentHandler pass as before.

--- a/forward/peer_reader.go
+++ b/forward/peer_reader.go
@@ -31,6 +31,9 @@
 	t       *transitSend
 	check   <-chan struct{} // closed when the check that runs has ended; nil if none runs
 	retryAt time.Time       // when to try again to leave an instance that trickles
+	// leaving is set once the instance has announced that it leaves. It finishes the call although it may have left since
+	// and take no connection any more.
+	leaving bool
 }
 
 // Read implements io.Reader.
@@ -45,6 +48,7 @@
 	if r.leavesTrickle(now) {
 		return 0, errPeerTrickled
 	}
+	r.isLeaving()
 	r.check = nil
 	for wait := minSilenceTimeout; ; {
 		if err := t.conn.SetReadDeadline(earlier(t.x.deadline, time.Now().Add(wait))); err != nil {
@@ -66,7 +70,7 @@
 // act begins a check or acts on the result of one. It returns how long to read before the next one,
 // or an error that ends the send.
 func (r *peerReader) act() (time.Duration, error) {
-	t := r.t
+	t, leaving := r.t, r.isLeaving()
 	pool, address := t.x.server.fleet.transits, t.peer.ControlAddress
 	if r.check == nil {
 		r.check = pool.Check(address)
@@ -77,7 +81,7 @@
 	default:
 		return contactPollInterval, nil
 	}
-	contact := pool.Contact(time.Now(), address, t.x.server.isLeaving(t.peer.Name))
+	contact := pool.Contact(time.Now(), address, leaving)
 	switch t.x.responseTo(contact).Action {
 	case failover.End:
 		return r.end(errPeerEnded)
@@ -98,6 +102,11 @@
 	return recheckInterval, nil
 }
 
+func (r *peerReader) isLeaving() bool {
+	r.leaving = r.leaving || r.t.x.server.isLeaving(r.t.peer.Name)
+	return r.leaving
+}
+
 // leavesTrickle reports whether the call goes on elsewhere because its instance sends bytes that have completed no part
 // of the answer for longer than a sound one is silent, or than the answer may take to begin.
 func (r *peerReader) leavesTrickle(now time.Time) bool {
