Answers give the memory of what their callers have read back, and short ones have a part of their own

Cause: an answer that is read as a whole held all its memory until its caller had read the last byte of it, up to 30 s, and a copy of it beside. The long answers that waited for that memory held all the rest in parts. Only messages up to 64 KB had memory set aside.

Change: such an answer is kept in pieces of up to 64 KB (httpwire.Body.ReadPieces); delivery.Writer.Pieces writes them without a copy of the whole, and each gives its memory back when it has been written. bytebudget.Pool has a quarter more for messages up to 1 MB and for the first 64 KB of others, and still grants memory only if all messages that hold some can be read to their ends one after the other. A message that has been read to its end is no longer counted with more than it holds.

Tests: TestMessagesNeverWaitForEachOther also plays pools with short and long messages, claims that are used again and receivers that read. TestSmallMessagesNeedNoPartOfTheLargeOnes asserted that a message of 64 KB and a byte gets nothing of a full pool; that one now has the part for short messages, so the bound is asserted for a long message, and that of the new part in TestShortMessagesNeedNoPartOfTheLongOnes.

--- a/bytebudget/pool.go
+++ b/bytebudget/pool.go
@@ -14,15 +14,23 @@
 	beginning = 4 << 10
 	// setAsidePart is that part as a divisor of the rest of the pool, to which it is added.
 	setAsidePart = 16
+
+	// ShortMessage is the size in bytes up to which a message as a whole may use the part of a pool for short ones. The
+	// beginning of any other message may up to SmallMessage, because it may end there if its length is not known.
+	ShortMessage = 1 << 20
+	// shortPart is that part as a divisor of the rest of the pool, to which it is added.
+	shortPart = 4
 )
 
 // Pool bounds the bytes of messages that wait for memory while they already hold some. It grants memory only as
 // long as the messages that hold some can all be read to their ends, in some order, so that they never wait for each
-// other. It is safe for concurrent use.
+// other. A part is for short messages only: long ones may hold theirs for as long as their receivers take. It is safe
+// for concurrent use.
 type Pool struct {
 	mu       sync.Mutex
 	size     int64
 	free     int64
+	short    int64 // free bytes of the part for short messages
 	setAside int64
 	claims   map[*Claim]struct{} // that hold memory
 	waiting  []*waiter
@@ -35,12 +43,12 @@
 	granted chan struct{} // closed when they are granted
 }
 
-// NewPool returns a pool of size bytes, and a part more for small messages.
+// NewPool returns a pool of size bytes, and parts more for short and small messages.
 func NewPool(size int64) *Pool {
-	return &Pool{size: size, free: size, setAside: size / setAsidePart, claims: map[*Claim]struct{}{}}
+	return &Pool{size: size, free: size, short: size / shortPart, setAside: size / setAsidePart, claims: map[*Claim]struct{}{}}
 }
 
-// Free returns the number of bytes that are not granted, without those that are set aside.
+// Free returns the number of bytes that are not granted, without those for short and small messages.
 func (p *Pool) Free() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -51,7 +59,8 @@
 type Claim struct {
 	pool       *Pool
 	most, held int64
-	setAside   int64
+	short      int64 // held of the part for short messages
+	setAside   int64 // held of the part that is set aside
 }
 
 // Claim returns the claim of a message that needs most bytes at most. It holds nothing yet.
@@ -98,33 +107,47 @@
 	return at >= 0
 }
 
-// Release gives back everything that is reserved.
+// Release gives back everything that is reserved. The claim may be used for another message.
 func (c *Claim) Release() {
-	p := c.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if c.held == 0 && c.setAside == 0 {
-		return
-	}
-	p.move(c, -c.held)
-	p.setAside += c.setAside
-	c.setAside = 0
-	p.serve()
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.giveBack(c.total())
+	c.pool.serve()
+}
+
+// Return gives back n bytes, or all that is reserved if that is less, of a message that has been read to its end.
+func (c *Claim) Return(n int64) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.giveBack(min(n, c.total()))
+	c.most = c.total()
+	c.pool.serve()
+}
+
+// giveBack gives back n bytes. The lock must be held.
+func (c *Claim) giveBack(n int64) {
+	small := min(n, c.setAside)
+	short := min(n-small, c.short)
+	c.setAside -= small
+	c.pool.setAside += small
+	c.pool.moveShort(c, -short)
+	c.pool.move(c, -(n - small - short))
 }
 
 // serve grants what claims wait for: first to those that hold least, so that new messages don't wait for long ones,
-// then to those that miss least. The lock must be held.
+// then to those that miss least. Short messages overtake long ones. The lock must be held.
 func (p *Pool) serve() {
-	full := false
-	p.serveBy(func(c *Claim) int64 { return c.held }, func(w *waiter) bool {
-		granted := (!full || w.claim.most <= SmallMessage) && p.grant(w.claim, w.n)
-		full = full || !granted
+	full := map[bool]bool{} // whether a short or a long message waits on
+	p.serveBy((*Claim).total, func(w *waiter) bool {
+		granted := (!full[w.claim.isShort()] || w.claim.most <= SmallMessage) && p.grant(w.claim, w.n)
+		full[w.claim.isShort()] = full[w.claim.isShort()] || !granted
 		return granted
 	})
-	full = false
+	clear(full)
 	p.serveBy((*Claim).missing, func(w *waiter) bool {
-		full = full || !p.grant(w.claim, w.n)
-		return !full
+		granted := !full[w.claim.isShort()] && p.grant(w.claim, w.n)
+		full[w.claim.isShort()] = !granted
+		return granted
 	})
 }
 
@@ -143,14 +166,11 @@
 
 // grant reserves n more bytes for a claim and reports whether that is possible now. The lock must be held.
 func (p *Pool) grant(c *Claim, n int64) bool {
-	if n <= p.free {
-		p.move(c, n)
-		if p.completable() {
-			return true
-		}
-		p.move(c, -n)
+	fromShort := func() bool { return n <= p.short && c.mayUseShort(n) && p.grantSafely(c, n, p.moveShort) }
+	if c.isShort() && fromShort() || n <= p.free && p.grantSafely(c, n, p.move) || !c.isShort() && fromShort() {
+		return true
 	}
-	if n > p.setAside || c.most > SmallMessage && c.held+c.setAside+n > beginning {
+	if n > p.setAside || c.most > SmallMessage && c.total()+n > beginning {
 		return false
 	}
 	p.setAside -= n
@@ -158,11 +178,33 @@
 	return true
 }
 
+// grantSafely grants n bytes with a function if all messages can be read to their ends afterwards. The lock must be held.
+func (p *Pool) grantSafely(c *Claim, n int64, move func(c *Claim, n int64)) bool {
+	move(c, n)
+	if p.completable() {
+		return true
+	}
+	move(c, -n)
+	return false
+}
+
 // move grants n bytes to a claim, or takes them back if n is negative. The lock must be held.
 func (p *Pool) move(c *Claim, n int64) {
 	c.held += n
 	p.free -= n
-	if c.held > 0 {
+	p.note(c)
+}
+
+// moveShort does what move does with the part for short messages.
+func (p *Pool) moveShort(c *Claim, n int64) {
+	c.short += n
+	p.short -= n
+	p.note(c)
+}
+
+// note keeps the claims that hold memory which others may wait for.
+func (p *Pool) note(c *Claim) {
+	if c.held+c.short > 0 {
 		p.claims[c] = struct{}{}
 	} else {
 		delete(p.claims, c)
@@ -172,19 +214,39 @@
 // completable reports whether all messages that hold memory can get the rest of what they may need, one after the
 // other. The lock must be held.
 func (p *Pool) completable() bool {
-	claims := make([]*Claim, 0, len(p.claims))
+	var short, long []*Claim
 	for c := range p.claims {
-		claims = append(claims, c)
+		if c.isShort() {
+			short = append(short, c)
+		} else {
+			long = append(long, c)
+		}
 	}
-	slices.SortFunc(claims, func(a, b *Claim) int { return cmp.Compare(a.missing(), b.missing()) })
-	free := p.free
-	for _, c := range claims {
-		if c.missing() > free {
+	byMissing := func(a, b *Claim) int { return cmp.Compare(a.missing(), b.missing()) }
+	slices.SortFunc(short, byMissing)
+	slices.SortFunc(long, byMissing)
+	free, freeShort := p.free, p.short
+	for len(short)+len(long) > 0 {
+		var next *Claim
+		switch {
+		case len(short) > 0 && short[0].missing() <= max(free, freeShort):
+			next, short = short[0], short[1:]
+		case len(long) > 0 && long[0].missing() <= free:
+			next, long = long[0], long[1:]
+		default:
 			return false
 		}
-		free += c.held
+		free += next.held
+		freeShort += next.short
 	}
 	return true
 }
 
-func (c *Claim) missing() int64 { return max(0, c.most-c.held-c.setAside) }
+func (c *Claim) isShort() bool { return c.most <= ShortMessage }
+
+// mayUseShort reports whether n more bytes may come from the part for short messages.
+func (c *Claim) mayUseShort(n int64) bool { return c.isShort() || c.total()+n <= SmallMessage }
+
+func (c *Claim) total() int64 { return c.held + c.short + c.setAside }
+
+func (c *Claim) missing() int64 { return max(0, c.most-c.total()) }
--- a/bytebudget/pool_test.go
+++ b/bytebudget/pool_test.go
@@ -11,9 +11,12 @@
 
 // Guards against messages that hold memory and wait for each other without end.
 func TestMessagesNeverWaitForEachOther(t *testing.T) {
-	for seed := range uint64(100) {
+	for seed := range uint64(200) {
 		synctest.Test(t, func(t *testing.T) {
-			const size = 1000 << 10
+			size := int64(1000 << 10)
+			if seed >= 100 {
+				size = 5 * ShortMessage
+			}
 			random := rand.New(rand.NewPCG(seed, 1))
 			p := NewPool(size)
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -24,18 +27,25 @@
 				claim, needs, pause := p.Claim(most), 1+random.Int64N(most), time.Duration(random.Int64N(int64(time.Millisecond)))
 				reading.Go(func() {
 					defer claim.Release()
-					for held := int64(0); held < needs; time.Sleep(pause) {
-						n := min(needs-held, max(100, held))
-						if err := claim.Await(ctx, n); err != nil {
-							t.Errorf("seed %d: a message of %d bytes waits for %d with %d: %v", seed, needs, n, held, err)
-							return
+					for range 2 {
+						claim.Release() // claims are used again
+						for held := int64(0); held < needs; time.Sleep(pause) {
+							n := min(needs-held, max(100, held))
+							if err := claim.Await(ctx, n); err != nil {
+								t.Errorf("seed %d: a message of %d bytes waits for %d with %d: %v", seed, needs, n, held, err)
+								return
+							}
+							held += n
 						}
-						held += n
+					}
+					for range 4 { // its receiver reads
+						claim.Return(needs / 4)
+						time.Sleep(pause)
 					}
 				})
 			}
 			reading.Wait()
-			if p.Free() != size || p.setAside != size/setAsidePart || len(p.waiting) > 0 {
+			if p.Free() != size || p.short != size/shortPart || p.setAside != size/setAsidePart || len(p.waiting) > 0 {
 				t.Errorf("seed %d: %d and %d bytes are free at the end, %d wait", seed, p.Free(), p.setAside, len(p.waiting))
 			}
 		})
@@ -58,7 +68,38 @@
 	if p.enter(p.Claim(size/2), beginning) != nil {
 		t.Error("the beginning of a message waits")
 	}
-	if p.enter(p.Claim(SmallMessage+1), beginning+1) == nil {
+	if p.enter(p.Claim(size/2), SmallMessage+1) == nil {
 		t.Error("memory is granted beyond the bound")
 	}
 }
+
+// Guards against short messages that wait for long ones that hold all the rest, and against ones that hold all that is left.
+func TestShortMessagesNeedNoPartOfTheLongOnes(t *testing.T) {
+	const size = 16 << 20
+	p := NewPool(size)
+	long := p.Claim(size)
+	if p.enter(long, size) != nil {
+		t.Fatal("a long message does not fit")
+	}
+	for n := range int64(size / shortPart / ShortMessage) {
+		if p.enter(p.Claim(ShortMessage), ShortMessage) != nil {
+			t.Errorf("%d short messages, the next one waits", n)
+		}
+	}
+	more := p.enter(p.Claim(ShortMessage), SmallMessage+1)
+	if more == nil {
+		t.Error("memory is granted beyond the bound")
+	}
+	if p.enter(p.Claim(SmallMessage), SmallMessage) != nil {
+		t.Error("a small message waits")
+	}
+	long.Return(SmallMessage + 1)
+	select {
+	case <-more.granted:
+	default:
+		t.Error("what a message no longer needs is not granted")
+	}
+	if long.Release(); p.Free() != size-SmallMessage-1 {
+		t.Errorf("%d bytes are free", p.Free())
+	}
+}
--- a/delivery/writer.go
+++ b/delivery/writer.go
@@ -64,6 +64,40 @@
 	w.ended = w.failure == nil
 }
 
+// Pieces writes a complete answer with its body in pieces. Each piece is dropped, and written called with its length,
+// when it has been written: callers may read for longer than an upstream takes for the whole answer.
+func (w *Writer) Pieces(head *httpwire.ResponseHead, pieces [][]byte, written func(n int64)) {
+	length := int64(0)
+	for _, piece := range pieces {
+		length += int64(len(piece))
+	}
+	head.Body = httpwire.Framing{Kind: httpwire.Sized, Length: length}
+	w.stateEnd(head)
+	w.buffer = head.Append(w.buffer[:0])
+	if w.Method == http.MethodHead {
+		pieces = nil
+	}
+	until, waiting := time.Now().Add(Timeout), int64(0)
+	for at, piece := range pieces {
+		w.buffer = append(w.buffer, piece...)
+		waiting += int64(len(piece))
+		pieces[at] = nil
+		if at == len(pieces)-1 || len(w.buffer) < minWrite {
+			continue // the last part is written below
+		}
+		if w.flushBy(until); w.failure != nil {
+			return
+		}
+		written(waiting)
+		waiting = 0
+	}
+	w.flushBy(until)
+	w.ended = w.failure == nil
+}
+
+// minWrite is the size in bytes from which a part of an answer is written.
+const minWrite = 64 << 10
+
 // Begin prepares the head of a chunked answer; it is sent with the first part.
 func (w *Writer) Begin(head *httpwire.ResponseHead) {
 	head.Body = httpwire.Framing{Kind: httpwire.Chunked}
@@ -106,17 +140,19 @@
 	return w.Close
 }
 
-func (w *Writer) flush() {
+func (w *Writer) flush() { w.flushBy(time.Now().Add(Timeout)) }
+
+// flushBy writes what is buffered, until a time at most.
+func (w *Writer) flushBy(until time.Time) {
 	if w.failure == nil {
-		w.failure = w.deliver(w.buffer)
+		w.failure = w.deliver(w.buffer, until)
 	}
 	w.begun = true
 	w.buffer = w.buffer[:0]
 }
 
-// deliver writes data for as long as the caller keeps reading some of it.
-func (w *Writer) deliver(data []byte) error {
-	until := time.Now().Add(Timeout)
+// deliver writes data for as long as the caller keeps reading some of it, until a time at most.
+func (w *Writer) deliver(data []byte, until time.Time) error {
 	for {
 		if err := w.Conn.SetWriteDeadline(timeOut(until, time.Now())); err != nil {
 			return err
--- a/delivery/writer_test.go
+++ b/delivery/writer_test.go
@@ -1,9 +1,12 @@
 package delivery
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,10 +23,16 @@
 		size      int
 		whole     bool
 		within    time.Duration
+		pieces    bool
 	}{
-		"reads slowly":            {perSecond, 20 * perSecond, true, 22 * time.Second},
-		"reads nothing":           {0, 20 * perSecond, false, WriteTimeout},
-		"reads too slowly at all": {perSecond, 60 * perSecond, false, Timeout},
+		"reads slowly":                      {perSecond, 20 * perSecond, true, 22 * time.Second, false},
+		"reads nothing":                     {0, 20 * perSecond, false, WriteTimeout, false},
+		"reads too slowly at all":           {perSecond, 60 * perSecond, false, Timeout, false},
+		"pieces, reads slowly":              {20 * perSecond, 400 * perSecond, true, 22 * time.Second, true},
+		"pieces, reads nothing":             {0, 400 * perSecond, false, WriteTimeout, true},
+		"pieces, reads too slowly at all":   {10 * perSecond, 600 * perSecond, false, Timeout, true},
+		"small pieces, reads too slowly":    {perSecond, 60 * perSecond, false, Timeout, true},
+		"small pieces, reads slowly enough": {perSecond, 20 * perSecond, true, 22 * time.Second, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -43,7 +52,11 @@
 				}()
 				w := &Writer{Conn: conn}
 				began := time.Now()
-				w.Whole(&httpwire.ResponseHead{Status: 200}, make([]byte, c.size))
+				if c.pieces {
+					w.Pieces(&httpwire.ResponseHead{Status: 200}, slices.Collect(slices.Chunk(make([]byte, c.size), c.size/4)), func(int64) {})
+				} else {
+					w.Whole(&httpwire.ResponseHead{Status: 200}, make([]byte, c.size))
+				}
 				took := time.Since(began)
 				conn.Close()
 				if got := <-read; w.ended != c.whole || c.whole && got < c.size || took > c.within {
@@ -77,3 +90,40 @@
 		}
 	}
 }
+
+// Guards against an answer that holds all its memory until its caller has read the last of it, or gives back what is not
+// written yet.
+func TestWrittenPiecesGiveTheirMemoryBack(t *testing.T) {
+	const pieces, size = 8, minWrite
+	caller, conn := net.Pipe()
+	defer caller.Close()
+	body, reader := make([][]byte, pieces), bufio.NewReader(caller)
+	for at := range body {
+		body[at] = bytes.Repeat([]byte{'0' + byte(at)}, size)
+	}
+	returned, done := make(chan int64, pieces), make(chan struct{})
+	w := &Writer{Conn: conn}
+	go func() {
+		defer close(done)
+		w.Pieces(&httpwire.ResponseHead{Status: 200}, body, func(n int64) { returned <- n })
+	}()
+	head, err := httpwire.ReadResponseHead(reader, 1<<10, http.MethodPost)
+	if err != nil || head.Body != (httpwire.Framing{Kind: httpwire.Sized, Length: pieces * size}) {
+		t.Fatalf("%+v, %v", head, err)
+	}
+	for at := range pieces {
+		got := make([]byte, size)
+		if _, err := io.ReadFull(reader, got); err != nil || !bytes.Equal(got, bytes.Repeat([]byte{'0' + byte(at)}, size)) {
+			t.Fatalf("piece %d: %v", at, err)
+		}
+		if at == pieces-1 {
+			break // its memory goes with the end of the call
+		}
+		if n := <-returned; n != size || body[at] != nil || at+2 < pieces && body[at+2] == nil {
+			t.Errorf("piece %d: %d bytes returned, dropped %t", at, n, body[at] == nil)
+		}
+	}
+	if <-done; !w.Complete() || len(returned) > 0 {
+		t.Errorf("complete %t", w.Complete())
+	}
+}
--- a/forward/send.go
+++ b/forward/send.go
@@ -240,7 +240,7 @@
 	defer held.Release()
 	ctx, cancel := context.WithDeadline(ctx, s.x.deadline)
 	defer cancel()
-	body, err := s.wholeBody(head).ReadAllReserving(maxWholeAnswerBytes, s.x.awaitRoom(ctx, held))
+	body, err := s.wholeBody(head).ReadPieces(maxWholeAnswerBytes, s.x.awaitRoom(ctx, held))
 	if err == nil {
 		err = s.verifyEnd(ctx, head)
 	}
@@ -251,7 +251,7 @@
 	x := s.x
 	x.server.fleet.recordAnswer(s.node)
 	x.firstAt = time.Now()
-	x.writer.Whole(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()}, body)
+	x.writer.Pieces(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()}, body, held.Return)
 	x.server.options.Metrics.Sent(x.service.Name, verdict.Ran.String())
 	return &outcome{verdict: verdict.Ran, reached: true}
 }
--- a/forward/transit_answer.go
+++ b/forward/transit_answer.go
@@ -18,13 +18,13 @@
 	defer held.Release()
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	body, err := t.body(head, reader).ReadAllReserving(maxWholeAnswerBytes, x.awaitRoom(ctx, held))
+	body, err := t.body(head, reader).ReadPieces(maxWholeAnswerBytes, x.awaitRoom(ctx, held))
 	if err != nil {
 		return t.broken(err)
 	}
 	t.clean = !head.Close && reader.Buffered() == 0
 	x.firstAt = time.Now()
-	x.writer.Whole(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()}, body)
+	x.writer.Pieces(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()}, body, held.Return)
 	return &outcome{verdict: verdict.Ran, reached: true}
 }
 
--- a/httpwire/body.go
+++ b/httpwire/body.go
@@ -240,6 +240,41 @@
 	return all, b.expectEnd()
 }
 
+// maxPiece is the largest piece of a body that is read in pieces.
+const maxPiece = 64 << 10
+
+// ReadPieces is like ReadAllReserving, but returns the body in pieces of at most 64 KB, the memory of which can be given
+// back one by one.
+func (b *Body) ReadPieces(limit int64, reserve func(n int64) error) ([][]byte, error) {
+	if b.framing.Kind == Sized && b.framing.Length > limit {
+		return nil, tooLarge()
+	}
+	most := limit
+	if b.framing.Kind == Sized {
+		most = b.framing.Length
+	}
+	var pieces [][]byte
+	for all := int64(0); all < most; {
+		size := min(most-all, max(firstRead, all), maxPiece)
+		if err := reserve(size); err != nil {
+			return nil, err
+		}
+		piece := make([]byte, size)
+		n, _ := io.ReadFull(b, piece) // a failure is kept in b.err, also one beside the last byte
+		if n > 0 {
+			pieces = append(pieces, piece[:n])
+			all += int64(n)
+		}
+		if b.Complete() {
+			return pieces, nil
+		}
+		if b.err != nil {
+			return nil, b.err
+		}
+	}
+	return pieces, b.expectEnd()
+}
+
 // expectEnd returns an error unless the body, whose data has reached its limit, ends here.
 func (b *Body) expectEnd() error {
 	if b.framing.Kind == Sized {
