A stop with a short drain timeout announces and leaves within it

What was seen: an instance with a drain timeout of 0.5 s that reaches no control group logged event 1122 ("report it as a bug") for its control component and ended 18 ms late.

Cause: the announcement of the stop and the leave were bounded by 1 and 0.3 s whatever the drain timeout is.

Change: the announcement takes no longer than draining may, the leave at most half of what is left after it. With 8 s both stay as they were.

--- a/instance/forwarding.go
+++ b/instance/forwarding.go
@@ -157,7 +157,7 @@
 		Listener:    listener,
 		Connections: f.limits.Control,
 		Parse:       adapter.Parse,
-		Timing:      forwardingTiming(),
+		Timing:      forwardingTiming(p),
 		Heal:        heal,
 		FanOut:      true,
 		Transit:     transitHandler,
@@ -215,11 +215,11 @@
 // instance that stopped more than two seconds ago. A majority confirms reads and changes, so
 // a short election timeout costs no more than an occasional additional election, while each
 // second without a leader is a second of outdated settings.
-func forwardingTiming() control.Timing {
+func forwardingTiming(p *settings.Process) control.Timing {
 	timing := control.DefaultTiming()
 	timing.Membership = membership.Timing{Lease: 1500 * time.Millisecond, Margin: 500 * time.Millisecond, Retention: 10 * time.Minute}
 	timing.Consensus = consensus.Timing{Heartbeat: 100 * time.Millisecond, ElectionMin: 600 * time.Millisecond, Lease: 450 * time.Millisecond}
-	timing.Leave = 300 * time.Millisecond // leaving and draining have to end before the process is killed
+	timing.Leave = leaveLimit(p)
 	timing.Call = 900 * time.Millisecond
 	timing.Fresh = 5 * time.Second // an announcement passes through an instance and two voters before it reaches the others
 	return timing
--- a/instance/forwarding_shutdown.go
+++ b/instance/forwarding_shutdown.go
@@ -24,6 +24,8 @@
 	// minDrain is the minimum duration of draining: callers may use a list of addresses
 	// for this long after they received it.
 	minDrain = directoryCacheTime + 300*time.Millisecond
+	// maxLeave bounds leaving the control group.
+	maxLeave = 300 * time.Millisecond
 	// announceTimeout limits the announcement to the control group that this instance stops.
 	announceTimeout = time.Second
 )
@@ -44,6 +46,12 @@
 	return stopLimit(p) - min(forward.CloseGrace+exitReserve, reserve(p, closeReserve+leaveReserve))
 }
 
+// leaveLimit is how long leaving the control group may take: at most half of what is left after draining, because the
+// calls of other instances are finished after it.
+func leaveLimit(p *settings.Process) time.Duration {
+	return min(maxLeave, reserve(p, closeReserve+leaveReserve)/2)
+}
+
 // stopLimit is how long the whole stop may take.
 func stopLimit(p *settings.Process) time.Duration {
 	return p.DrainTimeout - reserve(p, exitReserve)
@@ -101,7 +109,7 @@
 // announceDraining notifies the control group that this instance stops. It returns when ctx or
 // announceTimeout ends even if control is stuck, in a write to its disk for instance.
 func (f *forwarding) announceDraining(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, min(announceTimeout, drainLimit(f.options.Process)))
 	defer cancel()
 	_, err := construct(ctx, func() (struct{}, error) { return struct{}{}, f.node.Drain(ctx) })
 	if err != nil {
--- a/instance/life_test.go
+++ b/instance/life_test.go
@@ -21,6 +21,7 @@
 	loggedServing    = 1100
 	loggedStopped    = 1102
 	loggedEnded      = 1120
+	loggedNotEnded   = 1122
 	loggedNotStarted = 1124
 	loggedReopened   = 1121
 	loggedNotFree    = 1140
