--- a/delivery/writer.go
+++ b/delivery/writer.go
@@ -17,16 +17,18 @@
 
 // Writer writes the answer of one call.
 type Writer struct {
-	Conn    net.Conn
-	Method  string        // of the call
-	Close   bool          // close the connection after the answer
-	Ending  func() bool   // reports, when the head is written, whether the connection has to be closed; nil: it has not
-	IdleFor time.Duration // for which the connection may be idle after the answer; stated to the caller in whole seconds; less than one: not stated
-	buffer  []byte
-	begun   bool
-	noBody  bool  // no byte may follow the head
-	ended   bool  // the answer was written completely
-	failure error // first write error of the connection
+	Conn     net.Conn
+	Method   string        // of the call
+	Close    bool          // close the connection after the answer
+	Ending   func() bool   // reports, when the head is written, whether the connection has to be closed; nil: it has not
+	Old      bool          // the caller understands no chunks: an answer without a length ends with the connection
+	IdleFor  time.Duration // for which the connection may be idle after the answer; stated to the caller in whole seconds; less than one: not stated
+	buffer   []byte
+	begun    bool
+	noBody   bool  // no byte may follow the head
+	unframed bool  // the answer ends with the connection
+	ended    bool  // the answer was written completely
+	failure  error // first write error of the connection
 }
 
 // Begun reports whether the caller may have received a part of the answer.
@@ -98,9 +100,12 @@
 // minWrite is the size in bytes from which a part of an answer is written.
 const minWrite = 64 << 10
 
-// Begin prepares the head of a chunked answer; it is sent with the first part.
+// Begin prepares the head of an answer in parts; it is sent with the first one.
 func (w *Writer) Begin(head *httpwire.ResponseHead) {
 	head.Body = httpwire.Framing{Kind: httpwire.Chunked}
+	if w.unframed = w.Old; w.unframed {
+		head.Body, w.Close = httpwire.Framing{Kind: httpwire.UntilClose}, true
+	}
 	w.noBody = w.Method == http.MethodHead
 	if head.Status == http.StatusNoContent || head.Status == http.StatusNotModified {
 		w.noBody, head.Body = true, httpwire.Framing{}
@@ -110,15 +115,20 @@
 	w.begun = true
 }
 
-// Part writes one part of a chunked answer.
+// Part writes one part of an answer.
 func (w *Writer) Part(data []byte) {
-	w.buffer = httpwire.AppendChunk(w.buffer, data)
+	if w.unframed {
+		w.buffer = append(w.buffer, data...)
+	} else {
+		w.buffer = httpwire.AppendChunk(w.buffer, data)
+	}
 	w.flush()
 }
 
-// End completes a chunked answer. Without it the caller can tell that the answer is truncated.
+// End completes an answer in parts. Without it the caller can tell that the answer is truncated, if
+// the connection of one that understands no chunks is reset then.
 func (w *Writer) End() {
-	if !w.noBody { // the caller would take it for a part of the next answer
+	if !w.noBody && !w.unframed { // the caller would take it for a part of the next answer
 		w.buffer = append(w.buffer, httpwire.LastChunk...)
 	}
 	w.flush()
@@ -144,7 +154,7 @@
 
 // flushBy writes what is buffered, until a time at most.
 func (w *Writer) flushBy(until time.Time) {
-	if w.failure == nil {
+	if w.failure == nil && len(w.buffer) > 0 {
 		w.failure = w.deliver(w.buffer, until)
 	}
 	w.begun = true
