bytebudget: beginnings of long messages leave half of the part for short ones to these

What callers saw: beside 80 callers that read answers of 7 MB at 0.3 MB/s, others waited for answers of 0.2 MB for over 2 s, as before.

Cause: a long message may hold up to 64 KB of the part for short messages while it waits for the rest. 61 that waited for slow readers held all of it.

Change: all long messages together use at most half of that part. Whether a message is long is fixed when it begins, so that what it holds is counted until it gives it back.

--- a/bytebudget/pool.go
+++ b/bytebudget/pool.go
@@ -20,6 +20,8 @@
 	ShortMessage = 1 << 20
 	// shortPart is that part as a divisor of the rest of the pool, to which it is added.
 	shortPart = 4
+	// beginningsPart is how much of that part the beginnings of other messages may use together, as a divisor.
+	beginningsPart = 2
 )
 
 // Pool bounds the bytes of messages that wait for memory while they already hold some. It grants memory only as
@@ -31,6 +33,7 @@
 	size     int64
 	free     int64
 	short    int64 // free bytes of the part for short messages
+	begun    int64 // bytes of that part that long messages hold
 	setAside int64
 	claims   map[*Claim]struct{} // that hold memory
 	waiting  []*waiter
@@ -58,13 +61,16 @@
 // Claim is what one message may need and what it holds of a pool. It is not safe for concurrent use.
 type Claim struct {
 	pool       *Pool
+	long       bool
 	most, held int64
 	short      int64 // held of the part for short messages
 	setAside   int64 // held of the part that is set aside
 }
 
 // Claim returns the claim of a message that needs most bytes at most. It holds nothing yet.
-func (p *Pool) Claim(most int64) *Claim { return &Claim{pool: p, most: min(most, p.size)} }
+func (p *Pool) Claim(most int64) *Claim {
+	return &Claim{pool: p, long: most > ShortMessage, most: min(most, p.size)}
+}
 
 // Await reserves n more bytes. It waits for them until ctx ends.
 func (c *Claim) Await(ctx context.Context, n int64) error {
@@ -137,16 +143,16 @@
 // serve grants what claims wait for: first to those that hold least, so that new messages don't wait for long ones,
 // then to those that miss least. Short messages overtake long ones. The lock must be held.
 func (p *Pool) serve() {
-	full := map[bool]bool{} // whether a short or a long message waits on
+	full := map[bool]bool{} // whether a long or a short message waits on
 	p.serveBy((*Claim).total, func(w *waiter) bool {
-		granted := (!full[w.claim.isShort()] || w.claim.most <= SmallMessage) && p.grant(w.claim, w.n)
-		full[w.claim.isShort()] = full[w.claim.isShort()] || !granted
+		granted := (!full[w.claim.long] || w.claim.most <= SmallMessage) && p.grant(w.claim, w.n)
+		full[w.claim.long] = full[w.claim.long] || !granted
 		return granted
 	})
 	clear(full)
 	p.serveBy((*Claim).missing, func(w *waiter) bool {
-		granted := !full[w.claim.isShort()] && p.grant(w.claim, w.n)
-		full[w.claim.isShort()] = !granted
+		granted := !full[w.claim.long] && p.grant(w.claim, w.n)
+		full[w.claim.long] = !granted
 		return granted
 	})
 }
@@ -167,7 +173,7 @@
 // grant reserves n more bytes for a claim and reports whether that is possible now. The lock must be held.
 func (p *Pool) grant(c *Claim, n int64) bool {
 	fromShort := func() bool { return n <= p.short && c.mayUseShort(n) && p.grantSafely(c, n, p.moveShort) }
-	if c.isShort() && fromShort() || n <= p.free && p.grantSafely(c, n, p.move) || !c.isShort() && fromShort() {
+	if !c.long && fromShort() || n <= p.free && p.grantSafely(c, n, p.move) || c.long && fromShort() {
 		return true
 	}
 	if n > p.setAside || c.most > SmallMessage && c.total()+n > beginning {
@@ -199,6 +205,9 @@
 func (p *Pool) moveShort(c *Claim, n int64) {
 	c.short += n
 	p.short -= n
+	if c.long {
+		p.begun += n
+	}
 	p.note(c)
 }
 
@@ -216,10 +225,10 @@
 func (p *Pool) completable() bool {
 	var short, long []*Claim
 	for c := range p.claims {
-		if c.isShort() {
-			short = append(short, c)
-		} else {
+		if c.long {
 			long = append(long, c)
+		} else {
+			short = append(short, c)
 		}
 	}
 	byMissing := func(a, b *Claim) int { return cmp.Compare(a.missing(), b.missing()) }
@@ -242,10 +251,11 @@
 	return true
 }
 
-func (c *Claim) isShort() bool { return c.most <= ShortMessage }
-
-// mayUseShort reports whether n more bytes may come from the part for short messages.
-func (c *Claim) mayUseShort(n int64) bool { return c.isShort() || c.total()+n <= SmallMessage }
+// mayUseShort reports whether n more bytes may come from the part for short messages. Long ones that wait for the rest
+// must not hold all of it.
+func (c *Claim) mayUseShort(n int64) bool {
+	return !c.long || c.total()+n <= SmallMessage && c.pool.begun+n <= c.pool.size/shortPart/beginningsPart
+}
 
 func (c *Claim) total() int64 { return c.held + c.short + c.setAside }
 
--- a/bytebudget/pool_test.go
+++ b/bytebudget/pool_test.go
@@ -103,3 +103,36 @@
 		t.Errorf("%d bytes are free", p.Free())
 	}
 }
+
+// Guards against short messages that wait because many long ones, which wait themselves, hold the part for short ones.
+func TestBeginningsOfLongMessagesLeaveRoomForShortOnes(t *testing.T) {
+	const size = 16 << 20
+	p := NewPool(size)
+	if p.enter(p.Claim(size), size) != nil {
+		t.Fatal("a long message does not fit")
+	}
+	var waiting []*Claim
+	for range 1000 {
+		c := p.Claim(size / 2)
+		waiting = append(waiting, c)
+		more := p.enter(c, beginning)
+		for ; more == nil; more = p.enter(c, c.total()) {
+			if c.total() > SmallMessage {
+				t.Fatal("a message that waits holds more than its beginning")
+			}
+		}
+		p.leave(more)
+	}
+	const shorts = size / shortPart / beginningsPart / ShortMessage
+	for n := range int64(shorts) {
+		if p.enter(p.Claim(ShortMessage), ShortMessage) != nil {
+			t.Errorf("%d short messages, the next one waits", n)
+		}
+	}
+	for _, c := range waiting {
+		c.Release()
+	}
+	if p.begun != 0 || p.short != size/shortPart-shorts*ShortMessage {
+		t.Errorf("%d bytes are held by long messages, %d free for short ones", p.begun, p.short)
+	}
+}
