bytebudget: a message whose wait ends holds the ones behind it no longer back

What callers saw: an answer or a long event could wait on although there was memory for it, until some other message gave memory back. It was found by reading; no such call is in a log.

Cause: a waiting message that does not fit holds back those of its kind behind it. When its wait ended, these were not considered again: events that had nothing yet release nothing when they give up.

Change: the pool is served again when a wait ends.

Measured: TestEndedWaitHoldsNothingBack failed before and passes.

--- a/bytebudget/pool.go
+++ b/bytebudget/pool.go
@@ -109,6 +109,7 @@
 	at := slices.Index(p.waiting, w)
 	if at >= 0 {
 		p.waiting = slices.Delete(p.waiting, at, at+1)
+		p.serve() // others may have waited behind it only
 	}
 	return at >= 0
 }
--- a/bytebudget/pool_test.go
+++ b/bytebudget/pool_test.go
@@ -136,3 +136,40 @@
 		t.Errorf("%d bytes are held by long messages, %d free for short ones", p.begun, p.short)
 	}
 }
+
+// Guards against messages that wait on for memory that is free because one before them, whose wait has ended, did not fit.
+func TestEndedWaitHoldsNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 16 << 20
+		p := NewPool(size)
+		if p.enter(p.Claim(size), size) != nil {
+			t.Fatal("a long message does not fit")
+		}
+		var held []*Claim
+		for range size / shortPart / ShortMessage {
+			c := p.Claim(ShortMessage)
+			held = append(held, c)
+			if p.enter(c, ShortMessage) != nil {
+				t.Fatal("a short message does not fit")
+			}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		first := make(chan error, 1)
+		go func() { first <- p.Claim(ShortMessage).Await(ctx, ShortMessage) }()
+		synctest.Wait()
+		second := p.enter(p.Claim(ShortMessage), ShortMessage/4)
+		if second == nil {
+			t.Fatal("memory is granted beyond the bound")
+		}
+		held[0].Return(ShortMessage / 2)
+		if err := <-first; err == nil {
+			t.Fatal("memory is granted beyond the bound")
+		}
+		select {
+		case <-second.granted:
+		default:
+			t.Error("a message waits while the memory for it is free")
+		}
+	})
+}
