forward: a caller that reads a whole answer slowly takes no place at its upstream

What callers saw: while a caller read an answer that its upstream had given completely, for up to 30 s, the upstream counted as busy with the call: its slot, its reserved memory, its connection and a probe of it stayed taken, so that other calls waited, went elsewhere or were refused. It was found by reading; no such call is in a log.

Cause: the answer was written to the caller within the send, which ended with the last byte that the caller took.

Change: a send reads such an answer and ends; the exchange writes it then (heldAnswer).

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -201,6 +201,7 @@
 	result.kind = kind
 	x.endIsolated(result)
 	if result.err == nil {
+		x.deliverWhole(result)
 		x.recordServed()
 		return result, true
 	}
--- a/forward/outcome.go
+++ b/forward/outcome.go
@@ -6,8 +6,8 @@
 	"celeryport/verdict"
 )
 
-// outcome is the result of one send. If err is nil, the upstream has sent its whole answer, which was written to the
-// caller as far as that took it.
+// outcome is the result of one send. If err is nil, the upstream has sent its whole answer: a stream was written to the
+// caller as far as that took it, another answer is in whole.
 type outcome struct {
 	verdict    verdict.Verdict
 	err        error
@@ -18,6 +18,7 @@
 	ended      <-chan struct{} // closed when it is known whether the upstream of a broken send ended; nil unless the send broke
 	pathLost   bool            // the answer was lost with this instance's paths to the upstreams
 	final      bool            // another instance handled the call to its end
+	whole      *heldAnswer     // an answer that is not written yet
 	ownFailure *failureAnswer  // a complete failure answer of the upstream
 	status     int             // of a complete failure answer
 	announced  bool            // the upstream has said for how long it rejects calls
--- a/forward/send.go
+++ b/forward/send.go
@@ -51,7 +51,7 @@
 	trickles    bool  // the call is about to leave an upstream that trickles
 }
 
-// send sends the call to a node and forwards the answer to the caller.
+// send sends the call to a node and forwards the answer to the caller, except one that is read as a whole.
 func (x *exchange) send(ctx context.Context, w *work) *outcome {
 	fleet, n := x.server.fleet, w.lead
 	defer fleet.end(w)
@@ -228,7 +228,7 @@
 	s.clean = !head.Close && answer.CallID == s.x.call.ID && s.written() && s.conn.reader.Buffered() == 0
 }
 
-// handleSuccess forwards a successful answer to the caller.
+// handleSuccess forwards a successful stream to the caller, or reads another successful answer.
 func (s *sending) handleSuccess(ctx context.Context, head *httpwire.ResponseHead, answer Answer) *outcome {
 	if !answer.Genuine || answer.Encoded {
 		return &outcome{verdict: verdict.MayHaveRun, err: errNotGenuine, reached: true}
@@ -236,22 +236,13 @@
 	if s.x.route.Stream {
 		return s.stream(ctx, head, answer)
 	}
-	held := s.x.server.answerClaim(head)
-	defer held.Release()
-	ctx, cancel := context.WithDeadline(ctx, s.x.deadline)
-	defer cancel()
-	body, err := s.wholeBody(head).ReadPieces(maxWholeAnswerBytes, s.x.awaitRoom(ctx, held))
-	if err == nil {
-		err = s.verifyEnd(ctx, head)
-	}
+	whole, err := s.readWhole(ctx, head)
 	if err != nil {
 		return s.brokenOutcome(err)
 	}
 	s.finish(head, answer)
 	x := s.x
 	x.server.fleet.recordAnswer(s.node)
-	x.firstAt = time.Now()
-	x.writer.Pieces(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()}, body, held.Return)
 	x.server.options.Metrics.Sent(x.service.Name, verdict.Ran.String())
-	return &outcome{verdict: verdict.Ran, reached: true}
+	return &outcome{verdict: verdict.Ran, reached: true, whole: whole}
 }
