forward: a caller that reads its answer slowly holds no memory for the body of its call

What callers saw: calls with bodies are refused (429, "this instance holds as many bodies of calls as it may") while others, whose upstreams have answered, read their answers for up to 30 s. It was found by reading; no such call is in a log.

Cause: the body, which is kept because the call may be sent again, was held until the answer had been written.

Change: it is dropped before a whole answer or an upstream's failure answer is written. A stream keeps it to its end, because it may go on at another upstream.

Measured: TestSlowCallerOfAnAnswerKeepsNoMemoryForItsBody failed before for both kinds of answer and passes. ./forward with -race passes.

--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -88,6 +88,12 @@
 	held  *bytebudget.Holding
 }
 
+// dropBody gives back the memory of the body.
+func (r *received) dropBody() {
+	r.body = nil
+	r.held.Release()
+}
+
 // read reads a call whose first byte arrived at began. The caller may be idle for a long time before a
 // call, but then has to send the head within the limit; otherwise a caller that sends its head very slowly
 // could hold the connection indefinitely.
@@ -170,7 +176,7 @@
 // answer answers one call and reports whether the caller is still connected.
 func (c *callerConn) answer(r *received, w *delivery.Writer) bool {
 	s := c.server
-	x := &exchange{server: s, writer: w, call: &Call{}, body: r.body, began: r.began}
+	x := &exchange{server: s, writer: w, call: &Call{}, body: r.body, dropBody: r.dropBody, began: r.began}
 	if c.beginTransit(x, r.head) != nil {
 		return false // the other instance takes the connection for lost
 	}
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -31,6 +31,7 @@
 
 // forwardFailure forwards an upstream's own failure answer to the caller.
 func (x *exchange) forwardFailure(failed *failureAnswer) {
+	x.endSends()
 	x.firstAt = time.Now()
 	x.writer.Whole(&httpwire.ResponseHead{Status: failed.status, Reason: failed.reason, Fields: failed.fields}, failed.body)
 	if x.logUndelivered() {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -27,6 +27,7 @@
 	writer        *delivery.Writer
 	call          *Call
 	body          []byte
+	dropBody      func() // gives back the memory of the body
 	fingerprint   quarantine.Fingerprint
 	began         time.Time
 	route         *settings.Route
--- a/forward/held_answer.go
+++ b/forward/held_answer.go
@@ -42,6 +42,15 @@
 		return
 	}
 	defer answer.held.Release()
+	x.endSends()
 	x.firstAt = time.Now()
 	x.writer.Pieces(answer.head, answer.pieces, answer.held.Return)
 }
+
+// endSends drops the body of a call that is not sent again. Its caller may take long to read the answer.
+func (x *exchange) endSends() {
+	x.body = nil
+	if x.dropBody != nil {
+		x.dropBody()
+	}
+}
--- a/forward/held_answer_test.go
+++ b/forward/held_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -13,35 +14,48 @@
 	"celeryport/settings"
 )
 
+const bodySize = 1000 // of a call
+
+// answerSlowCaller lets an upstream answer a call whose caller reads from the returned connection only.
+func answerSlowCaller(t *testing.T, s *Server, n *node, head, body string) net.Conn {
+	s.options.Dialect = genuineDialect{}
+	s.options.Dial = func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer far.Close()
+			_, _ = io.ReadAtLeast(far, make([]byte, 2*bodySize), bodySize+1)
+			_, _ = fmt.Fprintf(far, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body) // what the caller gets is checked
+		}()
+		return near, nil
+	}
+	conn, caller := net.Pipe()
+	r := &received{body: make([]byte, bodySize), held: s.bodies.Hold()}
+	if !r.held.Grow(int64(len(r.body))) {
+		t.Fatal("no memory for a body")
+	}
+	x := &exchange{
+		server: s, writer: &delivery.Writer{Conn: conn}, call: &Call{}, body: r.body, dropBody: r.dropBody,
+		service: &settings.ForwardedService{Name: "model"}, route: &settings.Route{Name: "r", MaxSends: 1},
+		began: time.Now(), deadline: time.Now().Add(5 * time.Second),
+	}
+	x.next = &work{lead: n}
+	s.fleet.mu.Lock()
+	s.fleet.begin(time.Now(), x.next)
+	s.fleet.mu.Unlock()
+	go func() {
+		x.sendAgain(t.Context(), nil)
+		conn.Close()
+	}()
+	return caller
+}
+
 // Guards against upstreams that count as busy, and get fewer calls, while a caller reads an answer slowly that they gave
 // long before.
 func TestSlowCallerOfAWholeAnswerTakesNoPlaceAtItsUpstream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, n := newServerWithNode(t)
-		s.options.Dialect = genuineDialect{}
 		body := strings.Repeat("x", 100_000)
-		s.options.Dial = func(context.Context, string, string) (net.Conn, error) {
-			near, far := net.Pipe()
-			go func() {
-				defer far.Close()
-				_, _ = far.Read(make([]byte, 1000))
-				_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"+body) // what the caller gets is checked
-			}()
-			return near, nil
-		}
-		conn, caller := net.Pipe()
-		x := &exchange{
-			server: s, writer: &delivery.Writer{Conn: conn}, call: &Call{}, service: &settings.ForwardedService{Name: "model"},
-			route: &settings.Route{Name: "r", MaxSends: 2}, began: time.Now(), deadline: time.Now().Add(5 * time.Second),
-		}
-		x.next = &work{lead: n}
-		s.fleet.mu.Lock()
-		s.fleet.begin(time.Now(), x.next)
-		s.fleet.mu.Unlock()
-		go func() {
-			x.sendAgain(t.Context(), nil)
-			conn.Close()
-		}()
+		caller := answerSlowCaller(t, s, n, "200 OK", body)
 		time.Sleep(time.Second)
 		s.fleet.mu.Lock()
 		streams, busy := n.load.Streams, len(n.busy)
@@ -57,3 +71,24 @@
 		}
 	})
 }
+
+// Guards against calls that are refused for want of memory because others, whose upstreams have answered, read their
+// answers slowly.
+func TestSlowCallerOfAnAnswerKeepsNoMemoryForItsBody(t *testing.T) {
+	for _, head := range []string{"200 OK", "404 Not Found"} {
+		t.Run(head, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, n := newServerWithNode(t)
+				before, body := s.bodies.Free(), strings.Repeat("x", 100_000)
+				caller := answerSlowCaller(t, s, n, head, body)
+				time.Sleep(time.Second)
+				if free := s.bodies.Free(); free != before {
+					t.Errorf("%d bytes are held", before-free)
+				}
+				if got, err := io.ReadAll(caller); err != nil || !strings.HasSuffix(string(got), "\r\n\r\n"+body) {
+					t.Errorf("the caller got %d bytes, %v", len(got), err)
+				}
+			})
+		})
+	}
+}
