forward: failure answers give the memory of what their callers have read back

What callers saw: like successful answers before, an upstream's failure answer of up to 8 MB held all its memory, and a copy beside it, until its caller had read the last byte, up to 30 s; other answers waited. It was found by reading; no such call is in a log.

Cause: left failure answers, which are kept while their calls may be sent again, as they were.

Change: they are read and written in pieces, too.

Measured: TestReadPartsOfAnAnswerHoldNoMemory failed before for the failure answer (all of 2 MB held for its last quarter) and passes.

--- a/bytebudget/bounds.go
+++ b/bytebudget/bounds.go
@@ -20,8 +20,7 @@
 
 	// bodiesPart and answersPart are the fractions of the machine's memory for bodies and answers,
 	// as divisors: together 28 % of the memory. The parts of the pool for short and small answers add
-	// 3 %. A failure answer is held twice while it is written to its caller, and a body while it grows.
-	// From 144 MB of memory on, the constants above apply.
+	// 3 %. A body is held twice while it grows. From 144 MB of memory on, the constants above apply.
 	bodiesPart  = 6
 	answersPart = 9
 	// processPercent is the soft limit of the process. The rest is for the kernel, its socket
--- a/forward/conclude.go
+++ b/forward/conclude.go
@@ -33,7 +33,7 @@
 func (x *exchange) forwardFailure(failed *failureAnswer) {
 	x.endSends()
 	x.firstAt = time.Now()
-	x.writer.Whole(&httpwire.ResponseHead{Status: failed.status, Reason: failed.reason, Fields: failed.fields}, failed.body)
+	x.writer.Pieces(&httpwire.ResponseHead{Status: failed.status, Reason: failed.reason, Fields: failed.fields}, failed.pieces, x.returnFailure)
 	if x.logUndelivered() {
 		return
 	}
--- a/forward/failure_answer.go
+++ b/forward/failure_answer.go
@@ -24,7 +24,15 @@
 	status int
 	reason string
 	fields httpwire.Fields
-	body   []byte
+	pieces [][]byte
+}
+
+func (f *failureAnswer) size() int {
+	size := 0
+	for _, piece := range f.pieces {
+		size += len(piece)
+	}
+	return size
 }
 
 // errLongRejection means that the body of a rejection was not read to its end.
@@ -58,13 +66,20 @@
 	held := x.server.answerClaim(head)
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	content, err := body.ReadAllReserving(maxWholeAnswerBytes, x.awaitRoom(ctx, held))
+	pieces, err := body.ReadPieces(maxWholeAnswerBytes, x.awaitRoom(ctx, held))
 	x.keepFailure(held)
 	if err != nil {
 		x.keepFailure(nil)
 		return nil, err
 	}
-	return &failureAnswer{status: head.Status, reason: head.Reason, fields: head.Fields.EndToEnd(), body: content}, nil
+	return &failureAnswer{status: head.Status, reason: head.Reason, fields: head.Fields.EndToEnd(), pieces: pieces}, nil
+}
+
+// returnFailure gives back n bytes of the failure answer that have been written to the caller.
+func (x *exchange) returnFailure(n int64) {
+	if x.failureHeld != nil {
+		x.failureHeld.Return(n)
+	}
 }
 
 // keepFailure replaces the memory that the call holds for a failure answer; nil: none.
@@ -78,7 +93,7 @@
 // beforeRepeat gives back the memory of a failure answer before the call is sent again, since the next answer may have
 // to wait for memory. Only a short failure answer is kept beyond that.
 func (x *exchange) beforeRepeat(last *outcome) {
-	if last != nil && last.ownFailure != nil && len(last.ownFailure.body) > maxKeptFailureBytes {
+	if last != nil && last.ownFailure != nil && last.ownFailure.size() > maxKeptFailureBytes {
 		last.ownFailure = nil
 	}
 	x.keepFailure(nil)
--- a/forward/held_answer_test.go
+++ b/forward/held_answer_test.go
@@ -92,3 +92,31 @@
 		})
 	}
 }
+
+// Guards against answers that wait for memory which others hold although their callers have read most of what it was for.
+func TestReadPartsOfAnAnswerHoldNoMemory(t *testing.T) {
+	for _, head := range []string{"200 OK", "404 Not Found"} {
+		t.Run(head, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const size = 2 << 20
+				s, n := newServerWithNode(t)
+				before := s.answers.Free()
+				caller := answerSlowCaller(t, s, n, head, strings.Repeat("x", size))
+				time.Sleep(time.Second)
+				if held := before - s.answers.Free(); held < size/2 {
+					t.Errorf("%d bytes are held before anything is read", held)
+				}
+				if _, err := io.CopyN(io.Discard, caller, size*3/4); err != nil {
+					t.Fatal(err)
+				}
+				synctest.Wait()
+				if held := before - s.answers.Free(); held > size/2 {
+					t.Errorf("%d bytes are held for the last quarter of an answer of %d", held, size)
+				}
+				if _, err := io.Copy(io.Discard, caller); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
