forward: a slow caller of an answer that another instance passed on holds nothing of the send

What callers saw: nothing that is in a log; found by reading. While a caller read an answer that another instance had passed on completely, for up to 30 s, the connection between the instances and the body of the call stayed taken.

Cause: the answer was written to the caller within the send through the other instance.

Change: such an answer is written after the send, like those of the instance's own upstreams.

Measured: TestSlowCallerOfAnotherInstancesAnswerHoldsNothingOfIt failed before (send ended 1 s after the answer, when its caller began to read; body not dropped) and passes.

--- a/forward/held_answer.go
+++ b/forward/held_answer.go
@@ -15,15 +15,10 @@
 	held   *bytebudget.Claim // memory of the pieces
 }
 
-// readWhole reads an answer as a whole. It waits for memory until the deadline of the call.
-func (s *sending) readWhole(ctx context.Context, head *httpwire.ResponseHead) (*heldAnswer, error) {
-	held := s.x.server.answerClaim(head)
-	ctx, cancel := context.WithDeadline(ctx, s.x.deadline)
-	defer cancel()
-	pieces, err := s.wholeBody(head).ReadPieces(maxWholeAnswerBytes, s.x.awaitRoom(ctx, held))
-	if err == nil {
-		err = s.verifyEnd(ctx, head)
-	}
+// readWhole reads an answer as a whole. It waits for memory until ctx ends.
+func (x *exchange) readWhole(ctx context.Context, head *httpwire.ResponseHead, body *httpwire.Body) (*heldAnswer, error) {
+	held := x.server.answerClaim(head)
+	pieces, err := body.ReadPieces(maxWholeAnswerBytes, x.awaitRoom(ctx, held))
 	if err != nil {
 		held.Release()
 		return nil, err
--- a/forward/held_answer_test.go
+++ b/forward/held_answer_test.go
@@ -1,16 +1,19 @@
 package forward
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"celeryport/delivery"
+	"celeryport/httpwire"
 	"celeryport/settings"
 )
 
@@ -120,3 +123,43 @@
 		})
 	}
 }
+
+// Guards against connections between instances, and bodies of calls, that are held while a caller reads slowly what
+// another instance has passed on completely.
+func TestSlowCallerOfAnotherInstancesAnswerHoldsNothingOfIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newServerWithNode(t)
+		body := strings.Repeat("x", 100_000)
+		conn, caller := net.Pipe()
+		dropped := make(chan time.Time, 1)
+		began := time.Now()
+		x := &exchange{
+			server: s, writer: &delivery.Writer{Conn: conn}, call: &Call{}, dropBody: func() { dropped <- time.Now() },
+			service: &settings.ForwardedService{Name: "model"}, route: &settings.Route{Name: "r"}, began: began, deadline: began.Add(5 * time.Second),
+		}
+		sent := &transitSend{x: x}
+		ended := make(chan time.Time, 1)
+		go func() {
+			head := &httpwire.ResponseHead{Status: http.StatusOK, Body: httpwire.Framing{Kind: httpwire.Sized, Length: int64(len(body))}}
+			result := sent.whole(t.Context(), head, bufio.NewReader(strings.NewReader(body)))
+			ended <- time.Now()
+			x.concludeTransit(t.Context(), result)
+			conn.Close()
+		}()
+		time.Sleep(time.Second)
+		if got, err := io.ReadAll(caller); err != nil || !strings.HasSuffix(string(got), "\r\n\r\n"+body) {
+			t.Errorf("the caller got %d bytes, %v", len(got), err)
+		}
+		if after := (<-ended).Sub(began); after > 0 || !sent.clean {
+			t.Errorf("the send ended %s after the answer", after)
+		}
+		select {
+		case at := <-dropped:
+			if after := at.Sub(began); after > 0 {
+				t.Errorf("the body was dropped %s after the answer", after)
+			}
+		default:
+			t.Error("the body was not dropped")
+		}
+	})
+}
--- a/forward/send.go
+++ b/forward/send.go
@@ -236,10 +236,16 @@
 	if s.x.route.Stream {
 		return s.stream(ctx, head, answer)
 	}
-	whole, err := s.readWhole(ctx, head)
+	ctx, cancel := context.WithDeadline(ctx, s.x.deadline)
+	defer cancel()
+	whole, err := s.x.readWhole(ctx, head, s.wholeBody(head))
 	if err != nil {
 		return s.brokenOutcome(err)
 	}
+	if err := s.verifyEnd(ctx, head); err != nil {
+		whole.held.Release()
+		return s.brokenOutcome(err)
+	}
 	s.finish(head, answer)
 	x := s.x
 	x.server.fleet.recordAnswer(s.node)
--- a/forward/transit_answer.go
+++ b/forward/transit_answer.go
@@ -13,19 +13,14 @@
 )
 
 func (t *transitSend) whole(ctx context.Context, head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
-	x := t.x
-	held := x.server.answerClaim(head)
-	defer held.Release()
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	ctx, cancel := context.WithDeadline(ctx, t.x.deadline)
 	defer cancel()
-	body, err := t.body(head, reader).ReadPieces(maxWholeAnswerBytes, x.awaitRoom(ctx, held))
+	whole, err := t.x.readWhole(ctx, head, t.body(head, reader))
 	if err != nil {
 		return t.broken(err)
 	}
 	t.clean = !head.Close && reader.Buffered() == 0
-	x.firstAt = time.Now()
-	x.writer.Pieces(&httpwire.ResponseHead{Status: head.Status, Reason: head.Reason, Fields: head.Fields.EndToEnd()}, body, held.Return)
-	return &outcome{verdict: verdict.Ran, reached: true}
+	return &outcome{verdict: verdict.Ran, reached: true, whole: whole}
 }
 
 func (t *transitSend) stream(ctx context.Context, head *httpwire.ResponseHead, reader *bufio.Reader) *outcome {
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -228,6 +228,7 @@
 func (x *exchange) concludeTransit(ctx context.Context, result *outcome) bool {
 	switch {
 	case result.err == nil:
+		x.deliverWhole(result)
 		x.recordServed()
 	case x.logUndelivered():
 	case ctx.Err() != nil:
