delivery: a stream keeps no copy of its longest event

What was seen: by reading. A stream kept a buffer of the size of its longest event, up to 1 MB, until its end, beyond all bounds of memory: the event itself gives its part of the pool back when it has been written.

Cause: a part is copied into the buffer of its writer as a whole.

Measured: TestLongPartIsNotKept failed before (1,056,768 bytes kept after an event of 1 MB) and passes.

--- a/delivery/writer.go
+++ b/delivery/writer.go
@@ -115,14 +115,17 @@
 	w.begun = true
 }
 
-// Part writes one part of an answer.
+// Part writes one part of an answer, a long one in several chunks: what is buffered at a time is kept until the end.
 func (w *Writer) Part(data []byte) {
-	if w.unframed {
-		w.buffer = append(w.buffer, data...)
-	} else {
-		w.buffer = httpwire.AppendChunk(w.buffer, data)
+	until := time.Now().Add(Timeout)
+	for piece := range slices.Chunk(data, minWrite) {
+		if w.unframed {
+			w.buffer = append(w.buffer, piece...)
+		} else {
+			w.buffer = httpwire.AppendChunk(w.buffer, piece)
+		}
+		w.flushBy(until)
 	}
-	w.flush()
 }
 
 // End completes an answer in parts. Without it the caller can tell that the answer is truncated, if
