bytebudget: messages that hold memory end before others begin

After a short excess of answers over the memory for them, answers that came at a rate which the memory bears went on waiting for as long as others came.

Cause: the pool served those first that hold least. New messages took what those before them waited for, so that most of the memory was held by beginnings, and few messages could end at a time.

Change: messages are served in the order of what they still miss, also when they ask and nothing has been given back. Small messages and the beginnings of long ones, which may end there, go first as before, bounded by their own parts.

--- a/bytebudget/pool.go
+++ b/bytebudget/pool.go
@@ -94,11 +94,11 @@
 func (p *Pool) enter(c *Claim, n int64) *waiter {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.grant(c, n) {
-		return nil
-	}
 	w := &waiter{claim: c, n: n, granted: make(chan struct{})}
 	p.waiting = append(p.waiting, w)
+	if p.serve(); !slices.Contains(p.waiting, w) {
+		return nil
+	}
 	return w
 }
 
@@ -141,23 +141,28 @@
 	c.pool.move(c, -(n - small - short))
 }
 
-// serve grants what claims wait for: first to those that hold least, so that new messages don't wait for long ones,
-// then to those that miss least. Short messages overtake long ones. The lock must be held.
+// serve grants what claims wait for: first to small messages and the beginnings of long ones, then to those that miss
+// least. New ones must not take the memory with which those that hold some would end. The lock must be held.
 func (p *Pool) serve() {
 	full := map[bool]bool{} // whether a long or a short message waits on
-	p.serveBy((*Claim).total, func(w *waiter) bool {
-		granted := (!full[w.claim.long] || w.claim.most <= SmallMessage) && p.grant(w.claim, w.n)
-		full[w.claim.long] = full[w.claim.long] || !granted
-		return granted
-	})
-	clear(full)
-	p.serveBy((*Claim).missing, func(w *waiter) bool {
+	grant := func(w *waiter) bool {
 		granted := !full[w.claim.long] && p.grant(w.claim, w.n)
 		full[w.claim.long] = !granted
 		return granted
+	}
+	p.serveBy((*Claim).total, func(w *waiter) bool {
+		if w.claim.isSmall() {
+			return p.grant(w.claim, w.n)
+		}
+		return w.begins() && grant(w)
 	})
+	clear(full)
+	p.serveBy((*Claim).missing, grant)
 }
 
+// begins reports whether a claim waits for the beginning of a long message.
+func (w *waiter) begins() bool { return w.claim.long && w.claim.total()+w.n <= SmallMessage }
+
 // serveBy calls grant for the waiters in the order of a key and removes those for which it returns true. The lock must
 // be held.
 func (p *Pool) serveBy(key func(c *Claim) int64, grant func(w *waiter) bool) {
@@ -258,6 +263,8 @@
 	return !c.long || c.total()+n <= SmallMessage && c.pool.begun+n <= c.pool.size/shortPart/beginningsPart
 }
 
+func (c *Claim) isSmall() bool { return c.most <= SmallMessage }
+
 func (c *Claim) total() int64 { return c.held + c.short + c.setAside }
 
 func (c *Claim) missing() int64 { return max(0, c.most-c.total()) }
--- a/bytebudget/pool_test.go
+++ b/bytebudget/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -173,3 +174,47 @@
 		}
 	})
 }
+
+// Guards against a burst of messages after which all that follow wait, although the pool has room for many more than come:
+// the beginnings of messages that wait for the rest hold most of it, so that few of them end at a time.
+func TestMessagesAreServedAgainAfterABurst(t *testing.T) {
+	const (
+		size, burst = 512 << 10, 60
+		interval    = 80 * time.Millisecond // 6 MB are read at a time
+		reading     = time.Second
+		deadline    = 10 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPool(16 << 20)
+		var all sync.WaitGroup
+		var late atomic.Int64
+		message := func() {
+			ctx, cancel := context.WithTimeout(t.Context(), deadline)
+			defer cancel()
+			c := p.Claim(size)
+			defer c.Release()
+			for held := int64(0); held < size; time.Sleep(time.Millisecond) {
+				n := min(max(beginning, held), SmallMessage)
+				if c.Await(ctx, n) != nil {
+					late.Add(1)
+					return
+				}
+				held += n
+			}
+			time.Sleep(reading)
+		}
+		for n := range 400 {
+			if n == 100 {
+				for range burst {
+					all.Go(message)
+				}
+			}
+			all.Go(message)
+			time.Sleep(interval)
+		}
+		all.Wait()
+		if n := late.Load(); n > 0 {
+			t.Errorf("%d of %d messages have waited for %s", n, 400+burst, deadline)
+		}
+	})
+}
