--- a/delivery/writer.go
+++ b/delivery/writer.go
@@ -17,18 +17,16 @@
 
 // Writer writes the answer of one call.
 type Writer struct {
-	Conn     net.Conn
-	Method   string        // of the call
-	Close    bool          // close the connection after the answer
-	Ending   func() bool   // reports, when the head is written, whether the connection has to be closed; nil: it has not
-	Old      bool          // the caller understands no chunks: an answer without a length ends with the connection
-	IdleFor  time.Duration // for which the connection may be idle after the answer; stated to the caller in whole seconds; less than one: not stated
-	buffer   []byte
-	begun    bool
-	noBody   bool  // no byte may follow the head
-	unframed bool  // the answer ends with the connection
-	ended    bool  // the answer was written completely
-	failure  error // first write error of the connection
+	Conn    net.Conn
+	Method  string        // of the call
+	Close   bool          // close the connection after the answer
+	Ending  func() bool   // reports, when the head is written, whether the connection has to be closed; nil: it has not
+	IdleFor time.Duration // for which the connection may be idle after the answer; stated to the caller in whole seconds; less than one: not stated
+	buffer  []byte
+	begun   bool
+	noBody  bool  // no byte may follow the head
+	ended   bool  // the answer was written completely
+	failure error // first write error of the connection
 }
 
 // Begun reports whether the caller may have received a part of the answer.
@@ -100,12 +98,9 @@
 // minWrite is the size in bytes from which a part of an answer is written.
 const minWrite = 64 << 10
 
-// Begin prepares the head of an answer in parts; it is sent with the first one.
+// Begin prepares the head of a chunked answer; it is sent with the first part.
 func (w *Writer) Begin(head *httpwire.ResponseHead) {
 	head.Body = httpwire.Framing{Kind: httpwire.Chunked}
-	if w.unframed = w.Old; w.unframed {
-		head.Body, w.Close = httpwire.Framing{Kind: httpwire.UntilClose}, true
-	}
 	w.noBody = w.Method == http.MethodHead
 	if head.Status == http.StatusNoContent || head.Status == http.StatusNotModified {
 		w.noBody, head.Body = true, httpwire.Framing{}
@@ -115,23 +110,18 @@
 	w.begun = true
 }
 
-// Part writes one part of an answer, a long one in several chunks: what is buffered at a time is kept until the end.
+// Part writes one part of a chunked answer, a long one in several chunks: what is buffered at a time is kept until the end.
 func (w *Writer) Part(data []byte) {
 	until := time.Now().Add(Timeout)
 	for piece := range slices.Chunk(data, minWrite) {
-		if w.unframed {
-			w.buffer = append(w.buffer, piece...)
-		} else {
-			w.buffer = httpwire.AppendChunk(w.buffer, piece)
-		}
+		w.buffer = httpwire.AppendChunk(w.buffer, piece)
 		w.flushBy(until)
 	}
 }
 
-// End completes an answer in parts. Without it the caller can tell that the answer is truncated, if
-// the connection of one that understands no chunks is reset then.
+// End completes a chunked answer. Without it the caller can tell that the answer is truncated.
 func (w *Writer) End() {
-	if !w.noBody && !w.unframed { // the caller would take it for a part of the next answer
+	if !w.noBody { // the caller would take it for a part of the next answer
 		w.buffer = append(w.buffer, httpwire.LastChunk...)
 	}
 	w.flush()
@@ -157,7 +147,7 @@
 
 // flushBy writes what is buffered, until a time at most.
 func (w *Writer) flushBy(until time.Time) {
-	if w.failure == nil && len(w.buffer) > 0 {
+	if w.failure == nil {
 		w.failure = w.deliver(w.buffer, until)
 	}
 	w.begun = true
--- a/delivery/writer_test.go
+++ b/delivery/writer_test.go
@@ -130,34 +130,32 @@
 
 // Guards against streams that keep a copy of their longest event for as long as they last.
 func TestLongPartIsNotKept(t *testing.T) {
-	for _, old := range []bool{false, true} {
-		near, far := net.Pipe()
-		w := &Writer{Conn: near, Old: old}
-		part := bytes.Repeat([]byte("x"), 1<<20)
-		got := make(chan []byte, 1)
-		go func() {
-			answer, err := http.ReadResponse(bufio.NewReader(far), nil)
-			if err != nil {
-				t.Error(err)
-				got <- nil
-				return
-			}
-			defer answer.Body.Close()
-			body, err := io.ReadAll(answer.Body)
-			if err != nil {
-				t.Error(err)
-			}
-			got <- body
-		}()
-		w.Begin(&httpwire.ResponseHead{Status: http.StatusOK})
-		w.Part(part)
-		if kept := cap(w.buffer); kept > 4*minWrite {
-			t.Errorf("old caller: %t: %d bytes are kept for a part of %d", old, kept, len(part))
+	near, far := net.Pipe()
+	w := &Writer{Conn: near}
+	part := bytes.Repeat([]byte("x"), 1<<20)
+	got := make(chan []byte, 1)
+	go func() {
+		answer, err := http.ReadResponse(bufio.NewReader(far), nil)
+		if err != nil {
+			t.Error(err)
+			got <- nil
+			return
 		}
-		w.End()
-		near.Close()
-		if body := <-got; !bytes.Equal(body, part) || !w.Complete() {
-			t.Errorf("old caller: %t: the caller got %d bytes", old, len(body))
+		defer answer.Body.Close()
+		body, err := io.ReadAll(answer.Body)
+		if err != nil {
+			t.Error(err)
 		}
+		got <- body
+	}()
+	w.Begin(&httpwire.ResponseHead{Status: http.StatusOK})
+	w.Part(part)
+	if kept := cap(w.buffer); kept > 4*minWrite {
+		t.Errorf("%d bytes are kept for a part of %d", kept, len(part))
+	}
+	w.End()
+	near.Close()
+	if body := <-got; !bytes.Equal(body, part) || !w.Complete() {
+		t.Errorf("the caller got %d bytes", len(body))
 	}
 }
--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -65,15 +65,9 @@
 		return false
 	}
 	c.calls++
-	w := &delivery.Writer{Conn: c.conn, Close: received.head.Close, Ending: c.mustEnd, Method: received.head.Method, Old: received.head.Old, IdleFor: c.stateIdle()}
-	if received.head.Old { // an answer may end with the connection
-		c.resetAtClose(true)
-	}
+	w := &delivery.Writer{Conn: c.conn, Close: received.head.Close, Ending: c.mustEnd, Method: received.head.Method, IdleFor: c.stateIdle()}
 	connected := c.answer(received, w)
 	received.held.Release()
-	if received.head.Old && w.Complete() {
-		c.resetAtClose(false)
-	}
 	if connected && w.Complete() && !w.Reusable() {
 		c.linger()
 	}
@@ -110,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !head.Old && head.Fields.HasToken("Expect", "100-continue") {
+	if head.Fields.HasToken("Expect", "100-continue") {
 		if err := delivery.Continue(c.conn); err != nil {
 			return nil, err
 		}
--- a/forward/caller_end.go
+++ b/forward/caller_end.go
@@ -46,18 +46,6 @@
 	})
 }
 
-// resetAtClose sets whether the end of the connection, or of this process, resets it: a caller takes an end in order for
-// that of an answer without a length.
-func (c *callerConn) resetAtClose(reset bool) {
-	seconds := -1 // what was written is still sent
-	if reset {
-		seconds = 0
-	}
-	if tcp, ok := c.conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = tcp.SetLinger(seconds) // fails only if the connection is closed already
-	}
-}
-
 // nameOf returns the name of a call, empty if it has none or its head was not read.
 func (c *callerConn) nameOf(head *httpwire.RequestHead) string {
 	if head == nil {
--- a/httpwire/request.go
+++ b/httpwire/request.go
@@ -12,7 +12,6 @@
 	Fields Fields
 	Body   Framing
 	Close  bool // the client wants the connection closed after the response
-	Old    bool // the client speaks HTTP/1.0: it understands neither chunks nor interim responses
 }
 
 // ReadRequestHead reads one request head of at most limit bytes. The error is io.EOF
@@ -37,11 +36,10 @@
 	if head.Body, err = requestFraming(fields); err != nil {
 		return nil, err
 	}
-	head.Old = version == "HTTP/1.0"
-	if head.Old && head.Body.Kind == Chunked {
+	if version == "HTTP/1.0" && head.Body.Kind == Chunked {
 		return nil, malformed("HTTP/1.0 knows no chunks")
 	}
-	head.Close = fields.HasToken("Connection", "close") || head.Old
+	head.Close = fields.HasToken("Connection", "close") || version == "HTTP/1.0"
 	return head, nil
 }
 
