A stop of the completions interface waits until its answers have been acknowledged

What callers saw: with callers that read late, an instance that serves completions ended its process while answers that were written whole were still in the memory of its machine. Where the machine ends with the process they are lost.

Change: a connection that is closed with bytes that are not acknowledged ends its own side only and is held, beside fasthttp, as delivery.Held decides. Shutdown waits for the held ones, within the drain timeout. Event 1002 counts those that were not acknowledged by then.

--- a/entry/events.go
+++ b/entry/events.go
@@ -13,7 +13,7 @@
 	eventDrainNotAnnounced = event.Define(1001, logrus.WarnLevel, "drain was not announced to other instances",
 		"Other instances list this one until its lease expires. Refused callers are given other addresses.")
 	eventStopped = event.Define(1002, logrus.InfoLevel, "traffic stopped",
-		"The graceful shutdown has ended. cut_off counts the requests that were cut off when drain_timeout expired; raise it if the count is not 0.")
+		"The graceful shutdown has ended. cut_off counts the requests that were cut off when drain_timeout expired; raise it if the count is not 0. unacknowledged counts the connections whose answers had been written by then, but not acknowledged completely by their callers' hosts; what was missing is lost if the machine ends with the process.")
 	eventOrphan = event.Define(1003, logrus.WarnLevel, "engine holds memory of a request without a live owner",
 		"The sweep found a request of an instance that is gone, or one of this instance that is no longer in flight, and cancels it.")
 	eventSweepFailed = event.Define(1004, logrus.DebugLevel, "sweep could not list the requests that an engine holds",
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -7,7 +7,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
@@ -24,10 +23,13 @@
 // callerListener limits the number of connections of callers and detects stalled
 // ones. A connection over the limit gets a refusal with a verdict; otherwise the
 // caller would see a closed connection and could not know that nothing was run.
-type callerListener struct{ *connlimit.Listener }
+type callerListener struct {
+	*connlimit.Listener
+	held *heldConns
+}
 
-func newCallerListener(inner net.Listener, limit int, log logrus.FieldLogger) callerListener {
-	return callerListener{connlimit.New(inner, connlimit.Options{Limit: limit, Log: log, Refuse: writeRejection})}
+func newCallerListener(inner net.Listener, limit int, log logrus.FieldLogger, held *heldConns) callerListener {
+	return callerListener{connlimit.New(inner, connlimit.Options{Limit: limit, Log: log, Refuse: writeRejection}), held}
 }
 
 // Accept implements net.Listener.
@@ -37,7 +39,7 @@
 		return nil, err
 	}
 	setTCPUserTimeout(conn)
-	return &callerConn{Conn: conn}, nil
+	return &callerConn{Conn: conn, held: l.held}, nil
 }
 
 func writeRejection(conn net.Conn) {
@@ -71,28 +73,3 @@
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
 	})
 }
-
-// callerConn fails a write that makes no progress. The write timeout of fasthttp
-// covers the whole response and would cut off every long stream.
-type callerConn struct {
-	net.Conn
-}
-
-// Write implements net.Conn.
-func (c *callerConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeStallTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(p)
-}
-
-var errNotSocket = errors.New("connection is not a socket")
-
-// SyscallConn implements syscall.Conn, for disconnectMonitor.
-func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, errNotSocket
-	}
-	return socket.SyscallConn()
-}
--- a/entry/server.go
+++ b/entry/server.go
@@ -36,6 +36,7 @@
 	sweeper     *sweeper
 	bodies      *bytebudget.Budget
 	draining    drainState
+	held        heldConns
 	bound       atomic.Pointer[shutdownBound] // nil: no shutdown, or one without a bound
 	address     atomic.Pointer[string]
 }
@@ -47,6 +48,7 @@
 		return nil, errors.Wrap(err, "worker pools")
 	}
 	s := &Server{options: options, pools: pools, disconnects: newDisconnectMonitor(), bodies: bytebudget.New(maxBodyBytes)}
+	s.held.stopping = s.draining.started
 	s.sender = newSender(&s.options)
 	s.driver = newDriver(&s.options, pools, s.sender)
 	s.sweeper = newSweeper(&s.options, s.driver, s.sender.canceller)
@@ -78,7 +80,7 @@
 	go s.sweeper.run()
 	s.disconnects.start(func(e *exchange) { s.driver.abort(e, verdict.ReasonCallerLeft, "the caller left") })
 	resilientListener := resilient.NewListener(s.options.Log, "callers", listener)
-	return s.http.Serve(newCallerListener(resilientListener, s.options.Process.MaxConnections, s.options.Log))
+	return s.http.Serve(newCallerListener(resilientListener, s.options.Process.MaxConnections, s.options.Log, &s.held))
 }
 
 // quietLogger drops the log lines of fasthttp, which have no event number and contain
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -24,8 +24,8 @@
 // Shutdown stops the server without cutting off requests. Callers keep their list of
 // addresses for keep_seconds, so the instance first removes itself from the lists and
 // keeps accepting requests until every list that contains it has expired. Then it
-// refuses new requests, finishes those in flight, and closes. ctx limits the whole
-// shutdown.
+// refuses new requests, finishes those in flight, and closes once the callers' hosts
+// have acknowledged their answers. ctx limits the whole shutdown.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if deadline, bounded := ctx.Deadline(); bounded {
 		s.bound.Store(&shutdownBound{began: s.options.Clock.Now(), limit: time.Until(deadline)})
@@ -40,7 +40,8 @@
 	s.draining.set(phaseRefusing)
 	cutOff := s.finishAll(ctx)
 	err := s.close(ctx)
-	eventStopped.Log(s.options.Log, event.Fields{"cut_off": cutOff})
+	unacknowledged := s.held.await(ctx)
+	eventStopped.Log(s.options.Log, event.Fields{"cut_off": cutOff, "unacknowledged": unacknowledged})
 	if cutOff > 0 {
 		return errors.Wrapf(ErrCutOff, "%d", cutOff)
 	}
