The documents state how long a stop of the completions interface takes

What operators saw: SETTINGS calls drain_timeout the maximum duration of a graceful shutdown, and the table of signals in OPERATIONS says that a stop ends within it. An instance that serves completions takes up to 9 s more, to copy its counters and to leave the control group. A process manager that kills after drain_timeout ends both.

Cause: drain_timeout bounds the time for calls there; only one sentence of OPERATIONS said what comes after it.

--- a/cli/repeated_signals_process_test.go
+++ b/cli/repeated_signals_process_test.go
@@ -18,9 +18,9 @@
 )
 
 // streamCompletion returns the body of a streamed completion whose answer has begun.
-func (f *trafficFleet) streamCompletion(address string) (*bufio.Reader, error) {
+func (f *trafficFleet) streamCompletion(address string, tokens int) (*bufio.Reader, error) {
 	request, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+address+"/v1/completions",
-		strings.NewReader(`{"model":"`+processModel+`","max_tokens":`+strconv.Itoa(repeatedTokens)+`,"stream":true,"prompt":"a long answer"}`))
+		strings.NewReader(`{"model":"`+processModel+`","max_tokens":`+strconv.Itoa(tokens)+`,"stream":true,"prompt":"a long answer"}`))
 	if err != nil {
 		return nil, err
 	}
@@ -47,7 +47,7 @@
 		for range repeatedCompletions {
 			begun.Add(1)
 			running.Go(func() {
-				body, err := f.streamCompletion(f.traffic[i])
+				body, err := f.streamCompletion(f.traffic[i], repeatedTokens)
 				begun.Done()
 				if err != nil {
 					t.Errorf("instance %d: no answer: %v", i, err)
--- a/settings/schema_process.go
+++ b/settings/schema_process.go
@@ -151,7 +151,7 @@
 		key("read_timeout", duration(time.Millisecond, maxTimeout), "30s", func(p *Process) *time.Duration { return &p.ReadTimeout },
 			"Maximum time to receive a caller's whole request."),
 		key("drain_timeout", duration(time.Millisecond, maxTimeout), "10m", func(p *Process) *time.Duration { return &p.DrainTimeout },
-			"Maximum duration of a graceful shutdown."),
+			"Maximum duration of a graceful shutdown. An instance that serves completions may take up to 9s more to copy its counters and to leave the control group; what ends processes has to leave it that time."),
 		key("repeat_ratio", number(0, 1), "0.2", func(p *Process) *float64 { return &p.RepeatRatio },
 			"Repeated sends of forwarded calls, as a fraction of the calls for a service, over all instances."),
 		key("repeat_slack", fractionalCount(maxPool), "100", func(p *Process) *float64 { return &p.RepeatSlack },
