A begun answer of any status and type goes on at another instance

What callers saw: an answer that had begun with status 201, or with another type than that of an event stream, was cut when its call was handed over to a second instance, although the upstream there went on with it.

Cause: an instance that takes over a begun answer assumed that it had begun with status 200 as an event stream, and took every other run for one that does not go on with it (package resume).

Change: transit.Call states the status and the type with which the answer began. Instances of older releases neither send nor read them; for their calls the assumption stays.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -71,6 +71,9 @@
 		x.deadline = earlier(x.deadline, x.began.Add(x.call.Wait))
 	}
 	x.received = resume.After(x.call.ResumeAfter, x.call.Resumes, x.answerBegun())
+	if t := x.transit; t != nil && t.Status != 0 {
+		x.received.BeganWith(resume.Head{Status: t.Status, Type: t.Type})
+	}
 	return x.admitLate(time.Now())
 }
 
--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -180,8 +180,9 @@
 		From: x.server.options.Process.Name, Revision: x.revision, Sends: max(1, x.maxSends()-x.failed.Counted()), Waited: time.Since(x.began),
 		Events: x.events,
 	}
-	if x.events > 0 {
-		info.Paused = time.Since(x.eventAt)
+	if x.answerBegun() {
+		first := x.received.First()
+		info.Paused, info.Status, info.Type = time.Since(x.eventAt), first.Status, first.Type
 	}
 	head.Fields = append(httpwire.Fields{info.Field()}, head.Fields...) // before a field of that name from the caller
 	head.Body = httpwire.Framing{Kind: httpwire.Sized, Length: int64(len(x.body))}
--- a/resume/head.go
+++ b/resume/head.go
@@ -16,7 +16,7 @@
 	Type   string // of its content, empty if not stated
 }
 
-// usualHead stands for the head of a first run that another instance received.
+// usualHead stands for the head of a first run that another instance received and does not state.
 var usualHead = Head{Status: http.StatusOK, Type: eventStream}
 
 // continues returns why a run with this head does not go on with a stream that began with another head, nil if it may.
--- a/resume/stream.go
+++ b/resume/stream.go
@@ -39,6 +39,12 @@
 	return Stream{first: usualHead, begun: begun, last: last, known: known}
 }
 
+// First returns the head of the run with which the caller's answer began.
+func (s *Stream) First() Head { return s.first }
+
+// BeganWith states the head of the run with which the caller's answer began, through another instance.
+func (s *Stream) BeganWith(h Head) { s.first = h }
+
 // Last returns the ID of the last event that the caller has; false: the call starts from the beginning.
 func (s *Stream) Last() (int64, bool) { return s.last, s.known }
 
--- a/transit/call.go
+++ b/transit/call.go
@@ -22,6 +22,8 @@
 	Waited   time.Duration // since the call arrived
 	Events   int           // events that the caller has received
 	Paused   time.Duration // since the last of these
+	Status   int           // of the answer that the caller has a part of; 0: none, or not stated
+	Type     string        // of the content of that answer
 }
 
 // Field returns the field of the call.
@@ -33,6 +35,10 @@
 	values.Set("waited_ms", strconv.FormatInt(c.Waited.Milliseconds(), 10))
 	values.Set("events", strconv.Itoa(c.Events))
 	values.Set("paused_ms", strconv.FormatInt(c.Paused.Milliseconds(), 10))
+	if c.Status != 0 {
+		values.Set("status", strconv.Itoa(c.Status))
+		values.Set("type", c.Type)
+	}
 	return httpwire.Field{Name: callField, Value: values.Encode()}
 }
 
@@ -51,7 +57,10 @@
 	call := &Call{
 		From: values.Get("from"), Revision: uint64(number("revision")), Sends: max(1, int(number("sends"))),
 		Waited: time.Duration(number("waited_ms")) * time.Millisecond,
-		Events: int(number("events")), Paused: time.Duration(number("paused_ms")) * time.Millisecond,
+		Events: int(number("events")), Paused: time.Duration(number("paused_ms")) * time.Millisecond, Type: values.Get("type"),
+	}
+	if values.Has("status") {
+		call.Status = int(number("status"))
 	}
 	if failed != nil {
 		return nil, fields, errors.Wrap(failed, "decode the fields of a call of another instance")
