claim: end the wait for an outcome only by answers of now

Cause: the wait of ended after four intervals (1 s) whether voters answered in them or not. With a voter that stopped answering meanwhile, or a process that was paused itself, it was ended by an answer of before.

Change: only rounds with an answer count for the four. Without answers the wait takes 16 intervals (4 s), as before at most half of the time to the deadline, and ends with one more round, so that a paused process asks again. Votes are granted as before.

Tests: TestResendAwaitsTheOutcomeOfAVoterThatStopsAnswering (both cases), TestWaitForSilentVotersIsBounded and TestResendOfAPausedProcessAsksTheVotersAgain failed before.

--- a/claim/claimant.go
+++ b/claim/claimant.go
@@ -61,7 +61,7 @@
 	rounds    int // number of request rounds so far
 	resendAt  time.Time
 	retryAt   time.Time // start of the next attempt; zero if none is scheduled
-	heldUntil time.Time // end of the wait for the outcome of another holder's request; zero if none has begun
+	wait      outcomeWait
 	delivery  settlement
 }
 
@@ -122,6 +122,7 @@
 		return c.timeout(now)
 	}
 	c.responses[m.From] = m
+	c.wait.answered = c.wait.answered || m.Answer == Held
 	return c.decide(now)
 }
 
@@ -149,16 +150,12 @@
 		clear(c.responses)
 		return c.requestVotes(now)
 	}
-	held := c.awaitsOutcome()
-	if held && !now.Before(c.heldUntil) {
-		return c.awaitOutcome(now)
+	if c.awaitsOutcome() {
+		return c.tickOutcomeWait(now)
 	}
 	if !c.retryAt.IsZero() || now.Before(c.resendAt) {
 		return nil
 	}
-	if held {
-		return c.requestVotes(now)
-	}
 	if t := c.tally(); t.heldByOther() {
 		// A voter that does not answer could decide between the holders.
 		// Waiting for it would block the key for all of them.
@@ -182,8 +179,8 @@
 	if c.request.Deadline.Before(next) {
 		next = c.request.Deadline
 	}
-	if c.awaitsOutcome() && c.heldUntil.Before(next) {
-		next = c.heldUntil
+	if c.awaitsOutcome() && c.wait.limit.Before(next) {
+		next = c.wait.limit
 	}
 	return next
 }
