claim: a delayed request of a holder that has released a key is not granted

What callers saw: after a voter had been silent, a key was refused as "a request with this key may have run" for its whole lifetime, though nothing had run.

Cause: a voter that gets a release of a holder without its vote confirms it and forgets it, and a vote replaces the release that was stored before it. Once the key was free again, a delayed vote request of that holder was granted. Its claim had ended and all releases were confirmed, so nobody released the key again.

Change: a voter remembers the releases of the last minute, at most 20,000, and abstains from requests of these holders. They are not stored: delayed requests to a voter end with its process. A holder never sends after its release, and a new attempt has a holder of its own, so at most once does not depend on it.

--- a/claim/vote.go
+++ b/claim/vote.go
@@ -19,6 +19,8 @@
 		r.Answer, r.Other, r.Outcome = Held, old.Holder, old.Outcome
 	case m.Epoch != v.epoch().Number || !v.canVote():
 		r.Answer = Abstained
+	case v.releases.has(m.Key, m.Holder):
+		r.Answer = Abstained // a delayed request
 	case old == nil && v.table.count >= v.cfg.MaxVotes:
 		r.Answer = Abstained
 	case old == nil, old.Outcome.Kind == Released && old.Holder != m.Holder:
@@ -48,6 +50,9 @@
 // won with the votes of others. A release is accepted only from the holder itself.
 func (v *Voter) handleSettleRequest(now time.Time, m Message) {
 	old := v.table.get(m.Key)
+	if m.Outcome.Kind == Released {
+		v.releases.add(now, m.Key, m.Holder)
+	}
 	switch {
 	case old != nil && old.Outcome.Kind == Done:
 	case m.Outcome.Kind == Done:
--- a/claim/voter.go
+++ b/claim/voter.go
@@ -49,6 +49,7 @@
 	state      EpochState
 	lastExpiry time.Time // time of the last search for expired votes
 	copier     copier
+	releases   releases
 
 	records  []Record
 	messages []Message
@@ -67,7 +68,7 @@
 	if cfg.ID == "" || cfg.Lifetime <= 0 || cfg.MaxVotes <= 0 {
 		return nil, errors.Newf("voter needs an ID, a lifetime and a size: %+v", cfg)
 	}
-	v := &Voter{cfg: cfg}
+	v := &Voter{cfg: cfg, releases: releases{}}
 	for _, r := range records {
 		v.replay(r)
 	}
@@ -111,6 +112,7 @@
 	if now.Sub(v.lastExpiry) >= expiryInterval {
 		v.lastExpiry = now
 		v.table.expire(now, v.cfg.Lifetime)
+		v.releases.expire(now)
 		v.recordDropped(now.Add(-v.cfg.Lifetime))
 	}
 	v.copier.requestCopies(v)
