Calls wait for the only instance that can take them over, if it is silent for a moment

Cause: another instance that took no connection for 0.1 s, or did not reply for 0.25 s, was skipped for 1 s. If it was the only one, the call and all others within that second went on to the upstreams that their instance can't reach, and were refused; they never asked again. An upstream may be silent for 1.5 s before its calls are refused. That the 27 calls met this is likely, not shown: the run's log is not at hand.

Change: a call that no instance takes asks all of them at once (transit.Survey, one round for all calls within 0.25 s, also those that are skipped). It waits while none replies and one of them may be sound: 1.5 s at most, counted from the first round without a reply, within its deadline, and not if the instance is known to have ended. A connection whose time ran out says so (Pool.open), whatever the read then met. A call that others decline may take up to 0.25 s longer for the round.

Not mended: while the control group has the other instance out of the list of live ones, it is not asked.

--- a/forward/transit_send.go
+++ b/forward/transit_send.go
@@ -33,12 +33,17 @@
 func (x *exchange) sendThroughPeers(ctx context.Context) *outcome {
 	s := x.server
 	tried := slices.Clone(x.brokenBy)
+	var silent []string
 	for began := time.Now(); time.Now().Before(x.deadline); {
 		peer := s.fleet.transits.Choose(s.options.Plane.View().Instances, x.serving, tried, s.draw())
 		if peer == nil && len(x.brokenBy) > 0 { // no other one handles the call
 			tried, x.brokenBy = slices.DeleteFunc(tried, func(name string) bool { return slices.Contains(x.brokenBy, name) }), nil
 			continue
 		}
+		if peer == nil {
+			tried = slices.DeleteFunc(tried, func(name string) bool { return slices.Contains(silent, name) })
+			peer = x.awaitSilentPeer(ctx, began, tried)
+		}
 		if peer == nil {
 			break
 		}
@@ -57,6 +62,9 @@
 			}
 			return result
 		}
+		if transit.IsSilent(err) {
+			silent = append(silent, peer.Name)
+		}
 		refused := errors.Is(err, errTransitRefused)
 		if !refused {
 			s.fleet.transits.Decline(peer.Name)
--- a/transit/ask.go
+++ b/transit/ask.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/failover"
 	"celeryport/membership"
 	"celeryport/rpc"
 )
@@ -85,6 +87,12 @@
 	}
 }
 
+// IsSilent reports whether a connection failed because the other instance did not reply in time: it may be sound.
+func IsSilent(err error) bool {
+	var network net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &network) && network.Timeout()
+}
+
 // ask asks one instance. The connection to one that serves the service is kept.
 func (p *Pool) ask(ctx context.Context, address string, ask rpc.TransitAsk) Reply {
 	conn, err := p.open(ctx, address, ask)
@@ -96,6 +104,8 @@
 		return ReachesNone
 	case errors.Is(err, errUpstreamEnded):
 		return ReportsEnd
+	case IsSilent(err) && p.Contact(time.Now(), address, false) != failover.Ended:
+		return Silent
 	default:
 		return NotReached
 	}
--- a/transit/pool.go
+++ b/transit/pool.go
@@ -131,8 +131,8 @@
 	conn := socket.NewConn(opened)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	reader, err := p.upgrade(conn, address, ask)
-	if !stop() && err == nil {
-		err = ctx.Err()
+	if !stop() {
+		err = errors.WithSecondaryError(ctx.Err(), err)
 	}
 	if err != nil {
 		_ = conn.Close() // nothing was sent on it
--- a/transit/survey.go
+++ b/transit/survey.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"celeryport/failover"
 )
 
 // Reply is what one instance replied to the question whether it serves a service.
@@ -11,6 +13,8 @@
 const (
 	// NotReached means that it was not reached, or can't tell.
 	NotReached Reply = iota
+	// Silent means that it did not reply in time, and is not known to have ended.
+	Silent
 	// ReachesNone means that it reaches no upstream of the service.
 	ReachesNone
 	// ReportsEnd means that it reaches the service, but finds the upstream in question to have ended.
@@ -39,12 +43,17 @@
 	Others Others
 	By     string // an instance that serves the service, if one does
 	Asked  int    // instances that were asked
+	Silent int    // instances of them that did not reply in time
+
+	SilentSince time.Time // if MayServe: since when findings that follow each other closely are such
 }
 
 // add adds the reply of an instance.
 func (f *Finding) add(name string, r Reply) {
 	f.Asked++
 	switch {
+	case r == Silent:
+		f.Silent++
 	case r == Serves && f.Others != OthersServe:
 		f.Others, f.By = OthersServe, name
 	case r == ReportsEnd && f.Others != OthersServe:
@@ -54,6 +63,9 @@
 	}
 }
 
+// MayServe reports whether no other instance has replied, and one that was silent may serve the service.
+func (f *Finding) MayServe() bool { return f.Others == OthersUnknown && f.Silent > 0 }
+
 // FindingRetention is how long a finding counts: many silent calls need one round of questions.
 const FindingRetention = 250 * time.Millisecond
 
@@ -116,6 +128,12 @@
 		known = &surveyed{}
 		s.services[service] = known
 	}
+	if f.MayServe() {
+		f.SilentSince = now
+		if known.finding.MayServe() && now.Sub(known.at) < failover.MaxSoundSilence {
+			f.SilentSince = known.finding.SilentSince
+		}
+	}
 	changed = known.finding.Others != f.Others
 	*known = surveyed{finding: f, at: now}
 	return changed
