A voter that was removed while it was down asks the voters of its log for the group

Cause: their settings named three voters: one had been removed from the group, the others had lost their disks. The removed one knew the present voters from its log, but asked only those that a leader had named since its start and those of its settings, which were the same three. So none of them found the leader, and neither did who was attached to them.

Change: voterAddresses includes the voters of the own log.

--- a/control/synctarget.go
+++ b/control/synctarget.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -79,25 +80,32 @@
 	return 0
 }
 
-// voterAddresses lists the voters of the last known configuration, followed by those of
-// the process settings in case all of the former have been replaced.
+// voterAddresses lists the voters that a leader named last, followed by those of the own log, which are newer than the
+// process settings after a restart, and those of the settings in case all of the former have been replaced.
 func (c *core) voterAddresses() []string {
 	var addresses []string
 	for _, m := range c.voters {
 		addresses = append(addresses, m.Address)
 	}
+	if c.group != nil {
+		for _, m := range c.group.voters() {
+			addresses = appendAddress(addresses, m.Address)
+		}
+	}
 	return appendNew(addresses, c.seeds)
 }
 
 func appendNew(addresses []string, members []settings.Member) []string {
 	for _, m := range members {
-		known := false
-		for _, a := range addresses {
-			known = known || a == m.Address
-		}
-		if !known {
-			addresses = append(addresses, m.Address)
-		}
+		addresses = appendAddress(addresses, m.Address)
 	}
 	return addresses
 }
+
+// appendAddress appends an address that is not in the list.
+func appendAddress(addresses []string, address string) []string {
+	if slices.Contains(addresses, address) {
+		return addresses
+	}
+	return append(addresses, address)
+}
