entry: the bound of a shutdown is measured from before its context begins

Cause: the time was taken after the context that ends after 2 s had been made, so that the wait could look 38 us short.

Change: it is taken before. The bounds are the same.

--- a/entry/held_conns_test.go
+++ b/entry/held_conns_test.go
@@ -80,9 +80,9 @@
 				t.Errorf("a deadline after the close: %v", err)
 			}
 			test.caller(far)
+			began := time.Now()
 			ctx, cancel := context.WithTimeout(t.Context(), heldLimit)
 			defer cancel()
-			began := time.Now()
 			if left, took := held.await(ctx), time.Since(began); left != test.held || took < test.least || took > test.most {
 				t.Errorf("%d held after %s", left, took)
 			}
