control: the acknowledgement of a leave means that a majority has stored it

Cause: that an upstream leaves lived in memory only. The acknowledgement meant that the leader had it. The file of the remembered fleet, written once a second, names the upstreams that do not leave, so that a kill before the next write brought the upstream back; and since the file keeps no trace of one that left, a kill after it let a heartbeat from before the leave, which may arrive seconds late, bring it back as a new one. An upstream that has left announces nothing more, so nothing corrected either. A leave at a voter that did not know the upstream was acknowledged without effect.

Change: departures are a command of the replicated log (package departure: name and incarnation). A leave, or a heartbeat that says draining, is acknowledged once the entry is committed, else the engine is told 503 as before and asks again; the instances that know of it stop sending at once, as before. Reports that arrive while one is under way share the next one. Each voter marks the upstreams of its state machine as leaving, also in entries that it has stored but does not know to be committed, and takes late announcements of them for what they are; voters pass that on to the instances as before. A later incarnation, and another upstream at the address, are not affected; an upstream that has departed supersedes nobody at its address. While a voter of an older version takes part, the acknowledgement is as before.

Writing the file at once, or waiting for it, was not tried: it leaves the late heartbeat, and rests on one disk.

TestLeavingUpstreamsDoNotKeepVotersFromElecting looked at the queue of waiting acknowledgements, which these no longer use; it asks the same of the new queue (60 wait, at most 30 calls, none left) and still of the old one.

--- a/control/core.go
+++ b/control/core.go
@@ -53,6 +53,7 @@
 	evacuated      *evacuation.List     // availability zones whose upstreams get no new work
 	restoredAt     map[string]time.Time // when this instance learned that a zone is evacuated no longer
 	fleetAnswer    fleetAnswer          // last one given to instances that no leader has accepted
+	departuresAt   uint64               // version of the departed upstreams that known has
 }
 
 // syncPosition is what this instance and a leader have acknowledged of each other's
@@ -111,6 +112,7 @@
 	c.known = upstream.NewRegistry(c.freshFor())
 	if c.group != nil {
 		c.fanout = newFanout(c)
+		c.applyDepartures()
 	}
 	return c.loadRemembered(n.clock.Now())
 }
@@ -124,6 +126,7 @@
 			return next, err
 		}
 		next = earlier(next, due)
+		c.followDepartures()
 	}
 	c.followLeadership(now)
 	if c.leader != nil {
@@ -150,6 +153,7 @@
 // receiveAnnouncement processes an announcement that an upstream made to this instance.
 func (c *core) receiveAnnouncement(now time.Time, a upstream.Announcement) {
 	c.node.traffic.AnnouncementsTaken.Add(1)
+	c.markDeparted(&a)
 	news := c.direct.Apply(now, a)
 	c.logUpstream(a)
 	c.known.Apply(now, a)
--- a/control/delivery_test.go
+++ b/control/delivery_test.go
@@ -36,18 +36,15 @@
 			}
 		})
 	}
-	f.await("all engines wait", func() bool {
-		waits := 0
-		err := alone.node.do(t.Context(), func(time.Time) { waits = len(alone.node.core.fanout.delivery.waiting) })
-		return err == nil && waits == engines
-	})
+	f.await("all engines wait", func() bool { return alone.node.waitingDepartures.Load() == engines })
 	end()
 	waiting.Wait()
 	if calls := alone.node.clients.Stats().Calls.Load(); calls > engines/2 {
 		t.Errorf("%d waiting engines caused %d calls to the other voters", engines, calls)
 	}
 	var left int
-	if err := alone.node.do(t.Context(), func(time.Time) { left = len(alone.node.core.fanout.delivery.waiting) }); err != nil || left > 0 {
+	err := alone.node.do(t.Context(), func(time.Time) { left = len(alone.node.core.fanout.delivery.waiting) })
+	if left += int(alone.node.waitingDepartures.Load()); err != nil || left > 0 {
 		t.Errorf("%d waiters are still registered after their context ended, error %v", left, err)
 	}
 }
--- a/control/events.go
+++ b/control/events.go
@@ -75,6 +75,8 @@
 		"An operator has evacuated an availability zone or restored one; this instance sends no new work to upstreams of the evacuated zones. List them with: celeryport zone list. Fields: zones, version.")
 	eventStorageSlow = event.Define(3037, logrus.WarnLevel, "data folder slow",
 		"A write to the log took so long that the voter could not take part in consensus meanwhile. If it persists, the group loses its leader: find out what else uses the disk, or replace it. Fields: folder, waited_ms.")
+	eventDeparturesNotStored = event.Define(3038, logrus.WarnLevel, "leaving upstreams not acknowledged",
+		"Upstreams wait for the acknowledgement that they leave, since no majority of the voters has stored it; it is tried again. They get no new requests from the instances that know of it, but may end before they are acknowledged. Fields: error, waiting.")
 	eventRelayFailed = event.Define(3021, logrus.ErrorLevel, "upstreams not relayed",
 		"Announcements of upstreams could not be encoded for other instances, which is a bug. The other instances lose track of the upstreams; report it.")
 	eventServeFailed = event.Define(3020, logrus.ErrorLevel, "control address failed",
--- a/control/evidence.go
+++ b/control/evidence.go
@@ -115,25 +115,20 @@
 	if err := report.check(); err != nil {
 		return nil, err
 	}
-	var leads, attaches bool
-	var address string
-	err = n.do(ctx, func(now time.Time) {
-		n.core.followLeadership(now)
-		leads, attaches, address = n.core.leader != nil, n.core.attaches(), n.core.leaderAddress()
-	})
+	route, err := n.routeToLeader(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if leads {
+	if route.leads {
 		return nil, n.proposeEvidence(ctx, report.Evidence)
 	}
-	if report.Relayed || address == "" || address == n.opts.controlAddress() {
+	if report.Relayed || route.address == "" || route.address == n.opts.controlAddress() {
 		return nil, errNotLeader
 	}
-	if body, err = encode(evidenceReport{Evidence: report.Evidence, Relayed: !attaches}); err != nil {
+	if body, err = encode(evidenceReport{Evidence: report.Evidence, Relayed: !route.attached}); err != nil {
 		return nil, err
 	}
-	return n.Ask(ctx, address, commandReportEvidence, body)
+	return n.Ask(ctx, route.address, commandReportEvidence, body)
 }
 
 func (r *evidenceReport) check() error {
--- a/control/fanout.go
+++ b/control/fanout.go
@@ -102,6 +102,7 @@
 func (f *fanout) receiveAnnouncements(now time.Time, p *poll) uint64 {
 	relayed, position := receiveInbox(f.inboxes, now, p)
 	for _, r := range relayed {
+		f.core.markDeparted(&r.Announcement)
 		f.core.logUpstream(r.Announcement)
 		f.core.direct.ApplyRelayed(now, r)
 		if !f.core.known.ApplyRelayed(now, r) {
--- a/control/group.go
+++ b/control/group.go
@@ -42,6 +42,8 @@
 	retryAt     time.Time        // when to try to reopen the folder
 
 	reopenReason string // why the last attempt to reopen the folder failed, as logged
+
+	storedDepartures []storedDeparture // departures of stored entries that may be uncommitted
 }
 
 // idleWait is the time until the next step when nothing is scheduled.
@@ -57,6 +59,7 @@
 	g.core.node.claimVoter.enter(g.machine.Epoch())
 	g.compacted = g.stored.Snapshot.Index
 	g.appliedTerm = g.stored.Snapshot.Term
+	g.storedDepartures = storedDepartures(g.stored.Entries)
 	node, err := consensus.New(consensus.Config{
 		ID:       g.id,
 		Timing:   g.core.timing.Consensus,
--- a/control/leader.go
+++ b/control/leader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celeryport/consensus"
+	"celeryport/departure"
 	"celeryport/event"
 	"celeryport/membership"
 )
@@ -29,6 +30,7 @@
 	healAt          time.Time      // when to check the voters next
 	evidence        *evidenceBatch // batch being collected, nil if none
 	settling        bool           // a later entry is due that decides without new evidence
+	departures      departure.Expiry
 }
 
 // poll is a sync whose response is held until there is a change.
@@ -127,6 +129,7 @@
 	l.logInForce(now)
 	l.maintainIssuer(now)
 	l.applyInitialTree(now)
+	l.expireDepartures(now)
 	next := l.heal(now)
 	l.core.fanout.broadcast(now)
 	l.polls, next = answerDue(now, l.polls, next, func(p *poll) *syncResponse {
--- a/control/node.go
+++ b/control/node.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"celeryport/clock"
+	"celeryport/departure"
 	"celeryport/order"
 	"celeryport/quarantine"
 	"celeryport/rpc"
@@ -46,10 +47,12 @@
 	parsed     parseCache
 	refused    refusedAnnouncements
 	evidence   chan quarantine.Evidence // not yet gathered into a report
+	departing  chan departing           // not yet sent to the leader
 	core       *core                    // owned by the control goroutine
 	traffic    SyncTraffic
 
 	refusedConnections atomic.Int64
+	waitingDepartures  atomic.Int64 // upstreams that wait until their departure is stored
 }
 
 // task is work for the control goroutine.
@@ -91,6 +94,7 @@
 		stopped:    make(chan struct{}),
 		urgentSync: make(chan struct{}, 1),
 		evidence:   make(chan quarantine.Evidence, maxEvidence),
+		departing:  make(chan departing, maxDepartures),
 		refused:    refusedAnnouncements{logged: rate.Sometimes{Interval: refusedLogInterval}},
 	}
 	n.clock = n.opts.Clock
@@ -141,28 +145,33 @@
 	}
 }
 
-// AnnounceAndWait submits an announcement and returns when the leader has it, so that the
-// acknowledgement to the upstream is valid for every instance: the leader forwards a
-// leaving upstream to all instances at once.
+// AnnounceAndWait submits an announcement and returns when it holds for the fleet: when the leader has it, or, for an
+// upstream that leaves, when a majority of the voters has stored that.
 func (n *Node) AnnounceAndWait(ctx context.Context, a upstream.Announcement) error {
 	if err := n.do(ctx, func(now time.Time) { n.core.receiveAnnouncement(now, a) }); err != nil {
 		return err
 	}
+	if a.Leaving {
+		return n.storeDeparture(ctx, departure.Departure{Name: a.Name, Incarnation: a.Incarnation})
+	}
 	return n.propagate(ctx)
 }
 
 // Leave marks an incarnation of an upstream as leaving, at the upstream's own request, and
-// returns when the leader has the change; upstream.UnknownIncarnation stands for the
-// incarnation known here. Nothing is done for an upstream that is not known here: either
-// no instance knows it, or the instances that do will announce that it is leaving. A
-// request for an earlier incarnation has no effect.
+// returns like AnnounceAndWait; upstream.UnknownIncarnation stands for the incarnation known
+// here or to the leader. An upstream that neither knows may yet be known to another instance or
+// announce itself late, so its departure is stored all the same. A request for an earlier
+// incarnation has no effect.
 func (n *Node) Leave(ctx context.Context, name string, incarnation uint64) error {
 	var known upstream.Announcement
 	var found bool
 	err := n.do(ctx, func(time.Time) { known, found = n.core.known.Find(name) })
-	if err != nil || !found {
+	if err != nil {
 		return err
 	}
+	if !found {
+		return n.storeDeparture(ctx, departure.Departure{Name: name, Incarnation: incarnation})
+	}
 	if incarnation > upstream.UnknownIncarnation && incarnation < known.Incarnation {
 		return nil
 	}
--- a/control/operations.go
+++ b/control/operations.go
@@ -41,6 +41,7 @@
 	n.handlers[commandPutDocument] = n.atLeader(commandPutDocument, n.putDocument)
 	n.handlers[commandReadDocument] = n.atLeader(commandReadDocument, n.readDocument)
 	n.handlers[commandReportEvidence] = n.reportEvidence
+	n.handlers[commandStoreDepartures] = n.storeDepartures
 	n.handlers[CommandQuarantineList] = n.atLeader(CommandQuarantineList, n.listQuarantine)
 	n.handlers[CommandQuarantineRelease] = n.atLeader(CommandQuarantineRelease, n.releaseQuarantined)
 	n.handlers[CommandEvacuate] = n.atLeader(CommandEvacuate, n.evacuate)
@@ -97,6 +98,23 @@
 	}
 }
 
+// leaderRoute is the way of a report to the leader.
+type leaderRoute struct {
+	leads    bool   // this instance leads
+	attached bool   // the address is that of a voter which may not lead
+	address  string // where to send it, empty if that is not known
+}
+
+// routeToLeader returns the way of a report to the leader.
+func (n *Node) routeToLeader(ctx context.Context) (leaderRoute, error) {
+	var route leaderRoute
+	err := n.do(ctx, func(now time.Time) {
+		n.core.followLeadership(now)
+		route = leaderRoute{leads: n.core.leader != nil, attached: n.core.attaches(), address: n.core.leaderAddress()}
+	})
+	return route, err
+}
+
 // asLeader runs a task on the control goroutine if this voter leads with a valid lease, so
 // that the task reads everything accepted before.
 func (n *Node) asLeader(ctx context.Context, t func(now time.Time, l *leader)) error {
--- a/control/options.go
+++ b/control/options.go
@@ -57,6 +57,9 @@
 	Contact time.Duration
 	Leave   time.Duration // timeout of notifying the leader when this instance stops
 	Compact uint64        // number of applied entries between two snapshots of the log
+	// Departed is how long the log keeps that an upstream has left. It is longer than any announcement is delayed
+	// and any upstream goes on after it has left.
+	Departed time.Duration
 }
 
 // DefaultTiming returns the intervals for production. A change is in force within
@@ -85,6 +88,8 @@
 		Contact: 1200 * time.Millisecond,
 		Leave:   time.Second,
 		Compact: 1000,
+
+		Departed: time.Hour,
 	}
 }
 
--- a/control/relaying.go
+++ b/control/relaying.go
@@ -63,6 +63,7 @@
 func (l *leader) receiveAnnouncements(now time.Time, p *poll) uint64 {
 	relayed, position := receiveInbox(l.inboxes, now, p)
 	for _, r := range relayed {
+		l.core.markDeparted(&r.Announcement)
 		l.core.logUpstream(r.Announcement)
 		if l.core.known.ApplyRelayed(now, r) {
 			l.core.markUpstreamChanged(r.Announcement)
@@ -81,6 +82,7 @@
 		return
 	}
 	for _, one := range relayed {
+		c.markDeparted(&one.Announcement)
 		c.logUpstream(one.Announcement)
 		if c.known.ApplyRelayed(now, one) {
 			c.markUpstreamChanged(one.Announcement)
--- a/control/run.go
+++ b/control/run.go
@@ -65,6 +65,7 @@
 	group.Go(func() error { return n.runSync(ctx) })
 	group.Go(func() error { return n.runRemember(ctx) })
 	group.Go(func() error { return n.runEvidence(ctx) })
+	group.Go(func() error { return n.runDepartures(ctx) })
 	group.Go(func() error { return n.orders.Run(ctx) })
 	group.Go(func() error {
 		select {
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"celeryport/departure"
 	"celeryport/quarantine"
 )
 
@@ -15,12 +16,13 @@
 	VersionEvacuation = 2
 	VersionParts      = 3 // evidence about parts of prompts
 	VersionIdentities = 4 // evidence that tells which parts came in the same request
+	VersionDepartures = 5
 	// LogVersion is the newest version that this build can read.
-	LogVersion = VersionIdentities
+	LogVersion = VersionDepartures
 )
 
-// Command is the payload of one log entry. Exactly one of Apply, Issuer, Document, Evidence
-// and Evacuate is set.
+// Command is the payload of one log entry. Exactly one of Apply, Issuer, Document, Evidence,
+// Evacuate and Departures is set.
 type Command struct {
 	At       time.Time     `json:"at"`                 // wall-clock time of the proposing leader
 	Lifetime time.Duration `json:"lifetime,omitempty"` // retention of order ids, from the settings in force
@@ -30,6 +32,8 @@
 	Evacuate *Evacuate     `json:"evacuate,omitempty"`
 
 	Evidence []quarantine.Evidence `json:"evidence,omitempty"` // against requests that crash upstreams
+
+	Departures *Departures `json:"departures,omitempty"`
 }
 
 // Apply is an operator's order to replace the settings tree.
@@ -53,6 +57,12 @@
 	Evacuated bool   `json:"evacuated"`
 }
 
+// Departures adds upstreams that have left for good, and drops those that need not be kept any longer.
+type Departures struct {
+	Departed []departure.Departure `json:"departed,omitempty"`
+	Expired  uint64                `json:"expired,omitempty"` // drops the departures of the entries up to this log index
+}
+
 // AssignIssuer makes a leader the only issuer of engine orders.
 type AssignIssuer struct {
 	Holder      string `json:"holder"`
@@ -72,7 +82,7 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return nil, errors.Wrap(err, "decode a command")
 	}
-	if c.Apply == nil && c.Issuer == nil && c.Document == nil && c.Evacuate == nil && len(c.Evidence) == 0 {
+	if c.Apply == nil && c.Issuer == nil && c.Document == nil && c.Evacuate == nil && c.Departures == nil && len(c.Evidence) == 0 {
 		return nil, errors.New("unknown kind of command: this build is too old for the log")
 	}
 	return &c, nil
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"celeryport/claim"
+	"celeryport/departure"
 	"celeryport/evacuation"
 	"celeryport/quarantine"
 )
@@ -35,6 +36,7 @@
 
 	Quarantine quarantine.Registry `json:"quarantine,omitzero"`
 	Evacuated  *evacuation.List    `json:"evacuated,omitempty"`
+	Departed   departure.Registry  `json:"departed,omitzero"`
 }
 
 // New returns the empty state.
@@ -117,6 +119,11 @@
 		m.content.Evacuated = m.content.Evacuated.With(index, order.Zone, order.Evacuated)
 		return Outcome{Evacuated: evacuation.VersionOf(m.content.Evacuated)}, nil
 	}
+	if d := command.Departures; d != nil {
+		m.content.Departed.Add(index, d.Departed)
+		m.content.Departed.Expire(index, d.Expired)
+		return Outcome{}, nil
+	}
 	if command.Document != nil {
 		return m.putDocument(index, command.Document), nil
 	}
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -29,6 +29,7 @@
 	version   uint64
 	records   map[string]*record
 	byAddress addressIndex
+	departed  map[string]uint64 // highest incarnation that has left for good, by name
 }
 
 // record is the registry entry of one upstream.
@@ -60,7 +61,8 @@
 // Apply applies an announcement that the upstream sent to this instance and
 // reports whether it changed the registry.
 func (r *Registry) Apply(now time.Time, a Announcement) bool {
-	if known := r.records[a.Name]; known == nil || a.Incarnation > known.announcement.Incarnation {
+	known := r.records[a.Name]
+	if (known == nil || a.Incarnation > known.announcement.Incarnation) && !r.HasDeparted(a.Name, a.Incarnation) {
 		r.supersede(now, a)
 	}
 	return r.ApplyRelayed(now, Relayed{Announcement: a})
@@ -91,6 +93,7 @@
 // whether it changed the registry.
 func (r *Registry) ApplyRelayed(now time.Time, relayed Relayed) bool {
 	a := relayed.Announcement
+	a.Leaving = a.Leaving || r.HasDeparted(a.Name, a.Incarnation)
 	receivedAt := now.Add(-max(0, relayed.Age))
 	known := r.records[a.Name]
 	if known == nil || a.Incarnation > known.announcement.Incarnation {
