--- a/control/departures_test.go
+++ b/control/departures_test.go
@@ -96,17 +96,7 @@
 			if c.stored {
 				f.awaitRemembered(voters, "left", false)
 			}
-			for _, m := range voters {
-				m.disk.full.Store(true) // what they would write between the kill and the end of their goroutines
-			}
-			for _, m := range f.members {
-				f.crash(m)
-			}
-			for _, m := range f.members {
-				m.disk.full.Store(false)
-				f.start(m, nil)
-			}
-			f.leader()
+			f.loseAll()
 			if c.late {
 				voters[1].node.Announce(*left)
 			}
