forward: a call is not sent again on a connection that has carried it

Cause: a rejected call keeps its connection and may go to the same server again, on that connection. The late copy of its first rejection names the call, so it was taken for the answer of the second send.

Change: a connection remembers the last eight calls that it has carried; a call takes an idle connection that has not carried it, or a new one. Remembering it with the call would not do, since a call that is handed over comes to an instance anew.

--- a/forward/fleet_conns.go
+++ b/forward/fleet_conns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,19 @@
 			return c, nil
 		}
 	}
+	return f.open(ctx, n)
+}
+
+// connectFor is like connect, for a call. It returns a connection that has not carried the call before.
+func (f *fleet) connectFor(ctx context.Context, n *node, call string) (*upstreamConn, error) {
+	if c := f.takeIdleFor(n, reuseForCalls, call); c != nil {
+		return c, nil
+	}
+	return f.open(ctx, n)
+}
+
+// open returns a new connection to the node.
+func (f *fleet) open(ctx context.Context, n *node) (*upstreamConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	conn, err := f.paths.Open(ctx, n.path())
@@ -32,18 +46,24 @@
 
 // takeIdle returns an idle connection that may be used again, nil if there is none. The others
 // that it comes across are closed.
-func (f *fleet) takeIdle(n *node, share reuse) *upstreamConn {
+func (f *fleet) takeIdle(n *node, share reuse) *upstreamConn { return f.takeIdleFor(n, share, "") }
+
+// takeIdleFor is like takeIdle, for a call; "" stands for no call. It leaves connections that have carried the
+// call for others.
+func (f *fleet) takeIdleFor(n *node, share reuse, call string) *upstreamConn {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for len(n.idle) > 0 {
-		last := n.idle[len(n.idle)-1]
-		n.idle = n.idle[:len(n.idle)-1]
-		now := time.Now()
-		idle := now.Sub(last.idleAt)
-		if last.usable(now, share) && (share == reuseForPolls || n.keepAlive.Allows(now, idle)) {
-			return last
+	now := time.Now()
+	for at := len(n.idle) - 1; at >= 0; at-- {
+		c := n.idle[at]
+		if call != "" && c.hasCarried(call) {
+			continue
 		}
-		last.close()
+		n.idle = slices.Delete(n.idle, at, at+1)
+		if c.usable(now, share) && (share == reuseForPolls || n.keepAlive.Allows(now, now.Sub(c.idleAt))) {
+			return c
+		}
+		c.close()
 	}
 	return nil
 }
--- a/forward/send.go
+++ b/forward/send.go
@@ -61,7 +61,7 @@
 		}
 		defer fleet.release(w)
 	}
-	conn, err := fleet.connect(ctx, n, reuseForCalls)
+	conn, err := fleet.connectFor(ctx, n, x.call.ID)
 	if err != nil {
 		if ctx.Err() == nil && !errors.Is(err, paths.ErrLost) {
 			fleet.suspect(n, err)
@@ -80,6 +80,7 @@
 	unused := !conn.used
 	idle := time.Since(conn.idleAt)
 	conn.polled, conn.used = false, true
+	conn.carry(x.call.ID)
 	x.sends++
 	x.sentFrom = x.events
 	s := &sending{x: x, node: n, conn: conn, work: w}
--- a/forward/upstream_conn.go
+++ b/forward/upstream_conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"hash/maphash"
 	"net"
+	"slices"
 	"time"
 
 	"celeryport/failover"
@@ -15,10 +17,30 @@
 	conn     *socket.Conn
 	reader   *bufio.Reader
 	liveness *livenessReader
-	idleAt   time.Time     // since when the connection is idle
-	idleFor  time.Duration // idle time after which the upstream closes it
-	polled   bool          // last used by a poll
-	used     bool          // has carried a message
+	idleAt   time.Time               // since when the connection is idle
+	idleFor  time.Duration           // idle time after which the upstream closes it
+	polled   bool                    // last used by a poll
+	used     bool                    // has carried a message
+	calls    [rememberedCalls]uint64 // hashes of the calls that it has carried last
+	next     int                     // position in calls of the next one
+}
+
+// rememberedCalls is how many calls a connection remembers. An upstream may repeat an answer where the next one is
+// expected, so that one call would do; the others allow for repetitions that come later.
+const rememberedCalls = 8
+
+var callSeed = maphash.MakeSeed()
+
+// carry records that the connection carries a call.
+func (c *upstreamConn) carry(call string) {
+	c.calls[c.next] = maphash.String(callSeed, call)
+	c.next = (c.next + 1) % rememberedCalls
+}
+
+// hasCarried reports whether the connection has carried a call lately. The same call must not be sent on it again:
+// a late second copy of its former answer, such as a rejection, would be taken for the answer of the new send.
+func (c *upstreamConn) hasCarried(call string) bool {
+	return slices.Contains(c.calls[:], maphash.String(callSeed, call))
 }
 
 // upstreamBuffer is large enough for the head and the first events of a typical answer.
