upstream, forward: a late announcement of a dead engine does not displace the one that runs at its address

What callers would see: a sound engine gets no calls until it restarts.

Cause: a voter that does not know an upstream took its first announcement for a start, and marked the others at the address as leaving, for good, if it had heard nothing of them for 1.5 s. Announcements that reach it by another voter are older than that at times. An announcement that was delayed by a partition may be of an upstream that has crashed. Forwarding instances used only the engine that became known last at an address, for as long as it was listed.

Evidence: TestOnlyAnUpstreamThatGoesOnSupersedesOthers: the upstream that runs is leaving after one late announcement; TestEngineOutlivesALateAnnouncementOfADeadOne: the dead one is eligible, the one that runs is not. Both on the code of before.

Change: an upstream supersedes those at its address that have announced nothing since it did so first, once it has gone on for 1.5 s: that is two announcements later than before, meanwhile instances use the one that became known last, as before. Of two engines at an address an instance uses the one that became known last, unless that is known to be replaced or the other one has announced itself 2 s later than it.

Result: both tests pass, and those of upstream, forward, platform and of control that have to do with upstreams.

--- a/forward/address_test.go
+++ b/forward/address_test.go
@@ -41,3 +41,35 @@
 		t.Errorf("a late announcement makes the replaced engine eligible again: %d engines at one address", len(nodes))
 	}
 }
+
+// Guards against an engine that gets nothing more because the only announcement of a dead one at its address arrives after
+// its own, so that this one seems to have started there later.
+func TestEngineOutlivesALateAnnouncementOfADeadOne(t *testing.T) {
+	s, now := newTestServer(t, "front-1", "front-1"), time.Now()
+	var version uint64
+	eligible := func(runsHeard, deadHeard time.Duration) (names []string) {
+		version++
+		upstreams := []upstream.Upstream{
+			{Announcement: upstream.Announcement{Name: "runs", Incarnation: 1, Address: "10.0.1.1:80", Targets: []string{"model"}}, AnnouncedAt: now.Add(runsHeard)},
+		}
+		if deadHeard >= 0 {
+			dead := upstream.Announcement{Name: "dead", Incarnation: 1, Address: "10.0.1.1:80", Targets: []string{"model"}}
+			upstreams = append([]upstream.Upstream{{Announcement: dead, AnnouncedAt: now.Add(deadHeard)}}, upstreams...)
+		}
+		s.fleet.mu.Lock()
+		defer s.fleet.mu.Unlock()
+		unlimited, _, _ := s.fleet.candidates(now, upstream.NewSnapshot(version, now, upstreams), "model")
+		for _, n := range unlimited.nodes {
+			names = append(names, n.name)
+		}
+		return names
+	}
+	for _, step := range []struct {
+		runs, dead time.Duration
+		want       string
+	}{{0, -1, "runs"}, {0, time.Second, "dead"}, {time.Second + outlivedAfter - 1, time.Second, "dead"}, {time.Second + outlivedAfter, time.Second, "runs"}} {
+		if got := eligible(step.runs, step.dead); len(got) != 1 || got[0] != step.want {
+			t.Errorf("heard at %s and %s: %v are eligible, want %s", step.runs, step.dead, got, step.want)
+		}
+	}
+}
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -125,12 +125,26 @@
 			f.byAddress[n.address] = n
 		}
 	}
-	n.freshUntil, n.cold.announced, n.cold.restoredAt = u.FreshUntil, u.ColdUntil, u.RestoredAt
+	n.heardAt, n.freshUntil, n.cold.announced, n.cold.restoredAt = u.AnnouncedAt, u.FreshUntil, u.ColdUntil, u.RestoredAt
+	if n.outlives(f.byAddress[n.address]) {
+		f.byAddress[n.address] = n
+	}
 	return n
 }
 
+// outlivedAfter is how much later than another upstream one at its address must have announced itself to be the one
+// that runs there, although the other one was announced first at a later time. It is longer than the usual
+// announcement interval.
+const outlivedAfter = 2 * time.Second
+
+// outlives reports whether a node runs at an address although another one was announced there last: the only
+// announcement of an upstream that has ended may arrive after that of its successor. The lock must be held.
+func (n *node) outlives(last *node) bool {
+	return last == nil || last != n && !n.replaced && (last.replaced || n.heardAt.Sub(last.heardAt) >= outlivedAfter)
+}
+
 // eligible reports whether a node may get work. Of several nodes at one address only the one
-// announced last is eligible: an engine that was started at the address of a dead one does not
+// announced last is eligible, or one that has outlived it: an engine that was started at the address of a dead one does not
 // answer calls addressed to the dead one, and rejects a prompt that lists the address twice. The
 // lock must be held.
 func (f *fleet) eligible(n *node, u *upstream.Upstream) bool {
--- a/forward/node.go
+++ b/forward/node.go
@@ -38,6 +38,7 @@
 	key                loadshare.Key
 	startedAt          time.Time // when this instance first saw it, zero if it may have run before
 	announced          time.Time // time of its last announcement when the node was created
+	heardAt            time.Time // time of its last announcement
 	freshUntil         time.Time // as in upstream.Upstream
 	idle               []*upstreamConn
 	busy               map[*upstreamConn]struct{} // connections with a call on them
--- a/upstream/address_index_test.go
+++ b/upstream/address_index_test.go
@@ -46,3 +46,42 @@
 		}
 	})
 }
+
+// Guards against an upstream that is taken out of service for good because the only announcement of a dead one at its address
+// arrives late, and against a dead one that stays in service beside its successor.
+func TestOnlyAnUpstreamThatGoesOnSupersedesOthers(t *testing.T) {
+	const interval = 1200 * time.Millisecond
+	announce := func(name string, sequence uint64) Announcement {
+		return Announcement{Name: name, Incarnation: 1, Sequence: sequence, Address: "10.0.0.1:80"}
+	}
+	r, now := NewRegistry(testFreshFor), testStart
+	for n := range uint64(5) {
+		r.ApplyRelayed(now.Add(time.Duration(n)*interval), Relayed{Announcement: announce("runs", n+1)})
+	}
+	now = now.Add(4*interval + supersedeAfter)
+	r.Apply(now, announce("dead", 7))
+	r.Apply(now, announce("dead", 9))
+	for n := range uint64(3) {
+		now = now.Add(interval)
+		r.ApplyRelayed(now, Relayed{Announcement: announce("runs", n+6), Age: interval / 4})
+		r.Apply(now, announce("dead", 8))
+	}
+	if state := stateOf(t, r, now, "runs"); state != Fresh {
+		t.Errorf("beside a late announcement the upstream that runs is %v", state)
+	}
+	var took time.Duration
+	for n := uint64(1); stateOf(t, r, now, "runs") != Leaving && took < 10*interval; n++ {
+		r.Apply(now, announce("successor", n))
+		now, took = now.Add(interval), took+interval
+	}
+	if took > 3*interval {
+		t.Errorf("the dead upstream stays in service for %s", took)
+	}
+	r.Apply(now, announce("runs", 99))
+	if state := stateOf(t, r, now, "runs"); state != Leaving {
+		t.Errorf("a late announcement brings it back: %v", state)
+	}
+	if state := stateOf(t, r, now, "successor"); state != Fresh {
+		t.Errorf("the successor is %v", state)
+	}
+}
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -36,6 +36,7 @@
 type record struct {
 	announcement Announcement
 	receivedAt   time.Time
+	firstAt      time.Time // when the incarnation became known
 	coldUntil    time.Time // end of the cold time that was stated last, zero if none
 	version      uint64    // version of the registry at the last change of the record
 	cache        cacheView
@@ -61,11 +62,11 @@
 // Apply applies an announcement that the upstream sent to this instance and
 // reports whether it changed the registry.
 func (r *Registry) Apply(now time.Time, a Announcement) bool {
-	known := r.records[a.Name]
-	if (known == nil || a.Incarnation > known.announcement.Incarnation) && !r.HasDeparted(a.Name, a.Incarnation) {
-		r.supersede(now, a)
+	changed := r.ApplyRelayed(now, Relayed{Announcement: a})
+	if rec := r.records[a.Name]; changed && rec.announcement.Sequence == a.Sequence {
+		r.supersede(now, rec)
 	}
-	return r.ApplyRelayed(now, Relayed{Announcement: a})
+	return changed
 }
 
 // supersedeAfter is the minimum time without announcements after which an upstream
@@ -74,14 +75,19 @@
 // displaces the one that now runs at the address.
 const supersedeAfter = 1500 * time.Millisecond
 
-// supersede marks the silent upstreams at the address of a new one as leaving.
-// Their own late announcements can't revert this. Only the instance that receives
-// the announcement from the new upstream itself decides this, because relayed
-// announcements arrive in any order.
-func (r *Registry) supersede(now time.Time, a Announcement) {
-	for _, rec := range r.byAddress[a.Address] {
+// supersede marks the upstreams at the address of another one as leaving that have announced
+// nothing since the other one did so first, once that has gone on for supersedeAfter. A single
+// announcement does not do: it may be a delayed one of an upstream that has terminated, and was
+// not known here. Late announcements of the upstreams that were superseded can't revert this.
+// Only the instance that receives the announcement from the upstream itself decides this, because
+// relayed announcements arrive in any order.
+func (r *Registry) supersede(now time.Time, by *record) {
+	if by.announcement.Leaving || now.Sub(by.firstAt) < supersedeAfter {
+		return
+	}
+	for _, rec := range r.byAddress[by.announcement.Address] {
 		old := &rec.announcement
-		if old.Name == a.Name || old.Leaving || now.Sub(rec.receivedAt) < supersedeAfter {
+		if rec == by || old.Leaving || !rec.receivedAt.Before(by.firstAt) {
 			continue
 		}
 		old.Leaving = true
@@ -113,7 +119,7 @@
 }
 
 func (r *Registry) newRecord(a Announcement, receivedAt time.Time) *record {
-	rec := &record{receivedAt: receivedAt, coldUntil: coldEnd(receivedAt, a), version: r.nextVersion()}
+	rec := &record{receivedAt: receivedAt, firstAt: receivedAt, coldUntil: coldEnd(receivedAt, a), version: r.nextVersion()}
 	rec.cache.apply(a.CacheEvents)
 	rec.announcement = withoutEvents(a)
 	return rec
