connlimit: answers at the auxiliary and control addresses state the idle time of their connections

What callers may see: a question for the list of addresses, or an order of an operator, on a kept connection gets no answer, since it crosses the close of the idle connection.

Cause: callers' addresses state for how long a connection may be idle, these did not. They close idle connections after 30 s and 60 s, and from 5 s on when a new one has no room.

Change: their answers state 4 s; calls between instances are as before. The test of the auxiliary address failed before, there was no such field.

--- a/control/run.go
+++ b/control/run.go
@@ -115,9 +115,10 @@
 	if n.opts.Extra == nil {
 		return own
 	}
+	extra := connlimit.StateIdle(n.opts.Extra) // instances keep their connections without a statement
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, n.opts.ExtraAt) {
-			n.opts.Extra.ServeHTTP(w, r)
+			extra.ServeHTTP(w, r)
 			return
 		}
 		own.ServeHTTP(w, r)
--- a/instance/auxiliary.go
+++ b/instance/auxiliary.go
@@ -47,7 +47,7 @@
 func (a *auxiliary) run(ctx context.Context) error {
 	idle := connlimit.NewIdle()
 	server := &http.Server{
-		Handler:           bodylimit.Handler(a.handler, bodylimit.Limit{Bytes: auxiliaryBodyBytes, Time: auxiliaryReadTimeout}),
+		Handler:           bodylimit.Handler(connlimit.StateIdle(a.handler), bodylimit.Limit{Bytes: auxiliaryBodyBytes, Time: auxiliaryReadTimeout}),
 		ReadHeaderTimeout: auxiliaryReadTimeout, MaxHeaderBytes: auxiliaryHeaderBytes, IdleTimeout: auxiliaryIdleTimeout, ConnState: idle.Track,
 	}
 	ended := make(chan struct{})
--- a/instance/auxiliary_test.go
+++ b/instance/auxiliary_test.go
@@ -79,6 +79,9 @@
 					t.Errorf("answer %+v, error %v", answer, err)
 				}
 				if err == nil {
+					if answer.Header.Get("Keep-Alive") == "" {
+						t.Error("the answer does not state for how long the connection may be idle")
+					}
 					answer.Body.Close()
 				}
 				if err := <-ended; err != nil || time.Since(stopped) > auxiliaryGrace {
