control: a leave without an incarnation takes the present one, and leaders of an older version are told apart

A leave that states no incarnation was acknowledged without effect by a voter that knew a former incarnation of the upstream as departed, but not the present one: the departure of any incarnation passed for it. Now a voter answers by its own state only if it knows which incarnation is meant; otherwise the leader decides. TestLeaveTakesThePresentIncarnation timed out before.

During an upgrade a leader of an older version rejects the new command, so that no engine could leave until that voter was upgraded too. Its rejection is recognised now, and the leave rests on the memory of the leader, as it does while any voter is of an older version (TestUnknownCommandIsTold; not played with an older binary).

--- a/control/departures.go
+++ b/control/departures.go
@@ -48,7 +48,10 @@
 		return errNoDeparture
 	}
 	stored := false
-	err := n.do(ctx, func(time.Time) { stored = n.core.hasStored(d) })
+	err := n.do(ctx, func(time.Time) {
+		resolved, known := n.core.resolveIncarnation(d)
+		stored = known && n.core.hasStored(resolved)
+	})
 	if err != nil || stored {
 		return err
 	}
@@ -78,6 +81,19 @@
 // errNotStored is returned when no majority has stored a departure before the deadline.
 var errNotStored = verdict.New(verdict.MayHaveRun, verdict.ReasonNoQuorum, "no majority of the voters stored it in time")
 
+// resolveIncarnation returns a departure with the incarnation that is known here if it states none, and whether it
+// names one then.
+func (c *core) resolveIncarnation(d departure.Departure) (departure.Departure, bool) {
+	if d.Incarnation > upstream.UnknownIncarnation {
+		return d, true
+	}
+	known, found := c.known.Find(d.Name)
+	if found {
+		d.Incarnation = known.Incarnation
+	}
+	return d, found
+}
+
 // hasStored reports whether a departure is known to be stored by a majority.
 func (c *core) hasStored(d departure.Departure) bool {
 	return c.group != nil && c.group.machine.HasDeparted(d)
@@ -144,19 +160,19 @@
 		return err
 	}
 	answer, err := n.storeDepartures(ctx, body)
-	if err != nil {
-		return err
+	var result *departureResult
+	if err == nil {
+		result, err = decode[departureResult](answer)
+	}
+	if isUnknownCommand(err) || err == nil && result.OldVoters {
+		return n.propagate(ctx) // until all voters are upgraded, the memory of the leader has to do
 	}
-	return n.checkStored(ctx, answer)
+	return err
 }
 
-// checkStored falls back to the memory of the leader while a voter is of an older version.
-func (n *Node) checkStored(ctx context.Context, answer []byte) error {
-	result, err := decode[departureResult](answer)
-	if err != nil || !result.OldVoters {
-		return err
-	}
-	return n.propagate(ctx)
+// isUnknownCommand reports whether an instance of an older version has rejected a command.
+func isUnknownCommand(err error) bool {
+	return err != nil && verdict.From(err).Reason == verdict.ReasonNotFound
 }
 
 // storeDepartures is the handler of commandStoreDepartures. An instance without a log knows a voter but not the leader,
@@ -224,15 +240,11 @@
 	return encode(result)
 }
 
-// missingDepartures returns the departures that the log does not hold. An upstream that does not state its
-// incarnation departs with the one that is known here.
+// missingDepartures returns the departures that the log does not hold.
 func (c *core) missingDepartures(reported []departure.Departure) []departure.Departure {
 	var missing []departure.Departure
 	for _, d := range reported {
-		if known, found := c.known.Find(d.Name); found && d.Incarnation == upstream.UnknownIncarnation {
-			d.Incarnation = known.Incarnation
-		}
-		if !c.hasStored(d) {
+		if d, _ = c.resolveIncarnation(d); !c.hasStored(d) {
 			missing = append(missing, d)
 		}
 	}
--- a/control/departures_test.go
+++ b/control/departures_test.go
@@ -275,3 +275,40 @@
 		return departed == 1
 	})
 }
+
+// Guards against engines that can't leave while a voter of the previous version leads, which doesn't know the command.
+func TestUnknownCommandIsTold(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 1)
+	_, err := f.members[1].node.Ask(t.Context(), f.members[0].process.ControlListen, "upstream.unknown", nil)
+	if !isUnknownCommand(err) || isUnknownCommand(errNotLeader) || isUnknownCommand(nil) {
+		t.Errorf("an unknown command is answered with %v", err)
+	}
+}
+
+// Guards against a leave without an incarnation that is acknowledged without effect, because a former incarnation of the
+// engine has left and the asked voter does not know the present one yet.
+func TestLeaveTakesThePresentIncarnation(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 0)
+	f.awaitInstalled(f.apply(0, "a", testTree(1)).Revision)
+	former, present := engineAt("e", "10.0.0.1:9"), engineAt("e", "10.0.0.1:9")
+	former.Incarnation, present.Incarnation = 100, 200
+	f.awaitSeen(former, f.members[0], upstream.Fresh)
+	f.leave(f.members[0], "e")
+	leader := f.leader()
+	f.awaitSeen(present, leader, upstream.Fresh)
+	asked := f.members[0]
+	if asked == leader {
+		asked = f.members[1]
+	}
+	if err := asked.node.do(t.Context(), func(time.Time) {
+		c := asked.node.core
+		c.known = upstream.NewRegistry(c.freshFor())
+		c.applyDepartures()
+	}); err != nil {
+		t.Fatal(err)
+	}
+	f.leave(asked, "e")
+	f.await("the present incarnation has left", func() bool { return !leader.usable("e") })
+}
