--- a/control/departures_test.go
+++ b/control/departures_test.go
@@ -277,7 +277,7 @@
 }
 
 // Guards against engines that can't leave while a voter of the previous version leads, which doesn't know the command.
-func TestUnknownCommandIsTold(t *testing.T) {
+func TestUnknownCommandIsRecognised(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 1, 1)
 	_, err := f.members[1].node.Ask(t.Context(), f.members[0].process.ControlListen, "upstream.unknown", nil)
